--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -38,8 +38,9 @@
 };
 
 struct server {
-  std::string id, zone;
+  std::string id;
   std::uint64_t id_hash = 14695981039346656037ULL;  // for the homes of keys
+  std::size_t zone = 0;                             // its place among the zones met
   int cell = 0;
   bool ready = false;
   double started = never;
@@ -47,14 +48,14 @@
     double at;
     bool failed;
   };
-  std::deque<mark> window;  // the last sends that count, oldest first
+  std::vector<mark> window;  // the last sends that count, oldest first
   double last_send = never;
-  std::deque<pick*> out;                // our picks in flight, oldest first
-  double others = 0, reported = never;  // what others had in hand there, and when we heard it
-  double pace = 0, paced = never;       // time for each RPC in hand, and when it was last seen
-  double probed = never;                // an unanswered probe
-  double budget = 0;                    // RPCs that a cold server may be sent
-  double full = never;                  // when it last turned a pick away
+  double in_flight = 0, ours = 0;        // our picks in flight, and their sizes together
+  double others = 0, reported = never;   // what others had in hand there, and when we heard it
+  double pace = 0, paced = never;        // time for each RPC in hand, and when it was last seen
+  double probed = never;                 // an unanswered probe
+  double budget = 0, budget_at = never;  // RPCs that a cold server may be sent, and when that was counted
+  double full = never;                   // when it last turned a pick away
 };
 
 struct rpc {
@@ -93,6 +94,9 @@
   double most_utility = 0;
   method unnamed;  // for an RPC of no known method: must not run twice, the longest latency target
   std::map<std::string, std::unique_ptr<server>, std::less<>> servers;
+  std::vector<server*> fleet;  // those ready, in order of id
+  std::vector<std::string> zones;
+  std::size_t home;
   std::unordered_map<std::string, std::unique_ptr<rpc>> rpcs;
   std::deque<rpc*> undecided;
   std::deque<pick*> to_cancel;
@@ -104,7 +108,7 @@
   std::size_t arrivals = 0;
   double mean_others = 0, mean_work = 0, usual_pace = 0, send_rate = 0, arrival_rate = 0,
          sends_since_beat = 0, arrivals_since_beat = 0, beat_at = never;
-  double last_send = never;
+  double last_send = never, warm_servers = 1;
   double spare = 5, further_success = 0.5;
   bool subscribed = false, call_out = false;
   double ask_at = never, failed_calls = 0;
@@ -115,6 +119,7 @@
       most_utility = std::max(most_utility, m.utility);
       unnamed.latency_target = std::max(unnamed.latency_target, m.latency_target);
     }
+    home = zone_at_the_door(land.zone);
   }
 
   double random() { return std::uniform_real_distribution<double>(0, 1)(chance); }
@@ -163,9 +168,23 @@
     return *s;
   }
 
+  std::size_t zone_at_the_door(const std::string& name) {
+    const auto it = std::find(zones.begin(), zones.end(), name);
+    if (it != zones.end()) return static_cast<std::size_t>(it - zones.begin());
+    zones.push_back(name);
+    return zones.size() - 1;
+  }
+
+  void muster() {
+    fleet.clear();
+    for (const auto& [id, s] : servers)
+      if (s->ready) fleet.push_back(s.get());
+    count_warmth();
+  }
+
   void learn_endpoint(const endpoint& e) {
     server& s = server_at_the_door(e.id);
-    s.zone = e.zone;
+    s.zone = zone_at_the_door(e.zone);
     s.cell = e.cell;
     const double started = e.started > 0 ? e.started : never;
     if (s.started != started && s.last_send != never) {
@@ -181,7 +200,7 @@
   void learn_report(server& s, const load& report, bool with_answer) {
     if (!report.held || !std::isfinite(*report.held) || *report.held < 0 || *report.held > 1e6) return;
     // A report is a moment old: it still counts the RPC whose answer carries it.
-    s.others = std::max(0.0, *report.held - static_cast<double>(s.out.size()) - (with_answer ? 1 : 0));
+    s.others = std::max(0.0, *report.held - s.in_flight - (with_answer ? 1 : 0));
     s.reported = now;
     constexpr double weight = 0.05;  // of one report in the mean: some twenty reports are remembered
     mean_others += weight * (s.others - mean_others);
@@ -201,7 +220,7 @@
   void learn_outcome(server& s, bool failed) {
     constexpr std::size_t window_length = 16;  // the design's
     s.window.push_back({now, failed});
-    if (s.window.size() > window_length) s.window.pop_front();
+    if (s.window.size() > window_length) s.window.erase(s.window.begin());
   }
 
   // ---- the draw ------------------------------------------------------------------------------------------
@@ -221,21 +240,19 @@
     // After this long what others have in hand is half way back to their mean.
     constexpr double half_life = 200;
     const double fade = s.reported == never ? 0 : std::exp2(-(now - s.reported) / half_life);
-    double ours = 0;
-    for (const pick* p : s.out) ours += p->size;
-    return ours + mean_others + (s.others - mean_others) * fade;
+    return s.ours + mean_others + (s.others - mean_others) * fade;
   }
 
   // Time for a mean RPC there.
-  double pace(const server& s, double fleet) const {
+  double pace(const server& s, double usual) const {
     constexpr double half_life = 2000;  // a pace seen is believed for some seconds, then the usual one counts
-    double p = fleet;
-    if (s.paced != never) p += (s.pace - fleet) * std::exp2(-(now - s.paced) / half_life);
+    double p = usual;
+    if (s.paced != never) p += (s.pace - usual) * std::exp2(-(now - s.paced) / half_life);
     return p / warmth(s);
   }
 
   // How long an RPC sent there now is expected to wait before its own work begins.
-  double wait(const server& s, const method& how, double fleet) const {
+  double wait(const server& s, const method& how, double usual) const {
     double turned_away = 0;
     // A server that turns picks away at once holds few of ours and looks idle, but its queue is as long as it
     // gets. Of the latency target: sends others to wait elsewhere, yet gives up no RPC by itself.
@@ -243,9 +260,12 @@
     constexpr double fades = 2;
     if (s.full != never)
       turned_away = jam * how.latency_target * std::exp2((s.full - now) / (fades * how.latency_target));
-    return pace(s, fleet) * ahead(s) + turned_away;
+    return pace(s, usual) * ahead(s) + turned_away;
   }
 
+  // A probe that stays unanswered longer tells no more.
+  bool unanswered(const server& s) const { return s.probed != never && now - s.probed < 1000; }
+
   double log_reputation(const server& s) const {
     constexpr double memory = 5000;
     double failures = 0;
@@ -259,9 +279,12 @@
     return std::min((now - s.last_send) / doubling, cap);
   }
 
-  bool allowed(const rpc& r, const server& s) const {
+  bool allowed(const rpc& r, server& s) {
     if (!s.ready) return false;
-    if (warmth(s) < 1 && s.budget < r.size) return false;
+    if (warmth(s) < 1) {
+      count_budget(s);
+      if (s.budget < r.size) return false;
+    }
     const pick* first = r.first_that_may_have_run();
     if (!first || r.how->repeats != repeatable::deduplicated) return true;
     if (r.how->drops_repeats == group::zone) return s.zone == first->to->zone;
@@ -269,20 +292,28 @@
     return true;
   }
 
-  double log_place(const rpc& r, const server& s) const {
-    constexpr double for_price = 40;  // halvings for a crossing that costs everything
-    double w = 0;
-    if (s.zone != land.zone) w -= for_price * land.cross_zone_price;
-    if (land.warm_keys && r.key) {
-      // Halvings that the key's homes are ahead of the rest: a long queue still sends it elsewhere.
-      constexpr double first_home = 15, second_home = 8;
-      const std::uint64_t mine = score(*r.key, s);
-      int rank = 0;
-      for (const auto& [id, o] : servers)
-        if (o->ready && o.get() != &s && o->zone == s.zone && score(*r.key, *o) > mine) ++rank;
-      w += rank == 0 ? first_home : rank == 1 ? second_home : 0;
+  // The two best homes of a key in each zone.
+  using homes = std::vector<std::pair<std::uint64_t, std::uint64_t>>;
+  homes homes_of(const rpc& r) const {
+    if (!land.warm_keys || !r.key) return {};
+    homes best(zones.size());
+    for (const server* s : fleet) {
+      auto& [first, second] = best[s->zone];
+      const std::uint64_t one = score(*r.key, *s);
+      second = std::max(second, std::min(first, one));
+      first = std::max(first, one);
     }
-    return w;
+    return best;
+  }
+
+  double log_place(const rpc& r, const server& s, const homes& best) const {
+    constexpr double for_price = 40;  // halvings for a crossing that costs everything
+    double w = s.zone == home ? 0 : -for_price * land.cross_zone_price;
+    if (best.empty()) return w;
+    // Halvings that the key's homes are ahead of the rest: a long queue still sends it elsewhere.
+    constexpr double first_home = 15, second_home = 8;
+    const std::uint64_t mine = score(*r.key, s);
+    return w + (mine == best[s.zone].first ? first_home : mine == best[s.zone].second ? second_home : 0);
   }
 
   static std::uint64_t score(std::uint64_t key, const server& s) { return mix(s.id_hash ^ mix(key)); }
@@ -292,6 +323,13 @@
     bool in_time = false;  // at some server
   };
 
+  std::size_t by_weight(const std::vector<double>& weights, double total) {
+    double x = random() * total;
+    std::size_t at = 0;
+    while (at + 1 < weights.size() && (x -= weights[at]) >= 0) ++at;
+    return at;
+  }
+
   drawn draw(const rpc& r) {
     // The more useful an RPC, the more of its time it may spend waiting: the room goes to what it is worth
     // most to.
@@ -302,11 +340,12 @@
     std::vector<server*> those;
     std::vector<double> logs;
     double reputation = 0, recency = 0, known = 0, in_flight = 0;
-    const double fleet = fleet_pace();
-    for (const auto& [id, s] : servers) {
+    const double usual = fleet_pace();
+    const homes best_homes = homes_of(r);
+    for (server* s : fleet) {
       if (!allowed(r, *s)) continue;
-      those.push_back(s.get());
-      in_flight += static_cast<double>(s->out.size());
+      those.push_back(s);
+      in_flight += s->in_flight;
       if (s->last_send == never) continue;
       reputation += std::exp2(log_reputation(*s));
       recency += std::exp2(log_recency(*s));
@@ -321,7 +360,7 @@
     const double unsent = known > 0 ? std::log2(reputation / known) + std::log2(recency / known) : 0;
     for (server* s : those) {
       double w = s->last_send == never ? unsent : log_reputation(*s) + log_recency(*s);
-      const double one = pace(*s, fleet), waits = wait(*s, *r.how, fleet);
+      const double one = pace(*s, usual), waits = wait(*s, *r.how, usual);
       // Without a hint the RPC may be a long one; it is given up while a wait would leave no room for that.
       constexpr double unhinted = 1.6;  // mean RPCs
       const double own = r.hinted ? r.size : unhinted;
@@ -331,19 +370,18 @@
                      (log_reputation(*s) > -hopeless && alone <= left && waits <= patience * (left - alone));
       const double scale = r.how->latency_target / 30;  // halves a weight; an RPC in hand takes 4 to 9 of it
       w -= (waits + one * r.size) / scale;
-      w += std::log2(warmth(*s)) + log_place(r, *s);
-      if (s->probed != never) w -= 3;
+      w += std::log2(warmth(*s)) + log_place(r, *s, best_homes);
+      if (unanswered(*s)) w -= 3;
       for (const pick& p : r.picks)
         if (p.to == s) w -= 4;  // another server is the better bet for a further pick
       logs.push_back(w);
     }
     const double top = *std::max_element(logs.begin(), logs.end());
-    std::vector<double> weights;
-    for (double w : logs) weights.push_back(std::exp2(w - top));
-    std::discrete_distribution<std::size_t> by_weight(weights.begin(), weights.end());
-    std::size_t at = by_weight(chance);
-    if (static_cast<double>(those[at]->out.size()) > 1 + 2 * in_flight / static_cast<double>(those.size()))
-      at = by_weight(chance);
+    double total = 0;
+    for (double& w : logs) total += w = std::exp2(w - top);
+    std::size_t at = by_weight(logs, total);
+    if (those[at]->in_flight > 1 + 2 * in_flight / static_cast<double>(those.size()))
+      at = by_weight(logs, total);
     best.to = those[at];
     return best;
   }
@@ -405,7 +443,8 @@
     r.picks.push_back({&s, &r, static_cast<int>(r.picks.size()), now, ahead(s), r.size});
     pick& p = r.picks.back();
     p.further = further;
-    s.out.push_back(&p);
+    s.in_flight += 1;
+    s.ours += r.size;
     s.last_send = last_send = now;
     if (warmth(s) < 1) s.budget -= r.size;
     ++sends_since_beat;
@@ -425,10 +464,10 @@
       constexpr double worth = 0.006;  // of the service, that fresh reports may cost
       const double paid = land.probe_price > 0 ? std::floor(worth / land.probe_price) : 3;
       std::vector<std::pair<double, server*>> stale;
-      const double fleet = fleet_pace();
-      for (const auto& [id, s] : servers)
-        if (allowed(r, *s) && s->probed == never && now - s->reported > 10)
-          stale.push_back({wait(*s, *r.how, fleet) + pace(*s, fleet) * r.size, s.get()});
+      const double usual = fleet_pace();
+      for (server* s : fleet)
+        if (allowed(r, *s) && !unanswered(*s) && now - s->reported > 10)
+          stale.push_back({wait(*s, *r.how, usual) + pace(*s, usual) * r.size, s});
       std::sort(stale.begin(), stale.end(), [](auto& a, auto& b) { return a.first < b.first; });
       r.ask_until = now + patience;
       for (auto& [takes, s] : stale) {
@@ -452,7 +491,12 @@
 
   // ---- periodic work and the list ------------------------------------------------------------------------
 
-  static constexpr double beat = 100;
+  static constexpr double beat = 1000;
+
+  void count_warmth() {
+    warm_servers = 0;
+    for (const server* s : fleet) warm_servers += warmth(*s);
+  }
 
   void keep_beat() {
     const double span = beat_at == never ? beat : now - beat_at;
@@ -461,22 +505,20 @@
     send_rate += (1 - std::exp(-span / memory)) * (sends_since_beat / span - send_rate);
     arrival_rate += (1 - std::exp(-span / memory)) * (arrivals_since_beat / span - arrival_rate);
     sends_since_beat = arrivals_since_beat = 0;
+    count_warmth();
+  }
+
+  // All sidecars together must not push a cold server over: each gives it no more than its own mean a
+  // server times a part of the allowed multiple, and saves up no more than a few RPCs.
+  void count_budget(server& s) {
     // Where all servers are cold, a budget made of sends alone would never let one out.
     constexpr double trickle = 0.3;
-    const double rate = std::max(send_rate, trickle * arrival_rate);
-    double n = 0;
-    for (const auto& [id, s] : servers)
-      if (s->ready) n += warmth(*s);
-    for (const auto& [id, s] : servers) {
-      // All sidecars together must not push a cold server over: each gives it no more than its own mean a
-      // server times a part of the allowed multiple, and saves up no more than a few RPCs.
-      constexpr double part = 0.5;  // half the multiple: an overloaded mean leaves room
-      const double share = rate / std::max(n, 1.0);
-      const double most = std::max(1.0, share * land.cold_span);
-      s->budget = std::min(s->budget + span * part * land.cold_multiple * warmth(*s) * share, most);
-      // A probe that stays unanswered this long tells no more than that.
-      if (s->probed != never && now - s->probed > 1000) s->probed = never;
-    }
+    constexpr double part = 0.5;  // half the multiple: an overloaded mean leaves room
+    const double share = std::max(send_rate, trickle * arrival_rate) / std::max(warm_servers, 1.0);
+    const double span = s.budget_at == never ? 0 : now - s.budget_at;
+    s.budget_at = now;
+    s.budget = std::min(s.budget + span * part * land.cold_multiple * warmth(s) * share,
+                        std::max(1.0, share * land.cold_span));
   }
 
   bool wants_list() {
@@ -518,8 +560,10 @@
       beat_due = false;
       return decision{decision::verb::wake, {}, {}, 0, beat, beat_wake};
     }
-    if (!due.empty() && (armed == never || due.begin()->first.first < armed)) {
-      armed = due.begin()->first.first;
+    double soonest = due.empty() ? -never : due.begin()->first.first;
+    if (land.must_ask && !subscribed && !call_out) soonest = std::min(soonest, ask_at);
+    if (soonest < -never && (armed == never || soonest < armed)) {
+      armed = soonest;
       return decision{decision::verb::wake, {}, {}, 0, armed - now, due_wake};
     }
     return {};
@@ -535,6 +579,7 @@
   if (whole)
     for (const auto& [id, s] : self->servers) s->ready = false;
   for (const endpoint& e : entries) self->learn_endpoint(e);
+  self->muster();
   if (asked && self->call_out) {
     self->call_out = false;
     self->subscribed = true;
@@ -598,7 +643,8 @@
   server& s = *p.to;
   p.out = false;
   p.may_have_run = how != ending::full && how != ending::connect_failed && how != ending::moot;
-  std::erase(s.out, &p);
+  s.in_flight -= 1;
+  s.ours = s.in_flight > 0 ? s.ours - p.size : 0;
   b.learn_report(s, report, how == ending::ok);
   const bool late = took > r.how->latency_target;
   if (how == ending::full) s.full = now;
