--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -16,6 +16,7 @@
 #include <cmath>
 #include <deque>
 #include <map>
+#include <numeric>
 #include <random>
 #include <set>
 #include <unordered_map>
@@ -318,47 +319,41 @@
 
   static std::uint64_t score(std::uint64_t key, const server& s) { return mix(s.id_hash ^ mix(key)); }
 
-  struct drawn {
-    server* to = nullptr;
+  // The servers an RPC may go to, each with its weight.
+  struct ballot {
+    std::vector<server*> those;
+    std::vector<double> weights;
+    double in_flight = 0;
     bool in_time = false;  // at some server
   };
 
-  std::size_t by_weight(const std::vector<double>& weights, double total) {
-    double x = random() * total;
-    std::size_t at = 0;
-    while (at + 1 < weights.size() && (x -= weights[at]) >= 0) ++at;
-    return at;
-  }
-
-  drawn draw(const rpc& r) {
+  ballot weigh(const rpc& r) {
     // The more useful an RPC, the more of its time it may spend waiting: the room goes to what it is worth
     // most to.
     constexpr double patience_least = 0.4, patience_for_utility = 0.6;
     const double left = useful_until(r) - now;
     const double patience = patience_least + patience_for_utility * r.how->utility / most_utility;
 
-    std::vector<server*> those;
-    std::vector<double> logs;
-    double reputation = 0, recency = 0, known = 0, in_flight = 0;
+    ballot b;
+    double reputation = 0, recency = 0, known = 0;
     const double usual = fleet_pace();
     const homes best_homes = homes_of(r);
     for (server* s : fleet) {
       if (!allowed(r, *s)) continue;
-      those.push_back(s);
-      in_flight += s->in_flight;
+      b.those.push_back(s);
+      b.in_flight += s->in_flight;
       if (s->last_send == never) continue;
       reputation += std::exp2(log_reputation(*s));
       recency += std::exp2(log_recency(*s));
       ++known;
     }
-    if (those.empty()) return {};
-    drawn best;
+    if (b.those.empty()) return b;
     // Giving up on what was seen long ago would never see anything again: after a silence one RPC is let
     // through.
     constexpr double silence = 1000;
-    best.in_time = now - last_send > silence && in_flight == 0;
+    b.in_time = now - last_send > silence && b.in_flight == 0;
     const double unsent = known > 0 ? std::log2(reputation / known) + std::log2(recency / known) : 0;
-    for (server* s : those) {
+    for (server* s : b.those) {
       double w = s->last_send == never ? unsent : log_reputation(*s) + log_recency(*s);
       const double one = pace(*s, usual), waits = wait(*s, *r.how, usual);
       // Without a hint the RPC may be a long one; it is given up while a wait would leave no room for that.
@@ -366,24 +361,32 @@
       const double own = r.hinted ? r.size : unhinted;
       constexpr double hopeless = 3;  // failures; 2 and 4 serve a fleet that tipped worse
       const double alone = one * own;
-      best.in_time = best.in_time ||
-                     (log_reputation(*s) > -hopeless && alone <= left && waits <= patience * (left - alone));
+      b.in_time = b.in_time ||
+                  (log_reputation(*s) > -hopeless && alone <= left && waits <= patience * (left - alone));
       const double scale = r.how->latency_target / 30;  // halves a weight; an RPC in hand takes 4 to 9 of it
       w -= (waits + one * r.size) / scale;
       w += std::log2(warmth(*s)) + log_place(r, *s, best_homes);
       if (unanswered(*s)) w -= 3;
       for (const pick& p : r.picks)
         if (p.to == s) w -= 4;  // another server is the better bet for a further pick
-      logs.push_back(w);
+      b.weights.push_back(w);
     }
-    const double top = *std::max_element(logs.begin(), logs.end());
-    double total = 0;
-    for (double& w : logs) total += w = std::exp2(w - top);
-    std::size_t at = by_weight(logs, total);
-    if (those[at]->in_flight > 1 + 2 * in_flight / static_cast<double>(those.size()))
-      at = by_weight(logs, total);
-    best.to = those[at];
-    return best;
+    const double top = *std::max_element(b.weights.begin(), b.weights.end());
+    for (double& w : b.weights) w = std::exp2(w - top);
+    return b;
+  }
+
+  std::size_t by_weight(const ballot& b) {
+    double x = random() * std::accumulate(b.weights.begin(), b.weights.end(), 0.0);
+    std::size_t at = 0;
+    while (at + 1 < b.weights.size() && (x -= b.weights[at]) >= 0) ++at;
+    return at;
+  }
+
+  server* draw(const ballot& b) {
+    std::size_t at = by_weight(b);
+    if (b.those[at]->in_flight > 1 + 2 * b.in_flight / static_cast<double>(b.those.size())) at = by_weight(b);
+    return b.those[at];
   }
 
   // ---- decisions on one RPC ------------------------------------------------------------------------------
@@ -433,13 +436,12 @@
     const bool further = !r.picks.empty();
     if (ask_around(r)) return {};
     if (!may_pick(r) || (further && spare < 1)) return give_up(r);
-    const drawn d = draw(r);
-    if (!d.to || !d.in_time) return give_up(r);
-    return send(r, d, further, useful_until(r) - now);
+    const ballot b = weigh(r);
+    if (b.those.empty() || !b.in_time) return give_up(r);
+    return send(r, *draw(b), further, useful_until(r) - now);
   }
 
-  decision send(rpc& r, const drawn& d, bool further, double left) {
-    server& s = *d.to;
+  decision send(rpc& r, server& s, bool further, double left) {
     r.picks.push_back({&s, &r, static_cast<int>(r.picks.size()), now, ahead(s), r.size});
     pick& p = r.picks.back();
     p.further = further;
@@ -463,15 +465,17 @@
     if (r.ask_until == never) {
       constexpr double worth = 0.006;  // of the service, that fresh reports may cost
       const double paid = land.probe_price > 0 ? std::floor(worth / land.probe_price) : 3;
-      std::vector<std::pair<double, server*>> stale;
-      const double usual = fleet_pace();
-      for (server* s : fleet)
-        if (allowed(r, *s) && !unanswered(*s) && now - s->reported > 10)
-          stale.push_back({wait(*s, *r.how, usual) + pace(*s, usual) * r.size, s});
-      std::sort(stale.begin(), stale.end(), [](auto& a, auto& b) { return a.first < b.first; });
       r.ask_until = now + patience;
-      for (auto& [takes, s] : stale) {
-        if (static_cast<double>(r.asked.size()) >= paid) break;
+      // The servers of shortest expected wait are the same ones at every sidecar that knows as little: all
+      // would ask and then crowd them. The draw's own weights spread the questions.
+      ballot b = paid > 0 ? weigh(r) : ballot();
+      for (std::size_t i = 0; i < b.those.size(); ++i)
+        if (unanswered(*b.those[i]) || now - b.those[i]->reported <= 10) b.weights[i] = 0;
+      while (static_cast<double>(r.asked.size()) < paid && r.asked.size() < b.those.size()) {
+        const std::size_t at = by_weight(b);
+        if (b.weights[at] <= 0) break;
+        b.weights[at] = 0;
+        server* s = b.those[at];
         s->probed = now;
         to_probe.push_back(s);
         r.asked.push_back(s);
