--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -264,6 +264,11 @@
     return pace(s, usual) * ahead(s) + turned_away;
   }
 
+  bool fresh(const server& s) const {
+    constexpr double age = 10;  // ms; 3 to 40 are alike
+    return now - s.reported <= age;
+  }
+
   // A probe that stays unanswered longer tells no more.
   bool unanswered(const server& s) const { return s.probed != never && now - s.probed < 1000; }
 
@@ -367,6 +372,8 @@
       w -= (waits + one * r.size) / scale;
       w += std::log2(warmth(*s)) + log_place(r, *s, best_homes);
       if (unanswered(*s)) w -= 3;
+      // The many servers that nothing is known of must not outweigh together the few that were asked.
+      if (!r.asked.empty() && !fresh(*s)) w -= std::log2(static_cast<double>(b.those.size()));
       for (const pick& p : r.picks)
         if (p.to == s) w -= 4;  // another server is the better bet for a further pick
       b.weights.push_back(w);
@@ -470,7 +477,7 @@
       // would ask and then crowd them. The draw's own weights spread the questions.
       ballot b = paid > 0 ? weigh(r) : ballot();
       for (std::size_t i = 0; i < b.those.size(); ++i)
-        if (unanswered(*b.those[i]) || now - b.those[i]->reported <= 10) b.weights[i] = 0;
+        if (unanswered(*b.those[i]) || fresh(*b.those[i])) b.weights[i] = 0;
       while (static_cast<double>(r.asked.size()) < paid && r.asked.size() < b.those.size()) {
         const std::size_t at = by_weight(b);
         if (b.weights[at] <= 0) break;
