Probes a few at a time until one is idle, paid for by the RPC's utility

Cause: three probes found no idle server often, and where a probe is dear none was ever bought, though the most useful RPCs earn one many times over.

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -107,7 +107,7 @@
   double armed = never;  // the due wake-up under way
   bool beat_due = true;
   std::size_t arrivals = 0;
-  double mean_others = 0, mean_work = 0, usual_pace = 0, send_rate = 0, arrival_rate = 0,
+  double mean_others = 0, mean_work = 0, mean_utility = 1, usual_pace = 0, send_rate = 0, arrival_rate = 0,
          sends_since_beat = 0, arrivals_since_beat = 0, beat_at = never;
   double last_send = never, warm_servers = 1;
   double spare = 5, further_success = 0.5;
@@ -465,37 +465,46 @@
     return {decision::verb::pick, r.id, s.id, p.number, std::max(left, 0.001), 0};
   }
 
-  // Fresh reports before a first pick, as far as their price allows; true while answers are awaited.
+  // Fresh reports before a first pick, a few at a time until a server is found idle, as far as their price
+  // allows; true while answers are awaited.
   bool ask_around(rpc& r) {
     if (!land.probing || !land.probes_report || !r.picks.empty()) return false;
-    constexpr double patience = 4;  // a few round trips
-    if (r.ask_until == never) {
-      constexpr double worth = 0.006;  // of the service, that fresh reports may cost
-      const double paid = land.probe_price > 0 ? std::floor(worth / land.probe_price) : 3;
-      r.ask_until = now + patience;
-      // The servers of shortest expected wait are the same ones at every sidecar that knows as little: all
-      // would ask and then crowd them. The draw's own weights spread the questions.
-      ballot b = paid > 0 ? weigh(r) : ballot();
-      for (std::size_t i = 0; i < b.those.size(); ++i)
-        if (unanswered(*b.those[i]) || fresh(*b.those[i])) b.weights[i] = 0;
-      while (static_cast<double>(r.asked.size()) < paid && r.asked.size() < b.those.size()) {
-        const std::size_t at = by_weight(b);
-        if (b.weights[at] <= 0) break;
-        b.weights[at] = 0;
-        server* s = b.those[at];
-        s->probed = now;
-        to_probe.push_back(s);
-        r.asked.push_back(s);
+    if (r.ask_until != never) {
+      const bool answered =
+          std::all_of(r.asked.begin(), r.asked.end(), [](server* s) { return s->probed == never; });
+      if (!answered && now < r.ask_until) {
+        set_due(r, r.ask_until);
+        return true;
       }
-      if (r.asked.empty()) return false;
-      asking.push_back(&r);
-    }
-    const bool answered =
-        std::all_of(r.asked.begin(), r.asked.end(), [](server* s) { return s->probed == never; });
-    if (answered || now >= r.ask_until) {
       std::erase(asking, &r);
-      return false;
+      for (const server* s : r.asked)
+        if (fresh(*s) && ahead(*s) < 0.5) return false;
     }
+    constexpr double worth = 0.04;            // of the service, that fresh reports may cost, for a mean RPC
+    constexpr double at_once = 2, most = 12;  // more than that find an idle one hardly ever
+    const double paid =
+        land.probe_price > 0 ? std::floor(worth / land.probe_price * r.how->utility / mean_utility) : most;
+    const double more = std::min(std::min(paid, most) - static_cast<double>(r.asked.size()), at_once);
+    if (more < 1) return false;
+    // The servers of shortest expected wait are the same ones at every sidecar that knows as little: all
+    // would ask and then crowd them. The draw's own weights spread the questions.
+    ballot b = weigh(r);
+    for (std::size_t i = 0; i < b.those.size(); ++i)
+      if (unanswered(*b.those[i]) || fresh(*b.those[i])) b.weights[i] = 0;
+    const std::size_t before = r.asked.size();
+    while (static_cast<double>(r.asked.size() - before) < more && r.asked.size() < b.those.size()) {
+      const std::size_t at = by_weight(b);
+      if (b.weights[at] <= 0) break;
+      b.weights[at] = 0;
+      server* s = b.those[at];
+      s->probed = now;
+      to_probe.push_back(s);
+      r.asked.push_back(s);
+    }
+    if (r.asked.size() == before) return false;
+    constexpr double patience = 4;  // a few round trips
+    r.ask_until = now + patience;
+    asking.push_back(&r);
     set_due(r, r.ask_until);
     return true;
   }
@@ -629,6 +638,8 @@
     r->hinted = true;
     r->size = work / b.mean_work;
   }
+  constexpr double of_one = 0.02;  // some fifty RPCs are remembered
+  b.mean_utility += (r->order > 0 ? of_one : 1) * (r->how->utility - b.mean_utility);
   rpc& kept = *r;
   b.rpcs[kept.id] = std::move(r);
   b.queue(kept);
