--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -237,13 +237,14 @@
     return usual_pace > 0 ? usual_pace : guess * unnamed.latency_target;
   }
 
-  double ahead(const server& s) const {
-    // After this long what others have in hand is half way back to their mean.
-    constexpr double half_life = 200;
-    const double fade = s.reported == never ? 0 : std::exp2(-(now - s.reported) / half_life);
-    return s.ours + mean_others + (s.others - mean_others) * fade;
+  // How far a report still tells what others have in hand there.
+  double heard(const server& s) const {
+    constexpr double half_life = 200;  // then it is half way back to their mean; 100 and 400 are alike
+    return s.reported == never ? 0 : std::exp2(-(now - s.reported) / half_life);
   }
 
+  double ahead(const server& s) const { return s.ours + mean_others + (s.others - mean_others) * heard(s); }
+
   // Time for a mean RPC there.
   double pace(const server& s, double usual) const {
     constexpr double half_life = 2000;  // a pace seen is believed for some seconds, then the usual one counts
@@ -482,8 +483,13 @@
     }
     constexpr double worth = 0.04;            // of the service, that fresh reports may cost, for a mean RPC
     constexpr double at_once = 2, most = 12;  // more than that find an idle one hardly ever
+    // A report adds only what the last ones don't tell any more: nearly all at a quiet sidecar.
+    double known = 0;
+    for (const server* s : fleet) known += heard(*s) / static_cast<double>(fleet.size());
     const double paid =
-        land.probe_price > 0 ? std::floor(worth / land.probe_price * r.how->utility / mean_utility) : most;
+        land.probe_price > 0
+            ? std::floor(worth * (1 - known) / land.probe_price * r.how->utility / mean_utility)
+            : most;
     const double more = std::min(std::min(paid, most) - static_cast<double>(r.asked.size()), at_once);
     if (more < 1) return false;
     // The servers of shortest expected wait are the same ones at every sidecar that knows as little: all
