--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -215,8 +215,7 @@
     s.paced = now;
     // What a jam taught must not outlast it: what is usual is learned slowly, and from answers alone.
     constexpr double slow = 0.02;
-    // By work: the many small RPCs, whose time is mostly not work, must not make a long one look hopeless.
-    if (answered) usual_pace += (usual_pace > 0 ? slow * std::min(work, 4.0) : 1) * (seen - usual_pace);
+    if (answered) usual_pace += (usual_pace > 0 ? slow : 1) * (seen - usual_pace);
   }
 
   void learn_outcome(server& s, bool failed) {
