--- a/include/indigorill/balance.h
+++ b/include/indigorill/balance.h
@@ -33,6 +33,7 @@
   bool cancelling = false, probing = false, probes_report = false;
   bool must_ask = false;  // the list comes only when asked for
   bool warm_keys = false;
+  bool utility_by_work = false;  // a long RPC is worth more than a short one of its method
   double longest_retry_after = 0;  // 0: clients take no advice
   double cross_zone_price = 0, probe_price = 0;
   double ask_within = 0;  // longest silence towards the list's service
--- a/src/adapter/wire.cpp
+++ b/src/adapter/wire.cpp
@@ -129,6 +129,7 @@
   t.zone = f.text("zone", "");
   t.tick = f.ms("round", 1);
   t.must_ask = f.text("discovery", "automatic") == "subscribe";
+  t.utility_by_work = f.text("utilityPer", "") == "work";
   t.warm_keys = f.inner("familyInfo").mark("warmKeys");
   const fields bounds = f.inner("bounds");
   t.most_picks = bounds.small("maxPicks", 1);
--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -65,9 +65,10 @@
   std::size_t order;  // of arrival; due times that are equal fall in this order
   double dl, target;
   std::optional<std::uint64_t> key;
-  double size = 1;  // expected work in mean RPCs
+  double size = 1, value = 1;  // expected work in mean RPCs, and the utility of that
   std::deque<pick> picks;
   std::vector<server*> asked;  // probes it waits for
+  double paid = never;         // how many of them it is worth
   double ask_until = never, due = never;
   bool hinted = false, concluded = false, streaming = false, queued = false;
   int outstanding() const {
@@ -107,7 +108,7 @@
   double armed = never;  // the due wake-up under way
   bool beat_due = true;
   std::size_t arrivals = 0;
-  double mean_others = 0, mean_work = 0, mean_utility = 1, usual_pace = 0, send_rate = 0, arrival_rate = 0,
+  double mean_others = 0, mean_work = 0, mean_value = 1, usual_pace = 0, send_rate = 0, arrival_rate = 0,
          sends_since_beat = 0, arrivals_since_beat = 0, beat_at = never;
   double last_send = never, warm_servers = 1;
   double spare = 5, further_success = 0.5;
@@ -481,16 +482,18 @@
       for (const server* s : r.asked)
         if (fresh(*s) && ahead(*s) < 0.5) return false;
     }
-    constexpr double worth = 0.04;            // of the service, that fresh reports may cost, for a mean RPC
+    // Of an RPC's utility, what fresh reports save where its own work takes all of its time; a shorter one is
+    // at less risk. 0.1 to 0.4 are alike.
+    constexpr double saved = 0.2;
     constexpr double at_once = 2, most = 12;  // more than that find an idle one hardly ever
     // A report adds only what the last ones don't tell any more: nearly all at a quiet sidecar.
     double known = 0;
     for (const server* s : fleet) known += heard(*s) / static_cast<double>(fleet.size());
-    const double paid =
-        land.probe_price > 0
-            ? std::floor(worth * (1 - known) / land.probe_price * r.how->utility / mean_utility)
-            : most;
-    const double more = std::min(std::min(paid, most) - static_cast<double>(r.asked.size()), at_once);
+    const double risk = std::min(fleet_pace() * r.size / (useful_until(r) - now), 1.0);
+    const double gain = saved * risk * (1 - known) * r.value / mean_value;
+    if (r.paid == never)
+      r.paid = land.probe_price > 0 ? std::floor(gain / land.probe_price + random()) : most;
+    const double more = std::min(std::min(r.paid, most) - static_cast<double>(r.asked.size()), at_once);
     if (more < 1) return false;
     // The servers of shortest expected wait are the same ones at every sidecar that knows as little: all
     // would ask and then crowd them. The draw's own weights spread the questions.
@@ -644,8 +647,9 @@
     r->hinted = true;
     r->size = work / b.mean_work;
   }
+  r->value = r->how->utility * (b.land.utility_by_work ? r->size : 1);
   constexpr double of_one = 0.02;  // some fifty RPCs are remembered
-  b.mean_utility += (r->order > 0 ? of_one : 1) * (r->how->utility - b.mean_utility);
+  b.mean_value += (r->order > 0 ? of_one : 1) * (r->value - b.mean_value);
   rpc& kept = *r;
   b.rpcs[kept.id] = std::move(r);
   b.queue(kept);
