--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -484,7 +484,7 @@
     }
     // Of an RPC's utility, what fresh reports save where its own work takes all of its time; a shorter one is
     // at less risk. 0.1 to 0.4 are alike.
-    constexpr double saved = 0.2;
+    constexpr double saved = 0.1;
     constexpr double at_once = 2, most = 12;  // more than that find an idle one hardly ever
     // A report adds only what the last ones don't tell any more: nearly all at a quiet sidecar.
     double known = 0;
