Cold servers are bounded by chance, and a budget begins at one RPC

Cause: a quiet sidecar needs minutes to save up one RPC for a cold server, so a deployed fleet stayed idle; a bound on the draw's chance is the same sum over any number of sidecars.

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -55,7 +55,7 @@
   double others = 0, reported = never;   // what others had in hand there, and when we heard it
   double pace = 0, paced = never;        // time for each RPC in hand, and when it was last seen
   double probed = never;                 // an unanswered probe
-  double budget = 0, budget_at = never;  // RPCs that a cold server may be sent, and when that was counted
+  double budget = 1, budget_at = never;  // RPCs that a cold server may be sent, and when that was counted
   double full = never;                   // when it last turned a pick away
 };
 
@@ -193,7 +193,7 @@
       // A process that restarted under the same id is another one: what the old one did says nothing of it.
       s.window.clear();
       s.last_send = s.reported = s.paced = never;
-      s.budget = 0;
+      s.budget = 1;
     }
     s.started = started;
     s.ready = e.state == standing::ready;
@@ -227,6 +227,8 @@
 
   // ---- the draw ------------------------------------------------------------------------------------------
 
+  static constexpr double cold_part = 0.5;  // of the multiple: an overloaded mean leaves room
+
   double warmth(const server& s) const {
     if (s.started == never || land.cold_for <= 0) return 1;
     const double age = std::clamp((now - s.started) / land.cold_for, 0.0, 1.0);
@@ -381,7 +383,17 @@
       b.weights.push_back(w);
     }
     const double top = *std::max_element(b.weights.begin(), b.weights.end());
-    for (double& w : b.weights) w = std::exp2(w - top);
+    double total = 0;
+    for (double& w : b.weights) total += w = std::exp2(w - top);
+    // A sidecar that sends little can save up no whole RPC while a server is cold, and a thousand that each
+    // hold one would push it over together. A bound on the chance is the same sum over any number of them.
+    // Whoever is asked first may be sent the RPC for certain, so the chance to be asked is what is bounded.
+    for (std::size_t i = 0; i < b.those.size(); ++i) {
+      server* s = b.those[i];
+      if (warmth(*s) < 1 && std::find(r.asked.begin(), r.asked.end(), s) == r.asked.end())
+        b.weights[i] = std::min(b.weights[i], total * cold_part * land.cold_multiple * warmth(*s) /
+                                                  warm_servers / std::max(r.paid, 1.0));
+    }
     return b;
   }
 
@@ -542,11 +554,10 @@
   void count_budget(server& s) {
     // Where all servers are cold, a budget made of sends alone would never let one out.
     constexpr double trickle = 0.3;
-    constexpr double part = 0.5;  // half the multiple: an overloaded mean leaves room
     const double share = std::max(send_rate, trickle * arrival_rate) / std::max(warm_servers, 1.0);
     const double span = s.budget_at == never ? 0 : now - s.budget_at;
     s.budget_at = now;
-    s.budget = std::min(s.budget + span * part * land.cold_multiple * warmth(s) * share,
+    s.budget = std::min(s.budget + span * cold_part * land.cold_multiple * warmth(s) * share,
                         std::max(1.0, share * land.cold_span));
   }
 
