--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -375,9 +375,10 @@
       const double scale = r.how->latency_target / 30;  // halves a weight; an RPC in hand takes 4 to 9 of it
       w -= (waits + one * r.size) / scale;
       w += std::log2(warmth(*s)) + log_place(r, *s, best_homes);
-      if (unanswered(*s)) w -= 3;
+      constexpr double silent = 8, unheard = 3;  // halvings; a dead server answers no probe
+      if (unanswered(*s)) w -= silent;
       // The many servers that nothing is known of must not outweigh together the few that were asked.
-      if (!r.asked.empty() && !fresh(*s)) w -= std::log2(static_cast<double>(b.those.size()));
+      if (!r.asked.empty() && !fresh(*s)) w -= unheard + std::log2(static_cast<double>(b.those.size()));
       for (const pick& p : r.picks)
         if (p.to == s) w -= 4;  // another server is the better bet for a further pick
       b.weights.push_back(w);
