--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -378,7 +378,7 @@
       constexpr double silent = 8, unheard = 3;  // halvings; a dead server answers no probe
       if (unanswered(*s)) w -= silent;
       // The many servers that nothing is known of must not outweigh together the few that were asked.
-      if (!r.asked.empty() && !fresh(*s)) w -= unheard + std::log2(static_cast<double>(b.those.size()));
+      if (!r.asked.empty()) w -= (1 - heard(*s)) * (unheard + std::log2(static_cast<double>(b.those.size())));
       for (const pick& p : r.picks)
         if (p.to == s) w -= 4;  // another server is the better bet for a further pick
       b.weights.push_back(w);
