Recency doubles in no less than the mean time between a server's turns

Cause: where a server's turn comes every ten seconds or more, recency sits at its cap and a key's home loses to whatever was longest unheard of, often across zones.

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -284,9 +284,12 @@
   }
 
   double log_recency(const server& s) const {
-    constexpr double doubling = 1000;  // ms; 10 s and 3 s do no better
-    constexpr double cap = 6;          // doublings, so that idle times cannot overflow
-    return std::min((now - s.last_send) / doubling, cap);
+    constexpr double least = 1000;  // ms; 10 s and 3 s do no better where sends are frequent
+    constexpr double cap = 6;       // doublings, so that idle times cannot overflow
+    // Where a server's turn comes more seldom, doublings in less than the time between two turns would send
+    // every RPC to whatever server was longest unheard of.
+    const double turn = send_rate > 0 ? static_cast<double>(fleet.size()) / send_rate : least;
+    return std::min((now - s.last_send) / std::max(least, turn), cap);
   }
 
   bool allowed(const rpc& r, server& s) {
