--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -362,8 +362,9 @@
     if (b.those.empty()) return b;
     // Giving up on what was seen long ago would never see anything again: after a silence one RPC is let
     // through.
-    constexpr double silence = 1000;
-    b.in_time = now - last_send > silence && b.in_flight == 0;
+    // A thousand sidecars that each do so every second are a load: one RPC in ten of a quiet one.
+    constexpr double silence = 1000, chance_through = 0.1;
+    b.in_time = now - last_send > silence && b.in_flight == 0 && random() < chance_through;
     const double unsent = known > 0 ? std::log2(reputation / known) + std::log2(recency / known) : 0;
     for (server* s : b.those) {
       double w = s->last_send == never ? unsent : log_reputation(*s) + log_recency(*s);
@@ -387,30 +388,40 @@
       b.weights.push_back(w);
     }
     const double top = *std::max_element(b.weights.begin(), b.weights.end());
-    double total = 0;
-    for (double& w : b.weights) total += w = std::exp2(w - top);
-    // A sidecar that sends little can save up no whole RPC while a server is cold, and a thousand that each
-    // hold one would push it over together. A bound on the chance is the same sum over any number of them.
-    // Whoever is asked first may be sent the RPC for certain, so the chance to be asked is what is bounded.
-    for (std::size_t i = 0; i < b.those.size(); ++i) {
-      server* s = b.those[i];
-      if (warmth(*s) < 1 && std::find(r.asked.begin(), r.asked.end(), s) == r.asked.end())
-        b.weights[i] = std::min(b.weights[i], total * cold_part * land.cold_multiple * warmth(*s) /
-                                                  warm_servers / std::max(r.paid, 1.0));
-    }
+    for (double& w : b.weights) w = std::exp2(w - top);
     return b;
   }
 
-  std::size_t by_weight(const ballot& b) {
-    double x = random() * std::accumulate(b.weights.begin(), b.weights.end(), 0.0);
+  std::size_t by_weight(const ballot& b, double total) {
+    double x = random() * total;
     std::size_t at = 0;
     while (at + 1 < b.weights.size() && (x -= b.weights[at]) >= 0) ++at;
     return at;
   }
 
-  server* draw(const ballot& b) {
-    std::size_t at = by_weight(b);
-    if (b.those[at]->in_flight > 1 + 2 * b.in_flight / static_cast<double>(b.those.size())) at = by_weight(b);
+  // A sidecar that sends little can save up no whole RPC while a server is cold, and a thousand that each
+  // hold one would push it over together. A bound on the chance is the same sum over any number of them.
+  // Whoever is asked first may be sent the RPC for certain, so the chance to be asked is what is bounded.
+  std::size_t by_bounded_weight(const rpc& r, ballot& b) {
+    const auto total = [&] { return std::accumulate(b.weights.begin(), b.weights.end(), 0.0); };
+    const auto bounded = [&](server* s) {
+      return warmth(*s) < 1 && std::find(r.asked.begin(), r.asked.end(), s) == r.asked.end();
+    };
+    const double all = total();
+    const std::size_t at = by_weight(b, all);
+    const server& s = *b.those[at];
+    const double most = cold_part * land.cold_multiple * warmth(s) / warm_servers / std::max(r.paid, 1.0);
+    if (!bounded(b.those[at]) || random() * b.weights[at] < most * all) return at;
+    for (std::size_t i = 0; i < b.those.size(); ++i)
+      if (bounded(b.those[i])) b.weights[i] = 0;
+    const double rest = total();
+    return rest > 0 ? by_weight(b, rest) : at;
+  }
+
+  server* draw(const rpc& r, ballot b) {
+    const double crowd = 1 + 2 * b.in_flight / static_cast<double>(b.those.size());
+    std::size_t at = by_bounded_weight(r, b);
+    if (b.those[at]->in_flight > crowd) at = by_bounded_weight(r, b);
     return b.those[at];
   }
 
@@ -461,9 +472,9 @@
     const bool further = !r.picks.empty();
     if (ask_around(r)) return {};
     if (!may_pick(r) || (further && spare < 1)) return give_up(r);
-    const ballot b = weigh(r);
+    ballot b = weigh(r);
     if (b.those.empty() || !b.in_time) return give_up(r);
-    return send(r, *draw(b), further, useful_until(r) - now);
+    return send(r, *draw(r, std::move(b)), further, useful_until(r) - now);
   }
 
   decision send(rpc& r, server& s, bool further, double left) {
@@ -518,7 +529,7 @@
       if (unanswered(*b.those[i]) || fresh(*b.those[i])) b.weights[i] = 0;
     const std::size_t before = r.asked.size();
     while (static_cast<double>(r.asked.size() - before) < more && r.asked.size() < b.those.size()) {
-      const std::size_t at = by_weight(b);
+      const std::size_t at = by_bounded_weight(r, b);
       if (b.weights[at] <= 0) break;
       b.weights[at] = 0;
       server* s = b.those[at];
