--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -108,8 +108,8 @@
   double armed = never;  // the due wake-up under way
   bool beat_due = true;
   std::size_t arrivals = 0;
-  double mean_others = 0, mean_work = 0, mean_value = 1, usual_pace = 0, send_rate = 0, arrival_rate = 0,
-         sends_since_beat = 0, arrivals_since_beat = 0, beat_at = never;
+  double mean_others = 0, mean_work = 0, mean_value = 1, usual_pace = 0, answers = 0, send_rate = 0,
+         arrival_rate = 0, sends_since_beat = 0, arrivals_since_beat = 0, beat_at = never;
   double last_send = never, warm_servers = 1;
   double spare = 5, further_success = 0.5;
   bool subscribed = false, call_out = false;
@@ -122,6 +122,8 @@
       unnamed.latency_target = std::max(unnamed.latency_target, m.latency_target);
     }
     home = zone_at_the_door(land.zone);
+    constexpr double guess = 0.25;  // of the latency target, until there are answers
+    usual_pace = guess * unnamed.latency_target;
   }
 
   double random() { return std::uniform_real_distribution<double>(0, 1)(chance); }
@@ -214,9 +216,10 @@
     constexpr double weight = 0.1;  // of one answer: an RPC differs from the next more than servers do
     s.pace = s.paced == never ? seen : s.pace + weight * (seen - s.pace);
     s.paced = now;
-    // What a jam taught must not outlast it: what is usual is learned slowly, and from answers alone.
-    constexpr double slow = 0.02;
-    if (answered) usual_pace += (usual_pace > 0 ? slow : 1) * (seen - usual_pace);
+    // What a jam taught must not outlast it: what is usual is learned slowly, and from answers alone. Nor may
+    // a long first answer make a sidecar give up all that comes: the guess counts for a few answers.
+    constexpr double slow = 0.02, guessed = 5;
+    if (answered) usual_pace += std::max(slow, 1 / (guessed + ++answers)) * (seen - usual_pace);
   }
 
   void learn_outcome(server& s, bool failed) {
@@ -235,11 +238,6 @@
     return land.cold_from + (1 - land.cold_from) * age;
   }
 
-  double fleet_pace() const {
-    constexpr double guess = 0.25;  // of the latency target, until the first answer
-    return usual_pace > 0 ? usual_pace : guess * unnamed.latency_target;
-  }
-
   // How far a report still tells what others have in hand there.
   double heard(const server& s) const {
     constexpr double half_life = 200;  // then it is half way back to their mean; 100 and 400 are alike
@@ -348,7 +346,7 @@
 
     ballot b;
     double reputation = 0, recency = 0, known = 0;
-    const double usual = fleet_pace();
+    const double usual = usual_pace;
     const homes best_homes = homes_of(r);
     for (server* s : fleet) {
       if (!allowed(r, *s)) continue;
@@ -516,7 +514,7 @@
     // A report adds only what the last ones don't tell any more: nearly all at a quiet sidecar.
     double known = 0;
     for (const server* s : fleet) known += heard(*s) / static_cast<double>(fleet.size());
-    const double risk = std::min(fleet_pace() * r.size / (useful_until(r) - now), 1.0);
+    const double risk = std::min(usual_pace * r.size / (useful_until(r) - now), 1.0);
     const double gain = saved * risk * (1 - known) * r.value / mean_value;
     if (r.paid == never)
       r.paid = land.probe_price > 0 ? std::floor(gain / land.probe_price + random()) : most;
--- a/tests/balance_test.cpp
+++ b/tests/balance_test.cpp
@@ -372,6 +372,11 @@
        "read",
        {},
        verb::pick},
+      {"a long first answer says little of the others",
+       [](one& h) { h.history("a", ending::ok, 90), both(h); },
+       "vital",
+       {},
+       verb::pick},
       {"a queue too long for the less useful", two_in_hand, "read", {}, verb::push_back},
       {"is still short enough for the more useful", two_in_hand, "vital", {}, verb::pick},
   };
--- a/tests/host.h
+++ b/tests/host.h
@@ -63,8 +63,9 @@
     b.rpc_arrived(now, {id, method, now + patience, {}, work});
     return id;
   }
-  // One RPC at the time that only this server is ready, ended like this after so long.
-  void history(const std::string& server, ending how, double took = 20) {
+  // One RPC at the time that only this server is ready, ended like this after so long; 25 is the pace
+  // guessed.
+  void history(const std::string& server, ending how, double took = 25) {
     list({at(server)});
     const std::string id = arrive();
     const auto all = pull();
