--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -124,6 +124,8 @@
     home = zone_at_the_door(land.zone);
     constexpr double guess = 0.25;  // of the latency target, until there are answers
     usual_pace = guess * unnamed.latency_target;
+    constexpr double in_hand = 0.5;  // at each server, until there are reports
+    if (land.probes_report) mean_others = in_hand;
   }
 
   double random() { return std::uniform_real_distribution<double>(0, 1)(chance); }
@@ -509,13 +511,15 @@
     }
     // Of an RPC's utility, what fresh reports save where its own work takes all of its time; a shorter one is
     // at less risk. 0.1 to 0.4 are alike.
-    constexpr double saved = 0.1;
+    constexpr double saved = 0.2;
     constexpr double at_once = 2, most = 12;  // more than that find an idle one hardly ever
     // A report adds only what the last ones don't tell any more: nearly all at a quiet sidecar.
     double known = 0;
     for (const server* s : fleet) known += heard(*s) / static_cast<double>(fleet.size());
     const double risk = std::min(usual_pace * r.size / (useful_until(r) - now), 1.0);
-    const double gain = saved * risk * (1 - known) * r.value / mean_value;
+    // A server drawn blindly is busy as often as the mean in hand says; if none is, there is no better one.
+    const double busy = mean_others / (1 + mean_others);
+    const double gain = saved * risk * busy * (1 - known) * (1 - known) * r.value / mean_value;
     if (r.paid == never)
       r.paid = land.probe_price > 0 ? std::floor(gain / land.probe_price + random()) : most;
     const double more = std::min(std::min(r.paid, most) - static_cast<double>(r.asked.size()), at_once);
