--- a/src/adapter/wire.cpp
+++ b/src/adapter/wire.cpp
@@ -185,32 +185,52 @@
 
 std::int64_t to_us(double ms) { return static_cast<std::int64_t>(std::ceil(ms * us_per_ms)); }
 
-json encode(int instance, const decision& d) {
+// Text and number fields are written one by one: building a JSON object for each took a third of a reply.
+class action {
+ public:
+  action(const char* name, int instance) : line("{\"" + std::string(name) + "\":{") { with("i", instance); }
+  action& with(const char* field, std::int64_t value) { return add(field, std::to_string(value)); }
+  action& with(const char* field, const std::string& value) { return add(field, json(value).dump()); }
+  action& on(const char* field) { return add(field, "true"); }
+  std::string str() const { return line + "}}\n"; }
+
+ private:
+  action& add(const char* field, const std::string& value) {
+    if (line.back() != '{') line += ',';
+    line.append("\"").append(field).append("\":").append(value);
+    return *this;
+  }
+  std::string line;
+};
+
+std::string encode(int instance, const decision& d) {
   using verb = decision::verb;
-  json a{{"i", instance}};
   switch (d.what) {
     case verb::pick:
-      a.update({{"ticket", d.rpc}, {"endpoint", d.server}, {"cap", to_us(d.after)}});
-      return {{"SEND", a}};
-    case verb::push_back:
-      a["ticket"] = d.rpc;
-      if (d.after > 0) a["retryIn"] = to_us(d.after);
-      return {{"SHED", a}};
+      return action("SEND", instance)
+          .with("ticket", d.rpc)
+          .with("endpoint", d.server)
+          .with("cap", to_us(d.after))
+          .str();
+    case verb::push_back: {
+      action shed("SHED", instance);
+      shed.with("ticket", d.rpc);
+      if (d.after > 0) shed.with("retryIn", to_us(d.after));
+      return shed.str();
+    }
     case verb::abort:
-      a["ticket"] = d.rpc;
-      return {{"FAIL", a}};
+      return action("FAIL", instance).with("ticket", d.rpc).str();
     case verb::cancel:
-      a.update({{"ticket", d.rpc}, {"try", d.pick}});
-      return {{"RETRACT", a}};
+      return action("RETRACT", instance).with("ticket", d.rpc).with("try", d.pick).str();
     case verb::probe:
-      a["endpoint"] = d.server;
-      return {{"PROBE", a}};
+      return action("PROBE", instance).with("endpoint", d.server).str();
     case verb::follow_list:
-      a["want"] = true;
-      return {{"STREAM_CHANGES", a}};
+      return action("STREAM_CHANGES", instance).on("want").str();
     case verb::wake:
-      a.update({{"offset", std::max<std::int64_t>(to_us(d.after), 0)}, {"token", d.wake}});
-      return {{"WAKE_ME", a}};
+      return action("WAKE_ME", instance)
+          .with("offset", std::max<std::int64_t>(to_us(d.after), 0))
+          .with("token", static_cast<std::int64_t>(d.wake))
+          .str();
   }
   return {};
 }
@@ -319,7 +339,7 @@
   void reply(const fields&) {
     std::string text;
     for (const int i : touched)
-      while (const auto d = instances.at(i)->next()) text += encode(i, *d).dump() + '\n';
+      while (const auto d = instances.at(i)->next()) text += encode(i, *d);
     out << text << "{\"OK\":{}}\n" << std::flush;
     in_batch = false;
   }
--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -39,24 +39,24 @@
 };
 
 struct server {
-  std::string id;
-  std::uint64_t id_hash = 14695981039346656037ULL;  // for the homes of keys
-  std::size_t zone = 0;                             // its place among the zones met
-  int cell = 0;
+  // Every draw reads these of every server; what it reads is kept together.
   bool ready = false;
-  double started = never;
+  int cell = 0;
+  std::size_t zone = 0;  // its place among the zones met
+  double started = never, last_send = never;
+  double others = 0, reported = never;  // what others had in hand there, and when we heard it
+  double pace = 0, paced = never;       // time for each RPC in hand, and when it was last seen
+  double full = never;                  // when it last turned a pick away
+  double probed = never;                // an unanswered probe
+  double in_flight = 0, ours = 0;       // our picks in flight, and their sizes together
   struct mark {
     double at;
     bool failed;
   };
-  std::vector<mark> window;  // the last sends that count, oldest first
-  double last_send = never;
-  double in_flight = 0, ours = 0;        // our picks in flight, and their sizes together
-  double others = 0, reported = never;   // what others had in hand there, and when we heard it
-  double pace = 0, paced = never;        // time for each RPC in hand, and when it was last seen
-  double probed = never;                 // an unanswered probe
+  std::vector<mark> window;              // the last sends that count, oldest first
   double budget = 1, budget_at = never;  // RPCs that a cold server may be sent, and when that was counted
-  double full = never;                   // when it last turned a pick away
+  std::uint64_t id_hash = 14695981039346656037ULL;  // for the homes of keys
+  std::string id;
 };
 
 struct rpc {
@@ -67,8 +67,8 @@
   std::optional<std::uint64_t> key;
   double size = 1, value = 1;  // expected work in mean RPCs, and the utility of that
   std::deque<pick> picks;
-  std::vector<server*> asked;  // probes it waits for
-  double paid = never;         // how many of them it is worth
+  std::vector<server*> to_ask, asked;  // servers to be probed for it, and the first of them, that were
+  double paid = never;                 // how many of them it is worth
   double ask_until = never, due = never;
   bool hinted = false, concluded = false, streaming = false, queued = false;
   int outstanding() const {
@@ -96,7 +96,7 @@
   double most_utility = 0;
   method unnamed;  // for an RPC of no known method: must not run twice, the longest latency target
   std::map<std::string, std::unique_ptr<server>, std::less<>> servers;
-  std::vector<server*> fleet;  // those ready, in order of id
+  std::vector<server*> met, fleet;  // all in order of meeting, and those of them that are ready
   std::vector<std::string> zones;
   std::size_t home;
   std::unordered_map<std::string, std::unique_ptr<rpc>> rpcs;
@@ -168,6 +168,7 @@
     auto& s = servers[id];
     if (!s) {
       s = std::make_unique<server>();
+      met.push_back(s.get());
       s->id = id;
       for (unsigned char c : id) s->id_hash = (s->id_hash ^ c) * 1099511628211ULL;
     }
@@ -183,8 +184,7 @@
 
   void muster() {
     fleet.clear();
-    for (const auto& [id, s] : servers)
-      if (s->ready) fleet.push_back(s.get());
+    std::copy_if(met.begin(), met.end(), std::back_inserter(fleet), [](const server* s) { return s->ready; });
     count_warmth();
   }
 
@@ -235,15 +235,18 @@
   static constexpr double cold_part = 0.5;  // of the multiple: an overloaded mean leaves room
 
   double warmth(const server& s) const {
-    if (s.started == never || land.cold_for <= 0) return 1;
+    if (s.started == never || now - s.started >= land.cold_for) return 1;
     const double age = std::clamp((now - s.started) / land.cold_for, 0.0, 1.0);
     return land.cold_from + (1 - land.cold_from) * age;
   }
 
+  static constexpr double forgotten = 16;  // half-lives, after which nothing is left of what was seen
+
   // How far a report still tells what others have in hand there.
   double heard(const server& s) const {
     constexpr double half_life = 200;  // then it is half way back to their mean; 100 and 400 are alike
-    return s.reported == never ? 0 : std::exp2(-(now - s.reported) / half_life);
+    const double age = (now - s.reported) / half_life;
+    return age > forgotten ? 0 : std::exp2(-age);
   }
 
   double ahead(const server& s) const { return s.ours + mean_others + (s.others - mean_others) * heard(s); }
@@ -251,20 +254,18 @@
   // Time for a mean RPC there.
   double pace(const server& s, double usual) const {
     constexpr double half_life = 2000;  // a pace seen is believed for some seconds, then the usual one counts
-    double p = usual;
-    if (s.paced != never) p += (s.pace - usual) * std::exp2(-(now - s.paced) / half_life);
-    return p / warmth(s);
+    const double age = (now - s.paced) / half_life;
+    return (age > forgotten ? usual : usual + (s.pace - usual) * std::exp2(-age)) / warmth(s);
   }
 
   // How long an RPC sent there now is expected to wait before its own work begins.
   double wait(const server& s, const method& how, double usual) const {
-    double turned_away = 0;
     // A server that turns picks away at once holds few of ours and looks idle, but its queue is as long as it
     // gets. Of the latency target: sends others to wait elsewhere, yet gives up no RPC by itself.
     constexpr double jam = 0.4;
     constexpr double fades = 2;
-    if (s.full != never)
-      turned_away = jam * how.latency_target * std::exp2((s.full - now) / (fades * how.latency_target));
+    const double age = (now - s.full) / (fades * how.latency_target);
+    const double turned_away = age > forgotten ? 0 : jam * how.latency_target * std::exp2(-age);
     return pace(s, usual) * ahead(s) + turned_away;
   }
 
@@ -335,8 +336,8 @@
   struct ballot {
     std::vector<server*> those;
     std::vector<double> weights;
-    double in_flight = 0;
-    bool in_time = false;  // at some server
+    double in_flight = 0, known = 0;  // known: how far the last reports still tell, 0 to 1
+    bool in_time = false;             // at some server
   };
 
   ballot weigh(const rpc& r) {
@@ -347,7 +348,10 @@
     const double patience = patience_least + patience_for_utility * r.how->utility / most_utility;
 
     ballot b;
-    double reputation = 0, recency = 0, known = 0;
+    b.those.reserve(fleet.size());
+    b.weights.reserve(fleet.size());
+    const double log_size = std::log2(static_cast<double>(fleet.size()));
+    double reputation = 0, recency = 0, sent = 0;
     const double usual = usual_pace;
     const homes best_homes = homes_of(r);
     for (server* s : fleet) {
@@ -357,7 +361,7 @@
       if (s->last_send == never) continue;
       reputation += std::exp2(log_reputation(*s));
       recency += std::exp2(log_recency(*s));
-      ++known;
+      ++sent;
     }
     if (b.those.empty()) return b;
     // Giving up on what was seen long ago would never see anything again: after a silence one RPC is let
@@ -365,7 +369,7 @@
     // A thousand sidecars that each do so every second are a load: one RPC in ten of a quiet one.
     constexpr double silence = 1000, chance_through = 0.1;
     b.in_time = now - last_send > silence && b.in_flight == 0 && random() < chance_through;
-    const double unsent = known > 0 ? std::log2(reputation / known) + std::log2(recency / known) : 0;
+    const double unsent = sent > 0 ? std::log2(reputation / sent) + std::log2(recency / sent) : 0;
     for (server* s : b.those) {
       double w = s->last_send == never ? unsent : log_reputation(*s) + log_recency(*s);
       const double one = pace(*s, usual), waits = wait(*s, *r.how, usual);
@@ -378,17 +382,24 @@
                   (log_reputation(*s) > -hopeless && alone <= left && waits <= patience * (left - alone));
       const double scale = r.how->latency_target / 30;  // halves a weight; an RPC in hand takes 4 to 9 of it
       w -= (waits + one * r.size) / scale;
-      w += std::log2(warmth(*s)) + log_place(r, *s, best_homes);
+      if (warmth(*s) < 1) w += std::log2(warmth(*s));
+      w += log_place(r, *s, best_homes);
       constexpr double silent = 8, unheard = 3;  // halvings; a dead server answers no probe
       if (unanswered(*s)) w -= silent;
       // The many servers that nothing is known of must not outweigh together the few that were asked.
-      if (!r.asked.empty()) w -= (1 - heard(*s)) * (unheard + std::log2(static_cast<double>(b.those.size())));
+      const double known_there = heard(*s);
+      if (!r.asked.empty()) w -= (1 - known_there) * (unheard + log_size);
+      b.known += known_there / static_cast<double>(b.those.size());
       for (const pick& p : r.picks)
         if (p.to == s) w -= 4;  // another server is the better bet for a further pick
       b.weights.push_back(w);
     }
     const double top = *std::max_element(b.weights.begin(), b.weights.end());
-    for (double& w : b.weights) w = std::exp2(w - top);
+    double log = 0, one = 1;  // most servers are alike at a quiet sidecar
+    for (double& w : b.weights) {
+      if (w - top != log) one = std::exp2(log = w - top);
+      w = one;
+    }
     return b;
   }
 
@@ -470,9 +481,10 @@
     }
     if (now >= useful_until(r)) return give_up(r);
     const bool further = !r.picks.empty();
-    if (ask_around(r)) return {};
+    ballot b;
+    if (ask_around(r, b)) return {};
     if (!may_pick(r) || (further && spare < 1)) return give_up(r);
-    ballot b = weigh(r);
+    if (b.those.empty() || !r.asked.empty()) b = weigh(r);
     if (b.those.empty() || !b.in_time) return give_up(r);
     return send(r, *draw(r, std::move(b)), further, useful_until(r) - now);
   }
@@ -494,11 +506,39 @@
     return {decision::verb::pick, r.id, s.id, p.number, std::max(left, 0.001), 0};
   }
 
+  // How many probes it is worth to an RPC to find a server idle.
+  double worth_asking(const rpc& r, const ballot& b) {
+    // Of an RPC's utility, what fresh reports save where its own work takes all of its time; a shorter one is
+    // at less risk. 0.1 to 0.4 are alike.
+    constexpr double saved = 0.2;
+    constexpr double most = 9;  // more than that find an idle one hardly ever
+    if (land.probe_price <= 0) return most;
+    // A report adds only what the last ones don't tell any more: nearly all at a quiet sidecar.
+    const double unknown = (1 - b.known) * (1 - b.known);
+    const double risk = std::min(usual_pace * r.size / (useful_until(r) - now), 1.0);
+    // A server drawn blindly is busy as often as the mean in hand says; if none is, there is no better one.
+    const double busy = mean_others / (1 + mean_others);
+    const double gain = saved * risk * busy * unknown * r.value / mean_value;
+    return std::min(std::floor(gain / land.probe_price + random()), most);
+  }
+
   // Fresh reports before a first pick, a few at a time until a server is found idle, as far as their price
-  // allows; true while answers are awaited.
-  bool ask_around(rpc& r) {
+  // allows; true while answers are awaited. b: the weights, where they were needed.
+  bool ask_around(rpc& r, ballot& b) {
     if (!land.probing || !land.probes_report || !r.picks.empty()) return false;
-    if (r.ask_until != never) {
+    if (r.ask_until == never) {
+      b = weigh(r);
+      r.paid = worth_asking(r, b);
+      // The servers of shortest expected wait are the same ones at every sidecar that knows as little: all
+      // would ask and then crowd them. The draw's own weights spread the questions.
+      ballot left = r.paid > 0 ? b : ballot();
+      while (static_cast<double>(r.to_ask.size()) < r.paid && r.to_ask.size() < left.those.size()) {
+        const std::size_t at = by_bounded_weight(r, left);
+        if (left.weights[at] <= 0) break;
+        left.weights[at] = 0;
+        r.to_ask.push_back(left.those[at]);
+      }
+    } else {
       const bool answered =
           std::all_of(r.asked.begin(), r.asked.end(), [](server* s) { return s->probed == never; });
       if (!answered && now < r.ask_until) {
@@ -509,39 +549,17 @@
       for (const server* s : r.asked)
         if (fresh(*s) && ahead(*s) < 0.5) return false;
     }
-    // Of an RPC's utility, what fresh reports save where its own work takes all of its time; a shorter one is
-    // at less risk. 0.1 to 0.4 are alike.
-    constexpr double saved = 0.2;
-    constexpr double at_once = 2, most = 12;  // more than that find an idle one hardly ever
-    // A report adds only what the last ones don't tell any more: nearly all at a quiet sidecar.
-    double known = 0;
-    for (const server* s : fleet) known += heard(*s) / static_cast<double>(fleet.size());
-    const double risk = std::min(usual_pace * r.size / (useful_until(r) - now), 1.0);
-    // A server drawn blindly is busy as often as the mean in hand says; if none is, there is no better one.
-    const double busy = mean_others / (1 + mean_others);
-    const double gain = saved * risk * busy * (1 - known) * (1 - known) * r.value / mean_value;
-    if (r.paid == never)
-      r.paid = land.probe_price > 0 ? std::floor(gain / land.probe_price + random()) : most;
-    const double more = std::min(std::min(r.paid, most) - static_cast<double>(r.asked.size()), at_once);
-    if (more < 1) return false;
-    // The servers of shortest expected wait are the same ones at every sidecar that knows as little: all
-    // would ask and then crowd them. The draw's own weights spread the questions.
-    ballot b = weigh(r);
-    for (std::size_t i = 0; i < b.those.size(); ++i)
-      if (unanswered(*b.those[i]) || fresh(*b.those[i])) b.weights[i] = 0;
-    const std::size_t before = r.asked.size();
-    while (static_cast<double>(r.asked.size() - before) < more && r.asked.size() < b.those.size()) {
-      const std::size_t at = by_bounded_weight(r, b);
-      if (b.weights[at] <= 0) break;
-      b.weights[at] = 0;
-      server* s = b.those[at];
+    constexpr double patience = 4;  // a few round trips
+    r.ask_until = now + patience;
+    constexpr std::size_t at_once = 3;
+    for (std::size_t asked = 0; asked < at_once && r.asked.size() < r.to_ask.size(); ++asked) {
+      server* s = r.to_ask[r.asked.size()];
+      r.asked.push_back(s);
+      if (unanswered(*s) || fresh(*s) || !s->ready) continue;
       s->probed = now;
       to_probe.push_back(s);
-      r.asked.push_back(s);
     }
-    if (r.asked.size() == before) return false;
-    constexpr double patience = 4;  // a few round trips
-    r.ask_until = now + patience;
+    if (to_probe.empty()) return false;
     asking.push_back(&r);
     set_due(r, r.ask_until);
     return true;
--- a/tests/adapter_test.cpp
+++ b/tests/adapter_test.cpp
@@ -71,7 +71,7 @@
   } table[] = {
       {"", "", "OK"},
       {sync + go, "{\"OK\":{}}", "WAKE_ME"},
-      {begun + rpc + go, R"({"SEND":{"cap":100000,"endpoint":"a:1","i":3,"ticket":"t1"}})", "SHED"},
+      {begun + rpc + go, R"({"SEND":{"i":3,"ticket":"t1","endpoint":"a:1","cap":100000}})", "SHED"},
       {begun + R"({"KILLED":{"i":3}})" + "\n" + go, "{\"OK\":{}}", "WAKE_ME"},
       {begun + rpc + R"({"DROPPED":{"i":3,"ticket":"t1"}})" + "\n" + go, "WAKE_ME", "SEND"},
       {begun + R"({"DIRECTORY":{"rosterId":0,"members":[{"state":"leaving","endpoint":"a:1"}]}})" + "\n" +
