--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -38,21 +38,22 @@
   bool out = true, may_have_run = true, further = false;
 };
 
+struct mark {  // the outcome of a send
+  double at;
+  bool failed;
+};
+
 struct server {
   // Every draw reads these of every server; what it reads is kept together.
   bool ready = false;
   int cell = 0;
   std::size_t zone = 0;  // its place among the zones met
   double started = never, last_send = never;
-  double others = 0, reported = never;  // what others had in hand there, and when we heard it
-  double pace = 0, paced = never;       // time for each RPC in hand, and when it was last seen
-  double full = never;                  // when it last turned a pick away
-  double probed = never;                // an unanswered probe
-  double in_flight = 0, ours = 0;       // our picks in flight, and their sizes together
-  struct mark {
-    double at;
-    bool failed;
-  };
+  double others = 0, reported = never;   // what others had in hand there, and when we heard it
+  double pace = 0, paced = never;        // time for each RPC in hand, and when it was last seen
+  double full = never;                   // when it last turned a pick away
+  double probed = never;                 // an unanswered probe
+  double in_flight = 0, ours = 0;        // our picks in flight, and their sizes together
   std::vector<mark> window;              // the last sends that count, oldest first
   double budget = 1, budget_at = never;  // RPCs that a cold server may be sent, and when that was counted
   std::uint64_t id_hash = 14695981039346656037ULL;  // for the homes of keys
@@ -96,6 +97,7 @@
   double most_utility = 0;
   method unnamed;  // for an RPC of no known method: must not run twice, the longest latency target
   std::map<std::string, std::unique_ptr<server>, std::less<>> servers;
+  std::vector<mark> lately;         // the last sends to any server, full answers too
   std::vector<server*> met, fleet;  // all in order of meeting, and those of them that are ready
   std::vector<std::string> zones;
   std::size_t home;
@@ -224,10 +226,10 @@
     if (answered) usual_pace += std::max(slow, 1 / (guessed + ++answers)) * (seen - usual_pace);
   }
 
-  void learn_outcome(server& s, bool failed) {
+  void learn_outcome(std::vector<mark>& window, bool failed) {
     constexpr std::size_t window_length = 16;  // the design's
-    s.window.push_back({now, failed});
-    if (s.window.size() > window_length) s.window.erase(s.window.begin());
+    window.push_back({now, failed});
+    if (window.size() > window_length) window.erase(window.begin());
   }
 
   // ---- the draw ------------------------------------------------------------------------------------------
@@ -277,13 +279,26 @@
   // A probe that stays unanswered longer tells no more.
   bool unanswered(const server& s) const { return s.probed != never && now - s.probed < 1000; }
 
+  static constexpr double memory = 5000;  // ms; older outcomes count no more
+
   double log_reputation(const server& s) const {
-    constexpr double memory = 5000;
     double failures = 0;
     for (const auto& m : s.window) failures += m.failed && now - m.at < memory;
     return -failures;
   }
 
+  // A sidecar that sends seldom meets no server often enough to see that it has tipped, and all of them
+  // together keep a tipped fleet where it is. What it sees is that its sends fail wherever they go.
+  bool jammed() const {
+    constexpr double enough = 4, share = 0.5;
+    double known = 0, failures = 0;
+    for (const auto& m : lately) {
+      known += now - m.at < memory;
+      failures += m.failed && now - m.at < memory;
+    }
+    return known >= enough && failures > share * known;
+  }
+
   double log_recency(const server& s) const {
     constexpr double least = 1000;  // ms; 10 s and 3 s do no better where sends are frequent
     constexpr double cap = 6;       // doublings, so that idle times cannot overflow
@@ -394,6 +409,7 @@
         if (p.to == s) w -= 4;  // another server is the better bet for a further pick
       b.weights.push_back(w);
     }
+    if (jammed()) b.in_time = random() < chance_through;
     const double top = *std::max_element(b.weights.begin(), b.weights.end());
     double log = 0, one = 1;  // most servers are alike at a quiet sidecar
     for (double& w : b.weights) {
@@ -577,9 +593,9 @@
   void keep_beat() {
     const double span = beat_at == never ? beat : now - beat_at;
     beat_at = now;
-    constexpr double memory = 3000;  // our own rate of sends is that of the last seconds
-    send_rate += (1 - std::exp(-span / memory)) * (sends_since_beat / span - send_rate);
-    arrival_rate += (1 - std::exp(-span / memory)) * (arrivals_since_beat / span - arrival_rate);
+    constexpr double span_remembered = 3000;  // our own rate of sends is that of the last seconds
+    send_rate += (1 - std::exp(-span / span_remembered)) * (sends_since_beat / span - send_rate);
+    arrival_rate += (1 - std::exp(-span / span_remembered)) * (arrivals_since_beat / span - arrival_rate);
     sends_since_beat = arrivals_since_beat = 0;
     count_warmth();
   }
@@ -728,10 +744,10 @@
   if (how == ending::full) s.full = now;
   if (how == ending::ok || how == ending::timed_out)
     b.learn_pace(s, took, p.ahead + p.size, how == ending::ok);
-  if (how == ending::ok)
-    b.learn_outcome(s, late);
-  else if (how != ending::full && how != ending::cancelled && how != ending::moot)
-    b.learn_outcome(s, true);
+  const bool told = how != ending::cancelled && how != ending::moot;
+  const bool failed = how != ending::ok || late;
+  if (told) b.learn_outcome(b.lately, failed);
+  if (told && how != ending::full) b.learn_outcome(s.window, failed);
   if (p.further) {
     const bool served = how == ending::ok && now <= r.target;
     b.further_success += 0.1 * ((served ? 1 : 0.1) - b.further_success);
