--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -290,7 +290,7 @@
   // A sidecar that sends seldom meets no server often enough to see that it has tipped, and all of them
   // together keep a tipped fleet where it is. What it sees is that its sends fail wherever they go.
   bool jammed() const {
-    constexpr double enough = 4, share = 0.5;
+    constexpr double enough = 6, share = 0.5;
     double known = 0, failures = 0;
     for (const auto& m : lately) {
       known += now - m.at < memory;
