--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -289,16 +289,14 @@
 
   // A sidecar that sends seldom meets no server often enough to see that it has tipped, and all of them
   // together keep a tipped fleet where it is. What it sees is that its sends fail wherever they go.
-  // The chance that an RPC is let through: all while three in ten or fewer fail, few when most do.
-  double let_through() const {
-    constexpr double enough = 6, usual = 0.7, steep = 3, least = 0.05;
-    double known = 0, served = 0;
+  bool jammed() const {
+    constexpr double enough = 6, share = 0.5;
+    double known = 0, failures = 0;
     for (const auto& m : lately) {
       known += now - m.at < memory;
-      served += !m.failed && now - m.at < memory;
+      failures += m.failed && now - m.at < memory;
     }
-    if (known < enough) return 1;
-    return std::max(std::pow(served / known / usual, steep), least);
+    return known >= enough && failures > share * known;
   }
 
   double log_recency(const server& s) const {
@@ -411,8 +409,7 @@
         if (p.to == s) w -= 4;  // another server is the better bet for a further pick
       b.weights.push_back(w);
     }
-    const double through = let_through();
-    if (through < 1) b.in_time = b.in_time && random() < through;
+    if (jammed()) b.in_time = random() < chance_through;
     const double top = *std::max_element(b.weights.begin(), b.weights.end());
     double log = 0, one = 1;  // most servers are alike at a quiet sidecar
     for (double& w : b.weights) {
