--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -279,12 +279,30 @@
   // A probe that stays unanswered longer tells no more.
   bool unanswered(const server& s) const { return s.probed != never && now - s.probed < 1000; }
 
-  static constexpr double memory = 5000;  // ms; older outcomes count no more
+  // The mean time between two of our sends to one server.
+  double turn() const { return send_rate > 0 ? static_cast<double>(fleet.size()) / send_rate : 0; }
 
+  // Older outcomes count no more; but one that is forgotten before the server's next turn is never used.
+  double memory() const {
+    constexpr double least = 5000, most = 20000, turns = 2;
+    return std::clamp(turns * turn(), least, most);
+  }
+
+  double failures(const server& s) const {
+    double n = 0;
+    for (const auto& m : s.window) n += m.failed && now - m.at < memory();
+    return n;
+  }
+
+  // Where fewer than 16 sends are remembered, their failures stand for those of the rest. A server that fails
+  // at once looks idle to whoever asks, and each of many quiet sidecars would have to find out by itself over
+  // and over.
   double log_reputation(const server& s) const {
-    double failures = 0;
-    for (const auto& m : s.window) failures += m.failed && now - m.at < memory;
-    return -failures;
+    if (s.window.empty()) return 0;
+    constexpr double assumed = 2;  // good sends: one chance failure says less than it seems
+    double known = 0;
+    for (const auto& m : s.window) known += now - m.at < memory();
+    return -failures(s) * std::max(1.0, 16 / (known + assumed));
   }
 
   // A sidecar that sends seldom meets no server often enough to see that it has tipped, and all of them
@@ -293,8 +311,8 @@
     constexpr double enough = 6, share = 0.5;
     double known = 0, failures = 0;
     for (const auto& m : lately) {
-      known += now - m.at < memory;
-      failures += m.failed && now - m.at < memory;
+      known += now - m.at < memory();
+      failures += m.failed && now - m.at < memory();
     }
     return known >= enough && failures > share * known;
   }
@@ -304,8 +322,7 @@
     constexpr double cap = 6;       // doublings, so that idle times cannot overflow
     // Where a server's turn comes more seldom, doublings in less than the time between two turns would send
     // every RPC to whatever server was longest unheard of.
-    const double turn = send_rate > 0 ? static_cast<double>(fleet.size()) / send_rate : least;
-    return std::min((now - s.last_send) / std::max(least, turn), cap);
+    return std::min((now - s.last_send) / std::max(least, turn()), cap);
   }
 
   bool allowed(const rpc& r, server& s) {
@@ -393,8 +410,8 @@
       const double own = r.hinted ? r.size : unhinted;
       constexpr double hopeless = 3;  // failures; 2 and 4 serve a fleet that tipped worse
       const double alone = one * own;
-      b.in_time = b.in_time ||
-                  (log_reputation(*s) > -hopeless && alone <= left && waits <= patience * (left - alone));
+      b.in_time =
+          b.in_time || (failures(*s) < hopeless && alone <= left && waits <= patience * (left - alone));
       const double scale = r.how->latency_target / 30;  // halves a weight; an RPC in hand takes 4 to 9 of it
       w -= (waits + one * r.size) / scale;
       if (warmth(*s) < 1) w += std::log2(warmth(*s));
