--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -265,10 +265,8 @@
     // A server that turns picks away at once holds few of ours and looks idle, but its queue is as long as it
     // gets. Of the latency target: sends others to wait elsewhere, yet gives up no RPC by itself.
     constexpr double jam = 0.4;
-    // Of the latency target; a sidecar that sends seldom would forget it before its next send to anywhere.
-    constexpr double fades = 2, sends = 8;
-    const double half_life = std::max(fades * how.latency_target, send_rate > 0 ? sends / send_rate : 0);
-    const double age = (now - s.full) / half_life;
+    constexpr double fades = 2;
+    const double age = (now - s.full) / (fades * how.latency_target);
     const double turned_away = age > forgotten ? 0 : jam * how.latency_target * std::exp2(-age);
     return pace(s, usual) * ahead(s) + turned_away;
   }
