--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -352,14 +352,17 @@
     return best;
   }
 
-  double log_place(const rpc& r, const server& s, const homes& best) const {
+  double log_place(const server& s) const {
     constexpr double for_price = 40;  // halvings for a crossing that costs everything
-    double w = s.zone == home ? 0 : -for_price * land.cross_zone_price;
-    if (best.empty()) return w;
-    // Halvings that the key's homes are ahead of the rest: a long queue still sends it elsewhere.
+    return s.zone == home ? 0 : -for_price * land.cross_zone_price;
+  }
+
+  // Halvings that the key's homes are ahead of the rest: a long queue still sends it elsewhere.
+  double log_home(const rpc& r, const server& s, const homes& best) const {
+    if (best.empty()) return 0;
     constexpr double first_home = 15, second_home = 8;
     const std::uint64_t mine = score(*r.key, s);
-    return w + (mine == best[s.zone].first ? first_home : mine == best[s.zone].second ? second_home : 0);
+    return mine == best[s.zone].first ? first_home : mine == best[s.zone].second ? second_home : 0;
   }
 
   static std::uint64_t score(std::uint64_t key, const server& s) { return mix(s.id_hash ^ mix(key)); }
@@ -367,9 +370,9 @@
   // The servers an RPC may go to, each with its weight.
   struct ballot {
     std::vector<server*> those;
-    std::vector<double> weights;
-    double in_flight = 0, known = 0;  // known: how far the last reports still tell, 0 to 1
-    bool in_time = false;             // at some server
+    std::vector<double> weights, keyless;  // and what they were without its key's homes
+    double in_flight = 0, known = 0;       // known: how far the last reports still tell, 0 to 1
+    bool in_time = false;                  // at some server
   };
 
   ballot weigh(const rpc& r) {
@@ -415,7 +418,7 @@
       const double scale = r.how->latency_target / 30;  // halves a weight; an RPC in hand takes 4 to 9 of it
       w -= (waits + one * r.size) / scale;
       if (warmth(*s) < 1) w += std::log2(warmth(*s));
-      w += log_place(r, *s, best_homes);
+      w += log_place(*s);
       constexpr double silent = 8, unheard = 3;  // halvings; a dead server answers no probe
       if (unanswered(*s)) w -= silent;
       // The many servers that nothing is known of must not outweigh together the few that were asked.
@@ -424,7 +427,9 @@
       b.known += known_there / static_cast<double>(b.those.size());
       for (const pick& p : r.picks)
         if (p.to == s) w -= 4;  // another server is the better bet for a further pick
-      b.weights.push_back(w);
+      const double at_home = log_home(r, *s, best_homes);
+      if (!best_homes.empty()) b.keyless.push_back(std::exp2(-at_home));
+      b.weights.push_back(w + at_home);
     }
     if (jammed()) b.in_time = random() < chance_through;
     const double top = *std::max_element(b.weights.begin(), b.weights.end());
@@ -433,6 +438,7 @@
       if (w - top != log) one = std::exp2(log = w - top);
       w = one;
     }
+    for (std::size_t i = 0; i < b.keyless.size(); ++i) b.keyless[i] *= b.weights[i];
     return b;
   }
 
@@ -447,18 +453,20 @@
   // hold one would push it over together. A bound on the chance is the same sum over any number of them.
   // Whoever is asked first may be sent the RPC for certain, so the chance to be asked is what is bounded.
   std::size_t by_bounded_weight(const rpc& r, ballot& b) {
-    const auto total = [&] { return std::accumulate(b.weights.begin(), b.weights.end(), 0.0); };
+    const auto sum = [](const std::vector<double>& w) { return std::accumulate(w.begin(), w.end(), 0.0); };
     const auto bounded = [&](server* s) {
       return warmth(*s) < 1 && std::find(r.asked.begin(), r.asked.end(), s) == r.asked.end();
     };
-    const double all = total();
-    const std::size_t at = by_weight(b, all);
+    const std::size_t at = by_weight(b, sum(b.weights));
     const server& s = *b.those[at];
+    if (!bounded(b.those[at])) return at;
+    // Keys spread by themselves: that it is at home here bounds no RPC, or homes would never warm up.
+    const auto& w = b.keyless.empty() ? b.weights : b.keyless;
     const double most = cold_part * land.cold_multiple * warmth(s) / warm_servers / std::max(r.paid, 1.0);
-    if (!bounded(b.those[at]) || random() * b.weights[at] < most * all) return at;
+    if (random() * w[at] < most * sum(w)) return at;
     for (std::size_t i = 0; i < b.those.size(); ++i)
       if (bounded(b.those[i])) b.weights[i] = 0;
-    const double rest = total();
+    const double rest = sum(b.weights);
     return rest > 0 ? by_weight(b, rest) : at;
   }
 
