--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -113,7 +113,7 @@
   double mean_others = 0, mean_work = 0, mean_value = 1, usual_pace = 0, answers = 0, send_rate = 0,
          arrival_rate = 0, sends_since_beat = 0, arrivals_since_beat = 0, beat_at = never;
   double last_send = never, warm_servers = 1;
-  double spare = 5, further_success = 0.5, home_served = 1;
+  double spare = 5, further_success = 0.5;
   bool subscribed = false, call_out = false;
   double ask_at = never, failed_calls = 0;
 
@@ -354,8 +354,7 @@
 
   double log_place(const server& s) const {
     constexpr double for_price = 40;  // halvings for a crossing that costs everything
-    // A zone that serves little of what it gets is no saving: its load goes elsewhere, as far as it fails.
-    return s.zone == home ? 0 : -for_price * land.cross_zone_price * home_served * home_served;
+    return s.zone == home ? 0 : -for_price * land.cross_zone_price;
   }
 
   // Halvings that the key's homes are ahead of the rest: a long queue still sends it elsewhere.
@@ -461,10 +460,12 @@
     const std::size_t at = by_weight(b, sum(b.weights));
     const server& s = *b.those[at];
     if (!bounded(b.those[at])) return at;
-    // Keys spread by themselves: that it is at home here bounds no RPC, or homes would never warm up.
+    // Keys spread by themselves: that it is at home here bounds no RPC, or homes would never warm up. Yet a
+    // popular key is more than others.
+    constexpr double popular = 0.5;
     const auto& w = b.keyless.empty() ? b.weights : b.keyless;
     const double most = cold_part * land.cold_multiple * warmth(s) / warm_servers / std::max(r.paid, 1.0);
-    if (random() * w[at] < most * sum(w)) return at;
+    if (random() * w[at] < most * sum(w) * (b.keyless.empty() ? 1 : popular)) return at;
     for (std::size_t i = 0; i < b.those.size(); ++i)
       if (bounded(b.those[i])) b.weights[i] = 0;
     const double rest = sum(b.weights);
@@ -773,8 +774,6 @@
   const bool told = how != ending::cancelled && how != ending::moot;
   const bool failed = how != ending::ok || late;
   if (told) b.learn_outcome(b.lately, failed);
-  constexpr double of_one = 0.1;  // some ten sends are remembered
-  if (told && s.zone == b.home) b.home_served += of_one * ((failed ? 0 : 1) - b.home_served);
   if (told && how != ending::full) b.learn_outcome(s.window, failed);
   if (p.further) {
     const bool served = how == ending::ok && now <= r.target;
