--- a/tests/balance_test.cpp
+++ b/tests/balance_test.cpp
@@ -494,3 +494,49 @@
   }
   CHECK(changed < balancers * 0.6);  // over 0.7 where recency doubles in a second
 }
+
+TEST_CASE("a balancer whose sends fail wherever they go holds back, though no server failed it twice") {
+  struct {
+    const char* what;
+    ending how;
+    int bad, least, most;
+  } table[] = {{"all turned away", ending::full, 8, 5, 60},
+               {"all timed out", ending::timed_out, 8, 5, 60},
+               {"fewer than half", ending::full, 3, 290, 300},
+               {"too few to tell", ending::full, 0, 300, 300}};
+  for (const auto& row : table) {
+    CAPTURE(row.what);
+    int through = 0;
+    for (int seed = 1; seed <= 300; ++seed) {
+      one h(ground(), seed);
+      std::vector<endpoint> fleet;
+      for (char c = 'a'; c < 'z'; ++c) fleet.push_back(at(std::string(1, c)));
+      for (int i = 0; i < 8; ++i)
+        h.history(fleet[i].id, i < row.bad ? row.how : ending::ok, i < row.bad ? 100 : 25);
+      h.list(fleet);
+      h.arrive("vital");
+      through += h.only().what == verb::pick;
+    }
+    CHECK(through >= row.least);
+    CHECK(through <= row.most);
+  }
+}
+
+TEST_CASE("a cold server that is home to a key gets the key's RPCs, not all others'") {
+  terrain t = ground();
+  t.warm_keys = true;
+  int cold = 0;
+  for (int seed = 1; seed <= 300; ++seed) {
+    one h(t, seed);
+    h.now = 100000;
+    std::vector<endpoint> fleet;
+    for (char c = 'a'; c < 'u'; ++c) fleet.push_back(at(std::string(1, c), h.now - 16000));
+    h.list({fleet.begin(), fleet.end()});
+    for (endpoint& e : fleet) e.started = e.id == "c" ? h.now - 16000 : 0;
+    h.list(fleet);
+    h.b.rpc_arrived(h.now, {"r", "vital", h.now + 300, static_cast<std::uint64_t>(seed), {}});
+    cold += h.only().server == "c";
+  }
+  CHECK(cold > 2);  // of some 15 whose key is at home there; none where the bound looks at one RPC alone
+  CHECK(cold < 30);
+}
