--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -3,10 +3,9 @@
 // rounds it does nothing. No call blocks, no balancer shares anything with another.
 //
 // The ordinary path is the design's weighted draw: see draw(). Beside it stand six mechanisms:
-//   1. load: a server expected to answer later counts for less, by reports, probes and our own picks in
-//   flight
+//   1. load: a server expected to answer later counts for less, by reports, probes and our own picks
 //   2. lateness: an answer after the latency target, or a pick overdue past it, is a failure
-//   3. cold: a fresh server counts for less by its age, and a send budget bounds what it gets
+//   3. cold: a fresh server counts for less by its age; a bound on chance and a budget limit what it gets
 //   4. further picks: repeats elsewhere, as often as recent ones succeeded
 //   5. push-back: an RPC that no server can answer in time is given up at once, the least useful first
 //   6. place: another zone and a server not warm for the key count for less
@@ -238,8 +237,7 @@
 
   double warmth(const server& s) const {
     if (s.started == never || now - s.started >= land.cold_for) return 1;
-    const double age = std::clamp((now - s.started) / land.cold_for, 0.0, 1.0);
-    return land.cold_from + (1 - land.cold_from) * age;
+    return land.cold_from + (1 - land.cold_from) * std::max(0.0, (now - s.started) / land.cold_for);
   }
 
   static constexpr double forgotten = 16;  // half-lives, after which nothing is left of what was seen
@@ -254,27 +252,23 @@
   double ahead(const server& s) const { return s.ours + mean_others + (s.others - mean_others) * heard(s); }
 
   // Time for a mean RPC there.
-  double pace(const server& s, double usual) const {
+  double pace(const server& s) const {
     constexpr double half_life = 2000;  // a pace seen is believed for some seconds, then the usual one counts
     const double age = (now - s.paced) / half_life;
-    return (age > forgotten ? usual : usual + (s.pace - usual) * std::exp2(-age)) / warmth(s);
+    return (usual_pace + (age > forgotten ? 0 : (s.pace - usual_pace) * std::exp2(-age))) / warmth(s);
   }
 
   // How long an RPC sent there now is expected to wait before its own work begins.
-  double wait(const server& s, const method& how, double usual) const {
+  double wait(const server& s, const method& how) const {
     // A server that turns picks away at once holds few of ours and looks idle, but its queue is as long as it
     // gets. Of the latency target: sends others to wait elsewhere, yet gives up no RPC by itself.
-    constexpr double jam = 0.4;
-    constexpr double fades = 2;
+    constexpr double jam = 0.4, fades = 2;
     const double age = (now - s.full) / (fades * how.latency_target);
     const double turned_away = age > forgotten ? 0 : jam * how.latency_target * std::exp2(-age);
-    return pace(s, usual) * ahead(s) + turned_away;
+    return pace(s) * ahead(s) + turned_away;
   }
 
-  bool fresh(const server& s) const {
-    constexpr double age = 10;  // ms; 3 to 40 are alike
-    return now - s.reported <= age;
-  }
+  bool fresh(const server& s) const { return now - s.reported <= 10; }  // ms; 3 to 40 are alike
 
   // A probe that stays unanswered longer tells no more.
   bool unanswered(const server& s) const { return s.probed != never && now - s.probed < 1000; }
@@ -288,33 +282,32 @@
     return std::clamp(turns * turn(), least, most);
   }
 
-  double failures(const server& s) const {
-    double n = 0;
-    for (const auto& m : s.window) n += m.failed && now - m.at < memory();
+  struct tally {
+    double known = 0, failed = 0;
+  };
+  tally count(const std::vector<mark>& window) const {
+    tally n;
+    if (window.empty()) return n;
+    const double since = now - memory();
+    for (const mark& m : window)
+      if (m.at > since) ++n.known, n.failed += m.failed;
     return n;
   }
 
   // Where fewer than 16 sends are remembered, their failures stand for those of the rest. A server that fails
-  // at once looks idle to whoever asks, and each of many quiet sidecars would have to find out by itself over
-  // and over.
+  // at once looks idle to whoever asks, and each of many quiet sidecars would find out over and over.
   double log_reputation(const server& s) const {
-    if (s.window.empty()) return 0;
     constexpr double assumed = 2;  // good sends: one chance failure says less than it seems
-    double known = 0;
-    for (const auto& m : s.window) known += now - m.at < memory();
-    return -failures(s) * std::max(1.0, 16 / (known + assumed));
+    const tally n = count(s.window);
+    return -n.failed * std::max(1.0, 16 / (n.known + assumed));
   }
 
   // A sidecar that sends seldom meets no server often enough to see that it has tipped, and all of them
   // together keep a tipped fleet where it is. What it sees is that its sends fail wherever they go.
   bool jammed() const {
     constexpr double enough = 6, share = 0.5;
-    double known = 0, failures = 0;
-    for (const auto& m : lately) {
-      known += now - m.at < memory();
-      failures += m.failed && now - m.at < memory();
-    }
-    return known >= enough && failures > share * known;
+    const tally n = count(lately);
+    return n.known >= enough && n.failed > share * n.known;
   }
 
   double log_recency(const server& s) const {
@@ -352,11 +345,6 @@
     return best;
   }
 
-  double log_place(const server& s) const {
-    constexpr double for_price = 40;  // halvings for a crossing that costs everything
-    return s.zone == home ? 0 : -for_price * land.cross_zone_price;
-  }
-
   // Halvings that the key's homes are ahead of the rest: a long queue still sends it elsewhere.
   double log_home(const rpc& r, const server& s, const homes& best) const {
     if (best.empty()) return 0;
@@ -376,8 +364,7 @@
   };
 
   ballot weigh(const rpc& r) {
-    // The more useful an RPC, the more of its time it may spend waiting: the room goes to what it is worth
-    // most to.
+    // The more useful an RPC, the more of its time it may spend waiting.
     constexpr double patience_least = 0.4, patience_for_utility = 0.6;
     const double left = useful_until(r) - now;
     const double patience = patience_least + patience_for_utility * r.how->utility / most_utility;
@@ -387,7 +374,6 @@
     b.weights.reserve(fleet.size());
     const double log_size = std::log2(static_cast<double>(fleet.size()));
     double reputation = 0, recency = 0, sent = 0;
-    const double usual = usual_pace;
     const homes best_homes = homes_of(r);
     for (server* s : fleet) {
       if (!allowed(r, *s)) continue;
@@ -399,26 +385,26 @@
       ++sent;
     }
     if (b.those.empty()) return b;
-    // Giving up on what was seen long ago would never see anything again: after a silence one RPC is let
-    // through.
-    // A thousand sidecars that each do so every second are a load: one RPC in ten of a quiet one.
+    // Giving up on what was seen long ago would never see anything again: after a silence an RPC is let
+    // through, one in ten, since a thousand sidecars that each do so every second are a load.
     constexpr double silence = 1000, chance_through = 0.1;
     b.in_time = now - last_send > silence && b.in_flight == 0 && random() < chance_through;
     const double unsent = sent > 0 ? std::log2(reputation / sent) + std::log2(recency / sent) : 0;
     for (server* s : b.those) {
       double w = s->last_send == never ? unsent : log_reputation(*s) + log_recency(*s);
-      const double one = pace(*s, usual), waits = wait(*s, *r.how, usual);
+      const double one = pace(*s), waits = wait(*s, *r.how);
       // Without a hint the RPC may be a long one; it is given up while a wait would leave no room for that.
       constexpr double unhinted = 1.6;  // mean RPCs
       const double own = r.hinted ? r.size : unhinted;
       constexpr double hopeless = 3;  // failures; 2 and 4 serve a fleet that tipped worse
       const double alone = one * own;
-      b.in_time =
-          b.in_time || (failures(*s) < hopeless && alone <= left && waits <= patience * (left - alone));
+      b.in_time = b.in_time ||
+                  (count(s->window).failed < hopeless && alone <= left && waits <= patience * (left - alone));
       const double scale = r.how->latency_target / 30;  // halves a weight; an RPC in hand takes 4 to 9 of it
       w -= (waits + one * r.size) / scale;
-      if (warmth(*s) < 1) w += std::log2(warmth(*s));
-      w += log_place(*s);
+      if (warmth(*s) < 1) w += std::log2(warmth(*s));  // not for each of many warm ones
+      constexpr double for_price = 40;                 // halvings for a crossing that costs everything
+      if (s->zone != home) w -= for_price * land.cross_zone_price;
       constexpr double silent = 8, unheard = 3;  // halvings; a dead server answers no probe
       if (unanswered(*s)) w -= silent;
       // The many servers that nothing is known of must not outweigh together the few that were asked.
@@ -442,8 +428,10 @@
     return b;
   }
 
-  std::size_t by_weight(const ballot& b, double total) {
-    double x = random() * total;
+  static double sum(const std::vector<double>& w) { return std::accumulate(w.begin(), w.end(), 0.0); }
+
+  std::size_t by_weight(const ballot& b) {
+    double x = random() * sum(b.weights);
     std::size_t at = 0;
     while (at + 1 < b.weights.size() && (x -= b.weights[at]) >= 0) ++at;
     return at;
@@ -453,11 +441,10 @@
   // hold one would push it over together. A bound on the chance is the same sum over any number of them.
   // Whoever is asked first may be sent the RPC for certain, so the chance to be asked is what is bounded.
   std::size_t by_bounded_weight(const rpc& r, ballot& b) {
-    const auto sum = [](const std::vector<double>& w) { return std::accumulate(w.begin(), w.end(), 0.0); };
     const auto bounded = [&](server* s) {
       return warmth(*s) < 1 && std::find(r.asked.begin(), r.asked.end(), s) == r.asked.end();
     };
-    const std::size_t at = by_weight(b, sum(b.weights));
+    const std::size_t at = by_weight(b);
     const server& s = *b.those[at];
     if (!bounded(b.those[at])) return at;
     // Keys spread by themselves: that it is at home here bounds no RPC, or homes would never warm up. Yet a
@@ -468,8 +455,7 @@
     if (random() * w[at] < most * sum(w) * (b.keyless.empty() ? 1 : popular)) return at;
     for (std::size_t i = 0; i < b.those.size(); ++i)
       if (bounded(b.those[i])) b.weights[i] = 0;
-    const double rest = sum(b.weights);
-    return rest > 0 ? by_weight(b, rest) : at;
+    return sum(b.weights) > 0 ? by_weight(b) : at;
   }
 
   server* draw(const rpc& r, ballot b) {
@@ -488,8 +474,7 @@
   }
 
   bool may_push_back(const rpc& r) const {
-    // A push-back says that a retry is harmless. Anything that may have run and must not run twice is
-    // aborted.
+    // A push-back says that a retry is harmless. What may have run and must not run twice is aborted.
     if (r.how->repeats == repeatable::idempotent) return true;
     if (!r.first_that_may_have_run()) return true;
     return r.how->repeats == repeatable::deduplicated && r.how->drops_repeats == group::everywhere;
@@ -507,8 +492,7 @@
 
   decision give_up(rpc& r) {
     decision d{may_push_back(r) ? decision::verb::push_back : decision::verb::abort, r.id, {}, 0, 0, 0};
-    // A client that comes straight back would be answered after its latency target: work for nothing, in a
-    // jam.
+    // A client that comes straight back would be answered after its latency target: work for nothing.
     if (d.what == decision::verb::push_back) d.after = land.longest_retry_after;
     conclude(r);
     return d;
@@ -541,20 +525,16 @@
     s.last_send = last_send = now;
     if (warmth(s) < 1) s.budget -= r.size;
     ++sends_since_beat;
-    if (further)
-      spare -= 1;
-    else
-      spare = std::min(spare + further_success * 0.5, 10.0);
+    spare = further ? spare - 1 : std::min(spare + further_success * 0.5, 10.0);
     set_due(r, now + std::max(left, 0.0));
     return {decision::verb::pick, r.id, s.id, p.number, std::max(left, 0.001), 0};
   }
 
   // How many probes it is worth to an RPC to find a server idle.
   double worth_asking(const rpc& r, const ballot& b) {
-    // Of an RPC's utility, what fresh reports save where its own work takes all of its time; a shorter one is
-    // at less risk. 0.1 to 0.4 are alike.
-    constexpr double saved = 0.2;
-    constexpr double most = 9;  // more than that find an idle one hardly ever
+    // Of an RPC's utility, what fresh reports save where its own work takes all of its time (0.1 to 0.4 are
+    // alike), and how many probes find an idle server nearly always.
+    constexpr double saved = 0.2, most = 9;
     if (land.probe_price <= 0) return most;
     // A report adds only what the last ones don't tell any more: nearly all at a quiet sidecar.
     const double unknown = (1 - b.known) * (1 - b.known);
@@ -620,9 +600,10 @@
   void keep_beat() {
     const double span = beat_at == never ? beat : now - beat_at;
     beat_at = now;
-    constexpr double span_remembered = 3000;  // our own rate of sends is that of the last seconds
-    send_rate += (1 - std::exp(-span / span_remembered)) * (sends_since_beat / span - send_rate);
-    arrival_rate += (1 - std::exp(-span / span_remembered)) * (arrivals_since_beat / span - arrival_rate);
+    constexpr double remembered = 3000;  // our own rate is that of the last seconds
+    const double weight = 1 - std::exp(-span / remembered);
+    send_rate += weight * (sends_since_beat / span - send_rate);
+    arrival_rate += weight * (arrivals_since_beat / span - arrival_rate);
     sends_since_beat = arrivals_since_beat = 0;
     count_warmth();
   }
@@ -639,11 +620,7 @@
                         std::max(1.0, share * land.cold_span));
   }
 
-  bool wants_list() {
-    if (!land.must_ask || subscribed || call_out || now < ask_at) return false;
-    call_out = true;
-    return true;
-  }
+  bool needs_list() const { return land.must_ask && !subscribed && !call_out; }
 
   std::optional<decision> next() {
     while (!to_cancel.empty()) {
@@ -651,7 +628,10 @@
       to_cancel.pop_front();
       if (p->out) return decision{decision::verb::cancel, p->of->id, p->to->id, p->number, 0, 0};
     }
-    if (wants_list()) return decision{decision::verb::follow_list, {}, {}, 0, 0, 0};
+    if (needs_list() && now >= ask_at) {
+      call_out = true;
+      return decision{decision::verb::follow_list, {}, {}, 0, 0, 0};
+    }
     while (!due.empty() && due.begin()->first.first <= now) {
       rpc& r = *due.begin()->second;
       set_due(r, never);
@@ -679,7 +659,7 @@
       return decision{decision::verb::wake, {}, {}, 0, beat, beat_wake};
     }
     double soonest = due.empty() ? -never : due.begin()->first.first;
-    if (land.must_ask && !subscribed && !call_out) soonest = std::min(soonest, ask_at);
+    if (needs_list()) soonest = std::min(soonest, ask_at);
     if (soonest < -never && (armed == never || soonest < armed)) {
       armed = soonest;
       return decision{decision::verb::wake, {}, {}, 0, armed - now, due_wake};
