--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -348,7 +348,7 @@
   // Halvings that the key's homes are ahead of the rest: a long queue still sends it elsewhere.
   double log_home(const rpc& r, const server& s, const homes& best) const {
     if (best.empty()) return 0;
-    constexpr double first_home = 15, second_home = 11;
+    constexpr double first_home = 15, second_home = 8;
     const std::uint64_t mine = score(*r.key, s);
     return mine == best[s.zone].first ? first_home : mine == best[s.zone].second ? second_home : 0;
   }
