--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -111,7 +111,7 @@
   std::size_t arrivals = 0;
   double mean_others = 0, mean_work = 0, mean_value = 1, usual_pace = 0, answers = 0, send_rate = 0,
          arrival_rate = 0, sends_since_beat = 0, arrivals_since_beat = 0, beat_at = never;
-  double last_send = never, warm_servers = 1;
+  double last_send = never, jam_seen = never, warm_servers = 1;
   double spare = 5, further_success = 0.5;
   bool subscribed = false, call_out = false;
   double ask_at = never, failed_calls = 0;
@@ -353,6 +353,9 @@
     return mine == best[s.zone].first ? first_home : mine == best[s.zone].second ? second_home : 0;
   }
 
+  // From 0 to 1, the same at every sidecar.
+  static double share_of(std::uint64_t key) { return static_cast<double>(mix(key)) * 0x1p-64; }
+
   static std::uint64_t score(std::uint64_t key, const server& s) { return mix(s.id_hash ^ mix(key)); }
 
   // The servers an RPC may go to, each with its weight.
@@ -417,7 +420,14 @@
       if (!best_homes.empty()) b.keyless.push_back(std::exp2(-at_home));
       b.weights.push_back(w + at_home);
     }
-    if (jammed()) b.in_time = random() < chance_through;
+    // All at once would tip it again: it opens over some seconds, for the same keys first, which are warm by
+    // then.
+    constexpr double opens = 10000;
+    if (jammed()) jam_seen = now;
+    const double through = chance_through + (now - jam_seen) / opens;
+    if (through < 1)
+      b.in_time =
+          (b.in_time || jam_seen == now) && (best_homes.empty() ? random() : share_of(*r.key)) < through;
     const double top = *std::max_element(b.weights.begin(), b.weights.end());
     double log = 0, one = 1;  // most servers are alike at a quiet sidecar
     for (double& w : b.weights) {
