--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -422,7 +422,7 @@
     }
     // All at once would tip it again: it opens over some seconds, for the same keys first, which are warm by
     // then.
-    constexpr double opens = 10000;
+    constexpr double opens = 10000;  // 5 s is equal
     if (jammed()) jam_seen = now;
     const double through = chance_through + (now - jam_seen) / opens;
     if (through < 1)
