--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -251,11 +251,12 @@
 
   double ahead(const server& s) const { return s.ours + mean_others + (s.others - mean_others) * heard(s); }
 
-  // Time for a mean RPC there.
+  // Time for a mean RPC there. The stated warmth is the least that a cold server has; the root lies between.
   double pace(const server& s) const {
     constexpr double half_life = 2000;  // a pace seen is believed for some seconds, then the usual one counts
     const double age = (now - s.paced) / half_life;
-    return (usual_pace + (age > forgotten ? 0 : (s.pace - usual_pace) * std::exp2(-age))) / warmth(s);
+    return (usual_pace + (age > forgotten ? 0 : (s.pace - usual_pace) * std::exp2(-age))) /
+           std::sqrt(warmth(s));
   }
 
   // How long an RPC sent there now is expected to wait before its own work begins.
@@ -420,14 +421,15 @@
       if (!best_homes.empty()) b.keyless.push_back(std::exp2(-at_home));
       b.weights.push_back(w + at_home);
     }
-    // All at once would tip it again: it opens over some seconds, for the same keys first, which are warm by
-    // then.
-    constexpr double opens = 10000;  // 5 s is equal
-    if (jammed()) jam_seen = now;
-    const double through = chance_through + (now - jam_seen) / opens;
-    if (through < 1)
-      b.in_time =
-          (b.in_time || jam_seen == now) && (best_homes.empty() ? random() : share_of(*r.key)) < through;
+    if (jammed()) {
+      jam_seen = now;
+      b.in_time = random() < chance_through;
+    } else if (!best_homes.empty()) {
+      // All keys at once, no longer warm anywhere, would tip the fleet again: it opens to the same ones
+      // first.
+      constexpr double opens = 10000;  // ms; 5 s is equal
+      b.in_time = b.in_time && share_of(*r.key) < chance_through + (now - jam_seen) / opens;
+    }
     const double top = *std::max_element(b.weights.begin(), b.weights.end());
     double log = 0, one = 1;  // most servers are alike at a quiet sidecar
     for (double& w : b.weights) {
