--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -177,10 +177,9 @@
   }
 
   std::size_t zone_at_the_door(const std::string& name) {
-    const auto it = std::find(zones.begin(), zones.end(), name);
-    if (it != zones.end()) return static_cast<std::size_t>(it - zones.begin());
-    zones.push_back(name);
-    return zones.size() - 1;
+    auto it = std::find(zones.begin(), zones.end(), name);
+    if (it == zones.end()) it = zones.insert(it, name);
+    return static_cast<std::size_t>(it - zones.begin());
   }
 
   void muster() {
@@ -251,8 +250,7 @@
 
   double ahead(const server& s) const { return s.ours + mean_others + (s.others - mean_others) * heard(s); }
 
-  // Time for a mean RPC there.
-  double pace(const server& s) const {
+  double pace(const server& s) const {  // time for a mean RPC there
     constexpr double half_life = 2000;  // a pace seen is believed for some seconds, then the usual one counts
     const double age = (now - s.paced) / half_life;
     return (usual_pace + (age > forgotten ? 0 : (s.pace - usual_pace) * std::exp2(-age))) /
@@ -283,15 +281,13 @@
     return std::clamp(turns * turn(), least, most);
   }
 
-  struct tally {
-    double known = 0, failed = 0;
-  };
-  tally count(const std::vector<mark>& window) const {
-    tally n;
+  // Outcomes remembered, and the failures among them.
+  std::pair<double, double> count(const std::vector<mark>& window) const {
+    std::pair<double, double> n;
     if (window.empty()) return n;
     const double since = now - memory();
     for (const mark& m : window)
-      if (m.at > since) ++n.known, n.failed += m.failed;
+      if (m.at > since) ++n.first, n.second += m.failed;
     return n;
   }
 
@@ -299,21 +295,20 @@
   // at once looks idle to whoever asks, and each of many quiet sidecars would find out over and over.
   double log_reputation(const server& s) const {
     constexpr double assumed = 2;  // good sends: one chance failure says less than it seems
-    const tally n = count(s.window);
-    return -n.failed * std::max(1.0, 16 / (n.known + assumed));
+    const auto [known, failed] = count(s.window);
+    return -failed * std::max(1.0, 16 / (known + assumed));
   }
 
   // A sidecar that sends seldom meets no server often enough to see that it has tipped, and all of them
   // together keep a tipped fleet where it is. What it sees is that its sends fail wherever they go.
   bool jammed() const {
     constexpr double enough = 6, share = 0.5;
-    const tally n = count(lately);
-    return n.known >= enough && n.failed > share * n.known;
+    const auto [known, failed] = count(lately);
+    return known >= enough && failed > share * known;
   }
 
   double log_recency(const server& s) const {
-    constexpr double least = 1000;  // ms; 10 s and 3 s do no better where sends are frequent
-    constexpr double cap = 6;       // doublings, so that idle times cannot overflow
+    constexpr double least = 1000, cap = 6;  // ms (3 and 10 s are no better); doublings, against overflow
     // Where a server's turn comes more seldom, doublings in less than the time between two turns would send
     // every RPC to whatever server was longest unheard of.
     return std::min((now - s.last_send) / std::max(least, turn()), cap);
@@ -354,8 +349,7 @@
     return mine == best[s.zone].first ? first_home : mine == best[s.zone].second ? second_home : 0;
   }
 
-  // From 0 to 1, the same at every sidecar.
-  static double share_of(std::uint64_t key) { return static_cast<double>(mix(key)) * 0x1p-64; }
+  static double share_of(std::uint64_t key) { return static_cast<double>(mix(key)) * 0x1p-64; }  // 0 to 1
 
   static std::uint64_t score(std::uint64_t key, const server& s) { return mix(s.id_hash ^ mix(key)); }
 
@@ -399,13 +393,12 @@
       const double one = pace(*s), waits = wait(*s, *r.how);
       // Without a hint the RPC may be a long one; it is given up while a wait would leave no room for that.
       constexpr double unhinted = 1.6;  // mean RPCs
-      const double own = r.hinted ? r.size : unhinted;
-      constexpr double hopeless = 3;  // failures; 2 and 4 serve a fleet that tipped worse
-      const double alone = one * own;
+      constexpr double hopeless = 3;    // failures; 2 and 4 serve a fleet that tipped worse
+      const double alone = one * (r.hinted ? r.size : unhinted);
       b.in_time = b.in_time ||
-                  (count(s->window).failed < hopeless && alone <= left && waits <= patience * (left - alone));
-      const double scale = r.how->latency_target / 30;  // halves a weight; an RPC in hand takes 4 to 9 of it
-      w -= (waits + one * r.size) / scale;
+                  (count(s->window).second < hopeless && alone <= left && waits <= patience * (left - alone));
+      constexpr double halvings = 30;  // for a latency target; an RPC in hand takes 4 to 9 of them
+      w -= halvings * (waits + one * r.size) / r.how->latency_target;
       if (warmth(*s) < 1) w += std::log2(warmth(*s));  // not for each of many warm ones
       constexpr double for_price = 40;                 // halvings for a crossing that costs everything
       if (s->zone != home) w -= for_price * land.cross_zone_price;
@@ -431,11 +424,7 @@
       b.in_time = b.in_time && share_of(*r.key) < chance_through + (now - jam_seen) / opens;
     }
     const double top = *std::max_element(b.weights.begin(), b.weights.end());
-    double log = 0, one = 1;  // most servers are alike at a quiet sidecar
-    for (double& w : b.weights) {
-      if (w - top != log) one = std::exp2(log = w - top);
-      w = one;
-    }
+    for (double& w : b.weights) w = std::exp2(w - top);
     for (std::size_t i = 0; i < b.keyless.size(); ++i) b.keyless[i] *= b.weights[i];
     return b;
   }
@@ -449,9 +438,8 @@
     return at;
   }
 
-  // A sidecar that sends little can save up no whole RPC while a server is cold, and a thousand that each
-  // hold one would push it over together. A bound on the chance is the same sum over any number of them.
-  // Whoever is asked first may be sent the RPC for certain, so the chance to be asked is what is bounded.
+  // A thousand sidecars that each save up one RPC for a cold server would push it over together; a bound on
+  // the chance is the same sum over any number. One that is asked is sent the RPC nearly surely: bound that.
   std::size_t by_bounded_weight(const rpc& r, ballot& b) {
     const auto bounded = [&](server* s) {
       return warmth(*s) < 1 && std::find(r.asked.begin(), r.asked.end(), s) == r.asked.end();
@@ -464,7 +452,7 @@
     if (!b.keyless.empty()) {
       // That its key is at home here says little of what all RPCs would send it: keys spread by themselves,
       // but for a popular one, and without the home's RPCs it would never warm up.
-      constexpr double popular = 0.5;
+      constexpr double popular = 0.3;
       share = std::max(b.keyless[at] / sum(b.keyless), 1 / static_cast<double>(b.those.size()));
       most *= popular;
     }
@@ -496,7 +484,6 @@
     return r.how->repeats == repeatable::deduplicated && r.how->drops_repeats == group::everywhere;
   }
 
-  // With no pick out.
   bool may_pick(const rpc& r) const {
     if (static_cast<int>(r.picks.size()) >= land.most_picks) return false;
     const pick* first = r.first_that_may_have_run();
@@ -561,15 +548,14 @@
     return std::min(std::floor(gain / land.probe_price + random()), most);
   }
 
-  // Fresh reports before a first pick, a few at a time until a server is found idle, as far as their price
-  // allows; true while answers are awaited. b: the weights, where they were needed.
+  // Fresh reports before a first pick, a few at a time until a server is found idle; true while answers are
+  // awaited. b: the weights, where they were needed.
   bool ask_around(rpc& r, ballot& b) {
     if (!land.probing || !land.probes_report || !r.picks.empty()) return false;
     if (r.ask_until == never) {
       b = weigh(r);
       r.paid = worth_asking(r, b);
-      // The servers of shortest expected wait are the same ones at every sidecar that knows as little: all
-      // would ask and then crowd them. The draw's own weights spread the questions.
+      // The servers of shortest expected wait are the same ones at all sidecars, which would crowd them.
       ballot left = r.paid > 0 ? b : ballot();
       while (static_cast<double>(r.to_ask.size()) < r.paid && r.to_ask.size() < left.those.size()) {
         const std::size_t at = by_bounded_weight(r, left);
@@ -663,9 +649,8 @@
       undecided.pop_front();
       r.queued = false;
       const auto d = decide(r);
-      const std::string id = r.id;
       if (d) {
-        forget_if_over(id);
+        forget_if_over(d->rpc);
         return d;
       }
       if (!to_probe.empty()) return next();
