--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -754,7 +754,8 @@
     b.learn_pace(s, took, p.ahead + p.size, how == ending::ok);
   const bool told = how != ending::cancelled && how != ending::moot;
   const bool failed = how != ending::ok || late;
-  if (told) b.learn_outcome(b.lately, failed);
+  // Errors and failed connects are one server's trouble; turned away or too late is what a crowd does.
+  if (how == ending::ok || how == ending::full || how == ending::timed_out) b.learn_outcome(b.lately, failed);
   if (told && how != ending::full) b.learn_outcome(s.window, failed);
   if (p.further) {
     const bool served = how == ending::ok && now <= r.target;
--- a/tests/balance_test.cpp
+++ b/tests/balance_test.cpp
@@ -503,6 +503,7 @@
     int bad, least, most;
   } table[] = {{"all turned away", ending::full, 8, 5, 60},
                {"all timed out", ending::timed_out, 8, 5, 60},
+               {"errors are one server's trouble, not a crowd", ending::error, 8, 290, 300},
                {"fewer than half", ending::full, 3, 290, 300},
                {"too few to tell", ending::full, 0, 300, 300}};
   for (const auto& row : table) {
