--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -250,7 +250,7 @@
 
   double ahead(const server& s) const { return s.ours + mean_others + (s.others - mean_others) * heard(s); }
 
-  double pace(const server& s) const {  // time for a mean RPC there
+  double pace(const server& s) const {  // for a mean RPC; the stated warmth is the least, its root nearer
     constexpr double half_life = 2000;  // a pace seen is believed for some seconds, then the usual one counts
     const double age = (now - s.paced) / half_life;
     return (usual_pace + (age > forgotten ? 0 : (s.pace - usual_pace) * std::exp2(-age))) /
