--- a/tests/host.h
+++ b/tests/host.h
@@ -30,6 +30,13 @@
   return {std::move(id), std::move(zone), cell, started, state};
 }
 
+// Warm servers named by the letters from first to last.
+inline std::vector<endpoint> letters(char first, char last, const std::string& zone = "here") {
+  std::vector<endpoint> all;
+  for (char c = first; c <= last; ++c) all.push_back(at(std::string(1, c), 0, standing::ready, zone));
+  return all;
+}
+
 struct one {
   balancer b;
   double now = 1000;
