--- /dev/null
+++ b/src/decode/settings.cpp
@@ -0,0 +1,61 @@
+#include "settings.h"
+
+namespace indigorill {
+
+using nlohmann::json;
+
+terrain decode_settings(const fields& f) {
+  terrain t;
+  for (const json& j : f.list("methods")) {
+    const fields m = f.entry("methods", j);
+    method to;
+    to.name = m.text("name");
+    to.latency_target = m.ms("latencyTarget", m.ms("deadline"));
+    to.utility = m.number("utility", 1);
+    to.late_utility = m.number("overdueUtility", 0);
+    to.repeats = m.word<repeatable>("effect", {{"retryable", repeatable::idempotent},
+                                               {"dedup", repeatable::deduplicated},
+                                               {"fragile", repeatable::non_idempotent}});
+    if (m.find("group"))
+      to.drops_repeats =
+          m.word<group>("group", {{"all", group::everywhere}, {"zone", group::zone}, {"cell", group::cell}});
+    to.remembers = m.ms("dedupWindow");
+    t.methods.push_back(to);
+  }
+  if (t.methods.empty()) f.fault("names no methods");
+  t.zone = f.text("zone", "");
+  t.tick = f.ms("round", 1);
+  t.must_ask = f.text("discovery", "automatic") == "subscribe";
+  t.utility_by_work = f.text("utilityPer", "") == "work";
+  t.warm_keys = f.inner("familyInfo").mark("warmKeys");
+  const fields bounds = f.inner("bounds");
+  t.most_picks = bounds.small("maxPicks", 1);
+  t.cancelling = bounds.mark("cancelling");
+  t.probing = bounds.mark("probes");
+  t.longest_retry_after = bounds.mark("retryAfter") ? bounds.ms("maxRetryAfter") : 0;
+  const fields reporting = f.inner("reporting");
+  for (const json& j : reporting.list("fields")) t.probes_report |= j == "outstanding";
+  t.probes_report &= reporting.text("how", "none") != "none";
+  const fields charges = f.inner("charges");
+  t.cross_zone_price = charges.number("crossZone", 0);
+  t.probe_price = charges.number("probe", 0);
+  const fields rules = f.inner("rules");
+  t.ask_within = rules.ms("askWithin", 10000);
+  t.cold_from = rules.number("coldFrom", 1);
+  t.cold_for = rules.ms("cold");
+  t.cold_multiple = rules.number("overloadFactor", 1);
+  t.cold_span = rules.ms("fall");
+  return t;
+}
+
+links decode_links(const fields& f) {
+  const fields bounds = f.inner("bounds");
+  links l;
+  l.idle = bounds.ms("keepalive", l.idle);
+  l.connect = bounds.ms("connectTimeout", l.connect);
+  for (const json& j : f.inner("reporting").list("fields"))
+    if (j.is_string()) l.reported.push_back(j.get<std::string>());
+  return l;
+}
+
+}  // namespace indigorill
--- /dev/null
+++ b/src/net/config.h
@@ -0,0 +1,25 @@
+// What a sidecar is told at its start: where it stands, its limits, the list as it last had it, the settings.
+#pragma once
+
+#include <string>
+
+#include "../decode/settings.h"
+#include "discovery.h"
+
+namespace indigorill {
+
+struct start {
+  std::string name, discovery_host;
+  sockaddr_in listen{}, discovery{};
+  std::uint64_t seed = 0;
+  std::size_t descriptors = 0, memory = 0;  // memory in bytes
+  roster known;
+  terrain where;
+  links with;
+};
+
+// From the environment and the file that it names. Throws malformed with one plain line.
+start read_start(const std::function<const char*(const char*)>& variable);
+start decode_start(const nlohmann::json& j);
+
+}  // namespace indigorill
--- /dev/null
+++ b/src/net/counters.cpp
@@ -0,0 +1,37 @@
+#include "counters.h"
+
+#include <string_view>
+
+namespace indigorill {
+namespace {
+
+constexpr std::array<std::string_view, 8> endings{"ok",    "error",     "full", "timed_out", "connect_failed",
+                                                  "reset", "cancelled", "moot"};
+
+}  // namespace
+
+std::ostream& operator<<(std::ostream& out, const counters& c) {
+  const auto one = [&](std::string_view name, counters::count value) { out << name << ' ' << value << '\n'; };
+  one("rpcs_taken", c.taken);
+  one("rpcs_ok", c.ok);
+  one("rpcs_pushed_back", c.pushed_back);
+  one("rpcs_aborted", c.aborted);
+  one("rpcs_left", c.left);
+  one("bad_input", c.bad_input);
+  one("out_of_room", c.out_of_room);
+  one("answers_unheard", c.unheard);
+  for (std::size_t i = 0; i < endings.size(); ++i) out << "picks_" << endings[i] << ' ' << c.picks[i] << '\n';
+  for (std::size_t i = 0; i < endings.size(); ++i)
+    out << "probes_" << endings[i] << ' ' << c.probes[i] << '\n';
+  one("connections_accepted", c.accepted);
+  one("connections_opened", c.opened);
+  one("connections_reused", c.reused);
+  one("connections_retired", c.retired);
+  one("connections_closed_for_room", c.closed_for_room);
+  one("lists", c.lists);
+  one("list_failures", c.list_failures);
+  one("malformed_lists", c.malformed_lists);
+  return out;
+}
+
+}  // namespace indigorill
--- /dev/null
+++ b/src/net/counters.h
@@ -0,0 +1,29 @@
+// What a sidecar took in, sent and answered, by outcome.
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <ostream>
+
+#include "indigorill/balance.h"
+
+namespace indigorill {
+
+struct counters {
+  using count = std::uint64_t;
+  using by_ending = std::array<count, 8>;
+
+  count taken = 0, ok = 0, pushed_back = 0, aborted = 0, left = 0;  // RPCs
+  count bad_input = 0, out_of_room = 0;                             // answered without the module
+  count unheard = 0;                                                // answers whose client had gone
+  by_ending picks{}, probes{};
+  count accepted = 0, opened = 0, reused = 0, retired = 0, closed_for_room = 0;  // connections
+  count lists = 0, list_failures = 0, malformed_lists = 0;
+
+  static void add(by_ending& to, ending how) { ++to[static_cast<std::size_t>(how)]; }
+};
+
+// A line each: "name value".
+std::ostream& operator<<(std::ostream& out, const counters& c);
+
+}  // namespace indigorill
--- /dev/null
+++ b/src/net/discovery.cpp
@@ -0,0 +1,147 @@
+#include "discovery.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace indigorill {
+namespace {
+
+constexpr std::size_t longest_list = 4 * 1024 * 1024;  // some 20,000 entries
+
+}  // namespace
+
+roster decode_roster(const fields& f) {
+  roster r;
+  r.version = f.whole("generation");
+  r.whole = f.mark("reset");
+  f.need("instances");
+  for (const auto& j : f.list("instances")) {
+    const fields e = f.entry("instances", j);
+    roster::entry to;
+    to.is.id = e.text("instanceId");
+    to.is.state = e.word<standing>(
+        "lifecycle",
+        {{"up", standing::ready}, {"draining", standing::draining}, {"removed", standing::gone}});
+    to.address = to.is.state == standing::gone ? e.text("hostPort", "") : e.text("hostPort");
+    to.is.zone = e.text("zone", "");
+    to.is.cell = e.small("cell", 0);
+    to.is.started = e.number("startedAtMs", 0);
+    r.entries.push_back(std::move(to));
+  }
+  return r;
+}
+
+discovery::discovery(loop& in, descriptor_budget& budget, counters& counts, logger& to,
+                     const sockaddr_in& where, std::string name, std::uint64_t seed, told then,
+                     loop::task on_failure)
+    : runs(in),
+      room(budget),
+      counted(counts),
+      lines(to),
+      agent(where),
+      host(std::move(name)),
+      chance(static_cast<std::knuth_b::result_type>(seed | 1)),
+      tell(std::move(then)),
+      failed(std::move(on_failure)),
+      reader(http::reader::kind::answer, longest_list) {}
+
+discovery::~discovery() = default;
+
+void discovery::begin(std::uint64_t known) {
+  if (version == 0) version = known;
+  whole_wanted = true;
+  call();
+}
+
+void discovery::call() {
+  // A watch is answered after this wait at the latest, so silence past it is a failure. Long: what changes
+  // unheard counts as told only when the wait is over.
+  constexpr double wait = 20000, travel = 1500, whole_within = 1500;
+  std::string target = "/api/targets";
+  if (!whole_wanted)
+    target += "?index=" + std::to_string(version) + "&wait=" + std::to_string(static_cast<long long>(wait));
+  out = {};
+  out.own("GET " + target + " HTTP/1.1\r\nHost: " + host + "\r\n\r\n");
+  patience = runs.at(runs.now() + (whole_wanted ? whole_within : wait + travel),
+                     [this] { fail("no answer in time"); });
+  if (!wire) {
+    descriptor fd = connect_to(agent);
+    if (!fd) return fail("no connection");
+    connected = false;
+    reader = http::reader(http::reader::kind::answer, longest_list);
+    wire = std::make_unique<stream>(runs, room, std::move(fd), [this](std::uint32_t e) { ready(e); });
+    return;
+  }
+  ready(EPOLLOUT);
+}
+
+void discovery::ready(std::uint32_t events) {
+  if (!connected) {
+    if (events & (EPOLLERR | EPOLLHUP) || wire->pending_error() != 0) return fail("no connection");
+    if (!(events & EPOLLOUT)) return;
+    connected = true;
+  }
+  if (!wire->write(out)) return fail("connection broke");
+  constexpr int turns = 16;
+  for (int i = 0; i < turns; ++i) {
+    std::size_t n = 0;
+    const stream::got got = wire->read(reader.room(), n);
+    if (got == stream::got::nothing) return;
+    if (got == stream::got::some) reader.fed(n);
+    if (got == stream::got::ended) reader.ended();
+    const bool over = got == stream::got::ended || got == stream::got::broken;
+    if (reader.now() == http::reader::state::whole) {
+      const http::message m = reader.take();
+      if (over || !m.keeps) wire.reset();
+      return take(m);
+    }
+    if (over) return fail("connection broke");
+    if (reader.now() == http::reader::state::broken) return fail("malformed answer");
+  }
+  wire->again();
+}
+
+void discovery::take(const http::message& m) {
+  patience.drop();
+  if (m.status != 200) return fail("status " + std::to_string(m.status));
+  roster r;
+  try {
+    const auto j = nlohmann::json::parse(m.body(), nullptr, false);
+    if (j.is_discarded()) throw malformed("list: is not JSON");
+    r = decode_roster(fields("list", j));
+  } catch (const malformed& e) {
+    // The old list stays: one bad answer must not leave us without endpoints.
+    ++counted.malformed_lists;
+    whole_wanted = true;
+    return fail(e.what());
+  }
+  if (silent) lines.info() << "list is back, version " << r.version;
+  silent = false;
+  failures = 0;
+  ++counted.lists;
+  version = r.version;
+  whole_wanted = false;
+  tell(r);
+  // At once: what changes in between counts as told. From the loop, so that answers without end stop nothing.
+  next_call = runs.at(runs.now(), [this] { call(); });
+}
+
+void discovery::fail(const std::string& why) {
+  ++counted.list_failures;
+  if (!silent) lines.warning() << "list: " << why << "; the old one stays in force";
+  silent = true;
+  patience.drop();
+  wire.reset();
+  if (by_itself) {
+    // The agent serves one machine, but what is behind it serves all: growing waits, spread by chance.
+    constexpr double first = 50, most = 1000;
+    const double backoff = std::min(first * std::exp2(failures), most);
+    ++failures;
+    next_call = runs.at(runs.now() + backoff * std::uniform_real_distribution<double>(0.5, 1)(chance),
+                        [this] { call(); });
+  } else {
+    failed();
+  }
+}
+
+}  // namespace indigorill
--- /dev/null
+++ b/src/net/discovery.h
@@ -0,0 +1,67 @@
+// The list of endpoints: calls, the watch that is kept open, and what their answers say. Where the balancer
+// asks for the list by itself, it decides when.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "../decode/fields.h"
+#include "counters.h"
+#include "http.h"
+#include "indigorill/balance.h"
+#include "log.h"
+#include "socket.h"
+
+namespace indigorill {
+
+struct roster {
+  struct entry {
+    endpoint is;
+    std::string address;
+  };
+  std::uint64_t version = 0;
+  bool whole = false;
+  std::vector<entry> entries;
+};
+
+roster decode_roster(const fields& f);  // throws malformed
+
+class discovery {
+ public:
+  using told = std::function<void(const roster&)>;
+
+  discovery(loop& in, descriptor_budget& budget, counters& counts, logger& lines, const sockaddr_in& agent,
+            std::string host, std::uint64_t seed, told then, loop::task failed);
+  ~discovery();
+
+  void begin(std::uint64_t version);  // after the list of this version, if it is not 0
+  void keep_asking() { by_itself = true; }
+
+ private:
+  void call();
+  void ready(std::uint32_t events);
+  void take(const http::message& m);
+  void fail(const std::string& why);
+
+  loop& runs;
+  descriptor_budget& room;
+  counters& counted;
+  logger& lines;
+  sockaddr_in agent;
+  std::string host;
+  std::knuth_b chance;
+  told tell;
+  loop::task failed;
+  bool by_itself = false, whole_wanted = true, connected = false, silent = false;
+  std::uint64_t version = 0;
+  double failures = 0;
+  std::unique_ptr<stream> wire;
+  http::reader reader;
+  outgoing out;
+  loop::timer patience, next_call;
+};
+
+}  // namespace indigorill
--- /dev/null
+++ b/src/net/front.cpp
@@ -0,0 +1,280 @@
+#include "front.h"
+
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <array>
+#include <cerrno>
+#include <sstream>
+
+namespace indigorill {
+
+struct front::connection {
+  // reading a request; held by the relay; writing the answer; read on until the client closes
+  enum class stage { reading, held, writing, lingering } in = stage::reading;
+  std::uint64_t name;
+  std::unique_ptr<stream> wire;
+  http::reader reader{http::reader::kind::request};
+  double came = 0;  // the first byte of the request
+  double idle_since = 0;
+  std::string rpc;
+  http::message answer;
+  outgoing out;
+  bool close_after = false, ended = false, is_idle = false, surplus = false;
+  std::size_t lent = 0;  // bytes of its request, at the relay
+  loop::timer patience;
+};
+
+front::front(loop& in, descriptor_budget& budget, counters& counts, logger& to, relay& relays, limits within,
+             std::function<bool()> room_maker)
+    : runs(in),
+      room(budget),
+      counted(counts),
+      lines(to),
+      takes(relays),
+      bounds(within),
+      make_room(std::move(room_maker)) {}
+
+front::~front() = default;
+
+void front::listen(const sockaddr_in& where) { adopt(listen_on(where)); }
+
+void front::adopt(descriptor listener) {
+  door = std::move(listener);
+  at_door = runs.on(door.get(), [this](std::uint32_t) { accept(); });
+}
+
+void front::accept() {
+  constexpr int turns = 64;  // then those accepted get theirs
+  for (int i = 0; i < turns; ++i) {
+    // Beyond the budget a client is still let in, to be pushed back: in the backlog it would wait in vain.
+    if (room.left() <= bounds.for_endpoints && !close_idle() && !make_room() && room.left() == 0) {
+      constexpr double soon = 5;  // ms; the edge is spent, so nobody else tells us of the backlog
+      door_again = runs.at(runs.now() + soon, [this] { accept(); });
+      return;
+    }
+    descriptor fd(::accept4(door.get(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC));
+    if (!fd) {
+      if (errno == EAGAIN || errno == EWOULDBLOCK) return;
+      if (errno == EINTR || errno == ECONNABORTED) continue;
+      lines.warning() << "accept failed with error " << errno << ", trying again";
+      constexpr double soon = 10;  // EMFILE and its like: the edge must not be lost with the failure
+      door_again = runs.at(runs.now() + soon, [this] { accept(); });
+      return;
+    }
+    const int on = 1;
+    ::setsockopt(fd.get(), IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+    ++counted.accepted;
+    const std::uint64_t name = ++names;
+    connection& c = *(connections[name] = std::make_unique<connection>());
+    c.name = name;
+    c.surplus = room.left() <= bounds.for_endpoints;
+    c.wire =
+        std::make_unique<stream>(runs, room, std::move(fd), [this, name](std::uint32_t) { ready(name); });
+    ready(name);
+  }
+  runs.again(at_door);
+}
+
+void front::ready(std::uint64_t which) {
+  connection& c = *connections.at(which);
+  if (c.in == connection::stage::writing) return write(c);
+  if (!read(c)) return;
+  serve(c);
+}
+
+// False if the connection is gone.
+bool front::read(connection& c) {
+  constexpr int turns = 16;
+  constexpr std::size_t ahead = 4096;  // of the next request while one is held: clients send one at a time
+  for (int i = 0; i < turns; ++i) {
+    if (c.in == connection::stage::held && c.reader.held() > ahead) return true;
+    std::size_t n = 0;
+    std::array<char, 4096> waste;
+    const bool lingering = c.in == connection::stage::lingering;
+    const stream::got got = c.wire->read(lingering ? std::span<char>(waste) : c.reader.room(), n);
+    if (got == stream::got::nothing) return true;
+    if (got == stream::got::some && lingering) continue;
+    if (got == stream::got::some) {
+      if (!c.reader.begun()) c.came = runs.now();
+      c.reader.fed(n);
+      if (c.reader.now() != http::reader::state::reading && c.in == connection::stage::reading) {
+        c.wire->again();  // the client may have closed already, and that edge is spent
+        return true;
+      }
+      continue;
+    }
+    // A client that closes has left, and what it waited for is of no use any more.
+    close(c.name);
+    return false;
+  }
+  c.wire->again();
+  return true;
+}
+
+void front::serve(connection& c) {
+  if (c.in != connection::stage::reading) return;
+  if (c.is_idle && c.reader.begun()) {
+    idle.erase({c.idle_since, c.name});
+    c.is_idle = false;
+  }
+  switch (c.reader.now()) {
+    case http::reader::state::whole:
+      c.patience.drop();
+      return handle(c, c.reader.take());
+    case http::reader::state::broken:
+      ++counted.bad_input;
+      return answer(c, plain(c.reader.fault(), "", true), true);
+    case http::reader::state::reading:
+      break;
+  }
+  if (c.reader.begun()) {
+    constexpr double longest = 10000;  // for one request to come; deadlines are shorter
+    if (c.patience.set()) return;
+    c.patience = runs.at(runs.now() + longest, [this, name = c.name] {
+      connection& late = *connections.at(name);
+      ++counted.bad_input;
+      answer(late, plain(408, "", true), true);
+    });
+  } else if (!c.is_idle) {
+    if (draining && !door) return close(c.name);
+    c.is_idle = true;
+    c.idle_since = runs.now();
+    idle.insert({c.idle_since, c.name});
+  }
+}
+
+bool front::out_of_room() const {
+  std::size_t bytes = 0;
+  for (const auto& [name, c] : connections) bytes += c->reader.held() + c->lent + c->answer.bytes.capacity();
+  return bytes > bounds.bytes;
+}
+
+void front::handle(connection& c, http::message m) {
+  const bool close = !m.keeps || draining || c.surplus;
+  const errand what = errand_of(m);
+  if (what == errand::readiness) return answer(c, plain(200, "ready\n", close), close);
+  if (what == errand::counters) {
+    std::ostringstream text;
+    text << counted;
+    return answer(c, plain(200, text.str(), close), close);
+  }
+  const call asked = read_call(m);
+  const int fault = what == errand::nothing     ? 404
+                    : asked.fault               ? asked.fault
+                    : takes.knows(asked.method) ? 0
+                                                : 404;
+  if (fault) {
+    ++counted.bad_input;
+    return answer(c, plain(fault, "", true), true);
+  }
+  if (c.surplus || out_of_room()) {
+    ++counted.out_of_room;
+    return answer(c, pushed_back(0, true), true);
+  }
+  c.in = connection::stage::held;
+  c.close_after = close;
+  c.lent = m.bytes.capacity();
+  const std::uint64_t name = c.name;
+  std::string rpc = takes.take(std::move(m), c.came, [this, name](verdict v) {
+    connection& asker = *connections.at(name);
+    const bool last = asker.close_after || draining;
+    asker.rpc.clear();
+    asker.lent = 0;
+    asker.answer = std::move(v.answer);
+    switch (v.how) {
+      case verdict::what::ok:
+        return answer(asker, passed_on(asker.answer, last), last);
+      case verdict::what::pushed_back:
+        return answer(asker, pushed_back(v.after, last), last);
+      case verdict::what::aborted:
+        return answer(asker, aborted(last), last);
+    }
+  });
+  // It may have been answered at once, and the connection closed since.
+  const auto it = connections.find(name);
+  if (it != connections.end() && it->second->in == connection::stage::held) it->second->rpc = std::move(rpc);
+}
+
+void front::answer(connection& c, outgoing what, bool close) {
+  c.in = connection::stage::writing;
+  c.out = std::move(what);
+  c.close_after = close;
+  c.patience.drop();
+  write(c);
+}
+
+void front::write(connection& c) {
+  if (!c.wire->write(c.out)) return close(c.name);
+  if (!c.out.done()) return;
+  c.answer = {};
+  c.out = {};
+  c.in = connection::stage::reading;
+  if (c.close_after) {
+    // Closing over bytes that we did not read would reset the connection and take the answer with it.
+    constexpr double patience = 1000;
+    c.in = connection::stage::lingering;
+    c.wire->end_sending();
+    c.patience = runs.at(runs.now() + patience, [this, name = c.name] { close(name); });
+  }
+  c.wire->again();
+}
+
+void front::close(std::uint64_t which) {
+  const auto it = connections.find(which);
+  connection& c = *it->second;
+  if (c.is_idle) idle.erase({c.idle_since, which});
+  const std::string rpc = std::move(c.rpc);
+  const bool held = c.in == connection::stage::held;
+  if (c.in == connection::stage::writing) ++counted.unheard;
+  connections.erase(it);
+  if (held) takes.left(rpc);
+  end_if_empty();
+}
+
+bool front::close_idle() {
+  if (idle.empty()) return false;
+  ++counted.closed_for_room;
+  close(idle.begin()->second);
+  return true;
+}
+
+void front::drain(loop::task then) {
+  // Clients may connect for 0.4 s after the word, and what the kernel accepted counts as ours.
+  constexpr double doors_open = 450;
+  if (draining) return;
+  draining = true;
+  when_empty = std::move(then);
+  door_shut = runs.at(runs.now() + doors_open, [this] { close_door(); });
+}
+
+void front::close_door() {
+  accept();
+  door_again.drop();
+  at_door.drop();
+  door = {};
+  // What was written to a connection before we close it is ours: look once more.
+  std::vector<std::uint64_t> resting;
+  for (const auto& [since, name] : idle) resting.push_back(name);
+  for (const std::uint64_t name : resting) {
+    const auto it = connections.find(name);
+    if (it == connections.end() || !read(*it->second)) continue;
+    connection& c = *it->second;
+    if (c.reader.begun())
+      serve(c);
+    else if (c.is_idle)
+      close(name);
+  }
+  end_if_empty();
+}
+
+void front::end_if_empty() {
+  if (!when_empty || door || !draining) return;
+  if (connections.empty()) {
+    loop::task then = std::move(when_empty);
+    when_empty = nullptr;
+    then();
+  }
+}
+
+}  // namespace indigorill
--- /dev/null
+++ b/src/net/front.h
@@ -0,0 +1,67 @@
+// The listener and the application's connections.
+#pragma once
+
+#include <map>
+#include <memory>
+#include <set>
+#include <unordered_map>
+
+#include "counters.h"
+#include "http.h"
+#include "log.h"
+#include "relay.h"
+#include "socket.h"
+
+namespace indigorill {
+
+class front {
+ public:
+  struct limits {
+    std::size_t for_endpoints;  // descriptors left to connections to endpoints, where clients need many
+    std::size_t bytes;          // in messages of clients
+  };
+
+  front(loop& in, descriptor_budget& budget, counters& counts, logger& lines, relay& to, limits within,
+        std::function<bool()> make_room);
+  ~front();
+
+  void listen(const sockaddr_in& where);
+  void adopt(descriptor listener);  // one that listens already
+  bool close_idle();
+
+  // Takes on what still comes for a while, answers all that is held, then calls `then`.
+  void drain(loop::task then);
+
+ private:
+  struct connection;
+
+  void accept();
+  void ready(std::uint64_t which);
+  bool read(connection& c);
+  void serve(connection& c);
+  void handle(connection& c, http::message m);
+  void answer(connection& c, outgoing what, bool close);
+  void write(connection& c);
+  void close(std::uint64_t which);
+  void close_door();
+  void end_if_empty();
+  bool out_of_room() const;
+
+  loop& runs;
+  descriptor_budget& room;
+  counters& counted;
+  logger& lines;
+  relay& takes;
+  limits bounds;
+  std::function<bool()> make_room;
+  descriptor door;
+  loop::watch at_door;
+  loop::timer door_again, door_shut;
+  loop::task when_empty;
+  bool draining = false;
+  std::uint64_t names = 0;
+  std::unordered_map<std::uint64_t, std::unique_ptr<connection>> connections;
+  std::set<std::pair<double, std::uint64_t>> idle;
+};
+
+}  // namespace indigorill
--- /dev/null
+++ b/src/net/http.h
@@ -0,0 +1,82 @@
+// HTTP/1.1 messages: a state machine that is fed bytes and knows no socket. Heads are parsed in place: a
+// message keeps the bytes as they came, and its parts are places in them.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "socket.h"
+
+namespace indigorill::http {
+
+constexpr std::size_t longest_head = 16 * 1024, longest_body = 64 * 1024;
+
+struct place {
+  std::uint32_t from = 0, length = 0;
+};
+
+struct header {
+  place name, value, line;  // line: with its end
+};
+
+struct message {
+  std::string bytes;
+  place method, target;  // of a request
+  int status = 0;        // of an answer
+  std::vector<header> headers;
+  place content;
+  bool keeps = true;  // the connection may carry another message after this one
+
+  std::string_view text(place p) const { return std::string_view(bytes).substr(p.from, p.length); }
+  std::optional<std::string_view> find(std::string_view name) const;
+  std::string_view body() const { return text(content); }
+};
+
+bool same_name(std::string_view a, std::string_view b);  // names of headers know no case
+
+class reader {
+ public:
+  enum class kind { request, answer };
+  enum class state { reading, whole, broken };
+
+  explicit reader(kind of, std::size_t most = longest_body) : expects(of), most_body(most) {}
+
+  std::span<char> room();       // where the next bytes go
+  void fed(std::size_t count);  // so many came
+  void ended();                 // no more will come
+  state now() const { return is; }
+  bool begun() const { return filled > 0; }  // some bytes of a message are here
+  int fault() const { return status_of_fault; }
+  std::size_t held() const { return got.bytes.capacity(); }
+
+  // The whole message; the reader goes on with what came after it.
+  message take();
+
+ private:
+  enum class stage { head, counted, size, data, data_end, trailer, until_end, over };
+
+  void parse();
+  bool parse_head();
+  bool start_line(std::string_view line, std::size_t from);
+  bool header_line(std::string_view line, std::size_t from);
+  bool frame();
+  bool parse_chunks();
+  std::optional<std::string_view> next_line(std::size_t most);
+  bool broken(int status);
+
+  kind expects;
+  std::size_t most_body;
+  state is = state::reading;
+  stage in = stage::head;
+  int status_of_fault = 400;
+  message got;
+  std::size_t filled = 0, at = 0, scanned = 0;  // bytes that came, that are done with, that hold no line end
+  std::size_t awaited = 0;                      // of the body or chunk
+  std::size_t trailers = 0;
+};
+
+}  // namespace indigorill::http
--- /dev/null
+++ b/src/net/pool.cpp
@@ -0,0 +1,210 @@
+#include "pool.h"
+
+#include <algorithm>
+#include <set>
+
+namespace indigorill {
+
+// A connection's name is the ticket of its exchange; it gets a new one with each.
+struct pool::connection {
+  enum class stage { connecting, writing, awaiting, idle } in = stage::connecting;
+  ticket name;
+  std::string server;
+  std::unique_ptr<stream> wire;
+  http::reader reader{http::reader::kind::answer};
+  outgoing out;
+  done then;
+  double began = 0, idle_since = 0;
+  loop::timer patience, connecting, retiring;
+};
+
+pool::pool(loop& in, descriptor_budget& budget, counters& counts, logger& to, links with,
+           std::function<bool()> room_maker)
+    : runs(in),
+      room(budget),
+      counted(counts),
+      lines(to),
+      known(std::move(with)),
+      make_room(std::move(room_maker)) {}
+
+pool::~pool() = default;
+
+void pool::listed(const std::string& server, const std::string& address) {
+  place& p = places[server];
+  const auto parsed = parse_address(address);
+  if (!parsed) {
+    lines.warning() << "list names an address that is none: " << address;
+    return;
+  }
+  const bool moved = p.address && (p.address->sin_addr.s_addr != parsed->sin_addr.s_addr ||
+                                   p.address->sin_port != parsed->sin_port);
+  if (moved) gone(server);  // what is idle there leads to the old address
+  p.address = parsed;
+}
+
+void pool::gone(const std::string& server) {
+  const auto it = places.find(server);
+  if (it == places.end()) return;
+  while (!it->second.idle.empty()) close(it->second.idle.back());
+}
+
+void pool::keep_only(const std::vector<endpoint>& whole_list) {
+  std::set<std::string_view> named;
+  for (const endpoint& e : whole_list) named.insert(e.id);
+  for (const auto& [server, at] : places)
+    if (!named.count(server)) gone(server);
+}
+
+pool::ticket pool::send(const std::string& server, outgoing what, double patience, done then) {
+  place& p = places[server];
+  const ticket name = ++tickets;
+  auto fresh = reuse(p) ? nullptr : std::make_unique<connection>();
+  if (!fresh) {
+    // The last used: its idle time is the shortest.
+    const ticket before = p.idle.back();
+    auto node = connections.extract(before);
+    p.idle.pop_back();
+    idle.erase({node.mapped()->idle_since, before});
+    node.key() = name;
+    connections.insert(std::move(node));
+    ++counted.reused;
+  } else {
+    connections.emplace(name, std::move(fresh));
+  }
+  connection& c = *connections[name];
+  c.name = name;
+  c.server = server;
+  c.out = std::move(what);
+  c.then = std::move(then);
+  c.began = runs.now();
+  c.retiring.drop();
+  c.patience = runs.at(c.began + patience, [this, name] { broke(*connections.at(name), ending::timed_out); });
+  if (c.in == connection::stage::idle) {
+    c.in = connection::stage::writing;
+    ready(name, 0);
+  } else {
+    open(c, p);
+  }
+  return name;
+}
+
+pool::connection* pool::reuse(place& at) {
+  while (!at.idle.empty()) {
+    connection& c = *connections.at(at.idle.back());
+    // A request on a connection that the endpoint has closed is a reset, and one that must not run twice is
+    // lost by it: look once more, the event may be still to come.
+    if (!c.wire->stale()) return &c;
+    close(c.name);
+  }
+  return nullptr;
+}
+
+void pool::open(connection& c, const place& at) {
+  const ticket name = c.name;
+  descriptor fd;
+  if (at.address && (room.left() > 0 || close_idle() || make_room())) fd = connect_to(*at.address);
+  if (!fd) {
+    c.connecting = runs.at(c.began, [this, name] { broke(*connections.at(name), ending::reset); });
+    return;
+  }
+  ++counted.opened;
+  c.connecting =
+      runs.at(c.began + known.connect, [this, name] { broke(*connections.at(name), ending::reset); });
+  c.wire = std::make_unique<stream>(runs, room, std::move(fd),
+                                    [this, at_name = &c](std::uint32_t e) { ready(at_name->name, e); });
+}
+
+void pool::ready(ticket which, std::uint32_t events) {
+  connection& c = *connections.at(which);
+  if (c.in == connection::stage::idle) {
+    close(which);  // the endpoint closed it, or wrote what nobody asked for
+    return;
+  }
+  if (c.in == connection::stage::connecting) {
+    if (events & (EPOLLERR | EPOLLHUP) || c.wire->pending_error() != 0) return broke(c, ending::reset);
+    if (!(events & EPOLLOUT)) return;
+    c.connecting.drop();
+    c.in = connection::stage::writing;
+  }
+  if (c.in == connection::stage::writing) {
+    if (!c.wire->write(c.out)) return broke(c, ending::reset);
+    if (c.out.done()) c.in = connection::stage::awaiting;
+  }
+  read(c);
+}
+
+void pool::read(connection& c) {
+  constexpr int turns = 16;  // then others get theirs: one long answer must not hold up all
+  for (int i = 0; i < turns; ++i) {
+    std::size_t n = 0;
+    const stream::got got = c.wire->read(c.reader.room(), n);
+    if (got == stream::got::nothing) return;
+    if (got == stream::got::some) c.reader.fed(n);
+    if (got == stream::got::ended) c.reader.ended();
+    const bool ended = got == stream::got::ended || got == stream::got::broken;
+    if (c.reader.now() == http::reader::state::whole) {
+      http::message answer = c.reader.take();
+      const bool keep = !ended && answer.keeps && c.in == connection::stage::awaiting && !c.reader.begun();
+      return finish(c, ending::ok, std::move(answer), keep);
+    }
+    if (ended) return broke(c, ending::reset);
+    if (c.reader.now() == http::reader::state::broken) return broke(c, ending::error);
+  }
+  c.wire->again();
+}
+
+// Before its last byte was written a request never ran; after that it may have.
+void pool::broke(connection& c, ending once_written) {
+  finish(c, c.in == connection::stage::awaiting ? once_written : ending::connect_failed, {}, false);
+}
+
+void pool::finish(connection& c, ending how, http::message answer, bool keep) {
+  const double took = runs.now() - c.began;
+  const done then = std::move(c.then);
+  if (keep)
+    rest(c);
+  else
+    close(c.name);
+  then({how, took, std::move(answer)});
+}
+
+void pool::rest(connection& c) {
+  // Well before the endpoint does: what crosses its closing is a reset. Nine tenths leave too little where a
+  // process waits for its core.
+  constexpr double part = 0.75;
+  const ticket name = c.name;
+  c.in = connection::stage::idle;
+  c.out = {};
+  c.patience.drop();
+  c.idle_since = runs.now();
+  c.retiring = runs.at(c.idle_since + part * known.idle, [this, name] {
+    ++counted.retired;
+    close(name);
+  });
+  place& p = places[c.server];
+  p.idle.push_back(name);
+  idle[{c.idle_since, name}] = &p;
+}
+
+void pool::close(ticket which) {
+  const auto it = connections.find(which);
+  connection& c = *it->second;
+  if (c.in == connection::stage::idle) {
+    std::erase(places[c.server].idle, which);
+    idle.erase({c.idle_since, which});
+  }
+  connections.erase(it);
+}
+
+void pool::give_up(ticket which) {
+  if (connections.count(which)) close(which);
+}
+
+bool pool::close_idle() {
+  if (idle.empty()) return false;
+  ++counted.closed_for_room;
+  close(idle.begin()->first.second);
+  return true;
+}
+
+}  // namespace indigorill
--- /dev/null
+++ b/src/net/pool.h
@@ -0,0 +1,72 @@
+// Connections to endpoints: opened, reused, retired, and one exchange at a time on each. Decides nothing; an
+// exchange ends in one of the balancer's words.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "../decode/settings.h"
+#include "counters.h"
+#include "http.h"
+#include "log.h"
+#include "socket.h"
+
+namespace indigorill {
+
+class pool {
+ public:
+  using ticket = std::uint64_t;
+  struct result {
+    ending how;
+    double took;
+    http::message answer;  // empty without one
+  };
+  using done = std::function<void(result)>;
+
+  // make_room: closes some idle connection elsewhere, if there is one.
+  pool(loop& in, descriptor_budget& budget, counters& counts, logger& lines, links with,
+       std::function<bool()> make_room);
+  ~pool();
+
+  void listed(const std::string& server, const std::string& address);
+  void gone(const std::string& server);  // idle connections there are given back
+  void keep_only(const std::vector<endpoint>& whole_list);
+
+  // `then` is called once, later, unless the ticket is given up before. What is lent must last until then.
+  ticket send(const std::string& server, outgoing what, double patience, done then);
+  void give_up(ticket which);  // closes its connection: the endpoint may stop
+
+  bool close_idle();  // the one idle for longest
+
+ private:
+  struct connection;
+  struct place {
+    std::optional<sockaddr_in> address;
+    std::vector<ticket> idle;  // the last used is at the end
+  };
+
+  connection* reuse(place& at);
+  void open(connection& c, const place& at);
+  void ready(ticket which, std::uint32_t events);
+  void read(connection& c);
+  void broke(connection& c, ending once_written);
+  void finish(connection& c, ending how, http::message answer, bool keep);
+  void rest(connection& c);
+  void close(ticket which);
+
+  loop& runs;
+  descriptor_budget& room;
+  counters& counted;
+  logger& lines;
+  links known;
+  std::function<bool()> make_room;
+  ticket tickets = 0;
+  std::unordered_map<std::string, place> places;
+  std::unordered_map<ticket, std::unique_ptr<connection>> connections;
+  std::map<std::pair<double, ticket>, place*> idle;  // by when they were last used
+};
+
+}  // namespace indigorill
--- /dev/null
+++ b/src/net/relay.cpp
@@ -0,0 +1,156 @@
+#include "relay.h"
+
+#include <algorithm>
+
+namespace indigorill {
+
+bool relay::rpc::idle() const {
+  return std::none_of(picks.begin(), picks.end(), [](const pick& p) { return p.out; });
+}
+
+relay::relay(loop& in, pool& to, counters& counts, const terrain& where, std::uint64_t seed)
+    : runs(in), endpoints(to), counted(counts), reports(where.probes_report), decides(where, seed, in.now()) {
+  for (const method& m : where.methods) methods.insert(m.name);
+}
+
+std::string relay::take(http::message m, double came, answered then) {
+  // The answer has still to be written and to reach the client; a wake-up may be a millisecond late.
+  constexpr double to_answer = 3;
+  // Ids of the client's could come twice.
+  const std::string id = std::to_string(++serial);
+  rpc& r = rpcs[id];
+  r.call = std::move(m);
+  r.then = std::move(then);
+  const call c = read_call(r.call);
+  r.deadline = came + c.budget - to_answer;
+  ++counted.taken;
+  decides.rpc_arrived(runs.now(), {id, c.method, r.deadline, c.key, c.work});
+  pull();
+  return id;
+}
+
+void relay::left(const std::string& id) {
+  const auto it = rpcs.find(id);
+  if (it == rpcs.end() || it->second.over) return;
+  ++counted.left;
+  it->second.over = true;
+  it->second.then = nullptr;
+  decides.client_left(runs.now(), id);
+  pull();
+  forget_if_over(id);
+}
+
+void relay::listed(bool whole, bool asked, const std::vector<endpoint>& entries) {
+  decides.listed(runs.now(), whole, asked, entries);
+  pull();
+}
+
+void relay::list_failed() {
+  decides.list_failed(runs.now());
+  pull();
+}
+
+void relay::pull() {
+  // What is carried out may tell the balancer something at once; its decisions then follow in this round.
+  if (pulling) return;
+  pulling = true;
+  while (const auto d = decides.next()) carry_out(*d);
+  pulling = false;
+}
+
+void relay::carry_out(const decision& d) {
+  using verb = decision::verb;
+  switch (d.what) {
+    case verb::pick:
+      return send(d);
+    case verb::push_back:
+      conclude(d.rpc, {verdict::what::pushed_back, {}, d.after});
+      return forget_if_over(d.rpc);
+    case verb::abort:
+      conclude(d.rpc, {verdict::what::aborted, {}, 0});
+      return forget_if_over(d.rpc);
+    case verb::cancel:
+      return cancel(d);
+    case verb::probe:
+      return probe(d.server);
+    case verb::follow_list:
+      if (follow) follow();
+      return;
+    case verb::wake: {
+      const std::uint64_t name = ++serial;
+      wakes[name] = runs.at(runs.now() + d.after, [this, name, wake = d.wake] {
+        wakes.erase(name);
+        decides.woken(runs.now(), wake);
+        pull();
+      });
+    }
+  }
+}
+
+void relay::send(const decision& d) {
+  rpc& r = rpcs.at(d.rpc);
+  const double now = runs.now(), patience = std::min(d.after, r.deadline - now);
+  r.picks.push_back({0, now, true});
+  r.picks.back().at = endpoints.send(
+      d.server, pick_of(r.call, patience), patience,
+      [this, id = d.rpc, n = d.pick](pool::result ended) { pick_ended(id, n, std::move(ended)); });
+}
+
+void relay::pick_ended(const std::string& id, int number, pool::result ended) {
+  rpc& r = rpcs.at(id);
+  r.picks[number].out = false;
+  load report;
+  if (ended.how == ending::ok) {
+    ended.how = ending_of(ended.answer);
+    report = load_of(ended.answer, false);
+  }
+  counters::add(counted.picks, ended.how);
+  if (ended.how == ending::ok && !r.over) conclude(id, {verdict::what::ok, std::move(ended.answer), 0});
+  decides.pick_ended(runs.now(), id, number, ended.how, ended.took, r.over, report);
+  pull();
+  forget_if_over(id);
+}
+
+void relay::cancel(const decision& d) {
+  rpc& r = rpcs.at(d.rpc);
+  pick& p = r.picks.at(d.pick);
+  if (!p.out) return;
+  endpoints.give_up(p.at);
+  p.out = false;
+  counters::add(counted.picks, ending::cancelled);
+  decides.pick_ended(runs.now(), d.rpc, d.pick, ending::cancelled, runs.now() - p.sent, r.over, {});
+  forget_if_over(d.rpc);
+}
+
+void relay::probe(const std::string& server) {
+  // An answer that comes later than this tells nothing of the load any more.
+  constexpr double patience = 250;
+  endpoints.send(server, probe_of(reports), patience, [this, server](pool::result ended) {
+    load report;
+    if (ended.how == ending::ok) {
+      ended.how = ending_of(ended.answer);
+      report = load_of(ended.answer, true);
+    }
+    counters::add(counted.probes, ended.how);
+    decides.probe_ended(runs.now(), server, ended.how, report);
+    pull();
+  });
+}
+
+void relay::conclude(const std::string& id, verdict v) {
+  rpc& r = rpcs.at(id);
+  if (r.over) return;
+  r.over = true;
+  ++(v.how == verdict::what::ok            ? counted.ok
+     : v.how == verdict::what::pushed_back ? counted.pushed_back
+                                           : counted.aborted);
+  const answered then = std::move(r.then);
+  then(std::move(v));
+}
+
+void relay::forget_if_over(const std::string& id) {
+  const auto it = rpcs.find(id);
+  if (it != rpcs.end() && it->second.over && it->second.idle()) rpcs.erase(it);
+}
+
+}  // namespace indigorill
--- /dev/null
+++ b/src/net/relay.h
@@ -0,0 +1,82 @@
+// RPCs and their picks: the only caller of the balancer. Tells it what happened, carries out what it decides.
+#pragma once
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "counters.h"
+#include "http.h"
+#include "indigorill/balance.h"
+#include "loop.h"
+#include "pool.h"
+#include "words.h"
+
+namespace indigorill {
+
+// The final answer to an RPC.
+struct verdict {
+  enum class what { ok, pushed_back, aborted } how;
+  http::message answer;  // of the endpoint, if ok
+  double after = 0;      // advice of a push-back
+};
+
+class relay {
+ public:
+  using answered = std::function<void(verdict)>;
+
+  relay(loop& in, pool& endpoints, counters& counts, const terrain& where, std::uint64_t seed);
+
+  bool knows(std::string_view method) const { return methods.count(method) > 0; }
+
+  // Takes an RPC that came at this time; `then` is called once, unless the client leaves before.
+  std::string take(http::message call, double came, answered then);
+  void left(const std::string& rpc);
+
+  void listed(bool whole, bool asked, const std::vector<endpoint>& entries);
+  void list_failed();
+  void when_list_wanted(loop::task what) { follow = std::move(what); }
+
+  std::size_t held() const { return rpcs.size(); }
+
+ private:
+  struct pick {
+    pool::ticket at;
+    double sent;
+    bool out;
+  };
+  struct rpc {
+    http::message call;
+    double deadline;
+    answered then;
+    std::vector<pick> picks;
+    bool over = false;
+    bool idle() const;
+  };
+
+  void pull();
+  void carry_out(const decision& d);
+  void send(const decision& d);
+  void pick_ended(const std::string& id, int number, pool::result r);
+  void cancel(const decision& d);
+  void probe(const std::string& server);
+  void conclude(const std::string& id, verdict v);
+  void forget_if_over(const std::string& id);
+
+  loop& runs;
+  pool& endpoints;
+  counters& counted;
+  bool reports;
+  std::set<std::string, std::less<>> methods;
+  balancer decides;
+  loop::task follow;
+  bool pulling = false;
+  std::uint64_t serial = 0;
+  std::unordered_map<std::string, rpc> rpcs;
+  std::map<std::uint64_t, loop::timer> wakes;
+};
+
+}  // namespace indigorill
--- /dev/null
+++ b/src/net/sidecar.cpp
@@ -0,0 +1,100 @@
+#include "sidecar.h"
+
+#include <sys/signalfd.h>
+#include <unistd.h>
+
+#include <cerrno>
+#include <csignal>
+#include <sstream>
+#include <system_error>
+
+#include "front.h"
+
+namespace indigorill {
+namespace {
+
+descriptor signals() {
+  sigset_t set;
+  sigemptyset(&set);
+  for (const int s : {SIGTERM, SIGINT, SIGUSR1}) sigaddset(&set, s);
+  if (::sigprocmask(SIG_BLOCK, &set, nullptr) < 0)
+    throw std::system_error(errno, std::generic_category(), "sigprocmask");
+  descriptor fd(::signalfd(-1, &set, SFD_NONBLOCK | SFD_CLOEXEC));
+  if (!fd) throw std::system_error(errno, std::generic_category(), "signalfd");
+  return fd;
+}
+
+void write_counters(logger& lines, const counters& counts) {
+  std::ostringstream text;
+  text << counts;
+  std::string flat = text.str();
+  for (char& c : flat)
+    if (c == '\n') c = ' ';
+  lines.info() << "counters: " << flat;
+}
+
+}  // namespace
+
+void run_sidecar(const start& with, logger& lines) {
+  // Standard input, output and error, epoll, signals, the listener, and some to spare.
+  constexpr std::size_t own_descriptors = 16;
+  if (with.descriptors <= 2 * own_descriptors) throw malformed("config: limits allow too few sockets");
+  ::signal(SIGPIPE, SIG_IGN);
+  loop runs;
+  counters counts;
+  descriptor_budget budget{with.descriptors - own_descriptors};
+
+  front* door = nullptr;
+  pool endpoints(runs, budget, counts, lines, with.with, [&] { return door && door->close_idle(); });
+  relay rpcs(runs, endpoints, counts, with.where, with.seed);
+  // An eighth of the descriptors reaches every endpoint of a usual fleet several times; a third of the memory
+  // for requests leaves as much for answers and as much for what the allocator wastes.
+  const front::limits within{budget.most / 8, with.memory / 3};
+  front clients(runs, budget, counts, lines, rpcs, within, [&] { return endpoints.close_idle(); });
+  door = &clients;
+
+  const auto learn = [&](const roster& list, bool asked) {
+    std::vector<endpoint> entries;
+    for (const roster::entry& e : list.entries) {
+      if (e.is.state == standing::gone)
+        endpoints.gone(e.is.id);
+      else
+        endpoints.listed(e.is.id, e.address);
+      entries.push_back(e.is);
+    }
+    if (list.whole) endpoints.keep_only(entries);
+    rpcs.listed(list.whole, asked, entries);
+  };
+  roster known = with.known;
+  known.whole = true;
+  learn(known, false);
+
+  discovery lists(
+      runs, budget, counts, lines, with.discovery, with.discovery_host, with.seed + 1,
+      [&](const roster& list) { learn(list, true); }, [&] { rpcs.list_failed(); });
+  if (with.where.must_ask) {
+    rpcs.when_list_wanted([&] { lists.begin(with.known.version); });
+  } else {
+    lists.keep_asking();
+    lists.begin(with.known.version);
+  }
+
+  const descriptor signal = signals();
+  const loop::watch on_signal = runs.on(signal.get(), [&](std::uint32_t) {
+    signalfd_siginfo s;
+    while (::read(signal.get(), &s, sizeof s) == sizeof s) {
+      if (s.ssi_signo == SIGUSR1) {
+        write_counters(lines, counts);
+      } else {
+        lines.info() << "told to stop, " << rpcs.held() << " RPCs held";
+        clients.drain([&] { runs.stop(); });
+      }
+    }
+  });
+  clients.listen(with.listen);
+  lines.info() << with.name << " serves, " << with.known.entries.size() << " endpoints known";
+  runs.run();
+  write_counters(lines, counts);
+}
+
+}  // namespace indigorill
--- /dev/null
+++ b/src/net/socket.cpp
@@ -0,0 +1,119 @@
+#include "socket.h"
+
+#include <arpa/inet.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <sys/uio.h>
+
+#include <algorithm>
+#include <array>
+#include <cerrno>
+#include <charconv>
+#include <system_error>
+
+namespace indigorill {
+
+std::optional<sockaddr_in> parse_address(const std::string& text) {
+  const std::size_t colon = text.rfind(':');
+  if (colon == std::string::npos) return {};
+  sockaddr_in a{};
+  a.sin_family = AF_INET;
+  if (::inet_pton(AF_INET, text.substr(0, colon).c_str(), &a.sin_addr) != 1) return {};
+  std::uint16_t port = 0;
+  const char* end = text.data() + text.size();
+  const auto [stopped, fault] = std::from_chars(text.data() + colon + 1, end, port);
+  if (fault != std::errc() || stopped != end || port == 0) return {};
+  a.sin_port = htons(port);
+  return a;
+}
+
+descriptor listen_on(const sockaddr_in& where) {
+  descriptor fd(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
+  const int on = 1;
+  // A restart must not wait for the connections of the process before it.
+  if (fd) ::setsockopt(fd.get(), SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+  if (!fd || ::bind(fd.get(), reinterpret_cast<const sockaddr*>(&where), sizeof where) < 0 ||
+      ::listen(fd.get(), SOMAXCONN) < 0)
+    throw std::system_error(errno, std::generic_category(), "listen");
+  return fd;
+}
+
+descriptor connect_to(const sockaddr_in& where) {
+  descriptor fd(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
+  if (!fd) return {};
+  const int on = 1;
+  ::setsockopt(fd.get(), IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+  if (::connect(fd.get(), reinterpret_cast<const sockaddr*>(&where), sizeof where) < 0 &&
+      errno != EINPROGRESS)
+    return {};
+  return fd;
+}
+
+void outgoing::own(std::string piece) {
+  owned.push_back(std::move(piece));
+  lend(owned.back());
+}
+
+void outgoing::lend(std::string_view piece) {
+  if (!piece.empty()) pieces.push_back(piece);
+}
+
+stream::stream(loop& in, descriptor_budget& budget, descriptor owned, loop::events_task ready)
+    : runs(in), counted(budget), fd(std::move(owned)), place(in.on(fd.get(), std::move(ready))) {
+  ++counted.open;
+}
+
+stream::~stream() { --counted.open; }
+
+stream::got stream::read(std::span<char> room, std::size_t& count) {
+  for (;;) {
+    const ssize_t n = ::recv(fd.get(), room.data(), room.size(), 0);
+    if (n > 0) {
+      count = static_cast<std::size_t>(n);
+      return got::some;
+    }
+    if (n == 0) return got::ended;
+    if (errno == EAGAIN || errno == EWOULDBLOCK) return got::nothing;
+    if (errno != EINTR) return got::broken;
+  }
+}
+
+bool stream::write(outgoing& what) {
+  while (!what.done()) {
+    std::array<iovec, 64> parts;  // heads take some ten; more go in the next call
+    std::size_t n = 0;
+    for (std::size_t i = what.at; i < what.pieces.size() && n < parts.size(); ++i, ++n)
+      parts[n] = {const_cast<char*>(what.pieces[i].data()), what.pieces[i].size()};
+    msghdr m{};
+    m.msg_iov = parts.data();
+    m.msg_iovlen = n;
+    const ssize_t sent = ::sendmsg(fd.get(), &m, MSG_NOSIGNAL);  // a closed peer must not kill us
+    if (sent < 0) {
+      if (errno == EINTR) continue;
+      return errno == EAGAIN || errno == EWOULDBLOCK;
+    }
+    for (std::size_t left = static_cast<std::size_t>(sent); left > 0;) {
+      std::string_view& piece = what.pieces[what.at];
+      const std::size_t now = std::min(left, piece.size());
+      piece.remove_prefix(now);
+      left -= now;
+      if (piece.empty()) ++what.at;
+    }
+  }
+  return true;
+}
+
+int stream::pending_error() const {
+  int error = 0;
+  socklen_t size = sizeof error;
+  return ::getsockopt(fd.get(), SOL_SOCKET, SO_ERROR, &error, &size) < 0 ? errno : error;
+}
+
+bool stream::stale() const {
+  char c;
+  return ::recv(fd.get(), &c, 1, MSG_PEEK | MSG_DONTWAIT) >= 0 || (errno != EAGAIN && errno != EINTR);
+}
+
+void stream::end_sending() { ::shutdown(fd.get(), SHUT_WR); }
+
+}  // namespace indigorill
--- /dev/null
+++ b/src/net/words.cpp
@@ -0,0 +1,206 @@
+#include "words.h"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <cmath>
+
+namespace indigorill {
+namespace {
+
+using http::message;
+using http::same_name;
+
+constexpr std::string_view rpc_id = "X-Call-Id", method_name = "X-Call-Class", budget_name = "X-Budget",
+                           key_name = "X-Route-Hash", work_name = "X-Call-Cost", load_name = "X-Load-Report",
+                           never_ran = "X-Rejected", held_name = "inflight";
+
+// These belong to one connection, or are written anew.
+bool of_one_hop(std::string_view name) {
+  static constexpr std::array<std::string_view, 10> names{
+      "Connection", "Keep-Alive", "Proxy-Connection", "Transfer-Encoding", "Content-Length", "TE",
+      "Trailer",    "Upgrade",    "Expect",           budget_name};
+  return std::any_of(names.begin(), names.end(), [&](std::string_view n) { return same_name(n, name); });
+}
+
+std::optional<double> decimal(std::string_view s) {
+  double v = 0;
+  const auto [end, fault] = std::from_chars(s.data(), s.data() + s.size(), v, std::chars_format::fixed);
+  if (s.empty() || fault != std::errc() || end != s.data() + s.size() || !std::isfinite(v)) return {};
+  return v;
+}
+
+// A number and a unit, as ms.
+std::optional<double> span(std::string_view s) {
+  if (s.size() < 2) return {};
+  const char unit = s.back();
+  const auto v = decimal(s.substr(0, s.size() - 1));
+  if (!v || *v < 0 || (unit != 'm' && unit != 'u')) return {};
+  return unit == 'm' ? *v : *v / us_per_ms;
+}
+
+std::string_view path_of(const message& m) {
+  const std::string_view target = m.text(m.target);
+  return target.substr(0, target.find('?'));
+}
+
+std::string_view first_part(std::string_view path) {
+  path.remove_prefix(1);
+  return path.substr(0, path.find('/'));
+}
+
+// What is to be passed on of a head, in as few pieces as it has gaps.
+void lend_headers(outgoing& out, const message& m, bool with_load) {
+  std::size_t from = 0, end = 0;
+  const auto flush = [&] {
+    if (end > from) out.lend(std::string_view(m.bytes).substr(from, end - from));
+  };
+  // What "Connection" names is of one hop, too; whoever sends such a thing gets it dropped with the list.
+  for (const http::header& h : m.headers) {
+    const std::string_view name = m.text(h.name);
+    if (of_one_hop(name) || (!with_load && same_name(name, load_name))) continue;
+    if (h.line.from != end) {
+      flush();
+      from = h.line.from;
+    }
+    end = h.line.from + h.line.length;
+  }
+  flush();
+}
+
+std::string_view reason(int status) {
+  switch (status) {
+    case 200:
+      return "OK";
+    case 400:
+      return "Bad Request";
+    case 404:
+      return "Not Found";
+    case 405:
+      return "Method Not Allowed";
+    case 408:
+      return "Request Timeout";
+    case 413:
+      return "Content Too Large";
+    case 431:
+      return "Request Header Fields Too Large";
+    case 502:
+      return "Bad Gateway";
+    default:
+      return "Service Unavailable";
+  }
+}
+
+std::string status_line(int status) {
+  return "HTTP/1.1 " + std::to_string(status) + " " + std::string(reason(status)) + "\r\n";
+}
+
+std::string last_lines(std::size_t length, bool close) {
+  return "Content-Length: " + std::to_string(length) + (close ? "\r\nConnection: close\r\n\r\n" : "\r\n\r\n");
+}
+
+}  // namespace
+
+errand errand_of(const message& m) {
+  const std::string_view path = path_of(m);
+  if (path == "/-/ready") return errand::readiness;
+  if (path == "/-/counters") return errand::counters;
+  return path.starts_with("/-/") ? errand::nothing : errand::rpc;
+}
+
+call read_call(const message& m) {
+  call c;
+  const std::string_view verb = m.text(m.method);
+  if (verb != "GET" && verb != "POST") c.fault = 405;
+  c.method = m.find(method_name).value_or(first_part(path_of(m)));
+  const auto id = m.find(rpc_id);
+  const auto budget = span(m.find(budget_name).value_or(""));
+  if (!id || id->empty() || !budget) c.fault = 400;
+  c.budget = budget.value_or(0);
+  if (const auto text = m.find(key_name)) {
+    std::uint64_t key = 0;
+    const auto [end, wrong] = std::from_chars(text->data(), text->data() + text->size(), key);
+    if (wrong == std::errc() && end == text->data() + text->size()) c.key = key;
+  }
+  c.work = span(m.find(work_name).value_or(""));
+  return c;
+}
+
+ending ending_of(const message& answer) {
+  if (answer.status == 200) return ending::ok;
+  if ((answer.status == 503 || answer.status == 504) && answer.find(never_ran) == "1") return ending::full;
+  return ending::error;
+}
+
+load load_of(const message& answer, bool of_probe) {
+  load l;
+  const auto header = answer.find(load_name);
+  std::string_view report = header ? *header : of_probe ? answer.body() : "";
+  while (!report.empty()) {
+    const std::string_view pair = report.substr(0, report.find(','));
+    report.remove_prefix(std::min(pair.size() + 1, report.size()));
+    const std::size_t equals = pair.find('=');
+    if (equals == std::string_view::npos) continue;
+    std::string_view name = pair.substr(0, equals), value = pair.substr(equals + 1);
+    while (!name.empty() && name.front() == ' ') name.remove_prefix(1);
+    while (!value.empty() && (value.back() == ' ' || value.back() == '\n' || value.back() == '\r'))
+      value.remove_suffix(1);
+    if (name == held_name) l.held = decimal(value);
+  }
+  return l;
+}
+
+outgoing pick_of(const message& call, double patience) {
+  outgoing out;
+  // The request line's method and path go on unchanged, with our version.
+  out.lend(call.text(call.method));
+  out.own(" ");
+  out.lend(call.text(call.target));
+  out.own(" HTTP/1.1\r\n");
+  lend_headers(out, call, true);
+  const auto us = static_cast<long long>(std::max(1.0, std::floor(patience * us_per_ms)));
+  out.own(std::string(budget_name) + ": " + std::to_string(us) + "u\r\n" +
+          (call.body().empty() && call.text(call.method) == "GET" ? "\r\n"
+                                                                  : last_lines(call.body().size(), false)));
+  out.lend(call.body());
+  return out;
+}
+
+outgoing probe_of(bool with_load) {
+  outgoing out;
+  out.own(with_load ? "GET /-/load HTTP/1.1\r\nHost: endpoint\r\n\r\n"
+                    : "GET /-/healthy HTTP/1.1\r\nHost: endpoint\r\n\r\n");
+  return out;
+}
+
+outgoing passed_on(const message& answer, bool close) {
+  outgoing out;
+  out.own(status_line(answer.status));
+  lend_headers(out, answer, false);
+  out.own(last_lines(answer.body().size(), close));
+  out.lend(answer.body());
+  return out;
+}
+
+outgoing pushed_back(double after, bool close) {
+  outgoing out;
+  std::string head = status_line(503);
+  if (after > 0) {
+    std::array<char, 32> seconds;
+    const auto end =
+        std::to_chars(seconds.begin(), seconds.end(), after / 1000, std::chars_format::fixed, 3).ptr;
+    head.append("Retry-After: ").append(seconds.data(), end).append("\r\n");
+  }
+  out.own(head + last_lines(0, close));
+  return out;
+}
+
+outgoing aborted(bool close) { return plain(502, "", close); }
+
+outgoing plain(int status, std::string body, bool close) {
+  outgoing out;
+  out.own(status_line(status) + last_lines(body.size(), close) + body);
+  return out;
+}
+
+}  // namespace indigorill
--- /dev/null
+++ b/src/net/words.h
@@ -0,0 +1,42 @@
+// Our words and those of the protocol: what a message's head says of an RPC, a pick or a probe, and the heads
+// that we write. The only place that knows the protocol's names, beside discovery's.
+#pragma once
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "../decode/settings.h"
+#include "http.h"
+#include "indigorill/balance.h"
+
+namespace indigorill {
+
+enum class errand { rpc, readiness, counters, nothing };
+
+errand errand_of(const http::message& m);
+
+struct call {
+  std::string_view method;
+  double budget = 0;  // ms, from the client's sending
+  std::optional<std::uint64_t> key;
+  std::optional<double> work;
+  int fault = 0;  // the status that tells the client what is wrong with it
+};
+
+// Views lead into the message.
+call read_call(const http::message& m);
+
+// An answer in our words: how the pick or probe ended, and the load reported with it.
+ending ending_of(const http::message& answer);
+load load_of(const http::message& answer, bool of_probe);
+
+// Heads to be written; what is passed on is lent from the message, which must outlast the writing.
+outgoing pick_of(const http::message& call, double patience);
+outgoing probe_of(bool with_load);
+outgoing passed_on(const http::message& answer, bool close);
+outgoing pushed_back(double after, bool close);
+outgoing aborted(bool close);
+outgoing plain(int status, std::string body, bool close);
+
+}  // namespace indigorill
--- a/tests/adapter_test.cpp
+++ b/tests/adapter_test.cpp
@@ -3,6 +3,7 @@
 #include <sstream>
 
 #include "../src/adapter/wire.h"
+#include "../src/decode/fields.h"
 
 namespace {
 
