--- a/src/adapter/wire.cpp
+++ b/src/adapter/wire.cpp
@@ -32,7 +32,7 @@
   load l;
   const json* stats = f.find("serverStats");
   if (!stats || !stats->is_object()) return l;
-  const auto it = stats->find("outstanding");
+  const auto it = stats->find(held_word);
   if (it != stats->end() && it->is_number()) l.held = it->get<double>();
   return l;
 }
--- a/src/decode/settings.cpp
+++ b/src/decode/settings.cpp
@@ -34,7 +34,7 @@
   t.probing = bounds.mark("probes");
   t.longest_retry_after = bounds.mark("retryAfter") ? bounds.ms("maxRetryAfter") : 0;
   const fields reporting = f.inner("reporting");
-  for (const json& j : reporting.list("fields")) t.probes_report |= j == "outstanding";
+  for (const json& j : reporting.list("fields")) t.probes_report |= j == held_word;
   t.probes_report &= reporting.text("how", "none") != "none";
   const fields charges = f.inner("charges");
   t.cross_zone_price = charges.number("crossZone", 0);
@@ -53,8 +53,6 @@
   links l;
   l.idle = bounds.ms("keepalive", l.idle);
   l.connect = bounds.ms("connectTimeout", l.connect);
-  for (const json& j : f.inner("reporting").list("fields"))
-    if (j.is_string()) l.reported.push_back(j.get<std::string>());
   return l;
 }
 
--- a/src/decode/settings.h
+++ b/src/decode/settings.h
@@ -8,11 +8,13 @@
 
 terrain decode_settings(const fields& f);
 
+// How settings and load reports name the RPCs in hand.
+constexpr const char* held_word = "outstanding";
+
 // What a host with connections of its own has to know of them.
 struct links {
-  double idle = 5000;                 // an endpoint closes a connection idle for this long, at the latest
-  double connect = 250;               // one not up within this time has failed
-  std::vector<std::string> reported;  // the values that load reports hold
+  double idle = 5000;    // an endpoint closes a connection idle for this long, at the latest
+  double connect = 250;  // one not up within this time has failed
 };
 
 links decode_links(const fields& f);
--- a/src/net/counters.cpp
+++ b/src/net/counters.cpp
@@ -1,7 +1,5 @@
 #include "counters.h"
 
-#include <string_view>
-
 namespace indigorill {
 namespace {
 
@@ -10,6 +8,8 @@
 
 }  // namespace
 
+std::string_view name_of(ending how) { return endings[static_cast<std::size_t>(how)]; }
+
 std::ostream& operator<<(std::ostream& out, const counters& c) {
   const auto one = [&](std::string_view name, counters::count value) { out << name << ' ' << value << '\n'; };
   one("rpcs_taken", c.taken);
--- a/src/net/counters.h
+++ b/src/net/counters.h
@@ -4,6 +4,7 @@
 #include <array>
 #include <cstdint>
 #include <ostream>
+#include <string_view>
 
 #include "indigorill/balance.h"
 
@@ -23,6 +24,8 @@
   static void add(by_ending& to, ending how) { ++to[static_cast<std::size_t>(how)]; }
 };
 
+std::string_view name_of(ending how);
+
 // A line each: "name value".
 std::ostream& operator<<(std::ostream& out, const counters& c);
 
--- a/src/net/relay.cpp
+++ b/src/net/relay.cpp
@@ -8,8 +8,13 @@
   return std::none_of(picks.begin(), picks.end(), [](const pick& p) { return p.out; });
 }
 
-relay::relay(loop& in, pool& to, counters& counts, const terrain& where, std::uint64_t seed)
-    : runs(in), endpoints(to), counted(counts), reports(where.probes_report), decides(where, seed, in.now()) {
+relay::relay(loop& in, pool& to, counters& counts, logger& out, const terrain& where, std::uint64_t seed)
+    : runs(in),
+      endpoints(to),
+      counted(counts),
+      lines(out),
+      reports(where.probes_report),
+      decides(where, seed, in.now()) {
   for (const method& m : where.methods) methods.insert(m.name);
 }
 
@@ -90,7 +95,7 @@
 void relay::send(const decision& d) {
   rpc& r = rpcs.at(d.rpc);
   const double now = runs.now(), patience = std::min(d.after, r.deadline - now);
-  r.picks.push_back({0, now, true});
+  r.picks.push_back({0, d.server, now, true});
   r.picks.back().at = endpoints.send(
       d.server, pick_of(r.call, patience), patience,
       [this, id = d.rpc, n = d.pick](pool::result ended) { pick_ended(id, n, std::move(ended)); });
@@ -105,6 +110,8 @@
     report = load_of(ended.answer, false);
   }
   counters::add(counted.picks, ended.how);
+  lines.debug() << "rpc " << id << " pick " << number << " at " << r.picks[number].server << ": "
+                << name_of(ended.how) << " after " << ended.took << " ms, holds " << report.held.value_or(-1);
   if (ended.how == ending::ok && !r.over) conclude(id, {verdict::what::ok, std::move(ended.answer), 0});
   decides.pick_ended(runs.now(), id, number, ended.how, ended.took, r.over, report);
   pull();
@@ -132,6 +139,8 @@
       report = load_of(ended.answer, true);
     }
     counters::add(counted.probes, ended.how);
+    lines.debug() << "probe of " << server << ": " << name_of(ended.how) << " after " << ended.took
+                  << " ms, holds " << report.held.value_or(-1);
     decides.probe_ended(runs.now(), server, ended.how, report);
     pull();
   });
--- a/src/net/relay.h
+++ b/src/net/relay.h
@@ -11,6 +11,7 @@
 #include "counters.h"
 #include "http.h"
 #include "indigorill/balance.h"
+#include "log.h"
 #include "loop.h"
 #include "pool.h"
 #include "words.h"
@@ -28,7 +29,7 @@
  public:
   using answered = std::function<void(verdict)>;
 
-  relay(loop& in, pool& endpoints, counters& counts, const terrain& where, std::uint64_t seed);
+  relay(loop& in, pool& endpoints, counters& counts, logger& lines, const terrain& where, std::uint64_t seed);
 
   bool knows(std::string_view method) const { return methods.count(method) > 0; }
 
@@ -45,6 +46,7 @@
  private:
   struct pick {
     pool::ticket at;
+    std::string server;
     double sent;
     bool out;
   };
@@ -69,6 +71,7 @@
   loop& runs;
   pool& endpoints;
   counters& counted;
+  logger& lines;
   bool reports;
   std::set<std::string, std::less<>> methods;
   balancer decides;
--- a/src/net/sidecar.cpp
+++ b/src/net/sidecar.cpp
@@ -46,7 +46,7 @@
 
   front* door = nullptr;
   pool endpoints(runs, budget, counts, lines, with.with, [&] { return door && door->close_idle(); });
-  relay rpcs(runs, endpoints, counts, with.where, with.seed);
+  relay rpcs(runs, endpoints, counts, lines, with.where, with.seed);
   // An eighth of the descriptors reaches every endpoint of a usual fleet several times; a third of the memory
   // for requests leaves as much for answers and as much for what the allocator wastes.
   const front::limits within{budget.most / 8, with.memory / 3};
--- a/src/net/words.cpp
+++ b/src/net/words.cpp
@@ -13,7 +13,7 @@
 
 constexpr std::string_view rpc_id = "X-Call-Id", method_name = "X-Call-Class", budget_name = "X-Budget",
                            key_name = "X-Route-Hash", work_name = "X-Call-Cost", load_name = "X-Load-Report",
-                           never_ran = "X-Rejected", held_name = "inflight";
+                           never_ran = "X-Rejected";
 
 // These belong to one connection, or are written anew.
 bool of_one_hop(std::string_view name) {
@@ -145,7 +145,7 @@
     while (!name.empty() && name.front() == ' ') name.remove_prefix(1);
     while (!value.empty() && (value.back() == ' ' || value.back() == '\n' || value.back() == '\r'))
       value.remove_suffix(1);
-    if (name == held_name) l.held = decimal(value);
+    if (name == held_word) l.held = decimal(value);
   }
   return l;
 }
