--- a/src/net/words.cpp
+++ b/src/net/words.cpp
@@ -12,8 +12,7 @@
 using http::same_name;
 
 constexpr std::string_view rpc_id = "X-Call-Id", method_name = "X-Call-Class", budget_name = "X-Budget",
-                           key_name = "X-Route-Hash", work_name = "X-Call-Cost", load_name = "X-Load-Report",
-                           never_ran = "X-Rejected";
+                           work_name = "X-Call-Cost", load_name = "X-Load-Report", never_ran = "X-Rejected";
 
 // These belong to one connection, or are written anew.
 bool of_one_hop(std::string_view name) {
@@ -49,6 +48,18 @@
   return path.substr(0, path.find('/'));
 }
 
+// What an RPC is about stands behind its method.
+std::string_view second_part(std::string_view path) {
+  path.remove_prefix(std::min(first_part(path).size() + 2, path.size()));
+  return path.substr(0, path.find('/'));
+}
+
+std::uint64_t hash(std::string_view text) {  // FNV-1a: the same at every sidecar
+  std::uint64_t h = 14695981039346656037ULL;
+  for (const char c : text) h = (h ^ static_cast<unsigned char>(c)) * 1099511628211ULL;
+  return h;
+}
+
 // What is to be passed on of a head, in as few pieces as it has gaps.
 void lend_headers(outgoing& out, const message& m, bool with_load) {
   std::size_t from = 0, end = 0;
@@ -117,12 +128,9 @@
   const auto budget = span(m.find(budget_name).value_or(""));
   if (!id || id->empty() || !budget) c.fault = 400;
   c.budget = budget.value_or(0);
-  if (const auto text = m.find(key_name)) {
-    std::uint64_t key = 0;
-    const auto [end, wrong] = std::from_chars(text->data(), text->data() + text->size(), key);
-    if (wrong == std::errc() && end == text->data() + text->size()) c.key = key;
-  }
-  c.work = span(m.find(work_name).value_or(""));
+  const std::string_view key = second_part(path_of(m));
+  if (!key.empty()) c.key = hash(key);
+  if (const auto us = decimal(m.find(work_name).value_or(""))) c.work = *us / us_per_ms;
   return c;
 }
 
--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -157,7 +157,10 @@
     std::string head, method;
     int fault;
     double budget;
+    std::optional<double> work = {};
   } table[] = {
+      {"GET /read HTTP/1.1\r\nX-Call-Cost: 12500\r\n" + id + "X-Budget: 1m\r\n", "read", 0, 1, 12.5},
+      {"GET /read HTTP/1.1\r\nX-Call-Cost: much\r\n" + id + "X-Budget: 1m\r\n", "read", 0, 1},
       {"GET /read/x HTTP/1.1\r\n" + id + "X-Budget: 480m\r\n", "read", 0, 480},
       {"POST /x HTTP/1.1\r\nx-call-class: vital\r\n" + id + "X-Budget: 1500u\r\n", "vital", 0, 1.5},
       {"GET /read?obj=3 HTTP/1.1\r\n" + id + "X-Budget: 0.5m\r\n", "read", 0, 0.5},
@@ -177,6 +180,29 @@
     CHECK(c.method == t.method);
     CHECK(c.fault == t.fault);
     CHECK(c.budget == doctest::Approx(t.budget));
+    CHECK(c.work == t.work);
+  }
+}
+
+TEST_CASE("RPCs have one key if they name one thing") {
+  struct {
+    std::string one, other;
+    bool same;
+  } table[] = {
+      {"/read/000251ee5fa32705", "/hold/000251ee5fa32705?a=b", true},
+      {"/read/000251ee5fa32705", "/read/000251ee5fa32706", false},
+      {"/read/hut 7", "/read/hut 7/beds", true},
+      {"/read", "/read/", true},
+      {"/read", "/read/1", false},
+  };
+  for (const auto& t : table) {
+    const auto key = [](const std::string& target) {
+      std::string escaped = target;
+      std::replace(escaped.begin(), escaped.end(), ' ', '+');
+      return read_call(parsed(request, "GET " + escaped + " HTTP/1.1\r\n\r\n")).key;
+    };
+    CAPTURE(t.one);
+    CHECK((key(t.one) == key(t.other)) == t.same);
   }
 }
 
