--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -240,6 +240,19 @@
   }
 }
 
+TEST_CASE("the budget counts from the client's sending, also where the sidecar comes to read it late") {
+  here h(repeatable::non_idempotent);
+  stand_in endpoint(h.runs, {"silent"});
+  h.list(text_of(endpoint.where));
+  side& c = h.client();
+  pass(h.runs, 5);
+  const double began = h.runs.now();
+  c.say(rpc("read", 90));
+  while (h.runs.now() < began + 50) continue;  // the loop stands still
+  CHECK(until(h.runs, [&] { return c.came.size() == 1; }));
+  CHECK(h.runs.now() - began < 90);
+}
+
 TEST_CASE("few descriptors: idle connections go first, then RPCs are pushed back") {
   here h(repeatable::idempotent, 8);
   stand_in endpoint(h.runs, {"silent", "silent", "silent", "silent", "silent", "silent", "silent", "silent"});
