--- a/src/net/front.cpp
+++ b/src/net/front.cpp
@@ -209,7 +209,12 @@
 
 void front::write(connection& c) {
   if (!c.wire->write(c.out)) return close(c.name);
-  if (!c.out.done()) return;
+  if (!c.out.done()) {
+    constexpr double longest = 10000;  // a client that doesn't read must not keep its answer here for ever
+    if (!c.patience.set()) c.patience = runs.at(runs.now() + longest, [this, name = c.name] { close(name); });
+    return;
+  }
+  c.patience.drop();
   c.answer = {};
   c.out = {};
   c.in = connection::stage::reading;
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -1,4 +1,5 @@
 #include <doctest/doctest.h>
+#include <sys/resource.h>
 
 #include <sstream>
 
@@ -27,11 +28,11 @@
   std::vector<std::unique_ptr<side>> sides;
 
   explicit here(repeatable repeats = repeatable::idempotent, std::size_t descriptors = 100,
-                links with = {5000, 60})
+                links with = {5000, 60}, std::size_t bytes = 64 << 20)
       : budget{descriptors},
         endpoints(runs, budget, counts, lines, with, [this] { return clients.close_idle(); }),
         rpcs(runs, endpoints, counts, lines, ground(repeats), 1),
-        clients(runs, budget, counts, lines, rpcs, {descriptors / 8, 64 << 20},
+        clients(runs, budget, counts, lines, rpcs, {descriptors / 8, bytes},
                 [this] { return endpoints.close_idle(); }) {
     descriptor door = loopback();
     where = address_of(door);
@@ -272,6 +273,33 @@
   CHECK(h.budget.open <= 8);
 }
 
+TEST_CASE("little memory: RPCs are pushed back, nothing is sent") {
+  here h(repeatable::idempotent, 100, {5000, 60}, 1);
+  stand_in endpoint(h.runs, {served});
+  h.list(text_of(endpoint.where));
+  CHECK(h.ask(h.client(), rpc()) == 503);
+  CHECK(h.counts.out_of_room == 1);
+  CHECK(endpoint.asked.empty());
+}
+
+TEST_CASE("an accept that failed for want of descriptors is tried again") {
+  here h;
+  stand_in endpoint(h.runs, {served});
+  h.list(text_of(endpoint.where));
+  rlimit before;
+  REQUIRE(::getrlimit(RLIMIT_NOFILE, &before) == 0);
+  side& c = h.client();
+  rlimit none = before;
+  none.rlim_cur = 1;
+  descriptor late = connect_to(h.where);
+  ::setrlimit(RLIMIT_NOFILE, &none);
+  pass(h.runs, 3);  // the edge is spent on an accept that fails
+  ::setrlimit(RLIMIT_NOFILE, &before);
+  side after(h.runs, h.of_clients, std::move(late), answer);
+  CHECK(h.ask(c, rpc()) == 200);
+  CHECK(h.ask(after, "GET /-/ready HTTP/1.1\r\n\r\n") == 200);
+}
+
 TEST_CASE("told to stop: takes on what comes for 0.4 s, answers all with a close, then goes") {
   here h;
   stand_in endpoint(h.runs, {"silent", served, served});
