--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -37,7 +37,7 @@
     : runs(in),
       room(budget),
       counted(counts),
-      lines(to),
+      lines(out),
       agent(where),
       host(std::move(name)),
       chance(static_cast<std::knuth_b::result_type>(seed | 1)),
--- a/src/net/discovery.h
+++ b/src/net/discovery.h
@@ -33,8 +33,8 @@
  public:
   using told = std::function<void(const roster&)>;
 
-  discovery(loop& in, descriptor_budget& budget, counters& counts, logger& lines, const sockaddr_in& agent,
-            std::string host, std::uint64_t seed, told then, loop::task failed);
+  discovery(loop& in, descriptor_budget& budget, counters& counts, logger& out, const sockaddr_in& where,
+            std::string name, std::uint64_t seed, told then, loop::task on_failure);
   ~discovery();
 
   void begin(std::uint64_t version);  // after the list of this version, if it is not 0
--- a/src/net/front.cpp
+++ b/src/net/front.cpp
@@ -20,20 +20,20 @@
   std::string rpc;
   http::message answer;
   outgoing out;
-  bool close_after = false, ended = false, is_idle = false, surplus = false;
+  bool close_after = false, is_idle = false, surplus = false;
   std::size_t lent = 0;  // bytes of its request, at the relay
   loop::timer patience;
 };
 
-front::front(loop& in, descriptor_budget& budget, counters& counts, logger& to, relay& relays, limits within,
-             std::function<bool()> room_maker)
+front::front(loop& in, descriptor_budget& budget, counters& counts, logger& out, relay& to, limits within,
+             std::function<bool()> closes_idle)
     : runs(in),
       room(budget),
       counted(counts),
-      lines(to),
-      takes(relays),
+      lines(out),
+      takes(to),
       bounds(within),
-      make_room(std::move(room_maker)) {}
+      make_room(std::move(closes_idle)) {}
 
 front::~front() = default;
 
@@ -163,7 +163,8 @@
 void front::handle(connection& c, http::message m) {
   const bool close = !m.keeps || draining || c.surplus;
   const errand what = errand_of(m);
-  if (what == errand::readiness) return answer(c, plain(200, "ready\n", close), close);
+  if (what == errand::readiness)
+    return answer(c, draining ? plain(503, "stopping\n", close) : plain(200, "ready\n", close), close);
   if (what == errand::counters) {
     std::ostringstream text;
     text << counted;
@@ -269,7 +270,9 @@
   // What waits in the backlog counts as accepted: it is emptied first, however long.
   constexpr double soon = 5, patience = 1000;  // a process out of descriptors can't stay for ever
   backlog left;
-  while ((left = accept()) == backlog::more) continue;
+  do {
+    left = accept();
+  } while (left == backlog::more);
   if (left == backlog::stuck && runs.now() < told + patience) {
     door_shut = runs.at(runs.now() + soon, [this] { close_door(); });
     return;
--- a/src/net/front.h
+++ b/src/net/front.h
@@ -21,8 +21,8 @@
     std::size_t bytes;          // in messages of clients
   };
 
-  front(loop& in, descriptor_budget& budget, counters& counts, logger& lines, relay& to, limits within,
-        std::function<bool()> make_room);
+  front(loop& in, descriptor_budget& budget, counters& counts, logger& out, relay& to, limits within,
+        std::function<bool()> closes_idle);
   ~front();
 
   void listen(const sockaddr_in& where);
--- a/src/net/pool.cpp
+++ b/src/net/pool.cpp
@@ -18,14 +18,14 @@
   loop::timer patience, connecting, retiring;
 };
 
-pool::pool(loop& in, descriptor_budget& budget, counters& counts, logger& to, links with,
-           std::function<bool()> room_maker)
+pool::pool(loop& in, descriptor_budget& budget, counters& counts, logger& out, links with,
+           std::function<bool()> closes_idle)
     : runs(in),
       room(budget),
       counted(counts),
-      lines(to),
+      lines(out),
       known(std::move(with)),
-      make_room(std::move(room_maker)) {}
+      make_room(std::move(closes_idle)) {}
 
 pool::~pool() = default;
 
--- a/src/net/pool.h
+++ b/src/net/pool.h
@@ -26,9 +26,9 @@
   };
   using done = std::function<void(result)>;
 
-  // make_room: closes some idle connection elsewhere, if there is one.
-  pool(loop& in, descriptor_budget& budget, counters& counts, logger& lines, links with,
-       std::function<bool()> make_room);
+  // closes_idle: closes some idle connection elsewhere, if there is one.
+  pool(loop& in, descriptor_budget& budget, counters& counts, logger& out, links with,
+       std::function<bool()> closes_idle);
   ~pool();
 
   void listed(const std::string& server, const std::string& address);
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -311,6 +311,7 @@
   h.clients.drain([&] { gone = true; });
   CHECK(h.ask(idle, rpc()) == 200);
   CHECK_FALSE(idle.came.back().keeps);
+  CHECK(h.ask(h.client(), "GET /-/ready HTTP/1.1\r\n\r\n") == 503);
   pass(h.runs, 400);
   CHECK(h.ask(h.client(), rpc()) == 200);  // a new connection, late
   CHECK(until(h.runs, [&] { return held.came.size() == 1; }));
