--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -31,7 +31,7 @@
   return r;
 }
 
-discovery::discovery(loop& in, descriptor_budget& budget, counters& counts, logger& to,
+discovery::discovery(loop& in, descriptor_budget& budget, counters& counts, logger& out,
                      const sockaddr_in& where, std::string name, std::uint64_t seed, told then,
                      loop::task on_failure)
     : runs(in),
