--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -31,13 +31,13 @@
   return r;
 }
 
-discovery::discovery(loop& in, descriptor_budget& budget, counters& counts, logger& out,
+discovery::discovery(loop& in, descriptor_budget& budget, counters& counts, logger& log_to,
                      const sockaddr_in& where, std::string name, std::uint64_t seed, told then,
                      loop::task on_failure)
     : runs(in),
       room(budget),
       counted(counts),
-      lines(out),
+      lines(log_to),
       agent(where),
       host(std::move(name)),
       chance(static_cast<std::knuth_b::result_type>(seed | 1)),
--- a/src/net/discovery.h
+++ b/src/net/discovery.h
@@ -33,7 +33,7 @@
  public:
   using told = std::function<void(const roster&)>;
 
-  discovery(loop& in, descriptor_budget& budget, counters& counts, logger& out, const sockaddr_in& where,
+  discovery(loop& in, descriptor_budget& budget, counters& counts, logger& log_to, const sockaddr_in& where,
             std::string name, std::uint64_t seed, told then, loop::task on_failure);
   ~discovery();
 
--- a/src/net/front.cpp
+++ b/src/net/front.cpp
@@ -25,12 +25,12 @@
   loop::timer patience;
 };
 
-front::front(loop& in, descriptor_budget& budget, counters& counts, logger& out, relay& to, limits within,
+front::front(loop& in, descriptor_budget& budget, counters& counts, logger& log_to, relay& to, limits within,
              std::function<bool()> closes_idle)
     : runs(in),
       room(budget),
       counted(counts),
-      lines(out),
+      lines(log_to),
       takes(to),
       bounds(within),
       make_room(std::move(closes_idle)) {}
--- a/src/net/front.h
+++ b/src/net/front.h
@@ -21,7 +21,7 @@
     std::size_t bytes;          // in messages of clients
   };
 
-  front(loop& in, descriptor_budget& budget, counters& counts, logger& out, relay& to, limits within,
+  front(loop& in, descriptor_budget& budget, counters& counts, logger& log_to, relay& to, limits within,
         std::function<bool()> closes_idle);
   ~front();
 
--- a/src/net/pool.cpp
+++ b/src/net/pool.cpp
@@ -18,12 +18,12 @@
   loop::timer patience, connecting, retiring;
 };
 
-pool::pool(loop& in, descriptor_budget& budget, counters& counts, logger& out, links with,
+pool::pool(loop& in, descriptor_budget& budget, counters& counts, logger& log_to, links with,
            std::function<bool()> closes_idle)
     : runs(in),
       room(budget),
       counted(counts),
-      lines(out),
+      lines(log_to),
       known(std::move(with)),
       make_room(std::move(closes_idle)) {}
 
--- a/src/net/pool.h
+++ b/src/net/pool.h
@@ -27,7 +27,7 @@
   using done = std::function<void(result)>;
 
   // closes_idle: closes some idle connection elsewhere, if there is one.
-  pool(loop& in, descriptor_budget& budget, counters& counts, logger& out, links with,
+  pool(loop& in, descriptor_budget& budget, counters& counts, logger& log_to, links with,
        std::function<bool()> closes_idle);
   ~pool();
 
--- a/src/net/relay.cpp
+++ b/src/net/relay.cpp
@@ -8,11 +8,11 @@
   return std::none_of(picks.begin(), picks.end(), [](const pick& p) { return p.out; });
 }
 
-relay::relay(loop& in, pool& to, counters& counts, logger& out, const terrain& where, std::uint64_t seed)
+relay::relay(loop& in, pool& to, counters& counts, logger& log_to, const terrain& where, std::uint64_t seed)
     : runs(in),
       endpoints(to),
       counted(counts),
-      lines(out),
+      lines(log_to),
       reports(where.probes_report),
       decides(where, seed, in.now()) {
   for (const method& m : where.methods) methods.insert(m.name);
--- a/src/net/relay.h
+++ b/src/net/relay.h
@@ -29,7 +29,7 @@
  public:
   using answered = std::function<void(verdict)>;
 
-  relay(loop& in, pool& to, counters& counts, logger& out, const terrain& where, std::uint64_t seed);
+  relay(loop& in, pool& to, counters& counts, logger& log_to, const terrain& where, std::uint64_t seed);
 
   bool knows(std::string_view method) const { return methods.count(method) > 0; }
 
