Tidy the network code: one way to read an answer, one to break a connect, no dead state

Behaviour as before. pool::break_at serves the three places that set the same timer; the set of idle connections keeps no place that nobody read; relay reads a pick's and a probe's answer by one piece; discovery::begin had a version that was overwritten before it was used; front asks once whether it is empty.

--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -47,8 +47,7 @@
 
 discovery::~discovery() = default;
 
-void discovery::begin(std::uint64_t known) {
-  if (version == 0) version = known;
+void discovery::begin() {
   whole_wanted = true;
   call();
 }
--- a/src/net/discovery.h
+++ b/src/net/discovery.h
@@ -37,7 +37,7 @@
             std::string name, std::uint64_t seed, told then, loop::task on_failure);
   ~discovery();
 
-  void begin(std::uint64_t version);  // after the list of this version, if it is not 0
+  void begin();  // with the whole list
   void keep_asking() { by_itself = true; }
 
  private:
--- a/src/net/front.cpp
+++ b/src/net/front.cpp
@@ -6,6 +6,7 @@
 #include <array>
 #include <cerrno>
 #include <sstream>
+#include <utility>
 
 namespace indigorill {
 
@@ -300,12 +301,9 @@
 }
 
 void front::end_if_empty() {
-  if (!when_empty || door || !draining) return;
-  if (connections.empty()) {
-    loop::task then = std::move(when_empty);
-    when_empty = nullptr;
-    then();
-  }
+  if (!when_empty || door || !connections.empty()) return;
+  const loop::task then = std::exchange(when_empty, nullptr);
+  then();
 }
 
 }  // namespace indigorill
--- a/src/net/front.h
+++ b/src/net/front.h
@@ -1,7 +1,6 @@
 // The listener and the application's connections.
 #pragma once
 
-#include <map>
 #include <memory>
 #include <set>
 #include <unordered_map>
--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -293,7 +293,7 @@
     at = scanned = body_end;
     if (awaited == 0) in = stage::data_end;
   } else if (in == stage::data_end) {
-    const auto line = next_line(0 + 2);
+    const auto line = next_line(2);
     if (is == state::broken) return broken(400);
     if (!line) return false;
     if (!line->empty()) return broken(400);
--- a/src/net/pool.cpp
+++ b/src/net/pool.cpp
@@ -1,7 +1,6 @@
 #include "pool.h"
 
 #include <algorithm>
-#include <set>
 
 namespace indigorill {
 
@@ -84,7 +83,7 @@
     // before the caller has the ticket.
     c.in = connection::stage::writing;
     if (!c.wire->write(c.out))
-      c.connecting = runs.at(c.began, [this, name] { broke(*connections.at(name), ending::reset); });
+      break_at(c, c.began);
     else if (c.out.done())
       c.in = connection::stage::awaiting;
   } else {
@@ -105,16 +104,14 @@
 }
 
 void pool::open(connection& c, const place& at) {
-  const ticket name = c.name;
   descriptor fd;
   if (at.address && (room.left() > 0 || close_idle() || make_room())) fd = connect_to(*at.address);
   if (!fd) {
-    c.connecting = runs.at(c.began, [this, name] { broke(*connections.at(name), ending::reset); });
+    break_at(c, c.began);
     return;
   }
   ++counted.opened;
-  c.connecting =
-      runs.at(c.began + known.connect, [this, name] { broke(*connections.at(name), ending::reset); });
+  break_at(c, c.began + known.connect);
   c.wire = std::make_unique<stream>(runs, room, std::move(fd),
                                     [this, at_name = &c](std::uint32_t e) { ready(at_name->name, e); });
 }
@@ -163,6 +160,10 @@
   finish(c, c.in == connection::stage::awaiting ? once_written : ending::connect_failed, {}, false);
 }
 
+void pool::break_at(connection& c, double when) {
+  c.connecting = runs.at(when, [this, name = c.name] { broke(*connections.at(name), ending::reset); });
+}
+
 void pool::finish(connection& c, ending how, http::message answer, bool keep) {
   const double took = runs.now() - c.began;
   const done then = std::move(c.then);
@@ -186,9 +187,8 @@
     ++counted.retired;
     close(name);
   });
-  place& p = places[c.server];
-  p.idle.push_back(name);
-  idle[{c.idle_since, name}] = &p;
+  places[c.server].idle.push_back(name);
+  idle.insert({c.idle_since, name});
 }
 
 void pool::close(ticket which) {
@@ -208,7 +208,7 @@
 bool pool::close_idle() {
   if (idle.empty()) return false;
   ++counted.closed_for_room;
-  close(idle.begin()->first.second);
+  close(idle.begin()->second);
   return true;
 }
 
--- a/src/net/pool.h
+++ b/src/net/pool.h
@@ -4,6 +4,7 @@
 
 #include <functional>
 #include <memory>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -53,6 +54,7 @@
   void ready(ticket which, std::uint32_t events);
   void read(connection& c);
   void broke(connection& c, ending once_written);
+  void break_at(connection& c, double when);  // unless it is connected by then
   void finish(connection& c, ending how, http::message answer, bool keep);
   void rest(connection& c);
   void close(ticket which);
@@ -66,7 +68,7 @@
   ticket tickets = 0;
   std::unordered_map<std::string, place> places;
   std::unordered_map<ticket, std::unique_ptr<connection>> connections;
-  std::map<std::pair<double, ticket>, place*> idle;  // by when they were last used
+  std::set<std::pair<double, ticket>> idle;  // by when they were last used
 };
 
 }  // namespace indigorill
--- a/src/net/relay.cpp
+++ b/src/net/relay.cpp
@@ -3,6 +3,16 @@
 #include <algorithm>
 
 namespace indigorill {
+namespace {
+
+// A whole answer says how it ended, and may carry a report.
+load understand(pool::result& ended, bool of_probe) {
+  if (ended.how != ending::ok) return {};
+  ended.how = ending_of(ended.answer);
+  return load_of(ended.answer, of_probe);
+}
+
+}  // namespace
 
 bool relay::rpc::idle() const {
   return std::none_of(picks.begin(), picks.end(), [](const pick& p) { return p.out; });
@@ -104,11 +114,7 @@
 void relay::pick_ended(const std::string& id, int number, pool::result ended) {
   rpc& r = rpcs.at(id);
   r.picks[number].out = false;
-  load report;
-  if (ended.how == ending::ok) {
-    ended.how = ending_of(ended.answer);
-    report = load_of(ended.answer, false);
-  }
+  const load report = understand(ended, false);
   counters::add(counted.picks, ended.how);
   lines.debug() << "rpc " << id << " pick " << number << " at " << r.picks[number].server << ": "
                 << name_of(ended.how) << " after " << ended.took << " ms, holds " << report.held.value_or(-1);
@@ -133,11 +139,7 @@
   // An answer that comes later than this tells nothing of the load any more.
   constexpr double patience = 250;
   endpoints.send(server, probe_of(reports), patience, [this, server](pool::result ended) {
-    load report;
-    if (ended.how == ending::ok) {
-      ended.how = ending_of(ended.answer);
-      report = load_of(ended.answer, true);
-    }
+    const load report = understand(ended, true);
     counters::add(counted.probes, ended.how);
     lines.debug() << "probe of " << server << ": " << name_of(ended.how) << " after " << ended.took
                   << " ms, holds " << report.held.value_or(-1);
--- a/src/net/sidecar.cpp
+++ b/src/net/sidecar.cpp
@@ -76,10 +76,10 @@
       runs, budget, counts, lines, with.discovery, with.discovery_host, with.seed + 1,
       [&](const roster& list) { learn(list, true); }, [&] { rpcs.list_failed(); });
   if (with.where.must_ask) {
-    rpcs.when_list_wanted([&] { lists.begin(with.known.version); });
+    rpcs.when_list_wanted([&] { lists.begin(); });
   } else {
     lists.keep_asking();
-    lists.begin(with.known.version);
+    lists.begin();
   }
 
   const descriptor signal = signals();
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -438,7 +438,7 @@
         },
         [this] { ++failed; });
     if (by_itself) lists->keep_asking();
-    lists->begin(7);
+    lists->begin();
   }
 };
 
