SIGHUP reads the config again and moves the watch to its discovery

Fault: signals() in sidecar.cpp blocked TERM, INT and USR1 alone; ruled out a fault of the list, the crash is at 3.04 s, the first SIGHUP. Now the file is read again; its discovery leads over LB_DISCOVERY, the watch moves with a call for the whole list, the old list holds till then. A malformed file is logged and changes nothing. A list call begun while another is out (begin() after a move) no longer shares its connection. The test forks a sidecar and fails without the signal in the mask.

--- a/src/net/config.cpp
+++ b/src/net/config.cpp
@@ -13,6 +13,23 @@
   return *a;
 }
 
+// The variables in `led` say the same as the file did at the start, and lead.
+start read_file(const std::function<const char*(const char*)>& variable,
+                std::initializer_list<std::pair<const char*, const char*>> led) {
+  const char* path = variable("LB_CONFIG");
+  if (!path || !*path) throw malformed("LB_CONFIG names no config file");
+  std::ifstream in(path);
+  if (!in) throw malformed("config file " + std::string(path) + " can't be read");
+  nlohmann::json j = nlohmann::json::parse(in, nullptr, false);
+  if (j.is_discarded()) throw malformed("config file " + std::string(path) + " is not JSON");
+  for (const auto& [from, to] : led)
+    if (const char* v = variable(from); v && *v && j.is_object()) j[to] = v;
+  return decode_start(j);
+}
+
+constexpr std::pair<const char*, const char*> led_name{"LB_NAME", "name"}, led_listen{"LB_LISTEN", "listen"},
+    led_discovery{"LB_DISCOVERY", "discovery"};
+
 }  // namespace
 
 start decode_start(const nlohmann::json& j) {
@@ -42,18 +59,11 @@
 }
 
 start read_start(const std::function<const char*(const char*)>& variable) {
-  const char* path = variable("LB_CONFIG");
-  if (!path || !*path) throw malformed("LB_CONFIG names no config file");
-  std::ifstream in(path);
-  if (!in) throw malformed("config file " + std::string(path) + " can't be read");
-  nlohmann::json j = nlohmann::json::parse(in, nullptr, false);
-  if (j.is_discarded()) throw malformed("config file " + std::string(path) + " is not JSON");
-  // The variables say the same as the file, and lead.
-  const std::pair<const char*, const char*> told[] = {
-      {"LB_NAME", "name"}, {"LB_LISTEN", "listen"}, {"LB_DISCOVERY", "discovery"}};
-  for (const auto& [from, to] : told)
-    if (const char* v = variable(from); v && *v && j.is_object()) j[to] = v;
-  return decode_start(j);
+  return read_file(variable, {led_name, led_listen, led_discovery});
+}
+
+start read_again(const std::function<const char*(const char*)>& variable) {
+  return read_file(variable, {led_name, led_listen});
 }
 
 }  // namespace indigorill
--- a/src/net/config.h
+++ b/src/net/config.h
@@ -22,4 +22,8 @@
 start read_start(const std::function<const char*(const char*)>& variable);
 start decode_start(const nlohmann::json& j);
 
+// The same file once more: its word on discovery is newer than the environment's, which is as old as the
+// process.
+start read_again(const std::function<const char*(const char*)>& variable);
+
 }  // namespace indigorill
--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -49,9 +49,20 @@
 
 void discovery::begin() {
   whole_wanted = true;
+  // A second call on a connection whose answer is still to come would be taken for an answer to the first.
+  if (patience.set()) wire.reset();
   call();
 }
 
+void discovery::move(const sockaddr_in& where, std::string name) {
+  agent = where;
+  host = std::move(name);
+  failures = 0;
+  wire.reset();
+  next_call.drop();
+  begin();
+}
+
 void discovery::call() {
   // A watch is answered after this wait at the latest, so silence past it is a failure. Long: what changes
   // unheard counts as told only when the wait is over.
--- a/src/net/discovery.h
+++ b/src/net/discovery.h
@@ -38,6 +38,8 @@
   ~discovery();
 
   void begin();  // with the whole list
+  // To another agent, which may count versions otherwise: what was told stays until it tells the whole list.
+  void move(const sockaddr_in& where, std::string name);
   void keep_asking() { by_itself = true; }
 
  private:
--- a/src/net/sidecar.cpp
+++ b/src/net/sidecar.cpp
@@ -16,7 +16,7 @@
 descriptor signals() {
   sigset_t set;
   sigemptyset(&set);
-  for (const int s : {SIGTERM, SIGINT, SIGUSR1}) sigaddset(&set, s);
+  for (const int s : {SIGTERM, SIGINT, SIGUSR1, SIGHUP}) sigaddset(&set, s);
   if (::sigprocmask(SIG_BLOCK, &set, nullptr) < 0)
     throw std::system_error(errno, std::generic_category(), "sigprocmask");
   descriptor fd(::signalfd(-1, &set, SFD_NONBLOCK | SFD_CLOEXEC));
@@ -35,11 +35,12 @@
 
 }  // namespace
 
-void run_sidecar(const start& with, logger& lines) {
+void run_sidecar(const start& with, const std::function<start()>& read_again, logger& lines) {
   // Standard input, output and error, epoll, signals, the listener, and some to spare.
   constexpr std::size_t own_descriptors = 16;
   if (with.descriptors <= 2 * own_descriptors) throw malformed("config: limits allow too few sockets");
   ::signal(SIGPIPE, SIG_IGN);
+  const descriptor signal = signals();  // before all else: a SIGHUP that isn't held ends the process
   loop runs;
   counters counts;
   descriptor_budget budget{with.descriptors - own_descriptors};
@@ -82,12 +83,24 @@
     lists.begin();
   }
 
-  const descriptor signal = signals();
+  std::string agent = with.discovery_host;
+  const auto reload = [&] {
+    try {
+      const start now = read_again();
+      if (now.discovery_host != agent) lists.move(now.discovery, now.discovery_host);
+      agent = now.discovery_host;
+      lines.info() << "config read again, discovery at " << agent;
+    } catch (const malformed& e) {
+      lines.warning() << e.what() << "; the old config stays in force";
+    }
+  };
   const loop::watch on_signal = runs.on(signal.get(), [&](std::uint32_t) {
     signalfd_siginfo s;
     while (::read(signal.get(), &s, sizeof s) == sizeof s) {
       if (s.ssi_signo == SIGUSR1) {
         write_counters(lines, counts);
+      } else if (s.ssi_signo == SIGHUP) {
+        reload();
       } else {
         lines.info() << "told to stop, " << rpcs.held() << " RPCs held";
         clients.drain([&] { runs.stop(); });
--- a/src/net/sidecar.h
+++ b/src/net/sidecar.h
@@ -6,6 +6,7 @@
 
 namespace indigorill {
 
-void run_sidecar(const start& with, logger& lines);
+// read_again: the config anew, as SIGHUP asks for; throws malformed.
+void run_sidecar(const start& with, const std::function<start()>& read_again, logger& lines);
 
 }  // namespace indigorill
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -1,10 +1,17 @@
 #include <doctest/doctest.h>
+#include <sys/prctl.h>
 #include <sys/resource.h>
+#include <sys/wait.h>
+#include <unistd.h>
 
+#include <csignal>
+#include <cstdio>
+#include <fstream>
+#include <iostream>
 #include <sstream>
 
-#include "../src/net/config.h"
 #include "../src/net/front.h"
+#include "../src/net/sidecar.h"
 #include "host.h"
 
 using namespace host;
@@ -555,6 +562,52 @@
   CHECK_THROWS_AS(read_start([](const char*) { return "/nowhere/at/all"; }), malformed);
 }
 
+TEST_CASE(
+    "SIGHUP: the watch moves to the file's discovery; a broken file changes nothing; SIGTERM ends all") {
+  loop runs;
+  const std::string whole = list_text(9, true, entry("a"));
+  stand_in before(runs, {whole}), after(runs, {list_text(3, true, entry("a")), list_text(4, false, "")});
+  const std::string at = text_of(address_of(loopback())), path = "sidecar-" + std::to_string(::getpid());
+  const auto write = [&](const std::string& agent) {
+    std::ofstream(path) << R"({"name":"n","listen":")" << at << R"(","discovery":")" << agent
+                        << R"(","seed":"1","limits":{"sockets":64},"settings":{"methods":[{"name":"read",)"
+                        << R"("effect":"retryable"}]}})";
+  };
+  const std::string old_agent = text_of(before.where);
+  const auto variable = [&](const char* name) {
+    return std::string(name) == "LB_CONFIG"      ? path.c_str()
+           : std::string(name) == "LB_DISCOVERY" ? old_agent.c_str()
+                                                 : nullptr;
+  };
+  write(old_agent);
+  const pid_t child = ::fork();
+  if (child == 0) {
+    ::prctl(PR_SET_PDEATHSIG, SIGKILL);
+    std::ostringstream text;
+    logger lines(text, level::error);
+    run_sidecar(
+        read_start(variable), [&] { return read_again(variable); }, lines);
+    ::_exit(0);
+  }
+  CHECK(until(runs, [&] { return before.asked.size() == 2; }));
+  std::ofstream(path) << "{";
+  ::kill(child, SIGHUP);
+  pass(runs, 50);
+  CHECK_FALSE(before.sides[0]->ended);
+  write(text_of(after.where));
+  ::kill(child, SIGHUP);
+  REQUIRE(until(runs, [&] { return after.asked.size() == 3; }));
+  CHECK(after.asked[0] == "/api/targets");
+  CHECK(after.asked[2] == "/api/targets?index=4&wait=20000");
+  CHECK(before.sides[0]->ended);
+  CHECK(before.sides.size() == 1);
+  ::kill(child, SIGTERM);
+  int status = -1;
+  CHECK(::waitpid(child, &status, 0) == child);
+  CHECK((WIFEXITED(status) && WEXITSTATUS(status) == 0));
+  std::remove(path.c_str());
+}
+
 TEST_CASE("log lines are filtered by level, counters have a line each") {
   std::ostringstream text;
   logger lines(text, level::warning);
