Bad clients: silent and half-sent ones end in 2.5 s, open ids are refused, floods yield to usual ones

Faults: front.cpp expect_rest gave 10 s where 3 s are owed, a silent connection had no limit, close_idle() knew one order for all. A body of 60 MB was read in 4 KB turns, 16 a round; now thrown away uncopied, one turn a round. Tests: silent, half sent, flood, open id, 60 MB.

--- a/src/net/counters.cpp
+++ b/src/net/counters.cpp
@@ -18,6 +18,7 @@
   one("rpcs_aborted", c.aborted);
   one("rpcs_left", c.left);
   one("bad_input", c.bad_input);
+  one("silent_clients", c.silent);
   one("out_of_room", c.out_of_room);
   one("answers_unheard", c.unheard);
   for (std::size_t i = 0; i < endings.size(); ++i) out << "picks_" << endings[i] << ' ' << c.picks[i] << '\n';
--- a/src/net/front.cpp
+++ b/src/net/front.cpp
@@ -6,6 +6,7 @@
 #include <array>
 #include <cerrno>
 #include <sstream>
+#include <tuple>
 #include <utility>
 
 namespace indigorill {
@@ -16,13 +17,15 @@
   std::uint64_t name;
   std::unique_ptr<stream> wire;
   http::reader reader{http::reader::kind::request};
+  double opened = 0;
   double came = 0;  // the first byte of the request
-  double idle_since = 0;
+  use is = use::held;
+  double since = 0;  // it has been of this use
   std::string rpc;
   http::message answer;
   outgoing out;
-  bool close_after = false, is_idle = false, surplus = false;
-  std::size_t lent = 0;  // bytes of its request, at the relay
+  bool close_after = false, heard = false, surplus = false;  // heard: a whole request came over it
+  std::size_t lent = 0, weighed = 0;  // bytes of its request, at the relay; what it counts for in all bytes
   loop::timer patience;
 };
 
@@ -76,6 +79,7 @@
     const std::uint64_t name = ++names;
     connection& c = *(connections[name] = std::make_unique<connection>());
     c.name = name;
+    c.opened = runs.now();
     c.surplus = room.left() <= bounds.for_endpoints;
     c.wire =
         std::make_unique<stream>(runs, room, std::move(fd), [this, name](std::uint32_t) { ready(name); });
@@ -88,21 +92,26 @@
   connection& c = *connections.at(which);
   if (c.in == connection::stage::writing) return write(c);
   if (!read(c)) return;
+  weigh(c);
   serve(c);
 }
 
-// False if the connection is gone.
+// False if it brought nothing to serve, or is gone.
 bool front::read(connection& c) {
   constexpr int turns = 16;
   constexpr std::size_t ahead = 4096;  // of the next request while one is held: clients send one at a time
   for (int i = 0; i < turns; ++i) {
     if (c.in == connection::stage::held && c.reader.held() > ahead) return true;
     std::size_t n = 0;
-    std::array<char, 4096> waste;
-    const bool lingering = c.in == connection::stage::lingering;
-    const stream::got got = c.wire->read(lingering ? std::span<char>(waste) : c.reader.room(), n);
+    if (c.in == connection::stage::lingering) {
+      // One turn a round: a body of 60 MB that nobody wants must not cost others their time.
+      const stream::got got = c.wire->discard();
+      if (got == stream::got::some) break;
+      if (got != stream::got::nothing) close(c.name);
+      return false;
+    }
+    const stream::got got = c.wire->read(c.reader.room(), n);
     if (got == stream::got::nothing) return true;
-    if (got == stream::got::some && lingering) continue;
     if (got == stream::got::some) {
       if (!c.reader.begun()) c.came = runs.now() - c.wire->age();
       c.reader.fed(n);
@@ -122,42 +131,63 @@
 
 void front::serve(connection& c) {
   if (c.in != connection::stage::reading) return;
-  if (c.is_idle && c.reader.begun()) {
-    idle.erase({c.idle_since, c.name});
-    c.is_idle = false;
-  }
+  // Who connects and stays silent, or sends half a request, is owed an error or a close within 3 s; the time
+  // for a first request counts from the connecting, so that a late half gets no more of it.
+  constexpr double to_ask = 2500;
   switch (c.reader.now()) {
     case http::reader::state::whole:
       c.patience.drop();
+      set_use(c, use::held);
+      c.heard = true;
       return handle(c, c.reader.take());
     case http::reader::state::broken:
-      ++counted.bad_input;
-      return answer(c, plain(c.reader.fault(), "", true), true);
+      return turn_away(c, c.reader.fault());
     case http::reader::state::reading:
       break;
   }
   if (c.reader.begun()) {
-    constexpr double longest = 10000;  // for one request to come; deadlines are shorter
-    if (!c.patience.set()) expect_rest(c, longest);
-  } else if (!c.is_idle) {
-    if (draining && !door) return close(c.name);
-    c.is_idle = true;
-    c.idle_since = runs.now();
-    idle.insert({c.idle_since, c.name});
+    set_use(c, use::half_sent);
+    if (!c.patience.set()) await(c, (c.heard ? c.since : c.opened) + to_ask);
+  } else if (draining && !door) {
+    close(c.name);
+  } else {
+    set_use(c, c.heard ? use::idle : use::silent);
+    if (!c.heard && !c.patience.set()) await(c, c.opened + to_ask);
   }
 }
 
-// The rest of a request has to come within this time.
-void front::expect_rest(connection& c, double within) {
-  c.patience = runs.at(runs.now() + within, [this, name = c.name] {
-    ++counted.bad_input;
-    answer(*connections.at(name), plain(408, "", true), true);
+// A whole request has to be here by then.
+void front::await(connection& c, double until) {
+  c.patience = runs.at(until, [this, name = c.name] {
+    connection& late = *connections.at(name);
+    if (late.reader.begun()) return turn_away(late, 408);
+    ++counted.silent;
+    close(name);
   });
 }
 
-bool front::out_of_room() const {
-  std::size_t bytes = 0;
-  for (const auto& [name, c] : connections) bytes += c->reader.held() + c->lent + c->answer.bytes.capacity();
+// What is no RPC is answered at once, and nothing is sent on.
+void front::turn_away(connection& c, int status) {
+  ++counted.bad_input;
+  answer(c, plain(status, "", true), true);
+}
+
+void front::set_use(connection& c, use now) {
+  if (c.is == now) return;
+  if (c.is != use::held) spare.erase({c.is, c.since, c.name});
+  c.is = now;
+  c.since = runs.now();
+  if (now != use::held) spare.insert({c.is, c.since, c.name});
+}
+
+void front::weigh(connection& c) {
+  const std::size_t now = c.reader.held() + c.lent + c.answer.bytes.capacity();
+  bytes += now - c.weighed;
+  c.weighed = now;
+}
+
+bool front::out_of_room(connection& c) {
+  weigh(c);
   return bytes > bounds.bytes;
 }
 
@@ -172,15 +202,13 @@
     return answer(c, plain(200, text.str(), close), close);
   }
   const call asked = read_call(m);
-  const int fault = what == errand::nothing     ? 404
-                    : asked.fault               ? asked.fault
-                    : takes.knows(asked.method) ? 0
-                                                : 404;
-  if (fault) {
-    ++counted.bad_input;
-    return answer(c, plain(fault, "", true), true);
-  }
-  if (c.surplus || out_of_room()) {
+  const int fault = what == errand::nothing      ? 404
+                    : asked.fault                ? asked.fault
+                    : !takes.knows(asked.method) ? 404
+                    : takes.holds(asked.id)      ? 409
+                                                 : 0;
+  if (fault) return turn_away(c, fault);
+  if (c.surplus || out_of_room(c)) {
     ++counted.out_of_room;
     return answer(c, pushed_back(0, true), true);
   }
@@ -219,19 +247,21 @@
 void front::write(connection& c) {
   if (!c.wire->write(c.out)) return close(c.name);
   if (!c.out.done()) {
-    constexpr double longest = 10000;  // a client that doesn't read must not keep its answer here for ever
+    constexpr double longest = 3000;  // no deadline is later; who doesn't read must not keep its answer here
     if (!c.patience.set()) c.patience = runs.at(runs.now() + longest, [this, name = c.name] { close(name); });
     return;
   }
   c.patience.drop();
   c.answer = {};
   c.out = {};
+  weigh(c);
   c.in = connection::stage::reading;
   if (c.close_after) {
     // Closing over bytes that we did not read would reset the connection and take the answer with it.
     constexpr double usual = 1000, at_the_end = 100;
     const double patience = draining ? at_the_end : usual;
     c.in = connection::stage::lingering;
+    set_use(c, use::answered);
     c.wire->end_sending();
     c.patience = runs.at(runs.now() + patience, [this, name = c.name] { close(name); });
   }
@@ -241,7 +271,8 @@
 void front::close(std::uint64_t which) {
   const auto it = connections.find(which);
   connection& c = *it->second;
-  if (c.is_idle) idle.erase({c.idle_since, which});
+  set_use(c, use::held);
+  bytes -= c.weighed;
   const std::string rpc = std::move(c.rpc);
   const bool held = c.in == connection::stage::held;
   if (c.in == connection::stage::writing) ++counted.unheard;
@@ -251,10 +282,19 @@
 }
 
 bool front::close_idle() {
-  if (idle.empty()) return false;
-  ++counted.closed_for_room;
-  close(idle.begin()->second);
-  return true;
+  // How long each must have been so, in ms. Who connects to ask has asked by then, and the rest of a request
+  // follows its first bytes as quickly; clients are told that an idle connection may go after 2 s.
+  constexpr std::array<double, 4> least{0, 100, 500, 2000};
+  for (std::size_t i = 0; i < least.size(); ++i) {
+    const auto first = spare.lower_bound({static_cast<use>(i), 0, 0});
+    if (first == spare.end() || std::get<0>(*first) != static_cast<use>(i) ||
+        runs.now() < std::get<1>(*first) + least[i])
+      continue;
+    ++counted.closed_for_room;
+    close(std::get<2>(*first));
+    return true;
+  }
+  return false;
 }
 
 void front::drain(loop::task then) {
@@ -293,7 +333,7 @@
     if (!c.reader.begun())
       close(name);
     else if (c.reader.now() == http::reader::state::reading)
-      expect_rest(c, last);
+      await(c, runs.now() + last);
     else
       serve(c);
   }
--- a/src/net/front.h
+++ b/src/net/front.h
@@ -26,6 +26,8 @@
 
   void listen(const sockaddr_in& where);
   void adopt(descriptor listener);  // one that listens already
+  // Closes the connection that is of least use: answered for good, then silent, half sent or idle for a
+  // while, the oldest first. False if there is none.
   bool close_idle();
 
   // Takes on what still comes for a while, answers all that is held, then calls `then`.
@@ -34,20 +36,26 @@
  private:
   struct connection;
 
+  // Connections that hold no RPC, the first to be closed for room in front.
+  enum class use { answered, silent, half_sent, idle, held };
+
   enum class backlog { empty, more, stuck };
   void open_door();
   backlog accept();
   void ready(std::uint64_t which);
   bool read(connection& c);
   void serve(connection& c);
-  void expect_rest(connection& c, double within);
+  void await(connection& c, double until);
+  void turn_away(connection& c, int status);
+  void set_use(connection& c, use now);
   void handle(connection& c, http::message m);
   void answer(connection& c, outgoing what, bool close);
   void write(connection& c);
   void close(std::uint64_t which);
   void close_door();
   void end_if_empty();
-  bool out_of_room() const;
+  bool out_of_room(connection& c);
+  void weigh(connection& c);
 
   loop& runs;
   descriptor_budget& room;
@@ -64,7 +72,8 @@
   double told = 0, last_warning = 0;  // told: to stop
   std::uint64_t names = 0;
   std::unordered_map<std::uint64_t, std::unique_ptr<connection>> connections;
-  std::set<std::pair<double, std::uint64_t>> idle;
+  std::set<std::tuple<use, double, std::uint64_t>> spare;  // use, since when, name
+  std::size_t bytes = 0;                                   // in messages of all connections
 };
 
 }  // namespace indigorill
--- a/src/net/relay.cpp
+++ b/src/net/relay.cpp
@@ -37,6 +37,7 @@
   r.call = std::move(m);
   r.then = std::move(then);
   const call c = read_call(r.call);
+  open_ids.insert(r.client_id = c.id);
   r.deadline = came + c.budget - to_answer;
   ++counted.taken;
   decides.rpc_arrived(runs.now(), {id, c.method, r.deadline, c.key, c.work});
@@ -161,7 +162,9 @@
 
 void relay::forget_if_over(const std::string& id) {
   const auto it = rpcs.find(id);
-  if (it != rpcs.end() && it->second.over && it->second.idle()) rpcs.erase(it);
+  if (it == rpcs.end() || !it->second.over || !it->second.idle()) return;
+  open_ids.erase(it->second.client_id);
+  rpcs.erase(it);
 }
 
 }  // namespace indigorill
--- a/src/net/relay.h
+++ b/src/net/relay.h
@@ -31,6 +31,7 @@
 
   relay(loop& in, pool& to, counters& counts, logger& log_to, const terrain& where, std::uint64_t seed);
 
+  bool holds(std::string_view client_id) const { return open_ids.count(client_id) > 0; }
   bool knows(std::string_view method) const { return methods.count(method) > 0; }
 
   // Takes an RPC that came at this time; `then` is called once, unless the client leaves before.
@@ -52,6 +53,7 @@
   };
   struct rpc {
     http::message call;
+    std::string_view client_id;  // in the call
     double deadline;
     answered then;
     std::vector<pick> picks;
@@ -79,6 +81,7 @@
   bool pulling = false;
   std::uint64_t serial = 0;
   std::unordered_map<std::string, rpc> rpcs;
+  std::set<std::string_view> open_ids;  // of the clients', in the calls of rpcs
   std::map<std::uint64_t, loop::timer> wakes;
 };
 
--- a/src/net/socket.cpp
+++ b/src/net/socket.cpp
@@ -107,6 +107,17 @@
   }
 }
 
+stream::got stream::discard() {
+  constexpr std::size_t most = 256 * 1024;
+  ssize_t n;
+  do n = ::recv(fd.get(), nullptr, most, MSG_TRUNC);
+  while (n < 0 && errno == EINTR);
+  return n > 0                                     ? got::some
+         : n == 0                                  ? got::ended
+         : errno == EAGAIN || errno == EWOULDBLOCK ? got::nothing
+                                                   : got::broken;
+}
+
 bool stream::write(outgoing& what) {
   while (!what.done()) {
     std::array<iovec, 64> parts;  // heads take some ten; more go in the next call
--- a/src/net/socket.h
+++ b/src/net/socket.h
@@ -52,6 +52,7 @@
   stream& operator=(const stream&) = delete;
 
   got read(std::span<char> room, std::size_t& count);
+  got discard();  // some of what came, uncopied
   // How long ago, in ms, the last bytes read had come to this machine; 0 where the listener doesn't tell.
   double age() const { return waited; }
   bool write(outgoing& what);  // false if it is broken; done() tells whether all went out
--- a/src/net/words.cpp
+++ b/src/net/words.cpp
@@ -92,6 +92,8 @@
       return "Method Not Allowed";
     case 408:
       return "Request Timeout";
+    case 409:
+      return "Conflict";
     case 413:
       return "Content Too Large";
     case 431:
@@ -125,9 +127,14 @@
   const std::string_view verb = m.text(m.method);
   if (verb != "GET" && verb != "POST") c.fault = 405;
   c.method = m.find(method_name).value_or(first_part(path_of(m)));
-  const auto id = m.find(rpc_id);
+  c.id = m.find(rpc_id).value_or("");
   const auto budget = span(m.find(budget_name).value_or(""));
-  if (!id || id->empty() || !budget) c.fault = 400;
+  if (c.id.empty() || !budget || c.method != first_part(path_of(m))) c.fault = 400;
+  // Said twice, we and the endpoint could each read another one.
+  for (const std::string_view name : {rpc_id, method_name, budget_name})
+    if (std::count_if(m.headers.begin(), m.headers.end(),
+                      [&](const http::header& h) { return same_name(m.text(h.name), name); }) > 1)
+      c.fault = 400;
   constexpr double day = 24 * 3600 * 1000.0;  // longer ones say nothing, and must not overflow
   c.budget = std::min(budget.value_or(0), day);
   const std::string_view key = second_part(path_of(m));
--- a/src/net/words.h
+++ b/src/net/words.h
@@ -17,7 +17,7 @@
 errand errand_of(const http::message& m);
 
 struct call {
-  std::string_view method;
+  std::string_view id, method;
   double budget = 0;  // ms, from the client's sending
   std::optional<std::uint64_t> key;
   std::optional<double> work;
--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -162,7 +162,7 @@
       {"GET /read HTTP/1.1\r\nX-Call-Cost: 12500\r\n" + id + "X-Budget: 1m\r\n", "read", 0, 1, 12.5},
       {"GET /read HTTP/1.1\r\nX-Call-Cost: much\r\n" + id + "X-Budget: 1m\r\n", "read", 0, 1},
       {"GET /read/x HTTP/1.1\r\n" + id + "X-Budget: 480m\r\n", "read", 0, 480},
-      {"POST /x HTTP/1.1\r\nx-call-class: vital\r\n" + id + "X-Budget: 1500u\r\n", "vital", 0, 1.5},
+      {"POST /vital HTTP/1.1\r\nx-call-class: vital\r\n" + id + "X-Budget: 1500u\r\n", "vital", 0, 1.5},
       {"GET /read?obj=3 HTTP/1.1\r\n" + id + "X-Budget: 0.5m\r\n", "read", 0, 0.5},
       {"PUT /read HTTP/1.1\r\n" + id + "X-Budget: 1m\r\n", "read", 405, 1},
       {"GET /read HTTP/1.1\r\nX-Budget: 1m\r\n", "read", 400, 1},
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -62,9 +62,10 @@
   }
 };
 
-std::string rpc(const std::string& method = "read", int budget = 300) {
-  return "GET /" + method + " HTTP/1.1\r\nX-Call-Id: 1\r\nX-Call-Class: " + method +
-         "\r\nX-Budget: " + std::to_string(budget) + "m\r\n\r\n";
+std::string rpc(const std::string& method = "read", int budget = 300, int id = 0) {
+  static int ids = 0;  // each has one of its own, unless told
+  return "GET /" + method + " HTTP/1.1\r\nX-Call-Id: " + std::to_string(id ? id : --ids) +
+         "\r\nX-Call-Class: " + method + "\r\nX-Budget: " + std::to_string(budget) + "m\r\n\r\n";
 }
 
 const std::string served = answer_text(200, "served"), error = answer_text(500, ""),
@@ -138,6 +139,9 @@
       {rpc("unheard"), 404, true},
       {"GET /read HTTP/1.1\r\nX-Budget: 5m\r\n\r\n", 400, true},
       {"GET /read HTTP/1.1\r\nX-Call-Id: 1\r\nX-Budget: soon\r\n\r\n", 400, true},
+      {"GET /read HTTP/1.1\r\nX-Call-Id: 1\r\nX-Call-Id: 2\r\nX-Budget: 5m\r\n\r\n", 400, true},
+      {"GET /read HTTP/1.1\r\nX-Call-Id: 1\r\nX-Budget: 5m\r\nX-Budget: 9m\r\n\r\n", 400, true},
+      {"GET /vital HTTP/1.1\r\nX-Call-Id: 1\r\nX-Call-Class: read\r\nX-Budget: 5m\r\n\r\n", 400, true},
       {"DELETE /read HTTP/1.1\r\nX-Call-Id: 1\r\nX-Budget: 5m\r\n\r\n", 405, true},
       {"nonsense\r\n\r\n", 400, true},
       {"POST /read HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab", 400, true},
@@ -156,6 +160,70 @@
   }
 }
 
+TEST_CASE("an id that is open is refused to whoever else brings it, and free again afterwards") {
+  here h;
+  stand_in endpoint(h.runs, {"silent", served});
+  h.list(text_of(endpoint.where));
+  side &first = h.client(), &other = h.client();
+  first.say(rpc("read", 300, 7));
+  REQUIRE(until(h.runs, [&] { return endpoint.asked.size() == 1; }));
+  CHECK(h.ask(other, rpc("read", 300, 7)) == 409);
+  CHECK(endpoint.asked.size() == 1);
+  first.hang_up();
+  REQUIRE(until(h.runs, [&] { return h.counts.left == 1; }));
+  CHECK(h.ask(h.client(), rpc("read", 300, 7)) == 200);
+}
+
+TEST_CASE("who says nothing, or half, has an error or a close within 3 s; who was served may rest") {
+  here h;
+  stand_in endpoint(h.runs, {served});
+  h.list(text_of(endpoint.where));
+  side &served_one = h.client(), &silent = h.client(), &half = h.client(), &late_half = h.client();
+  CHECK(h.ask(served_one, rpc()) == 200);
+  half.say("GET /read HT");
+  pass(h.runs, 1500);
+  CHECK_FALSE(silent.ended);
+  late_half.say("POST /read HTTP/1.1\r\nContent-Length: 9\r\n\r\nabc");
+  pass(h.runs, 1300);
+  CHECK(silent.ended);
+  CHECK(silent.came.empty());
+  for (const side* c : {&half, &late_half})
+    CHECK((c->ended && c->came.size() == 1 && c->came[0].status == 408));
+  CHECK_FALSE(served_one.ended);
+  CHECK(until(h.runs, [&] { return h.budget.open == 2; }));  // with one to the endpoint
+}
+
+TEST_CASE("a flood of silent clients costs usual ones neither their place nor their answers") {
+  here h(repeatable::idempotent, 40);
+  stand_in endpoint(h.runs, {served, served, served});
+  h.list(text_of(endpoint.where));
+  side& usual = h.client();
+  CHECK(h.ask(usual, rpc()) == 200);
+  for (int i = 0; i < 60; ++i) {
+    h.client();
+    pass(h.runs, 5);
+  }
+  CHECK(h.ask(usual, rpc()) == 200);
+  CHECK(h.ask(h.client(), rpc()) == 200);
+  CHECK(h.counts.out_of_room == 0);
+}
+
+TEST_CASE("a body of 60 MB is refused at its head, thrown away as it comes, and costs others nothing") {
+  here h;
+  stand_in endpoint(h.runs, {served});
+  h.list(text_of(endpoint.where));
+  side &rude = h.client(), &usual = h.client();
+  std::string rest(60 << 20, 'x');
+  outgoing body;
+  body.lend("POST /read HTTP/1.1\r\nContent-Length: 62914560\r\n\r\n");
+  body.lend(rest);
+  CHECK(rude.wire->write(body));
+  CHECK(h.ask(usual, rpc()) == 200);
+  CHECK(until(h.runs, [&] { return !rude.wire->write(body) || body.done() || rude.ended; }));
+  REQUIRE(rude.came.size() == 1);
+  CHECK(rude.came[0].status == 413);
+}
+
 TEST_CASE("a connection to an endpoint that has gone or moved is not used again") {
   for (const bool moves : {false, true}) {
     here h;
