--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -92,6 +92,7 @@
   at = scanned = awaited = trailers = 0;
   in = stage::head;
   is = state::reading;
+  worded = false;
   parse();
   return whole;
 }
@@ -237,10 +238,11 @@
     }
   }
   if (coded || (chunked && length)) return broken(400);
-  got.keeps = !close && (got.keeps || keep);
+  got.keeps = !close && (got.keeps || keep) && !worded;
   if (got.status >= 100 && got.status < 200) {
     if (got.status == 101) return broken(400);
-    // Only a word that the answer is on its way: dropped.
+    // Only a word that the answer is on its way: dropped. Who sends one unasked is met anew for the next.
+    worded = true;
     const std::size_t rest = filled - at;
     std::memmove(got.bytes.data(), got.bytes.data() + at, rest);
     got.headers.clear();
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -79,6 +79,7 @@
   std::size_t filled = 0, at = 0, scanned = 0;  // bytes that came, that are done with, that hold no line end
   std::size_t awaited = 0;                      // of the body or chunk
   std::size_t trailers = 0;
+  bool worded = false;  // 1xx came ahead
 };
 
 }  // namespace indigorill::http
--- a/src/net/pool.cpp
+++ b/src/net/pool.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "words.h"
+
 namespace indigorill {
 namespace {
 
@@ -159,7 +161,9 @@
     const bool ended = got == stream::got::ended || got == stream::got::broken;
     if (c.reader.now() == http::reader::state::whole) {
       http::message answer = c.reader.take();
-      const bool keep = !ended && answer.keeps && c.in == connection::stage::awaiting && !c.reader.begun();
+      // More behind, or a report that can't be read: this answer is good, the next one here might not be.
+      const bool keep = !ended && answer.keeps && c.in == connection::stage::awaiting && !c.reader.begun() &&
+                        readable_report(answer);
       return finish(c, ending::ok, std::move(answer), keep);
     }
     if (ended) return broke(c, ending::reset);
--- a/src/net/words.cpp
+++ b/src/net/words.cpp
@@ -113,6 +113,22 @@
   return "Content-Length: " + std::to_string(length) + (close ? "\r\nConnection: close\r\n\r\n" : "\r\n\r\n");
 }
 
+// Calls f with each name and number of a report.
+template <class F>
+void each_figure(std::string_view report, F&& f) {
+  while (!report.empty()) {
+    const std::string_view pair = report.substr(0, report.find(','));
+    report.remove_prefix(std::min(pair.size() + 1, report.size()));
+    const std::size_t equals = pair.find('=');
+    if (equals == std::string_view::npos) continue;
+    std::string_view name = pair.substr(0, equals), value = pair.substr(equals + 1);
+    while (!name.empty() && name.front() == ' ') name.remove_prefix(1);
+    while (!value.empty() && (value.back() == ' ' || value.back() == '\n' || value.back() == '\r'))
+      value.remove_suffix(1);
+    f(name, decimal(value));
+  }
+}
+
 }  // namespace
 
 errand errand_of(const message& m) {
@@ -152,21 +168,22 @@
 load load_of(const message& answer, bool of_probe) {
   load l;
   const auto header = answer.find(load_name);
-  std::string_view report = header ? *header : of_probe ? answer.body() : "";
-  while (!report.empty()) {
-    const std::string_view pair = report.substr(0, report.find(','));
-    report.remove_prefix(std::min(pair.size() + 1, report.size()));
-    const std::size_t equals = pair.find('=');
-    if (equals == std::string_view::npos) continue;
-    std::string_view name = pair.substr(0, equals), value = pair.substr(equals + 1);
-    while (!name.empty() && name.front() == ' ') name.remove_prefix(1);
-    while (!value.empty() && (value.back() == ' ' || value.back() == '\n' || value.back() == '\r'))
-      value.remove_suffix(1);
-    if (name == held_word) l.held = decimal(value);
-  }
+  each_figure(header     ? *header
+              : of_probe ? answer.body()
+                         : "",
+              [&](std::string_view name, auto value) {
+                if (name == held_word) l.held = value;
+              });
   return l;
 }
 
+bool readable_report(const message& answer) {
+  const auto header = answer.find(load_name);
+  bool some = !header;
+  if (header) each_figure(*header, [&](std::string_view, auto value) { some |= value.has_value(); });
+  return some;
+}
+
 outgoing pick_of(const message& call, double patience) {
   outgoing out;
   // The request line's method and path go on unchanged, with our version.
--- a/src/net/words.h
+++ b/src/net/words.h
@@ -30,6 +30,7 @@
 // An answer in our words: how the pick or probe ended, and the load reported with it.
 ending ending_of(const http::message& answer);
 load load_of(const http::message& answer, bool of_probe);
+bool readable_report(const http::message& answer);  // or none
 
 // Heads to be written; what is passed on is lent from the message, which must outlast the writing.
 outgoing pick_of(const http::message& call, double patience);
--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -92,7 +92,7 @@
       {"answer not closed yet", answer, ok + "\r\nabc", false, reading, 200, ""},
       {"answer broken off", answer, ok + "Content-Length: 3\r\n\r\nab", true, broken, 400, ""},
       {"answer after a word", answer, "HTTP/1.1 103 Wait\r\nA: b\r\n\r\n" + ok + "Content-Length: 1\r\n\r\na",
-       false, whole, 200, "a"},
+       false, whole, 200, "a", false},
       {"no content", answer, "HTTP/1.1 204 None\r\n\r\n", false, whole, 204, ""},
       {"no reason", answer, "HTTP/1.1 503\r\nContent-Length: 0\r\n\r\n", false, whole, 503, ""},
       {"last answer", answer, ok + "Connection: close\r\nContent-Length: 0\r\n\r\n", false, whole, 200, "",
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -278,6 +278,34 @@
   }
 }
 
+TEST_CASE("a good answer with more than belongs to it is served, its connection is not used again") {
+  const std::string good = answer_text(200, "served", "X-Load-Report: outstanding=1\r\n");
+  struct {
+    std::string answer;
+    std::size_t connections;
+  } table[] = {
+      {good, 1},
+      {good + good, 2},
+      {good + "\x01 noise", 2},
+      {"HTTP/1.1 103 X\r\nLink: a\r\n\r\nHTTP/1.1 102 X\r\n\r\n" + good, 2},
+      {answer_text(200, "served", "X-Load-Report: %%%\r\n"), 2},
+      {answer_text(200, "served", "X-Load-Report: =,=\r\n"), 2},
+  };
+  for (const auto& t : table) {
+    CAPTURE(t.answer);
+    here h(repeatable::non_idempotent);
+    stand_in endpoint(h.runs, {t.answer, answer_text(200, "next")});
+    h.list(text_of(endpoint.where));
+    side& c = h.client();
+    CHECK(h.ask(c, rpc()) == 200);
+    CHECK(h.ask(c, rpc()) == 200);
+    REQUIRE(c.came.size() == 2);
+    CHECK(c.came[0].body() == "served");
+    CHECK(c.came[1].body() == "next");
+    CHECK(endpoint.sides.size() == t.connections);
+  }
+}
+
 TEST_CASE("a connection closed in the same breath is not written to") {
   here h(repeatable::non_idempotent);
   stand_in endpoint(h.runs, {served, served});
