A 4xx of an endpoint is the client's fault: passed on, no other endpoint tried, none blamed

Ruled out: ids that are open (409 before) and malformed heads (4xx here). Now the RPC is concluded with the endpoint's own answer, the pick is moot. 408 and 429 stay errors. A pushback for want of room also tells when to return, where the settings allow.

--- a/src/net/front.cpp
+++ b/src/net/front.cpp
@@ -210,7 +210,7 @@
   if (fault) return turn_away(c, fault);
   if (c.surplus || out_of_room(c)) {
     ++counted.out_of_room;
-    return answer(c, pushed_back(0, true), true);
+    return answer(c, pushed_back(takes.advice(), true), true);
   }
   c.in = connection::stage::held;
   c.close_after = close;
@@ -228,7 +228,7 @@
       case verdict::what::pushed_back:
         return answer(asker, pushed_back(v.after, last), last);
       case verdict::what::aborted:
-        return answer(asker, aborted(last), last);
+        return answer(asker, asker.answer.status ? passed_on(asker.answer, last) : aborted(last), last);
     }
   });
   // It may have been answered at once, and the connection closed since.
--- a/src/net/relay.cpp
+++ b/src/net/relay.cpp
@@ -24,6 +24,7 @@
       counted(counts),
       lines(log_to),
       reports(where.probes_report),
+      longest_advice(where.longest_retry_after),
       decides(where, seed, in.now()) {
   for (const method& m : where.methods) methods.insert(m.name);
 }
@@ -120,6 +121,9 @@
   lines.debug() << "rpc " << id << " pick " << number << " at " << r.picks[number].server << ": "
                 << name_of(ended.how) << " after " << ended.took << " ms, holds " << report.held.value_or(-1);
   if (ended.how == ending::ok && !r.over) conclude(id, {verdict::what::ok, std::move(ended.answer), 0});
+  // A bad client must not cost endpoints their reputation, nor be tried at one after the other.
+  if (ended.how == ending::moot && !r.over)
+    conclude(id, {verdict::what::aborted, std::move(ended.answer), 0});
   decides.pick_ended(runs.now(), id, number, ended.how, ended.took, r.over, report);
   pull();
   forget_if_over(id);
--- a/src/net/relay.h
+++ b/src/net/relay.h
@@ -21,7 +21,7 @@
 // The final answer to an RPC.
 struct verdict {
   enum class what { ok, pushed_back, aborted } how;
-  http::message answer;  // of the endpoint, if ok
+  http::message answer;  // of the endpoint, if ok or if it finds fault with the RPC
   double after = 0;      // advice of a push-back
 };
 
@@ -32,6 +32,7 @@
   relay(loop& in, pool& to, counters& counts, logger& log_to, const terrain& where, std::uint64_t seed);
 
   bool holds(std::string_view client_id) const { return open_ids.count(client_id) > 0; }
+  double advice() const { return longest_advice; }  // when to return, ms; 0 where clients take none
   bool knows(std::string_view method) const { return methods.count(method) > 0; }
 
   // Takes an RPC that came at this time; `then` is called once, unless the client leaves before.
@@ -75,6 +76,7 @@
   counters& counted;
   logger& lines;
   bool reports;
+  double longest_advice;
   std::set<std::string, std::less<>> methods;
   balancer decides;
   loop::task follow;
--- a/src/net/words.cpp
+++ b/src/net/words.cpp
@@ -101,7 +101,7 @@
     case 502:
       return "Bad Gateway";
     default:
-      return "Service Unavailable";
+      return status < 500 ? "Client Error" : "Service Unavailable";
   }
 }
 
@@ -162,6 +162,10 @@
 ending ending_of(const message& answer) {
   if (answer.status == 200) return ending::ok;
   if ((answer.status == 503 || answer.status == 504) && answer.find(never_ran) == "1") return ending::full;
+  // It is the RPC that the endpoint can't use, as no other one could: no fault of the endpoint's. What may be
+  // tried again is told otherwise.
+  if (answer.status >= 400 && answer.status < 500 && answer.status != 408 && answer.status != 429)
+    return ending::moot;
   return ending::error;
 }
 
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -83,6 +83,12 @@
     std::size_t picks;
   } table[] = {
       {"ok", repeatable::non_idempotent, {served}, 200, 1},
+      {"what the client did wrong is told it, no other endpoint is tried",
+       repeatable::idempotent,
+       {answer_text(400, "no"), served},
+       400,
+       1},
+      {"another's 429 is no pushback of ours", repeatable::non_idempotent, {answer_text(429, "")}, 502, 1},
       {"an error may have run", repeatable::non_idempotent, {error, served}, 502, 1},
       {"an error is repeated", repeatable::idempotent, {error, served}, 200, 2},
       {"turned away never ran: pushed back, the only endpoint is full",
@@ -410,6 +416,7 @@
   stand_in endpoint(h.runs, {served});
   h.list(text_of(endpoint.where));
   CHECK(h.ask(h.client(), rpc()) == 503);
+  CHECK(h.sides[0]->came[0].find("Retry-After") == "1.000");
   CHECK(h.counts.out_of_room == 1);
   CHECK(endpoint.asked.empty());
 }
