--- a/src/net/front.cpp
+++ b/src/net/front.cpp
@@ -59,7 +59,8 @@
   constexpr int turns = 64;  // then those accepted get theirs
   for (int i = 0; i < turns; ++i) {
     // Beyond the budget a client is still let in, to be pushed back: in the backlog it would wait in vain.
-    if (room.left() <= bounds.for_endpoints && !close_idle() && !make_room() && room.left() == 0)
+    if ((connections.size() >= bounds.clients || room.left() == 0) && !close_idle() && room.left() == 0 &&
+        !make_room())
       return backlog::stuck;
     descriptor fd(::accept4(door.get(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC));
     if (!fd) {
@@ -80,7 +81,7 @@
     connection& c = *(connections[name] = std::make_unique<connection>());
     c.name = name;
     c.opened = runs.now();
-    c.surplus = room.left() <= bounds.for_endpoints;
+    c.surplus = connections.size() > bounds.clients;
     c.wire =
         std::make_unique<stream>(runs, room, std::move(fd), [this, name](std::uint32_t) { ready(name); });
     ready(name);
@@ -283,8 +284,9 @@
 
 bool front::close_idle() {
   // How long each must have been so, in ms. Who connects to ask has asked by then, and the rest of a request
-  // follows its first bytes as quickly; clients are told that an idle connection may go after 2 s.
-  constexpr std::array<double, 4> least{0, 100, 500, 2000};
+  // follows its first bytes as quickly. Idle ones go at any age, the oldest first: spared for 2 s, clients
+  // that ask once and stay fill all the room, and every RPC that comes is pushed back.
+  constexpr std::array<double, 4> least{0, 20, 500, 0};
   for (std::size_t i = 0; i < least.size(); ++i) {
     const auto first = spare.lower_bound({static_cast<use>(i), 0, 0});
     if (first == spare.end() || std::get<0>(*first) != static_cast<use>(i) ||
--- a/src/net/front.h
+++ b/src/net/front.h
@@ -16,8 +16,8 @@
 class front {
  public:
   struct limits {
-    std::size_t for_endpoints;  // descriptors left to connections to endpoints, where clients need many
-    std::size_t bytes;          // in messages of clients
+    std::size_t clients;  // connections, beyond which room is made at the cost of those that hold no RPC
+    std::size_t bytes;    // in messages of clients
   };
 
   front(loop& in, descriptor_budget& budget, counters& counts, logger& log_to, relay& to, limits within,
--- a/src/net/sidecar.cpp
+++ b/src/net/sidecar.cpp
@@ -48,9 +48,9 @@
   front* door = nullptr;
   pool endpoints(runs, budget, counts, lines, with.with, [&] { return door && door->close_idle(); });
   relay rpcs(runs, endpoints, counts, lines, with.where, with.seed);
-  // An RPC held needs a descriptor on either side, so half of them each; a third of the memory for requests
-  // leaves as much for answers and as much for what the allocator wastes.
-  const front::limits within{budget.most / 2, with.memory / 3};
+  // Clients hold a third of the descriptors at most for requests, so a third is enough for their picks. A
+  // third of the memory for requests leaves as much for answers and as much for what the allocator wastes.
+  const front::limits within{budget.most - budget.most / 3, with.memory / 3};
   front clients(runs, budget, counts, lines, rpcs, within, [&] { return endpoints.close_idle(); });
   door = &clients;
 
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -39,7 +39,7 @@
       : budget{descriptors},
         endpoints(runs, budget, counts, lines, with, [this] { return clients.close_idle(); }),
         rpcs(runs, endpoints, counts, lines, ground(repeats), 1),
-        clients(runs, budget, counts, lines, rpcs, {descriptors / 8, bytes},
+        clients(runs, budget, counts, lines, rpcs, {descriptors - descriptors / 8, bytes},
                 [this] { return endpoints.close_idle(); }) {
     descriptor door = loopback();
     where = address_of(door);
@@ -214,6 +214,16 @@
   CHECK(h.counts.out_of_room == 0);
 }
 
+TEST_CASE("clients that ask once and stay, more than there is room for, are all answered") {
+  here h(repeatable::idempotent, 40);
+  stand_in endpoint(h.runs, std::vector<std::string>(90, served));
+  h.list(text_of(endpoint.where));
+  for (int i = 0; i < 90; ++i) CHECK(h.ask(h.client(), rpc()) == 200);
+  CHECK(h.counts.out_of_room == 0);
+  CHECK(h.budget.open <= 40);
+  CHECK(h.budget.open > 30);  // room is used, not kept
+}
+
 TEST_CASE("a body of 60 MB is refused at its head, thrown away as it comes, and costs others nothing") {
   here h;
   stand_in endpoint(h.runs, {served});
