--- a/src/net/front.cpp
+++ b/src/net/front.cpp
@@ -187,6 +187,23 @@
   c.weighed = now;
 }
 
+// Clients that ask once and stay may hold no more connections some day, and then can't ask: what rests is
+// given back, oldest first. True if there is too much of it and all is young: then an answer ends its
+// connection.
+bool front::crowded() {
+  if (spare.size() < bounds.spare) return false;
+  constexpr std::pair<use, double> old[] = {{use::silent, 500}, {use::idle, 2000}};  // ms
+  for (const auto& [is, least] : old) {
+    const auto first = spare.lower_bound({is, 0, 0});
+    if (first == spare.end() || std::get<0>(*first) != is || runs.now() < std::get<1>(*first) + least)
+      continue;
+    ++counted.closed_for_room;
+    close(std::get<2>(*first));
+    return false;
+  }
+  return true;
+}
+
 bool front::out_of_room(connection& c) {
   weigh(c);
   return bytes > bounds.bytes;
@@ -219,7 +236,7 @@
   const std::uint64_t name = c.name;
   std::string rpc = takes.take(std::move(m), c.came, [this, name](verdict v) {
     connection& asker = *connections.at(name);
-    const bool last = asker.close_after || draining;
+    const bool last = asker.close_after || draining || crowded();
     asker.rpc.clear();
     asker.lent = 0;
     asker.answer = std::move(v.answer);
--- a/src/net/front.h
+++ b/src/net/front.h
@@ -17,6 +17,7 @@
  public:
   struct limits {
     std::size_t clients;  // connections, beyond which room is made at the cost of those that hold no RPC
+    std::size_t spare;    // connections that hold no RPC, beyond which they are given back to the clients
     std::size_t bytes;    // in messages of clients
   };
 
@@ -54,6 +55,7 @@
   void close(std::uint64_t which);
   void close_door();
   void end_if_empty();
+  bool crowded();
   bool out_of_room(connection& c);
   void weigh(connection& c);
 
