--- a/src/net/front.cpp
+++ b/src/net/front.cpp
@@ -191,17 +191,16 @@
 // given back, oldest first. True if there is too much of it and all is young: then an answer ends its
 // connection.
 bool front::crowded() {
-  if (spare.size() < bounds.spare) return false;
   constexpr std::pair<use, double> old[] = {{use::silent, 500}, {use::idle, 2000}};  // ms
-  for (const auto& [is, least] : old) {
-    const auto first = spare.lower_bound({is, 0, 0});
-    if (first == spare.end() || std::get<0>(*first) != is || runs.now() < std::get<1>(*first) + least)
-      continue;
-    ++counted.closed_for_room;
-    close(std::get<2>(*first));
-    return false;
-  }
-  return true;
+  for (const auto& [is, least] : old)
+    while (spare.size() >= bounds.spare) {
+      const auto first = spare.lower_bound({is, 0, 0});
+      if (first == spare.end() || std::get<0>(*first) != is || runs.now() < std::get<1>(*first) + least)
+        break;
+      ++counted.closed_for_room;
+      close(std::get<2>(*first));
+    }
+  return spare.size() >= bounds.spare;
 }
 
 bool front::out_of_room(connection& c) {
@@ -210,8 +209,8 @@
 }
 
 void front::handle(connection& c, http::message m) {
-  const bool close = !m.keeps || draining || c.surplus;
   const errand what = errand_of(m);
+  const bool close = !m.keeps || draining || c.surplus || (what != errand::rpc && crowded());
   if (what == errand::readiness)
     return answer(c, draining ? plain(503, "stopping\n", close) : plain(200, "ready\n", close), close);
   if (what == errand::counters) {
