--- a/src/net/sidecar.cpp
+++ b/src/net/sidecar.cpp
@@ -48,8 +48,9 @@
   front* door = nullptr;
   pool endpoints(runs, budget, counts, lines, with.with, [&] { return door && door->close_idle(); });
   relay rpcs(runs, endpoints, counts, lines, with.where, with.seed);
-  // Clients hold a third of the descriptors at most for requests, so a third is enough for their picks. A
-  // third of the memory for requests leaves as much for answers and as much for what the allocator wastes.
+  // Clients hold a third of the descriptors at most for requests, so a third is enough for their picks, and
+  // half of what they may hold may rest. A third of the memory for requests leaves as much for answers and as
+  // much for what the allocator wastes.
   const front::limits within{budget.most - budget.most / 3, budget.most / 6, with.memory / 3};
   front clients(runs, budget, counts, lines, rpcs, within, [&] { return endpoints.close_idle(); });
   door = &clients;
