--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -64,9 +64,9 @@
 }
 
 void discovery::call() {
-  // A watch is answered after this wait at the latest, so silence past it is a failure. Long: what changes
-  // unheard counts as told only when the wait is over.
-  constexpr double wait = 20000, travel = 1500, whole_within = 1500;
+  // A watch is answered after this wait at the latest, so silence past it is a failure: one that hangs must
+  // not hide the list for long. Not shorter: what changes unheard counts as told only when the wait is over.
+  constexpr double wait = 4000, travel = 1500, whole_within = 1500;
   std::string target = "/api/targets";
   if (!whole_wanted)
     target += "?index=" + std::to_string(version) + "&wait=" + std::to_string(static_cast<long long>(wait));
