One place closes the oldest connection of a use, for room and for crowding alike

No change of behaviour: close_idle() and crowded() had the same look-up twice. Tests as before, plain.

--- a/src/net/front.cpp
+++ b/src/net/front.cpp
@@ -193,13 +193,7 @@
 bool front::crowded() {
   constexpr std::pair<use, double> old[] = {{use::silent, 500}, {use::idle, 2000}};  // ms
   for (const auto& [is, least] : old)
-    while (spare.size() >= bounds.spare) {
-      const auto first = spare.lower_bound({is, 0, 0});
-      if (first == spare.end() || std::get<0>(*first) != is || runs.now() < std::get<1>(*first) + least)
-        break;
-      ++counted.closed_for_room;
-      close(std::get<2>(*first));
-    }
+    while (spare.size() >= bounds.spare && close_oldest(is, least)) continue;
   return spare.size() >= bounds.spare;
 }
 
@@ -303,18 +297,21 @@
   // follows its first bytes as quickly. Idle ones go at any age, the oldest first: spared for 2 s, clients
   // that ask once and stay fill all the room, and every RPC that comes is pushed back.
   constexpr std::array<double, 4> least{0, 20, 500, 0};
-  for (std::size_t i = 0; i < least.size(); ++i) {
-    const auto first = spare.lower_bound({static_cast<use>(i), 0, 0});
-    if (first == spare.end() || std::get<0>(*first) != static_cast<use>(i) ||
-        runs.now() < std::get<1>(*first) + least[i])
-      continue;
-    ++counted.closed_for_room;
-    close(std::get<2>(*first));
-    return true;
-  }
+  for (std::size_t i = 0; i < least.size(); ++i)
+    if (close_oldest(static_cast<use>(i), least[i])) return true;
   return false;
 }
 
+// Of those that have been of this use for so long, in ms.
+bool front::close_oldest(use is, double least) {
+  const auto first = spare.lower_bound({is, 0, 0});
+  if (first == spare.end() || std::get<0>(*first) != is || runs.now() < std::get<1>(*first) + least)
+    return false;
+  ++counted.closed_for_room;
+  close(std::get<2>(*first));
+  return true;
+}
+
 void front::drain(loop::task then) {
   // Clients may connect for 0.4 s after the word, and what the kernel accepted counts as ours.
   constexpr double doors_open = 450;
--- a/src/net/front.h
+++ b/src/net/front.h
@@ -55,6 +55,7 @@
   void close(std::uint64_t which);
   void close_door();
   void end_if_empty();
+  bool close_oldest(use is, double least);
   bool crowded();
   bool out_of_room(connection& c);
   void weigh(connection& c);
