--- a/src/net/front.h
+++ b/src/net/front.h
@@ -27,8 +27,8 @@
 
   void listen(const sockaddr_in& where);
   void adopt(descriptor listener);  // one that listens already
-  // Closes the connection that is of least use: answered for good, then silent, half sent or idle for a
-  // while, the oldest first. False if there is none.
+  // Closes the connection that is of least use: answered for good, then silent, half sent or idle,
+  // the oldest first. False if there is none.
   bool close_idle();
 
   // Takes on what still comes for a while, answers all that is held, then calls `then`.
