Sidecars that must ask for the list get it: the first wish is kept, calls are spread

Cause, in three layers, each found by logging every call for the list and counting across the fleet: 1. sidecar.cpp told the relay the known list before it said who follows; the balancer's one wish for the list was dropped by `if (follow) follow()` in relay.cpp, and it waits for ever. No call was ever made. The relay now keeps the wish. 2. It now watches from there: 39 of 100 sidecars had a watch, the other 61 never (each call failed after 2 s, its work still in the queue). 3. list_failed asked again after 0.25 to 2.5 s, with a hundred sidecars 30 calls a second for a service that takes some 20. First calls are now spread over 50 ms for each other sidecar told in the settings (one alone asks at once), failed ones over as much, doubling up to the time after which a silent sidecar is deemed told. Ruled out: renewing a watch costs the service nothing seen (39 renewals at 4, 8 and 12 s, none refused), so the wait of 4 s stays.

--- a/include/indigorill/balance.h
+++ b/include/indigorill/balance.h
@@ -33,10 +33,11 @@
   bool cancelling = false, probing = false, probes_report = false;
   bool must_ask = false;  // the list comes only when asked for
   bool warm_keys = false;
-  bool utility_by_work = false;  // a long RPC is worth more than a short one of its method
+  bool utility_by_work = false;    // a long RPC is worth more than a short one of its method
   double longest_retry_after = 0;  // 0: clients take no advice
   double cross_zone_price = 0, probe_price = 0;
   double ask_within = 0;  // longest silence towards the list's service
+  double sidecars = 1;    // that share it
   double cold_from = 1, cold_for = 0, cold_multiple = 1, cold_span = 0;
 };
 
--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -127,6 +127,7 @@
     usual_pace = guess * unnamed.latency_target;
     constexpr double in_hand = 0.5;  // at each server, until there are reports
     if (land.probes_report) mean_others = in_hand;
+    ask_at = at + share_of(mix(seed)) * ask_spread();  // beside the draw's own chance
   }
 
   double random() { return std::uniform_real_distribution<double>(0, 1)(chance); }
@@ -623,6 +624,12 @@
                         std::max(1.0, share * land.cold_span));
   }
 
+  // Over how long all sidecars' calls are spread, where all start or fail at once.
+  double ask_spread() const {
+    constexpr double of_one = 50;  // ms for each other sidecar: 20 calls a second for one service
+    return std::min(of_one * (land.sidecars - 1), land.ask_within / 2);
+  }
+
   bool needs_list() const { return land.must_ask && !subscribed && !call_out; }
 
   std::optional<decision> next() {
@@ -690,9 +697,11 @@
 void balancer::list_failed(double now) {
   self->now = now;
   self->call_out = self->subscribed = false;
-  // The list service is one for all: asking again at once, all together, would keep it down.
-  const double backoff =
-      std::min(250 * std::exp2(self->failed_calls), std::max(self->land.ask_within / 4, 250.0));
+  // The list service is one for all, and what it gave up on still fills its queue: asking again before that
+  // is empty, all together, would keep it down.
+  constexpr double least = 250;
+  const double backoff = std::min(std::max(self->ask_spread(), least) * std::exp2(self->failed_calls),
+                                  std::max(self->land.ask_within, least));
   self->ask_at = now + backoff * (0.5 + self->random());
   ++self->failed_calls;
 }
--- a/src/decode/settings.cpp
+++ b/src/decode/settings.cpp
@@ -25,6 +25,7 @@
   if (t.methods.empty()) f.fault("names no methods");
   t.zone = f.text("zone", "");
   t.tick = f.ms("round", 1);
+  t.sidecars = f.number("balancers", 1);
   t.must_ask = f.text("discovery", "automatic") == "subscribe";
   t.utility_by_work = f.text("utilityPer", "") == "work";
   t.warm_keys = f.inner("familyInfo").mark("warmKeys");
--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -48,7 +48,6 @@
 discovery::~discovery() = default;
 
 void discovery::begin() {
-  whole_wanted = true;
   // A second call on a connection whose answer is still to come would be taken for an answer to the first.
   if (patience.set()) wire.reset();
   call();
@@ -60,6 +59,7 @@
   failures = 0;
   wire.reset();
   next_call.drop();
+  whole_wanted = true;
   begin();
 }
 
@@ -71,6 +71,7 @@
   if (!whole_wanted)
     target += "?index=" + std::to_string(version) + "&wait=" + std::to_string(static_cast<long long>(wait));
   called = runs.now();
+  lines.debug() << "list: calls " << target;
   out = {};
   out.own("GET " + target + " HTTP/1.1\r\nHost: " + host + "\r\n\r\n");
   patience =
@@ -127,6 +128,7 @@
     whole_wanted = true;
     return fail(e.what());
   }
+  lines.debug() << "list: version " << r.version << " after " << runs.now() - called << " ms";
   if (silent) lines.info() << "list is back, version " << r.version;
   silent = false;
   failures = 0;
@@ -142,6 +144,7 @@
 }
 
 void discovery::fail(const std::string& why) {
+  lines.debug() << "list: " << why << " after " << runs.now() - called << " ms";
   ++counted.list_failures;
   if (!silent) lines.warning() << "list: " << why << "; the old one stays in force";
   silent = true;
--- a/src/net/discovery.h
+++ b/src/net/discovery.h
@@ -37,7 +37,12 @@
             std::string name, std::uint64_t seed, told then, loop::task on_failure);
   ~discovery();
 
-  void begin();  // with the whole list
+  void begin();  // with a watch from the version last had; with the whole list where none was
+  // The version of a list that is known already, from before the start.
+  void knows(std::uint64_t had) {
+    version = had;
+    whole_wanted = false;
+  }
   // To another agent, which may count versions otherwise: what was told stays until it tells the whole list.
   void move(const sockaddr_in& where, std::string name);
   void keep_asking() { by_itself = true; }
--- a/src/net/relay.cpp
+++ b/src/net/relay.cpp
@@ -1,6 +1,7 @@
 #include "relay.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace indigorill {
 namespace {
@@ -67,6 +68,11 @@
   pull();
 }
 
+void relay::when_list_wanted(loop::task what) {
+  follow = std::move(what);
+  if (std::exchange(list_wanted, false)) follow();
+}
+
 void relay::pull() {
   // What is carried out may tell the balancer something at once; its decisions then follow in this round.
   if (pulling) return;
@@ -91,6 +97,8 @@
     case verb::probe:
       return probe(d.server);
     case verb::follow_list:
+      // The balancer asks once and waits: a wish that is dropped leaves the sidecar with its first list.
+      list_wanted = !follow;
       if (follow) follow();
       return;
     case verb::wake: {
--- a/src/net/relay.h
+++ b/src/net/relay.h
@@ -41,7 +41,8 @@
 
   void listed(bool whole, bool asked, const std::vector<endpoint>& entries);
   void list_failed();
-  void when_list_wanted(loop::task what) { follow = std::move(what); }
+  // The balancer may have asked before: with the first list that it is told.
+  void when_list_wanted(loop::task what);
 
   std::size_t held() const { return rpcs.size(); }
 
@@ -80,7 +81,7 @@
   std::set<std::string, std::less<>> methods;
   balancer decides;
   loop::task follow;
-  bool pulling = false;
+  bool pulling = false, list_wanted = false;
   std::uint64_t serial = 0;
   std::unordered_map<std::string, rpc> rpcs;
   std::set<std::string_view> open_ids;  // of the clients', in the calls of rpcs
--- a/src/net/sidecar.cpp
+++ b/src/net/sidecar.cpp
@@ -77,6 +77,8 @@
   discovery lists(
       runs, budget, counts, lines, with.discovery, with.discovery_host, with.seed + 1,
       [&](const roster& list) { learn(list, true); }, [&] { rpcs.list_failed(); });
+  // Many that start at once and ask for the whole list each keep its service busy for longer than it lasts.
+  if (!known.entries.empty()) lists.knows(known.version);
   if (with.where.must_ask) {
     rpcs.when_list_wanted([&] { lists.begin(); });
   } else {
--- a/tests/balance_test.cpp
+++ b/tests/balance_test.cpp
@@ -306,6 +306,34 @@
   CHECK(waits[0][1] != waits[1][1]);
 }
 
+TEST_CASE("many sidecars that start, or fail to get the list, at once don't ask for it at once") {
+  terrain t = ground();
+  t.must_ask = true;
+  t.ask_within = 10000;
+  t.sidecars = 100;
+  std::vector<std::unique_ptr<one>> fleet;
+  for (int seed = 1; seed <= 100; ++seed) {
+    fleet.push_back(std::make_unique<one>(t, seed));
+    fleet.back()->now = 0;
+  }
+  const auto most_in_a_second = [&](double until) {
+    int most = 0, all = 0;
+    for (std::vector<int> calls; fleet.front()->now < until; most = std::max(most, calls.back())) {
+      calls.push_back(0);
+      for (int step = 0; step < 100; ++step)
+        for (auto& h : fleet) {
+          h->b.woken(h->now += 10, 2);
+          for (const decision& d : h->pull()) calls.back() += d.what == verb::follow_list, ++all;
+        }
+    }
+    CHECK(all == 100);  // and none is left out
+    return most;
+  };
+  CHECK(most_in_a_second(6000) <= 35);
+  for (auto& h : fleet) h->b.list_failed(h->now);
+  CHECK(most_in_a_second(16000) <= 35);
+}
+
 TEST_CASE("a cold server is sent no more than its budget, and a cold fleet is no idle one") {
   struct {
     const char* what;
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -579,7 +579,7 @@
   std::string heard;
   int failed = 0;
   std::unique_ptr<discovery> lists;
-  void follow(const sockaddr_in& agent, bool by_itself) {
+  void follow(const sockaddr_in& agent, bool by_itself, std::optional<std::uint64_t> had = {}) {
     lists = std::make_unique<discovery>(
         runs, budget, counts, lines, agent, "agent", 1,
         [this](const roster& r) {
@@ -588,6 +588,7 @@
         },
         [this] { ++failed; });
     if (by_itself) lists->keep_asking();
+    if (had) lists->knows(*had);
     lists->begin();
   }
 };
@@ -632,6 +633,38 @@
   }
 }
 
+TEST_CASE("a list known from before is watched from its version; another agent is asked for the whole") {
+  follower f;
+  stand_in before(f.runs, {list_text(9, false, entry("b"))}), after(f.runs, {list_text(3, true, "")});
+  f.follow(before.where, true, 8);
+  CHECK(until(f.runs, [&] { return before.asked.size() == 2; }));
+  CHECK(before.asked[0] == "/api/targets?index=8&wait=4000");
+  f.lists->move(after.where, "after");
+  CHECK(until(f.runs, [&] { return !after.asked.empty(); }));
+  CHECK(after.asked[0] == "/api/targets");
+  CHECK(f.heard == "+9b");
+}
+
+TEST_CASE("a wish for the list that comes before anyone follows it is kept, and carried out once") {
+  loop runs;
+  std::ostringstream log_text;
+  logger lines(log_text, level::error);
+  counters counts;
+  descriptor_budget budget{10};
+  pool endpoints(runs, budget, counts, lines, {}, [] { return false; });
+  terrain where = ground();
+  where.must_ask = true;
+  relay rpcs(runs, endpoints, counts, lines, where, 1);
+  rpcs.listed(true, false, {at("a")});
+  int wishes = 0;
+  rpcs.when_list_wanted([&] { ++wishes; });
+  CHECK(wishes == 1);
+  rpcs.listed(true, true, {at("a")});
+  CHECK(wishes == 1);
+  rpcs.list_failed();
+  CHECK(until(runs, [&] { return wishes == 2; }));
+}
+
 TEST_CASE("where the balancer asks for the list, a failure is told to it and nothing is asked again") {
   follower f;
   stand_in agent(f.runs, {"close"});
