Cold servers are judged by cold ones' reports, and let nothing into a crowd of warm ones

Counted across the fleet from logged picks: the 24 servers that stayed serve 35 RPCs a second each and hold 3.3, the 36 new ones serve 1.2 to 5 and hold 0.85, ten seconds after their start. So there is room where nothing is sent. Ruled out: the list (all told within 0.5 s), the bound on chance and the budgets (22 and 7 a second and server allow more). Cause, src/balance.cpp: ahead() takes a server that this sidecar has not heard of to hold the mean of all reports, and nearly all of these come from the crowded warm ones; divided by a cold pace that is a wait of 130 ms where the target is 110, 30 halvings behind the crowd. Reports of cold servers now have a mean of their own. Second cause: weigh() let an RPC in if any server would answer in time, also a cold one that the bound then kept it from, so it went to the crowd. What would be in time is now kept for each server, and where the bound leaves none of them the RPC is given up.

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -109,8 +109,8 @@
   double armed = never;  // the due wake-up under way
   bool beat_due = true;
   std::size_t arrivals = 0;
-  double mean_others = 0, mean_work = 0, mean_value = 1, usual_pace = 0, answers = 0, send_rate = 0,
-         arrival_rate = 0, sends_since_beat = 0, arrivals_since_beat = 0, beat_at = never;
+  double mean_others = 0, cold_others = 0.5, mean_work = 0, mean_value = 1, usual_pace = 0, answers = 0,
+         send_rate = 0, arrival_rate = 0, sends_since_beat = 0, arrivals_since_beat = 0, beat_at = never;
   double last_send = never, jam_seen = never, warm_servers = 1;
   double spare = 5, further_success = 0.5;
   bool subscribed = false, call_out = false;
@@ -218,7 +218,8 @@
     s.others = std::max(0.0, *report.held - s.in_flight - (with_answer ? 1 : 0));
     s.reported = now;
     constexpr double weight = 0.05;  // of one report in the mean: some twenty reports are remembered
-    mean_others += weight * (s.others - mean_others);
+    double& mean = warmth(s) < 1 ? cold_others : mean_others;
+    mean += weight * (s.others - mean);
   }
 
   // answered: it is known how long the RPC took; else only that it took longer.
@@ -257,7 +258,10 @@
     return age > forgotten ? 0 : std::exp2(-age);
   }
 
-  double ahead(const server& s) const { return s.ours + mean_others + (s.others - mean_others) * heard(s); }
+  double ahead(const server& s) const {
+    const double mean = warmth(s) < 1 ? cold_others : mean_others;
+    return s.ours + mean + (s.others - mean) * heard(s);
+  }
 
   double pace(const server& s) const {  // for a mean RPC; the stated warmth is the least, its root nearer
     constexpr double half_life = 2000;  // a pace seen is believed for some seconds, then the usual one counts
@@ -365,8 +369,14 @@
   struct ballot {
     std::vector<server*> those;
     std::vector<double> weights, keyless;  // and what they were without its key's homes
+    std::vector<char> timely;              // would answer in time
     double in_flight = 0, known = 0;       // known: how far the last reports still tell, 0 to 1
-    bool in_time = false;                  // at some server
+    bool let_through = false;              // though no server may be timely
+    bool in_time() const {
+      for (std::size_t i = 0; i < those.size(); ++i)
+        if (timely[i] && weights[i] > 0) return true;
+      return let_through;
+    }
   };
 
   ballot weigh(const rpc& r) {
@@ -394,7 +404,7 @@
     // Giving up on what was seen long ago would never see anything again: after a silence an RPC is let
     // through, one in ten, since a thousand sidecars that each do so every second are a load.
     constexpr double silence = 1000, chance_through = 0.1;
-    b.in_time = now - last_send > silence && b.in_flight == 0 && random() < chance_through;
+    b.let_through = now - last_send > silence && b.in_flight == 0 && random() < chance_through;
     const double unsent = sent > 0 ? std::log2(reputation / sent) + std::log2(recency / sent) : 0;
     for (server* s : b.those) {
       double w = s->last_send == never ? unsent : log_reputation(*s) + log_recency(*s);
@@ -403,8 +413,8 @@
       constexpr double unhinted = 1.6;  // mean RPCs
       constexpr double hopeless = 3;    // failures; 2 and 4 serve a fleet that tipped worse
       const double alone = one * (r.hinted ? r.size : unhinted);
-      b.in_time = b.in_time ||
-                  (count(s->window).second < hopeless && alone <= left && waits <= patience * (left - alone));
+      b.timely.push_back(count(s->window).second < hopeless && alone <= left &&
+                         waits <= patience * (left - alone));
       constexpr double halvings = 30;  // for a latency target; an RPC in hand takes 4 to 9 of them
       w -= halvings * (waits + one * r.size) / r.how->latency_target;
       if (warmth(*s) < 1) w += std::log2(warmth(*s));  // not for each of many warm ones
@@ -424,12 +434,16 @@
     }
     if (jammed()) {
       jam_seen = now;
-      b.in_time = random() < chance_through;
+      b.timely.assign(b.timely.size(), false);
+      b.let_through = random() < chance_through;
     } else if (!best_homes.empty()) {
       // All keys at once, no longer warm anywhere, would tip the fleet again: it opens to the same ones
       // first.
       constexpr double opens = 10000;  // ms; 5 s is equal
-      b.in_time = b.in_time && share_of(*r.key) < chance_through + (now - jam_seen) / opens;
+      if (share_of(*r.key) >= chance_through + (now - jam_seen) / opens) {
+        b.timely.assign(b.timely.size(), false);
+        b.let_through = false;
+      }
     }
     const double top = *std::max_element(b.weights.begin(), b.weights.end());
     for (double& w : b.weights) w = std::exp2(w - top);
@@ -465,16 +479,19 @@
       most *= popular;
     }
     if (random() * share < most) return at;
+    if (std::all_of(b.those.begin(), b.those.end(), bounded)) return at;
     for (std::size_t i = 0; i < b.those.size(); ++i)
       if (bounded(b.those[i])) b.weights[i] = 0;
     return sum(b.weights) > 0 ? by_weight(b) : at;
   }
 
+  // None, where the bound leaves no server that would answer in time: idle cold ones must not let in what
+  // then waits at the warm ones.
   server* draw(const rpc& r, ballot b) {
     const double crowd = 1 + 2 * b.in_flight / static_cast<double>(b.those.size());
     std::size_t at = by_bounded_weight(r, b);
     if (b.those[at]->in_flight > crowd) at = by_bounded_weight(r, b);
-    return b.those[at];
+    return b.in_time() ? b.those[at] : nullptr;
   }
 
   // ---- decisions on one RPC ------------------------------------------------------------------------------
@@ -523,8 +540,8 @@
     if (ask_around(r, b)) return {};
     if (!may_pick(r) || (further && spare < 1)) return give_up(r);
     if (b.those.empty() || !r.asked.empty()) b = weigh(r);
-    if (b.those.empty() || !b.in_time) return give_up(r);
-    return send(r, *draw(r, std::move(b)), further, useful_until(r) - now);
+    server* to = b.those.empty() || !b.in_time() ? nullptr : draw(r, std::move(b));
+    return to ? send(r, *to, further, useful_until(r) - now) : give_up(r);
   }
 
   decision send(rpc& r, server& s, bool further, double left) {
--- a/tests/balance_test.cpp
+++ b/tests/balance_test.cpp
@@ -364,6 +364,33 @@
   }
 }
 
+TEST_CASE("beside a crowded warm server a cold one is used as it answers, and lets nothing into the crowd") {
+  terrain t = ground();
+  t.probes_report = true;
+  one h(t);
+  h.now = 100000;
+  h.list({at("a"), at("b", h.now - 10000)});  // b does six tenths of a warm one's work, and nobody is there
+  std::map<std::string, int> sent;
+  int pushed_back = 0;
+  for (int i = 0; i < 1000; ++i) {
+    h.now += 10;
+    for (int reports = 0; reports < 10; ++reports) h.b.probe_ended(h.now, "a", ending::ok, {9.0});
+    if (i % 10 == 0) h.b.woken(h.now, 1);
+    const std::string id = h.arrive("vital");
+    for (const decision& d : h.pull()) {
+      pushed_back += d.what == verb::push_back;
+      if (d.what != verb::pick) continue;
+      ++sent[d.server];
+      h.b.pick_ended(h.now, id, 0, ending::ok, 20, true, {d.server == "a" ? 10.0 : 1.0});
+      h.pull();
+    }
+  }
+  CHECK(sent["a"] <= 5);
+  CHECK(sent["b"] >= 50);
+  CHECK(sent["b"] <= 600);  // the bound: half of three times its warmth, of all that the two get
+  CHECK(sent["a"] + sent["b"] + pushed_back == 1000);
+}
+
 TEST_CASE("push-back: at once, by what is known, and never for good") {
   const auto jam = [](int failures) {
     return [=](one& h) {
