--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -291,7 +291,7 @@
 
   // Older outcomes count no more; but one that is forgotten before the server's next turn is never used.
   double memory() const {
-    constexpr double least = 5000, most = 20000, turns = 2;
+    constexpr double least = 5000, most = 20000, turns = 4;
     return std::clamp(turns * turn(), least, most);
   }
 
@@ -419,9 +419,11 @@
       constexpr double halvings = 30;  // for a latency target; an RPC in hand takes 4 to 9 of them
       w -= halvings * (waits + one * r.size) / r.how->latency_target;
       if (warmth(*s) < 1) w += std::log2(warmth(*s));  // not for each of many warm ones
-      constexpr double for_price = 40;  // halvings for what costs everything: a crossing, a handshake
+      constexpr double for_price = 40;                 // halvings for a crossing that costs everything
       if (s->zone != home) w -= for_price * land.cross_zone_price;
-      if (s->resting == 0) w -= for_price * land.handshake_price;
+      // It also takes time and work there. 40 opens too many, 160 crowds those that a connection leads to.
+      constexpr double for_handshake = 100;
+      if (s->resting == 0) w -= for_handshake * land.handshake_price;
       constexpr double silent = 8, unheard = 3;  // halvings; a dead server answers no probe
       if (unanswered(*s)) w -= silent;
       // The many servers that nothing is known of must not outweigh together the few that were asked.
@@ -570,7 +572,8 @@
     // A server drawn blindly is busy as often as the mean in hand says; if none is, there is no better one.
     const double busy = mean_others / (1 + mean_others);
     const double gain = saved * risk * busy * unknown * r.value / mean_value;
-    return std::min(std::floor(gain / land.probe_price + random()), most);
+    // A probe holds a connection, and the next RPC there opens another.
+    return std::min(std::floor(gain / (land.probe_price + land.handshake_price) + random()), most);
   }
 
   // Fresh reports before a first pick, a few at a time until a server is found idle; true while answers are
