Cold servers are opened: no handshake held against a first send, their pace is learned

Causes, src/balance.cpp: weigh() takes 8 halvings from every server without a connection, and to a new one nobody has any; pace() knows the stated warmth alone (the least it may be), and divides by it also a pace that was seen there. Change: a cold server never sent to has no handshake held against it; how its answers compare to what was expected is learned over all cold servers; a pace seen is taken as it is. Where servers report nothing, nothing in hand is assumed at cold ones, as at warm.

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -110,8 +110,9 @@
   double armed = never;  // the due wake-up under way
   bool beat_due = true;
   std::size_t arrivals = 0;
-  double mean_others = 0, cold_others = 0.5, mean_work = 0, mean_value = 1, usual_pace = 0, answers = 0,
-         send_rate = 0, arrival_rate = 0, sends_since_beat = 0, arrivals_since_beat = 0, beat_at = never;
+  double mean_others = 0, cold_others = 0, cold_pace = 1, mean_work = 0, mean_value = 1, usual_pace = 0,
+         answers = 0, send_rate = 0, arrival_rate = 0, sends_since_beat = 0, arrivals_since_beat = 0,
+         beat_at = never;
   double last_send = never, jam_seen = never, warm_servers = 1;
   double spare = 5, further_success = 0.5;
   bool subscribed = false, call_out = false;
@@ -127,7 +128,7 @@
     constexpr double guess = 0.25;  // of the latency target, until there are answers
     usual_pace = guess * unnamed.latency_target;
     constexpr double in_hand = 0.5;  // at each server, until there are reports
-    if (land.probes_report) mean_others = in_hand;
+    if (land.probes_report) mean_others = cold_others = in_hand;
     ask_at = at + share_of(mix(seed)) * ask_spread();  // beside the draw's own chance
   }
 
@@ -232,7 +233,10 @@
     // What a jam taught must not outlast it: what is usual is learned slowly, and from answers alone. Nor may
     // a long first answer make a sidecar give up all that comes: the guess counts for a few answers.
     constexpr double slow = 0.02, guessed = 5;
-    if (answered) usual_pace += std::max(slow, 1 / (guessed + ++answers)) * (seen - usual_pace);
+    if (answered && warmth(s) < 1)
+      cold_pace += weight * (seen * std::sqrt(warmth(s)) / usual_pace - cold_pace);
+    if (answered && warmth(s) >= 1)
+      usual_pace += std::max(slow, 1 / (guessed + ++answers)) * (seen - usual_pace);
   }
 
   void learn_outcome(std::vector<mark>& window, bool failed) {
@@ -267,8 +271,8 @@
   double pace(const server& s) const {  // for a mean RPC; the stated warmth is the least, its root nearer
     constexpr double half_life = 2000;  // a pace seen is believed for some seconds, then the usual one counts
     const double age = (now - s.paced) / half_life;
-    return (usual_pace + (age > forgotten ? 0 : (s.pace - usual_pace) * std::exp2(-age))) /
-           std::sqrt(warmth(s));
+    const double expected = warmth(s) < 1 ? cold_pace * usual_pace / std::sqrt(warmth(s)) : usual_pace;
+    return expected + (age > forgotten ? 0 : (s.pace - expected) * std::exp2(-age));
   }
 
   // How long an RPC sent there now is expected to wait before its own work begins.
@@ -423,7 +427,8 @@
       if (s->zone != home) w -= for_price * land.cross_zone_price;
       // It also takes time and work there. 40 opens too many, 160 crowds those that a connection leads to.
       constexpr double for_handshake = 100;
-      if (s->resting == 0) w -= for_handshake * land.handshake_price;
+      if (s->resting == 0 && (s->last_send != never || warmth(*s) >= 1))
+        w -= for_handshake * land.handshake_price;
       constexpr double silent = 8, unheard = 3;  // halvings; a dead server answers no probe
       if (unanswered(*s)) w -= silent;
       // The many servers that nothing is known of must not outweigh together the few that were asked.
