What one cold server may not get goes to the other cold ones, within their bounds

Cause: by_bounded_weight() draws one server by weight, and where its share is above the bound lets it pass with chance bound/share and else takes all cold servers out. The weight is steep, so it lies on a few of the 36: all of them together get the bounds of a few (0.013 each), not of all (0.46). Ruled out: budgets (15 to 36 of 36 allowed at any time). Change: what a cold server's share has above its bound goes to the other cold ones within six halvings of the best warm one, by the room that their own bounds leave. No cold server's bound is touched.

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -471,27 +471,47 @@
 
   // A thousand sidecars that each save up one RPC for a cold server would push it over together; a bound on
   // the chance is the same sum over any number. One that is asked is sent the RPC nearly surely: bound that.
+  // What one cold server may not get goes first to the other cold ones that are near the best warm server,
+  // as far as their own bounds go: else a weight that lies on a few would leave many idle beside a crowd.
   std::size_t by_bounded_weight(const rpc& r, ballot& b) {
-    const auto bounded = [&](server* s) {
-      return warmth(*s) < 1 && std::find(r.asked.begin(), r.asked.end(), s) == r.asked.end();
+    struct claim {
+      std::size_t at;
+      double chance, most;
     };
-    const std::size_t at = by_weight(b);
-    const server& s = *b.those[at];
-    if (!bounded(b.those[at])) return at;
-    double share = b.weights[at] / sum(b.weights);
-    double most = cold_part * land.cold_multiple * warmth(s) / warm_servers / std::max(r.paid, 1.0);
-    if (!b.keyless.empty()) {
-      // That its key is at home here says little of what all RPCs would send it: keys spread by themselves,
-      // but for a popular one, and without the home's RPCs it would never warm up.
-      constexpr double popular = 0.3;
-      share = std::max(b.keyless[at] / sum(b.keyless), 1 / static_cast<double>(b.those.size()));
-      most *= popular;
+    std::vector<claim> cold;
+    const double all = sum(b.weights), all_keyless = sum(b.keyless);
+    double best_other = 0, left = 0, room = 0;
+    for (std::size_t i = 0; i < b.those.size(); ++i) {
+      const server* s = b.those[i];
+      if (warmth(*s) >= 1 || std::find(r.asked.begin(), r.asked.end(), s) != r.asked.end()) {
+        best_other = std::max(best_other, b.weights[i]);
+        continue;
+      }
+      const double share = b.weights[i] / all;
+      double most = cold_part * land.cold_multiple * warmth(*s) / warm_servers / std::max(r.paid, 1.0);
+      if (b.keyless.empty()) {
+        left += std::max(share - most, 0.0);
+      } else {
+        // That its key is at home here says little of what all RPCs would send it: keys spread by themselves,
+        // but for a popular one, and without the home's RPCs it would never warm up.
+        constexpr double popular = 0.3;
+        const double claimed = std::max(b.keyless[i] / all_keyless, 1 / static_cast<double>(b.those.size()));
+        most = share * std::min(popular * most / claimed, 1.0);
+      }
+      cold.push_back({i, std::min(share, most), most});
     }
-    if (random() * share < most) return at;
-    if (std::all_of(b.those.begin(), b.those.end(), bounded)) return at;
-    for (std::size_t i = 0; i < b.those.size(); ++i)
-      if (bounded(b.those[i])) b.weights[i] = 0;
-    return sum(b.weights) > 0 ? by_weight(b) : at;
+    if (cold.empty() || cold.size() == b.those.size()) return by_weight(b);
+    constexpr double near = 0x1p-6;  // of the best warm one: a failure alone takes more
+    const auto open_to = [&](const claim& c) {
+      return b.weights[c.at] > near * best_other ? c.most - c.chance : 0;
+    };
+    for (const claim& c : cold) room += open_to(c);
+    const double part = left > 0 ? std::min(left / std::max(room, left), 1.0) : 0;
+    double x = random();
+    for (const claim& c : cold)
+      if ((x -= c.chance + part * open_to(c)) < 0) return c.at;
+    for (const claim& c : cold) b.weights[c.at] = 0;
+    return by_weight(b);
   }
 
   // None, where the bound leaves no server that would answer in time: idle cold ones must not let in what
--- a/tests/balance_test.cpp
+++ b/tests/balance_test.cpp
@@ -550,6 +550,37 @@
   CHECK(cold < balancers / 10 * 2 * 0.84);
 }
 
+TEST_CASE("many cold servers beside a crowd: what one may not get goes to the others, within their bounds") {
+  // One cold server is better than the rest by far, and all sidecars would have it; a report says why.
+  terrain t = ground();
+  t.probes_report = true;
+  t.cold_multiple = 2;
+  std::map<std::string, int> got;
+  constexpr int balancers = 2000;
+  for (int seed = 1; seed <= balancers; ++seed) {
+    one h(t, seed);
+    h.now = 100000;
+    std::vector<endpoint> fleet = letters('a', 'd');
+    for (char c = 'e'; c <= 'j'; ++c) fleet.push_back(at(std::string(1, c), h.now - 10000));  // warmth 0.6
+    h.list(fleet);
+    for (char c = 'a'; c <= 'd'; ++c) h.b.probe_ended(h.now, std::string(1, c), ending::ok, {1.5});
+    for (char c = 'f'; c <= 'i'; ++c) h.b.probe_ended(h.now, std::string(1, c), ending::ok, {0.5});
+    h.b.probe_ended(h.now, "e", ending::ok, {0.0});
+    h.b.probe_ended(h.now, "j", ending::ok, {6.0});
+    h.arrive("vital");
+    const decision d = h.only();
+    if (d.what == verb::pick) ++got[d.server];
+  }
+  const double bound = balancers * 0.5 * 2 * 0.6 / 7.6;  // half the multiple, its warmth of the fleet's
+  int cold = 0;
+  for (char c = 'e'; c <= 'i'; ++c) {
+    CHECK(got[std::string(1, c)] < 1.3 * bound);
+    cold += got[std::string(1, c)];
+  }
+  CHECK(cold > 3.5 * bound);
+  CHECK(got["j"] < 0.2 * bound);  // crowded itself
+}
+
 TEST_CASE("balancers that know nothing ask servers drawn by chance, and stop asking where one is idle") {
   terrain t = ground();
   t.probing = t.probes_report = true;
