What a client asks again after its latency target is given up at once, as its budget tells

Checked: X-Again is not sent here, and ids are new. Budgets of all arrivals logged: 6,506 of 8,300 reads have 310 ms to the millisecond, print-orders 400; the rest lie evenly between 0 and 290: what is left of the stated deadline after a push-back and a wait. Cause, src/balance.cpp: rpc_arrived() counts the latency target from the arrival, also of a second try. Change: the target counts from when the client first asked. A budget within a hundredth of the deadline of three of the last 32 of its method is a client's own; any other is what is left, so the rest of the deadline has passed. The rule that gives up what has no utility left then does the rest.

--- a/include/indigorill/balance.h
+++ b/include/indigorill/balance.h
@@ -22,6 +22,7 @@
   repeatable repeats = repeatable::non_idempotent;
   group drops_repeats = group::everywhere;
   double remembers = 0;  // how long the group drops repeats, from the first send that may have run
+  double deadline = 0;   // for which a client waits in all, over its own retries; 0: not told
 };
 
 // The ground on which a balancer stands: what it may do and what the rules demand of it.
--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -102,6 +102,7 @@
   std::vector<std::string> zones;
   std::size_t home;
   std::unordered_map<std::string, std::unique_ptr<rpc>> rpcs;
+  std::map<const method*, std::deque<double>> budgets;  // of the last RPCs, for those whose deadline is told
   std::deque<rpc*> undecided;
   std::deque<pick*> to_cancel;
   std::deque<server*> to_probe;
@@ -142,6 +143,21 @@
     undecided.push_back(&r);
   }
 
+  // How long ago a client first sent what it now sends again, as far as its budget tells: a budget that
+  // others of its method lately had is a client's own, one like no other is what is left of the deadline.
+  // Else a crowded fleet works on answers that come too late before their RPC does.
+  double asked_before(const method& how, double budget) {
+    constexpr double alike = 0.01;  // of the deadline: what a busy process may lose of a budget
+    constexpr std::size_t kept = 32, enough = 16;
+    constexpr int several = 3;
+    std::deque<double>& last = budgets[&how];
+    const auto near = [&](double other) { return std::abs(other - budget) <= alike * how.deadline; };
+    const bool usual = last.size() < enough || std::count_if(last.begin(), last.end(), near) >= several;
+    last.push_back(budget);
+    if (last.size() > kept) last.pop_front();
+    return usual ? 0 : std::max(how.deadline - budget, 0.0);
+  }
+
   void set_due(rpc& r, double at) {
     if (r.due != never) due.erase({{r.due, r.order}, &r});
     r.due = at;
@@ -765,6 +781,7 @@
   ++b.arrivals_since_beat;
   r->dl = what.deadline;
   r->target = now + r->how->latency_target;
+  if (r->how->deadline > 0) r->target -= b.asked_before(*r->how, r->dl - now);
   r->key = what.key;
   if (what.work && *what.work > 0) {
     constexpr double largest = 100,
--- a/src/decode/settings.cpp
+++ b/src/decode/settings.cpp
@@ -11,6 +11,7 @@
     method to;
     to.name = m.text("name");
     to.latency_target = m.ms("latencyTarget", m.ms("deadline"));
+    to.deadline = m.ms("deadline");
     to.utility = m.number("utility", 1);
     to.late_utility = m.number("overdueUtility", 0);
     to.repeats = m.word<repeatable>("effect", {{"retryable", repeatable::idempotent},
--- a/tests/balance_test.cpp
+++ b/tests/balance_test.cpp
@@ -437,6 +437,43 @@
   CHECK(sent["a"] + sent["b"] + pushed_back == 1000);
 }
 
+TEST_CASE("what a client asks again after its latency target is given up, as its budget tells") {
+  // A client waits for 400 in all; each of its tries has 310 of them, or what is left.
+  struct {
+    const char* what;
+    double deadline, late_utility;
+    int before, others;  // first tries of 310, and others of a second kind of client that gives 200
+    double budget;
+    verb then;
+  } table[] = {
+      {"a first try", 400, 0, 30, 0, 310, verb::pick},
+      {"one that a busy process read late", 400, 0, 30, 0, 307, verb::pick},
+      {"half of its target is left", 400, 0, 30, 0, 350, verb::pick},
+      {"its target is over", 400, 0, 30, 0, 250, verb::push_back},
+      {"other clients have that budget", 400, 0, 20, 3, 200, verb::pick},
+      {"too little is known", 400, 0, 10, 0, 250, verb::pick},
+      {"a late answer is worth something", 400, 0.5, 30, 0, 250, verb::pick},
+      {"no deadline is told", 0, 0, 30, 0, 250, verb::pick},
+  };
+  for (const auto& row : table) {
+    CAPTURE(row.what);
+    terrain t = ground();
+    for (method& m : t.methods) m.deadline = row.deadline, m.late_utility = row.late_utility;
+    one h(t);
+    both(h);
+    for (int i = 0; i < row.before + row.others; ++i) {
+      h.now += 100;
+      const std::string id = h.arrive("vital", {}, i < row.before ? 310 : row.budget);
+      for (const decision& d : h.pull())
+        if (d.what == verb::pick) h.b.pick_ended(h.now, id, 0, ending::ok, 20, true, {});
+      h.pull();
+    }
+    h.now += 100;
+    h.arrive("vital", {}, row.budget);
+    CHECK(h.only().what == row.then);
+  }
+}
+
 TEST_CASE("push-back: at once, by what is known, and never for good") {
   const auto jam = [](int failures) {
     return [=](one& h) {
