--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -398,6 +398,10 @@
         if (timely[i] && weights[i] > 0) return true;
       return let_through;
     }
+    void none_timely(bool let_it_through) {
+      timely.assign(timely.size(), false);
+      let_through = let_it_through;
+    }
   };
 
   ballot weigh(const rpc& r) {
@@ -459,16 +463,12 @@
     }
     if (jammed()) {
       jam_seen = now;
-      b.timely.assign(b.timely.size(), false);
-      b.let_through = random() < chance_through;
+      b.none_timely(random() < chance_through);
     } else if (!best_homes.empty()) {
       // All keys at once, no longer warm anywhere, would tip the fleet again: it opens to the same ones
       // first.
       constexpr double opens = 10000;  // ms; 5 s is equal
-      if (share_of(*r.key) >= chance_through + (now - jam_seen) / opens) {
-        b.timely.assign(b.timely.size(), false);
-        b.let_through = false;
-      }
+      if (share_of(*r.key) >= chance_through + (now - jam_seen) / opens) b.none_timely(false);
     }
     const double top = *std::max_element(b.weights.begin(), b.weights.end());
     for (double& w : b.weights) w = std::exp2(w - top);
@@ -522,7 +522,7 @@
       return b.weights[c.at] > near * best_other ? c.most - c.chance : 0;
     };
     for (const claim& c : cold) room += open_to(c);
-    const double part = left > 0 ? std::min(left / std::max(room, left), 1.0) : 0;
+    const double part = left > 0 ? left / std::max(room, left) : 0;
     double x = random();
     for (const claim& c : cold)
       if ((x -= c.chance + part * open_to(c)) < 0) return c.at;
