The laboratory's emulator hosts the real module; an auditor checks the four rules

The sidecar's own tests stop at one balancer.

src/lab: an agenda with one stated order of equal times, servers (cores, bounded queue, speeds, cold start, stalls, errors, death, a fall when overdriven cold), network with loss as retransmissions, connections with a handshake and a limited table, a list that comes late or from an overbooked service, applications that retry, twelve troubles; the balancer through balance.h, four baselines beside it.

Measured: mean waits of M/M/1, M/M/4, M/M/16 and M/D/1 lie within 95 % intervals of theory over ten runs, a fixed or a lognormal law in place of the exponential one does not; two choices of 300 servers within 4 % of Mitzenmacher's limit. Found by a test: a server that had fallen fell again with each RPC sent to it.

--- /dev/null
+++ b/tests/lab_test.cpp
@@ -0,0 +1,979 @@
+// The emulator against theory, its order and its sums; the auditor on broken records; scenarios at fault.
+#include <doctest/doctest.h>
+
+#include <cmath>
+#include <filesystem>
+#include <fstream>
+#include <nlohmann/json.hpp>
+#include <sstream>
+
+#include "../src/lab/cli.h"
+#include "../src/lab/experiment.h"
+#include "../src/lab/report.h"
+
+using namespace indigorill;
+using namespace indigorill::lab;
+
+namespace {
+
+// The mean wait in one queue before service begins, after a warm-up; work has mean 1.
+double mean_wait(int cores, law service, double rho, std::uint64_t seed) {
+  agenda due;
+  std::vector<double> came;
+  double waited = 0, counted = 0;
+  constexpr std::size_t all = 60000, warm = 10000;
+  station queue(due, {cores, 1 << 30, 1, 1, 0, 0, 0, 0}, seed,
+                {[&](std::uint64_t job) {
+                   if (job >= warm) waited += due.now() - came[job], ++counted;
+                 },
+                 [](std::uint64_t, station::outcome, double) {},
+                 {}});
+  stream arrivals(seed_of(seed, use::arrivals)), works(seed_of(seed, use::shares));
+  std::function<void()> arrive = [&] {
+    if (came.size() >= all) return;
+    came.push_back(due.now());
+    queue.come(came.size() - 1, works.draw(service));
+    due.at(due.now() + arrivals.exponential(1 / (rho * cores)), rank::client, arrive);
+  };
+  arrive();
+  while (due.step(1e12)) {
+  }
+  return waited / counted;
+}
+
+double erlang_c_wait(int c, double rho) {  // mean wait of M/M/c, work of mean 1
+  const double a = rho * c;
+  double sum = 0, term = 1;
+  for (int k = 0; k < c; ++k) sum += term, term *= a / (k + 1);
+  const double queued = term / (1 - rho);
+  return queued / (sum + queued) / (c - a);
+}
+
+// The mean time in the system of many servers of which the emptier of `choices` gets each job.
+double time_of_choices(int choices, double rho, std::uint64_t seed) {
+  agenda due;
+  constexpr std::size_t servers = 300, all = 90000, warm = 30000;
+  std::vector<double> came;
+  double took = 0, counted = 0;
+  std::vector<std::unique_ptr<station>> farm;
+  for (std::size_t i = 0; i < servers; ++i)
+    farm.push_back(
+        std::make_unique<station>(due, station::traits{1, 1 << 30, 1, 1, 0, 0, 0, 0}, i,
+                                  station::events{{},
+                                                  [&](std::uint64_t job, station::outcome, double) {
+                                                    if (job >= warm && job < all)
+                                                      took += due.now() - came[job], ++counted;
+                                                  },
+                                                  {}}));
+  stream arrivals(seed_of(seed, use::arrivals)), works(seed_of(seed, use::shares)), draw(seed);
+  std::function<void()> arrive = [&] {
+    if (came.size() >= all) return;
+    came.push_back(due.now());
+    station* to = farm[draw.below(servers)].get();
+    for (int i = 1; i < choices; ++i) {
+      station* other = farm[draw.below(servers)].get();
+      if (other->held() < to->held()) to = other;
+    }
+    to->come(came.size() - 1, works.exponential(1));
+    due.at(due.now() + arrivals.exponential(1 / (rho * servers)), rank::client, arrive);
+  };
+  arrive();
+  while (due.step(1e12)) {
+  }
+  return took / counted;
+}
+
+spread over_seeds(int runs, const std::function<double(std::uint64_t)>& one) {
+  std::vector<double> all;
+  for (int i = 1; i <= runs; ++i) all.push_back(one(static_cast<std::uint64_t>(i)));
+  return spread_of(all);
+}
+
+bool holds(const spread& s, double expected) { return std::abs(s.mean - expected) <= s.half; }
+
+// A small fleet, with all that can go wrong.
+const char* rough = R"(name = "rough"
+seconds = 12
+warmup_s = 1
+sidecars = 8
+[[server]]
+kind = "small"
+count = 12
+cores = 1
+queue = 6
+zones = 3
+speed_spread = 0.1
+cold_from = 0.2
+cold_ms = 4000
+connections = 30
+error_share = 0.001
+[load]
+rate = 250
+shape = "bursts"
+burst_times = 2
+burst_ms = 500
+calm_ms = 2000
+skew = 0.5
+[net]
+handshake_ms = 1
+handshake_work_ms = 1
+cross_zone_ms = 0.5
+loss = 0.001
+idle_ms = 400
+[clients]
+retries = 2
+wait_ms = 50
+doubles = true
+heeds = 0.5
+[list]
+mode = "asked"
+whole_ms = 20
+changes_ms = 5
+queue = 4
+notice_ms = 300
+[rules]
+advice_ms = 500
+probes = true
+reports = true
+probe_price = 0.002
+handshake_price = 0.01
+[[method]]
+name = "read"
+share = 0.6
+work_ms = 20
+latency_target_ms = 150
+deadline_ms = 500
+[[method]]
+name = "order"
+share = 0.3
+work_ms = 25
+law = "lognormal"
+latency_target_ms = 200
+deadline_ms = 500
+utility = 3
+late_utility = 0.3
+repeats = "non-idempotent"
+[[method]]
+name = "put"
+share = 0.1
+work_ms = 15
+law = "pareto"
+latency_target_ms = 150
+deadline_ms = 400
+repeats = "deduplicated"
+group = "zone"
+remembers_ms = 300
+[[trouble]]
+what = "restart_sidecars"
+at_s = 2
+for_s = 0.5
+over_s = 0.3
+share = 0.6
+[[trouble]]
+what = "lose_zone"
+at_s = 3
+for_s = 2
+zone = 1
+[[trouble]]
+what = "replace"
+at_s = 4
+for_s = 1
+over_s = 2
+share = 0.4
+[[trouble]]
+what = "kill_servers"
+at_s = 7
+for_s = 1
+share = 0.2
+[[trouble]]
+what = "drain"
+at_s = 6
+for_s = 1
+share = 0.2
+[[trouble]]
+what = "stall"
+at_s = 5
+for_s = 0.4
+share = 0.2
+[[trouble]]
+what = "slow"
+at_s = 8
+for_s = 2
+share = 0.3
+factor = 3
+[[trouble]]
+what = "errors"
+at_s = 8
+for_s = 2
+share = 0.2
+rate = 0.5
+[[trouble]]
+what = "loss"
+at_s = 9
+for_s = 1
+rate = 0.05
+[[trouble]]
+what = "surge"
+at_s = 10
+for_s = 1
+factor = 3
+[[trouble]]
+what = "list_overbooked"
+at_s = 2
+for_s = 3
+factor = 10
+[[trouble]]
+what = "list_silent"
+at_s = 6
+for_s = 2
+)";
+
+toml::table rough_table() { return toml::parse(rough); }
+
+std::string with_line(const std::string& what, const std::string& in_place) {
+  std::string text = rough;
+  const std::size_t at = text.find(what);
+  REQUIRE(at != std::string::npos);
+  return text.replace(at, what.size(), in_place);
+}
+
+struct folder {
+  std::filesystem::path path;
+  folder() {
+    std::string name = (std::filesystem::temp_directory_path() / "indigorill-lab-XXXXXX").string();
+    REQUIRE(::mkdtemp(name.data()));
+    path = name;
+  }
+  ~folder() { std::filesystem::remove_all(path); }
+  std::string put(const std::string& name, const std::string& text) const {
+    std::ofstream(path / name) << text;
+    return (path / name).string();
+  }
+};
+
+int call(std::vector<const char*> words, std::string* out = nullptr, std::string* err = nullptr) {
+  words.insert(words.begin(), "indigorill-lab");
+  std::ostringstream o, e;
+  const int status = command(static_cast<int>(words.size()), words.data(), o, e);
+  if (out) *out = o.str();
+  if (err) *err = e.str();
+  return status;
+}
+
+}  // namespace
+
+TEST_CASE("lab: one queue waits as M/M/1, M/M/c and M/D/1 do, and another law of service is told apart") {
+  const auto waits = [](int cores, law service, double rho) {
+    return over_seeds(10, [=](std::uint64_t seed) { return mean_wait(cores, service, rho, seed); });
+  };
+  const law exponential{shape::exponential, 1, 1}, fixed{shape::fixed, 1, 1};
+  struct {
+    const char* what;
+    int cores;
+    law service;
+    double rho, theory;
+  } table[] = {
+      {"M/M/1 at 0.5", 1, exponential, 0.5, 1.0},
+      {"M/M/1 at 0.8", 1, exponential, 0.8, 4.0},
+      {"M/D/1 at 0.8", 1, fixed, 0.8, 2.0},
+      {"M/M/4 at 0.8", 4, exponential, 0.8, erlang_c_wait(4, 0.8)},
+      {"M/M/16 at 0.9", 16, exponential, 0.9, erlang_c_wait(16, 0.9)},
+  };
+  for (const auto& row : table) {
+    CAPTURE(row.what);
+    const spread s = waits(row.cores, row.service, row.rho);
+    CAPTURE(s.mean);
+    CAPTURE(s.half);
+    CHECK(holds(s, row.theory));
+    CHECK(s.half < 0.15 * row.theory);
+  }
+  CHECK(erlang_c_wait(1, 0.8) == doctest::Approx(4));
+  CHECK_FALSE(holds(waits(1, fixed, 0.8), 4.0));
+  CHECK_FALSE(holds(waits(1, {shape::lognormal, 1, 1.6}, 0.8), 4.0));
+}
+
+TEST_CASE("lab: the better of two choices gains what theory says (Mitzenmacher 2001)") {
+  constexpr double rho = 0.9;
+  double theory = 0;
+  for (int i = 1; i < 8; ++i) theory += std::pow(rho, std::pow(2, i) - 2);
+  const spread two = over_seeds(5, [](std::uint64_t seed) { return time_of_choices(2, rho, seed); });
+  const spread one = over_seeds(5, [](std::uint64_t seed) { return time_of_choices(1, rho, seed); });
+  CAPTURE(two.mean);
+  CAPTURE(one.mean);
+  // The theory is of endlessly many servers; 300 of them are a few parts in a hundred off.
+  CHECK(std::abs(two.mean - theory) <= two.half + 0.04 * theory);
+  CHECK(one.mean > 2.5 * two.mean);
+}
+
+TEST_CASE("lab: laws have the means that they state") {
+  for (const law l : {law{shape::fixed, 7, 0}, law{shape::exponential, 7, 0}, law{shape::lognormal, 7, 0.8},
+                      law{shape::pareto, 7, 3}}) {
+    CAPTURE(static_cast<int>(l.of));
+    const spread s = over_seeds(20, [&](std::uint64_t seed) {
+      stream chance(seed);
+      double sum = 0;
+      for (int i = 0; i < 20000; ++i) sum += chance.draw(l);
+      return sum / 20000;
+    });
+    CHECK(std::abs(s.mean - 7) <= s.half + 0.05);
+  }
+}
+
+TEST_CASE("lab: what falls together happens in the stated order") {
+  agenda due;
+  std::string order;
+  due.at(5, rank::client, [&] { order += "c"; });
+  due.at(5, rank::timer, [&] { order += "t"; });
+  due.at(5, rank::trouble, [&] {
+    order += "T";
+    due.at(1, rank::server, [&] { order += "p"; });  // for the past: now, and the clock stays
+  });
+  due.at(5, rank::network, [&] { order += "n"; });
+  due.at(5, rank::network, [&] { order += "m"; });
+  due.at(4, rank::client, [&] { order += "0"; });
+  due.at(5, rank::server, [&] { order += "s"; });
+  due.at(5, rank::list, [&] { order += "l"; });
+  while (due.step(5)) CHECK(due.now() <= 5);
+  CHECK(order == "0Tspnmltc");
+  CHECK_FALSE(due.step(9));
+  CHECK(due.now() == 9);
+}
+
+TEST_CASE("lab: a server stalls, slows, warms up, sheds, dies and falls") {
+  agenda due;
+  std::vector<std::pair<std::uint64_t, station::outcome>> ended;
+  std::vector<double> when;
+  int falls = 0;
+  const auto make = [&](station::traits t) {
+    ended.clear();
+    when.clear();
+    return std::make_unique<station>(due, t, 1,
+                                     station::events{{},
+                                                     [&](std::uint64_t job, station::outcome how, double) {
+                                                       ended.emplace_back(job, how);
+                                                       when.push_back(due.now());
+                                                     },
+                                                     [&] { ++falls; }});
+  };
+  const auto play = [&] {
+    while (due.step(due.now() + 1e6)) {
+    }
+  };
+  using outcome = station::outcome;
+  SUBCASE("the queue has a bound, and what is withdrawn leaves it") {
+    auto s = make({1, 1, 1, 1, 0, 0, 0, 0});
+    for (std::uint64_t job : {1, 2, 3}) s->come(job, 10);
+    CHECK(ended == std::vector<std::pair<std::uint64_t, outcome>>{{3, outcome::full}});
+    s->withdraw(2);
+    s->withdraw(1);  // it runs already
+    play();
+    CHECK(ended.size() == 2);
+    CHECK(when.back() == doctest::Approx(10));
+  }
+  SUBCASE("a stall puts off what runs and what begins") {
+    auto s = make({1, 5, 1, 1, 0, 0, 0, 0});
+    s->come(1, 10);
+    s->stall(100);
+    s->come(2, 10);
+    play();
+    CHECK(when[0] == doctest::Approx(110));
+    CHECK(when[1] == doctest::Approx(120));
+  }
+  SUBCASE("slow and cold servers take longer") {
+    auto s = make({1, 5, 2, 0.25, 1000, 0, 0, 0});
+    s->come(1, 10);
+    play();
+    CHECK(when[0] == doctest::Approx(5));
+    s->slow(3);
+    const double from = due.now();
+    s->come(2, 10);
+    play();
+    CHECK(when[1] == doctest::Approx(from + 15));
+    s->slow(1);
+    const double cold = due.now();
+    s->start_cold();
+    s->come(3, 10);
+    play();
+    CHECK(when[2] == doctest::Approx(cold + 20));
+  }
+  SUBCASE("a death loses all in hand") {
+    auto s = make({1, 5, 1, 1, 0, 0, 0, 0});
+    s->come(1, 10);
+    s->come(2, 10);
+    s->die();
+    s->come(3, 10);
+    play();
+    CHECK(ended == std::vector<std::pair<std::uint64_t, outcome>>{
+                       {1, outcome::lost}, {2, outcome::lost}, {3, outcome::lost}});
+  }
+  SUBCASE("overdriven while cold it falls, warm it does not") {
+    for (const bool cold : {false, true}) {
+      falls = 0;
+      auto s = make({1, 100, 1, 0.1, 100000, 0, 2, 100});
+      due.at(due.now() + 1, rank::trouble, [&] {
+        if (cold) s->start_cold();
+        for (std::uint64_t job = 0; job < 10; ++job) s->come(job, 5);  // 50 ms of work; 2 x 0.1 x 100 allowed
+      });
+      play();
+      CHECK(falls == (cold ? 1 : 0));
+      CHECK(s->up() != cold);
+    }
+  }
+}
+
+TEST_CASE(
+    "lab: arrived is answered and open, at every event of a rough day, and no connection is left over") {
+  for (const policy by : {policy::module, policy::two_choices}) {
+    // The last second is silent, longer than any RPC lasts and any connection rests.
+    world w(decode_scenario(
+                toml::parse(std::string(rough) +
+                            "[[trouble]]\nwhat = \"surge\"\nat_s = 10.9\nfor_s = 1.1\nfactor = 0.001\n")),
+            by, 3);
+    std::uint64_t events = 0;
+    bool always = true;
+    while (w.step()) {
+      ++events;
+      always &= w.conserved();
+    }
+    const figures f = w.finish();
+    CHECK(always);
+    CHECK(events == f.events);
+    CHECK(f.arrived > 2000);
+    CHECK(f.open == 0);
+    CHECK(f.lost > 0);
+    CHECK(f.handshakes > 0);
+    for (std::uint32_t s = 0; s < w.servers(); ++s) CHECK(w.connections_at(s) == 0);
+  }
+}
+
+TEST_CASE("lab: overload with a queue that never drains ends by the stated time") {
+  toml::table t = rough_table();
+  set_value(t, "load.rate", 3000);
+  set_value(t, "server[0].queue", 1000000);
+  set_value(t, "seconds", 11);
+  world w(decode_scenario(t), policy::random, 1);
+  w.finish();
+  CHECK(w.now() == 11500);
+  CHECK(w.conserved());
+}
+
+TEST_CASE("lab: the module keeps the rules on a rough day, and the auditor would have seen it break them") {
+  toml::table t = rough_table();
+  for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+    const figures f = play(decode_scenario(t), policy::module, seed);
+    CAPTURE(f.breaches.empty() ? "" : describe(f.breaches[0]));
+    CHECK(f.breached == 0);
+    CHECK(f.falls == 0);
+    CHECK(f.utility() > 0.3);
+  }
+  // Whoever draws without a thought pushes cold servers over.
+  set_value(t, "trouble[2].share", 0.6);
+  set_value(t, "server[0].cold_from", 0.05);
+  set_value(t, "server[0].cold_ms", 8000);
+  const figures f = play(decode_scenario(t), policy::random, 1);
+  CHECK(f.falls > 0);
+  REQUIRE(f.breached > 0);
+  CHECK(f.breaches[0].rule == 4);
+}
+
+TEST_CASE("lab: the same seed gives the same bytes at any number of threads, another seed others") {
+  experiment e;
+  e.base = rough_table();
+  set_value(e.base, "seconds", 11);
+  e.axes = {parse_axis("load.rate=100,200")};
+  e.policies = {policy::module, policy::true_state};
+  e.runs = 2;
+  const auto bytes = [&](unsigned threads, std::uint64_t seed) {
+    e.threads = threads;
+    e.first_seed = seed;
+    const auto points = conduct(e);
+    std::ostringstream all;
+    write_summary(all, points);
+    write_seconds(all, points);
+    write_runs(all, points);
+    write_plot(all, points);
+    return all.str();
+  };
+  const std::string one = bytes(1, 7);
+  CHECK(one == bytes(4, 7));
+  CHECK(one != bytes(4, 8));
+}
+
+TEST_CASE("lab: two policies on one seed are asked for the same") {
+  const scenario s = decode_scenario([] {
+    toml::table t = rough_table();
+    t.erase("trouble");
+    return t;
+  }());
+  CHECK(play(s, policy::random, 5).arrived == play(s, policy::module, 5).arrived);
+}
+
+TEST_CASE("lab: quantiles, and which of them rest on too few samples") {
+  times t;
+  CHECK(t.quantile(0.5) == 0);
+  for (int i = 1; i <= 1000; ++i) t.add(i);
+  CHECK(t.quantile(0.5) == doctest::Approx(500).epsilon(0.01));
+  CHECK(t.quantile(0.99) == doctest::Approx(990).epsilon(0.01));
+  CHECK_FALSE(t.few(0.99));
+  CHECK(t.few(0.999));
+  times more;
+  more.add(t);
+  more.add(t);
+  CHECK(more.count() == 2000);
+  CHECK(more.quantile(0.5) == doctest::Approx(500).epsilon(0.01));
+  t.add(1e9);
+  t.add(0);
+  CHECK(t.quantile(1) == 100000);
+  // Student's t for 4 degrees of freedom is 2.776.
+  const spread s = spread_of({1, 2, 3, 4, 5});
+  CHECK(s.mean == 3);
+  CHECK(s.half == doctest::Approx(2.776 * std::sqrt(2.5 / 5)).epsilon(0.001));
+  CHECK(spread_of({4}).half == 0);
+}
+
+// ---- the auditor
+// -------------------------------------------------------------------------------------------
+
+namespace {
+
+using what = entry::what;
+
+entry at(double when, what is, std::uint64_t rpc = 0, int pick = 0, std::uint32_t server = 0) {
+  entry e{is};
+  e.at = when;
+  e.rpc = rpc;
+  e.pick = pick;
+  e.server = server;
+  return e;
+}
+entry taken(double when, std::uint64_t rpc, repeatable repeats, group drops = group::everywhere) {
+  entry e = at(when, what::rpc_taken, rpc);
+  e.deadline = when + 100;
+  e.repeats = repeats;
+  e.drops = drops;
+  e.remembers = 50;
+  return e;
+}
+entry over(double when, std::uint64_t rpc, int pick, std::uint32_t server, ending how) {
+  entry e = at(when, what::pick_over, rpc, pick, server);
+  e.how = how;
+  return e;
+}
+entry answers(double when, std::uint64_t rpc, answer a) {
+  entry e = at(when, what::answered, rpc);
+  e.final = a;
+  return e;
+}
+entry told(double when, std::uint32_t server, standing is, double started = 0) {
+  entry e = at(when, what::told, 0, 0, server);
+  e.state = is;
+  e.started = started;
+  return e;
+}
+entry server_is(double when, std::uint32_t server, double started = 0, int zone = 0, int cell = 0) {
+  entry e = at(when, what::server_is, 0, 0, server);
+  e.capacity = 1;
+  e.started = started;
+  e.cold_from = 0.1;
+  e.cold_for = 100000;
+  e.zone = zone;
+  e.cell = cell;
+  return e;
+}
+entry came(double when, std::uint32_t server, double work, std::uint64_t rpc = 9) {
+  entry e = at(when, what::pick_came, rpc, 0, server);
+  e.work = work;
+  return e;
+}
+
+}  // namespace
+
+TEST_CASE("lab: the auditor names what broken records break, and nothing in sound ones") {
+  const auto idem = repeatable::idempotent, once = repeatable::non_idempotent,
+             dedup = repeatable::deduplicated;
+  const auto decided = what::pick_decided, written = what::pick_written, began = what::pick_began;
+  struct {
+    const char* name;
+    std::vector<entry> record;
+    int rule;  // 0: sound
+    std::uint64_t rpc;
+    std::uint32_t server;
+    double when;
+  } table[] = {
+      {"served once",
+       {taken(0, 1, once), at(0, decided, 1, 0, 4), at(0, written, 1, 0, 4), at(1, began, 1, 0, 4),
+        over(9, 1, 0, 4, ending::ok), answers(9, 1, answer::ok), at(200, what::end)},
+       0,
+       0,
+       0,
+       0},
+      {"no answer", {taken(0, 1, idem), at(200, what::end)}, 1, 1, 0, 200},
+      {"not yet due at the end", {taken(150, 1, idem), at(200, what::end)}, 0, 0, 0, 0},
+      {"its sidecar died", {taken(0, 1, idem), at(5, what::sidecar_died), at(200, what::end)}, 0, 0, 0, 0},
+      {"its client left", {taken(0, 1, idem), at(5, what::client_left, 1), at(200, what::end)}, 0, 0, 0, 0},
+      {"two answers",
+       {taken(0, 1, idem), answers(5, 1, answer::pushed_back), answers(6, 1, answer::aborted)},
+       1,
+       1,
+       0,
+       6},
+      {"answered late", {taken(0, 1, idem), answers(101, 1, answer::aborted)}, 1, 1, 0, 101},
+      {"ok without a server", {taken(0, 1, idem), answers(5, 1, answer::ok)}, 1, 1, 0, 5},
+      {"taken twice", {taken(0, 1, idem), taken(1, 1, idem)}, 1, 1, 0, 1},
+      {"answered, though never taken", {answers(5, 3, answer::aborted)}, 1, 3, 0, 5},
+      {"a pick after the answer",
+       {taken(0, 1, idem), answers(5, 1, answer::aborted), at(6, decided, 1, 0, 4)},
+       1,
+       1,
+       4,
+       6},
+      {"written after the answer",
+       {taken(0, 1, idem), at(1, decided, 1, 0, 4), answers(5, 1, answer::aborted), at(6, written, 1, 0, 4)},
+       1,
+       1,
+       4,
+       6},
+      {"written after the deadline",
+       {taken(0, 1, idem), at(1, decided, 1, 0, 4), at(101, written, 1, 0, 4)},
+       1,
+       1,
+       4,
+       101},
+      {"a second pick while the first is out",
+       {taken(0, 1, once), at(0, decided, 1, 0, 4), at(2, decided, 1, 1, 5)},
+       2,
+       1,
+       5,
+       2},
+      {"a second pick after a time-out",
+       {taken(0, 1, once), at(0, decided, 1, 0, 4), over(9, 1, 0, 4, ending::timed_out),
+        at(10, decided, 1, 1, 5)},
+       2,
+       1,
+       5,
+       10},
+      {"a second pick after a failed connect",
+       {taken(0, 1, once), at(0, decided, 1, 0, 4), over(9, 1, 0, 4, ending::connect_failed),
+        at(10, decided, 1, 1, 5)},
+       0,
+       0,
+       0,
+       0},
+      {"an idempotent one may go twice",
+       {taken(0, 1, idem), at(0, decided, 1, 0, 4), over(9, 1, 0, 4, ending::reset),
+        at(10, decided, 1, 1, 5)},
+       0,
+       0,
+       0,
+       0},
+      {"pushed back though it may have run",
+       {taken(0, 1, once), at(0, decided, 1, 0, 4), over(9, 1, 0, 4, ending::cancelled),
+        answers(10, 1, answer::pushed_back)},
+       2,
+       1,
+       0,
+       10},
+      {"ran though held not to have",
+       {taken(0, 1, once), at(0, decided, 1, 0, 4), over(9, 1, 0, 4, ending::full), at(10, began, 1, 0, 4)},
+       2,
+       1,
+       4,
+       10},
+      {"ran, then held not to have",
+       {taken(0, 1, once), at(0, decided, 1, 0, 4), at(1, began, 1, 0, 4), over(9, 1, 0, 4, ending::full)},
+       2,
+       1,
+       4,
+       9},
+      {"ran on a server that nobody picked", {taken(0, 1, once), at(3, began, 1, 0, 4)}, 1, 1, 4, 3},
+      {"deduplicated within its zone",
+       {server_is(0, 4, 0, 1), server_is(0, 5, 0, 1), taken(0, 1, dedup, group::zone),
+        at(0, decided, 1, 0, 4), at(10, decided, 1, 1, 5)},
+       0,
+       0,
+       0,
+       0},
+      {"deduplicated outside its zone",
+       {server_is(0, 4, 0, 1), server_is(0, 5, 0, 2), taken(0, 1, dedup, group::zone),
+        at(0, decided, 1, 0, 4), at(10, decided, 1, 1, 5)},
+       2,
+       1,
+       5,
+       10},
+      {"deduplicated outside its cell",
+       {server_is(0, 4, 0, 1, 1), server_is(0, 5, 0, 1, 2), taken(0, 1, dedup, group::cell),
+        at(0, decided, 1, 0, 4), at(10, decided, 1, 1, 5)},
+       2,
+       1,
+       5,
+       10},
+      {"deduplicated after its window",
+       {taken(0, 1, dedup), at(0, decided, 1, 0, 4), at(51, decided, 1, 1, 4)},
+       2,
+       1,
+       4,
+       51},
+      {"a zone's pushed back",
+       {taken(0, 1, dedup, group::zone), at(0, decided, 1, 0, 4), over(5, 1, 0, 4, ending::reset),
+        answers(6, 1, answer::pushed_back)},
+       2,
+       1,
+       0,
+       6},
+      {"within the grace",
+       {told(0, 4, standing::draining), taken(480, 1, idem), at(490, decided, 1, 0, 4),
+        at(499, written, 1, 0, 4)},
+       0,
+       0,
+       0,
+       0},
+      {"after the grace",
+       {told(0, 4, standing::draining), taken(480, 1, idem), at(490, decided, 1, 0, 4),
+        at(501, written, 1, 0, 4)},
+       3,
+       1,
+       4,
+       501},
+      {"told twice, the first word counts",
+       {told(0, 4, standing::draining), told(400, 4, standing::gone), taken(480, 1, idem),
+        at(490, decided, 1, 0, 4), at(501, written, 1, 0, 4)},
+       3,
+       1,
+       4,
+       501},
+      {"probed after the grace",
+       {told(0, 4, standing::gone), at(600, what::probe_written, 0, 0, 4)},
+       3,
+       0,
+       4,
+       600},
+      {"ready again",
+       {told(0, 4, standing::draining), told(400, 4, standing::ready, 300),
+        at(600, what::probe_written, 0, 0, 4)},
+       0,
+       0,
+       0,
+       0},
+      {"cold, within the multiple",  // 3 x 0.1 x 1500 = 450 ms of work, and a little more as it warms
+       {server_is(10, 4, 10), told(11, 4, standing::ready, 10), came(20, 4, 440)},
+       0,
+       0,
+       0,
+       0},
+      {"cold, over it in one span",
+       {server_is(10, 4, 10), told(11, 4, standing::ready, 10), came(20, 4, 300), came(900, 4, 200)},
+       4,
+       9,
+       4,
+       900},
+      {"cold, spread over two spans",
+       {server_is(10, 4, 10), told(11, 4, standing::ready, 10), came(20, 4, 300), came(1600, 4, 300)},
+       0,
+       0,
+       0,
+       0},
+      {"cold, by one that could not know", {server_is(10, 4, 10), came(20, 4, 3000)}, 0, 0, 0, 0},
+      {"warm", {server_is(0, 4, 0), told(1, 4, standing::ready), came(20, 4, 3000)}, 0, 0, 0, 0},
+  };
+  for (const auto& row : table) {
+    CAPTURE(row.name);
+    auditor a({500, 3, 1500});
+    for (const entry& e : row.record) a.saw(e);
+    CHECK(a.count() == (row.rule ? 1 : 0));
+    if (!row.rule || a.breaches().empty()) continue;
+    const breach& b = a.breaches()[0];
+    CAPTURE(describe(b));
+    CHECK(b.rule == row.rule);
+    CHECK(a.count(row.rule) == 1);
+    CHECK(b.rpc == row.rpc);
+    CHECK(b.server == row.server);
+    CHECK(b.at == row.when);
+  }
+}
+
+// ---- scenarios, experiments, the command line
+// --------------------------------------------------------------
+
+TEST_CASE("lab: scenarios at fault are refused with line and reason") {
+  struct {
+    std::string what, in_place, reason;
+    int line;
+  } table[] = {
+      {"sidecars = 8", "sidecars = 0", "sidecars is 0, not 1 to 100000", 4},
+      {"sidecars = 8", "sidecars = 2.5", "sidecars is not a whole number", 4},
+      {"sidecars = 8", "sidecars = \"many\"", "sidecars is not a number", 4},
+      {"sidecars = 8", "sidecar = 8", "sidecars is missing", 1},
+      {"sidecars = 8", "sidecars = 8\nmood = 1", "mood is unknown", 5},
+      {"warmup_s = 1", "warmup_s = 12", "leaves nothing to measure", 3},
+      {"seconds = 12", "seconds = nan", "seconds is nan", 2},
+      {"cores = 1", "cores = -1", "server.cores is -1", 8},
+      {"queue = 6", "queues = 6", "server.queues is unknown", 9},
+      {"shape = \"bursts\"", "shape = \"lumps\"", "load.shape is none of bursts, poisson, ramp", 18},
+      {"burst_times = 2", "", "load.burst_times is missing", 16},
+      {"loss = 0.001", "loss = true", "net.loss is not a number", 27},
+      {"doubles = true", "doubles = 1", "clients.doubles is not true or false", 32},
+      {"latency_target_ms = 150", "latency_target_ms = 0", "must be over 0", 50},
+      {"deadline_ms = 500", "deadline_ms = 50", "lies before the latency target", 51},
+      {"repeats = \"non-idempotent\"", "repeats = 3", "method.repeats is none of", 61},
+      {"law = \"pareto\"", "law = \"pareto\"\nspread = 0.9", "must be over 1 for pareto", 67},
+      {"at_s = 2\n", "at_s = 20\n", "lies outside the run", 74},
+      {"zone = 1", "zone = 7", "trouble.zone is 7, not 0 to 2", 82},
+      {"what = \"stall\"", "what = \"stall\"\nfactor = 2", "trouble.factor is unknown", 101},
+      {"[load]", "[load", "expected ']'", 16},
+  };
+  for (const auto& row : table) {
+    CAPTURE(row.in_place);
+    const folder f;
+    const std::string file = f.put("s.toml", with_line(row.what, row.in_place));
+    std::string text;
+    try {
+      decode_scenario(read_scenario(file));
+    } catch (const scenario_fault& e) {
+      text = e.what();
+    }
+    CAPTURE(text);
+    CHECK(text.find(file + ":" + std::to_string(row.line) + ": ") != std::string::npos);
+    CHECK(text.find(row.reason) != std::string::npos);
+    std::string out, err;
+    CHECK(call({"run", file.c_str()}, &out, &err) == 2);
+    CHECK(out.empty());
+    CHECK(err == text + "\n");
+  }
+  // All faults are told at once.
+  const folder f;
+  const std::string two = f.put("s.toml", with_line("queue = 6", "queue = -6\nnonsense = 1"));
+  std::string err;
+  CHECK(call({"run", two.c_str()}, nullptr, &err) == 2);
+  CHECK(std::count(err.begin(), err.end(), '\n') == 2);
+  CHECK(call({"run", "/nowhere/s.toml"}, nullptr, &err) == 2);
+  CHECK(err.find("/nowhere/s.toml") == 0);
+}
+
+TEST_CASE("lab: variables are named by their paths") {
+  toml::table t = rough_table();
+  set_value(t, "trouble[1].for_s", 2.5);
+  CHECK(value_at(t, "trouble[1].for_s") == 2.5);
+  set_value(t, "sidecars", 9);
+  CHECK(decode_scenario(t).sidecars == 9);
+  for (const char* path : {"trouble[40].for_s", "nothing.here", "load.", "seconds[0]"}) {
+    CAPTURE(path);
+    CHECK_THROWS_AS(set_value(t, path, 1), scenario_fault);
+  }
+  CHECK_THROWS_AS(value_at(t, "load.none"), scenario_fault);
+  struct {
+    const char* text;
+    std::vector<double> values;  // empty: a fault
+  } table[] = {{"a=1,2.5", {1, 2.5}},
+               {"a=1:3:3", {1, 2, 3}},
+               {"a=7", {7}},
+               {"a=", {}},
+               {"=1", {}},
+               {"a", {}},
+               {"a=1:2", {}},
+               {"a=x", {}},
+               {"a=1:2:1", {}},
+               {"a=1,", {}},
+               {"a=1:2:2.5", {}},
+               {"a=inf", {}}};
+  for (const auto& row : table) {
+    CAPTURE(row.text);
+    if (row.values.empty())
+      CHECK_THROWS_AS(parse_axis(row.text), scenario_fault);
+    else
+      CHECK(parse_axis(row.text).values == row.values);
+  }
+  toml::table with_ranges = rough_table();
+  with_ranges.insert("ranges", toml::table{{"load.rate", toml::array{500, 100}}});
+  CHECK_THROWS_AS(decode_scenario(with_ranges), scenario_fault);
+}
+
+TEST_CASE("lab: the search finds the day that hurts and cuts it down") {
+  // Of two troubles only one hurts, and only if many servers have it.
+  const char* text = R"(seconds = 8
+sidecars = 4
+[[server]]
+count = 8
+queue = 100
+[load]
+rate = 100
+[[method]]
+name = "read"
+work_ms = 20
+latency_target_ms = 100
+[[trouble]]
+what = "surge"
+at_s = 1
+for_s = 1
+factor = 1.01
+[[trouble]]
+what = "slow"
+at_s = 2
+for_s = 4
+share = 0.05
+factor = 8
+[ranges]
+"trouble[1].share" = [0.05, 0.9]
+"net.delay_ms" = [0.2, 0.3]
+)";
+  hunt h;
+  h.base = toml::parse(text);
+  set_value(*h.base.insert_or_assign("net", toml::table{}).first->second.as_table(), "delay_ms", 0.2);
+  h.against = policy::true_state;
+  h.tries = 16;
+  h.runs = 1;
+  h.threads = 2;
+  const found_day d = search(h);
+  CHECK(d.loss > 0.02);
+  CHECK(d.smallest_loss >= h.keep * d.loss);
+  CHECK(value_at(d.worst, "trouble[1].share") > 0.1);
+  CHECK_FALSE(d.steps.empty());
+  CHECK(d.smallest["trouble"].as_array()->size() == 1);
+  CHECK(d.smallest["trouble"][0]["what"].value_or(std::string()) == "slow");
+  CHECK_NOTHROW(decode_scenario(d.smallest));
+  // The same again, whatever the threads.
+  h.threads = 1;
+  CHECK(search(h).loss == d.loss);
+}
+
+TEST_CASE("lab: the command line plays, compares, sweeps, searches and says what is wrong") {
+  const folder f;
+  const std::string file = f.put("s.toml", std::string(rough) + "[ranges]\n\"load.rate\" = [100, 300]\n");
+  const std::string to = (f.path / "out").string(), log = (f.path / "log.jsonl").string();
+  std::string out, err;
+  CHECK(call({"run", file.c_str(), "--out", to.c_str(), "--log", log.c_str(), "--set", "load.rate=100"}, &out,
+             &err) == 0);
+  CHECK(out.find("module, 1 run\n") == 0);
+  for (const char* name : {"summary.csv", "seconds.csv", "runs.jsonl", "plot.gp"})
+    CHECK(std::filesystem::file_size(f.path / "out" / name) > 100);
+  std::ifstream lines(log);
+  auditor again({500, 3, 1500});
+  std::size_t count = 0;
+  for (std::string line; std::getline(lines, line); ++count) REQUIRE(nlohmann::json::accept(line));
+  CHECK(count > 1000);
+
+  CHECK(
+      call({"compare", file.c_str(), "--runs", "2", "--policy", "module", "random", "--set", "load.rate=60"},
+           &out) != 2);
+  CHECK(out.find("beside module") != std::string::npos);
+  CHECK(call({"sweep", file.c_str(), "--over", "load.rate=60,90", "sidecars=2,4"}, &out) == 0);
+  CHECK(out.find("load.rate=90 sidecars=4, 1 run") != std::string::npos);
+  CHECK(call({"search", file.c_str(), "--tries", "2", "--out", to.c_str()}, &out) == 0);
+  CHECK(std::filesystem::exists(f.path / "out" / "smallest.toml"));
+
+  const char* wrong[][4]{{"run", file.c_str(), "--set", "load.rat"},
+                         {"run", file.c_str(), "--policy", "best"},
+                         {"run", file.c_str(), "--runs", "0"},
+                         {"run", file.c_str(), "--set", "load.rate=-4"},
+                         {"sweep", file.c_str(), "--over", "nothing[3].x=1"},
+                         {"sweep", file.c_str(), "--runs", "1"},
+                         {"search", file.c_str(), "--against", "nobody"},
+                         {"dance", file.c_str(), "--runs", "1"}};
+  for (const auto& words : wrong) {
+    CAPTURE(words[0]);
+    CAPTURE(words[3]);
+    CHECK(call({words[0], words[1], words[2], words[3]}, &out, &err) == 2);
+    CHECK(out.empty());
+    CHECK_FALSE(err.empty());
+  }
+  CHECK(call({"--help"}, &out, &err) == 0);
+}
