The sidecar has a command line, a TOML file of options, a check of its config and logs on spdlog

Config is read in parts, so that the check goes on after a fault. Options: level, text or JSON lines, counters every so often, lower limits; absent, all is as before, and variables keep their meaning. Lines keep their words and form as text. The laboratory's reader of TOML tables moved to src/decode/section, as both use it.

Tests: nine faults of two files in nine lines, both forms of lines, quotes and bytes that are no UTF-8.

--- a/src/lab/cli.cpp
+++ b/src/lab/cli.cpp
@@ -21,12 +21,12 @@
 
 policy policy_of(const std::string& word) {
   const auto p = policy_named(word);
-  if (!p) throw scenario_fault("no policy is named " + word);
+  if (!p) throw faulty("no policy is named " + word);
   return *p;
 }
 
 toml::table load(const wanted& w) {
-  toml::table t = read_scenario(w.scenario);
+  toml::table t = read_toml(w.scenario);
   decode_scenario(t);  // as it stands in the file, where faults have lines
   for (const std::string& text : w.settings) {
     const auto [path, value] = parse_setting(text);
@@ -77,7 +77,7 @@
   h.runs = w.runs;
   h.keep = w.keep;
   h.threads = w.threads;
-  if (ranges_of(h.base).empty()) throw scenario_fault(w.scenario + ": has no table 'ranges' to search in");
+  if (ranges_of(h.base).empty()) throw faulty(w.scenario + ": has no table 'ranges' to search in");
   const found_day d = search(h);
   out << "worst of " << w.tries << " days, " << d.played << " runs: loses " << d.loss << " of utility to "
       << w.against << '\n';
@@ -148,7 +148,7 @@
     if (*compare && compare->count("--policy") == 0)
       w.policies = {"module", "random", "round-robin", "two-choices", "true-state"};
     return play_points(w, out);
-  } catch (const scenario_fault& e) {
+  } catch (const faulty& e) {
     err << e.what() << '\n';
     return 2;
   } catch (const std::exception& e) {
--- a/src/lab/experiment.cpp
+++ b/src/lab/experiment.cpp
@@ -79,7 +79,7 @@
   double v = 0;
   const auto [end, fault] = std::from_chars(text.data(), text.data() + text.size(), v);
   if (text.empty() || fault != std::errc() || end != text.data() + text.size() || !std::isfinite(v))
-    throw scenario_fault(of + ": '" + text + "' is not a number");
+    throw faulty(of + ": '" + text + "' is not a number");
   return v;
 }
 
@@ -94,7 +94,7 @@
 
 std::pair<std::string, std::string> at_equals(const std::string& text) {
   const std::size_t at = text.find('=');
-  if (at == std::string::npos || at == 0) throw scenario_fault(text + ": no name=value");
+  if (at == std::string::npos || at == 0) throw faulty(text + ": no name=value");
   return {text.substr(0, at), text.substr(at + 1)};
 }
 
@@ -114,12 +114,12 @@
                  steps = decimal(range[2], text);
     constexpr double most = 1000;
     if (steps < 2 || steps > most || steps != std::floor(steps))
-      throw scenario_fault(text + ": from:to:count wants 2 to 1000 points");
+      throw faulty(text + ": from:to:count wants 2 to 1000 points");
     for (double i = 0; i < steps; ++i) a.values.push_back(from + (to - from) * i / (steps - 1));
   } else if (range.size() == 1) {
     for (const std::string& v : split(values, ',')) a.values.push_back(decimal(v, text));
   } else {
-    throw scenario_fault(text + ": neither a,b,c nor from:to:count");
+    throw faulty(text + ": neither a,b,c nor from:to:count");
   }
   return a;
 }
@@ -248,7 +248,7 @@
         sound.push_back(true);
         for (std::size_t run = 0; run < h.runs; ++run)
           for (const policy by : {policy::module, h.against}) plan.push_back({s, by, seed + run});
-      } catch (const scenario_fault&) {
+      } catch (const faulty&) {
         sound.push_back(false);
       }
     }
--- a/src/lab/experiment.h
+++ b/src/lab/experiment.h
@@ -33,8 +33,7 @@
   std::string path;
   std::vector<double> values;
 };
-axis parse_axis(
-    const std::string& text);  // "load.rate=100,200" or "load.rate=100:400:4"; throws scenario_fault
+axis parse_axis(const std::string& text);  // "load.rate=100,200" or "load.rate=100:400:4"; throws faulty
 std::pair<std::string, double> parse_setting(const std::string& text);  // "load.rate=100"
 
 // One point of an experiment: where it stands, who decided, and what its runs gave.
--- a/src/lab/scenario.cpp
+++ b/src/lab/scenario.cpp
@@ -10,131 +10,6 @@
 namespace indigorill::lab {
 namespace {
 
-constexpr double ms_per_s = 1000;
-
-class faults {
- public:
-  void at(const toml::source_region& where, const std::string& reason) {
-    text += text.empty() ? "" : "\n";
-    text += (where.path ? *where.path : "scenario") + ":" + std::to_string(where.begin.line) + ": " + reason;
-  }
-  void raise() const {
-    if (!text.empty()) throw scenario_fault(text);
-  }
-
- private:
-  std::string text;
-};
-
-// One table, whose keys are read by name; what is left over is a fault.
-class section {
- public:
-  section(const toml::table& t, std::string name, faults& into)
-      : from(t), title(std::move(name)), wrong(into) {}
-
-  bool has(const char* key) const { return from.contains(key); }
-
-  double number(const char* key, std::optional<double> absent, double least, double most) {
-    const toml::node* n = take(key, absent.has_value());
-    if (!n) return absent.value_or(least);
-    const auto v = n->value<double>();
-    if (!v || n->is_boolean()) return fault(*n, key, "is not a number"), least;
-    if (!(*v >= least && *v <= most))
-      return fault(*n, key, "is " + text(*v) + ", not " + text(least) + " to " + text(most)), least;
-    return *v;
-  }
-  double seconds(const char* key, std::optional<double> absent) {
-    constexpr double day = 86400;
-    return number(key, absent, 0, day) * ms_per_s;
-  }
-  double ms(const char* key, std::optional<double> absent) {
-    constexpr double day = 86400 * ms_per_s;
-    return number(key, absent, 0, day);
-  }
-  int whole(const char* key, std::optional<int> absent, int least, int most) {
-    const double v = number(key, absent ? std::optional<double>(*absent) : std::nullopt, least, most);
-    if (v != std::floor(v)) fault(*from.get(key), key, "is not a whole number");
-    return static_cast<int>(v);
-  }
-  bool mark(const char* key, bool absent) {
-    const toml::node* n = take(key, true);
-    if (!n) return absent;
-    if (!n->is_boolean()) fault(*n, key, "is not true or false");
-    return n->value_or(absent);
-  }
-  std::string text_of(const char* key, std::optional<std::string> absent) {
-    const toml::node* n = take(key, absent.has_value());
-    if (!n) return absent.value_or("");
-    if (!n->is_string()) fault(*n, key, "is not a string");
-    return n->value_or(std::string());
-  }
-  template <class T>
-  T word(const char* key, std::optional<T> absent, const std::map<std::string, T>& words) {
-    const toml::node* n = take(key, absent.has_value());
-    if (!n) return absent.value_or(words.begin()->second);
-    const auto it = words.find(n->value_or(std::string()));
-    if (n->is_string() && it != words.end()) return it->second;
-    std::string all;
-    for (const auto& [w, meaning] : words) all += (all.empty() ? "" : ", ") + w;
-    fault(*n, key, "is none of " + all);
-    return words.begin()->second;
-  }
-  // A table of its own, empty where absent.
-  const toml::table& inner(const char* key, bool needed) {
-    static const toml::table none;
-    const toml::node* n = take(key, !needed);
-    if (n && !n->is_table()) fault(*n, key, "is not a table");
-    return n && n->is_table() ? *n->as_table() : none;
-  }
-  std::vector<const toml::table*> tables(const char* key, bool needed) {
-    const toml::node* n = take(key, !needed);
-    std::vector<const toml::table*> all;
-    if (!n) return all;
-    const toml::array* a = n->as_array();
-    if (!a) return fault(*n, key, "is not a list of tables"), all;
-    for (const toml::node& e : *a) {
-      if (e.is_table())
-        all.push_back(e.as_table());
-      else
-        fault(e, key, "is not a list of tables");
-    }
-    if (needed && all.empty()) fault(*n, key, "is empty");
-    return all;
-  }
-  void fault_here(const char* key, const std::string& reason) {
-    const toml::node* n = from.get(key);
-    fault(n ? *n : static_cast<const toml::node&>(from), key, reason);
-  }
-  void none_left() {
-    for (const auto& [key, n] : from)
-      if (!used.count(std::string(key.str()))) wrong.at(key.source(), named(key.str()) + " is unknown");
-  }
-
- private:
-  static std::string text(double v) {
-    std::ostringstream s;
-    s << v;
-    return s.str();
-  }
-  std::string named(std::string_view key) const {
-    return (title.empty() ? "" : title + ".") + std::string(key);
-  }
-  void fault(const toml::node& n, const char* key, const std::string& reason) {
-    wrong.at(n.source(), named(key) + " " + reason);
-  }
-  const toml::node* take(const char* key, bool may_be_absent) {
-    used.insert(key);
-    const toml::node* n = from.get(key);
-    if (!n && !may_be_absent) wrong.at(from.source(), named(key) + " is missing");
-    return n;
-  }
-
-  const toml::table& from;
-  std::string title;
-  faults& wrong;
-  std::set<std::string> used;
-};
-
 constexpr double huge = 1e9;
 
 server_kind decode_server(const toml::table& t, faults& wrong) {
@@ -268,16 +143,6 @@
   return t;
 }
 
-toml::table read_scenario(const std::string& file) {
-  try {
-    return toml::parse_file(file);
-  } catch (const toml::parse_error& e) {
-    const auto where = e.source().begin.line;
-    throw scenario_fault(file + (where ? ":" + std::to_string(where) : "") + ": " +
-                         std::string(e.description()));
-  }
-}
-
 scenario decode_scenario(const toml::table& from) {
   faults wrong;
   section top(from, "", wrong);
@@ -379,7 +244,7 @@
   const auto [parent, key] = parted(path);
   toml::table* t = parent.empty() ? &in : in.at_path(parent).as_table();
   if (!t || key.empty() || key.find('[') != std::string::npos)
-    throw scenario_fault("nothing in the scenario is named " + path);
+    throw faulty("nothing in the scenario is named " + path);
   if (value == std::floor(value) && std::abs(value) < 1e15)
     t->insert_or_assign(key, static_cast<std::int64_t>(value));
   else
@@ -388,7 +253,7 @@
 
 double value_at(const toml::table& in, const std::string& path) {
   const auto v = in.at_path(path).value<double>();
-  if (!v) throw scenario_fault("the scenario states no number " + path);
+  if (!v) throw faulty("the scenario states no number " + path);
   return *v;
 }
 
--- a/src/lab/scenario.h
+++ b/src/lab/scenario.h
@@ -9,16 +9,12 @@
 #include <string_view>
 #include <vector>
 
+#include "../decode/section.h"
 #include "chance.h"
 #include "indigorill/balance.h"
 
 namespace indigorill::lab {
 
-// Each fault is a line of its own: file, line, reason.
-struct scenario_fault : std::runtime_error {
-  using std::runtime_error::runtime_error;
-};
-
 struct server_kind {
   std::string name;
   int count = 0, cores = 1, queue = 10, zones = 1, cells = 1, connections = 1000;
@@ -101,10 +97,9 @@
 
 std::string zone_name(int zone);
 
-toml::table read_scenario(const std::string& file);  // throws scenario_fault
-scenario decode_scenario(const toml::table& from);   // throws scenario_fault
+scenario decode_scenario(const toml::table& from);  // throws faulty
 
-// Sets what a dotted path names ("load.rate", "trouble[0].share"); throws scenario_fault where there is none.
+// Sets what a dotted path names ("load.rate", "trouble[0].share"); throws faulty where there is none.
 void set_value(toml::table& in, const std::string& path, double value);
 double value_at(const toml::table& in, const std::string& path);
 
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -1,18 +1,9 @@
 #include <cstdlib>
 #include <iostream>
 
-#include "net/sidecar.h"
+#include "options/command.h"
 
-int main() {
-  using namespace indigorill;
-  try {
-    const char* word = std::getenv("INDIGORILL_LOG");
-    logger lines(std::cerr, parse_level(word ? word : "").value_or(level::info));
-    run_sidecar(
-        read_start(std::getenv), [] { return read_again(std::getenv); }, lines);
-  } catch (const std::exception& e) {
-    std::cerr << "indigorill: " << e.what() << '\n';
-    return 1;
-  }
-  return 0;
+int main(int argc, char** argv) {
+  return indigorill::command(
+      argc, argv, [](const char* name) { return std::getenv(name); }, std::cout, std::cerr);
 }
--- a/src/net/config.h
+++ b/src/net/config.h
@@ -1,6 +1,7 @@
 // What a sidecar is told at its start: where it stands, its limits, the list as it last had it, the settings.
 #pragma once
 
+#include <functional>
 #include <string>
 
 #include "../decode/settings.h"
@@ -13,6 +14,7 @@
   sockaddr_in listen{}, discovery{};
   std::uint64_t seed = 0;
   std::size_t descriptors = 0, memory = 0;  // memory in bytes
+  double counters_every = 0;                // ms between two lines of them; 0: none
   roster known;
   terrain where;
   links with;
@@ -22,6 +24,11 @@
 start read_start(const std::function<const char*(const char*)>& variable);
 start decode_start(const nlohmann::json& j);
 
+// The file as JSON, the variables that lead over it put in.
+nlohmann::json read_config(const std::string& path, const std::function<const char*(const char*)>& variable);
+// Reads all of it and says each fault, where decode_start stops at the first.
+void check_start(const nlohmann::json& j, const std::function<void(const std::string&)>& fault);
+
 // The same file once more: its word on discovery is newer than the environment's, which is as old as the
 // process.
 start read_again(const std::function<const char*(const char*)>& variable);
--- a/src/net/sidecar.cpp
+++ b/src/net/sidecar.cpp
@@ -25,12 +25,15 @@
 }
 
 void write_counters(logger& lines, const counters& counts) {
-  std::ostringstream text;
+  std::stringstream text;
   text << counts;
   std::string flat = text.str();
   for (char& c : flat)
     if (c == '\n') c = ' ';
-  lines.info() << "counters: " << flat;
+  logger::line line = lines.info();
+  line << "counters: " << flat;
+  std::string name;
+  for (std::int64_t value; text >> name >> value;) line.field(name, value);
 }
 
 }  // namespace
@@ -57,8 +60,10 @@
 
   const auto learn = [&](const roster& list, bool asked) {
     if (list.whole || !list.entries.empty())
-      lines.info() << "list version " << list.version << (list.whole ? ", whole, " : ", changes, ")
-                   << list.entries.size() << " entries";
+      (lines.info() << "list version " << list.version << (list.whole ? ", whole, " : ", changes, ")
+                    << list.entries.size() << " entries")
+          .field("version", static_cast<std::int64_t>(list.version))
+          .field("entries", static_cast<std::int64_t>(list.entries.size()));
     std::vector<endpoint> entries;
     for (const roster::entry& e : list.entries) {
       if (e.is.state == standing::gone)
@@ -110,6 +115,12 @@
       }
     }
   });
+  loop::timer next_counters;
+  const loop::task log_counters = [&] {
+    write_counters(lines, counts);
+    next_counters = runs.at(runs.now() + with.counters_every, log_counters);
+  };
+  if (with.counters_every > 0) next_counters = runs.at(runs.now() + with.counters_every, log_counters);
   clients.listen(with.listen);
   lines.info() << with.name << " serves, " << with.known.entries.size() << " endpoints known";
   runs.run();
--- /dev/null
+++ b/src/options/command.cpp
@@ -0,0 +1,73 @@
+#include "command.h"
+
+#include <CLI/CLI.hpp>
+
+#include "../net/sidecar.h"
+#include "options.h"
+
+namespace indigorill {
+namespace {
+
+std::string value_of(const std::function<const char*(const char*)>& variable, const char* name) {
+  const char* v = variable(name);
+  return v ? v : "";
+}
+
+}  // namespace
+
+int command(int argc, const char* const* argv, const std::function<const char*(const char*)>& variable,
+            std::ostream& out, std::ostream& err) {
+  CLI::App app("Balances the RPCs of the application beside it over the endpoints that discovery tells.",
+               "indigorill");
+  app.set_version_flag("--version", std::string("indigorill ") + INDIGORILL_VERSION);
+  std::string config = value_of(variable, "LB_CONFIG"), file = value_of(variable, "INDIGORILL_OPTIONS");
+  bool check = false;
+  app.add_option("--config", config, "the config file, JSON; in place of LB_CONFIG");
+  app.add_option("--options", file,
+                 "a TOML file with what the config doesn't hold; in place of INDIGORILL_OPTIONS");
+  app.add_flag("--check-config", check, "say what is wrong with both files, a line a fault, and end");
+  app.footer(
+      "LB_NAME, LB_LISTEN and LB_DISCOVERY lead over the config, INDIGORILL_LOG over the options' "
+      "log.level.");
+  try {
+    app.parse(argc, argv);
+  } catch (const CLI::ParseError& e) {
+    return app.exit(e, out, err) == 0 ? 0 : 2;
+  }
+  // The file named on the command line stands for LB_CONFIG wherever that is read.
+  const auto led = [&](const char* name) -> const char* {
+    return std::string_view(name) == "LB_CONFIG" ? config.c_str() : variable(name);
+  };
+  options with;
+  std::vector<std::string> wrong;
+  try {
+    if (!file.empty()) with = decode_options(read_toml(file));
+  } catch (const faulty& e) {
+    wrong.push_back(e.what());
+  }
+  if (check) {
+    for (std::string& fault : faults_of_config(config, led)) wrong.push_back(std::move(fault));
+    for (const std::string& fault : wrong) err << fault << '\n';
+    if (wrong.empty()) out << "sound\n";
+    return wrong.empty() ? 0 : 1;
+  }
+  if (!wrong.empty()) {
+    err << "indigorill: " << wrong.front() << '\n';
+    return 1;
+  }
+  try {
+    logger lines(err, parse_level(value_of(variable, "INDIGORILL_LOG")).value_or(with.shown), with.form);
+    start how = read_start(led);
+    how.descriptors = std::min(how.descriptors, with.descriptors);
+    how.memory = std::min(how.memory, with.memory);
+    how.counters_every = with.counters_every;
+    run_sidecar(
+        how, [&] { return read_again(led); }, lines);
+  } catch (const std::exception& e) {
+    err << "indigorill: " << e.what() << '\n';
+    return 1;
+  }
+  return 0;
+}
+
+}  // namespace indigorill
--- a/tests/lab_test.cpp
+++ b/tests/lab_test.cpp
@@ -827,8 +827,8 @@
     const std::string file = f.put("s.toml", with_line(row.what, row.in_place));
     std::string text;
     try {
-      decode_scenario(read_scenario(file));
-    } catch (const scenario_fault& e) {
+      decode_scenario(read_toml(file));
+    } catch (const faulty& e) {
       text = e.what();
     }
     CAPTURE(text);
@@ -857,9 +857,9 @@
   CHECK(decode_scenario(t).sidecars == 9);
   for (const char* path : {"trouble[40].for_s", "nothing.here", "load.", "seconds[0]"}) {
     CAPTURE(path);
-    CHECK_THROWS_AS(set_value(t, path, 1), scenario_fault);
+    CHECK_THROWS_AS(set_value(t, path, 1), faulty);
   }
-  CHECK_THROWS_AS(value_at(t, "load.none"), scenario_fault);
+  CHECK_THROWS_AS(value_at(t, "load.none"), faulty);
   struct {
     const char* text;
     std::vector<double> values;  // empty: a fault
@@ -878,13 +878,13 @@
   for (const auto& row : table) {
     CAPTURE(row.text);
     if (row.values.empty())
-      CHECK_THROWS_AS(parse_axis(row.text), scenario_fault);
+      CHECK_THROWS_AS(parse_axis(row.text), faulty);
     else
       CHECK(parse_axis(row.text).values == row.values);
   }
   toml::table with_ranges = rough_table();
   with_ranges.insert("ranges", toml::table{{"load.rate", toml::array{500, 100}}});
-  CHECK_THROWS_AS(decode_scenario(with_ranges), scenario_fault);
+  CHECK_THROWS_AS(decode_scenario(with_ranges), faulty);
 }
 
 TEST_CASE("lab: the search finds the day that hurts and cuts it down") {
--- /dev/null
+++ b/tests/options_test.cpp
@@ -0,0 +1,154 @@
+// The command line, the options' file, the check of both files, and the two forms of log lines.
+#include "../src/options/options.h"
+
+#include <doctest/doctest.h>
+
+#include <cstdio>
+#include <fstream>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <sstream>
+
+#include "../src/options/command.h"
+
+using namespace indigorill;
+
+namespace {
+
+struct file {
+  std::string path;
+  explicit file(const std::string& text) {
+    path = "/tmp/indigorill-options-XXXXXX";
+    const int fd = ::mkstemp(path.data());
+    REQUIRE(fd >= 0);
+    ::close(fd);
+    std::ofstream(path) << text;
+  }
+  ~file() { std::remove(path.c_str()); }
+};
+
+struct called {
+  int status;
+  std::string out, err;
+};
+called call(std::vector<const char*> words, std::map<std::string, std::string> variables = {}) {
+  words.insert(words.begin(), "indigorill");
+  std::ostringstream out, err;
+  const int status = command(
+      static_cast<int>(words.size()), words.data(),
+      [&](const char* name) -> const char* {
+        const auto it = variables.find(name);
+        return it == variables.end() ? nullptr : it->second.c_str();
+      },
+      out, err);
+  return {status, out.str(), err.str()};
+}
+
+const char* sound = R"({"name":"n","listen":"127.0.0.1:1","discovery":"127.0.0.1:2","seed":"1f",
+  "settings":{"methods":[{"name":"read","deadline":1000,"effect":"retryable"}]}})";
+
+std::size_t lines_in(const std::string& text) {
+  return static_cast<std::size_t>(std::count(text.begin(), text.end(), '\n'));
+}
+
+}  // namespace
+
+TEST_CASE("the command line says what it can do, and refuses other words") {
+  CHECK(call({"--help"}).status == 0);
+  CHECK(call({"--help"}).out.find("--check-config") != std::string::npos);
+  CHECK(call({"--version"}).out.find("indigorill 0.") == 0);
+  for (const char* words : {"--loud", "start", "--config"}) {
+    CAPTURE(words);
+    const called c = call({words});
+    CHECK(c.status == 2);
+    CHECK(c.out.empty());
+    CHECK_FALSE(c.err.empty());
+  }
+}
+
+TEST_CASE("without a config there is one line and exit status 1, as ever") {
+  CHECK(call({}).err == "indigorill: LB_CONFIG names no config file\n");
+  CHECK(call({}).status == 1);
+  CHECK(call({}, {{"LB_CONFIG", "/nowhere"}}).err == "indigorill: config file /nowhere can't be read\n");
+  const file broken("{");
+  CHECK(call({"--config", broken.path.c_str()}, {{"LB_CONFIG", "/nowhere"}}).err ==
+        "indigorill: config file " + broken.path + " is not JSON\n");
+  const file options("[log]\nlevel = \"loud\"\nform = \"xml\"\n");
+  const called c = call({"--options", options.path.c_str()}, {{"LB_CONFIG", "/nowhere"}});
+  CHECK(c.status == 1);
+  CHECK(c.err.find("log.level is none of debug, error, info, warning") != std::string::npos);
+}
+
+TEST_CASE("a check names every fault of both files, a line each") {
+  const file good(sound);
+  CHECK(call({"--check-config", "--config", good.path.c_str()}).status == 0);
+  CHECK(call({"--check-config"}, {{"LB_CONFIG", good.path}}).out == "sound\n");
+  const called led = call({"--check-config"}, {{"LB_CONFIG", good.path}, {"LB_LISTEN", "nowhere"}});
+  CHECK(led.status == 1);
+  CHECK(led.err == "config: field listen is not an address and a port\n");
+  const file bad(R"({"name":3,"listen":"127.0.0.1:1","discovery":"x","seed":"zz","limits":{"sockets":0},
+    "known":{"generation":-1},"settings":{"methods":[]}})");
+  const file options("[log]\nform = \"xml\"\n[limits]\nsockets = 4\nmoon = 1\n");
+  const called all =
+      call({"--check-config", "--config", bad.path.c_str(), "--options", options.path.c_str()});
+  CHECK(all.status == 1);
+  CHECK(lines_in(all.err) == 9);
+  for (const char* part :
+       {":2: log.form is none of", ":4: limits.sockets allows too few", ":5: limits.moon is unknown",
+        "field name", "field discovery", "field seed", "field limits", "generation", "names no methods"}) {
+    CAPTURE(part);
+    CHECK(all.err.find(part) != std::string::npos);
+  }
+  const file list("[1]");
+  CHECK(call({"--check-config", "--config", list.path.c_str()}).err == "config: is not an object\n");
+}
+
+TEST_CASE("the options' file is read as a whole; what is absent stays as it was") {
+  const options none = decode_options(toml::table{});
+  CHECK(none.shown == level::info);
+  CHECK(none.form == log_form::text);
+  CHECK(none.counters_every == 0);
+  CHECK(none.descriptors > (std::size_t{1} << 40));
+  const options all =
+      decode_options(toml::parse("[log]\nlevel = \"debug\"\nform = \"json\"\ncounters_every_s = "
+                                 "2.5\n[limits]\nmemory_mb = 64\nsockets = 100\n"));
+  CHECK(all.shown == level::debug);
+  CHECK(all.form == log_form::json);
+  CHECK(all.counters_every == 2500);
+  CHECK(all.memory == 64 * 1024 * 1024);
+  CHECK(all.descriptors == 100);
+  for (const char* text :
+       {"log = 3", "[log]\nlevel = 3", "[log]\ncounters_every_s = 0.1", "[log]\ncounters_every_s = -1",
+        "[limits]\nsockets = 1.5", "[limits]\nmemory_mb = \"all\"", "[other]"}) {
+    CAPTURE(text);
+    CHECK_THROWS_AS(decode_options(toml::parse(text)), faulty);
+  }
+}
+
+TEST_CASE("log lines keep their words as text, and are whole JSON objects where that is asked for") {
+  std::ostringstream text, json;
+  {
+    const logger plain(text, level::info), objects(json, level::info, log_form::json);
+    for (const logger* l : {&plain, &objects}) {
+      l->debug() << "unseen";
+      (l->info() << "list version " << 7 << ", whole").field("version", 7);
+      l->error() << "a \"quoted\" line\nand {} %v \xff";
+    }
+  }
+  CHECK(text.str() ==
+        "indigorill info: list version 7, whole\nindigorill error: a \"quoted\" line\nand {} %v \xff\n");
+  std::istringstream lines(json.str());
+  std::string one, two, rest;
+  REQUIRE(std::getline(lines, one));
+  REQUIRE(std::getline(lines, two));
+  CHECK_FALSE(std::getline(lines, rest));
+  const auto first = nlohmann::json::parse(one, nullptr, false),
+             second = nlohmann::json::parse(two, nullptr, false);
+  REQUIRE(first.is_object());
+  REQUIRE(second.is_object());
+  CHECK(first["level"] == "info");
+  CHECK(first["text"] == "list version 7, whole");
+  CHECK(one.find("\"version\":7}") != std::string::npos);
+  CHECK(first["at"].get<std::string>().size() == std::string("2000-01-01T00:00:00.000Z").size());
+  CHECK(second["text"].get<std::string>().find("a \"quoted\" line\nand {} %v") == 0);
+}
