--- a/src/lab/scenario.cpp
+++ b/src/lab/scenario.cpp
@@ -105,6 +105,41 @@
 
 std::string zone_name(int zone) { return "zone-" + std::to_string(zone); }
 
+pace pace_of(const scenario& s, stream& chance) {
+  const load_plan& l = s.load;
+  pace p{{}, l.rate, std::max(l.rate, l.ramp_to)};
+  if (l.come == arrivals::bursts) {
+    const double whole = l.burst_for + l.calm_for;
+    p.calm = l.rate * whole / (l.burst_times * l.burst_for + l.calm_for);
+    p.most = p.calm * l.burst_times;
+    bool in_one = chance.happens(l.burst_for / whole);
+    for (double t = 0; t < s.length; in_one = !in_one) {
+      p.bursts.push_back({t, in_one});
+      t += chance.exponential(in_one ? l.burst_for : l.calm_for);
+    }
+  }
+  for (const trouble& t : s.troubles)
+    if (t.what == trouble::kind::surge) p.most *= std::max(t.factor, 1.0);
+  return p;
+}
+
+double rate_at(const scenario& s, const pace& p, double when) {
+  const load_plan& l = s.load;
+  if (l.come == arrivals::ramp) return l.rate + (l.ramp_to - l.rate) * when / s.length;
+  if (l.come == arrivals::poisson) return l.rate;
+  const auto after = std::upper_bound(p.bursts.begin(), p.bursts.end(), std::pair(when, true));
+  return after != p.bursts.begin() && std::prev(after)->second ? p.calm * l.burst_times : p.calm;
+}
+
+std::pair<std::size_t, double> draw_rpc(const scenario& s, stream& chance) {
+  double shares = 0;
+  for (const work_kind& k : s.methods) shares += k.share;
+  double x = chance.unit() * shares;
+  std::size_t method = 0;
+  while (method + 1 < s.methods.size() && (x -= s.methods[method].share) >= 0) ++method;
+  return {method, chance.draw(s.methods[method].work)};
+}
+
 int scenario::servers_at_start() const {
   int n = 0;
   for (const server_kind& k : servers) n += k.count;
--- a/src/lab/scenario.h
+++ b/src/lab/scenario.h
@@ -97,6 +97,15 @@
 
 std::string zone_name(int zone);
 
+// How the load comes and goes: what holds whatever decides.
+struct pace {
+  std::vector<std::pair<double, bool>> bursts;  // from when on, and whether it is one
+  double calm = 0, most = 0;                    // RPCs a second; most: never more, in surges either
+};
+pace pace_of(const scenario& s, stream& chance);
+double rate_at(const scenario& s, const pace& p, double when);               // without surges
+std::pair<std::size_t, double> draw_rpc(const scenario& s, stream& chance);  // its method and work
+
 scenario decode_scenario(const toml::table& from);  // throws faulty
 
 // Sets what a dotted path names ("load.rate", "trouble[0].share"); throws faulty where there is none.
--- a/src/lab/world.cpp
+++ b/src/lab/world.cpp
@@ -49,7 +49,8 @@
       add_server(k, i % k.zones, i % k.cells, speeds.draw({shape::lognormal, k.speed, k.speed_spread}));
   for (std::uint32_t i = 0; i < places.size(); ++i) first_list.push_back(shown(i, standing::ready));
 
-  plan_bursts();
+  stream shares(seed_of(seed, use::shares));
+  comes = pace_of(plays, shares);
   sidecars.resize(static_cast<std::size_t>(plays.sidecars));
   double all = 0;
   for (std::size_t i = 0; i < sidecars.size(); ++i)
@@ -130,27 +131,6 @@
   if (!plays.list.asked && c.behind) news_for(s);
 }
 
-void world::plan_bursts() {
-  const load_plan& l = plays.load;
-  calm_rate = l.rate;
-  most_rate = std::max(l.rate, l.ramp_to);
-  if (l.come == arrivals::bursts) {
-    const double whole = l.burst_for + l.calm_for;
-    calm_rate = l.rate * whole / (l.burst_times * l.burst_for + l.calm_for);
-    most_rate = calm_rate * l.burst_times;
-    stream shares(seed_of(seed, use::shares));
-    bool in_one = shares.happens(l.burst_for / whole);
-    for (double t = 0; t < plays.length; in_one = !in_one) {
-      bursts.push_back({t, in_one});
-      t += shares.exponential(in_one ? l.burst_for : l.calm_for);
-    }
-  }
-  double times = 1;
-  for (const trouble& t : plays.troubles)
-    if (t.what == trouble::kind::surge) times *= std::max(t.factor, 1.0);
-  most_rate *= times;
-}
-
 void world::plan(const trouble& t, std::size_t which) {
   using kind = trouble::kind;
   stream chance(seed_of(seed, use::troubles, which + 1));
@@ -262,38 +242,22 @@
 // ---- applications
 // ------------------------------------------------------------------------------------------
 
-double world::rate_at(double when) const {
-  const load_plan& l = plays.load;
-  double rate = calm_rate;
-  if (l.come == arrivals::ramp) rate = l.rate + (l.ramp_to - l.rate) * when / plays.length;
-  if (l.come == arrivals::bursts) {
-    const auto after = std::upper_bound(bursts.begin(), bursts.end(), std::pair(when, true));
-    if (after != bursts.begin() && std::prev(after)->second) rate *= l.burst_times;
-  }
-  return rate * surge;
-}
-
 // Thinned from the highest rate, so that what one sidecar's clients ask does not hang on another's.
 void world::next_arrival(std::uint32_t s) {
   sidecar& c = sidecars[s];
-  const double mean = ms_per_s / (most_rate * c.weight);
+  const double mean = ms_per_s / (comes.most * c.weight);
   if (!std::isfinite(mean)) return;
   const double when = due.now() + c.arrives.exponential(mean);
   if (when >= plays.length) return;
   due.at(when, rank::client, [this, s] {
-    if (sidecars[s].arrives.happens(rate_at(due.now()) / most_rate)) arrive(s);
+    if (sidecars[s].arrives.happens(rate_at(plays, comes, due.now()) * surge / comes.most)) arrive(s);
     next_arrival(s);
   });
 }
 
 void world::arrive(std::uint32_t s) {
   sidecar& c = sidecars[s];
-  double shares = 0;
-  for (const work_kind& k : plays.methods) shares += k.share;
-  double x = c.arrives.unit() * shares;
-  std::size_t method = 0;
-  while (method + 1 < plays.methods.size() && (x -= plays.methods[method].share) >= 0) ++method;
-  const double work = c.arrives.draw(plays.methods[method].work);
+  const auto [method, work] = draw_rpc(plays, c.arrives);
   if (!c.up) return;  // an application stops and starts with its sidecar
   const std::uint64_t id = ++next_task;
   const bool counted = due.now() >= plays.warmup;
--- a/src/lab/world.h
+++ b/src/lab/world.h
@@ -96,11 +96,9 @@
   // Set up.
   std::uint32_t add_server(const server_kind& k, int zone, int cell, double speed);
   void start_sidecar(std::uint32_t s);
-  void plan_bursts();
   void plan(const trouble& t, std::size_t which);
 
   // Applications.
-  double rate_at(double when) const;
   void next_arrival(std::uint32_t s);
   void arrive(std::uint32_t s);
   void ask(std::uint64_t of);
@@ -164,8 +162,8 @@
   std::map<std::uint64_t, rpc> rpcs;
   std::map<std::uint64_t, task> tasks;
   std::unordered_map<std::uint64_t, job> jobs;
-  std::vector<std::pair<double, bool>> bursts;  // from when on, and whether it is one
-  double most_rate = 0, surge = 1, loss = 0, calm_rate = 0;
+  pace comes;
+  double surge = 1, loss = 0;
   std::uint64_t next_rpc = 0, next_task = 0, next_job = 0, next_call = 0;
   std::vector<endpoint> first_list, changes;
   std::vector<std::uint32_t> changed;  // which server each of the changes concerns
--- /dev/null
+++ b/src/load/main.cpp
@@ -0,0 +1,5 @@
+#include <iostream>
+
+#include "play.h"
+
+int main(int argc, char** argv) { return indigorill::loading::command(argc, argv, std::cout, std::cerr); }
