--- a/src/lab/report.cpp
+++ b/src/lab/report.cpp
@@ -142,7 +142,7 @@
       out << "set ylabel '" << title << "'\nplot ";
       for (std::size_t i = 0; i < points.size(); ++i)
         out << (i ? ", " : "") << "'seconds.csv' using ($1==" << i << "?$2:1/0):(" << what
-            << ") with linespoints pointsize 0.4 title '" << label(points[i]) << "'";
+            << ") with linespoints pointsize 0.4 title '" << label(points[i]) << "' noenhanced";
       out << '\n';
     };
     panel("utility gained of offered", "$3>0?$4/$3:1/0");
@@ -151,31 +151,47 @@
     out << "unset multiplot\n";
     return;
   }
-  // Lines over the first variable, one for each policy and value of the second.
-  std::set<double> second_values;
-  if (axes > 1)
+  // Lines over the first variable, one for each policy and value of the second; each has its own block of
+  // data, since a line drawn from a filtered file is broken at what is left out.
+  std::set<double> second_values{0};
+  if (axes > 1) {
+    second_values.clear();
     for (const point& p : points) second_values.insert(p.at[1].second);
+  }
   std::set<policy> policies;
-  for (const point& p : points) policies.insert(p.by);
-  out << "set xlabel '" << points[0].at[0].first << "'\nset multiplot layout 2,1\n";
-  const std::size_t by = axes + 1, name = axes + 2, mean = axes + 3, half = axes + 4;
-  for (const char* m : {"utility", "p99_ms"}) {
-    out << "set ylabel '" << m << "'\nplot ";
+  double least = points[0].at[0].second, most = least;
+  for (const point& p : points) {
+    policies.insert(p.by);
+    least = std::min(least, p.at[0].second);
+    most = std::max(most, p.at[0].second);
+  }
+  constexpr double decade = 10;
+  out << "set xlabel '" << points[0].at[0].first << "' noenhanced\n";
+  if (least > 0 && most >= decade * least) out << "set logscale x\n";
+  std::ostringstream plots;
+  int blocks = 0;
+  for (const char* name : {"utility", "p99_ms"}) {
+    const auto m = std::find_if(measures().begin(), measures().end(),
+                                [&](const measure& is) { return std::string(is.name) == name; });
+    plots << "set ylabel '" << name << "' noenhanced\nplot ";
     bool first = true;
-    for (const policy p : policies)
-      for (const double v : axes > 1 ? second_values : std::set<double>{0}) {
-        std::ostringstream other;
-        other << std::setprecision(9) << v;
-        out << (first ? "" : ", ") << "'summary.csv' using (strcol(" << by << ") eq '" << name_of(p)
-            << "' && strcol(" << name << ") eq '" << m << "'"
-            << (axes > 1 ? " && abs($2-(" + other.str() + "))<1e-6" : "") << " ? $1 : 1/0):" << mean << ":"
-            << half << " with yerrorlines title '" << name_of(p)
-            << (axes > 1 ? " " + points[0].at[1].first + "=" + other.str() : "") << "'";
+    for (const policy by : policies)
+      for (const double v : second_values) {
+        out << "$d" << blocks << " << EOD\n" << std::setprecision(9);
+        for (const point& p : points) {
+          if (p.by != by || (axes > 1 && p.at[1].second != v)) continue;
+          const spread s = spread_of(values(p, *m));
+          out << p.at[0].second << ',' << s.mean << ',' << s.half << '\n';
+        }
+        out << "EOD\n";
+        plots << (first ? "" : ", ") << "$d" << blocks++ << " using 1:2:3 with yerrorlines title '"
+              << name_of(by) << (axes > 1 ? " " + points[0].at[1].first + "=" + shortly(v) : "")
+              << "' noenhanced";
         first = false;
       }
-    out << '\n';
+    plots << '\n';
   }
-  out << "unset multiplot\n";
+  out << "set multiplot layout 2,1\n" << plots.str() << "unset multiplot\n";
 }
 
 void write_all(const std::filesystem::path& folder, const std::vector<point>& points) {
