A sidecar that knows nothing doesn't give RPCs up on its first guess of the pace

Ruled out: the servers (idle, no RPC turned away as full), connects (none failed), the list, probes (2.3 an RPC, answered). Lines at fault: weigh() takes usual_pace for what was seen; until five answers came it is a quarter of the longest target, so that half an RPC assumed ahead at each server leaves a method of short target too little time, at every server at once. A quiet sidecar stays in that state for a minute.

Change: while the guess counts and no answer was slower, timeliness takes two fifths of it for what is not seen.

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -126,7 +126,6 @@
       unnamed.latency_target = std::max(unnamed.latency_target, m.latency_target);
     }
     home = zone_at_the_door(land.zone);
-    constexpr double guess = 0.25;  // of the latency target, until there are answers
     usual_pace = guess * unnamed.latency_target;
     constexpr double in_hand = 0.5;  // at each server, until there are reports
     if (land.probes_report) mean_others = cold_others = in_hand;
@@ -248,13 +247,15 @@
     s.paced = now;
     // What a jam taught must not outlast it: what is usual is learned slowly, and from answers alone. Nor may
     // a long first answer make a sidecar give up all that comes: the guess counts for a few answers.
-    constexpr double slow = 0.02, guessed = 5;
+    constexpr double slow = 0.02;
     if (answered && warmth(s) < 1)
       cold_pace += weight * (seen * std::sqrt(warmth(s)) / usual_pace - cold_pace);
     if (answered && warmth(s) >= 1)
       usual_pace += std::max(slow, 1 / (guessed + ++answers)) * (seen - usual_pace);
   }
 
+  static constexpr double guess = 0.25, guessed = 5;  // of the latency target; answers that it counts for
+
   void learn_outcome(std::vector<mark>& window, bool failed) {
     constexpr std::size_t window_length = 16;  // the design's
     window.push_back({now, failed});
@@ -284,10 +285,12 @@
     return s.ours + mean + (s.others - mean) * heard(s);
   }
 
-  double pace(const server& s) const {  // for a mean RPC; the stated warmth is the least, its root nearer
+  // For a mean RPC; the stated warmth is the least, its root nearer. believed: how far what is not seen is.
+  double pace(const server& s, double believed = 1) const {
     constexpr double half_life = 2000;  // a pace seen is believed for some seconds, then the usual one counts
     const double age = (now - s.paced) / half_life;
-    const double expected = warmth(s) < 1 ? cold_pace * usual_pace / std::sqrt(warmth(s)) : usual_pace;
+    const double usual = believed * usual_pace;
+    const double expected = warmth(s) < 1 ? cold_pace * usual / std::sqrt(warmth(s)) : usual;
     return expected + (age > forgotten ? 0 : (s.pace - expected) * std::exp2(-age));
   }
 
@@ -410,6 +413,11 @@
     const double left = useful_until(r) - now;
     const double patience = patience_least + patience_for_utility * r.how->utility / most_utility;
 
+    // Most of a large fleet's sidecars are quiet and guess for long: taken at its word, the guess would turn
+    // away at each what idle servers could serve.
+    constexpr double doubtful = 0.4;  // 0.2 is alike, 0.7 turns away three times as many
+    const double believed = answers < guessed && usual_pace <= guess * unnamed.latency_target ? doubtful : 1;
+
     ballot b;
     b.those.reserve(fleet.size());
     b.weights.reserve(fleet.size());
@@ -437,9 +445,10 @@
       // Without a hint the RPC may be a long one; it is given up while a wait would leave no room for that.
       constexpr double unhinted = 1.6;  // mean RPCs
       constexpr double hopeless = 3;    // failures; 2 and 4 serve a fleet that tipped worse
-      const double alone = one * (r.hinted ? r.size : unhinted);
+      const double hoped = believed < 1 ? pace(*s, believed) : one;
+      const double alone = hoped * (r.hinted ? r.size : unhinted);
       b.timely.push_back(count(s->window).second < hopeless && alone <= left &&
-                         waits <= patience * (left - alone));
+                         waits - (one - hoped) * ahead(*s) <= patience * (left - alone));
       constexpr double halvings = 30;  // for a latency target; an RPC in hand takes 4 to 9 of them
       w -= halvings * (waits + one * r.size) / r.how->latency_target;
       if (warmth(*s) < 1) w += std::log2(warmth(*s));  // not for each of many warm ones
--- a/tests/balance_test.cpp
+++ b/tests/balance_test.cpp
@@ -534,6 +534,33 @@
   }
 }
 
+TEST_CASE("a sidecar that knows nothing doesn't give up on its guess, one that saw slow answers does") {
+  struct {
+    const char* what;
+    int slow_answers;
+    verb then;
+  } table[] = {{"nothing seen", 0, verb::pick}, {"two slow answers seen", 2, verb::push_back}};
+  for (const auto& row : table) {
+    CAPTURE(row.what);
+    int so = 0;
+    constexpr int seeds = 50;
+    for (int seed = 1; seed <= seeds; ++seed) {
+      // The guess is a quarter of the longest latency target: by it, half an RPC ahead of the short one, as
+      // is assumed of servers not heard of, leaves the short one too little time.
+      terrain t = ground();
+      t.methods[1].latency_target = 160;
+      t.probes_report = true;
+      one h(t, static_cast<std::uint64_t>(seed));
+      for (int i = 0; i < row.slow_answers; ++i) h.history("a", ending::ok, 95);
+      h.list(letters('a', 'z'));
+      h.now += 100;
+      h.arrive("read");
+      so += h.only().what == row.then;
+    }
+    CHECK(so == seeds);
+  }
+}
+
 TEST_CASE("further picks dry up where they do not succeed") {
   one h;
   both(h);
