--- a/include/indigorill/balance.h
+++ b/include/indigorill/balance.h
@@ -89,6 +89,8 @@
   void probe_ended(double now, std::string_view server, ending how, const load& report);
   void client_left(double now, std::string_view rpc);
   void resting(std::string_view server, std::size_t connections);  // open there, with nothing on them
+  // A server to which no connection may be opened now, for the sake of all sidecars together.
+  void barred(std::string_view server, bool is);
   void woken(double now, std::uint64_t wake);
 
   // The next decision at the time last told, or none.
--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -44,7 +44,7 @@
 
 struct server {
   // Every draw reads these of every server; what it reads is kept together.
-  bool ready = false;
+  bool ready = false, barred = false;
   int cell = 0;
   std::size_t zone = 0;  // its place among the zones met
   double started = never, last_send = never;
@@ -351,7 +351,7 @@
   }
 
   bool allowed(const rpc& r, server& s) {
-    if (!s.ready) return false;
+    if (!s.ready || (s.barred && s.resting == 0)) return false;
     if (warmth(s) < 1) {
       count_budget(s);
       if (s.budget < r.size) return false;
@@ -852,10 +852,8 @@
   self->now = now;
   const auto it = self->servers.find(id);
   if (it == self->servers.end()) return;
-  if (how == ending::ok) {
-    it->second->probed = never;
-    self->learn_report(*it->second, report, false);
-  }
+  if (how == ending::ok || how == ending::moot) it->second->probed = never;  // moot: it was not asked at all
+  if (how == ending::ok) self->learn_report(*it->second, report, false);
   for (rpc* r : self->asking) self->queue(*r);
 }
 
@@ -872,6 +870,11 @@
   if (it != self->servers.end()) it->second->resting = connections;
 }
 
+void balancer::barred(std::string_view id, bool is) {
+  const auto it = self->servers.find(id);
+  if (it != self->servers.end()) it->second->barred = is;
+}
+
 void balancer::woken(double now, std::uint64_t wake) {
   self->now = now;
   if (wake == beat_wake) {
--- a/src/lab/brain.cpp
+++ b/src/lab/brain.cpp
@@ -32,6 +32,7 @@
   void resting(const std::string& server, std::size_t connections) override {
     decides.resting(server, connections);
   }
+  void barred(const std::string& server, bool is) override { decides.barred(server, is); }
   void woken(double now, std::uint64_t wake) override { decides.woken(now, wake); }
   std::optional<decision> next() override { return decides.next(); }
 
@@ -101,6 +102,7 @@
     if (!out) rpcs.erase(it);
   }
   void resting(const std::string&, std::size_t) override {}
+  void barred(const std::string&, bool) override {}  // limits are the module's; baselines run without
   void woken(double now, std::uint64_t) override { clock = now; }
 
   std::optional<decision> next() override {
--- a/src/lab/brain.h
+++ b/src/lab/brain.h
@@ -23,6 +23,7 @@
   virtual void probe_ended(double now, const std::string& server, ending how, const load& report) = 0;
   virtual void client_left(double now, const std::string& rpc) = 0;
   virtual void resting(const std::string& server, std::size_t connections) = 0;
+  virtual void barred(const std::string& server, bool is) = 0;
   virtual void woken(double now, std::uint64_t wake) = 0;
   virtual std::optional<decision> next() = 0;
 };
--- a/src/lab/figures.h
+++ b/src/lab/figures.h
@@ -44,6 +44,8 @@
   std::uint64_t picks = 0, handshakes = 0, probes = 0, list_calls = 0, list_refusals = 0;
   std::uint64_t connect_failed = 0, timed_out = 0, full = 0, errors = 0, falls = 0, events = 0;
   std::uint64_t most_connections = 0, most_handshakes = 0;  // at one server: at once, and in one second
+  std::uint64_t most_probes = 0, most_list_calls = 0;       // at one server, and of all, in one second
+  std::uint64_t denied = 0;                                 // by limits
   double worst_cold = 0;                                    // of the stated multiple
   double all_told = 0;  // ms from the first change of the list until every sidecar knew all of them; 0: never
   std::vector<second> seconds;
--- a/src/lab/scenario.cpp
+++ b/src/lab/scenario.cpp
@@ -255,6 +255,14 @@
   s.rules.cross_zone_price = rules.number("cross_zone_price", 0, 0, 1);
   rules.none_left();
 
+  section limits(top.inner("limits", false), "limits", wrong);
+  s.limits.by_turns = limits.word<bool>("by", false, {{"chance", false}, {"turns", true}});
+  s.limits.told = limits.number("told", 1, 0.01, 100);
+  s.limits.all = {limits.number("connections", 0, 0, huge), limits.number("handshakes", 0, 0, huge),
+                  limits.number("probes", 0, 0, huge), limits.number("list_calls", 0, 0, huge)};
+  if (const auto fault = fault_of(s.limits.all, {})) top.fault_here("limits", *fault);
+  limits.none_left();
+
   for (const toml::table* t : top.tables("trouble", false))
     s.troubles.push_back(decode_trouble(*t, s.length, s.zones, wrong));
   top.inner("ranges", false);
--- a/src/lab/scenario.h
+++ b/src/lab/scenario.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "../decode/section.h"
+#include "../limits/limits.h"
 #include "chance.h"
 #include "indigorill/balance.h"
 
@@ -88,6 +89,12 @@
     bool cancelling = true, probes = false, reports = false;
     double probe_price = 0, handshake_price = 0, cross_zone_price = 0;
   } rules;
+  struct {
+    bounds_of_all all;
+    bool by_turns = false;
+    double told = 1;  // the number of instances that they are told, over the true one
+    bool any() const { return all.connections + all.handshakes + all.probes + all.list_calls > 0; }
+  } limits;
   std::vector<trouble> troubles;
 
   int servers_at_start() const;
--- a/src/lab/world.cpp
+++ b/src/lab/world.cpp
@@ -120,6 +120,13 @@
   c.call = 0;
   c.resting.assign(places.size(), {});
   c.patience = connect_patience(plays.net.connect_timeout);
+  c.within.reset();
+  c.barred.clear();
+  if (plays.limits.any() && by == policy::module) {
+    place_among where{std::max(1.0, std::round(plays.sidecars * plays.limits.told)), 1, {}};
+    if (plays.limits.by_turns) where.turn = s;
+    c.within = std::make_unique<limits>(plays.limits.all, where, seed_of(seed, use::policy, s));
+  }
   c.decides = make_brain(
       by, plays.ground(c.zone), seed_of(seed, use::policy, s + (std::uint64_t{c.life} << 32)), due.now(),
       [this, s](const std::string& server) { return true_time(s, server_number(server)); });
@@ -358,7 +365,12 @@
   sidecar& c = sidecars[s];
   if (c.pulling || !c.up) return;
   c.pulling = true;
-  while (const auto d = c.decides->next()) carry_out(s, *d);
+  for (;;) {
+    tell_limits(s);
+    const auto d = c.decides->next();
+    if (!d) break;
+    carry_out(s, *d);
+  }
   c.pulling = false;
 }
 
@@ -431,12 +443,49 @@
   sidecars[s].decides->resting(server_name(server), sidecars[s].resting[server].size());
 }
 
+// Told before each decision, so that nothing is picked that may not be opened.
+void world::tell_limits(std::uint32_t s) {
+  sidecar& c = sidecars[s];
+  if (!c.within) return;
+  c.barred.resize(places.size(), false);
+  for (std::uint32_t i = 0; i < places.size(); ++i) {
+    while (!c.resting[i].empty() && !c.within->keeps(server_name(i), due.now())) {
+      close(i, c.resting[i].front().life);
+      closed(s, i);
+      c.resting[i].erase(c.resting[i].begin());
+      tell_resting(s, i);
+    }
+    const bool is = !c.within->may_open(server_name(i), due.now());
+    if (is == static_cast<bool>(c.barred[i])) continue;
+    c.barred[i] = is;
+    c.decides->barred(server_name(i), is);
+  }
+}
+
+void world::list_servers(std::uint32_t s) {
+  if (!sidecars[s].within) return;
+  std::vector<std::string> names;
+  for (std::uint32_t i = 0; i < places.size(); ++i)
+    if (places[i].listed) names.push_back(server_name(i));
+  sidecars[s].within->listed(names);
+  sidecars[s].barred.assign(places.size(), false);
+  for (std::uint32_t i = 0; i < places.size(); ++i) sidecars[s].decides->barred(server_name(i), false);
+}
+
+void world::closed(std::uint32_t s, std::uint32_t server) {
+  if (sidecars[s].within) sidecars[s].within->give_back(server_name(server));
+}
+
+void world::count_second(place& at) {
+  const auto second_now = static_cast<std::int64_t>(due.now() / ms_per_s);
+  if (at.second != second_now) at.second = second_now, at.handshakes = at.probes = 0;
+}
+
 bool world::accept(place& at) {
   if (at.connections >= static_cast<std::uint64_t>(at.kind->connections)) return false;
   ++at.connections;
   seen.most_connections = std::max(seen.most_connections, at.connections);
-  const auto second_now = static_cast<std::int64_t>(due.now() / ms_per_s);
-  if (at.second != second_now) at.second = second_now, at.handshakes = 0;
+  count_second(at);
   seen.most_handshakes = std::max(seen.most_handshakes, ++at.handshakes);
   ++seen.handshakes;
   ++this_second().handshakes;
@@ -447,6 +496,14 @@
   const rpc& r = rpcs.at(id);
   const std::uint32_t s = r.sidecar, server = r.picks[static_cast<std::size_t>(n)].server;
   const double began = due.now();
+  if (sidecars[s].within && !sidecars[s].within->open(server_name(server), began)) {
+    // Two decisions in one breath: nothing was sent, and no server is to blame.
+    rpcs.at(id).picks[static_cast<std::size_t>(n)].fresh = false;
+    due.at(began, rank::timer, [this, id, n] {
+      if (live(id, n)) end_pick(id, n, ending::moot, {});
+    });
+    return;
+  }
   due.at(began + sidecars[s].patience.now(), rank::timer, [this, id, n, s] {
     pick* p = live(id, n);
     if (!p || p->in != stage::connecting) return;
@@ -545,10 +602,12 @@
   place& at = places[p.server];
   if (p.coming) p.coming = false, --at.coming;
   const bool whole = how == ending::ok || how == ending::error || how == ending::full;
+  if (p.in == stage::connecting && p.fresh) closed(r.sidecar, p.server);
   if (p.in == stage::written && whole) {
     rest(r.sidecar, p.server, p.server_life);
   } else if (p.in == stage::written) {
     close(p.server, p.server_life);
+    closed(r.sidecar, p.server);
     due.at(due.now() + trip(sidecars[r.sidecar].zone, at.zone), rank::network,
            [this, server = p.server, of = p.job] {
              if (!places[server].vanished) places[server].at->withdraw(of);
@@ -615,7 +674,7 @@
 }
 
 void world::rest(std::uint32_t s, std::uint32_t server, std::uint32_t life) {
-  if (places[server].life != life && !places[server].vanished) return;  // ended with its process
+  if (places[server].life != life && !places[server].vanished) return closed(s, server);  // ended with it
   sidecars[s].resting[server].push_back({due.now(), life});
   tell_resting(s, server);
   // Retired before the server would close it: a pick written to it then would be a reset.
@@ -627,6 +686,7 @@
     const std::size_t before = rested.size();
     while (!rested.empty() && rested.front().since <= since) {
       close(server, rested.front().life);
+      closed(s, server);
       rested.erase(rested.begin());
     }
     if (rested.size() != before) tell_resting(s, server);
@@ -638,6 +698,17 @@
 }
 
 void world::probe(std::uint32_t s, std::uint32_t server) {
+  sidecar& c = sidecars[s];
+  using kind = limits::kind;
+  if (c.within && (!c.within->take(kind::probe, server_name(server), due.now()) ||
+                   (c.resting[server].empty() && !c.within->open(server_name(server), due.now())))) {
+    due.at(due.now(), rank::timer, [this, s, server, life = c.life] {
+      if (!sidecars[s].up || sidecars[s].life != life) return;
+      sidecars[s].decides->probe_ended(due.now(), server_name(server), ending::moot, {});
+      pull(s);
+    });
+    return;
+  }
   ++seen.probes;
   ++this_second().probes;
   entry e{entry::what::probe_written};
@@ -648,6 +719,7 @@
   const auto over = std::make_shared<bool>(false);
   const auto end = [this, s, server, over, life = sidecars[s].life](ending how, const load& report) {
     if (std::exchange(*over, true) || !sidecars[s].up || sidecars[s].life != life) return false;
+    if (how != ending::ok && how != ending::error) closed(s, server);
     sidecars[s].decides->probe_ended(due.now(), server_name(server), how, report);
     pull(s);
     return true;
@@ -663,6 +735,8 @@
       due.at(due.now() + back, rank::network, [end] { end(ending::reset, {}); });
       return;
     }
+    count_second(at);
+    seen.most_probes = std::max(seen.most_probes, ++at.probes);
     const double when = std::max(due.now(), at.at->stalled_until());
     due.at(when, rank::server, [this, s, server, end, life, back] {
       load report;
@@ -791,13 +865,14 @@
     for (std::size_t i = c.known; i < changes.size(); ++i) note(changed[i], changes[i]);
     for (std::size_t i = c.known; i < changes.size(); ++i) {
       if (changes[i].state != standing::gone) continue;
-      for (const connection& k : c.resting[changed[i]]) close(changed[i], k.life);
+      for (const connection& k : c.resting[changed[i]]) close(changed[i], k.life), closed(s, changed[i]);
       c.resting[changed[i]].clear();
       tell_resting(s, changed[i]);
     }
     c.known = changes.size();
     up_to_date(s);
     c.decides->listed(due.now(), false, asked, news);
+    list_servers(s);
     return pull(s);
   }
   if (asked) {
@@ -818,6 +893,7 @@
     entries.push_back(is);
   }
   c.decides->listed(due.now(), true, asked, entries);
+  list_servers(s);
   pull(s);
 }
 
@@ -830,6 +906,13 @@
 // One service for all: it works on one call after the other, and what was given up on still fills its queue.
 void world::call_list(std::uint32_t s) {
   sidecar& c = sidecars[s];
+  if (c.within && !c.within->take(limits::kind::list_call, "", due.now())) {
+    due.at(due.now() + c.within->again(limits::kind::list_call, due.now()), rank::list,
+           [this, s, life = c.life] {
+             if (sidecars[s].up && sidecars[s].life == life) call_list(s);
+           });
+    return;
+  }
   ++seen.list_calls;
   ++this_second().list_calls;
   const std::uint64_t call = c.call = ++next_call;
@@ -887,6 +970,7 @@
         std::vector<connection>& rested = sidecars[s].resting[server];
         const auto ended_ones =
             std::erase_if(rested, [&](const connection& k) { return k.life != places[server].life; });
+        for (std::size_t i = 0; i < ended_ones; ++i) closed(s, server);
         if (ended_ones > 0 && sidecars[s].up) tell_resting(s, server);
       }
     });
@@ -959,6 +1043,12 @@
   while (step()) {
   }
   seen.open = tasks.size();
+  for (const second& sec : seen.seconds)
+    seen.most_list_calls = std::max(seen.most_list_calls, sec.list_calls);
+  using kind = limits::kind;
+  for (const sidecar& c : sidecars)
+    for (const kind k : {kind::connection, kind::handshake, kind::probe, kind::list_call})
+      if (c.within) seen.denied += c.within->counted(k).denied;
   entry e{entry::what::end};
   say(e);
   return seen;
--- a/src/lab/world.h
+++ b/src/lab/world.h
@@ -44,7 +44,7 @@
     std::uint32_t life = 0;  // of its process: connections end with it
     std::uint64_t connections = 0, coming = 0;
     std::int64_t second = -1;
-    std::uint64_t handshakes = 0;  // in that second
+    std::uint64_t handshakes = 0, probes = 0;  // in that second
   };
   struct connection {
     double since;
@@ -61,6 +61,8 @@
     std::uint64_t call = 0;                        // for the list, that is out; 0: none
     std::vector<std::vector<connection>> resting;  // by server, the last used last
     connect_patience patience{0};
+    std::unique_ptr<limits> within;  // none: without limits
+    std::vector<char> barred;        // by server, as the brain was told
     stream arrives{0};
   };
   enum class stage { connecting, written, over };
@@ -128,6 +130,10 @@
   bool accept(place& at);  // a connection, if the table has room
   void close(std::uint32_t server, std::uint32_t life);
   void tell_resting(std::uint32_t s, std::uint32_t server);
+  void tell_limits(std::uint32_t s);
+  void closed(std::uint32_t s, std::uint32_t server);  // a connection of a sidecar's own, or a try at one
+  void list_servers(std::uint32_t s);
+  void count_second(place& at);
   void kill_sidecar(std::uint32_t s);
   pick* live(std::uint64_t id, int n);
 
