--- a/src/lab/scenario.cpp
+++ b/src/lab/scenario.cpp
@@ -4,6 +4,7 @@
 #include <cmath>
 #include <limits>
 #include <map>
+#include <numeric>
 #include <set>
 #include <sstream>
 
@@ -131,6 +132,15 @@
   return after != p.bursts.begin() && std::prev(after)->second ? p.calm * l.burst_times : p.calm;
 }
 
+std::vector<std::uint32_t> some_of(std::size_t n, double share, stream& chance) {
+  std::vector<std::uint32_t> all(n);
+  std::iota(all.begin(), all.end(), 0u);
+  const auto wanted = static_cast<std::size_t>(std::lround(share * static_cast<double>(n)));
+  for (std::size_t i = 0; i < wanted; ++i) std::swap(all[i], all[i + chance.below(n - i)]);
+  all.resize(wanted);
+  return all;
+}
+
 std::pair<std::size_t, double> draw_rpc(const scenario& s, stream& chance) {
   double shares = 0;
   for (const work_kind& k : s.methods) shares += k.share;
--- a/src/lab/scenario.h
+++ b/src/lab/scenario.h
@@ -110,7 +110,9 @@
   double calm = 0, most = 0;                    // RPCs a second; most: never more, in surges either
 };
 pace pace_of(const scenario& s, stream& chance);
-double rate_at(const scenario& s, const pace& p, double when);               // without surges
+double rate_at(const scenario& s, const pace& p, double when);  // without surges
+// The share of n, by a shuffle: whom a trouble befalls.
+std::vector<std::uint32_t> some_of(std::size_t n, double share, stream& chance);
 std::pair<std::size_t, double> draw_rpc(const scenario& s, stream& chance);  // its method and work
 
 scenario decode_scenario(const toml::table& from);  // throws faulty
--- a/src/lab/world.cpp
+++ b/src/lab/world.cpp
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <charconv>
 #include <cmath>
-#include <numeric>
 
 namespace indigorill::lab {
 namespace {
@@ -143,18 +142,11 @@
   stream chance(seed_of(seed, use::troubles, which + 1));
   const auto at = [this](double when, agenda::task what) { due.at(when, rank::trouble, std::move(what)); };
   const double from = t.at, until = t.at + t.lasts;
-  // The chosen, by a shuffle of all; drawn now, so that what happens until then changes nothing.
-  const auto some_of = [&](std::size_t n) {
-    std::vector<std::uint32_t> all(n);
-    std::iota(all.begin(), all.end(), 0u);
-    const auto wanted = static_cast<std::size_t>(std::lround(t.share * static_cast<double>(n)));
-    for (std::size_t i = 0; i < wanted; ++i) std::swap(all[i], all[i + chance.below(n - i)]);
-    all.resize(wanted);
-    return all;
-  };
+  // Drawn now, so that what happens until then changes nothing.
+  const auto befallen = [&](std::size_t n) { return some_of(n, t.share, chance); };
   switch (t.what) {
     case kind::restart_sidecars:
-      for (const std::uint32_t s : some_of(sidecars.size())) {
+      for (const std::uint32_t s : befallen(sidecars.size())) {
         const double when = from + t.over * chance.unit();
         at(when, [this, s] { kill_sidecar(s); });
         at(when + t.lasts, [this, s] {
@@ -170,7 +162,7 @@
       }
       return;
     case kind::kill_servers:
-      for (const std::uint32_t i : some_of(places.size())) {
+      for (const std::uint32_t i : befallen(places.size())) {
         const double when = from + t.over * chance.unit();
         at(when, [this, i] { stop_server(i, false, true); });
         at(when + t.lasts, [this, i] { return_server(i); });
@@ -178,7 +170,7 @@
       return;
     case kind::replace:
     case kind::drain:
-      for (const std::uint32_t i : some_of(places.size())) {
+      for (const std::uint32_t i : befallen(places.size())) {
         const double when = from + t.over * chance.unit();
         const bool replaced = t.what == kind::replace;
         at(when, [this, i, replaced] {
@@ -199,12 +191,12 @@
       }
       return;
     case kind::stall:
-      for (const std::uint32_t i : some_of(places.size()))
+      for (const std::uint32_t i : befallen(places.size()))
         at(from, [this, i, until] { places[i].at->stall(until); });
       return;
     case kind::slow:
     case kind::errors:
-      for (const std::uint32_t i : some_of(places.size())) {
+      for (const std::uint32_t i : befallen(places.size())) {
         const bool slow = t.what == kind::slow;
         at(from,
            [this, i, slow, much = t.factor] { slow ? places[i].at->slow(much) : places[i].at->fail(much); });
--- a/src/load/fleet.cpp
+++ b/src/load/fleet.cpp
@@ -4,7 +4,6 @@
 #include <charconv>
 #include <cmath>
 #include <nlohmann/json.hpp>
-#include <numeric>
 
 namespace indigorill::loading {
 namespace {
@@ -206,11 +205,7 @@
   const auto at = [this](double when, lab::agenda::task what) {
     clock.at(when, rank::trouble, std::move(what));
   };
-  std::vector<std::size_t> all(places.size());
-  std::iota(all.begin(), all.end(), std::size_t{0});
-  const auto wanted = static_cast<std::size_t>(std::lround(t.share * static_cast<double>(all.size())));
-  for (std::size_t i = 0; i < wanted; ++i) std::swap(all[i], all[i + draw.below(all.size() - i)]);
-  all.resize(wanted);
+  const std::vector<std::uint32_t> all = lab::some_of(places.size(), t.share, draw);
   const double until = t.at + t.lasts;
   switch (t.what) {
     case kind::list_overbooked:
--- a/src/load/play.cpp
+++ b/src/load/play.cpp
@@ -15,7 +15,6 @@
 #include <filesystem>
 #include <fstream>
 #include <iomanip>
-#include <numeric>
 
 #include "../decode/settings.h"
 #include "../lab/experiment.h"
@@ -263,12 +262,7 @@
   }
   if (t.what != trouble::kind::restart_sidecars) return on.stand_ins->plan(t, which);
   lab::stream draw(lab::seed_of(seed, lab::use::troubles, which + 1));
-  std::vector<std::size_t> all(sidecars.size());
-  std::iota(all.begin(), all.end(), std::size_t{0});
-  const auto wanted = static_cast<std::size_t>(std::lround(t.share * static_cast<double>(all.size())));
-  for (std::size_t i = 0; i < wanted; ++i) std::swap(all[i], all[i + draw.below(all.size() - i)]);
-  for (std::size_t i = 0; i < wanted; ++i) {
-    const std::size_t s = all[i];
+  for (const std::size_t s : lab::some_of(sidecars.size(), t.share, draw)) {
     const double when = t.at + t.over * draw.unit();
     at(when, [&sidecars, &apps, s] {
       sidecars[s]->kill();
