--- a/src/lab/experiment.cpp
+++ b/src/lab/experiment.cpp
@@ -45,6 +45,7 @@
   const auto quantile = [](double q) { return [q](const figures& f) { return f.answered.quantile(q); }; };
   static const std::vector<measure> all{
       {"utility", [](const figures& f) { return f.utility(); }},
+      {"mean_ms", [](const figures& f) { return f.answered.mean(); }},
       {"p50_ms", quantile(0.5), 0.5},
       {"p99_ms", quantile(0.99), 0.99},
       {"p99.9_ms", quantile(0.999), 0.999},
--- a/src/lab/figures.cpp
+++ b/src/lab/figures.cpp
@@ -17,6 +17,7 @@
 void times::add(const times& other) {
   bins += other.bins;
   n += other.n;
+  sum += other.sum;
 }
 
 double times::quantile(double q) const {
--- a/src/lab/figures.h
+++ b/src/lab/figures.h
@@ -17,9 +17,11 @@
   void add(double ms) {
     bins(ms);
     ++n;
+    sum += ms;
   }
   void add(const times& other);
   std::uint64_t count() const { return n; }
+  double mean() const { return n ? sum / static_cast<double>(n) : 0; }
   double quantile(double q) const;  // 0 where there are none
   // A quantile rests on enough samples where ten of them lie beyond it.
   bool few(double q) const;
@@ -28,6 +30,7 @@
   using axis = boost::histogram::axis::regular<double, boost::histogram::axis::transform::log>;
   decltype(boost::histogram::make_histogram(axis(1, 1.0, 2.0))) bins;
   std::uint64_t n = 0;
+  double sum = 0;
 };
 
 struct second {
--- a/tests/lab_test.cpp
+++ b/tests/lab_test.cpp
@@ -520,6 +520,7 @@
   more.add(t);
   more.add(t);
   CHECK(more.count() == 2000);
+  CHECK(more.mean() == doctest::Approx(500.5));
   CHECK(more.quantile(0.5) == doctest::Approx(500).epsilon(0.01));
   t.add(1e9);
   t.add(0);
