What nothing reads goes out of the laboratory; headings stand on one line again

Found on a last read: a list of standings, a stream, two accessors, a hang-up and fields that nothing used, one wrapper round an assignment, a namespace closed and opened at once, section headings that the formatter had split.

--- a/src/lab/brain.cpp
+++ b/src/lab/brain.cpp
@@ -66,7 +66,7 @@
     wants_list = land.must_ask;
     constexpr double again = 1000;
     ask_at = now + again * (0.5 + chance.unit());
-    wake_for(ask_at);
+    wake_at = ask_at;
   }
   void rpc_arrived(double now, const arrival& what) override {
     clock = now;
@@ -131,7 +131,6 @@
  private:
   struct pick {
     std::string server;
-    double sent;
     bool out = true, may_have_run = true;
   };
   struct rpc {
@@ -154,7 +153,7 @@
 
   decision send(const std::string& id, rpc& r, const std::string& to) {
     ++in_flight[to];
-    r.picks.push_back({to, clock});
+    r.picks.push_back({to});
     return {decision::verb::pick, id, to, static_cast<int>(r.picks.size()) - 1, r.until - clock, 0};
   }
 
@@ -189,8 +188,6 @@
     }
   }
 
-  void wake_for(double at) { wake_at = at; }
-
   policy by;
   terrain land;
   stream chance;
--- a/src/lab/world.cpp
+++ b/src/lab/world.cpp
@@ -38,7 +38,6 @@
       told(std::move(listeners)),
       end_at(s.length + s.longest_deadline()),
       network(seed_of(seed, use::network)),
-      troubles(seed_of(seed, use::troubles)),
       lists(seed_of(seed, use::list)),
       wishes(seed_of(seed, use::clients)),
       loss(s.net.loss) {
@@ -238,8 +237,7 @@
   }
 }
 
-// ---- applications
-// ------------------------------------------------------------------------------------------
+// ---- applications -------------------------------------------------------------------------------------
 
 // Thinned from the highest rate, so that what one sidecar's clients ask does not hang on another's.
 void world::next_arrival(std::uint32_t s) {
@@ -271,7 +269,7 @@
   const std::uint64_t id = ++next_rpc;
   const method& how = plays.methods[t.method].is;
   const double deadline = t.came + how.deadline;
-  rpcs[id] = {t.sidecar, of, deadline, false, {}};
+  rpcs[id] = {t.sidecar, of, false, {}};
   entry e{entry::what::rpc_taken};
   e.rpc = id;
   e.sidecar = t.sidecar;
@@ -350,8 +348,7 @@
   });
 }
 
-// ---- sidecars
-// ----------------------------------------------------------------------------------------------
+// ---- sidecars -----------------------------------------------------------------------------------------
 
 void world::pull(std::uint32_t s) {
   sidecar& c = sidecars[s];
@@ -806,8 +803,7 @@
   for (const std::uint64_t id : gone) conclude_task(id, fate::lost);
 }
 
-// ---- the list
-// ----------------------------------------------------------------------------------------------
+// ---- the list -----------------------------------------------------------------------------------------
 
 endpoint world::shown(std::uint32_t server, standing how) const {
   const place& at = places[server];
@@ -945,8 +941,7 @@
   pull(s);
 }
 
-// ---- servers
-// -----------------------------------------------------------------------------------------------
+// ---- servers ------------------------------------------------------------------------------------------
 
 // machine: it says nothing any more; else its connections end and new ones are refused.
 void world::stop_server(std::uint32_t server, bool machine, bool noticed) {
@@ -1001,8 +996,7 @@
   return at.at->work_ahead() + on_the_way + mean / rate + 2 * there + joining;
 }
 
-// ---- all of it
-// ---------------------------------------------------------------------------------------------
+// ---- all of it ----------------------------------------------------------------------------------------
 
 // One way. What is lost comes after the retransmission's time, doubled each time, as TCP sends it again.
 double world::trip(int from_zone, int to_zone) {
--- a/src/lab/world.h
+++ b/src/lab/world.h
@@ -29,8 +29,6 @@
   bool conserved() const;  // arrived = answered, given up or lost, and open
 
   double now() const { return due.now(); }
-  const figures& so_far() const { return seen; }
-  std::size_t open_tasks() const { return tasks.size(); }
   std::uint64_t connections_at(std::uint32_t server) const { return places.at(server).connections; }
   std::size_t servers() const { return places.size(); }
 
@@ -76,7 +74,6 @@
   struct rpc {
     std::uint32_t sidecar;
     std::uint64_t task;
-    double deadline;
     bool over = false;
     std::vector<pick> picks;
     bool idle() const;
@@ -162,7 +159,7 @@
   std::vector<witness*> told;
   agenda due;
   double end_at;
-  stream network, troubles, lists, wishes;
+  stream network, lists, wishes;
   std::vector<place> places;
   std::vector<sidecar> sidecars;
   std::map<std::uint64_t, rpc> rpcs;
--- a/src/load/fleet.cpp
+++ b/src/load/fleet.cpp
@@ -77,7 +77,6 @@
 std::size_t fleet::add(const lab::server_kind& k, int zone, int cell, double speed) {
   const std::size_t index = places.size();
   places.push_back(std::make_unique<place>());
-  now_standing.push_back(standing::ready);
   place& at = *places.back();
   at.kind = &k;
   at.zone = zone;
@@ -269,8 +268,7 @@
   }
 }
 
-// ---- the list
-// ----------------------------------------------------------------------------------------------
+// ---- the list -----------------------------------------------------------------------------------------
 
 std::string fleet::entry(std::size_t server, standing how) const {
   const place& at = *places[server];
@@ -293,7 +291,6 @@
 void fleet::change(std::size_t server, standing how) {
   changes.push_back(entry(server, how));
   changed.push_back(server);
-  now_standing[server] = how;
   for (std::size_t i = 0; i < agents.size(); ++i) send_news(i);
 }
 
--- a/src/load/fleet.h
+++ b/src/load/fleet.h
@@ -90,7 +90,6 @@
   std::vector<std::unique_ptr<agent_stand_in>> agents;
   std::vector<std::string> changes;
   std::vector<std::size_t> changed;
-  std::vector<standing> now_standing;  // by server
   std::uint64_t jobs = 0;
   double list_slowness = 1;
   bool list_silent = false;
--- a/src/load/listener.cpp
+++ b/src/load/listener.cpp
@@ -93,8 +93,6 @@
   if (!frozen && !s.out.done()) s.wire->write(s.out);
 }
 
-void listener::hang_up(std::uint64_t which) { close(which); }
-
 void listener::close(std::uint64_t which) {
   if (sides.erase(which) > 0) closed(which);
 }
--- a/src/load/listener.h
+++ b/src/load/listener.h
@@ -24,7 +24,6 @@
   void shut();  // the door and every connection
   void freeze() { frozen = true; }  // until it is shut: nothing is accepted, read or written, nothing ends
   void answer(std::uint64_t connection, std::string bytes);
-  void hang_up(std::uint64_t connection);
 
   const sockaddr_in& where() const { return place; }
   std::size_t connections() const { return sides.size(); }
--- a/src/net/config.cpp
+++ b/src/net/config.cpp
@@ -36,10 +36,6 @@
 constexpr std::pair<const char*, const char*> led_name{"LB_NAME", "name"}, led_listen{"LB_LISTEN", "listen"},
     led_discovery{"LB_DISCOVERY", "discovery"};
 
-}  // namespace
-
-namespace {
-
 // Each reads one part, so that a check can go on after a fault.
 using part = void (*)(const fields&, start&);
 constexpr part parts[]{
--- a/tests/lab_test.cpp
+++ b/tests/lab_test.cpp
@@ -532,8 +532,7 @@
   CHECK(spread_of({4}).half == 0);
 }
 
-// ---- the auditor
-// -------------------------------------------------------------------------------------------
+// ---- the auditor --------------------------------------------------------------------------------------
 
 namespace {
 
@@ -792,8 +791,7 @@
   }
 }
 
-// ---- scenarios, experiments, the command line
-// --------------------------------------------------------------
+// ---- scenarios, experiments, the command line ---------------------------------------------------------
 
 TEST_CASE("lab: scenarios at fault are refused with line and reason") {
   struct {
