A second address, endpoints out by hand, and two processes that are one sidecar

Second address: a front of its own on the same loop (src/net/admin) with descriptors of its own; its events go first in each round, which now sees all that is ready. Out by hand: src/maintenance holds the set, the balancer is told (`withheld`) and leaves the server out as one that drains; back is a start at the time of the call, so the cold terms apply and no new mechanism is needed. Road not taken: masking the list in discovery; drawn RPCs and connects in hand would slip through. Upgrade: src/handover decides from the other process's record, src/net/twin reads and writes it in TMPDIR under locks of open files. Road not taken: a Unix socket between the two, which needs a protocol for half-open ends where a lock that the kernel frees says it all; inotify, a descriptor more.

Cause, of the suspected faults: a connect in hand at a ban was written after it (pool::ready went on to write whatever the list said); it now ends as withdrawn, is drawn again at once and costs neither reputation nor the account of further picks. The second process ended with 1 since it bound the address itself (front::listen).

Tests: a model check of the set, the balancer, the pool, the address split at every byte, tables of the handover, both sides of the folder.

--- a/include/indigorill/balance.h
+++ b/include/indigorill/balance.h
@@ -63,7 +63,8 @@
   std::optional<double> held;  // RPCs in hand
 };
 
-enum class ending { ok, error, full, timed_out, connect_failed, reset, cancelled, moot };
+// withdrawn: taken back by the host before a byte was sent, as its server was withheld meanwhile.
+enum class ending { ok, error, full, timed_out, connect_failed, reset, cancelled, moot, withdrawn };
 
 struct decision {
   enum class verb { pick, push_back, abort, cancel, probe, follow_list, wake } what;
@@ -91,6 +92,8 @@
   void resting(std::string_view server, std::size_t connections);  // open there, with nothing on them
   // A server to which no connection may be opened now, for the sake of all sidecars together.
   void barred(std::string_view server, bool is);
+  // A server that staff took out by hand: nothing goes there, whatever the list says. Put back, it is cold.
+  void withheld(double now, std::string_view server, bool is);
   void woken(double now, std::uint64_t wake);
 
   // The next decision at the time last told, or none.
--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -44,10 +44,10 @@
 
 struct server {
   // Every draw reads these of every server; what it reads is kept together.
-  bool ready = false, barred = false;
+  bool ready = false, barred = false, listed = false, out = false;  // out: by hand, whatever the list says
   int cell = 0;
-  std::size_t zone = 0;  // its place among the zones met
-  double started = never, last_send = never;
+  std::size_t zone = 0;                                         // its place among the zones met
+  double started = never, last_send = never, returned = never;  // returned: put back by hand
   double others = 0, reported = never;   // what others had in hand there, and when we heard it
   double pace = 0, paced = never;        // time for each RPC in hand, and when it was last seen
   double full = never;                   // when it last turned a pick away
@@ -75,6 +75,8 @@
   int outstanding() const {
     return static_cast<int>(std::count_if(picks.begin(), picks.end(), [](const pick& p) { return p.out; }));
   }
+  int withdrawn = 0;  // picks that the host took back unsent
+  int tried() const { return static_cast<int>(picks.size()) - withdrawn; }
   const pick* first_that_may_have_run() const {
     for (const pick& p : picks)
       if (p.out || p.may_have_run) return &p;
@@ -190,6 +192,7 @@
 
   void muster() {
     fleet.clear();
+    for (server* s : met) s->ready = s->listed && !s->out;
     std::copy_if(met.begin(), met.end(), std::back_inserter(fleet), [](const server* s) { return s->ready; });
     warm_servers = 0;
     for (const server* s : fleet) warm_servers += warmth(*s);
@@ -203,30 +206,37 @@
       named.insert(r->to_ask.begin(), r->to_ask.end());
     }
     std::erase_if(met, [&](const server* s) {
-      return !s->ready && now - s->last_send > memory() && !named.count(s) &&
+      return !s->ready && !s->out && now - s->last_send > memory() && !named.count(s) &&
              servers.erase(std::string(s->id));
     });
   }
 
-  void learn_endpoint(const endpoint& e) {
-    auto& known = servers[e.id];
+  server& meet(const std::string& id) {
+    auto& known = servers[id];
     if (!known) {
       met.push_back((known = std::make_unique<server>()).get());
-      known->id = e.id;
-      for (unsigned char c : e.id) known->id_hash = (known->id_hash ^ c) * 1099511628211ULL;
+      known->id = id;
+      for (unsigned char c : id) known->id_hash = (known->id_hash ^ c) * 1099511628211ULL;
     }
-    server& s = *known;
+    return *known;
+  }
+
+  void learn_endpoint(const endpoint& e) {
+    server& s = meet(e.id);
     s.zone = zone_at_the_door(e.zone);
     s.cell = e.cell;
-    const double started = e.started > 0 ? e.started : never;
+    learn_start(s, std::max(e.started > 0 ? e.started : never, s.returned));
+    s.listed = e.state == standing::ready;
+  }
+
+  void learn_start(server& s, double started) {
     if (s.started != started && s.last_send != never) {
       // A process that restarted under the same id is another one: what the old one did says nothing of it.
       s.window.clear();
-      s.last_send = s.reported = s.paced = never;
+      s.last_send = s.reported = s.paced = s.full = s.probed = never;
       s.budget = 1;
     }
     s.started = started;
-    s.ready = e.state == standing::ready;
   }
 
   void learn_report(server& s, const load& report, bool with_answer) {
@@ -564,7 +574,7 @@
   }
 
   bool may_pick(const rpc& r) const {
-    if (static_cast<int>(r.picks.size()) >= land.most_picks) return false;
+    if (r.tried() >= land.most_picks) return false;
     const pick* first = r.first_that_may_have_run();
     if (!first || r.how->repeats == repeatable::idempotent) return true;
     if (r.how->repeats == repeatable::non_idempotent) return false;
@@ -589,7 +599,7 @@
       return {};
     }
     if (now >= useful_until(r)) return give_up(r);
-    const bool further = !r.picks.empty();
+    const bool further = r.tried() > 0;
     ballot b;
     if (ask_around(r, b)) return {};
     if (!may_pick(r) || (further && spare < 1)) return give_up(r);
@@ -756,7 +766,7 @@
 void balancer::listed(double now, bool whole, bool asked, const std::vector<endpoint>& entries) {
   self->now = now;
   if (whole)
-    for (const auto& [id, s] : self->servers) s->ready = false;
+    for (const auto& [id, s] : self->servers) s->listed = false;
   for (const endpoint& e : entries) self->learn_endpoint(e);
   self->muster();
   if (asked && self->call_out) {
@@ -827,7 +837,9 @@
   pick& p = r.picks[number];
   server& s = *p.to;
   p.out = false;
-  p.may_have_run = how != ending::full && how != ending::connect_failed && how != ending::moot;
+  const bool unsent = how == ending::withdrawn;
+  r.withdrawn += unsent;
+  p.may_have_run = how != ending::full && how != ending::connect_failed && how != ending::moot && !unsent;
   s.in_flight -= 1;
   s.ours = s.in_flight > 0 ? s.ours - p.size : 0;
   b.learn_report(s, report, how == ending::ok);
@@ -837,12 +849,10 @@
   const bool failed = how != ending::ok || took > r.how->latency_target;
   // Errors and failed connects are one server's trouble; turned away or too late is what a crowd does.
   if (how == ending::ok || how == ending::full || how == ending::timed_out) b.learn_outcome(b.lately, failed);
-  if (how != ending::cancelled && how != ending::moot && how != ending::full)
+  if (how != ending::cancelled && how != ending::moot && how != ending::full && !unsent)
     b.learn_outcome(s.window, failed);
-  if (p.further) {
-    const bool served = how == ending::ok && now <= r.target;
-    b.further_success += 0.1 * ((served ? 1 : 0.1) - b.further_success);
-  }
+  if (p.further && !unsent)
+    b.further_success += 0.1 * ((how == ending::ok && now <= r.target ? 1 : 0.1) - b.further_success);
   if (concluded && !r.concluded) b.conclude(r);
   if (!r.concluded) b.queue(r);
   b.forget_if_over(r.id);
@@ -875,6 +885,15 @@
   if (it != self->servers.end()) it->second->barred = is;
 }
 
+void balancer::withheld(double now, std::string_view id, bool is) {
+  self->now = now;
+  server& s = self->meet(std::string(id));
+  // Staff restart what they take out: from the call back it is as cold as a start that the list tells.
+  if (s.out && !is) self->learn_start(s, s.returned = now);
+  s.out = is;
+  self->muster();
+}
+
 void balancer::woken(double now, std::uint64_t wake) {
   self->now = now;
   if (wake == beat_wake) {
--- a/src/net/config.cpp
+++ b/src/net/config.cpp
@@ -34,13 +34,29 @@
 }
 
 constexpr std::pair<const char*, const char*> led_name{"LB_NAME", "name"}, led_listen{"LB_LISTEN", "listen"},
-    led_discovery{"LB_DISCOVERY", "discovery"};
+    led_discovery{"LB_DISCOVERY", "discovery"}, led_second{"LB_ADMIN_ADDR", "admin_addr"};
+// What is told by the environment alone stands in the object under the variable's own name.
+constexpr std::pair<const char*, const char*> inherited{"LB_INHERITED_FD", "LB_INHERITED_FD"},
+    folder{"TMPDIR", "TMPDIR"};
 
 // Each reads one part, so that a check can go on after a fault.
 using part = void (*)(const fields&, start&);
 constexpr part parts[]{
     [](const fields& f, start& s) { s.name = f.text("name"); },
     [](const fields& f, start& s) { s.listen = address(f, "listen"); },
+    [](const fields& f, start& s) {
+      if (f.find("admin_addr")) s.second = address(f, "admin_addr");
+    },
+    [](const fields& f, start& s) {
+      s.shared = f.text(folder.second, "");
+      const std::string fd = f.text(inherited.second, "");
+      if (fd.empty()) return;
+      int number = -1;
+      const auto [end, fault] = std::from_chars(fd.data(), fd.data() + fd.size(), number);
+      if (fault != std::errc() || end != fd.data() + fd.size() || number < 0)
+        f.fault("LB_INHERITED_FD is not the number of a descriptor");
+      s.inherited = number;
+    },
     [](const fields& f, start& s) {
       s.discovery = address(f, "discovery");
       s.discovery_host = f.text("discovery");
@@ -91,13 +107,14 @@
 }
 
 nlohmann::json read_config(const std::string& path, const variables& variable) {
-  return read_json(path, variable, {led_name, led_listen, led_discovery});
+  return read_json(path, variable, {led_name, led_listen, led_discovery, led_second, inherited, folder});
 }
 
 start read_start(const variables& variable) { return decode_start(read_config(path_of(variable), variable)); }
 
 start read_again(const variables& variable) {
-  return decode_start(read_json(path_of(variable), variable, {led_name, led_listen}));
+  return decode_start(
+      read_json(path_of(variable), variable, {led_name, led_listen, led_second, inherited, folder}));
 }
 
 }  // namespace indigorill
--- a/src/net/config.h
+++ b/src/net/config.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <functional>
+#include <optional>
 #include <string>
 
 #include "../decode/settings.h"
@@ -12,6 +13,9 @@
 struct start {
   std::string name, discovery_host;
   sockaddr_in listen{}, discovery{};
+  std::optional<sockaddr_in> second;  // for staff
+  std::optional<int> inherited;       // the descriptor of the clients' listener, where the platform holds it
+  std::string shared;                 // the folder that two processes of one sidecar share
   std::uint64_t seed = 0;
   std::size_t descriptors = 0, memory = 0;  // memory in bytes
   double counters_every = 0;                // ms between two lines of them; 0: none
--- a/src/net/counters.cpp
+++ b/src/net/counters.cpp
@@ -3,8 +3,8 @@
 namespace indigorill {
 namespace {
 
-constexpr std::array<std::string_view, 8> endings{"ok",    "error",     "full", "timed_out", "connect_failed",
-                                                  "reset", "cancelled", "moot"};
+constexpr std::array<std::string_view, 9> endings{"ok",    "error",     "full", "timed_out", "connect_failed",
+                                                  "reset", "cancelled", "moot", "withdrawn"};
 
 }  // namespace
 
@@ -29,6 +29,9 @@
   one("connections_reused", c.reused);
   one("connections_retired", c.retired);
   one("connections_closed_for_room", c.closed_for_room);
+  one("out_by_hand", c.out_by_hand);
+  one("orders", c.orders);
+  one("orders_refused", c.orders_refused);
   one("lists", c.lists);
   one("list_failures", c.list_failures);
   one("malformed_lists", c.malformed_lists);
--- a/src/net/counters.h
+++ b/src/net/counters.h
@@ -12,13 +12,15 @@
 
 struct counters {
   using count = std::uint64_t;
-  using by_ending = std::array<count, 8>;
+  using by_ending = std::array<count, 9>;
 
   count taken = 0, ok = 0, pushed_back = 0, aborted = 0, left = 0;  // RPCs
   count bad_input = 0, silent = 0, out_of_room = 0;                 // answered without the module
   count unheard = 0;                                                // answers whose client had gone
   by_ending picks{}, probes{};
   count accepted = 0, opened = 0, reused = 0, retired = 0, closed_for_room = 0;  // connections
+  count out_by_hand = 0;                                                         // endpoints that are out now
+  count orders = 0, orders_refused = 0;  // calls on the second address, and those answered no
   count lists = 0, list_failures = 0, malformed_lists = 0;
 
   static void add(by_ending& to, ending how) { ++to[static_cast<std::size_t>(how)]; }
--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -31,6 +31,20 @@
   return r;
 }
 
+std::string encode_roster(const roster& r) {
+  nlohmann::json all = nlohmann::json::array();
+  for (const roster::entry& e : r.entries)
+    all.push_back({{"instanceId", e.is.id},
+                   {"hostPort", e.address},
+                   {"zone", e.is.zone},
+                   {"cell", e.is.cell},
+                   {"lifecycle", e.is.state == standing::ready      ? "up"
+                                 : e.is.state == standing::draining ? "draining"
+                                                                    : "removed"},
+                   {"startedAtMs", e.is.started}});
+  return nlohmann::json{{"generation", r.version}, {"reset", r.whole}, {"instances", all}}.dump();
+}
+
 discovery::discovery(loop& in, descriptor_budget& budget, counters& counts, logger& log_to,
                      const sockaddr_in& where, std::string name, std::uint64_t seed, told then,
                      loop::task on_failure)
--- a/src/net/discovery.h
+++ b/src/net/discovery.h
@@ -28,6 +28,7 @@
 };
 
 roster decode_roster(const fields& f);  // throws malformed
+std::string encode_roster(const roster& r);
 
 class discovery {
  public:
--- a/src/net/front.cpp
+++ b/src/net/front.cpp
@@ -45,7 +45,20 @@
 
 void front::adopt(descriptor listener) {
   door = std::move(listener);
-  at_door = runs.on(door.get(), [this](std::uint32_t) { open_door(); });
+  if (taking) at_door = runs.on(door.get(), [this](std::uint32_t) { open_door(); });
+}
+
+void front::accepts(bool does) {
+  if (std::exchange(taking, does) == does || !door) return;
+  door_again.drop();
+  at_door.drop();
+  // The watch is new, so that it tells also of what waits already.
+  if (taking) at_door = runs.on(door.get(), [this](std::uint32_t) { open_door(); });
+}
+
+void front::keep_within(limits now) {
+  bounds = now;
+  while (connections.size() > bounds.clients && close_idle()) continue;
 }
 
 void front::open_door() {
@@ -204,7 +217,7 @@
 
 void front::handle(connection& c, http::message m) {
   const errand what = errand_of(m);
-  const bool close = !m.keeps || draining || c.surplus || (what != errand::rpc && crowded());
+  const bool close = !m.keeps || draining || hurried || c.surplus || (what != errand::rpc && crowded());
   if (what == errand::readiness)
     return answer(c, draining ? plain(503, "stopping\n", close) : plain(200, "ready\n", close), close);
   if (what == errand::counters) {
@@ -229,7 +242,7 @@
   const std::uint64_t name = c.name;
   std::string rpc = takes.take(std::move(m), c.came, [this, name](verdict v) {
     connection& asker = *connections.at(name);
-    const bool last = asker.close_after || draining || crowded();
+    const bool last = asker.close_after || draining || hurried || crowded();
     asker.rpc.clear();
     asker.lent = 0;
     asker.answer = std::move(v.answer);
@@ -325,10 +338,10 @@
 void front::close_door() {
   // What waits in the backlog counts as accepted: it is emptied first, however long.
   constexpr double soon = 5, patience = 1000;  // a process out of descriptors can't stay for ever
-  backlog left;
-  do {
-    left = accept();
-  } while (left == backlog::more);
+  backlog left = backlog::empty;
+  if (taking) do {
+      left = accept();
+    } while (left == backlog::more);
   if (left == backlog::stuck && runs.now() < told + patience) {
     door_shut = runs.at(runs.now() + soon, [this] { close_door(); });
     return;
--- a/src/net/front.h
+++ b/src/net/front.h
@@ -27,6 +27,12 @@
 
   void listen(const sockaddr_in& where);
   void adopt(descriptor listener);  // one that listens already
+  // While it doesn't, whoever else holds the listener takes what waits there.
+  void accepts(bool does);
+  // Each answer ends its connection, so that clients move over to another process.
+  void hurries(bool does) { hurried = does; }
+  void keep_within(limits now);
+
   // Closes the connection that is of least use: answered for good, then silent, half sent or idle,
   // the oldest first. False if there is none.
   bool close_idle();
@@ -71,7 +77,7 @@
   loop::watch at_door;
   loop::timer door_again, door_shut;
   loop::task when_empty;
-  bool draining = false;
+  bool draining = false, taking = true, hurried = false;
   double told = 0, last_warning = 0;  // told: to stop
   std::uint64_t names = 0;
   std::unordered_map<std::uint64_t, std::unique_ptr<connection>> connections;
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -83,13 +83,13 @@
   return t;
 }
 
-loop::watch loop::on(int fd, events_task what) {
+loop::watch loop::on(int fd, events_task what, rank as) {
   epoll_event e{};
   e.events = EPOLLIN | EPOLLOUT | EPOLLRDHUP | EPOLLET;
   e.data.u64 = ++ids;
   if (::epoll_ctl(epoll.get(), EPOLL_CTL_ADD, fd, &e) < 0)
     throw std::system_error(errno, std::generic_category(), "epoll_ctl");
-  watches.emplace(ids, std::make_shared<events_task>(std::move(what)));
+  watches.emplace(ids, watched{std::make_shared<events_task>(std::move(what)), as});
   watch w;
   w.of = this;
   w.id = ids;
@@ -106,10 +106,15 @@
   // pointer would lead to freed memory. The task is held, since it may drop its own watch.
   const auto it = watches.find(id);
   if (it == watches.end()) return;
-  const std::shared_ptr<events_task> held = it->second;
+  const std::shared_ptr<events_task> held = it->second.what;
   (*held)(events);
 }
 
+bool loop::first(std::uint64_t id) const {
+  const auto it = watches.find(id);
+  return it != watches.end() && it->second.as == rank::first;
+}
+
 void loop::call_due() {
   // Only what is due by now: tasks that set new due times at once must not keep the sockets waiting.
   const double until = now();
@@ -123,9 +128,12 @@
 void loop::round(double longest) {
   double wait = requeued.empty() ? longest : 0;
   if (!due.empty()) wait = std::min(wait, due.begin()->first.first - now());
-  std::array<epoll_event, 128> events;
+  // As many as a process may hold: one round sees all that is ready, so that the first can go ahead of it.
+  std::array<epoll_event, 1024> events;
   const int n = ::epoll_wait(epoll.get(), events.data(), events.size(),
                              static_cast<int>(std::ceil(std::clamp(wait, 0.0, 60000.0))));
+  std::stable_partition(events.begin(), events.begin() + std::max(n, 0),
+                        [this](const epoll_event& e) { return first(e.data.u64); });
   for (int i = 0; i < n; ++i) call(events[i].data.u64, events[i].events);
   std::deque<std::uint64_t> once;
   once.swap(requeued);
--- a/src/net/loop.h
+++ b/src/net/loop.h
@@ -69,8 +69,11 @@
   double now() const;
 
   timer at(double when, task what);
+  // first: its events are served ahead of all others in a round, or staff would wait behind a crowd.
+  enum class rank { usual, first };
+
   // Edge-triggered: `what` must read, write or accept until EAGAIN, or ask to be called again.
-  watch on(int fd, events_task what);
+  watch on(int fd, events_task what, rank as = rank::usual);
   void again(const watch& which);  // in the next round, with the other descriptors in between
 
   void run();
@@ -79,6 +82,7 @@
 
  private:
   void call(std::uint64_t id, std::uint32_t events);
+  bool first(std::uint64_t id) const;
   void call_due();
 
   descriptor epoll;
@@ -86,7 +90,11 @@
   bool stopping = false;
   std::uint64_t ids = 0;
   std::map<std::pair<double, std::uint64_t>, task> due;
-  std::unordered_map<std::uint64_t, std::shared_ptr<events_task>> watches;
+  struct watched {
+    std::shared_ptr<events_task> what;
+    rank as;
+  };
+  std::unordered_map<std::uint64_t, watched> watches;
   std::deque<std::uint64_t> requeued;
 };
 
--- a/src/net/pool.cpp
+++ b/src/net/pool.cpp
@@ -57,6 +57,20 @@
   places.erase(it);  // ids are ever new: those that are gone would pile up
 }
 
+void pool::withheld(const std::string& server, bool is) {
+  const auto it = places.find(server);
+  if (it != places.end()) it->second.withheld = is;
+  if (!is) return;
+  if (it != places.end()) close_idle_at(it->second);
+  std::vector<ticket> unsent;
+  for (const auto& [name, c] : connections)
+    if (c->server == server && c->in != connection::stage::awaiting && !c->out.begun())
+      unsent.push_back(name);
+  for (const ticket name : unsent)
+    if (const auto c = connections.find(name); c != connections.end())
+      finish(*c->second, ending::withdrawn, {}, false);
+}
+
 void pool::close_idle_at(place& at) {
   while (!at.idle.empty()) close(at.idle.back());
 }
@@ -193,7 +207,7 @@
   // An endpoint that has gone or moved meanwhile: its id, or the next one's at its address, must not get
   // this.
   const auto at = places.find(c.server);
-  if (keep && at != places.end() && same(at->second.address, c.to))
+  if (keep && at != places.end() && !at->second.withheld && same(at->second.address, c.to))
     rest(c);
   else
     close(c.name);
--- a/src/net/pool.h
+++ b/src/net/pool.h
@@ -35,6 +35,9 @@
 
   void listed(const std::string& server, const std::string& address);
   void gone(const std::string& server);  // idle connections there are given back
+  // What rests there is given back, and what has not one byte written there ends as withdrawn: a connect in
+  // hand when staff take an endpoint out would else be written to after it.
+  void withheld(const std::string& server, bool is);
   void keep_only(const std::vector<endpoint>& whole_list);
 
   // `then` is called once, later, unless the ticket is given up before. What is lent must last until then.
@@ -53,6 +56,7 @@
   struct place {
     sockaddr_in address{};
     std::vector<ticket> idle;  // the last used is at the end
+    bool withheld = false;
   };
 
   connection* reuse(place& at);
--- a/src/net/relay.cpp
+++ b/src/net/relay.cpp
@@ -65,6 +65,12 @@
   pull();
 }
 
+void relay::withheld(const std::string& server, bool is) {
+  decides.withheld(runs.now(), server, is);
+  endpoints.withheld(server, is);
+  pull();
+}
+
 void relay::list_failed() {
   decides.list_failed(runs.now());
   pull();
@@ -155,6 +161,7 @@
   constexpr double patience = 250;
   endpoints.send(server, probe_of(reports), patience, [this, server](pool::result ended) {
     const load report = understand(ended, true);
+    if (ended.how == ending::withdrawn) ended.how = ending::moot;  // it was not asked at all
     counters::add(counted.probes, ended.how);
     lines.debug() << "probe of " << server << ": " << name_of(ended.how) << " after " << ended.took
                   << " ms, holds " << report.held.value_or(-1);
--- a/src/net/sidecar.cpp
+++ b/src/net/sidecar.cpp
@@ -1,14 +1,20 @@
 #include "sidecar.h"
 
+#include <malloc.h>
 #include <sys/signalfd.h>
 #include <unistd.h>
 
 #include <cerrno>
 #include <csignal>
+#include <map>
 #include <sstream>
 #include <system_error>
+#include <utility>
 
+#include "../maintenance/maintenance.h"
+#include "admin.h"
 #include "front.h"
+#include "twin.h"
 
 namespace indigorill {
 namespace {
@@ -40,13 +46,16 @@
 
 void run_sidecar(const start& with, const std::function<start()>& read_again, logger& lines) {
   // Standard input, output and error, epoll, signals, the listener, and some to spare.
-  constexpr std::size_t own_descriptors = 16;
+  const std::size_t own_descriptors = 16 + (with.second ? admin::own_descriptors : 0);
   if (with.descriptors <= 2 * own_descriptors) throw malformed("config: limits allow too few sockets");
   ::signal(SIGPIPE, SIG_IGN);
   const descriptor signal = signals();  // before all else: a SIGHUP that isn't held ends the process
   loop runs;
   counters counts;
   descriptor_budget budget{with.descriptors - own_descriptors};
+  std::unique_ptr<twin> other;
+  if (with.second || with.inherited) other = std::make_unique<twin>(runs, lines, with.shared, with.name);
+  const auto part = [&] { return other ? other->is().share() : 1; };
 
   front* door = nullptr;
   pool endpoints(runs, budget, counts, lines, with.with, [&] { return door && door->close_idle(); });
@@ -54,24 +63,44 @@
   // Clients hold a third of the descriptors at most for requests, so a third is enough for their picks, and
   // half of what they may hold may rest. A third of the memory for requests leaves as much for answers and as
   // much for what the allocator wastes.
-  const front::limits within{budget.most - budget.most / 3, budget.most / 6, with.memory / 3};
-  front clients(runs, budget, counts, lines, rpcs, within, [&] { return endpoints.close_idle(); });
+  const auto within = [&] {
+    // Of two processes each keeps to its part, what it holds for itself included.
+    constexpr std::size_t least = 4;  // the list's connection and a few others
+    const auto most = static_cast<std::size_t>(part() * static_cast<double>(with.descriptors));
+    budget.most = most > own_descriptors + least ? most - own_descriptors : least;
+    return front::limits{budget.most - budget.most / 3, budget.most / 6,
+                         static_cast<std::size_t>(part() * static_cast<double>(with.memory) / 3)};
+  };
+  front clients(runs, budget, counts, lines, rpcs, within(), [&] { return endpoints.close_idle(); });
   door = &clients;
 
+  maintenance by_hand;
+  std::map<std::string, roster::entry> listed;  // for a newcomer
+  std::uint64_t version = with.known.version;
   const auto learn = [&](const roster& list, bool asked) {
     if (list.whole || !list.entries.empty())
       (lines.info() << "list version " << list.version << (list.whole ? ", whole, " : ", changes, ")
                     << list.entries.size() << " entries")
           .field("version", static_cast<std::int64_t>(list.version))
           .field("entries", static_cast<std::int64_t>(list.entries.size()));
+    if (list.whole) listed.clear();
+    version = list.version;
     std::vector<endpoint> entries;
+    std::vector<std::string> here, gone;
     for (const roster::entry& e : list.entries) {
-      if (e.is.state == standing::gone)
+      if (e.is.state == standing::gone) {
         endpoints.gone(e.is.id);
-      else
+        listed.erase(e.is.id);
+      } else {
         endpoints.listed(e.is.id, e.address);
+        listed[e.is.id] = e;
+      }
+      (e.is.state == standing::gone ? gone : here).push_back(e.is.id);
       entries.push_back(e.is);
     }
+    by_hand.listed(list.whole, here, gone);
+    for (const std::string& id : here)
+      if (by_hand.out(id)) endpoints.withheld(id, true);  // met anew, it is out still
     if (list.whole) endpoints.keep_only(entries);
     rpcs.listed(list.whole, asked, entries);
   };
@@ -83,14 +112,17 @@
       runs, budget, counts, lines, with.discovery, with.discovery_host, with.seed + 1,
       [&](const roster& list) { learn(list, true); }, [&] { rpcs.list_failed(); });
   // Many that start at once and ask for the whole list each keep its service busy for longer than it lasts.
-  if (!known.entries.empty()) lists.knows(known.version);
-  if (with.where.must_ask) {
-    rpcs.when_list_wanted([&] { lists.begin(); });
-  } else {
-    lists.keep_asking();
-    lists.begin();
-  }
+  const auto watch_list = [&] {
+    if (!listed.empty()) lists.knows(version);
+    if (with.where.must_ask) {
+      rpcs.when_list_wanted([&] { lists.begin(); });
+    } else {
+      lists.keep_asking();
+      lists.begin();
+    }
+  };
 
+  bool stopping = false;
   std::string agent = with.discovery_host;
   const auto reload = [&] {
     try {
@@ -110,6 +142,8 @@
       } else if (s.ssi_signo == SIGHUP) {
         reload();
       } else {
+        stopping = true;
+        if (other) other->leaves();
         lines.info() << "told to stop, " << rpcs.held() << " RPCs held";
         clients.drain([&] { runs.stop(); });
       }
@@ -121,8 +155,90 @@
     next_counters = runs.at(runs.now() + with.counters_every, log_counters);
   };
   if (with.counters_every > 0) next_counters = runs.at(runs.now() + with.counters_every, log_counters);
-  clients.listen(with.listen);
-  lines.info() << with.name << " serves, " << with.known.entries.size() << " endpoints known";
+  const auto put_out = [&](maintenance::ids all) {
+    const auto out = missing(by_hand.all_out(), all), back = missing(all, by_hand.all_out());
+    by_hand.restore(std::move(all));
+    counts.out_by_hand = by_hand.all_out().size();
+    for (const std::string& id : out) rpcs.withheld(id, true);
+    for (const std::string& id : back) rpcs.withheld(id, false);
+    for (const std::string& id : out) lines.info() << "endpoint " << id << " is out by hand";
+    for (const std::string& id : back) lines.info() << "endpoint " << id << " is back, taken for cold";
+  };
+  bool serving = false;
+  admin staff(runs, counts, lines, [&](const order& asked, const admin::answered& then) {
+    if (asked.is == order::what::status) return then(serving && !stopping ? 200 : 503);
+    if (!by_hand.knows(asked.id)) return then(404);
+    const bool out = asked.is == order::what::out;
+    other->change(
+        [id = asked.id, out](bans& b) {
+          if (out)
+            b.out.insert(id);
+          else
+            b.out.erase(id);
+        },
+        [then](bool done) { then(done ? 200 : 503); });
+  });
+  const auto take_over_list = [&] {
+    const auto text = other->left_list();
+    if (!text) return;
+    try {
+      const auto j = nlohmann::json::parse(*text, nullptr, false);
+      if (j.is_discarded()) throw malformed("list: is not JSON");
+      learn(decode_roster(fields("list", j)), false);
+    } catch (const malformed& e) {
+      lines.warning() << "the older process left what is no list, ours stays in force: " << e.what();
+    }
+  };
+  const auto serve = [&] {
+    serving = true;
+    watch_list();
+    if (other) other->serves();
+    clients.accepts(true);
+    lines.info() << with.name << " serves, " << listed.size() << " endpoints known";
+  };
+  // An upgrade: what the newer of two processes waits for, and what the older one gives up.
+  const double started = runs.now();
+  bool beside = false, hurrying = false;
+  const auto side_by_side = [&] {
+    constexpr double longest = 500;  // ms; an elder that stands still must not keep the newcomer from serving
+    const handover& is = other->is();
+    clients.keep_within(within());
+    while (budget.open > budget.most && (clients.close_idle() || endpoints.close_idle())) continue;
+    if (is.elder() && !is.self().made_room) {
+      roster now;
+      now.version = version;
+      now.whole = true;
+      for (const auto& [id, e] : listed) now.entries.push_back(e);
+      other->leave_list(encode_roster(now));
+      ::malloc_trim(0);  // what is free here is room for the newcomer only once the kernel has it back
+    }
+    other->made_room(is.elder() && budget.open <= budget.most);
+    if (!serving && (is.has_room() || runs.now() > started + longest)) {
+      if (is.newcomer() && is.has_room()) take_over_list();
+      serve();
+    }
+    clients.hurries(is.hurries());
+    clients.accepts(is.accepts());
+    if (std::exchange(beside, is.paired()) != is.paired())
+      lines.info() << (is.elder()      ? "a newer process of this sidecar starts, half of the limits are its"
+                       : is.newcomer() ? "an older process of this sidecar runs, half of the limits are ours"
+                                       : "the other process has ended, all of the limits are ours");
+    if (std::exchange(hurrying, is.hurries()) != is.hurries())
+      lines.info() << (is.hurries() ? "the newer process serves, clients move over to it"
+                                    : "the newer process has gone, clients are taken on again");
+  };
+  if (with.second) staff.listen(*with.second);
+  clients.accepts(false);
+  if (with.inherited)
+    clients.adopt(adopt_listener(*with.inherited));
+  else
+    clients.listen(with.listen);
+  if (other) {
+    put_out(other->agreed().out);
+    other->begin(side_by_side, [&](const bans& now) { put_out(now.out); });
+  } else {
+    serve();
+  }
   runs.run();
   write_counters(lines, counts);
 }
--- a/src/net/socket.cpp
+++ b/src/net/socket.cpp
@@ -1,6 +1,7 @@
 #include "socket.h"
 
 #include <arpa/inet.h>
+#include <fcntl.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 #include <sys/uio.h>
@@ -59,6 +60,22 @@
   return fd;
 }
 
+descriptor adopt_listener(int fd) {
+  const auto option = [&](int name) {
+    int value = 0;
+    socklen_t size = sizeof value;
+    return ::getsockopt(fd, SOL_SOCKET, name, &value, &size) < 0 ? -1 : value;
+  };
+  if (option(SO_ACCEPTCONN) != 1 || option(SO_TYPE) != SOCK_STREAM || option(SO_DOMAIN) != AF_INET)
+    throw malformed("LB_INHERITED_FD names no listening TCP socket: " + std::to_string(fd));
+  const int on = 1;
+  ::setsockopt(fd, SOL_SOCKET, SO_TIMESTAMPNS, &on, sizeof on);
+  // The flag is of the socket, and so of all that hold it: a blocking accept would hold up the loop.
+  if (::fcntl(fd, F_SETFL, ::fcntl(fd, F_GETFL) | O_NONBLOCK) < 0 || ::fcntl(fd, F_SETFD, FD_CLOEXEC) < 0)
+    throw std::system_error(errno, std::generic_category(), "fcntl");
+  return descriptor(fd);
+}
+
 descriptor connect_to(const sockaddr_in& where) {
   descriptor fd(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
   if (!fd) return {};
@@ -79,8 +96,8 @@
   if (!piece.empty()) pieces.push_back(piece);
 }
 
-stream::stream(loop& in, descriptor_budget& budget, descriptor owned, loop::events_task ready)
-    : runs(in), counted(budget), fd(std::move(owned)), place(in.on(fd.get(), std::move(ready))) {
+stream::stream(loop& in, descriptor_budget& budget, descriptor owned, loop::events_task ready, loop::rank as)
+    : runs(in), counted(budget), fd(std::move(owned)), place(in.on(fd.get(), std::move(ready), as)) {
   ++counted.open;
 }
 
@@ -132,6 +149,7 @@
       if (errno == EINTR) continue;
       return errno == EAGAIN || errno == EWOULDBLOCK;
     }
+    what.sent += static_cast<std::size_t>(sent);
     for (std::size_t left = static_cast<std::size_t>(sent); left > 0;) {
       std::string_view& piece = what.pieces[what.at];
       const std::size_t now = std::min(left, piece.size());
--- a/src/net/socket.h
+++ b/src/net/socket.h
@@ -10,6 +10,7 @@
 #include <string_view>
 #include <vector>
 
+#include "../decode/fields.h"
 #include "loop.h"
 
 namespace indigorill {
@@ -24,6 +25,8 @@
 };
 
 descriptor listen_on(const sockaddr_in& where);
+// One that listens already and that others hold too. Throws malformed if it is none.
+descriptor adopt_listener(int fd);
 descriptor connect_to(const sockaddr_in& where);  // begins; none if it can't
 
 // Pieces of a message to be written in one go, and how far that has come. Pieces of others must stay where
@@ -33,12 +36,14 @@
   void own(std::string piece);  // kept here
   void lend(std::string_view piece);
   bool done() const { return at == pieces.size(); }
+  bool begun() const { return sent > 0; }  // some of it was written
 
  private:
   friend class stream;
   std::deque<std::string> owned;
   std::vector<std::string_view> pieces;
   std::size_t at = 0;  // the first piece not written whole; it is shortened as it goes
+  std::size_t sent = 0;
 };
 
 // A non-blocking connection in the loop.
@@ -46,7 +51,8 @@
  public:
   enum class got { some, nothing, ended, broken };
 
-  stream(loop& in, descriptor_budget& budget, descriptor owned, loop::events_task ready);
+  stream(loop& in, descriptor_budget& budget, descriptor owned, loop::events_task ready,
+         loop::rank as = loop::rank::usual);
   ~stream();
   stream(const stream&) = delete;
   stream& operator=(const stream&) = delete;
--- a/src/net/words.cpp
+++ b/src/net/words.cpp
@@ -129,6 +129,22 @@
   }
 }
 
+// Percent-decoded; none where it is malformed or holds what no id does.
+std::optional<std::string> decoded(std::string_view s) {
+  std::string to;
+  for (; !s.empty(); s.remove_prefix(1)) {
+    unsigned char c = static_cast<unsigned char>(s.front());
+    if (c == '%') {
+      const char* end = s.data() + 3;
+      if (s.size() < 3 || std::from_chars(s.data() + 1, end, c, 16).ptr != end) return {};
+      s.remove_prefix(2);
+    }
+    if (c < 0x20 || c == 0x7f) return {};
+    to += static_cast<char>(c);
+  }
+  return to;
+}
+
 }  // namespace
 
 errand errand_of(const message& m) {
@@ -235,6 +251,43 @@
 
 outgoing aborted(bool close) { return plain(502, "", close); }
 
+order read_order(const message& m) {
+  static constexpr std::pair<std::string_view, order::what> calls[] = {
+      {"/status", order::what::status},
+      {"/maintenance/enter", order::what::out},
+      {"/maintenance/exit", order::what::back}};
+  order o;
+  const auto known = std::find_if(std::begin(calls), std::end(calls),
+                                  [path = path_of(m)](const auto& c) { return c.first == path; });
+  if (known == std::end(calls)) return o.fault = 404, o;
+  o.is = known->second;
+  if (m.text(m.method) != (o.is == order::what::status ? "GET" : "PUT")) return o.fault = 405, o;
+  if (o.is == order::what::status) return o;
+  constexpr std::string_view named = "host=";
+  constexpr std::size_t longest_id = 1024;
+  std::string_view query = m.text(m.target);
+  query.remove_prefix(std::min(query.find('?'), query.size() - 1) + 1);
+  int times = 0;
+  while (!query.empty()) {
+    const std::string_view pair = query.substr(0, query.find('&'));
+    query.remove_prefix(std::min(pair.size() + 1, query.size()));
+    if (!pair.starts_with(named)) continue;
+    const auto id = decoded(pair.substr(named.size()));
+    if (++times > 1 || !id || id->empty() || id->size() > longest_id) return o.fault = 400, o;
+    o.id = *id;
+  }
+  if (times == 0) o.fault = 400;
+  return o;
+}
+
+outgoing ordered(int status, std::string_view text) {
+  outgoing out;
+  // Which method the path does take: the one that reads, or the one that changes something.
+  out.own(status_line(status) + (status == 405 ? "Allow: GET, PUT\r\n" : "") + last_lines(text.size(), true) +
+          std::string(text));
+  return out;
+}
+
 outgoing plain(int status, std::string body, bool close) {
   outgoing out;
   out.own(status_line(status) + last_lines(body.size(), close) + body);
