Long messages go through in pieces, both ways, with backpressure; all forms of HTTP/1.1

The reader gives a body over 64 KiB out in pieces; `pool` and `front` hand them on one at a time and stop reading while the other side is slower; the relay tells the balancer once bytes are gone that can't be sent again (`answer_began`), after which an RPC has no time-out and no further pick, and an end without an answer is decided by the module as ever (push-back only where nothing can have run). Time-outs of transfers go by progress, and a request's time counts from its last byte.

--- a/include/indigorill/balance.h
+++ b/include/indigorill/balance.h
@@ -84,7 +84,9 @@
   void listed(double now, bool whole, bool asked, const std::vector<endpoint>& entries);
   void list_failed(double now);
   void rpc_arrived(double now, const arrival& what);
-  void answer_began(double now, std::string_view rpc, int pick);
+  // Or a long RPC's own bytes can't be sent again: no time-out and no further pick from here.
+  // eases: what is on its way is bytes, and keeps nobody waiting at the server.
+  void answer_began(double now, std::string_view rpc, int pick, bool eases = false);
   void pick_ended(double now, std::string_view rpc, int pick, ending how, double took, bool concluded,
                   const load& report);
   void probe_ended(double now, std::string_view server, ending how, const load& report);
--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -1,6 +1,5 @@
 // All decisions of indigorill. A host (see include/indigorill/balance.h, where the interface is defined)
-// tells one balancer what happened and then calls next() until it has nothing more to decide; between two
-// rounds it does nothing. No call blocks, no balancer shares anything with another.
+// tells one balancer what happened, then calls next() until it has no more to decide. No call blocks.
 //
 // The ordinary path is the design's weighted draw: see draw(). Beside it stand six mechanisms:
 //   1. load: a server expected to answer later counts for less, by reports, probes and our own picks
@@ -19,6 +18,7 @@
 #include <random>
 #include <set>
 #include <unordered_map>
+#include <utility>
 
 namespace indigorill {
 namespace {
@@ -34,7 +34,7 @@
   rpc* of;
   int number;
   double sent, ahead, size;
-  bool out = true, may_have_run = true, further = false;
+  bool out = true, may_have_run = true, further = false, eased = false;
 };
 
 struct mark {  // the outcome of a send
@@ -159,6 +159,12 @@
     return usual ? 0 : std::max(how.deadline - budget, 0.0);
   }
 
+  void ease(pick& p) {  // it keeps nobody waiting there any more
+    if (std::exchange(p.eased, true)) return;
+    p.to->in_flight -= 1;
+    p.to->ours = p.to->in_flight > 0 ? p.to->ours - p.size : 0;
+  }
+
   void set_due(rpc& r, double at) {
     if (r.due != never) due.erase({{r.due, r.order}, &r});
     r.due = at;
@@ -591,9 +597,9 @@
   }
 
   std::optional<decision> decide(rpc& r) {
-    if (r.concluded || r.streaming) return {};
+    if (r.concluded || (r.streaming && r.outstanding() > 0)) return {};
     set_due(r, never);
-    if (now >= settle_by(r)) return give_up(r);
+    if (r.streaming || now >= settle_by(r)) return give_up(r);
     if (r.outstanding() > 0) {
       set_due(r, settle_by(r));
       return {};
@@ -683,6 +689,7 @@
   static constexpr double beat = 1000;
 
   void keep_beat() {
+    beat_due = true;
     const double span = beat_at == never ? beat : now - beat_at;
     beat_at = now;
     constexpr double remembered = 3000;  // our own rate is that of the last seconds
@@ -818,11 +825,12 @@
   b.queue(kept);
 }
 
-void balancer::answer_began(double now, std::string_view id, int) {
+void balancer::answer_began(double now, std::string_view id, int number, bool eases) {
   self->now = now;
   const auto it = self->rpcs.find(std::string(id));
   if (it == self->rpcs.end()) return;
   it->second->streaming = true;
+  if (eases) self->ease(it->second->picks.at(static_cast<std::size_t>(number)));
   self->set_due(*it->second, never);
 }
 
@@ -840,8 +848,7 @@
   const bool unsent = how == ending::withdrawn;
   r.withdrawn += unsent;
   p.may_have_run = how != ending::full && how != ending::connect_failed && how != ending::moot && !unsent;
-  s.in_flight -= 1;
-  s.ours = s.in_flight > 0 ? s.ours - p.size : 0;
+  b.ease(p);
   b.learn_report(s, report, how == ending::ok);
   if (how == ending::full) s.full = now;
   if (how == ending::ok || how == ending::timed_out)
@@ -876,13 +883,11 @@
 }
 
 void balancer::resting(std::string_view id, std::size_t connections) {
-  const auto it = self->servers.find(id);
-  if (it != self->servers.end()) it->second->resting = connections;
+  if (const auto it = self->servers.find(id); it != self->servers.end()) it->second->resting = connections;
 }
 
 void balancer::barred(std::string_view id, bool is) {
-  const auto it = self->servers.find(id);
-  if (it != self->servers.end()) it->second->barred = is;
+  if (const auto it = self->servers.find(id); it != self->servers.end()) it->second->barred = is;
 }
 
 void balancer::withheld(double now, std::string_view id, bool is) {
@@ -896,12 +901,8 @@
 
 void balancer::woken(double now, std::uint64_t wake) {
   self->now = now;
-  if (wake == beat_wake) {
-    self->beat_due = true;
-    self->keep_beat();
-  } else {
-    self->armed = never;
-  }
+  if (wake == beat_wake) return self->keep_beat();
+  self->armed = never;
 }
 
 std::optional<decision> balancer::next() { return self->next(); }
--- a/src/net/counters.cpp
+++ b/src/net/counters.cpp
@@ -21,6 +21,9 @@
   one("silent_clients", c.silent);
   one("out_of_room", c.out_of_room);
   one("answers_unheard", c.unheard);
+  one("long_requests", c.long_requests);
+  one("long_answers", c.long_answers);
+  one("answers_cut", c.cut);
   for (std::size_t i = 0; i < endings.size(); ++i) out << "picks_" << endings[i] << ' ' << c.picks[i] << '\n';
   for (std::size_t i = 0; i < endings.size(); ++i)
     out << "probes_" << endings[i] << ' ' << c.probes[i] << '\n';
--- a/src/net/counters.h
+++ b/src/net/counters.h
@@ -16,6 +16,7 @@
 
   count taken = 0, ok = 0, pushed_back = 0, aborted = 0, left = 0;  // RPCs
   count bad_input = 0, silent = 0, out_of_room = 0;                 // answered without the module
+  count long_requests = 0, long_answers = 0, cut = 0;               // in pieces; answers that broke off
   count unheard = 0;                                                // answers whose client had gone
   by_ending picks{}, probes{};
   count accepted = 0, opened = 0, reused = 0, retired = 0, closed_for_room = 0;  // connections
--- a/src/net/front.cpp
+++ b/src/net/front.cpp
@@ -12,8 +12,9 @@
 namespace indigorill {
 
 struct front::connection {
-  // reading a request; held by the relay; writing the answer; read on until the client closes
-  enum class stage { reading, held, writing, lingering } in = stage::reading;
+  // reading a request; held by the relay; writing the answer; passing a long one on; read on until the client
+  // closes
+  enum class stage { reading, held, writing, passing, lingering } in = stage::reading;
   std::uint64_t name;
   std::unique_ptr<stream> wire;
   http::reader reader{http::reader::kind::request};
@@ -25,6 +26,11 @@
   http::message answer;
   outgoing out;
   bool close_after = false, heard = false, surplus = false;  // heard: a whole request came over it
+  bool uploading = false, wanted = false;    // a long request comes in; the endpoint takes more of it
+  bool chunked = false, last_given = false;  // a long answer: its framing, and whether all of it is in `out`
+  bool old = false, head_alone = false;      // what the request's answer may be
+  double head_at = 0, last_came = 0;         // a whole head; the last bytes
+  std::size_t body_came = 0, written = 0;    // written: of `out`, when it last went on
   std::size_t lent = 0, weighed = 0;  // bytes of its request, at the relay; what it counts for in all bytes
   loop::timer patience;
 };
@@ -94,6 +100,7 @@
     connection& c = *(connections[name] = std::make_unique<connection>());
     c.name = name;
     c.opened = runs.now();
+    c.reader.in_pieces();
     c.surplus = connections.size() > bounds.clients;
     c.wire =
         std::make_unique<stream>(runs, room, std::move(fd), [this, name](std::uint32_t) { ready(name); });
@@ -104,9 +111,10 @@
 
 void front::ready(std::uint64_t which) {
   connection& c = *connections.at(which);
-  if (c.in == connection::stage::writing) return write(c);
+  if (c.in == connection::stage::writing || c.in == connection::stage::passing) return write(c);
   if (!read(c)) return;
   weigh(c);
+  if (c.uploading) return pass_up(c);
   serve(c);
 }
 
@@ -115,7 +123,9 @@
   constexpr int turns = 16;
   constexpr std::size_t ahead = 4096;  // of the next request while one is held: clients send one at a time
   for (int i = 0; i < turns; ++i) {
-    if (c.in == connection::stage::held && c.reader.held() > ahead) return true;
+    if (c.in == connection::stage::held && !c.uploading && c.reader.held() > ahead) return true;
+    // The endpoint is slower than the client, or the request is whole: the rest waits in the kernel.
+    if (c.uploading && (c.reader.full() || c.reader.now() != http::reader::state::passing)) return true;
     std::size_t n = 0;
     if (c.in == connection::stage::lingering) {
       // One turn a round: a body of 60 MB that nobody wants must not cost others their time.
@@ -127,8 +137,13 @@
     const stream::got got = c.wire->read(c.reader.room(), n);
     if (got == stream::got::nothing) return true;
     if (got == stream::got::some) {
-      if (!c.reader.begun()) c.came = runs.now() - c.wire->age();
+      // A request's time counts from its last byte.
+      if (c.in == connection::stage::reading) c.came = runs.now() - c.wire->age();
+      if (!c.reader.begun()) c.body_came = 0, c.head_at = 0;
+      c.last_came = runs.now();
       c.reader.fed(n);
+      if (c.reader.head_whole() && c.head_at == 0) c.head_at = c.last_came;
+      if (c.reader.head_whole()) c.body_came += n;
       if (c.reader.now() != http::reader::state::reading && c.in == connection::stage::reading) {
         c.wire->again();  // the client may have closed already, and that edge is spent
         return true;
@@ -147,21 +162,31 @@
   if (c.in != connection::stage::reading) return;
   // Who connects and stays silent, or sends half a request, is owed an error or a close within 3 s; the time
   // for a first request counts from the connecting, so that a late half gets no more of it.
-  constexpr double to_ask = 2500;
+  // An honest head may take over 2 s.
+  constexpr double to_ask = 2850;
   switch (c.reader.now()) {
     case http::reader::state::whole:
       c.patience.drop();
       set_use(c, use::held);
       c.heard = true;
       return handle(c, c.reader.take());
+    case http::reader::state::begun:
+      c.patience.drop();
+      set_use(c, use::held);
+      c.heard = true;
+      return handle(c, c.reader.take());
     case http::reader::state::broken:
       return turn_away(c, c.reader.fault());
-    case http::reader::state::reading:
+    default:
       break;
   }
+  if (c.reader.wants_word()) let_go_on(c);
   if (c.reader.begun()) {
     set_use(c, use::half_sent);
-    if (!c.patience.set()) await(c, (c.heard ? c.since : c.opened) + to_ask);
+    if (c.reader.head_whole())
+      await_body(c);
+    else if (!c.patience.set())
+      await(c, (c.heard ? c.since : c.opened) + to_ask);
   } else if (draining && !door) {
     close(c.name);
   } else {
@@ -170,11 +195,26 @@
   }
 }
 
+// Some clients wait for this word before they send a body.
+void front::let_go_on(connection& c) {
+  outgoing word;
+  word.own(std::string(go_on_with_the_body()));
+  c.wire->write(word);  // it goes to an empty buffer
+  c.reader.worded_on();
+}
+
+// A body may be long: what counts is that it comes. Who stops half way is owed an error within 3 s, and who
+// sends a byte now and then must not hold on for ever.
+void front::await_body(connection& c) {
+  constexpr double pause = 1400, ahead = 4000, least_rate = 16;  // ms, ms, bytes a ms; honest clients send 64
+  await(c, std::min(c.last_came + pause, c.head_at + ahead + static_cast<double>(c.body_came) / least_rate));
+}
+
 // A whole request has to be here by then.
 void front::await(connection& c, double until) {
   c.patience = runs.at(until, [this, name = c.name] {
     connection& late = *connections.at(name);
-    if (late.reader.begun()) return turn_away(late, 408);
+    if (late.uploading || late.reader.begun()) return turn_away(late, 408);
     ++counted.silent;
     close(name);
   });
@@ -183,6 +223,10 @@
 // What is no RPC is answered at once, and nothing is sent on.
 void front::turn_away(connection& c, int status) {
   ++counted.bad_input;
+  if (std::exchange(c.uploading, false)) {
+    c.lent = 0;
+    takes.left(std::exchange(c.rpc, {}));
+  }
   answer(c, plain(status, "", true), true);
 }
 
@@ -195,7 +239,9 @@
 }
 
 void front::weigh(connection& c) {
-  const std::size_t now = c.reader.held() + c.lent + c.answer.bytes.capacity();
+  constexpr std::size_t transfer = 4 * http::longest_held;  // what both ends of one may hold, at most
+  const std::size_t now = c.reader.held() + c.lent + c.answer.bytes.capacity() +
+                          (c.uploading || c.in == connection::stage::passing ? transfer : 0);
   bytes += now - c.weighed;
   c.weighed = now;
 }
@@ -220,6 +266,7 @@
   const bool close = !m.keeps || draining || hurried || c.surplus || (what != errand::rpc && crowded());
   if (what == errand::readiness)
     return answer(c, draining ? plain(503, "stopping\n", close) : plain(200, "ready\n", close), close);
+  if (what == errand::abilities) return answer(c, abilities(close), close);
   if (what == errand::counters) {
     std::ostringstream text;
     text << counted;
@@ -238,28 +285,106 @@
   }
   c.in = connection::stage::held;
   c.close_after = close;
+  c.old = m.old;
+  c.head_alone = asks_head(m);
   c.lent = m.bytes.capacity();
+  c.uploading = m.partial;
+  c.wanted = false;
   const std::uint64_t name = c.name;
-  std::string rpc = takes.take(std::move(m), c.came, [this, name](verdict v) {
+  relay::asker who;
+  who.then = [this, name](verdict v) { answered(*connections.at(name), std::move(v)); };
+  who.piece = [this, name](std::string_view piece, bool last) {
+    return pass_down(*connections.at(name), piece, last);
+  };
+  who.cut = [this, name] {
+    connections.at(name)->wire->abort_on_close();  // the client has to see that it is not whole
+    this->close(name);
+  };
+  who.wants = [this, name] {
     connection& asker = *connections.at(name);
-    const bool last = asker.close_after || draining || hurried || crowded();
-    asker.rpc.clear();
-    asker.lent = 0;
-    asker.answer = std::move(v.answer);
-    switch (v.how) {
-      case verdict::what::ok:
-        return answer(asker, passed_on(asker.answer, last), last);
-      case verdict::what::pushed_back:
-        return answer(asker, pushed_back(v.after, last), last);
-      case verdict::what::aborted:
-        return answer(asker, asker.answer.status ? passed_on(asker.answer, last) : aborted(last), last);
-    }
-  });
+    if (std::exchange(asker.wanted, true)) return;
+    asker.last_came = runs.now();  // the time that the endpoint took was not the client's
+    asker.wire->again();
+  };
+  std::string rpc = takes.take(std::move(m), c.came, std::move(who));
   // It may have been answered at once, and the connection closed since.
   const auto it = connections.find(name);
   if (it != connections.end() && it->second->in == connection::stage::held) it->second->rpc = std::move(rpc);
 }
 
+void front::answered(connection& c, verdict v) {
+  // What still comes of a long request is of no use: after an early answer the connection ends.
+  const bool last = std::exchange(c.uploading, false) || c.close_after || draining || hurried || crowded();
+  c.lent = 0;
+  c.answer = std::move(v.answer);
+  if (v.how == verdict::what::ok && c.answer.partial) {
+    c.chunked = !c.answer.length && !c.old;
+    c.last_given = false;
+    c.close_after = last || (!c.answer.length && c.old);
+    c.in = connection::stage::passing;
+    c.patience.drop();
+    c.out = passed_on(c.answer, c.close_after, false, c.old);
+    weigh(c);
+    c.wire->again();  // the relay is still at it
+    return;
+  }
+  c.rpc.clear();
+  switch (v.how) {
+    case verdict::what::ok:
+      return answer(c, passed_on(c.answer, last, c.head_alone, c.old), last);
+    case verdict::what::pushed_back:
+      return answer(c, pushed_back(v.after, last), last);
+    case verdict::what::aborted:
+      return answer(c, c.answer.status ? passed_on(c.answer, last, c.head_alone, c.old) : aborted(last),
+                    last);
+  }
+}
+
+// What came of a long request goes on to the endpoint, as far as that takes it.
+void front::pass_up(connection& c) {
+  const std::uint64_t name = c.name;
+  while (c.wanted && c.reader.now() != http::reader::state::broken) {
+    const bool last = c.reader.now() == http::reader::state::over;
+    if (c.reader.piece().empty() && !last) break;
+    c.wanted = takes.more(c.rpc, c.reader.piece(), last, runs.now() - c.wire->age());
+    if (!connections.count(name)) return;
+    if (last) {
+      c.uploading = false;
+      c.patience.drop();
+      return c.reader.take_over();
+    }
+    c.reader.drop_piece();
+    c.wire->again();  // there may be more to read, now that there is room
+  }
+  if (c.reader.now() == http::reader::state::broken) return turn_away(c, c.reader.fault());
+  // While the endpoint is the slower one, or all is here, nothing is to be waited for from the client.
+  if (!c.wanted || c.reader.now() == http::reader::state::over) return c.patience.drop();
+  if (c.reader.wants_word()) let_go_on(c);
+  await_body(c);
+}
+
+// True if more is wanted at once: nothing of what was given waits for the client.
+bool front::pass_down(connection& c, std::string_view piece, bool last) {
+  c.out = {};
+  c.out.own(piece_of(piece, c.chunked, last));
+  c.last_given = last;
+  const std::uint64_t name = c.name;
+  write(c);
+  const auto it = connections.find(name);
+  return it != connections.end() && it->second->in == connection::stage::passing && it->second->out.done();
+}
+
+// Who reads slowly gets all the same what there is, as long as it reads.
+void front::await_reader(connection& c, std::size_t unread) {
+  constexpr double longest = 3000;  // no deadline is later; who doesn't read must not keep its answer here
+  c.patience = runs.at(runs.now() + longest, [this, name = c.name, unread] {
+    connection& slow = *connections.at(name);
+    const std::size_t now = slow.wire->unread();
+    if (now >= unread) return close(name);
+    await_reader(slow, now);
+  });
+}
+
 void front::answer(connection& c, outgoing what, bool close) {
   c.in = connection::stage::writing;
   c.out = std::move(what);
@@ -271,13 +396,15 @@
 void front::write(connection& c) {
   if (!c.wire->write(c.out)) return close(c.name);
   if (!c.out.done()) {
-    constexpr double longest = 3000;  // no deadline is later; who doesn't read must not keep its answer here
-    if (!c.patience.set()) c.patience = runs.at(runs.now() + longest, [this, name = c.name] { close(name); });
+    if (std::exchange(c.written, c.out.written()) != c.out.written() || !c.patience.set())
+      await_reader(c, c.wire->unread());
     return;
   }
   c.patience.drop();
   c.answer = {};
   c.out = {};
+  if (c.in == connection::stage::passing && !c.last_given) return takes.resume(c.rpc);
+  c.rpc.clear();
   weigh(c);
   c.in = connection::stage::reading;
   if (c.close_after) {
@@ -298,7 +425,7 @@
   set_use(c, use::held);
   bytes -= c.weighed;
   const std::string rpc = std::move(c.rpc);
-  const bool held = c.in == connection::stage::held;
+  const bool held = c.in == connection::stage::held || c.in == connection::stage::passing;
   if (c.in == connection::stage::writing) ++counted.unheard;
   connections.erase(it);
   if (held) takes.left(rpc);
--- a/src/net/front.h
+++ b/src/net/front.h
@@ -56,6 +56,12 @@
   void turn_away(connection& c, int status);
   void set_use(connection& c, use now);
   void handle(connection& c, http::message m);
+  void answered(connection& c, verdict v);
+  void pass_up(connection& c);
+  bool pass_down(connection& c, std::string_view piece, bool last);
+  void await_reader(connection& c, std::size_t unread);
+  void await_body(connection& c);
+  void let_go_on(connection& c);
   void answer(connection& c, outgoing what, bool close);
   void write(connection& c);
   void close(std::uint64_t which);
--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -73,10 +73,10 @@
 }
 
 void reader::ended() {
-  if (is != state::reading) return;
+  if (is != state::reading && is != state::passing) return;
   if (in == stage::until_end) {
     in = stage::over;
-    is = state::whole;
+    is = passing ? state::over : state::whole;
   } else {
     broken(400);
   }
@@ -85,16 +85,53 @@
 message reader::take() {
   message whole = std::move(got);
   got = {};
-  const std::string_view rest = std::string_view(whole.bytes).substr(at, filled - at);
+  if (is == state::begun) {
+    // What is left is unframed body and framing yet to be parsed: it moves to the front.
+    const std::string_view rest = std::string_view(whole.bytes).substr(at, filled - at);
+    got.bytes.assign(rest);
+    filled = rest.size();
+    whole.bytes.resize(whole.content.from + whole.content.length);
+    whole.partial = true;
+    connection_keeps = whole.keeps;
+    passed = whole.content.length;
+    at = scanned = 0;
+    passing = true;
+    is = state::passing;
+    parse();
+    return whole;
+  }
+  const std::string rest = whole.bytes.substr(at, filled - at);
+  whole.bytes.resize(at);
+  begin_next(rest);
+  return whole;
+}
+
+void reader::take_over() {
+  const std::string rest = got.bytes.substr(at, filled - at);
+  got = {};
+  begin_next(rest);
+}
+
+void reader::begin_next(std::string_view rest) {
   got.bytes.assign(rest);
   filled = rest.size();
-  whole.bytes.resize(at);
   at = scanned = awaited = trailers = 0;
+  passed = 0;
   in = stage::head;
   is = state::reading;
-  worded = false;
+  worded = bodiless = expectant = passing = false;
   parse();
-  return whole;
+}
+
+void reader::drop_piece() {
+  const std::size_t n = got.content.length;
+  passed += n;
+  std::memmove(got.bytes.data(), got.bytes.data() + n, filled - n);
+  filled -= n;
+  at -= n;
+  scanned = at;
+  got.content.length = 0;
+  if (is == state::passing) parse();
 }
 
 bool reader::broken(int status) {
@@ -122,37 +159,58 @@
 }
 
 void reader::parse() {
-  while (is == state::reading) {
+  while (is == state::reading || is == state::passing) {
     switch (in) {
       case stage::head:
         if (!parse_head()) return;
         break;
       case stage::counted:
-        if (filled - at < awaited) return;
-        got.content = {static_cast<std::uint32_t>(at), static_cast<std::uint32_t>(awaited)};
-        at += awaited;
-        in = stage::over;
+        if (!parse_counted()) return;
         break;
       case stage::until_end:
         got.content.length = static_cast<std::uint32_t>(filled - got.content.from);
         at = filled;
-        if (got.content.length > most_body) broken(413);
+        if (got.content.length + passed > (pieces ? longest_body : most_body)) broken(413);
+        if (pieces && is == state::reading && got.content.length > most_body) is = state::begun;
         return;
       case stage::over:
-        is = state::whole;
+        is = passing ? state::over : state::whole;
         return;
       default:
         if (!parse_chunks()) return;
+        if (pieces && is == state::reading && got.content.length > most_body) is = state::begun;
     }
   }
 }
 
+// A body whose length was stated: whole where it can be held, else begun with its first bytes.
+bool reader::parse_counted() {
+  if (!passing && awaited <= most_body) {
+    if (filled - at < awaited) return false;
+    got.content = {static_cast<std::uint32_t>(at), static_cast<std::uint32_t>(awaited)};
+    at += awaited;
+    in = stage::over;
+    return true;
+  }
+  const std::size_t n = std::min(awaited, filled - at);
+  if (!passing && n == 0) return false;  // the first bytes are what is waited for: a head alone is no answer
+  got.content.length += static_cast<std::uint32_t>(n);
+  at += n;
+  awaited -= n;
+  if (!passing) {
+    is = state::begun;
+    return false;
+  }
+  if (awaited == 0) in = stage::over;
+  return awaited == 0;
+}
+
 bool reader::parse_head() {
   for (;;) {
     const std::size_t from = at;
     const auto line = next_line(longest_line);
     if (is == state::broken) return false;
-    if (at > longest_head || filled - at > longest_head + most_body) return broken(431);
+    if (at > longest_head || (!line && filled - at > longest_head + most_body)) return broken(431);
     if (!line) return false;
     if (!got.status && got.method.length == 0) {
       if (line->empty() && expects == kind::request && from == 0) {
@@ -185,6 +243,7 @@
     if (!code || *code < 100 || *code > 599) return false;
     got.status = static_cast<int>(*code);
     got.keeps = line[7] == '1';
+    got.old = !got.keeps;
     return true;
   }
   const std::size_t first = line.find(' ');
@@ -192,13 +251,19 @@
   const std::size_t second = line.find(' ', first + 1);
   if (second == std::string_view::npos || second == first + 1) return false;
   const std::string_view version = line.substr(second + 1);
-  const std::string_view target = line.substr(first + 1, second - first - 1);
+  std::string_view target = line.substr(first + 1, second - first - 1);
+  // The absolute form names the host once more; what goes on is the rest (RFC 9112, 3.2.2).
+  constexpr std::string_view scheme = "http://";
+  if (target.size() > scheme.size() && same_name(target.substr(0, scheme.size()), scheme))
+    target.remove_prefix(std::min(target.find('/', scheme.size()), target.size() - 1));
+  const bool of_all = target == "*" && line.substr(0, first) == "OPTIONS";
   if (!token(line.substr(0, first)) || (version != "HTTP/1.1" && version != "HTTP/1.0") ||
-      target.front() != '/' || !visible(target) || target.find('\t') != std::string_view::npos)
+      (target.front() != '/' && !of_all) || !visible(target) || target.find('\t') != std::string_view::npos)
     return false;
   got.method = piece(0, first);
-  got.target = piece(first + 1, target.size());
+  got.target = piece(second - target.size(), target.size());
   got.keeps = version == "HTTP/1.1";
+  got.old = !got.keeps;
   return true;
 }
 
@@ -217,7 +282,7 @@
 // The head is whole: how long is the body?
 bool reader::frame() {
   std::optional<std::uint64_t> length;
-  bool chunked = false, coded = false, close = false, keep = false;
+  bool chunked = false, coded = false, close = false, keep = false, waits = false;
   for (const header& h : got.headers) {
     const std::string_view name = got.text(h.name), value = got.text(h.value);
     if (same_name(name, "Content-Length")) {
@@ -235,6 +300,8 @@
     } else if (same_name(name, "Connection")) {
       close |= has_word(value, "close");
       keep |= has_word(value, "keep-alive");
+    } else if (same_name(name, "Expect")) {
+      waits |= has_word(value, "100-continue");
     }
   }
   if (coded || (chunked && length)) return broken(400);
@@ -252,13 +319,15 @@
     return true;
   }
   got.content.from = static_cast<std::uint32_t>(at);
-  if (got.status == 204 || got.status == 304) {
+  got.length = length;
+  expectant = waits && expects == kind::request && !got.old && (chunked || length.value_or(0) > 0);
+  if (got.status == 204 || got.status == 304 || bodiless) {
     in = stage::over;
   } else if (chunked) {
     in = stage::size;
   } else if (length) {
-    if (*length > most_body) return broken(413);
-    awaited = *length;
+    if (*length > (pieces ? longest_body : most_body)) return broken(413);
+    awaited = static_cast<std::size_t>(*length);
     in = stage::counted;
   } else if (expects == kind::answer) {
     got.keeps = false;
@@ -278,7 +347,7 @@
     const std::string_view digits = line->substr(0, line->find_first_of("; \t"));
     const auto n = number(digits, 16);
     if (!n || digits.size() > 8 || !visible(*line)) return broken(400);
-    if (got.content.length + *n > most_body) return broken(413);
+    if (passed + got.content.length + *n > (pieces ? longest_body : most_body)) return broken(413);
     awaited = *n;
     in = awaited > 0 ? stage::data : stage::trailer;
   } else if (in == stage::data) {
--- a/src/net/pool.cpp
+++ b/src/net/pool.cpp
@@ -22,8 +22,9 @@
   std::unique_ptr<stream> wire;
   http::reader reader{http::reader::kind::answer};
   outgoing out;
-  done then;
-  double began = 0, idle_since = 0;
+  exchange with;
+  double began = 0, idle_since = 0, answered = 0;  // answered: when a long answer began
+  bool passing = false, paused = false, more_to_come = false;
   loop::timer patience, connecting, retiring;
 };
 
@@ -84,7 +85,7 @@
   for (const std::string& server : left) gone(server);
 }
 
-pool::ticket pool::send(const std::string& server, outgoing what, double patience, done then) {
+pool::ticket pool::send(const std::string& server, outgoing what, double patience, exchange with) {
   const auto at = places.find(server);
   const ticket name = ++tickets;
   auto fresh = at != places.end() && reuse(at->second) ? nullptr : std::make_unique<connection>();
@@ -105,8 +106,13 @@
   c.name = name;
   c.server = server;
   c.out = std::move(what);
-  c.then = std::move(then);
+  c.with = std::move(with);
   c.began = runs.now();
+  c.answered = 0;
+  c.passing = c.paused = false;
+  c.more_to_come = c.with.more_to_come;
+  if (c.with.head_alone) c.reader.no_body();
+  c.reader.in_pieces(static_cast<bool>(c.with.began));
   c.retiring.drop();
   c.patience = runs.at(c.began + patience, [this, name] { broke(*connections.at(name), ending::timed_out); });
   if (c.in == connection::stage::idle) {
@@ -116,7 +122,7 @@
     if (!c.wire->write(c.out))
       break_at(c, c.began);
     else if (c.out.done())
-      c.in = connection::stage::awaiting;
+      c.more_to_come ? c.wire->again() : written(c);
   } else {
     open(c, at != places.end() ? &at->second.address : nullptr);
   }
@@ -165,19 +171,85 @@
   }
   if (c.in == connection::stage::writing) {
     if (!c.wire->write(c.out)) return broke(c, ending::reset);
-    if (c.out.done()) c.in = connection::stage::awaiting;
+    if (c.out.done()) written(c);
+    if (!connections.count(which)) return;  // who gives more may have given it up
   }
-  read(c);
+  if (!c.paused) read(c);
+}
+
+// All that was given is out: the answer is next, or more of the request.
+void pool::written(connection& c) {
+  if (!c.more_to_come) {
+    c.in = connection::stage::awaiting;
+  } else {
+    await_progress(c);
+    c.with.wants();
+  }
+}
+
+// A transfer that goes on may take its time; one that stands still is over.
+void pool::await_progress(connection& c) {
+  constexpr double longest = 5000;  // ms; honest ends pause for less than 2 s
+  c.patience = runs.at(runs.now() + longest,
+                       [this, name = c.name] { broke(*connections.at(name), ending::timed_out); });
+}
+
+bool pool::more(ticket which, std::string bytes, bool last, double patience) {
+  const auto it = connections.find(which);
+  if (it == connections.end()) return false;
+  connection& c = *it->second;
+  c.out = {};
+  c.out.own(std::move(bytes));
+  c.more_to_come = !last;
+  await_progress(c);
+  if (last)
+    c.patience =
+        runs.at(runs.now() + patience, [this, which] { broke(*connections.at(which), ending::timed_out); });
+  if (!c.wire->write(c.out)) {
+    break_at(c, runs.now());
+    return false;
+  }
+  if (!c.out.done()) return false;
+  if (last) c.in = connection::stage::awaiting;
+  return !last;
+}
+
+void pool::resume(ticket which) {
+  const auto it = connections.find(which);
+  if (it == connections.end() || !std::exchange(it->second->paused, false)) return;
+  await_progress(*it->second);
+  it->second->wire->again();
 }
 
 void pool::read(connection& c) {
   constexpr int turns = 16;  // then others get theirs: one long answer must not hold up all
+  if (c.passing && !pass_on(c, ending::error)) return;  // what came before it was asked to go on
   for (int i = 0; i < turns; ++i) {
     std::size_t n = 0;
     const stream::got got = c.wire->read(c.reader.room(), n);
     if (got == stream::got::nothing) return;
     if (got == stream::got::some) c.reader.fed(n);
     if (got == stream::got::ended) c.reader.ended();
+    if (c.reader.now() == http::reader::state::begun) {
+      const http::message answer = c.reader.take();
+      c.answered = runs.now();
+      if (!c.with.began(answer)) {
+        http::message head = answer;
+        head.content.length = 0;
+        head.partial = false;
+        return finish(c, ending::ok, std::move(head), false);
+      }
+      c.passing = c.paused = true;
+      c.patience.drop();
+      if (got == stream::got::ended || got == stream::got::broken) c.wire->again();  // seen once more
+      return;
+    }
+    if (c.passing) {
+      const bool is_over = got == stream::got::ended || got == stream::got::broken;
+      if (!pass_on(c, is_over ? ending::reset : ending::error)) return;
+      if (is_over) return broke(c, ending::reset);
+      continue;
+    }
     const bool ended = got == stream::got::ended || got == stream::got::broken;
     if (c.reader.now() == http::reader::state::whole) {
       http::message answer = c.reader.take();
@@ -192,6 +264,29 @@
   c.wire->again();
 }
 
+// False if the connection is to be left alone for now, or the answer is over.
+bool pool::pass_on(connection& c, ending if_broken) {
+  for (;;) {
+    const bool last = c.reader.now() == http::reader::state::over;
+    if (c.reader.now() == http::reader::state::broken) return broke(c, if_broken), false;
+    if (c.reader.piece().empty() && !last) return true;
+    await_progress(c);
+    const ticket name = c.name;
+    const bool goes_on = c.with.piece(c.reader.piece(), last);
+    if (!connections.count(name)) return false;  // who takes it may have given it up
+    if (last) {
+      const bool keep = c.in == connection::stage::awaiting && c.reader.keeps();
+      c.reader.take_over();
+      return finish(c, ending::ok, {}, keep && !c.reader.begun()), false;
+    }
+    c.reader.drop_piece();
+    if (goes_on) continue;
+    c.paused = true;
+    c.patience.drop();
+    return false;
+  }
+}
+
 // Before its last byte was written a request never ran; after that it may have.
 void pool::broke(connection& c, ending once_written) {
   finish(c, c.in == connection::stage::awaiting ? once_written : ending::connect_failed, {}, false);
@@ -202,8 +297,9 @@
 }
 
 void pool::finish(connection& c, ending how, http::message answer, bool keep) {
-  const double took = runs.now() - c.began;
-  const done then = std::move(c.then);
+  const double took = (c.answered > 0 ? c.answered : runs.now()) - c.began;
+  const done then = std::move(c.with.then);
+  c.with = {};
   // An endpoint that has gone or moved meanwhile: its id, or the next one's at its address, must not get
   // this.
   const auto at = places.find(c.server);
--- a/src/net/pool.h
+++ b/src/net/pool.h
@@ -27,6 +27,15 @@
     http::message answer;  // empty without one
   };
   using done = std::function<void(result)>;
+  // One exchange on a connection. Long messages go through in pieces: who takes them says whether it wants
+  // more at once, else it asks by resume(); a long request's rest is given by more().
+  struct exchange {
+    done then;
+    std::function<bool(const http::message&)> began = nullptr;  // a long answer; false: it is of no use
+    std::function<bool(std::string_view, bool last)> piece = nullptr;
+    std::function<void()> wants = nullptr;  // the next piece of a long request
+    bool head_alone = false, more_to_come = false;
+  };
 
   // closes_idle: closes some idle connection elsewhere, if there is one.
   pool(loop& in, descriptor_budget& budget, counters& counts, logger& log_to, links with,
@@ -41,7 +50,10 @@
   void keep_only(const std::vector<endpoint>& whole_list);
 
   // `then` is called once, later, unless the ticket is given up before. What is lent must last until then.
-  ticket send(const std::string& server, outgoing what, double patience, done then);
+  ticket send(const std::string& server, outgoing what, double patience, exchange with);
+  void resume(ticket which);
+  // True if the next piece may be given at once. The last one starts this time-out for the answer.
+  bool more(ticket which, std::string bytes, bool last, double patience);
   void give_up(ticket which);  // closes its connection: the endpoint may stop
 
   bool close_idle();  // the one idle for longest
@@ -68,6 +80,9 @@
   void break_at(connection& c, double when);  // unless it is connected by then
   void finish(connection& c, ending how, http::message answer, bool keep);
   void rest(connection& c);
+  void written(connection& c);
+  bool pass_on(connection& c, ending if_broken);
+  void await_progress(connection& c);
   void close(ticket which);
 
   loop& runs;
--- a/src/net/relay.cpp
+++ b/src/net/relay.cpp
@@ -32,17 +32,19 @@
       [this](const std::string& server, std::size_t connections) { decides.resting(server, connections); });
 }
 
-std::string relay::take(http::message m, double came, answered then) {
+std::string relay::take(http::message m, double came, asker who) {
   // The answer has still to be written and to reach the client; a wake-up may be a millisecond late.
   constexpr double to_answer = 3;
   // Ids of the client's could come twice.
   const std::string id = std::to_string(++serial);
   rpc& r = rpcs[id];
   r.call = std::move(m);
-  r.then = std::move(then);
+  r.who = std::move(who);
   const call c = read_call(r.call);
   open_ids.insert(r.client_id = c.id);
-  r.deadline = came + c.budget - to_answer;
+  // A long request's time counts from its last byte, which is still to come.
+  r.budget = c.budget - to_answer;
+  r.deadline = came + r.budget;
   ++counted.taken;
   decides.rpc_arrived(runs.now(), {id, c.method, r.deadline, c.key, c.work});
   pull();
@@ -51,15 +53,65 @@
 
 void relay::left(const std::string& id) {
   const auto it = rpcs.find(id);
-  if (it == rpcs.end() || it->second.over) return;
-  ++counted.left;
-  it->second.over = true;
-  it->second.then = nullptr;
-  decides.client_left(runs.now(), id);
-  pull();
+  if (it == rpcs.end() || (it->second.over && !it->second.passing)) return;
+  rpc& r = it->second;
+  if (!std::exchange(r.over, true)) {
+    ++counted.left;
+    decides.client_left(runs.now(), id);
+    pull();
+  }
+  // The balancer cancels no pick whose bytes are on their way; nobody gives or takes them any more.
+  if (r.spent || r.passing)
+    for (std::size_t n = 0; n < r.picks.size(); ++n)
+      if (r.picks[n].out) give_up(id, static_cast<int>(n));
+  r.who = {};
   forget_if_over(id);
 }
 
+relay::pick* relay::open_pick(const std::string& id) {
+  const auto it = rpcs.find(id);
+  if (it == rpcs.end()) return nullptr;
+  for (pick& p : it->second.picks)
+    if (p.out) return &p;
+  return nullptr;
+}
+
+void relay::resume(const std::string& id) {
+  if (const pick* p = open_pick(id)) endpoints.resume(p->at);
+}
+
+bool relay::more(const std::string& id, std::string_view bytes, bool last, double came) {
+  const pick* p = open_pick(id);
+  if (!p) return false;
+  rpc& r = rpcs.at(id);
+  if (last) r.deadline = came + r.budget;
+  return endpoints.more(p->at, piece_of(bytes, !r.call.length, last), last,
+                        std::max(r.deadline - runs.now(), 1.0));
+}
+
+// The endpoint took what was here of a long request: from now on it can be sent nowhere else.
+void relay::wants(const std::string& id, int number) {
+  rpc& r = rpcs.at(id);
+  if (!std::exchange(r.spent, true)) {
+    ++counted.long_requests;
+    decides.answer_began(runs.now(), id, number, true);
+  }
+  const loop::task next = r.who.wants;
+  next();
+}
+
+// True if what follows is wanted.
+bool relay::began(const std::string& id, int number, const http::message& answer) {
+  rpc& r = rpcs.at(id);
+  if (r.over || ending_of(answer) != ending::ok) return false;
+  ++counted.long_answers;
+  r.passing = true;
+  r.report = load_of(answer, false);
+  decides.answer_began(runs.now(), id, number, true);
+  conclude(id, {verdict::what::ok, answer, 0});
+  return true;
+}
+
 void relay::listed(bool whole, bool asked, const std::vector<endpoint>& entries) {
   decides.listed(runs.now(), whole, asked, entries);
   pull();
@@ -124,18 +176,29 @@
   rpc& r = rpcs.at(d.rpc);
   const double now = runs.now(), patience = std::min(d.after, r.deadline - now);
   r.picks.push_back({0, d.server, now, true});
-  r.picks.back().at = endpoints.send(
-      d.server, pick_of(r.call, patience), patience,
-      [this, id = d.rpc, n = d.pick](pool::result ended) { pick_ended(id, n, std::move(ended)); });
+  pool::exchange with;
+  with.then = [this, id = d.rpc, n = d.pick](pool::result ended) { pick_ended(id, n, std::move(ended)); };
+  with.began = [this, id = d.rpc, n = d.pick](const http::message& answer) { return began(id, n, answer); };
+  with.piece = [this, id = d.rpc](std::string_view bytes, bool last) {
+    const auto pass = rpcs.at(id).who.piece;
+    return pass(bytes, last);
+  };
+  with.wants = [this, id = d.rpc, n = d.pick] { wants(id, n); };
+  with.head_alone = asks_head(r.call);
+  with.more_to_come = r.call.partial;
+  r.picks.back().at = endpoints.send(d.server, pick_of(r.call, patience), patience, std::move(with));
 }
 
 void relay::pick_ended(const std::string& id, int number, pool::result ended) {
   rpc& r = rpcs.at(id);
   r.picks[number].out = false;
-  const load report = understand(ended, false);
+  const load report = r.passing ? r.report : understand(ended, false);
   counters::add(counted.picks, ended.how);
   lines.debug() << "rpc " << id << " pick " << number << " at " << r.picks[number].server << ": "
                 << name_of(ended.how) << " after " << ended.took << " ms, holds " << report.held.value_or(-1);
+  const bool broke = r.passing && ended.how != ending::ok;
+  const loop::task cut = broke ? r.who.cut : [] {};
+  if (broke) ++counted.cut;
   if (ended.how == ending::ok && !r.over) conclude(id, {verdict::what::ok, std::move(ended.answer), 0});
   // A bad client must not cost endpoints their reputation, nor be tried at one after the other.
   if (ended.how == ending::moot && !r.over)
@@ -143,23 +206,31 @@
   decides.pick_ended(runs.now(), id, number, ended.how, ended.took, r.over, report);
   pull();
   forget_if_over(id);
+  cut();
 }
 
 void relay::cancel(const decision& d) {
   rpc& r = rpcs.at(d.rpc);
   pick& p = r.picks.at(d.pick);
   if (!p.out) return;
+  give_up(d.rpc, d.pick);
+  forget_if_over(d.rpc);
+}
+
+void relay::give_up(const std::string& id, int number) {
+  rpc& r = rpcs.at(id);
+  pick& p = r.picks.at(static_cast<std::size_t>(number));
   endpoints.give_up(p.at);
   p.out = false;
   counters::add(counted.picks, ending::cancelled);
-  decides.pick_ended(runs.now(), d.rpc, d.pick, ending::cancelled, runs.now() - p.sent, r.over, {});
-  forget_if_over(d.rpc);
+  decides.pick_ended(runs.now(), id, number, ending::cancelled, runs.now() - p.sent, r.over, {});
 }
 
 void relay::probe(const std::string& server) {
   // An answer that comes later than this tells nothing of the load any more.
   constexpr double patience = 250;
-  endpoints.send(server, probe_of(reports), patience, [this, server](pool::result ended) {
+  pool::exchange with;
+  with.then = [this, server](pool::result ended) {
     const load report = understand(ended, true);
     if (ended.how == ending::withdrawn) ended.how = ending::moot;  // it was not asked at all
     counters::add(counted.probes, ended.how);
@@ -167,7 +238,8 @@
                   << " ms, holds " << report.held.value_or(-1);
     decides.probe_ended(runs.now(), server, ended.how, report);
     pull();
-  });
+  };
+  endpoints.send(server, probe_of(reports), patience, std::move(with));
 }
 
 void relay::conclude(const std::string& id, verdict v) {
@@ -177,7 +249,7 @@
   ++(v.how == verdict::what::ok            ? counted.ok
      : v.how == verdict::what::pushed_back ? counted.pushed_back
                                            : counted.aborted);
-  const answered then = std::move(r.then);
+  const auto then = std::move(r.who.then);
   then(std::move(v));
 }
 
--- a/src/net/relay.h
+++ b/src/net/relay.h
@@ -27,7 +27,15 @@
 
 class relay {
  public:
-  using answered = std::function<void(verdict)>;
+  // Who asked: the one answer, and what long messages need. Of a long answer the verdict brings the first
+  // part; `piece` gets the rest and says whether it wants more at once, else it asks by resume(); `cut`:
+  // there will be no rest. `wants`: the next piece of a long request may be given.
+  struct asker {
+    std::function<void(verdict)> then;
+    std::function<bool(std::string_view, bool last)> piece = [](std::string_view, bool) { return true; };
+    loop::task cut = [] {};
+    loop::task wants = [] {};
+  };
 
   relay(loop& in, pool& to, counters& counts, logger& log_to, const terrain& where, std::uint64_t seed);
 
@@ -36,8 +44,11 @@
   bool knows(std::string_view method) const { return methods.count(method) > 0; }
 
   // Takes an RPC that came at this time; `then` is called once, unless the client leaves before.
-  std::string take(http::message call, double came, answered then);
+  std::string take(http::message call, double came, asker who);
   void left(const std::string& rpc);
+  void resume(const std::string& rpc);
+  // The next piece of a long request, the last one with when it came; true if more may be given at once.
+  bool more(const std::string& rpc, std::string_view bytes, bool last, double came);
 
   void listed(bool whole, bool asked, const std::vector<endpoint>& entries);
   void list_failed();
@@ -59,9 +70,13 @@
     http::message call;
     std::string_view client_id;  // in the call
     double deadline;
-    answered then;
+    double budget;
+    asker who;
     std::vector<pick> picks;
     bool over = false;
+    bool spent = false;    // part of a long request is no longer here: it can't be sent again
+    bool passing = false;  // a long answer is on its way
+    load report;           // that came with it
     bool idle() const;
   };
 
@@ -70,6 +85,10 @@
   void send(const decision& d);
   void pick_ended(const std::string& id, int number, pool::result r);
   void cancel(const decision& d);
+  void give_up(const std::string& id, int number);
+  bool began(const std::string& id, int number, const http::message& answer);
+  void wants(const std::string& id, int number);
+  pick* open_pick(const std::string& id);
   void probe(const std::string& server);
   void conclude(const std::string& id, verdict v);
   void forget_if_over(const std::string& id);
--- a/src/net/socket.cpp
+++ b/src/net/socket.cpp
@@ -2,7 +2,9 @@
 
 #include <arpa/inet.h>
 #include <fcntl.h>
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <sys/uio.h>
 
@@ -172,6 +174,16 @@
   return ::recv(fd.get(), &c, 1, MSG_PEEK | MSG_DONTWAIT) >= 0 || (errno != EAGAIN && errno != EINTR);
 }
 
+void stream::abort_on_close() {
+  const linger at_once{1, 0};
+  ::setsockopt(fd.get(), SOL_SOCKET, SO_LINGER, &at_once, sizeof at_once);
+}
+
+std::size_t stream::unread() const {
+  int n = 0;
+  return ::ioctl(fd.get(), SIOCOUTQ, &n) < 0 || n < 0 ? 0 : static_cast<std::size_t>(n);
+}
+
 void stream::end_sending() { ::shutdown(fd.get(), SHUT_WR); }
 
 }  // namespace indigorill
--- a/src/net/socket.h
+++ b/src/net/socket.h
@@ -37,6 +37,7 @@
   void lend(std::string_view piece);
   bool done() const { return at == pieces.size(); }
   bool begun() const { return sent > 0; }  // some of it was written
+  std::size_t written() const { return sent; }
 
  private:
   friend class stream;
@@ -65,6 +66,8 @@
   int pending_error() const;   // of a connect, for one
   bool stale() const;          // the other side has closed it, or wrote unasked
   void end_sending();
+  void abort_on_close();       // the other side sees a reset, not an end
+  std::size_t unread() const;  // bytes written that the other side's machine has not taken
   void again() { runs.again(place); }
 
  private:
--- a/src/net/words.cpp
+++ b/src/net/words.cpp
@@ -44,7 +44,7 @@
 }
 
 std::string_view first_part(std::string_view path) {
-  path.remove_prefix(1);
+  path.remove_prefix(std::min<std::size_t>(1, path.size()));
   return path.substr(0, path.find('/'));
 }
 
@@ -113,6 +113,20 @@
   return "Content-Length: " + std::to_string(length) + (close ? "\r\nConnection: close\r\n\r\n" : "\r\n\r\n");
 }
 
+constexpr std::string_view in_chunks = "Transfer-Encoding: chunked\r\n";
+
+std::string size_line(std::size_t n) {
+  std::array<char, 20> digits;
+  const auto end = std::to_chars(digits.begin(), digits.end(), n, 16).ptr;
+  return std::string(digits.begin(), end) + "\r\n";
+}
+
+void lend_body(outgoing& out, const message& m, bool chunked) {
+  if (chunked && !m.body().empty()) out.own(size_line(m.body().size()));
+  out.lend(m.body());
+  if (chunked && !m.body().empty()) out.own("\r\n");
+}
+
 // Calls f with each name and number of a report.
 template <class F>
 void each_figure(std::string_view report, F&& f) {
@@ -149,6 +163,7 @@
 
 errand errand_of(const message& m) {
   const std::string_view path = path_of(m);
+  if (path == "*") return errand::abilities;
   if (path == "/-/ready") return errand::readiness;
   if (path == "/-/counters") return errand::counters;
   return path.starts_with("/-/") ? errand::nothing : errand::rpc;
@@ -157,7 +172,7 @@
 call read_call(const message& m) {
   call c;
   const std::string_view verb = m.text(m.method);
-  if (verb != "GET" && verb != "POST") c.fault = 405;
+  if (verb != "GET" && verb != "HEAD" && verb != "POST") c.fault = 405;
   c.method = m.find(method_name).value_or(first_part(path_of(m)));
   c.id = m.find(rpc_id).value_or("");
   const auto budget = span(m.find(budget_name).value_or(""));
@@ -214,9 +229,30 @@
   lend_headers(out, call, true);
   const auto us = static_cast<long long>(std::max(1.0, std::floor(patience * us_per_ms)));
   out.own(std::string(budget_name) + ": " + std::to_string(us) + "u\r\n" +
-          (call.body().empty() && call.text(call.method) == "GET" ? "\r\n"
-                                                                  : last_lines(call.body().size(), false)));
-  out.lend(call.body());
+          (call.partial && !call.length ? std::string(in_chunks) + "\r\n"
+           : call.partial               ? last_lines(*call.length, false)
+           : call.body().empty() && call.text(call.method) != "POST"
+               ? "\r\n"
+               : last_lines(call.body().size(), false)));
+  lend_body(out, call, call.partial && !call.length);
+  return out;
+}
+
+bool asks_head(const message& call) { return call.text(call.method) == "HEAD"; }
+
+std::string piece_of(std::string_view bytes, bool chunked, bool last) {
+  if (!chunked) return std::string(bytes);
+  std::string all;
+  if (!bytes.empty()) all.append(size_line(bytes.size())).append(bytes).append("\r\n");
+  if (last) all += "0\r\n\r\n";
+  return all;
+}
+
+std::string_view go_on_with_the_body() { return "HTTP/1.1 100 Continue\r\n\r\n"; }
+
+outgoing abilities(bool close) {
+  outgoing out;
+  out.own(status_line(200) + "Allow: GET, HEAD, POST, OPTIONS\r\n" + last_lines(0, close));
   return out;
 }
 
@@ -227,12 +263,17 @@
   return out;
 }
 
-outgoing passed_on(const message& answer, bool close) {
+outgoing passed_on(const message& answer, bool close, bool head_alone, bool old) {
   outgoing out;
   out.own(status_line(answer.status));
   lend_headers(out, answer, false);
-  out.own(last_lines(answer.body().size(), close));
-  out.lend(answer.body());
+  const bool chunked = answer.partial && !answer.length && !old;
+  if (answer.partial && !answer.length)
+    out.own((old ? "" : std::string(in_chunks)) + (close ? "Connection: close\r\n\r\n" : "\r\n"));
+  else
+    out.own(
+        last_lines(answer.partial || head_alone ? answer.length.value_or(0) : answer.body().size(), close));
+  lend_body(out, answer, chunked);
   return out;
 }
 
--- a/src/net/words.h
+++ b/src/net/words.h
@@ -12,7 +12,7 @@
 
 namespace indigorill {
 
-enum class errand { rpc, readiness, counters, nothing };
+enum class errand { rpc, readiness, counters, abilities, nothing };
 
 errand errand_of(const http::message& m);
 
@@ -34,8 +34,14 @@
 
 // Heads to be written; what is passed on is lent from the message, which must outlast the writing.
 outgoing pick_of(const http::message& call, double patience);
+bool asks_head(const http::message& call);  // for the head of the answer alone
+// The next part of a body that goes out in pieces; of one whose length is not told, in chunks.
+std::string piece_of(std::string_view bytes, bool chunked, bool last);
+std::string_view go_on_with_the_body();
+outgoing abilities(bool close);
 outgoing probe_of(bool with_load);
-outgoing passed_on(const http::message& answer, bool close);
+// old: to a client that knows no chunks; what has no stated length then ends with the connection.
+outgoing passed_on(const http::message& answer, bool close, bool head_alone = false, bool old = false);
 outgoing pushed_back(double after, bool close);
 outgoing aborted(bool close);
 outgoing plain(int status, std::string body, bool close);
