--- a/src/net/pool.cpp
+++ b/src/net/pool.cpp
@@ -202,9 +202,12 @@
   c.out.own(std::move(bytes));
   c.more_to_come = !last;
   await_progress(c);
-  if (last)
+  if (last) {
+    // The endpoint begins with the last byte: a slow client's upload must not pass for a slow server.
+    c.began = runs.now();
     c.patience =
-        runs.at(runs.now() + patience, [this, which] { broke(*connections.at(which), ending::timed_out); });
+        runs.at(c.began + patience, [this, which] { broke(*connections.at(which), ending::timed_out); });
+  }
   if (!c.wire->write(c.out)) {
     break_at(c, runs.now());
     return false;
--- a/tests/pipe_test.cpp
+++ b/tests/pipe_test.cpp
@@ -247,6 +247,20 @@
   }
 }
 
+TEST_CASE("a slow upload is not the server's slowness") {
+  between b;
+  const auto c = b.client();
+  c->say(head("POST", "Content-Length: 200001\r\n") + many(200000));
+  pass(b.runs, 200);  // the latency target is half of that
+  c->say("!");
+  REQUIRE(until(b.runs, [&] { return !b.served.empty() && b.served[0]->came.ends_with("!"); }));
+  b.served[0]->say(answer_text(200, "done"));
+  REQUIRE(until(b.runs, [&] { return b.counts.ok == 1; }));
+  const std::string log = b.log_text.str(), said = ": ok after ";
+  REQUIRE(log.find(said) != std::string::npos);
+  CHECK(std::stod(log.substr(log.find(said) + said.size())) < 100);
+}
+
 TEST_CASE("a long answer comes through by every framing, to old clients and new") {
   const std::string body = many(big);
   for (const bool chunked : {false, true})
