A client that leaves no longer touches an RPC that is gone; put-back times outlive an upgrade

Cause, found by the tests under ASan: `relay::left` told the balancer, whose cancel of the last pick forgets the RPC, and went on to use it (since long messages came, `relay.cpp:64`). It looks it up once more.

Put-back times: a newcomer took an endpoint that had been put back before its start for warm, where the list tells an older start. The bans' file holds when each was put back, and the balancer is told that time. Test: `back` comes back as written, in the other process and in the next; the list's older start doesn't warm an endpoint.

--- a/include/indigorill/balance.h
+++ b/include/indigorill/balance.h
@@ -94,8 +94,9 @@
   void resting(std::string_view server, std::size_t connections);  // open there, with nothing on them
   // A server to which no connection may be opened now, for the sake of all sidecars together.
   void barred(std::string_view server, bool is);
-  // A server that staff took out by hand: nothing goes there, whatever the list says. Put back, it is cold.
-  void withheld(double now, std::string_view server, bool is);
+  // A server that staff took out by hand: nothing goes there, whatever the list says. Put back, it is as cold
+  // as one that started then.
+  void withheld(double now, std::string_view server, bool is, double since);
   void woken(double now, std::uint64_t wake);
 
   // The next decision at the time last told, or none.
--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -786,8 +786,7 @@
 void balancer::list_failed(double now) {
   self->now = now;
   self->call_out = self->subscribed = false;
-  // The list service is one for all, and what it gave up on still fills its queue: asking again before that
-  // is empty, all together, would keep it down.
+  // What the list's one service gave up on still fills its queue: all asking at once would keep it down.
   constexpr double least = 250;
   const double backoff = std::min(std::max(self->ask_spread(), least) * std::exp2(self->failed_calls),
                                   std::max(self->land.ask_within, least));
@@ -810,8 +809,7 @@
   if (r->how->deadline > 0) r->target -= b.asked_before(*r->how, r->dl - now);
   r->key = what.key;
   if (what.work && *what.work > 0) {
-    constexpr double largest = 100,
-                     weight = 0.02;  // an absurd hint must not spoil the mean of some fifty RPCs
+    constexpr double largest = 100, weight = 0.02;  // an absurd hint must not spoil the mean of some fifty
     const double work = b.mean_work > 0 ? std::min(*what.work, largest * b.mean_work) : *what.work;
     b.mean_work += (b.mean_work > 0 ? weight : 1) * (work - b.mean_work);
     r->hinted = true;
@@ -890,11 +888,11 @@
   if (const auto it = self->servers.find(id); it != self->servers.end()) it->second->barred = is;
 }
 
-void balancer::withheld(double now, std::string_view id, bool is) {
+void balancer::withheld(double now, std::string_view id, bool is, double since) {
   self->now = now;
   server& s = self->meet(std::string(id));
   // Staff restart what they take out: from the call back it is as cold as a start that the list tells.
-  if (s.out && !is) self->learn_start(s, s.returned = now);
+  if (!is) self->learn_start(s, std::max(s.started, s.returned = since));
   s.out = is;
   self->muster();
 }
--- a/src/handover/handover.cpp
+++ b/src/handover/handover.cpp
@@ -28,8 +28,9 @@
 }
 
 std::string encode(const bans& b) {
-  return json{{"format", format}, {"kind", "bans"}, {"revision", b.revision}, {"out", b.out}}.dump(
-      -1, ' ', false, json::error_handler_t::replace);
+  return json{
+      {"format", format}, {"kind", "bans"}, {"revision", b.revision}, {"out", b.out}, {"back", b.back}}
+      .dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
 std::optional<record> decode_record(const std::string& text) try {
@@ -55,11 +56,23 @@
   bans b;
   b.revision = j->at("revision");
   for (const json& id : j->at("out")) b.out.insert(id.get<std::string>());
+  for (const auto& [id, when] : j->at("back").items()) b.back[id] = when.get<double>();
   return b;
 } catch (const json::exception&) {
   return {};
 }
 
+void take_out(bans& b, const std::string& id) {
+  b.out.insert(id);
+  b.back.erase(id);
+}
+
+void put_back(bans& b, const std::string& id, double now) {
+  if (b.out.erase(id)) b.back[id] = now;
+  constexpr double day = 24 * 3600 * 1000.0;  // whatever started before that is warm
+  std::erase_if(b.back, [&](const auto& other) { return other.second < now - day; });
+}
+
 void handover::sees(std::optional<record> of_other, bool other_lives) {
   lives = other_lives;
   other = lives ? of_other : std::nullopt;
--- a/src/handover/handover.h
+++ b/src/handover/handover.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <set>
 #include <string>
@@ -23,9 +24,14 @@
 struct bans {
   std::uint64_t revision = 0;
   std::set<std::string, std::less<>> out;
+  // When the others were put back, Unix ms: a newcomer must take them for as cold as the elder does.
+  std::map<std::string, double, std::less<>> back;
   bool operator==(const bans&) const = default;
 };
 
+void take_out(bans& b, const std::string& id);
+void put_back(bans& b, const std::string& id, double now);
+
 std::string encode(const record& r);
 std::string encode(const bans& b);
 // None for what is torn, foreign or of another format: it is taken for nothing.
--- a/src/net/relay.cpp
+++ b/src/net/relay.cpp
@@ -54,12 +54,14 @@
 void relay::left(const std::string& id) {
   const auto it = rpcs.find(id);
   if (it == rpcs.end() || (it->second.over && !it->second.passing)) return;
-  rpc& r = it->second;
-  if (!std::exchange(r.over, true)) {
+  if (!std::exchange(it->second.over, true)) {
     ++counted.left;
     decides.client_left(runs.now(), id);
     pull();
   }
+  const auto still = rpcs.find(id);  // the balancer may have cancelled its last pick
+  if (still == rpcs.end()) return;
+  rpc& r = still->second;
   // The balancer cancels no pick whose bytes are on their way; nobody gives or takes them any more.
   if (r.spent || r.passing)
     for (std::size_t n = 0; n < r.picks.size(); ++n)
@@ -117,8 +119,8 @@
   pull();
 }
 
-void relay::withheld(const std::string& server, bool is) {
-  decides.withheld(runs.now(), server, is);
+void relay::withheld(const std::string& server, bool is, double since) {
+  decides.withheld(runs.now(), server, is, since);
   endpoints.withheld(server, is);
   pull();
 }
--- a/src/net/relay.h
+++ b/src/net/relay.h
@@ -53,7 +53,7 @@
   void listed(bool whole, bool asked, const std::vector<endpoint>& entries);
   void list_failed();
   // Out by hand, or back: picks of which nothing is written there yet are drawn again.
-  void withheld(const std::string& server, bool is);
+  void withheld(const std::string& server, bool is, double since);
   // The balancer may have asked before: with the first list that it is told.
   void when_list_wanted(loop::task what);
 
--- a/src/net/sidecar.cpp
+++ b/src/net/sidecar.cpp
@@ -155,12 +155,15 @@
     next_counters = runs.at(runs.now() + with.counters_every, log_counters);
   };
   if (with.counters_every > 0) next_counters = runs.at(runs.now() + with.counters_every, log_counters);
-  const auto put_out = [&](maintenance::ids all) {
-    const auto out = missing(by_hand.all_out(), all), back = missing(all, by_hand.all_out());
-    by_hand.restore(std::move(all));
+  const auto put_out = [&](const bans& now) {
+    const auto out = missing(by_hand.all_out(), now.out), back = missing(now.out, by_hand.all_out());
+    by_hand.restore(now.out);
     counts.out_by_hand = by_hand.all_out().size();
-    for (const std::string& id : out) rpcs.withheld(id, true);
-    for (const std::string& id : back) rpcs.withheld(id, false);
+    for (const std::string& id : out) rpcs.withheld(id, true, runs.now());
+    for (const std::string& id : back) {
+      const auto when = now.back.find(id);
+      rpcs.withheld(id, false, when == now.back.end() ? runs.now() : when->second);
+    }
     for (const std::string& id : out) lines.info() << "endpoint " << id << " is out by hand";
     for (const std::string& id : back) lines.info() << "endpoint " << id << " is back, taken for cold";
   };
@@ -170,11 +173,11 @@
     if (!by_hand.knows(asked.id)) return then(404);
     const bool out = asked.is == order::what::out;
     other->change(
-        [id = asked.id, out](bans& b) {
+        [&runs, id = asked.id, out](bans& b) {
           if (out)
-            b.out.insert(id);
+            take_out(b, id);
           else
-            b.out.erase(id);
+            put_back(b, id, runs.now());
         },
         [then](bool done) { then(done ? 200 : 503); });
   });
@@ -234,8 +237,10 @@
   else
     clients.listen(with.listen);
   if (other) {
-    put_out(other->agreed().out);
-    other->begin(side_by_side, [&](const bans& now) { put_out(now.out); });
+    const bans& left = other->agreed();
+    put_out(left);
+    for (const auto& [id, when] : left.back) rpcs.withheld(id, false, when);  // put back before our time
+    other->begin(side_by_side, put_out);
   } else {
     serve();
   }
--- a/tests/handover_test.cpp
+++ b/tests/handover_test.cpp
@@ -88,7 +88,7 @@
 TEST_CASE("records and bans come back as written; cut anywhere or foreign they are nothing") {
   record r = of(1234.5, serving, true);
   r.bans = 7;
-  const bans b{9, {"a", "b c\"", "\xc3\xa9"}};
+  const bans b{9, {"a", "b c\"", "\xc3\xa9"}, {{"d", 1234.5}}};
   CHECK(decode_record(encode(r)) == r);
   CHECK(decode_bans(encode(b)) == b);
   const std::string texts[] = {encode(r), encode(b)};
@@ -100,7 +100,8 @@
   CHECK_FALSE(decode_record(encode(b)));
   CHECK_FALSE(decode_bans(encode(r)));
   for (const char* foreign :
-       {"", "[]", "{}", "{\"format\":\"indigorill-handover-0\",\"kind\":\"bans\",\"revision\":1,\"out\":[]}",
+       {"", "[]", "{}",
+        "{\"format\":\"indigorill-handover-0\",\"kind\":\"bans\",\"revision\":1,\"out\":[],\"back\":{}}",
         "{\"format\":\"indigorill-handover-1\",\"kind\":\"bans\",\"revision\":\"x\",\"out\":[]}",
         "{\"format\":\"indigorill-handover-1\",\"kind\":\"bans\",\"revision\":1,\"out\":[3]}"})
     CHECK_FALSE(decode_bans(foreign));
@@ -140,7 +141,7 @@
   done = false;  // both asked at once
   bool other = false;
   elder.is->change([](bans& b) { b.out.insert("b"); }, [&](bool yes) { done = yes; });
-  newcomer.is->change([](bans& b) { b.out.erase("a"); }, [&](bool yes) { other = yes; });
+  newcomer.is->change([](bans& b) { put_back(b, "a", 77); }, [&](bool yes) { other = yes; });
   REQUIRE(until(runs, [&] { return done && other; }));
   CHECK(elder.is->agreed().out == std::set<std::string, std::less<>>{"b"});
   CHECK(newcomer.is->agreed() == elder.is->agreed());
@@ -149,6 +150,7 @@
   newcomer.is.reset();
   half next(runs, here.path);
   CHECK(next.is->agreed().out.count("b") == 1);
+  CHECK(next.is->agreed().back.at("a") == 77);
   CHECK_FALSE(next.is->is().paired());
 }
 
--- a/tests/maintenance_test.cpp
+++ b/tests/maintenance_test.cpp
@@ -77,7 +77,7 @@
     return n;
   };
   REQUIRE(picked("a", 100) > 0);
-  m.b.withheld(m.now, "a", true);
+  m.b.withheld(m.now, "a", true, m.now);
   CHECK(picked("a", 100) == 0);
   m.list(letters('a', 'b'));
   CHECK(picked("a", 100) == 0);
@@ -85,7 +85,8 @@
   m.beats(m.now + 60000);  // long enough to be forgotten
   m.list({at("a", m.now), at("b")});
   CHECK(picked("a", 100) == 0);
-  m.b.withheld(m.now, "a", false);
+  m.b.withheld(m.now, "a", false, m.now);
+  m.list({at("a", 1), at("b")});  // the list knows of the start before
   const int first = picked("a", 200);
   CHECK(first > 0);  // within 5 s of the call back
   m.now += 60000;
@@ -96,7 +97,7 @@
 TEST_CASE("with all servers out RPCs are pushed back at once, with advice") {
   one m;
   m.list(letters('a', 'b'));
-  for (const char* id : {"a", "b"}) m.b.withheld(m.now, id, true);
+  for (const char* id : {"a", "b"}) m.b.withheld(m.now, id, true, m.now);
   m.arrive();
   const decision d = m.only();
   CHECK(d.what == verb::push_back);
@@ -110,13 +111,13 @@
     const std::string id = m.arrive();
     const decision first = m.only();
     REQUIRE(first.what == verb::pick);
-    m.b.withheld(m.now, first.server, true);
+    m.b.withheld(m.now, first.server, true, m.now);
     m.b.pick_ended(m.now, id, first.pick, ending::withdrawn, 0, false, {});
     const decision second = m.only();
     REQUIRE(second.what == verb::pick);
     CHECK(second.server != first.server);
     m.b.pick_ended(m.now, id, second.pick, ending::ok, 25, true, {});
-    m.b.withheld(m.now, first.server, false);
+    m.b.withheld(m.now, first.server, false, m.now);
     m.pull();
     m.now += 30000;  // warm again
     m.beats(m.now + 1000);
@@ -249,7 +250,7 @@
   ask(2, second);  // still connecting
   endpoints.listed("b", text_of(b.where));
   rpcs.listed(true, false, {at("a"), at("b")});
-  rpcs.withheld("a", true);
+  rpcs.withheld("a", true, runs.now());
   REQUIRE(until(runs, [&] { return second != 0; }));
   CHECK(second == 200);
   CHECK(b.asked.size() == 1);
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -765,9 +765,9 @@
   outgoing what;
   what.own("GET / HTTP/1.1\r\n\r\n");
   h.endpoints.send("unlisted", std::move(what), 100, {[&](pool::result r) {
-    ended = true;
-    CHECK(r.how == ending::connect_failed);
-  }});
+                     ended = true;
+                     CHECK(r.how == ending::connect_failed);
+                   }});
   CHECK_FALSE(ended);
   CHECK(until(h.runs, [&] { return ended; }));
 }
