--- a/src/net/counters.cpp
+++ b/src/net/counters.cpp
@@ -32,6 +32,9 @@
   one("connections_reused", c.reused);
   one("connections_retired", c.retired);
   one("connections_closed_for_room", c.closed_for_room);
+  constexpr std::array<std::string_view, 4> uses{"answered", "silent", "half_sent", "idle"};
+  for (std::size_t i = 0; i < uses.size(); ++i)
+    out << "closed_for_room_" << uses[i] << ' ' << c.closed_by_use[i] << '\n';
   one("out_by_hand", c.out_by_hand);
   one("orders", c.orders);
   one("orders_refused", c.orders_refused);
--- a/src/net/counters.h
+++ b/src/net/counters.h
@@ -20,7 +20,8 @@
   count unheard = 0;                                                // answers whose client had gone
   by_ending picks{}, probes{};
   count accepted = 0, opened = 0, reused = 0, retired = 0, closed_for_room = 0;  // connections
-  count out_by_hand = 0;                                                         // endpoints that are out now
+  std::array<count, 4> closed_by_use{};  // of clients: answered, silent, half sent, idle
+  count out_by_hand = 0;                 // endpoints that are out now
   count orders = 0, orders_refused = 0;  // calls on the second address, and those answered no
   count lists = 0, list_failures = 0, malformed_lists = 0;
 
--- a/src/net/front.cpp
+++ b/src/net/front.cpp
@@ -29,8 +29,8 @@
   bool uploading = false, wanted = false;    // a long request comes in; the endpoint takes more of it
   bool chunked = false, last_given = false;  // a long answer: its framing, and whether all of it is in `out`
   bool old = false, head_alone = false;      // what the request's answer may be
-  double head_at = 0, last_came = 0;         // a whole head; the last bytes
-  std::size_t body_came = 0, written = 0;    // written: of `out`, when it last went on
+  double first_came = 0, head_at = 0, last_came = 0;  // a whole head; the last bytes
+  std::size_t body_came = 0, written = 0;             // written: of `out`, when it last went on
   std::size_t lent = 0, weighed = 0;  // bytes of its request, at the relay; what it counts for in all bytes
   loop::timer patience;
 };
@@ -139,7 +139,11 @@
     if (got == stream::got::some) {
       // A request's time counts from its last byte.
       if (c.in == connection::stage::reading) c.came = runs.now() - c.wire->age();
-      if (!c.reader.begun()) c.body_came = 0, c.head_at = 0;
+      if (!c.reader.begun()) {
+        c.body_came = 0;
+        c.head_at = 0;
+        c.first_came = runs.now();
+      }
       c.last_came = runs.now();
       c.reader.fed(n);
       if (c.reader.head_whole() && c.head_at == 0) c.head_at = c.last_came;
@@ -186,7 +190,7 @@
     if (c.reader.head_whole())
       await_body(c);
     else if (!c.patience.set())
-      await(c, (c.heard ? c.since : c.opened) + to_ask);
+      await(c, (c.heard ? c.first_came : c.opened) + to_ask);
   } else if (draining && !door) {
     close(c.name);
   } else {
@@ -231,7 +235,8 @@
 }
 
 void front::set_use(connection& c, use now) {
-  if (c.is == now) return;
+  // Of those half sent, who made progress last is the last to go for room: slow is not idle.
+  if (c.is == now && now != use::half_sent) return;
   if (c.is != use::held) spare.erase({c.is, c.since, c.name});
   c.is = now;
   c.since = runs.now();
@@ -448,6 +453,7 @@
   if (first == spare.end() || std::get<0>(*first) != is || runs.now() < std::get<1>(*first) + least)
     return false;
   ++counted.closed_for_room;
+  ++counted.closed_by_use[static_cast<std::size_t>(is)];
   close(std::get<2>(*first));
   return true;
 }
--- a/src/net/sidecar.cpp
+++ b/src/net/sidecar.cpp
@@ -50,6 +50,7 @@
   if (with.descriptors <= 2 * own_descriptors) throw malformed("config: limits allow too few sockets");
   ::signal(SIGPIPE, SIG_IGN);
   const descriptor signal = signals();  // before all else: a SIGHUP that isn't held ends the process
+  descriptor inherited = with.inherited ? adopt_listener(*with.inherited) : descriptor();
   loop runs;
   counters counts;
   descriptor_budget budget{with.descriptors - own_descriptors};
@@ -232,8 +233,8 @@
   };
   if (with.second) staff.listen(*with.second);
   clients.accepts(false);
-  if (with.inherited)
-    clients.adopt(adopt_listener(*with.inherited));
+  if (inherited)
+    clients.adopt(std::move(inherited));
   else
     clients.listen(with.listen);
   if (other) {
--- a/tests/handover_test.cpp
+++ b/tests/handover_test.cpp
@@ -2,6 +2,7 @@
 #include "../src/handover/handover.h"
 
 #include <doctest/doctest.h>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -183,3 +184,179 @@
   }
   CHECK(two.is->is().paired());
 }
+
+namespace {
+
+// A sidecar as a process of its own, on a listener that the test holds, and what the test asks of it.
+struct process {
+  pid_t child = -1;
+  sockaddr_in staff = address_of(loopback());
+
+  process(const std::string& folder, const descriptor& door, const sockaddr_in& agent, int descriptors) {
+    const std::string path = folder + "/config-" + text_of(staff);
+    std::ofstream(path)
+        << R"({"name":"n","listen":")" << text_of(address_of(door)) << R"(","discovery":")" << text_of(agent)
+        << R"(","admin_addr":")" << text_of(staff) << R"(","seed":"1","limits":{"sockets":)" << descriptors
+        << R"(},"settings":{"methods":[{"name":"read","effect":"retryable","deadline":500000}],)"
+        << R"("bounds":{"maxPicks":3}}})";
+    const std::string fd = std::to_string(door.get());
+    child = ::fork();
+    if (child != 0) return;
+    ::prctl(PR_SET_PDEATHSIG, SIGKILL);
+    const auto variable = [&](const char* name) -> const char* {
+      const std::string n = name;
+      return n == "LB_CONFIG"         ? path.c_str()
+             : n == "TMPDIR"          ? folder.c_str()
+             : n == "LB_INHERITED_FD" ? fd.c_str()
+                                      : nullptr;
+    };
+    try {
+      std::ostringstream text;
+      logger lines(text, level::error);
+      run_sidecar(
+          read_start(variable), [&] { return read_again(variable); }, lines);
+    } catch (const std::exception&) {
+      ::_exit(1);
+    }
+    ::_exit(0);
+  }
+  ~process() {
+    if (child > 0) ::kill(child, SIGKILL), ::waitpid(child, nullptr, 0);
+  }
+  // True if it ended by itself. The world goes on meanwhile, or nothing in hand there would end.
+  bool end(int signal, loop& runs, const std::function<void()>& step) {
+    ::kill(child, signal);
+    int status = -1;
+    const bool gone = until(runs, [&] { return step(), ::waitpid(child, &status, WNOHANG) == child; });
+    if (gone) child = -1;
+    return gone && WIFEXITED(status) && WEXITSTATUS(status) == 0;
+  }
+  std::size_t descriptors() const {
+    std::error_code none;
+    std::size_t n = 0;
+    for (std::filesystem::directory_iterator at("/proc/" + std::to_string(child) + "/fd", none), last;
+         !none && at != last; at.increment(none))
+      ++n;
+    return n;
+  }
+};
+
+// An application that asks on and on, and what it met.
+struct application {
+  loop& runs;
+  descriptor_budget& budget;
+  sockaddr_in where;
+  std::unique_ptr<side> now;
+  bool waits = false;
+  int ok = 0, unheard = 0, refused = 0;
+  double next = 0;
+
+  void step() {
+    constexpr double pause = 4;  // ms: endpoints with a script must not run out of it
+    if (now && !now->ended) {
+      if (!waits && runs.now() > next) ask();
+      return;
+    }
+    unheard += waits;
+    waits = false;
+    now = std::make_unique<side>(runs, budget, connect_to(where), http::reader::kind::answer);
+    now->then = [this](side& s) {
+      waits = false;
+      (s.came.back().status == 200 ? ok : refused) += 1;
+      next = runs.now() + pause;
+    };
+  }
+  void ask() {
+    static int ids = 0;
+    waits = true;
+    now->say("GET /read HTTP/1.1\r\nX-Call-Id: two" + std::to_string(++ids) + "\r\nX-Budget: 500m\r\n\r\n");
+  }
+};
+
+}  // namespace
+
+TEST_CASE("two real processes are one sidecar through an upgrade, whichever dies and however") {
+  struct {
+    const char* what;
+    bool elder_dies;
+    int signal;
+  } table[] = {{"the elder is told to stop", true, SIGTERM},
+               {"the elder is killed", true, SIGKILL},
+               {"the newcomer is killed", false, SIGKILL}};
+  for (const auto& t : table) {
+    CAPTURE(std::string(t.what));
+    constexpr int descriptors = 160;
+    loop runs;
+    folder here;
+    descriptor_budget budget{400};
+    const std::string entries =
+        R"({"instanceId":"a","hostPort":"%a","lifecycle":"up"},{"instanceId":"b","hostPort":"%b","lifecycle":"up"})";
+    const std::vector<std::string> answers(20000, answer_text(200, "served"));
+    stand_in a(runs, answers), b(runs, answers);
+    std::string list = R"({"generation":9,"reset":true,"instances":[)" + entries + "]}";
+    list.replace(list.find("%a"), 2, text_of(a.where));
+    list.replace(list.find("%b"), 2, text_of(b.where));
+    stand_in agent(runs,
+                   {answer_text(200, list)});  // and silent from then on: a newcomer needs no list of it
+    const descriptor door = loopback();
+    std::vector<std::unique_ptr<application>> apps;
+    std::size_t most_descriptors = 0;
+    process elder(here.path, door, agent.where, descriptors);
+    std::unique_ptr<process> newcomer;
+    const auto step = [&] {
+      for (const auto& app : apps) app->step();
+      most_descriptors =
+          std::max(most_descriptors, elder.descriptors() + (newcomer ? newcomer->descriptors() : 0));
+    };
+    const auto call = [&](const process& p, const std::string& text) {
+      int status = 0;
+      until(runs, [&] {
+        side s(runs, budget, connect_to(p.staff), http::reader::kind::answer);
+        s.say(text + " HTTP/1.1\r\n\r\n");
+        until(runs, [&] { return step(), s.ended || !s.came.empty(); });
+        if (!s.came.empty()) status = s.came[0].status;
+        return status != 0 && status != 503;
+      });
+      return status;
+    };
+    const auto served = [&](int more) {
+      int before = 0;
+      for (const auto& app : apps) before += app->ok;
+      return until(runs, [&] {
+        step();
+        int now = 0;
+        for (const auto& app : apps) now += app->ok;
+        return now >= before + more;
+      });
+    };
+    REQUIRE(call(elder, "GET /status") == 200);
+    for (int i = 0; i < 8; ++i)
+      apps.push_back(std::make_unique<application>(
+          application{runs, budget, address_of(door), nullptr, false, 0, 0, 0, 0}));
+    REQUIRE(served(100));
+    CHECK(call(elder, "PUT /maintenance/enter?host=nobody") == 404);
+    newcomer = std::make_unique<process>(here.path, door, agent.where, descriptors);
+    REQUIRE(call(*newcomer, "GET /status") == 200);
+    REQUIRE(served(100));
+    REQUIRE(call(t.elder_dies ? elder : *newcomer, "PUT /maintenance/enter?host=a") == 200);
+    const std::size_t sent_there = a.asked.size();
+    REQUIRE(served(200));
+    int unheard = 0;
+    for (const auto& app : apps) unheard += app->unheard;
+    CHECK(unheard == 0);  // until somebody was killed
+    process& dies = t.elder_dies ? elder : *newcomer;
+    process& stays = t.elder_dies ? *newcomer : elder;
+    CHECK(dies.end(t.signal, runs, step) == (t.signal == SIGTERM));
+    REQUIRE(served(200));
+    CHECK(a.asked.size() == sent_there);  // the ban outlives who was asked
+    REQUIRE(call(stays, "PUT /maintenance/exit?host=a") == 200);
+    REQUIRE(until(runs, [&] { return step(), a.asked.size() > sent_there; }));
+    CHECK(most_descriptors <= descriptors);
+    if (t.signal == SIGTERM) {
+      unheard = 0;
+      for (const auto& app : apps) unheard += app->unheard;
+      CHECK(unheard <= 2);
+    }
+    CHECK(stays.end(SIGTERM, runs, step));
+  }
+}
--- a/tests/options_test.cpp
+++ b/tests/options_test.cpp
@@ -86,6 +86,15 @@
   const called led = call({"--check-config"}, {{"LB_CONFIG", good.path}, {"LB_LISTEN", "nowhere"}});
   CHECK(led.status == 1);
   CHECK(led.err == "config: field listen is not an address and a port\n");
+  const called second = call(
+      {"--check-config"}, {{"LB_CONFIG", good.path}, {"LB_ADMIN_ADDR", "x"}, {"LB_INHERITED_FD", "three"}});
+  CHECK(second.status == 1);
+  CHECK(second.err ==
+        "config: field admin_addr is not an address and a port\n"
+        "config: LB_INHERITED_FD is not the number of a descriptor\n");
+  const called closed = call({}, {{"LB_CONFIG", good.path}, {"LB_INHERITED_FD", "999"}});
+  CHECK(closed.status == 1);
+  CHECK(closed.err == "indigorill: LB_INHERITED_FD names no listening TCP socket: 999\n");
   const file bad(R"({"name":3,"listen":"127.0.0.1:1","discovery":"x","seed":"zz","limits":{"sockets":0},
     "known":{"generation":-1},"settings":{"methods":[]}})");
   const file options("[log]\nform = \"xml\"\n[limits]\nsockets = 4\nmoon = 1\n");
