--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -460,7 +460,9 @@
       const double one = pace(*s), waits = wait(*s, *r.how);
       // Without a hint the RPC may be a long one; it is given up while a wait would leave no room for that.
       constexpr double unhinted = 1.6;  // mean RPCs
-      constexpr double hopeless = 3;    // failures; 2 and 4 serve a fleet that tipped worse
+      // Failures; 2 and 4 serve a fleet that tipped worse. One that was lately heard to hold little has
+      // rested.
+      const double hopeless = heard(*s) > 0.5 && ahead(*s) < 1.5 ? 17 : 3;
       const double hoped = believed < 1 ? pace(*s, believed) : one;
       const double alone = hoped * (r.hinted ? r.size : unhinted);
       b.timely.push_back(count(s->window).second < hopeless && alone <= left &&
--- a/tests/balance_test.cpp
+++ b/tests/balance_test.cpp
@@ -490,6 +490,18 @@
     h.history("a", ending::ok, 20), h.list({at("a")});
     for (int i = 0; i < 2; ++i) h.arrive("vital"), h.pull();
   };
+  const auto errors = [](const load& told) {
+    return [=](one& h) {
+      for (const char* server : {"a", "b"})
+        for (int i = 0; i < 4; ++i) {
+          h.list({at(server)});
+          const std::string id = h.arrive("vital");
+          for (const decision& d : h.pull())
+            if (d.what == verb::pick) h.b.pick_ended(h.now, id, 0, ending::error, 5, true, told);
+        }
+      both(h);
+    };
+  };
   struct {
     const char* what;
     std::function<void(one&)> before;
@@ -497,6 +509,9 @@
     std::optional<double> work;
     verb then;
   } table[] = {
+      {"every server failed three times and more", errors({}), "vital", {}, verb::push_back},
+      {"the same, but each says that it holds nothing", errors({0}), "vital", {}, verb::pick},
+      {"the same, and each says that it holds much", errors({9}), "vital", {}, verb::push_back},
       {"an idle fleet", both, "read", {}, verb::pick},
       {"an RPC hinted to outlast its target",
        [](one& h) {
