One reader of a list's text, one time-out of an exchange; the elder leaves its list once

- `read_roster` serves discovery and the newcomer, who had each parsed and checked the text.
- `pool::await` sets the time-out that `send`, `more` and `await_progress` each wrote out; `read` asks once whether the connection ended.
- An elder without room yet wrote its list and trimmed the heap at each look, every 5 ms; it does so once, when there is room.
The newcomer reads it only from then on, as before.
- `maintenance::with` and `without` were called by a test alone: it now goes through `take_out` and `put_back`, as the sidecar does.
`published` is an optional in place of a value and a flag.

--- a/src/maintenance/maintenance.cpp
+++ b/src/maintenance/maintenance.cpp
@@ -12,18 +12,6 @@
   for (const std::string& id : gone) on_list.erase(id);
 }
 
-maintenance::ids maintenance::with(std::string_view id) const {
-  ids all = is_out;
-  all.emplace(id);
-  return all;
-}
-
-maintenance::ids maintenance::without(std::string_view id) const {
-  ids all = is_out;
-  if (const auto it = all.find(id); it != all.end()) all.erase(it);
-  return all;
-}
-
 std::vector<std::string> missing(const maintenance::ids& from, const maintenance::ids& in) {
   std::vector<std::string> lack;
   std::set_difference(in.begin(), in.end(), from.begin(), from.end(), std::back_inserter(lack));
--- a/src/maintenance/maintenance.h
+++ b/src/maintenance/maintenance.h
@@ -24,10 +24,6 @@
   // What another process of this sidecar, or one before it, left in force.
   void restore(ids all) { is_out = std::move(all); }
 
-  // The set after such a call; the one in force stays until restore().
-  ids with(std::string_view id) const;
-  ids without(std::string_view id) const;
-
  private:
   ids on_list, is_out;
 };
--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -31,6 +31,12 @@
   return r;
 }
 
+roster read_roster(std::string_view text) {
+  const auto j = nlohmann::json::parse(text, nullptr, false);
+  if (j.is_discarded()) throw malformed("list: is not JSON");
+  return decode_roster(fields("list", j));
+}
+
 std::string encode_roster(const roster& r) {
   nlohmann::json all = nlohmann::json::array();
   for (const roster::entry& e : r.entries)
@@ -133,9 +139,7 @@
   if (m.status != 200) return fail("status " + std::to_string(m.status));
   roster r;
   try {
-    const auto j = nlohmann::json::parse(m.body(), nullptr, false);
-    if (j.is_discarded()) throw malformed("list: is not JSON");
-    r = decode_roster(fields("list", j));
+    r = read_roster(m.body());
   } catch (const malformed& e) {
     // The old list stays: one bad answer must not leave us without endpoints.
     ++counted.malformed_lists;
--- a/src/net/discovery.h
+++ b/src/net/discovery.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <random>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "../decode/fields.h"
@@ -27,7 +28,8 @@
   std::vector<entry> entries;
 };
 
-roster decode_roster(const fields& f);  // throws malformed
+roster decode_roster(const fields& f);      // throws malformed
+roster read_roster(std::string_view text);  // as well
 std::string encode_roster(const roster& r);
 
 class discovery {
--- a/src/net/pool.cpp
+++ b/src/net/pool.cpp
@@ -114,7 +114,7 @@
   if (c.with.head_alone) c.reader.no_body();
   c.reader.in_pieces(static_cast<bool>(c.with.began));
   c.retiring.drop();
-  c.patience = runs.at(c.began + patience, [this, name] { broke(*connections.at(name), ending::timed_out); });
+  await(c, patience);
   if (c.in == connection::stage::idle) {
     // Only written to: an answer, however quick, is read from the loop, since `then` must not be called
     // before the caller has the ticket.
@@ -190,6 +190,10 @@
 // A transfer that goes on may take its time; one that stands still is over.
 void pool::await_progress(connection& c) {
   constexpr double longest = 5000;  // ms; honest ends pause for less than 2 s
+  await(c, longest);
+}
+
+void pool::await(connection& c, double longest) {
   c.patience = runs.at(runs.now() + longest,
                        [this, name = c.name] { broke(*connections.at(name), ending::timed_out); });
 }
@@ -201,12 +205,12 @@
   c.out = {};
   c.out.own(std::move(bytes));
   c.more_to_come = !last;
-  await_progress(c);
   if (last) {
     // The endpoint begins with the last byte: a slow client's upload must not pass for a slow server.
     c.began = runs.now();
-    c.patience =
-        runs.at(c.began + patience, [this, which] { broke(*connections.at(which), ending::timed_out); });
+    await(c, patience);
+  } else {
+    await_progress(c);
   }
   if (!c.wire->write(c.out)) {
     break_at(c, runs.now());
@@ -233,6 +237,7 @@
     if (got == stream::got::nothing) return;
     if (got == stream::got::some) c.reader.fed(n);
     if (got == stream::got::ended) c.reader.ended();
+    const bool ended = got == stream::got::ended || got == stream::got::broken;
     if (c.reader.now() == http::reader::state::begun) {
       const http::message answer = c.reader.take();
       c.answered = runs.now();
@@ -244,16 +249,14 @@
       }
       c.passing = c.paused = true;
       c.patience.drop();
-      if (got == stream::got::ended || got == stream::got::broken) c.wire->again();  // seen once more
+      if (ended) c.wire->again();  // seen once more
       return;
     }
     if (c.passing) {
-      const bool is_over = got == stream::got::ended || got == stream::got::broken;
-      if (!pass_on(c, is_over ? ending::reset : ending::error)) return;
-      if (is_over) return broke(c, ending::reset);
+      if (!pass_on(c, ended ? ending::reset : ending::error)) return;
+      if (ended) return broke(c, ending::reset);
       continue;
     }
-    const bool ended = got == stream::got::ended || got == stream::got::broken;
     if (c.reader.now() == http::reader::state::whole) {
       http::message answer = c.reader.take();
       // More behind, or a report that can't be read: this answer is good, the next one here might not be.
--- a/src/net/pool.h
+++ b/src/net/pool.h
@@ -82,6 +82,7 @@
   void rest(connection& c);
   void written(connection& c);
   bool pass_on(connection& c, ending if_broken);
+  void await(connection& c, double longest);
   void await_progress(connection& c);
   void close(ticket which);
 
--- a/src/net/sidecar.cpp
+++ b/src/net/sidecar.cpp
@@ -186,9 +186,7 @@
     const auto text = other->left_list();
     if (!text) return;
     try {
-      const auto j = nlohmann::json::parse(*text, nullptr, false);
-      if (j.is_discarded()) throw malformed("list: is not JSON");
-      learn(decode_roster(fields("list", j)), false);
+      learn(read_roster(*text), false);
     } catch (const malformed& e) {
       lines.warning() << "the older process left what is no list, ours stays in force: " << e.what();
     }
@@ -208,7 +206,8 @@
     const handover& is = other->is();
     clients.keep_within(within());
     while (budget.open > budget.most && (clients.close_idle() || endpoints.close_idle())) continue;
-    if (is.elder() && !is.self().made_room) {
+    const bool room = is.elder() && budget.open <= budget.most;
+    if (room && !is.self().made_room) {
       roster now;
       now.version = version;
       now.whole = true;
@@ -216,7 +215,7 @@
       other->leave_list(encode_roster(now));
       ::malloc_trim(0);  // what is free here is room for the newcomer only once the kernel has it back
     }
-    other->made_room(is.elder() && budget.open <= budget.most);
+    other->made_room(room);
     if (!serving && (is.has_room() || runs.now() > started + longest)) {
       if (is.newcomer() && is.has_room()) take_over_list();
       serve();
--- a/src/net/twin.cpp
+++ b/src/net/twin.cpp
@@ -104,10 +104,9 @@
 }
 
 void twin::publish() {
-  if (!works() || (ever_published && published == state.self())) return;
+  if (!works() || published == state.self()) return;
   published = state.self();
-  ever_published = true;
-  if (!write_aside(slot_file(slot, ".json"), encode(published)) && !std::exchange(warned, true))
+  if (!write_aside(slot_file(slot, ".json"), encode(*published)) && !std::exchange(warned, true))
     lines.warning() << "can't write to " << folder << ": the other process doesn't hear of this one";
 }
 
--- a/src/net/twin.h
+++ b/src/net/twin.h
@@ -62,8 +62,8 @@
   bans in_force;
   int slot = 0;
   descriptor own_lock, other_lock;
-  record published;
-  bool ever_published = false, warned = false, first_look = true;
+  std::optional<record> published;
+  bool warned = false, first_look = true;
   loop::task on_change = [] {};
   std::function<void(const bans&)> on_bans = [](const bans&) {};
   loop::timer next_look;
--- a/tests/maintenance_test.cpp
+++ b/tests/maintenance_test.cpp
@@ -5,6 +5,7 @@
 
 #include <random>
 
+#include "../src/handover/handover.h"
 #include "../src/net/admin.h"
 #include "../src/net/relay.h"
 #include "host.h"
@@ -17,6 +18,12 @@
   for (int run = 0; run < 50; ++run) {
     maintenance m;
     std::set<std::string> listed, out;
+    const auto change = [&](const std::function<void(bans&)>& how) {
+      bans b;
+      b.out = m.all_out();
+      how(b);
+      m.restore(b.out);
+    };
     for (int step = 0; step < 200; ++step) {
       const std::string id(1, static_cast<char>('a' + draw(6)));
       switch (draw(5)) {
@@ -37,10 +44,10 @@
           listed.insert(id);
           break;
         case 3:
-          if (m.knows(id)) m.restore(m.with(id)), out.insert(id);
+          if (m.knows(id)) change([&](bans& b) { take_out(b, id); }), out.insert(id);
           break;
         default:
-          if (m.knows(id)) m.restore(m.without(id)), out.erase(id);
+          if (m.knows(id)) change([&](bans& b) { put_back(b, id, 0); }), out.erase(id);
       }
       if (draw(40) == 0) {  // another process, told the list and what was out
         maintenance next;
