Sidecars as members of a fleet: datagrams, SWIM with Lifeguard, and a wire of real processes

Need: the operators want to trust the many processes together; until now no process of the program knew of another one. Membership and the wire come first, what divides budgets will stand on them.

- src/members: SWIM's probes, indirect probes, suspicions refuted by incarnation and news on whatever is sent, with Lifeguard's doubt of oneself, nacks, shorter suspicions with more witnesses and word to the suspect; no I/O.
A view is a hint.
- Envelope as MessagePack (nlohmann-json, already needed): foreign, torn, too long, other form, former incarnation, doubled and late are told apart, counted and dropped.
- src/net/datagrams, src/net/company: one socket on the loop, the clock that goes on while the machine sleeps (CLOCK_BOOTTIME); [members] in the options, checked a line a fault; GET /-/members on the second address.
- src/load/wire, crew, process: a wire between real processes that loses, doubles, delays, reorders and cuts, and processes that are killed, stopped, ended and asked by number.

Ruled out: a list of members from discovery's agents (the agents know servers, not sidecars). A join by one page alone left views of 24 members apart for over 20 s, since news is told a logarithm of times: newcomers now ask every second period at first, and pages wrap round.

Off without [members].

--- a/src/decode/section.cpp
+++ b/src/decode/section.cpp
@@ -77,6 +77,19 @@
   return n->value_or(std::string());
 }
 
+std::vector<std::string> section::texts(const char* key) {
+  std::vector<std::string> all;
+  const toml::node* n = take(key, true);
+  if (!n) return all;
+  const toml::array* a = n->as_array();
+  if (!a) return fault(*n, key, "is not a list of strings"), all;
+  for (const toml::node& e : *a) {
+    if (!e.is_string()) fault(e, key, "is not a list of strings");
+    all.push_back(e.value_or(std::string()));
+  }
+  return all;
+}
+
 const toml::table& section::inner(const char* key, bool needed) {
   static const toml::table none;
   const toml::node* n = take(key, !needed);
--- a/src/load/play.cpp
+++ b/src/load/play.cpp
@@ -1,12 +1,7 @@
 #include "play.h"
 
-#include <arpa/inet.h>
-#include <fcntl.h>
-#include <sys/prctl.h>
 #include <sys/resource.h>
 #include <sys/socket.h>
-#include <sys/wait.h>
-#include <unistd.h>
 
 #include <CLI/CLI.hpp>
 #include <algorithm>
@@ -18,6 +13,7 @@
 
 #include "../decode/settings.h"
 #include "../lab/experiment.h"
+#include "process.h"
 
 namespace indigorill::loading {
 namespace {
@@ -30,106 +26,6 @@
   return s.str();
 }
 
-sockaddr_in loopback_at(std::uint16_t port) {
-  sockaddr_in a{};
-  a.sin_family = AF_INET;
-  a.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  a.sin_port = htons(port);
-  return a;
-}
-
-// A port that is free now. Another process could take it before the sidecar does, which would then say so.
-sockaddr_in free_place() {
-  const descriptor fd = listen_on(loopback_at(0));
-  sockaddr_in a{};
-  socklen_t size = sizeof a;
-  ::getsockname(fd.get(), reinterpret_cast<sockaddr*>(&a), &size);
-  return a;
-}
-
-struct folder {
-  std::filesystem::path path;
-  folder() {
-    std::string name = (std::filesystem::temp_directory_path() / "indigorill-load-XXXXXX").string();
-    if (!::mkdtemp(name.data())) throw std::runtime_error("can't make a folder for the configs");
-    path = name;
-  }
-  ~folder() {
-    std::error_code ignored;
-    std::filesystem::remove_all(path, ignored);
-  }
-};
-
-// One sidecar that we started; it ends with us.
-class process {
- public:
-  process(std::string what, std::string config, std::string log)
-      : command(std::move(what)), file(std::move(config)), log_file(std::move(log)) {}
-  ~process() { kill(); }
-  process(const process&) = delete;
-  process& operator=(const process&) = delete;
-
-  void start() {
-    pid = ::fork();
-    if (pid < 0) throw std::runtime_error("can't start a sidecar");
-    if (pid != 0) return;
-    ::prctl(PR_SET_PDEATHSIG, SIGKILL);
-    ::setenv("LB_CONFIG", file.c_str(), 1);
-    const int log = ::open(log_file.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
-    if (log >= 0) ::dup2(log, STDERR_FILENO);
-    ::execl(command.c_str(), command.c_str(), static_cast<char*>(nullptr));
-    ::_exit(127);
-  }
-  void kill() {
-    if (pid <= 0) return;
-    ::kill(pid, SIGKILL);
-    ::waitpid(pid, nullptr, 0);
-    pid = 0;
-  }
-  bool ended() const { return pid > 0 && ::waitpid(pid, nullptr, WNOHANG) == pid; }
-  std::string last_line() const {
-    std::ifstream in(log_file);
-    std::string last;
-    for (std::string line; std::getline(in, line);) last = line;
-    return last;
-  }
-
- private:
-  std::string command, file, log_file;
-  pid_t pid = 0;
-};
-
-// Whether it answers that it is ready, within so long; the stand-ins go on serving meanwhile.
-bool ready(loop& runs, descriptor_budget& room, const sockaddr_in& where, double within,
-           const std::function<bool()>& hopeless) {
-  for (const double until = runs.now() + within; runs.now() < until && !hopeless();) {
-    descriptor fd = connect_to(where);
-    bool over = !fd, is = false;
-    http::reader reader(http::reader::kind::answer);
-    std::unique_ptr<stream> wire;
-    outgoing out;
-    out.own("GET /-/ready HTTP/1.1\r\nHost: app\r\n\r\n");
-    const auto turn = [&] {
-      while (wire && !over) {
-        if (!wire->write(out)) over = true;
-        std::size_t n = 0;
-        const stream::got got = wire->read(reader.room(), n);
-        if (got == stream::got::nothing) return;
-        if (got == stream::got::some) reader.fed(n);
-        over |= got != stream::got::some || reader.now() != http::reader::state::reading;
-        if (reader.now() == http::reader::state::whole) is = reader.take().status == 200;
-      }
-    };
-    if (fd) wire = std::make_unique<stream>(runs, room, std::move(fd), [&](std::uint32_t) { turn(); });
-    constexpr double once = 200, pause = 10;
-    for (const double end = runs.now() + once; !over && runs.now() < end;) runs.round(pause);
-    if (is) return true;
-    wire.reset();
-    for (const double end = runs.now() + pause; runs.now() < end;) runs.round(pause);
-  }
-  return false;
-}
-
 // As many descriptors as this process may have.
 std::size_t raised_limit() {
   rlimit most{};
@@ -300,15 +196,15 @@
   std::vector<std::unique_ptr<process>> sidecars;
   if (!with.command.empty())
     for (std::size_t i = 0; i < on.places.size(); ++i) {
-      sidecars.push_back(
-          std::make_unique<process>(with.command, write_config(with, on, i, files.path),
-                                    (files.path / ("n" + std::to_string(i) + ".log")).string()));
+      sidecars.push_back(std::make_unique<process>(
+          with.command, process::variables{{"LB_CONFIG", write_config(with, on, i, files.path)}},
+          (files.path / ("n" + std::to_string(i) + ".log")).string()));
       sidecars.back()->start();
     }
   constexpr double to_begin = 10000;
   for (std::size_t i = 0; i < on.places.size(); ++i) {
     const auto gone = [&] { return !sidecars.empty() && sidecars[i]->ended(); };
-    if (!ready(on.runs, on.room, on.places[i], to_begin, gone))
+    if (!ready(on.runs, on.places[i], to_begin, gone))
       throw std::runtime_error("sidecar n" + std::to_string(i) + " at " + text_of(on.places[i]) +
                                " is not ready" + (sidecars.empty() ? "" : ": " + sidecars[i]->last_line()));
   }
--- /dev/null
+++ b/src/members/envelope.cpp
@@ -0,0 +1,155 @@
+#include "envelope.h"
+
+#include <algorithm>
+#include <array>
+#include <cctype>
+
+namespace indigorill {
+namespace {
+
+using nlohmann::json;
+
+constexpr int form = 1;  // a later one is not guessed at
+constexpr std::size_t longest_text = 64, fields_of_envelope = 8, fields_of_gossip = 5, fields_of_member = 4;
+
+// Reads an array's entries one by one; the first that doesn't fit spoils the whole.
+class reader {
+ public:
+  reader(const json& of, std::size_t fields) : from(of), sound(of.is_array() && of.size() == fields) {}
+
+  std::string text() {
+    const json* j = next();
+    if (j && j->is_string() && j->get_ref<const std::string&>().size() <= longest_text) return *j;
+    sound = false;
+    return {};
+  }
+  std::uint64_t number(std::uint64_t most = UINT64_MAX) {
+    const json* j = next();
+    if (j && j->is_number_unsigned() && j->get<std::uint64_t>() <= most) return j->get<std::uint64_t>();
+    sound = false;
+    return 0;
+  }
+  const json& any() {
+    static const json nothing;
+    const json* j = next();
+    return j ? *j : nothing;
+  }
+  bool fits() const { return sound; }
+
+ private:
+  const json* next() { return sound ? &from[at++] : nullptr; }
+  const json& from;
+  std::size_t at = 0;
+  bool sound;
+};
+
+json of_member(const member& m) { return {m.name, m.address, m.incarnation, static_cast<int>(m.is)}; }
+
+bool read_member(const json& j, member& m) {
+  reader r(j, fields_of_member);
+  m.name = r.text();
+  m.address = r.text();
+  m.incarnation = r.number();
+  m.is = static_cast<member::state>(r.number(static_cast<int>(member::state::left)));
+  return r.fits() && plain_name(m.name) && plain_name(m.address);
+}
+
+bool read_gossip(const json& j, gossip& g) {
+  reader r(j, fields_of_gossip);
+  g.what = static_cast<gossip::kind>(r.number(static_cast<int>(gossip::kind::page)));
+  g.number = r.number();
+  g.target = r.text();
+  g.target_at = r.text();
+  const json& news = r.any();
+  if (!r.fits() || !news.is_array()) return false;
+  for (const json& n : news)
+    if (!read_member(n, g.news.emplace_back())) return false;
+  return (g.target.empty() || plain_name(g.target)) && (g.target_at.empty() || plain_name(g.target_at));
+}
+
+}  // namespace
+
+bool plain_name(std::string_view name) {
+  constexpr std::string_view others = "-_.:/";
+  return !name.empty() && name.size() <= longest_text &&
+         std::all_of(name.begin(), name.end(), [&](unsigned char c) {
+           return std::isalnum(c) || others.find(static_cast<char>(c)) != std::string_view::npos;
+         });
+}
+
+std::string_view name_of(misfit m) {
+  constexpr std::array<std::string_view, misfits> names{"torn",   "too_long", "other_form", "foreign",
+                                                        "former", "doubled",  "late"};
+  return names[static_cast<std::size_t>(m)];
+}
+
+std::string encode(const envelope& e) {
+  json body;
+  if (e.what == envelope::kind::gossip) {
+    json news = json::array();
+    for (const member& m : e.talk.news) news.push_back(of_member(m));
+    body = {static_cast<int>(e.talk.what), e.talk.number, e.talk.target, e.talk.target_at, std::move(news)};
+  } else {
+    body = e.told;
+  }
+  std::string bytes;
+  json::to_msgpack(json{form, e.fleet, e.name, e.address, e.incarnation, e.serial, static_cast<int>(e.what),
+                        std::move(body)},
+                   bytes);
+  return bytes;
+}
+
+std::variant<envelope, misfit> decode_envelope(std::string_view bytes, std::string_view fleet) {
+  if (bytes.size() > longest_datagram) return misfit::too_long;
+  const json j = json::from_msgpack(bytes.begin(), bytes.end(), true, false);
+  if (j.is_discarded() || !j.is_array() || j.empty() || !j[0].is_number_unsigned()) return misfit::torn;
+  if (j[0] != form) return misfit::other_form;
+  reader r(j, fields_of_envelope);
+  envelope e;
+  r.number();
+  e.fleet = r.text();
+  e.name = r.text();
+  e.address = r.text();
+  e.incarnation = r.number();
+  e.serial = r.number();
+  e.what = static_cast<envelope::kind>(r.number(static_cast<int>(envelope::kind::news)));
+  const json& body = r.any();
+  if (!r.fits()) return misfit::torn;
+  if (e.fleet != fleet) return misfit::foreign;
+  if (!plain_name(e.name) || !plain_name(e.address)) return misfit::torn;
+  if (e.what == envelope::kind::news) {
+    if (!body.is_string()) return misfit::torn;
+    e.told = body;
+  } else if (!read_gossip(body, e.talk)) {
+    return misfit::torn;
+  }
+  return e;
+}
+
+std::optional<misfit> seen_serials::saw(const envelope& e, double now) {
+  constexpr std::uint64_t width = 64;
+  constexpr std::size_t most = 10000;    // senders; past it the silent ones go, else all
+  constexpr double forgotten = 3600000;  // ms
+  if (senders.size() >= most) {
+    std::erase_if(senders, [&](const auto& s) { return now - s.second.heard > forgotten; });
+    if (senders.size() >= most) senders.clear();
+  }
+  sender& s = senders[e.name];
+  if (e.incarnation < s.incarnation) return misfit::former;
+  if (e.incarnation > s.incarnation)
+    s = {e.incarnation, e.serial, 1, now};
+  else if (e.serial > s.last) {
+    const std::uint64_t on = e.serial - s.last;
+    s.window = on >= width ? 1 : (s.window << on) | 1;
+    s.last = e.serial;
+  } else {
+    const std::uint64_t behind = s.last - e.serial;
+    if (behind >= width) return misfit::late;
+    if (s.window >> behind & 1) return misfit::doubled;
+    s.window |= std::uint64_t{1} << behind;
+  }
+  s.heard = now;
+  return {};
+}
+
+}  // namespace indigorill
--- a/src/net/admin.cpp
+++ b/src/net/admin.cpp
@@ -111,20 +111,20 @@
       const order asked = read_order(c.reader.take());
       if (asked.fault) return answer(c, asked.fault);
       c.in = stage::held;
-      return carry(asked, [this, which](int status) {
+      return carry(asked, [this, which](int status, const std::string& text) {
         const auto still = connections.find(which);
-        if (still != connections.end()) answer(*still->second, status);
+        if (still != connections.end()) answer(*still->second, status, text);
       });
     }
     spare.insert(c.mark());
   }
 }
 
-void admin::answer(connection& c, int status) {
+void admin::answer(connection& c, int status, const std::string& text) {
   ++counted.orders;
   if (status >= 300) ++counted.orders_refused;
   c.in = connection::stage::writing;
-  c.out = ordered(status, said(status));
+  c.out = text.empty() ? ordered(status, said(status)) : ordered(status, text, true);
   write(c);
 }
 
--- a/src/net/admin.h
+++ b/src/net/admin.h
@@ -16,8 +16,9 @@
 
 class admin {
  public:
-  using answered = std::function<void(int status)>;
-  // Carries out an order and says how it went, at once or later; the text of an answer follows its status.
+  // text: JSON for the calls that read; else the status says all.
+  using answered = std::function<void(int status, std::string text)>;
+  // Carries out an order and says how it went, at once or later.
   using carrier = std::function<void(const order&, answered)>;
 
   // Of the listener and the connections: what a config has to leave them.
@@ -35,7 +36,7 @@
   void open_door();
   bool accept();  // false: some are left in the backlog
   void ready(std::uint64_t which);
-  void answer(connection& c, int status);
+  void answer(connection& c, int status, const std::string& text = {});
   void write(connection& c);
   bool close_silent();
 
--- /dev/null
+++ b/src/net/company.cpp
@@ -0,0 +1,158 @@
+#include "company.h"
+
+#include <algorithm>
+#include <chrono>
+#include <cmath>
+#include <ctime>
+#include <system_error>
+
+namespace indigorill {
+namespace {
+
+constexpr std::array<std::string_view, 4> states{"alive", "suspect", "dead", "left"};
+
+std::string_view name_of(member::state s) { return states[static_cast<std::size_t>(s)]; }
+
+// Later than that of this sidecar's last start, if the machine's clock is right; if not, the others say so.
+std::uint64_t new_incarnation() {
+  return static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(
+                                        std::chrono::system_clock::now().time_since_epoch())
+                                        .count());
+}
+
+}  // namespace
+
+double company::now() const {
+  // Not the loop's clock: that one stands while a machine is suspended, and who slept must know it.
+  timespec t{};
+  ::clock_gettime(CLOCK_BOOTTIME, &t);
+  return static_cast<double>(t.tv_sec) * 1e3 + static_cast<double>(t.tv_nsec) / 1e6;
+}
+
+company::company(loop& in, logger& log_to, traits with, std::uint64_t seed)
+    : runs(in),
+      lines(log_to),
+      is(std::move(with)),
+      others({is.name, is.advertised, is.seeds, is.period, is.timeout}, new_incarnation(), seed, now()) {
+  take_place();
+}
+
+void company::take_place() {
+  try {
+    wire = std::make_unique<datagrams>(runs, is.listen,
+                                       [this](std::string_view bytes, const sockaddr_in&) { hear(bytes); });
+    lines.info() << "member " << is.name << " of " << is.fleet << ", incarnation " << others.incarnation();
+    work();
+  } catch (const std::system_error& e) {
+    // An older process of this sidecar may hold it until it leaves: RPCs go on without.
+    constexpr double again = 100;  // ms
+    lines.debug() << "no place for datagrams yet: " << e.what();
+    next = runs.at(runs.now() + again, [this] { take_place(); });
+  }
+}
+
+void company::hear(std::string_view bytes) {
+  if (left) return;
+  ++counts.heard;
+  const auto drop = [&](misfit why) {
+    ++counts.dropped[static_cast<std::size_t>(why)];
+    lines.debug() << "datagram of " << bytes.size() << " bytes dropped: " << name_of(why);
+  };
+  const auto got = decode_envelope(bytes, is.fleet);
+  if (const auto* why = std::get_if<misfit>(&got)) return drop(*why);
+  const envelope& e = std::get<envelope>(got);
+  if (const auto why = seen.saw(e, now())) return drop(*why);
+  if (e.what == envelope::kind::gossip) others.heard(now(), e.name, e.address, e.talk);
+  work();
+}
+
+void company::send(const std::string& to, envelope e) {
+  e.fleet = is.fleet;
+  e.name = is.name;
+  e.address = is.advertised;
+  e.incarnation = others.incarnation();
+  e.serial = ++serials;
+  const std::string bytes = encode(e);
+  const auto where = parse_address(to);
+  if (!wire || !where || bytes.size() > longest_datagram || !wire->send(*where, bytes)) {
+    ++counts.unsent;
+    return;
+  }
+  ++counts.sent;
+  counts.bytes_sent += bytes.size();
+}
+
+void company::work() {
+  if (left) return;
+  others.due(now());
+  while (auto l = others.next()) {
+    envelope e;
+    e.talk = std::move(l->what);
+    send(l->to, std::move(e));
+  }
+  note_changes();
+  constexpr double least = 1;  // ms; a loop that only turns round its own due times serves nobody
+  next = runs.at(runs.now() + std::max(least, others.next_due() - now()), [this] { work(); });
+}
+
+void company::note_changes() {
+  for (const auto& [name, m] : others.view()) {
+    const auto [it, fresh] = noted.emplace(name, m.is);
+    if (!fresh && it->second == m.is) continue;
+    lines.info() << "member " << name << " at " << m.address << " is " << name_of(m.is);
+    it->second = m.is;
+  }
+  if (noted.size() > others.view().size())
+    std::erase_if(noted, [&](const auto& n) { return others.view().count(n.first) == 0; });
+  if (std::exchange(displaced, others.displaced()) != others.displaced())
+    lines.warning() << (displaced ? "another process has the name " : "again the only one with the name ")
+                    << is.name;
+}
+
+void company::leave() {
+  if (left) return;
+  others.leave();
+  while (auto l = others.next()) {
+    envelope e;
+    e.talk = std::move(l->what);
+    send(l->to, std::move(e));
+  }
+  left = true;
+  next.drop();
+  wire.reset();  // a newer process of this sidecar may have the place
+}
+
+nlohmann::json company::as_json() const {
+  nlohmann::json all = nlohmann::json::array();
+  for (const auto& [name, m] : others.view())
+    all.push_back(
+        {{"name", name}, {"address", m.address}, {"state", name_of(m.is)}, {"incarnation", m.incarnation}});
+  nlohmann::json by_state, dropped;
+  const auto n = others.by_state();
+  for (std::size_t i = 0; i < n.size(); ++i) by_state[std::string(states[i])] = n[i];
+  for (std::size_t i = 0; i < misfits; ++i)
+    dropped[std::string(indigorill::name_of(static_cast<misfit>(i)))] = counts.dropped[i];
+  const auto& c = others.counted();
+  return {{"fleet", is.fleet},
+          {"name", is.name},
+          {"address", is.advertised},
+          {"incarnation", others.incarnation()},
+          {"displaced", others.displaced()},
+          {"doubt", others.doubt()},
+          {"by_state", by_state},
+          {"others", all},
+          {"datagrams",
+           {{"sent", counts.sent},
+            {"unsent", counts.unsent},
+            {"heard", counts.heard},
+            {"bytes_sent", counts.bytes_sent},
+            {"dropped", dropped}}},
+          {"probes",
+           {{"sent", c.probes},
+            {"indirect", c.indirect},
+            {"unanswered", c.unanswered},
+            {"refuted", c.refuted},
+            {"slept", c.slept}}}};
+}
+
+}  // namespace indigorill
--- /dev/null
+++ b/src/net/company.h
@@ -0,0 +1,57 @@
+// This sidecar among the others: its datagrams, and the membership that they carry. The only place that reads
+// the clock for them: one that goes on while the machine sleeps.
+#pragma once
+
+#include <memory>
+#include <nlohmann/json.hpp>
+
+#include "../members/envelope.h"
+#include "datagrams.h"
+#include "log.h"
+
+namespace indigorill {
+
+class company {
+ public:
+  struct traits {
+    std::string fleet;                    // datagrams of any other are dropped
+    std::string name;                     // the sidecar's own
+    sockaddr_in listen{};                 // for datagrams
+    std::string advertised;               // where others reach it: address:port
+    std::vector<std::string> seeds;       // of those it joins through
+    double period = 1000, timeout = 300;  // ms
+  };
+  struct count {
+    std::uint64_t sent = 0, unsent = 0, heard = 0, bytes_sent = 0;
+    std::array<std::uint64_t, misfits> dropped{};
+  };
+
+  company(loop& in, logger& log_to, traits with, std::uint64_t seed);
+
+  void leave();                    // says so; nothing is said or heard after it
+  nlohmann::json as_json() const;  // for staff
+  const count& counted() const { return counts; }
+
+ private:
+  void take_place();
+  void hear(std::string_view bytes);
+  void work();
+  void send(const std::string& to, envelope e);
+  void note_changes();
+  double now() const;  // ms since the machine's start, its sleep included
+
+  loop& runs;
+  logger& lines;
+  traits is;
+  members others;
+  seen_serials seen;
+  std::unique_ptr<datagrams> wire;
+  loop::timer next;
+  std::uint64_t serials = 0;
+  bool left = false;
+  std::map<std::string, member::state> noted;
+  bool displaced = false;
+  count counts;
+};
+
+}  // namespace indigorill
--- a/src/net/config.h
+++ b/src/net/config.h
@@ -6,6 +6,7 @@
 #include <string>
 
 #include "../decode/settings.h"
+#include "company.h"
 #include "discovery.h"
 
 namespace indigorill {
@@ -22,6 +23,7 @@
   roster known;
   terrain where;
   links with;
+  std::optional<company::traits> with_others;  // absent: no socket, no timer, no byte for them
 };
 
 // From the environment and the file that it names. Throws malformed with one plain line.
--- a/src/net/sidecar.cpp
+++ b/src/net/sidecar.cpp
@@ -46,7 +46,8 @@
 
 void run_sidecar(const start& with, const std::function<start()>& read_again, logger& lines) {
   // Standard input, output and error, epoll, signals, the listener, and some to spare.
-  const std::size_t own_descriptors = 16 + (with.second ? admin::own_descriptors : 0);
+  const std::size_t own_descriptors =
+      16 + (with.second ? admin::own_descriptors : 0) + (with.with_others ? 1 : 0);
   if (with.descriptors <= 2 * own_descriptors) throw malformed("config: limits allow too few sockets");
   ::signal(SIGPIPE, SIG_IGN);
   const descriptor signal = signals();  // before all else: a SIGHUP that isn't held ends the process
@@ -123,6 +124,17 @@
     }
   };
 
+  // One of two processes talks at a time: the older one until the newer one serves.
+  std::unique_ptr<company> others;
+  const auto meet = [&] {
+    if (with.with_others && !others)
+      others = std::make_unique<company>(runs, lines, *with.with_others, with.seed + 2);
+  };
+  const auto part_from_others = [&] {
+    if (others) others->leave();
+    others.reset();
+  };
+
   bool stopping = false;
   std::string agent = with.discovery_host;
   const auto reload = [&] {
@@ -145,6 +157,7 @@
       } else {
         stopping = true;
         if (other) other->leaves();
+        part_from_others();
         lines.info() << "told to stop, " << rpcs.held() << " RPCs held";
         clients.drain([&] { runs.stop(); });
       }
@@ -170,8 +183,12 @@
   };
   bool serving = false;
   admin staff(runs, counts, lines, [&](const order& asked, const admin::answered& then) {
-    if (asked.is == order::what::status) return then(serving && !stopping ? 200 : 503);
-    if (!by_hand.knows(asked.id)) return then(404);
+    if (asked.is == order::what::status) return then(serving && !stopping ? 200 : 503, {});
+    if (asked.is == order::what::members) {
+      if (!others) return then(with.with_others ? 503 : 404, {});
+      return then(200, others->as_json().dump(1) + "\n");
+    }
+    if (!by_hand.knows(asked.id)) return then(404, {});
     const bool out = asked.is == order::what::out;
     other->change(
         [&runs, id = asked.id, out](bans& b) {
@@ -180,7 +197,7 @@
           else
             put_back(b, id, runs.now());
         },
-        [then](bool done) { then(done ? 200 : 503); });
+        [then](bool done) { then(done ? 200 : 503, {}); });
   });
   const auto take_over_list = [&] {
     const auto text = other->left_list();
@@ -193,6 +210,7 @@
   };
   const auto serve = [&] {
     serving = true;
+    meet();
     watch_list();
     if (other) other->serves();
     clients.accepts(true);
@@ -221,6 +239,10 @@
       serve();
     }
     clients.hurries(is.hurries());
+    if (is.hurries())
+      part_from_others();
+    else if (serving && !stopping)
+      meet();
     clients.accepts(is.accepts());
     if (std::exchange(beside, is.paired()) != is.paired())
       lines.info() << (is.elder()      ? "a newer process of this sidecar starts, half of the limits are its"
--- a/src/net/words.cpp
+++ b/src/net/words.cpp
@@ -297,6 +297,7 @@
 order read_order(const message& m) {
   static constexpr std::pair<std::string_view, order::what> calls[] = {
       {"/status", order::what::status},
+      {"/-/members", order::what::members},
       {"/maintenance/enter", order::what::out},
       {"/maintenance/exit", order::what::back}};
   order o;
@@ -304,8 +305,9 @@
                                   [path = path_of(m)](const auto& c) { return c.first == path; });
   if (known == std::end(calls)) return o.fault = 404, o;
   o.is = known->second;
-  if (m.text(m.method) != (o.is == order::what::status ? "GET" : "PUT")) return o.fault = 405, o;
-  if (o.is == order::what::status) return o;
+  const bool reads = o.is == order::what::status || o.is == order::what::members;
+  if (m.text(m.method) != (reads ? "GET" : "PUT")) return o.fault = 405, o;
+  if (reads) return o;
   constexpr std::string_view named = "host=";
   constexpr std::size_t longest_id = 1024;
   std::string_view query = m.text(m.target);
@@ -323,10 +325,11 @@
   return o;
 }
 
-outgoing ordered(int status, std::string_view text) {
+outgoing ordered(int status, std::string_view text, bool json) {
   outgoing out;
   // Which method the path does take: the one that reads, or the one that changes something.
-  out.own(status_line(status) + (status == 405 ? "Allow: GET, PUT\r\n" : "") + last_lines(text.size(), true) +
+  out.own(status_line(status) + (status == 405 ? "Allow: GET, PUT\r\n" : "") +
+          (json ? "Content-Type: application/json\r\n" : "") + last_lines(text.size(), true) +
           std::string(text));
   return out;
 }
--- a/src/options/command.cpp
+++ b/src/options/command.cpp
@@ -46,7 +46,7 @@
     wrong.push_back(e.what());
   }
   if (check) {
-    for (std::string& fault : faults_of_config(config, led)) wrong.push_back(std::move(fault));
+    for (std::string& fault : faults_of_config(config, with, led)) wrong.push_back(std::move(fault));
     for (const std::string& fault : wrong) err << fault << '\n';
     if (wrong.empty()) out << "sound\n";
     return wrong.empty() ? 0 : 1;
@@ -61,6 +61,11 @@
     how.descriptors = std::min(how.descriptors, with.descriptors);
     how.memory = std::min(how.memory, with.memory);
     how.counters_every = with.counters_every;
+    how.with_others = with.with_others;
+    if (how.with_others) {
+      if (const auto fault = fault_of_name(how.name)) throw malformed(*fault);
+      how.with_others->name = how.name;
+    }
     run_sidecar(
         how, [&] { return read_again(led); }, lines);
   } catch (const std::exception& e) {
--- a/src/options/options.cpp
+++ b/src/options/options.cpp
@@ -3,6 +3,39 @@
 #include <fstream>
 
 namespace indigorill {
+namespace {
+
+// Who the others are, and how this one is reached by them.
+company::traits decode_members(section& s) {
+  company::traits m;
+  m.fleet = s.text_of("fleet", {});
+  if (s.has("fleet") && !plain_name(m.fleet)) s.fault_here("fleet", "is no name: 64 letters, digits and -_.:/ at most");
+  const auto address = [&](const char* key, const std::string& text) {
+    const auto a = parse_address(text);
+    if (s.has(key) && (!a || a->sin_port == 0)) s.fault_here(key, "is not an address and a port: " + text);
+    return a.value_or(sockaddr_in{});
+  };
+  const std::string listen = s.text_of("listen", {});
+  m.listen = address("listen", listen);
+  m.advertised = s.text_of("advertise", listen);
+  if (m.advertised != listen) address("advertise", m.advertised);
+  m.seeds = s.texts("seeds");
+  for (const std::string& seed : m.seeds) {
+    address("seeds", seed);
+    if (seed == m.advertised || seed == listen) s.fault_here("seeds", "holds this one's own address " + seed);
+  }
+  m.period = s.ms("period_ms", m.period);
+  m.timeout = s.ms("timeout_ms", m.timeout);
+  constexpr double least_period = 50;  // ms; oftener, two probes overlap on any network but loopback
+  if (m.period < least_period) s.fault_here("period_ms", "is under 50");
+  // The helpers are asked after the first time-out and need as long once more.
+  if (m.timeout <= 0 || 2 * m.timeout > m.period)
+    s.fault_here("timeout_ms", "is not over 0 and at most half of period_ms");
+  s.none_left();
+  return m;
+}
+
+}  // namespace
 
 options decode_options(const toml::table& from) {
   faults wrong;
@@ -28,16 +61,28 @@
     o.descriptors = static_cast<std::size_t>(sockets);
   }
   limits.none_left();
+  if (top.has("members")) {
+    section members(top.inner("members", false), "members", wrong);
+    o.with_others = decode_members(members);
+  }
   top.none_left();
   wrong.raise();
   return o;
 }
 
-std::vector<std::string> faults_of_config(const std::string& path,
+std::optional<std::string> fault_of_name(const std::string& name) {
+  if (plain_name(name)) return {};
+  return "config: field name is no name among members: 64 letters, digits and -_.:/ at most";
+}
+
+std::vector<std::string> faults_of_config(const std::string& path, const options& with,
                                           const std::function<const char*(const char*)>& variable) {
   std::vector<std::string> all;
   try {
-    check_start(read_config(path, variable), [&](const std::string& fault) { all.push_back(fault); });
+    const nlohmann::json j = read_config(path, variable);
+    check_start(j, [&](const std::string& fault) { all.push_back(fault); });
+    if (all.empty() && with.with_others)
+      if (const auto fault = fault_of_name(decode_start(j).name)) all.push_back(*fault);
   } catch (const malformed& e) {
     all.push_back(e.what());
   }
--- a/src/options/options.h
+++ b/src/options/options.h
@@ -5,6 +5,7 @@
 #include <limits>
 
 #include "../decode/section.h"
+#include "../net/company.h"
 #include "../net/config.h"
 #include "../net/log.h"
 
@@ -17,12 +18,16 @@
   // Lower bounds than the config's and the platform's lead.
   std::size_t descriptors = std::numeric_limits<std::size_t>::max();
   std::size_t memory = std::numeric_limits<std::size_t>::max();  // bytes
+  std::optional<company::traits> with_others;                    // its name comes from the config
 };
 
 options decode_options(const toml::table& from);  // throws faulty
 
+// What is wrong with a sidecar's name where it talks to others.
+std::optional<std::string> fault_of_name(const std::string& name);
+
 // Every fault of a config, a line each; none where it is sound.
-std::vector<std::string> faults_of_config(const std::string& path,
+std::vector<std::string> faults_of_config(const std::string& path, const options& with,
                                           const std::function<const char*(const char*)>& variable);
 
 }  // namespace indigorill
--- /dev/null
+++ b/tests/fleet_test.cpp
@@ -0,0 +1,133 @@
+// Several processes of the program, with faults between them. Judged by what each says, bounded in time.
+#include <doctest/doctest.h>
+
+#include <csignal>
+
+#include "../src/load/crew.h"
+#include "../src/load/play.h"
+#include "../src/members/envelope.h"
+
+using namespace indigorill;
+using namespace indigorill::loading;
+
+namespace {
+
+// Far more than is needed: a machine under load must not change the verdict.
+constexpr double long_enough = 60000;
+
+const char* quiet = R"(seconds = 1
+sidecars = 1
+[[server]]
+count = 1
+[load]
+rate = 1
+[[method]]
+name = "read"
+work_ms = 1
+latency_target_ms = 100
+deadline_ms = 500
+)";
+
+struct together {
+  loop runs;
+  lab::scenario plays = lab::decode_scenario(toml::parse(quiet));
+  std::vector<sockaddr_in> places;
+  std::unique_ptr<crew> all;
+
+  explicit together(std::size_t n, talking how = {"crew", 200, 60, 2, {}}) {
+    for (std::size_t i = 0; i < n; ++i) places.push_back(free_place());
+    all = std::make_unique<crew>(
+        runs, INDIGORILL_SIDECAR, places,
+        [&](std::size_t i) {
+          return config_of(plays, i, text_of(places[i]), text_of(free_place()),
+                           R"({"generation":0,"instances":[]})", 1);
+        },
+        how, 1);
+    for (std::size_t i = 0; i < n; ++i) all->start(i);
+    for (std::size_t i = 0; i < n; ++i) REQUIRE_MESSAGE(all->await(i, long_enough), all->at(i).last_line());
+  }
+  bool all_see(std::size_t whom, const std::string& state, std::vector<std::size_t> but = {}) {
+    for (std::size_t i = 0; i < all->size(); ++i)
+      if (i != whom && std::find(but.begin(), but.end(), i) == but.end() && all->sees(i, whom) != state)
+        return false;
+    return true;
+  }
+  bool meet(const std::vector<std::size_t>& but = {}) {
+    return all->until(
+        [&] {
+          for (std::size_t i = 0; i < all->size(); ++i)
+            if (std::find(but.begin(), but.end(), i) == but.end() && !all_see(i, "alive", but)) return false;
+          return true;
+        },
+        long_enough);
+  }
+};
+
+}  // namespace
+
+TEST_CASE("processes: five join through two seeds, one dies and returns, one leaves by word") {
+  together t(5);
+  REQUIRE(t.meet());
+  t.all->at(3).kill();
+  CHECK(t.all->until([&] { return t.all_see(3, "dead"); }, long_enough));
+  const auto before = t.all->asked(0, "/-/members");
+  t.all->start(3);
+  REQUIRE(t.all->await(3, long_enough));
+  CHECK(t.meet());
+  t.all->at(4).signal(SIGTERM);
+  CHECK(t.all->until([&] { return t.all->at(4).ended(); }, long_enough));
+  CHECK(t.all->until([&] { return t.all_see(4, "left"); }, long_enough));
+}
+
+TEST_CASE("processes: at loss, doubling and reordering all meet; forged and repeated datagrams are dropped") {
+  together t(4, {"crew", 200, 60, 2, {0.1, 0.2, 1, 20, 0.02, 200}});
+  REQUIRE(t.meet());
+  const auto late = t.all->between().last_to(1);
+  REQUIRE(late.size() > 3);
+  t.all->pass(300);
+  for (const std::string& bytes : late) t.all->between().inject(1, bytes);
+  t.all->between().inject(1, "what is this?");
+  t.all->between().inject(1, std::string(1500, 'x'));
+  t.all->between().inject(
+      1, encode(envelope{"another", "n0", "127.0.0.1:9", 1, 1, envelope::kind::gossip, {}, {}}));
+  const auto dropped = [&](const char* why) {
+    const auto said = t.all->asked(1, "/-/members");
+    return said.is_object() ? said.at("datagrams").at("dropped").at(why).get<int>() : 0;
+  };
+  CHECK(t.all->until(
+      [&] {
+        return dropped("doubled") + dropped("late") >= 3 && dropped("torn") == 1 &&
+               dropped("too_long") == 1 && dropped("foreign") == 1;
+      },
+      long_enough));
+}
+
+TEST_CASE("processes: one stopped for long is taken for dead, wakes, and takes nobody for dead itself") {
+  together t(4);
+  REQUIRE(t.meet());
+  t.all->at(2).signal(SIGSTOP);
+  CHECK(t.all->until([&] { return t.all_see(2, "dead"); }, long_enough));
+  t.all->at(2).signal(SIGCONT);
+  CHECK(t.meet());
+  const auto said = t.all->asked(2, "/-/members");
+  CHECK(said.at("probes").at("slept").get<int>() >= 1);
+}
+
+TEST_CASE("processes: two sides of a cut meet again; one way is no reason for a death") {
+  together t(6);
+  REQUIRE(t.meet());
+  const auto cut = [&](bool is) {
+    for (std::size_t a = 0; a < 6; ++a)
+      for (std::size_t b = 0; b < 6; ++b)
+        if ((a < 3) != (b < 3)) t.all->between().cut(a, b, is);
+  };
+  cut(true);
+  CHECK(
+      t.all->until([&] { return t.all->sees(0, 5) == "dead" && t.all->sees(5, 0) == "dead"; }, long_enough));
+  cut(false);
+  CHECK(t.meet());
+  t.all->between().cut(0, 1, true);  // its pings are lost, and its answers; others ask for it
+  t.all->pass(5000);
+  CHECK(t.all->sees(1, 0) != "dead");
+  CHECK(t.all->sees(0, 1) != "dead");
+}
--- a/tests/maintenance_test.cpp
+++ b/tests/maintenance_test.cpp
@@ -141,7 +141,7 @@
   std::vector<order> asked;
   admin staff{runs, counts, lines, [this](const order& o, const admin::answered& then) {
                 asked.push_back(o);
-                then(o.id == "nobody" ? 404 : 200);
+                then(o.id == "nobody" ? 404 : 200, {});
               }};
   sockaddr_in where;
   descriptor_budget budget{200};
@@ -180,6 +180,8 @@
       {"PUT /maintenance/enter? HTTP/1.1\r\n\r\n", 400, nullptr},
       {"GET /maintenance/enter?host=a HTTP/1.1\r\n\r\n", 405, nullptr},
       {"PUT /status HTTP/1.1\r\n\r\n", 405, nullptr},
+      {"GET /-/members HTTP/1.1\r\n\r\n", 200, ""},
+      {"PUT /-/members HTTP/1.1\r\n\r\n", 405, nullptr},
       {"GET /read HTTP/1.1\r\nX-Call-Id: 1\r\nX-Budget: 5m\r\n\r\n", 404, nullptr},
       {"nonsense\r\n\r\n", 400, nullptr},
       {"PUT /maintenance/enter?host=a HTTP/1.1\r\nContent-Length: 9999\r\n\r\n", 413, nullptr},
--- a/tests/options_test.cpp
+++ b/tests/options_test.cpp
@@ -161,3 +161,46 @@
   CHECK(first["at"].get<std::string>().size() == std::string("2000-01-01T00:00:00.000Z").size());
   CHECK(second["text"].get<std::string>().find("a \"quoted\" line\nand {} %v") == 0);
 }
+
+TEST_CASE("options of members are checked as a whole, a line a fault") {
+  const file config(sound);
+  const auto check = [&](const std::string& text) {
+    const file options(text);
+    return call({"--check-config", "--config", config.path.c_str(), "--options", options.path.c_str()});
+  };
+  const std::string whole = "[members]\nfleet = \"maps\"\nlisten = \"127.0.0.1:7900\"\n";
+  CHECK(check(whole).status == 0);
+  CHECK(check(whole + "seeds = [\"127.0.0.1:7901\"]\nperiod_ms = 500\ntimeout_ms = 200\n").status == 0);
+  struct {
+    const char* text;
+    std::size_t faults;
+    const char* says;
+  } rows[] = {
+      {"[members]\n", 2, "members.fleet is missing"},
+      {"[members]\nfleet = \"a b\"\nlisten = \"127.0.0.1:1\"\n", 1, "members.fleet is no name"},
+      {"[members]\nfleet = \"a\"\nlisten = \"here\"\n", 1, "members.listen is not an address"},
+      {"[members]\nfleet = \"a\"\nlisten = \"127.0.0.1:0\"\n", 1, "members.listen is not an address"},
+      {"[members]\nfleet = \"a\"\nlisten = \"127.0.0.1:1\"\nseeds = \"x\"\n", 1, "seeds is not a list"},
+      {"[members]\nfleet = \"a\"\nlisten = \"127.0.0.1:1\"\nseeds = [\"x\", \"127.0.0.1:1\"]\n", 2,
+       "members.seeds holds this one's own address 127.0.0.1:1"},
+      {"[members]\nfleet = \"a\"\nlisten = \"127.0.0.1:1\"\nperiod_ms = 10\n", 2, "period_ms is under 50"},
+      {"[members]\nfleet = \"a\"\nlisten = \"127.0.0.1:1\"\ntimeout_ms = 600\n", 1,
+       "at most half of period_ms"},
+      {"[members]\nfleet = \"a\"\nlisten = \"127.0.0.1:1\"\nloud = 1\n", 1, "members.loud is unknown"},
+  };
+  for (const auto& row : rows) {
+    CAPTURE(std::string(row.text));
+    const called c = check(row.text);
+    CHECK(c.status == 1);
+    CAPTURE(c.err);
+    CHECK(lines_in(c.err) == row.faults);
+    CHECK(c.err.find(row.says) != std::string::npos);
+  }
+  std::string odd = sound;
+  odd.replace(odd.find("\"n\""), 3, "\"n m\"");
+  const file strange(odd), options(whole);
+  const called c =
+      call({"--check-config", "--config", strange.path.c_str(), "--options", options.path.c_str()});
+  CHECK(c.status == 1);
+  CHECK(c.err.find("field name is no name among members") != std::string::npos);
+}
