The right to divide: one holder at a time by diskless votes, explored exhaustively

Need: budgets have to be divided by one process at a time, whatever is lost, late, stopped or restarted, and the platform has no disk that outlives one.

src/lease, no I/O: a lease in the manner of PaxosLease. Rests on majorities that meet and on rates of clocks within a stated bound, not on clocks that agree, timers or views. A voter that starts abstains until all that it might have accepted has ended; a holder counts from its first question; `quiet` says how long what an earlier holder gave may live, also after an orderly end. [members] voters, lease_ms, drift, checked a line a fault; the holder stands in GET /-/members and in the log. Off without voters.

Ruled out: counting from the proposal as in the paper. It needs a voter's session in each promise as one guard more, against promises from before a restart; counting from the question makes that one needless.

--- a/src/load/crew.cpp
+++ b/src/load/crew.cpp
@@ -19,7 +19,9 @@
   std::ostringstream text;
   text << "[members]\nfleet = \"" << how.fleet << "\"\nlisten = \"" << text_of(listen) << "\"\nadvertise = \""
        << between.place(i) << "\"\nseeds = [" << seeds << "]\nperiod_ms = " << how.period
-       << "\ntimeout_ms = " << how.timeout << "\n";
+       << "\ntimeout_ms = " << how.timeout << "\nlease_ms = " << how.lease << "\nvoters = [";
+  for (int v = 0; v < how.voters; ++v) text << (v ? ", " : "") << "\"n" << v << '"';
+  text << "]\n";
   return text.str();
 }
 
--- a/src/load/crew.h
+++ b/src/load/crew.h
@@ -15,6 +15,8 @@
   double period = 1000, timeout = 300;  // ms
   int seeds = 2;                        // the first so many are told to all
   wire::manners manners = {};
+  int voters = 0;  // the first so many
+  double lease = 10000;
 };
 
 class crew {
--- a/src/members/envelope.cpp
+++ b/src/members/envelope.cpp
@@ -10,7 +10,11 @@
 using nlohmann::json;
 
 constexpr int form = 1;  // a later one is not guessed at
-constexpr std::size_t longest_text = 64, fields_of_envelope = 8, fields_of_gossip = 5, fields_of_member = 4;
+constexpr std::size_t longest_text = 64, fields_of_envelope = 8, fields_of_gossip = 5, fields_of_member = 4,
+                      fields_of_vote = 7;
+// Rounds and spans that no sound process reaches: what counts beyond them would come to its end.
+constexpr std::uint64_t most_rounds = std::uint64_t{1} << 48;
+constexpr double longest_span = 86400000;  // ms
 
 // Reads an array's entries one by one; the first that doesn't fit spoils the whole.
 class reader {
@@ -29,6 +33,13 @@
     sound = false;
     return 0;
   }
+  double span() {
+    const json* j = next();
+    const double v = j && j->is_number() ? j->get<double>() : -1;
+    if (v >= 0 && v <= longest_span) return v;
+    sound = false;
+    return 0;
+  }
   const json& any() {
     static const json nothing;
     const json* j = next();
@@ -67,6 +78,23 @@
   return (g.target.empty() || plain_name(g.target)) && (g.target_at.empty() || plain_name(g.target_at));
 }
 
+json of_vote(const lease_word& w) {
+  return {
+      static_cast<int>(w.what), w.number.round, w.number.session, w.holder, w.session, w.remaining, w.quiet};
+}
+
+bool read_vote(const json& j, lease_word& w) {
+  reader r(j, fields_of_vote);
+  w.what = static_cast<lease_word::kind>(r.number(static_cast<int>(lease_word::kind::released)));
+  w.number.round = r.number(most_rounds);
+  w.number.session = r.number();
+  w.holder = r.text();
+  w.session = r.number();
+  w.remaining = r.span();
+  w.quiet = r.span();
+  return r.fits() && (w.holder.empty() || plain_name(w.holder));
+}
+
 }  // namespace
 
 bool plain_name(std::string_view name) {
@@ -89,6 +117,8 @@
     json news = json::array();
     for (const member& m : e.talk.news) news.push_back(of_member(m));
     body = {static_cast<int>(e.talk.what), e.talk.number, e.talk.target, e.talk.target_at, std::move(news)};
+  } else if (e.what == envelope::kind::lease) {
+    body = of_vote(e.vote);
   } else {
     body = e.told;
   }
@@ -112,7 +142,7 @@
   e.address = r.text();
   e.incarnation = r.number();
   e.serial = r.number();
-  e.what = static_cast<envelope::kind>(r.number(static_cast<int>(envelope::kind::news)));
+  e.what = static_cast<envelope::kind>(r.number(static_cast<int>(envelope::kind::lease)));
   const json& body = r.any();
   if (!r.fits()) return misfit::torn;
   if (e.fleet != fleet) return misfit::foreign;
@@ -120,6 +150,8 @@
   if (e.what == envelope::kind::news) {
     if (!body.is_string()) return misfit::torn;
     e.told = body;
+  } else if (e.what == envelope::kind::lease) {
+    if (!read_vote(body, e.vote)) return misfit::torn;
   } else if (!read_gossip(body, e.talk)) {
     return misfit::torn;
   }
--- a/src/members/envelope.h
+++ b/src/members/envelope.h
@@ -9,6 +9,7 @@
 #include <string_view>
 #include <variant>
 
+#include "../lease/lease.h"
 #include "members.h"
 
 namespace indigorill {
@@ -16,9 +17,10 @@
 struct envelope {
   std::string fleet, name, address;  // of the sender; the address is where it is to be answered
   std::uint64_t incarnation = 0, serial = 0;
-  enum class kind : std::uint8_t { gossip, news } what = kind::gossip;
-  gossip talk;
-  std::string told;  // the balancer's news, as src/peers writes it
+  enum class kind : std::uint8_t { gossip, news, lease } what = kind::gossip;
+  gossip talk = {};
+  lease_word vote = {};
+  std::string told = {};  // the balancer's news, as src/peers writes it
 };
 
 // Why a datagram is dropped. former, doubled, late: told by the sender's incarnation and serial.
--- a/src/net/company.cpp
+++ b/src/net/company.cpp
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <cmath>
 #include <ctime>
+#include <random>
 #include <system_error>
 
 namespace indigorill {
@@ -34,6 +35,12 @@
       lines(log_to),
       is(std::move(with)),
       others({is.name, is.advertised, is.seeds, is.period, is.timeout}, new_incarnation(), seed, now()) {
+  if (!is.voters.empty()) {
+    // No session may come twice, whatever the machine's clock says.
+    std::random_device any;
+    const std::uint64_t session = std::uint64_t{any()} << 32 | any();
+    right.emplace(lease::traits{is.name, is.voters, is.lease, is.drift}, session, seed + 1, now());
+  }
   take_place();
 }
 
@@ -62,6 +69,7 @@
   if (const auto* why = std::get_if<misfit>(&got)) return drop(*why);
   const envelope& e = std::get<envelope>(got);
   if (const auto why = seen.saw(e, now())) return drop(*why);
+  if (e.what == envelope::kind::lease && right) right->heard(now(), e.name, e.vote);
   if (e.what == envelope::kind::gossip) others.heard(now(), e.name, e.address, e.talk);
   work();
 }
@@ -90,12 +98,30 @@
     e.talk = std::move(l->what);
     send(l->to, std::move(e));
   }
+  vote();
   note_changes();
   constexpr double least = 1;  // ms; a loop that only turns round its own due times serves nobody
-  next = runs.at(runs.now() + std::max(least, others.next_due() - now()), [this] { work(); });
+  next = runs.at(
+      runs.now() +
+          std::max(least, std::min(others.next_due(), right ? right->next_due() : others.next_due()) - now()),
+      [this] { work(); });
+}
+
+void company::vote() {
+  if (!right) return;
+  right->due(now());
+  while (auto l = right->next()) {
+    envelope e;
+    e.what = envelope::kind::lease;
+    e.vote = std::move(l->what);
+    send(others.address_of(l->to), std::move(e));
+  }
 }
 
 void company::note_changes() {
+  const std::string known = right ? right->known_holder(now()) : "";
+  if (std::exchange(holder, known) != known)
+    lines.info() << (holder.empty() ? "nobody is known to divide" : "the right to divide is with " + holder);
   for (const auto& [name, m] : others.view()) {
     const auto [it, fresh] = noted.emplace(name, m.is);
     if (!fresh && it->second == m.is) continue;
@@ -111,6 +137,8 @@
 
 void company::leave() {
   if (left) return;
+  if (right) right->leave(now());
+  vote();
   others.leave();
   while (auto l = others.next()) {
     envelope e;
@@ -133,7 +161,16 @@
   for (std::size_t i = 0; i < misfits; ++i)
     dropped[std::string(indigorill::name_of(static_cast<misfit>(i)))] = counts.dropped[i];
   const auto& c = others.counted();
+  nlohmann::json dividing;
+  if (right)
+    dividing = {{"holder", right->known_holder(now())},
+                {"holds", right->holds(now())},
+                {"left_ms", right->holds(now()) ? right->ends_at() - now() : 0},
+                {"ballot", right->number().round},
+                {"votes", right->votes()},
+                {"abstains", right->votes() && right->abstains(now())}};
   return {{"fleet", is.fleet},
+          {"right", dividing},
           {"name", is.name},
           {"address", is.advertised},
           {"incarnation", others.incarnation()},
--- a/src/net/company.h
+++ b/src/net/company.h
@@ -20,6 +20,10 @@
     std::string advertised;               // where others reach it: address:port
     std::vector<std::string> seeds;       // of those it joins through
     double period = 1000, timeout = 300;  // ms
+    // Who grants the right to divide; none: nobody divides.
+    std::vector<std::string> voters;
+    double lease = 10000;  // ms
+    double drift = 0.01;   // by how much a clock's rate may be off
   };
   struct count {
     std::uint64_t sent = 0, unsent = 0, heard = 0, bytes_sent = 0;
@@ -37,6 +41,7 @@
   void hear(std::string_view bytes);
   void work();
   void send(const std::string& to, envelope e);
+  void vote();
   void note_changes();
   double now() const;  // ms since the machine's start, its sleep included
 
@@ -44,6 +49,7 @@
   logger& lines;
   traits is;
   members others;
+  std::optional<lease> right;
   seen_serials seen;
   std::unique_ptr<datagrams> wire;
   loop::timer next;
@@ -51,6 +57,7 @@
   bool left = false;
   std::map<std::string, member::state> noted;
   bool displaced = false;
+  std::string holder;
   count counts;
 };
 
--- a/src/options/options.cpp
+++ b/src/options/options.cpp
@@ -1,6 +1,7 @@
 #include "options.h"
 
 #include <fstream>
+#include <set>
 
 namespace indigorill {
 namespace {
@@ -9,7 +10,8 @@
 company::traits decode_members(section& s) {
   company::traits m;
   m.fleet = s.text_of("fleet", {});
-  if (s.has("fleet") && !plain_name(m.fleet)) s.fault_here("fleet", "is no name: 64 letters, digits and -_.:/ at most");
+  if (s.has("fleet") && !plain_name(m.fleet))
+    s.fault_here("fleet", "is no name: 64 letters, digits and -_.:/ at most");
   const auto address = [&](const char* key, const std::string& text) {
     const auto a = parse_address(text);
     if (s.has(key) && (!a || a->sin_port == 0)) s.fault_here(key, "is not an address and a port: " + text);
@@ -31,6 +33,20 @@
   // The helpers are asked after the first time-out and need as long once more.
   if (m.timeout <= 0 || 2 * m.timeout > m.period)
     s.fault_here("timeout_ms", "is not over 0 and at most half of period_ms");
+  m.voters = s.texts("voters");
+  m.lease = s.ms("lease_ms", m.lease);
+  constexpr double most_drift = 0.1;
+  m.drift = s.number("drift", m.drift, 0, most_drift);
+  if (!m.voters.empty() && m.voters.size() % 2 == 0)
+    s.fault_here("voters", "are even in number: one more bears no more losses");
+  std::set<std::string> names;
+  for (const std::string& v : m.voters)
+    if (!plain_name(v) || !names.insert(v).second)
+      s.fault_here("voters", "holds no name, or one twice: " + v);
+  // A round is three messages each way; a third of a lease has to bear two rounds that are lost.
+  constexpr double rounds = 10;
+  if (!m.voters.empty() && m.lease < rounds * m.timeout)
+    s.fault_here("lease_ms", "is under ten times timeout_ms: it would end before it can be renewed");
   s.none_left();
   return m;
 }
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -131,3 +131,82 @@
   CHECK(t.all->sees(1, 0) != "dead");
   CHECK(t.all->sees(0, 1) != "dead");
 }
+
+namespace {
+
+// Who says that it holds the right to divide, each in one instant; the number of none is -1, of more than one
+// -2.
+int holder_of(together& t) {
+  int found = -1;
+  for (std::size_t i = 0; i < t.all->size(); ++i) {
+    const auto said = t.all->asked(i, "/-/members");
+    if (said.is_object() && said.at("right").at("holds") == true)
+      found = found == -1 ? static_cast<int>(i) : -2;
+  }
+  return found;
+}
+
+talking with_votes(int voters) {
+  talking how{"crew", 200, 60, 2, {}};
+  how.voters = voters;
+  how.lease = 1500;
+  return how;
+}
+
+}  // namespace
+
+TEST_CASE("processes: one divides; stopped, killed, ended or cut off, another one does") {
+  together t(5, with_votes(3));
+  int held = -1;
+  const auto another = [&](int but) {
+    const bool is = t.all->until([&] { return (held = holder_of(t)) >= 0 && held != but; }, long_enough);
+    return is;
+  };
+  REQUIRE(another(-1));
+  const auto name = [](int i) { return std::string("n").append(std::to_string(i)); };
+  CHECK(t.all->until(
+      [&] {
+        for (std::size_t i = 0; i < 3; ++i)
+          if (t.all->asked(i, "/-/members").at("right").at("holder") != name(held)) return false;
+        return true;
+      },
+      long_enough));
+
+  int was = held;
+  t.all->at(static_cast<std::size_t>(was)).signal(SIGSTOP);
+  REQUIRE(another(was));
+  t.all->at(static_cast<std::size_t>(was)).signal(SIGCONT);
+  // It slept for longer than its lease: the first thing that it says is that it is over.
+  CHECK(t.all->asked(static_cast<std::size_t>(was), "/-/members").at("right").at("holds") == false);
+
+  was = held;
+  t.all->at(static_cast<std::size_t>(was)).kill();
+  REQUIRE(another(was));
+  t.all->start(static_cast<std::size_t>(was));
+  REQUIRE(t.all->await(static_cast<std::size_t>(was), long_enough));
+  const auto back = t.all->asked(static_cast<std::size_t>(was), "/-/members");
+  CHECK(back.at("right").at("holds") == false);
+  // Until all that it might have promised has ended it has no vote.
+  CHECK(t.all->until(
+      [&] {
+        return t.all->asked(static_cast<std::size_t>(was), "/-/members").at("right").at("abstains") == false;
+      },
+      long_enough));
+  REQUIRE(t.meet());
+
+  was = held = holder_of(t);
+  for (std::size_t i = 0; i < 5 && was >= 0; ++i)
+    for (const bool out : {true, false}) {
+      const auto w = static_cast<std::size_t>(was);
+      if (i != w) t.all->between().cut(out ? w : i, out ? i : w, true);
+    }
+  REQUIRE(another(was));
+  for (std::size_t a = 0; a < 5; ++a)
+    for (std::size_t b = 0; b < 5; ++b) t.all->between().cut(a, b, false);
+  REQUIRE(t.meet());
+
+  REQUIRE(t.all->until([&] { return (held = holder_of(t)) >= 0; }, long_enough));
+  was = held;
+  t.all->at(static_cast<std::size_t>(was)).signal(SIGTERM);
+  REQUIRE(another(was));
+}
--- a/tests/options_test.cpp
+++ b/tests/options_test.cpp
@@ -186,6 +186,11 @@
       {"[members]\nfleet = \"a\"\nlisten = \"127.0.0.1:1\"\nperiod_ms = 10\n", 2, "period_ms is under 50"},
       {"[members]\nfleet = \"a\"\nlisten = \"127.0.0.1:1\"\ntimeout_ms = 600\n", 1,
        "at most half of period_ms"},
+      {"[members]\nfleet = \"a\"\nlisten = \"127.0.0.1:1\"\nvoters = [\"a\", \"b\"]\n", 1, "even in number"},
+      {"[members]\nfleet = \"a\"\nlisten = \"127.0.0.1:1\"\nvoters = [\"a\", \"a\", \"b c\"]\n", 2,
+       "or one twice: a"},
+      {"[members]\nfleet = \"a\"\nlisten = \"127.0.0.1:1\"\nvoters = [\"a\"]\nlease_ms = 2000\n", 1,
+       "lease_ms is under ten times"},
       {"[members]\nfleet = \"a\"\nlisten = \"127.0.0.1:1\"\nloud = 1\n", 1, "members.loud is unknown"},
   };
   for (const auto& row : rows) {
