One budget through all layers: further picks of the whole fleet, played on processes

Need: lease and shares stood alone; the first budget has to hold where operators would see it, at the servers.

- [budgets] in the options (most, share_ms, seat_s, further_picks.a_second and .floor), a line a fault; absent: nothing differs.
GET /-/budgets.
- company asks for a share and answers while it has the right; relay tells the balancer what is left (balancer::may_spend) and spends by the clock at the very sending: a share that ended since, as the process stood still, makes the pick withdrawn, nothing sent, no server blamed.
- indigorill-load: section talk, troubles stop_sidecars, end_sidecars and cut_talk (one_way), what came to the stand-ins judged against the whole; over_budget and used_of_budget; the emulator refuses these words.

--- a/include/indigorill/balance.h
+++ b/include/indigorill/balance.h
@@ -124,6 +124,8 @@
   // A server that staff took out by hand: nothing goes there, whatever the list says. Put back, it is as cold
   // as one that started then.
   void withheld(double now, std::string_view server, bool is, double since);
+  // How many further picks of RPCs all sidecars together leave to this one now; no bound until told.
+  void may_spend(double further_picks);
   void woken(double now, std::uint64_t wake);
 
   // The next decision at the time last told, or none.
--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -121,7 +121,7 @@
   double mean_others = 0, cold_others = 0, cold_pace = 1, mean_value = 1, usual_pace = 0, answers = 0,
          send_rate = 0, arrival_rate = 0, sends_since_beat = 0, arrivals_since_beat = 0, beat_at = never;
   double last_send = never, warm_servers = 1;
-  double spare = 5, further_success = 0.5;
+  double spare = 5, further_success = 0.5, granted = 1e18;  // granted: by all sidecars together
   bool subscribed = false, call_out = false;
   double ask_at = never, failed_calls = 0;
 
@@ -605,15 +605,12 @@
     if (r.concluded || (r.streaming && r.outstanding() > 0)) return {};
     set_due(r, never);
     if (r.streaming || now >= settle_by(r)) return give_up(r);
-    if (r.outstanding() > 0) {
-      set_due(r, settle_by(r));
-      return {};
-    }
+    if (r.outstanding() > 0) return set_due(r, settle_by(r)), std::nullopt;
     if (now >= useful_until(r)) return give_up(r);
     const bool further = r.tried() > 0;
     ballot b;
     if (ask_around(r, b)) return {};
-    if (!may_pick(r) || (further && spare < 1)) return give_up(r);
+    if (!may_pick(r) || (further && std::min(spare, granted) < 1)) return give_up(r);
     if (b.those.empty() || !r.asked.empty()) b = weigh(r);
     server* to = b.those.empty() || !b.in_time() ? nullptr : draw(r, std::move(b));
     return to ? send(r, *to, further, useful_until(r) - now) : give_up(r);
@@ -625,6 +622,7 @@
     s.last_send = last_send = now;
     if (warmth(s) < 1) --s.budget;
     ++sends_since_beat;
+    granted -= further;
     spare = further ? spare - 1 : std::min(spare + further_success * 0.5, 10.0);
     set_due(r, now + std::max(left, 0.0));
     return {decision::verb::pick, r.id, s.id, r.picks.back().number, std::max(left, 0.001), 0};
@@ -889,6 +887,8 @@
   if (const auto it = self->servers.find(id); it != self->servers.end()) it->second->barred = is;
 }
 
+void balancer::may_spend(double further_picks) { self->granted = further_picks; }
+
 void balancer::withheld(double now, std::string_view id, bool is, double since) {
   self->now = now;
   server& s = self->meet(std::string(id));
--- a/src/lab/cli.cpp
+++ b/src/lab/cli.cpp
@@ -27,7 +27,8 @@
 
 toml::table load(const wanted& w) {
   toml::table t = read_toml(w.scenario);
-  decode_scenario(t);  // as it stands in the file, where faults have lines
+  // As it stands in the file, where faults have lines.
+  if (const auto fault = not_emulated(decode_scenario(t))) throw faulty(w.scenario + ": " + *fault);
   for (const std::string& text : w.settings) {
     const auto [path, value] = parse_setting(text);
     set_value(t, path, value);
--- a/src/lab/scenario.cpp
+++ b/src/lab/scenario.cpp
@@ -80,24 +80,25 @@
                           {"loss", kind::loss},
                           {"surge", kind::surge},
                           {"list_overbooked", kind::list_overbooked},
-                          {"list_silent", kind::list_silent}});
+                          {"list_silent", kind::list_silent},
+                          {"stop_sidecars", kind::stop_sidecars},
+                          {"end_sidecars", kind::end_sidecars},
+                          {"cut_talk", kind::cut_talk}});
   is.at = s.seconds("at_s", {});
   is.lasts = s.seconds("for_s", {});
   if (is.at <= 0 || is.at >= length) s.fault_here("at_s", "lies outside the run");
-  const std::set<kind> of_some{kind::restart_sidecars,
-                               kind::kill_servers,
-                               kind::replace,
-                               kind::drain,
-                               kind::stall,
-                               kind::slow,
-                               kind::errors};
-  const std::set<kind> spread{kind::restart_sidecars, kind::replace, kind::drain, kind::kill_servers};
+  const std::set<kind> of_some{
+      kind::restart_sidecars, kind::stop_sidecars, kind::end_sidecars, kind::cut_talk, kind::kill_servers,
+      kind::replace,          kind::drain,         kind::stall,        kind::slow,     kind::errors};
+  const std::set<kind> spread{kind::restart_sidecars, kind::stop_sidecars, kind::end_sidecars,
+                              kind::replace,          kind::drain,         kind::kill_servers};
   const std::set<kind> by_factor{kind::slow, kind::surge, kind::list_overbooked};
   if (of_some.count(is.what)) is.share = s.number("share", {}, 0, 1);
   if (spread.count(is.what)) is.over = s.seconds("over_s", 0);
   if (by_factor.count(is.what)) is.factor = s.number("factor", {}, 0.001, 1000);
   if (is.what == kind::errors || is.what == kind::loss) is.factor = s.number("rate", {}, 0, 0.999);
   if (is.what == kind::lose_zone) is.zone = s.whole("zone", 0, 0, std::max(zones - 1, 0));
+  if (is.what == kind::cut_talk) is.one_way = s.mark("one_way", false);
   s.none_left();
   return is;
 }
@@ -273,6 +274,28 @@
   if (const auto fault = fault_of(s.limits.all, {})) top.fault_here("limits", *fault);
   limits.none_left();
 
+  section talk(top.inner("talk", false), "talk", wrong);
+  s.talk.on = top.has("talk");
+  s.talk.voters = talk.whole("voters", s.talk.voters, 0, 99);
+  s.talk.seeds = talk.whole("seeds", s.talk.seeds, 1, 100);
+  s.talk.most = talk.whole("most", s.talk.most, 1, 100000);
+  s.talk.period = talk.ms("period_ms", s.talk.period);
+  s.talk.timeout = talk.ms("timeout_ms", s.talk.timeout);
+  s.talk.lease = talk.ms("lease_ms", s.talk.lease);
+  s.talk.share = talk.ms("share_ms", s.talk.share);
+  s.talk.seat = talk.seconds("seat_s", s.talk.seat);
+  s.talk.further_picks = talk.number("further_picks", 0, 0, 1e9);
+  s.talk.floor = talk.number("floor", 0, 0, 1e9);
+  s.talk.loss = talk.number("loss", 0, 0, 0.9);
+  s.talk.doubled = talk.number("doubled", 0, 0, 1);
+  s.talk.delay = talk.ms("delay_ms", 0);
+  s.talk.jitter = talk.ms("jitter_ms", 0);
+  s.talk.late = talk.number("late", 0, 0, 1);
+  s.talk.late_by = talk.ms("late_by_ms", 0);
+  if (s.talk.on && (s.talk.voters > s.sidecars || s.talk.seeds > s.sidecars))
+    top.fault_here("talk", "has more voters or seeds than sidecars");
+  talk.none_left();
+
   for (const toml::table* t : top.tables("trouble", false))
     s.troubles.push_back(decode_trouble(*t, s.length, s.zones, wrong));
   top.inner("ranges", false);
@@ -283,6 +306,15 @@
   return s;
 }
 
+std::optional<std::string> not_emulated(const scenario& s) {
+  using kind = trouble::kind;
+  for (const trouble& t : s.troubles)
+    if (t.what == kind::stop_sidecars || t.what == kind::end_sidecars || t.what == kind::cut_talk)
+      return "troubles stop_sidecars, end_sidecars and cut_talk befall real processes: indigorill-load plays "
+             "them";
+  return {};
+}
+
 namespace {
 
 std::pair<std::string, std::string> parted(const std::string& path) {
--- a/src/lab/scenario.h
+++ b/src/lab/scenario.h
@@ -53,11 +53,15 @@
     loss,
     surge,
     list_overbooked,
-    list_silent
+    list_silent,
+    stop_sidecars,
+    end_sidecars,
+    cut_talk
   } what;
   double at = 0, lasts = 0, over = 0;  // over: how far it is spread
   double share = 1, factor = 1;
   int zone = 0;
+  bool one_way = false;  // cut_talk: the others hear them, they don't hear the others
 };
 
 struct scenario {
@@ -95,6 +99,14 @@
     double told = 1;  // the number of instances that they are told, over the true one
     bool any() const { return all.connections + all.handshakes + all.probes + all.list_calls > 0; }
   } limits;
+  // How sidecars talk, and what they share; on real processes alone.
+  struct {
+    bool on = false;
+    int voters = 3, seeds = 2, most = 100;
+    double period = 1000, timeout = 300, lease = 10000, share = 2000, seat = 60000;
+    double further_picks = 0, floor = 0;  // a second, over all; 0: no budget
+    double loss = 0, doubled = 0, delay = 0, jitter = 0, late = 0, late_by = 0;
+  } talk;
   std::vector<trouble> troubles;
 
   int servers_at_start() const;
@@ -115,6 +127,9 @@
 std::vector<std::uint32_t> some_of(std::size_t n, double share, stream& chance);
 std::pair<std::size_t, double> draw_rpc(const scenario& s, stream& chance);  // its method and work
 
+// What of it the emulator can't play, in a line; none where it can play all.
+std::optional<std::string> not_emulated(const scenario& s);
+
 scenario decode_scenario(const toml::table& from);  // throws faulty
 
 // Sets what a dotted path names ("load.rate", "trouble[0].share"); throws faulty where there is none.
--- a/src/lab/world.cpp
+++ b/src/lab/world.cpp
@@ -144,6 +144,10 @@
   // Drawn now, so that what happens until then changes nothing.
   const auto befallen = [&](std::size_t n) { return some_of(n, t.share, chance); };
   switch (t.what) {
+    case kind::stop_sidecars:
+    case kind::end_sidecars:
+    case kind::cut_talk:
+      return;  // refused before: not_emulated
     case kind::restart_sidecars:
       for (const std::uint32_t s : befallen(sidecars.size())) {
         const double when = from + t.over * chance.unit();
--- a/src/load/crew.cpp
+++ b/src/load/crew.cpp
@@ -4,14 +4,14 @@
 #include <fstream>
 
 namespace indigorill::loading {
-namespace {
-
 void write_file(const std::filesystem::path& where, const std::string& text) {
   std::ofstream out(where);
   out << text;
   if (!out.flush()) throw std::runtime_error("can't write " + where.string());
 }
 
+namespace {
+
 std::string options_of(const talking& how, const wire& between, const sockaddr_in& listen, std::size_t i) {
   std::string seeds;
   for (std::size_t s = 0; s < static_cast<std::size_t>(how.seeds); ++s)
@@ -22,6 +22,10 @@
        << "\ntimeout_ms = " << how.timeout << "\nlease_ms = " << how.lease << "\nvoters = [";
   for (int v = 0; v < how.voters; ++v) text << (v ? ", " : "") << "\"n" << v << '"';
   text << "]\n";
+  if (how.further_picks > 0)
+    text << "[budgets]\nmost = " << how.most << "\nshare_ms = " << how.share
+         << "\nseat_s = " << how.seat / 1000 << "\n[budgets.further_picks]\na_second = " << how.further_picks
+         << "\nfloor = " << how.floor << "\n";
   return text.str();
 }
 
--- a/src/load/crew.h
+++ b/src/load/crew.h
@@ -17,8 +17,13 @@
   wire::manners manners = {};
   int voters = 0;  // the first so many
   double lease = 10000;
+  double share = 2000, seat = 60000;    // ms
+  double further_picks = 0, floor = 0;  // a second, over all; 0: no budget
+  int most = 100;
 };
 
+void write_file(const std::filesystem::path& where, const std::string& text);
+
 class crew {
  public:
   // config: of one sidecar, given where it listens.
--- a/src/load/fleet.cpp
+++ b/src/load/fleet.cpp
@@ -127,7 +127,7 @@
     ++unreadable;
     return at.door->answer(connection, answer_text(400, ""));
   }
-  ++seen[std::string(*id)].came;
+  if (++seen[std::string(*id)].came > 1) further_at.push_back(clock.now());
   if (at.draining) return at.door->answer(connection, answer_text(503, "", "X-Rejected: 1\r\n"));
   const std::uint64_t of = ++jobs;
   at.jobs[of] = {std::string(*id), connection};
@@ -135,6 +135,15 @@
   clock.catch_up();
 }
 
+std::size_t fleet::most_further(double window) const {
+  std::size_t most = 0;
+  for (std::size_t first = 0, last = 0; last < further_at.size(); ++last) {
+    while (further_at[first] + window <= further_at[last]) ++first;
+    most = std::max(most, last - first + 1);
+  }
+  return most;
+}
+
 void fleet::ended(std::size_t server, std::uint64_t of, station::outcome how, double held) {
   place& at = *places[server];
   const auto it = at.jobs.find(of);
--- a/src/load/fleet.h
+++ b/src/load/fleet.h
@@ -35,6 +35,9 @@
   void plan(const lab::trouble& t, std::size_t which);
 
   const std::unordered_map<std::string, seen_rpc>& rpcs() const { return seen; }
+  // The most further picks that began here within so many ms.
+  std::size_t most_further(double window) const;
+  const std::vector<double>& further() const { return further_at; }
   std::uint64_t probes = 0, connections = 0, falls = 0, unreadable = 0, list_calls = 0;
 
  private:
@@ -94,6 +97,7 @@
   double list_slowness = 1;
   bool list_silent = false;
   std::unordered_map<std::string, seen_rpc> seen;
+  std::vector<double> further_at;  // when each came
 };
 
 // The words of a scenario that can't be played on loopback, a line each.
--- a/src/load/play.cpp
+++ b/src/load/play.cpp
@@ -10,10 +10,11 @@
 #include <filesystem>
 #include <fstream>
 #include <iomanip>
+#include <set>
 
 #include "../decode/settings.h"
 #include "../lab/experiment.h"
-#include "process.h"
+#include "crew.h"
 
 namespace indigorill::loading {
 namespace {
@@ -136,19 +137,27 @@
   std::vector<sockaddr_in> places;
 };
 
-std::string write_config(const start_of_load& with, const stage& on, std::size_t i,
-                         const std::filesystem::path& to) {
-  const std::string file = (to / ("n" + std::to_string(i) + ".json")).string();
-  std::ofstream out(file);
-  out << config_of(with.plays, i, text_of(on.places[i]), on.stand_ins->agent(i), on.stand_ins->list(),
-                   with.seed)
-             .dump(1);
-  if (!out.flush()) throw std::runtime_error("can't write " + file);
-  return file;
+nlohmann::json config_at(const start_of_load& with, const stage& on, std::size_t i) {
+  return config_of(with.plays, i, text_of(on.places[i]), on.stand_ins->agent(i), on.stand_ins->list(),
+                   with.seed);
 }
 
-void plan(const trouble& t, std::size_t which, stage& on, clients& apps, std::uint64_t seed,
-          std::vector<std::unique_ptr<process>>& sidecars) {
+std::optional<talking> talk_of(const lab::scenario& s) {
+  if (!s.talk.on) return {};
+  const auto& t = s.talk;
+  return talking{
+      "load",   t.period, t.timeout, t.seeds, {t.loss, t.doubled, t.delay, t.jitter, t.late, t.late_by},
+      t.voters, t.lease,  t.share,   t.seat,  t.further_picks,
+      t.floor,  t.most};
+}
+
+bool of_sidecars(trouble::kind what) {
+  using kind = trouble::kind;
+  return what == kind::restart_sidecars || what == kind::stop_sidecars || what == kind::end_sidecars ||
+         what == kind::cut_talk;
+}
+
+void plan(const trouble& t, std::size_t which, stage& on, clients& apps, std::uint64_t seed, crew* sidecars) {
   const auto at = [&](double when, lab::agenda::task what) {
     on.clock.at(when, lab::rank::trouble, std::move(what));
   };
@@ -156,16 +165,47 @@
     at(t.at, [&apps, much = t.factor] { apps.surge(much); });
     return at(t.at + t.lasts, [&apps, much = t.factor] { apps.surge(1 / much); });
   }
-  if (t.what != trouble::kind::restart_sidecars) return on.stand_ins->plan(t, which);
+  using kind = trouble::kind;
+  if (!of_sidecars(t.what)) return on.stand_ins->plan(t, which);
   lab::stream draw(lab::seed_of(seed, lab::use::troubles, which + 1));
-  for (const std::size_t s : lab::some_of(sidecars.size(), t.share, draw)) {
+  const std::vector<std::uint32_t> some = lab::some_of(sidecars->size(), t.share, draw);
+  if (t.what == kind::cut_talk) {
+    const std::set<std::size_t> apart(some.begin(), some.end());
+    for (const bool is : {true, false})
+      at(is ? t.at : t.at + t.lasts, [sidecars, apart, is, one_way = t.one_way] {
+        for (std::size_t a = 0; a < sidecars->size(); ++a)
+          for (const std::size_t b : apart)
+            if (apart.count(a) == 0) {
+              sidecars->between().cut(a, b, is);
+              if (!one_way) sidecars->between().cut(b, a, is);
+            }
+      });
+    return;
+  }
+  for (const std::size_t s : some) {
     const double when = t.at + t.over * draw.unit();
-    at(when, [&sidecars, &apps, s] {
-      sidecars[s]->kill();
+    if (t.what == kind::stop_sidecars) {
+      // Its machine stands still, its application too: what that had asked is lost to it.
+      at(when, [sidecars, &apps, s] {
+        sidecars->at(s).signal(SIGSTOP);
+        apps.died(s);
+      });
+      at(when + t.lasts, [sidecars, &apps, s] {
+        sidecars->at(s).signal(SIGCONT);
+        apps.back(s);
+      });
+      continue;
+    }
+    at(when, [sidecars, &apps, s, in_order = t.what == kind::end_sidecars] {
+      if (in_order)
+        sidecars->at(s).signal(SIGTERM);
+      else
+        sidecars->at(s).kill();
       apps.died(s);
     });
-    at(when + t.lasts, [&sidecars, &on, &apps, s] {
-      sidecars[s]->start();
+    at(when + t.lasts, [sidecars, &on, &apps, s] {
+      sidecars->at(s).kill();  // one that was told to end and hangs
+      sidecars->start(s);
       // Its application waits until it is ready, without holding up the others.
       const auto again = std::make_shared<lab::agenda::task>();
       *again = [&on, &apps, s, again = std::weak_ptr(again)] {
@@ -186,32 +226,50 @@
 void write_configs(const start_of_load& with, const std::string& to) {
   const stage on(with);
   std::filesystem::create_directories(to);
-  for (std::size_t i = 0; i < on.places.size(); ++i) write_config(with, on, i, to);
+  for (std::size_t i = 0; i < on.places.size(); ++i)
+    write_file(std::filesystem::path(to) / ("n" + std::to_string(i) + ".json"),
+               config_at(with, on, i).dump(1));
 }
 
+namespace {
+
+// Judged by what came to the stand-ins: picks that were sent within a window come within a little more.
+void judge_budget(const lab::scenario& s, const fleet& stand_ins, outcome& o) {
+  constexpr double window = 1000, on_the_way = 50;  // ms
+  o.further = stand_ins.further().size();
+  if (!s.talk.on || s.talk.further_picks <= 0) return;
+  o.most_further = stand_ins.most_further(window - on_the_way);
+  o.used_of_budget = static_cast<double>(o.further) / (s.talk.further_picks * s.length / window);
+  if (static_cast<double>(o.most_further) <= s.talk.further_picks) return;
+  ++o.over_budget;
+  std::ostringstream text;
+  text << "budget: " << o.most_further << " further picks in a second, of " << s.talk.further_picks;
+  o.broken.push_back(text.str());
+}
+
+}  // namespace
+
 outcome play(const start_of_load& with) {
   ::signal(SIGPIPE, SIG_IGN);
-  const folder files;
   stage on(with);
-  std::vector<std::unique_ptr<process>> sidecars;
-  if (!with.command.empty())
-    for (std::size_t i = 0; i < on.places.size(); ++i) {
-      sidecars.push_back(std::make_unique<process>(
-          with.command, process::variables{{"LB_CONFIG", write_config(with, on, i, files.path)}},
-          (files.path / ("n" + std::to_string(i) + ".log")).string()));
-      sidecars.back()->start();
-    }
+  std::unique_ptr<crew> sidecars;
+  if (!with.command.empty()) {
+    sidecars = std::make_unique<crew>(
+        on.runs, with.command, on.places, [&](std::size_t i) { return config_at(with, on, i); },
+        talk_of(with.plays), with.seed);
+    for (std::size_t i = 0; i < on.places.size(); ++i) sidecars->start(i);
+  }
   constexpr double to_begin = 10000;
   for (std::size_t i = 0; i < on.places.size(); ++i) {
-    const auto gone = [&] { return !sidecars.empty() && sidecars[i]->ended(); };
+    const auto gone = [&] { return sidecars && sidecars->at(i).ended(); };
     if (!ready(on.runs, on.places[i], to_begin, gone))
       throw std::runtime_error("sidecar n" + std::to_string(i) + " at " + text_of(on.places[i]) +
-                               " is not ready" + (sidecars.empty() ? "" : ": " + sidecars[i]->last_line()));
+                               " is not ready" + (sidecars ? ": " + sidecars->at(i).last_line() : ""));
   }
   clients apps(on.runs, on.room, on.clock, with.plays, with.seed, with.most, on.places);
   apps.begin();
   for (std::size_t i = 0; i < with.plays.troubles.size(); ++i)
-    plan(with.plays.troubles[i], i, on, apps, with.seed, sidecars);
+    plan(with.plays.troubles[i], i, on, apps, with.seed, sidecars.get());
   on.clock.start();
   constexpr double spare = 1000, round = 20;
   const double end = with.plays.length + with.plays.longest_deadline();
@@ -229,6 +287,7 @@
   o.falls = on.stand_ins->falls;
   o.list_calls = on.stand_ins->list_calls;
   o.broken = verdict(o.heard, *on.stand_ins, apps);
+  judge_budget(with.plays, *on.stand_ins, o);
   // The clock of a busy process stands: what it measures then is itself.
   constexpr double too_late = 5, q = 0.99;
   if (o.heard.behind.quantile(q) > too_late) {
@@ -268,6 +327,12 @@
   line("probes", share(o.probes));
   line("list_calls", static_cast<double>(o.list_calls));
   line("falls", static_cast<double>(o.falls));
+  line("further_picks", static_cast<double>(o.further));
+  if (o.used_of_budget >= 0) {
+    line("most_a_second", static_cast<double>(o.most_further));
+    line("over_budget", static_cast<double>(o.over_budget));
+    line("used_of_budget", o.used_of_budget);
+  }
   line("sent_late_p99_ms", o.heard.behind.quantile(0.99));
   for (const std::string& b : o.broken) out << "  broken: " << b << '\n';
   if (!o.kept_pace) out << "  could not keep its own pace: " << o.pace << '\n';
@@ -311,12 +376,17 @@
     if (app.count("--seed") == 0) with.seed = with.plays.seed;
     std::string wrong;
     for (const std::string& fault : not_on_sockets(with.plays)) wrong += (wrong.empty() ? "" : "\n") + fault;
+    for (const trouble& is : with.plays.troubles)
+      if (is.what == trouble::kind::cut_talk && !with.plays.talk.on)
+        wrong = "trouble cut_talk wants a section talk";
     if (with.command.empty() && with.base_port == 0)
       wrong = "neither --start nor --base-port: where are the sidecars?";
     if (with.command.empty())
       for (const trouble& is : with.plays.troubles)
-        if (is.what == trouble::kind::restart_sidecars)
-          wrong = "trouble restart_sidecars wants --start: only what it started does it kill";
+        if (of_sidecars(is.what))
+          wrong =
+              "trouble restart_sidecars wants --start, as do all of sidecars: only what it started does it "
+              "kill";
     if (!wrong.empty()) throw faulty(wrong);
     if (!folder_for_configs.empty()) {
       write_configs(with, folder_for_configs);
--- a/src/members/envelope.cpp
+++ b/src/members/envelope.cpp
@@ -11,7 +11,7 @@
 
 constexpr int form = 1;  // a later one is not guessed at
 constexpr std::size_t longest_text = 64, fields_of_envelope = 8, fields_of_gossip = 5, fields_of_member = 4,
-                      fields_of_vote = 7;
+                      fields_of_vote = 7, fields_of_ask = 5, fields_of_grant = 8;
 // Rounds and spans that no sound process reaches: what counts beyond them would come to its end.
 constexpr std::uint64_t most_rounds = std::uint64_t{1} << 48;
 constexpr double longest_span = 86400000;  // ms
@@ -95,6 +95,41 @@
   return r.fits() && (w.holder.empty() || plain_name(w.holder));
 }
 
+json of_ask(const share_ask& a) { return {a.session, a.number, a.goes_by, a.seat_left, a.wants}; }
+
+bool read_units(const json& j, std::vector<double>& units) {
+  constexpr double most = 1e9;
+  if (!j.is_array()) return false;
+  for (const json& n : j)
+    if (!n.is_number() || !(units.emplace_back(n.get<double>()) >= 0 && units.back() <= most)) return false;
+  return true;
+}
+
+bool read_ask(const json& j, share_ask& a) {
+  reader r(j, fields_of_ask);
+  a.session = r.number();
+  a.number = r.number();
+  a.goes_by = r.number();
+  a.seat_left = r.span();
+  return read_units(r.any(), a.wants) && r.fits();
+}
+
+json of_grant(const share_grant& g) {
+  return {static_cast<int>(g.what), g.session, g.number, g.lasts, g.seat, g.amounts, g.floors, g.holder};
+}
+
+bool read_grant(const json& j, share_grant& g) {
+  reader r(j, fields_of_grant);
+  g.what = static_cast<share_grant::kind>(r.number(static_cast<int>(share_grant::kind::not_mine)));
+  g.session = r.number();
+  g.number = r.number();
+  g.lasts = r.span();
+  g.seat = r.span();
+  if (!read_units(r.any(), g.amounts) || !read_units(r.any(), g.floors)) return false;
+  g.holder = r.text();
+  return r.fits() && (g.holder.empty() || plain_name(g.holder));
+}
+
 }  // namespace
 
 bool plain_name(std::string_view name) {
@@ -119,6 +154,10 @@
     body = {static_cast<int>(e.talk.what), e.talk.number, e.talk.target, e.talk.target_at, std::move(news)};
   } else if (e.what == envelope::kind::lease) {
     body = of_vote(e.vote);
+  } else if (e.what == envelope::kind::ask) {
+    body = of_ask(e.asks);
+  } else if (e.what == envelope::kind::grant) {
+    body = of_grant(e.grants);
   } else {
     body = e.told;
   }
@@ -142,7 +181,7 @@
   e.address = r.text();
   e.incarnation = r.number();
   e.serial = r.number();
-  e.what = static_cast<envelope::kind>(r.number(static_cast<int>(envelope::kind::lease)));
+  e.what = static_cast<envelope::kind>(r.number(static_cast<int>(envelope::kind::grant)));
   const json& body = r.any();
   if (!r.fits()) return misfit::torn;
   if (e.fleet != fleet) return misfit::foreign;
@@ -152,6 +191,10 @@
     e.told = body;
   } else if (e.what == envelope::kind::lease) {
     if (!read_vote(body, e.vote)) return misfit::torn;
+  } else if (e.what == envelope::kind::ask) {
+    if (!read_ask(body, e.asks)) return misfit::torn;
+  } else if (e.what == envelope::kind::grant) {
+    if (!read_grant(body, e.grants)) return misfit::torn;
   } else if (!read_gossip(body, e.talk)) {
     return misfit::torn;
   }
--- a/src/members/envelope.h
+++ b/src/members/envelope.h
@@ -10,6 +10,7 @@
 #include <variant>
 
 #include "../lease/lease.h"
+#include "../shares/shares.h"
 #include "members.h"
 
 namespace indigorill {
@@ -17,9 +18,11 @@
 struct envelope {
   std::string fleet, name, address;  // of the sender; the address is where it is to be answered
   std::uint64_t incarnation = 0, serial = 0;
-  enum class kind : std::uint8_t { gossip, news, lease } what = kind::gossip;
+  enum class kind : std::uint8_t { gossip, news, lease, ask, grant } what = kind::gossip;
   gossip talk = {};
   lease_word vote = {};
+  share_ask asks = {};
+  share_grant grants = {};
   std::string told = {};  // the balancer's news, as src/peers writes it
 };
 
--- a/src/net/company.cpp
+++ b/src/net/company.cpp
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <cmath>
 #include <ctime>
+#include <limits>
 #include <random>
 #include <system_error>
 
@@ -34,12 +35,14 @@
     : runs(in),
       lines(log_to),
       is(std::move(with)),
-      others({is.name, is.advertised, is.seeds, is.period, is.timeout}, new_incarnation(), seed, now()) {
+      others({is.name, is.advertised, is.seeds, is.period, is.timeout}, new_incarnation(), seed, now()),
+      chance(static_cast<std::knuth_b::result_type>(seed + 3)) {
   if (!is.voters.empty()) {
     // No session may come twice, whatever the machine's clock says.
     std::random_device any;
     const std::uint64_t session = std::uint64_t{any()} << 32 | any();
     right.emplace(lease::traits{is.name, is.voters, is.lease, is.drift}, session, seed + 1, now());
+    if (is.budgets) own.emplace(*is.budgets, session);
   }
   take_place();
 }
@@ -59,7 +62,7 @@
 }
 
 void company::hear(std::string_view bytes) {
-  if (left) return;
+  if (gone) return;
   ++counts.heard;
   const auto drop = [&](misfit why) {
     ++counts.dropped[static_cast<std::size_t>(why)];
@@ -70,6 +73,19 @@
   const envelope& e = std::get<envelope>(got);
   if (const auto why = seen.saw(e, now())) return drop(*why);
   if (e.what == envelope::kind::lease && right) right->heard(now(), e.name, e.vote);
+  if (e.what == envelope::kind::ask && own) {
+    envelope back;
+    back.what = envelope::kind::grant;
+    back.grants = answer(e.asks);
+    send(e.address, std::move(back));
+  }
+  if (e.what == envelope::kind::grant && own) {
+    own->heard(now(), e.grants);
+    // Who was asked in vain names the holder, or nobody: then any voter is asked, in a while.
+    if (e.grants.what == share_grant::kind::not_mine &&
+        std::exchange(whom, e.grants.holder) != e.grants.holder && !whom.empty())
+      ask_at = now();
+  }
   if (e.what == envelope::kind::gossip) others.heard(now(), e.name, e.address, e.talk);
   work();
 }
@@ -91,7 +107,7 @@
 }
 
 void company::work() {
-  if (left) return;
+  if (gone) return;
   others.due(now());
   while (auto l = others.next()) {
     envelope e;
@@ -99,11 +115,13 @@
     send(l->to, std::move(e));
   }
   vote();
+  ask_for_share();
   note_changes();
   constexpr double least = 1;  // ms; a loop that only turns round its own due times serves nobody
   next = runs.at(
-      runs.now() +
-          std::max(least, std::min(others.next_due(), right ? right->next_due() : others.next_due()) - now()),
+      runs.now() + std::max(least, std::min({others.next_due(), right ? right->next_due() : others.next_due(),
+                                             own ? ask_at : others.next_due()}) -
+                                       now()),
       [this] { work(); });
 }
 
@@ -118,7 +136,85 @@
   }
 }
 
+share_grant company::answer(const share_ask& a) {
+  if (!right || !right->holds(now())) {
+    share_grant g{share_grant::kind::not_mine, a.session, a.number, 0, 0, {}, {}, {}};
+    if (right) g.holder = right->known_holder(now());
+    return g;
+  }
+  if (!divides) {
+    divides.emplace(*is.budgets);
+    divides->begin(now(), right->quiet_from());
+  }
+  return divides->answer(now(), right->ends_at(), a);
+}
+
+void company::ask_for_share() {
+  if (!own || now() < ask_at) return;
+  ask_at = now() + is.budgets->share / 3;  // two questions may be lost before a share ends
+  const share_ask a = own->ask(now());
+  if (right->holds(now())) {
+    own->heard(now(), answer(a));
+  } else {
+    // Whom it knows to divide may be dead: who has no share any more asks another voter each time.
+    if (whom.empty() || whom == is.name || others.address_of(whom).empty() || !own->shared(now()))
+      whom = is.voters[std::uniform_int_distribution<std::size_t>(0, is.voters.size() - 1)(chance)];
+    envelope e;
+    e.what = envelope::kind::ask;
+    e.asks = a;
+    send(others.address_of(whom), std::move(e));
+  }
+  if (std::exchange(full, own->full()) != own->full())
+    lines.warning() << (full ? "more sidecars than allowed: no part of any budget is ours"
+                             : "a place among the sharers is free again");
+}
+
+std::optional<std::size_t> company::number_of(std::string_view budget) const {
+  if (own)
+    for (std::size_t i = 0; i < is.budgets->budgets.size(); ++i)
+      if (is.budgets->budgets[i].name == budget) return i;
+  return {};
+}
+
+double company::left(std::string_view budget) {
+  const auto i = number_of(budget);
+  return i ? own->left(now(), *i) : std::numeric_limits<double>::infinity();
+}
+
+bool company::take(std::string_view budget) {
+  const auto i = number_of(budget);
+  return !i || own->take(now(), *i);
+}
+
+void company::wanted(std::string_view budget) {
+  if (const auto i = number_of(budget)) own->wanted(now(), *i);
+}
+
+nlohmann::json company::budgets_as_json() {
+  const bool is_ours = divides && right->holds(now());
+  nlohmann::json all = nlohmann::json::array();
+  for (std::size_t i = 0; own && i < is.budgets->budgets.size(); ++i) {
+    const budget_of_all& b = is.budgets->budgets[i];
+    all.push_back({{"name", b.name},
+                   {"whole", b.whole},
+                   {"floor", b.floor},
+                   {"window_ms", b.window},
+                   {"own", own->allowed(now(), i)},
+                   {"left", own->left(now(), i)},
+                   {"granted", own->counted(i).granted},
+                   {"denied", own->counted(i).denied},
+                   {"given_by_us", is_ours ? divides->given(now(), i) : 0}});
+  }
+  return {{"budgets", all},
+          {"shared", own && own->shared(now())},
+          {"seated", own && own->seated(now())},
+          {"full", own && own->full()},
+          {"sharers", is_ours ? divides->sharers(now()) : 0}};
+}
+
 void company::note_changes() {
+  // What it gave is known to nobody else, and others may give after it: it begins anew with the next right.
+  if (divides && !right->holds(now())) divides.reset();
   const std::string known = right ? right->known_holder(now()) : "";
   if (std::exchange(holder, known) != known)
     lines.info() << (holder.empty() ? "nobody is known to divide" : "the right to divide is with " + holder);
@@ -136,7 +232,7 @@
 }
 
 void company::leave() {
-  if (left) return;
+  if (gone) return;
   if (right) right->leave(now());
   vote();
   others.leave();
@@ -145,7 +241,7 @@
     e.talk = std::move(l->what);
     send(l->to, std::move(e));
   }
-  left = true;
+  gone = true;
   next.drop();
   wire.reset();  // a newer process of this sidecar may have the place
 }
--- a/src/net/company.h
+++ b/src/net/company.h
@@ -23,7 +23,8 @@
     // Who grants the right to divide; none: nobody divides.
     std::vector<std::string> voters;
     double lease = 10000;  // ms
-    double drift = 0.01;   // by how much a clock's rate may be off
+    std::optional<shares_traits> budgets;
+    double drift = 0.01;  // by how much a clock's rate may be off
   };
   struct count {
     std::uint64_t sent = 0, unsent = 0, heard = 0, bytes_sent = 0;
@@ -32,6 +33,13 @@
 
   company(loop& in, logger& log_to, traits with, std::uint64_t seed);
 
+  // What is left to spend of a budget now, and the spending itself, by the clock at that very moment; without
+  // that budget there is no bound.
+  double left(std::string_view budget);
+  bool take(std::string_view budget);
+  void wanted(std::string_view budget);  // and not had
+  nlohmann::json budgets_as_json();      // for staff
+
   void leave();                    // says so; nothing is said or heard after it
   nlohmann::json as_json() const;  // for staff
   const count& counted() const { return counts; }
@@ -42,6 +50,9 @@
   void work();
   void send(const std::string& to, envelope e);
   void vote();
+  void ask_for_share();
+  share_grant answer(const share_ask& a);
+  std::optional<std::size_t> number_of(std::string_view budget) const;
   void note_changes();
   double now() const;  // ms since the machine's start, its sleep included
 
@@ -49,12 +60,18 @@
   logger& lines;
   traits is;
   members others;
+  std::knuth_b chance;
   std::optional<lease> right;
+  std::optional<divider> divides;  // while this one has the right
+  std::optional<purse> own;
+  double ask_at = 0;
+  std::string whom;  // to ask, "": any voter
+  bool full = false;
   seen_serials seen;
   std::unique_ptr<datagrams> wire;
   loop::timer next;
   std::uint64_t serials = 0;
-  bool left = false;
+  bool gone = false;
   std::map<std::string, member::state> noted;
   bool displaced = false;
   std::string holder;
--- a/src/net/relay.cpp
+++ b/src/net/relay.cpp
@@ -146,7 +146,12 @@
   // What is carried out may tell the balancer something at once; its decisions then follow in this round.
   if (pulling) return;
   pulling = true;
-  while (const auto d = decides.next()) carry_out(*d);
+  for (;;) {
+    if (further) decides.may_spend(further->left());
+    const auto d = decides.next();
+    if (!d) break;
+    carry_out(*d);
+  }
   pulling = false;
 }
 
@@ -156,9 +161,11 @@
     case verb::pick:
       return send(d);
     case verb::push_back:
+      note_want(d.rpc);
       conclude(d.rpc, {verdict::what::pushed_back, {}, d.after});
       return forget_if_over(d.rpc);
     case verb::abort:
+      note_want(d.rpc);
       conclude(d.rpc, {verdict::what::aborted, {}, 0});
       return forget_if_over(d.rpc);
     case verb::cancel:
@@ -183,10 +190,21 @@
   }
 }
 
+// Given up after a pick with nothing left to spend: one more was wanted, as far as can be seen from here.
+void relay::note_want(const std::string& id) {
+  if (further && !rpcs.at(id).picks.empty() && further->left() < 1) further->wanted();
+}
+
 void relay::send(const decision& d) {
   rpc& r = rpcs.at(d.rpc);
   const double now = runs.now(), patience = std::min(d.after, r.deadline - now);
   r.picks.push_back({0, d.server, now, true});
+  if (d.pick > 0 && further && !further->take()) {
+    // The share ended since it was asked about, as this process may have stood still: nothing was sent.
+    pool::result none{};
+    none.how = ending::withdrawn;
+    return pick_ended(d.rpc, d.pick, std::move(none));
+  }
   pool::exchange with;
   with.then = [this, id = d.rpc, n = d.pick](pool::result ended) { pick_ended(id, n, std::move(ended)); };
   with.began = [this, id = d.rpc, n = d.pick](const http::message& answer) { return began(id, n, answer); };
--- a/src/net/relay.h
+++ b/src/net/relay.h
@@ -54,6 +54,14 @@
   void list_failed();
   // Out by hand, or back: picks of which nothing is written there yet are drawn again.
   void withheld(const std::string& server, bool is, double since);
+  // Further picks are spent out of a budget of all sidecars: what is left now, a try to spend one at this
+  // very moment, and that one was wanted and there was none.
+  struct account {
+    std::function<double()> left;
+    std::function<bool()> take;
+    loop::task wanted;
+  };
+  void spends(account of) { further = std::move(of); }
   // The balancer may have asked before: with the first list that it is told.
   void when_list_wanted(loop::task what);
 
@@ -82,6 +90,7 @@
 
   void pull();
   void carry_out(const decision& d);
+  void note_want(const std::string& id);
   void send(const decision& d);
   void pick_ended(const std::string& id, int number, pool::result r);
   void cancel(const decision& d);
@@ -102,6 +111,7 @@
   std::set<std::string, std::less<>> methods;
   balancer decides;
   loop::task follow;
+  std::optional<account> further;
   bool pulling = false, list_wanted = false;
   std::uint64_t serial = 0;
   std::unordered_map<std::string, rpc> rpcs;
--- a/src/net/sidecar.cpp
+++ b/src/net/sidecar.cpp
@@ -130,6 +130,14 @@
     if (with.with_others && !others)
       others = std::make_unique<company>(runs, lines, *with.with_others, with.seed + 2);
   };
+  // Without the others for a moment, between two processes of this sidecar, nothing is spent of what is
+  // shared.
+  if (with.with_others && with.with_others->budgets)
+    rpcs.spends({[&] { return others ? others->left("further_picks") : 0; },
+                 [&] { return others && others->take("further_picks"); },
+                 [&] {
+                   if (others) others->wanted("further_picks");
+                 }});
   const auto part_from_others = [&] {
     if (others) others->leave();
     others.reset();
@@ -184,9 +192,10 @@
   bool serving = false;
   admin staff(runs, counts, lines, [&](const order& asked, const admin::answered& then) {
     if (asked.is == order::what::status) return then(serving && !stopping ? 200 : 503, {});
-    if (asked.is == order::what::members) {
+    if (asked.is == order::what::members || asked.is == order::what::budgets) {
+      const bool whole = asked.is == order::what::budgets;
       if (!others) return then(with.with_others ? 503 : 404, {});
-      return then(200, others->as_json().dump(1) + "\n");
+      return then(200, (whole ? others->budgets_as_json() : others->as_json()).dump(1) + "\n");
     }
     if (!by_hand.knows(asked.id)) return then(404, {});
     const bool out = asked.is == order::what::out;
--- a/src/net/words.cpp
+++ b/src/net/words.cpp
@@ -298,6 +298,7 @@
   static constexpr std::pair<std::string_view, order::what> calls[] = {
       {"/status", order::what::status},
       {"/-/members", order::what::members},
+      {"/-/budgets", order::what::budgets},
       {"/maintenance/enter", order::what::out},
       {"/maintenance/exit", order::what::back}};
   order o;
@@ -305,7 +306,7 @@
                                   [path = path_of(m)](const auto& c) { return c.first == path; });
   if (known == std::end(calls)) return o.fault = 404, o;
   o.is = known->second;
-  const bool reads = o.is == order::what::status || o.is == order::what::members;
+  const bool reads = o.is != order::what::out && o.is != order::what::back;
   if (m.text(m.method) != (reads ? "GET" : "PUT")) return o.fault = 405, o;
   if (reads) return o;
   constexpr std::string_view named = "host=";
--- a/src/net/words.h
+++ b/src/net/words.h
@@ -49,11 +49,12 @@
 
 // What staff ask on the second address.
 struct order {
-  enum class what { status, members, out, back } is = what::status;
+  enum class what { status, members, budgets, out, back } is = what::status;
   std::string id;
   int fault = 0;  // the status that tells the caller what is wrong with it
 };
 order read_order(const http::message& m);
-outgoing ordered(int status, std::string_view text, bool json = false);  // the answer to one; its connection ends with it
+outgoing ordered(int status, std::string_view text,
+                 bool json = false);  // the answer to one; its connection ends with it
 
 }  // namespace indigorill
--- a/src/options/options.cpp
+++ b/src/options/options.cpp
@@ -1,5 +1,6 @@
 #include "options.h"
 
+#include <cmath>
 #include <fstream>
 #include <set>
 
@@ -51,6 +52,36 @@
   return m;
 }
 
+// What is divided, and how long a part of it lasts.
+shares_traits decode_budgets(section& s, faults& wrong, const company::traits& among) {
+  shares_traits t;
+  constexpr int most_sidecars = 100000;
+  constexpr double most_units = 1e9, per_second = 1000;
+  t.most = s.whole("most", {}, 1, most_sidecars);
+  t.share = s.ms("share_ms", t.share);
+  t.seat = s.seconds("seat_s", t.seat);
+  t.drift = among.drift;
+  // A renewal comes after a third of a lease and may fail once; what is given must end before the right does.
+  if (t.share <= 0 || t.stretched(t.share) > among.lease / 3)
+    s.fault_here("share_ms", "is not over 0 and at most a third of lease_ms");
+  if (t.share < 3 * among.timeout)
+    s.fault_here("share_ms", "is under three times timeout_ms: it would end before it can be renewed");
+  if (t.seat < t.share) s.fault_here("seat_s", "is shorter than share_ms");
+  section picks(s.inner("further_picks", false), "budgets.further_picks", wrong);
+  if (s.has("further_picks")) {
+    budget_of_all b{"further_picks", picks.number("a_second", {}, 0, most_units), 0, per_second};
+    b.floor = picks.number("floor", 0, 0, most_units);
+    if (b.floor * t.most > b.whole) picks.fault_here("floor", "times the most sidecars is over the whole");
+    if (b.floor != std::floor(b.floor)) picks.fault_here("floor", "is not a whole number");
+    t.budgets.push_back(b);
+  } else {
+    s.fault_here("further_picks", "is missing: there is nothing to divide");
+  }
+  picks.none_left();
+  s.none_left();
+  return t;
+}
+
 }  // namespace
 
 options decode_options(const toml::table& from) {
@@ -81,6 +112,13 @@
     section members(top.inner("members", false), "members", wrong);
     o.with_others = decode_members(members);
   }
+  if (top.has("budgets")) {
+    section budgets(top.inner("budgets", false), "budgets", wrong);
+    if (!o.with_others || o.with_others->voters.empty())
+      budgets.fault_here("share_ms", "has nobody to divide: members.voters is missing");
+    const shares_traits s = decode_budgets(budgets, wrong, o.with_others.value_or(company::traits{}));
+    if (o.with_others) o.with_others->budgets = s;
+  }
   top.none_left();
   wrong.raise();
   return o;
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -210,3 +210,120 @@
   t.all->at(static_cast<std::size_t>(was)).signal(SIGTERM);
   REQUIRE(another(was));
 }
+
+namespace {
+
+double sum_of(together& t, const char* what) {
+  double sum = 0;
+  for (std::size_t i = 0; i < t.all->size(); ++i) {
+    const auto said = t.all->asked(i, "/-/budgets");
+    if (said.is_object() && !said.at("budgets").empty())
+      sum += said.at("budgets").at(0).at(what).get<double>();
+  }
+  return sum;
+}
+
+}  // namespace
+
+TEST_CASE("processes: a budget is divided among those that are there, and anew when one dies") {
+  talking how = with_votes(3);
+  how.further_picks = 40;
+  how.floor = 2;
+  how.most = 5;
+  how.share = 400;
+  how.seat = 2000;
+  together t(5, how);
+  // All of it: what is not set aside for floors, and the floors.
+  REQUIRE(t.all->until([&] { return sum_of(t, "own") == 40; }, long_enough));
+  t.all->at(4).kill();
+  REQUIRE(t.all->until([&] { return sum_of(t, "own") == 38; }, long_enough));
+  CHECK(t.all->asked(0, "/-/budgets").at("budgets").at(0).at("whole") == 40);
+}
+
+TEST_CASE("processes: more sidecars than allowed: one gets nothing, says so and serves") {
+  talking how = with_votes(3);
+  how.further_picks = 40;
+  how.floor = 2;
+  how.most = 4;
+  how.share = 400;
+  how.seat = 2000;
+  together t(5, how);
+  const auto full = [&] {
+    int n = 0;
+    for (std::size_t i = 0; i < 5; ++i) {
+      const auto said = t.all->asked(i, "/-/budgets");
+      if (said.is_object() && said.at("full") == true) {
+        ++n;
+        CHECK(said.at("budgets").at(0).at("own") == 0);
+        CHECK(t.all->await(i, long_enough));
+      }
+    }
+    return n;
+  };
+  CHECK(t.all->until([&] { return full() == 1; }, long_enough));
+}
+
+TEST_CASE(
+    "processes: a budget of further picks holds while processes are stopped, killed, ended and cut off") {
+  lab::scenario s = lab::decode_scenario(toml::parse(R"(seconds = 12
+sidecars = 6
+[[server]]
+count = 6
+cores = 4
+queue = 40
+error_share = 0.4
+[load]
+rate = 100
+[rules]
+most_picks = 4
+[[method]]
+name = "read"
+work_ms = 2
+latency_target_ms = 250
+deadline_ms = 800
+[talk]
+voters = 3
+seeds = 2
+period_ms = 200
+timeout_ms = 60
+lease_ms = 1500
+share_ms = 400
+seat_s = 2
+most = 6
+further_picks = 12
+floor = 1
+loss = 0.03
+doubled = 0.1
+jitter_ms = 10
+late = 0.02
+late_by_ms = 2000
+[[trouble]]
+what = "stop_sidecars"
+at_s = 4
+for_s = 2
+share = 0.34
+[[trouble]]
+what = "cut_talk"
+at_s = 6.5
+for_s = 1.5
+share = 0.5
+[[trouble]]
+what = "end_sidecars"
+at_s = 8.5
+for_s = 0.5
+share = 0.34
+[[trouble]]
+what = "restart_sidecars"
+at_s = 9.5
+for_s = 0.3
+share = 0.5
+)"));
+  start_of_load with;
+  with.plays = s;
+  with.command = INDIGORILL_SIDECAR;
+  const outcome o = play(with);
+  CHECK(o.over_budget == 0);
+  for (const std::string& b : o.broken) CHECK_MESSAGE(false, b);
+  CHECK(o.further > 12);
+  CHECK(o.most_further > 3);
+}
