Tests: a used-up budget keeps no first pick back and is no server's failure

may_spend in the module by a table, the spending at the sending in relay (a share that ended between the check and the send: withdrawn, nothing sent, answered at once), the options of budgets a line a fault. With the second check in relay taken out the third row sends two picks.

--- a/tests/balance_test.cpp
+++ b/tests/balance_test.cpp
@@ -512,14 +512,10 @@
       {"the same, but each says that it holds nothing", errors({0}), "vital", verb::pick},
       {"the same, and each says that it holds much", errors({9}), "vital", verb::push_back},
       {"an idle fleet", both, "read", verb::pick},
-      {"long after a jam nothing is locked out",
-       [=](one& h) { jam(40)(h), h.beats(h.now + 20000); },
-       "read",
+      {"long after a jam nothing is locked out", [=](one& h) { jam(40)(h), h.beats(h.now + 20000); }, "read",
        verb::pick},
       {"a long first answer says little of the others",
-       [](one& h) { h.history("a", ending::ok, 90), both(h); },
-       "vital",
-       verb::pick},
+       [](one& h) { h.history("a", ending::ok, 90), both(h); }, "vital", verb::pick},
       {"a queue too long for the less useful", two_in_hand, "read", verb::push_back},
       {"is still short enough for the more useful", two_in_hand, "vital", verb::pick},
   };
@@ -577,6 +573,27 @@
   CHECK(late < 380 * 0.2);
 }
 
+TEST_CASE("a further pick is made only of what all sidecars leave to this one, a first one always") {
+  struct {
+    double may_spend;
+    int picks;
+  } table[] = {{0, 1}, {0.9, 1}, {1, 2}, {2, 3}, {100, 4}};
+  for (const auto& t : table) {
+    CAPTURE(t.may_spend);
+    one h;
+    both(h);
+    h.b.may_spend(t.may_spend);
+    const std::string id = h.arrive("vital");
+    int picks = 0;
+    for (decision d = h.only(); d.what == verb::pick; d = h.only())
+      h.b.pick_ended(h.now, id, picks++, ending::connect_failed, 1, false, {});
+    CHECK(picks == t.picks);
+    // A budget that is used up keeps no RPC from its first pick.
+    h.arrive("vital");
+    CHECK(h.only().what == verb::pick);
+  }
+}
+
 TEST_CASE("a slow fleet is tried again after a silence, yet not by every quiet balancer at once") {
   int first = 0, second = 0;
   for (int seed = 1; seed <= 300; ++seed) {
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -125,6 +125,37 @@
   }
 }
 
+TEST_CASE(
+    "a further pick is spent at its sending: with none left nothing is sent, and the answer is at once") {
+  struct {
+    double left;
+    bool granted;
+    std::size_t picks;
+    int status, wanted;
+  } table[] = {{5, true, 2, 200, 0}, {0, false, 1, 503, 1}, {5, false, 1, 503, 1}};
+  for (const auto& t : table) {
+    CAPTURE(t.left);
+    here h(repeatable::idempotent);
+    stand_in endpoint(h.runs, {error, served});
+    h.list(text_of(endpoint.where));
+    double left = t.left;
+    int wanted = 0;
+    // The third: told that there is some, and stopped until its share was over.
+    h.rpcs.spends({[&] { return left; },
+                   [&] {
+                     if (!t.granted) left = 0;
+                     return t.granted;
+                   },
+                   [&] { ++wanted; }});
+    const double began = h.runs.now();
+    CHECK(h.ask(h.client(), rpc()) == t.status);
+    CHECK(h.runs.now() - began < 200);
+    CHECK(endpoint.asked.size() == t.picks);
+    CHECK(wanted == t.wanted);
+    CHECK(h.rpcs.held() == 0);
+  }
+}
+
 TEST_CASE("an endpoint that can't be connected to has run nothing") {
   here h(repeatable::non_idempotent);
   sockaddr_in nowhere = address_of(loopback());  // closed again
--- a/tests/options_test.cpp
+++ b/tests/options_test.cpp
@@ -209,3 +209,37 @@
   CHECK(c.status == 1);
   CHECK(c.err.find("field name is no name among members") != std::string::npos);
 }
+
+TEST_CASE("options of budgets are checked as a whole, a line a fault") {
+  const file config(sound);
+  const std::string members =
+      "[members]\nfleet = \"a\"\nlisten = \"127.0.0.1:1\"\nvoters = [\"n\"]\nlease_ms = 6000\n";
+  const std::string budgets = "[budgets]\nmost = 10\n", picks = "[budgets.further_picks]\na_second = 20\n";
+  struct {
+    std::string text;
+    std::size_t faults;
+    const char* says;
+  } rows[] = {
+      {members + "[budgets]\nmost = 10\nshare_ms = 1500\n" + picks + "floor = 2\n", 0, ""},
+      {members + "[budgets]\nmost = 10\nshare_ms = 1500\n" + picks + "floor = 3\n", 1,
+       "floor times the most sidecars is over the whole"},
+      {members + "[budgets]\nmost = 10\nshare_ms = 1500\n" + picks + "floor = 0.5\n", 1,
+       "is not a whole number"},
+      {members + "[budgets]\nmost = 10\nshare_ms = 2000\n" + picks, 1, "at most a third of lease_ms"},
+      {members + "[budgets]\nmost = 10\nshare_ms = 500\n" + picks, 1, "under three times timeout_ms"},
+      {members + "[budgets]\nmost = 10\nshare_ms = 1500\nseat_s = 1\n" + picks, 1, "shorter than share_ms"},
+      {members + "[budgets]\nmost = 0\nshare_ms = 1500\n" + picks, 1, "budgets.most is 0"},
+      {members + "[budgets]\nmost = 10\nshare_ms = 1500\n", 1, "nothing to divide"},
+      {budgets + picks, 1, "has nobody to divide"},
+  };
+  for (const auto& row : rows) {
+    CAPTURE(row.text);
+    const file options(row.text);
+    const called c =
+        call({"--check-config", "--config", config.path.c_str(), "--options", options.path.c_str()});
+    CAPTURE(c.err);
+    CHECK(c.status == (row.faults ? 1 : 0));
+    CHECK(lines_in(c.err) == row.faults);
+    CHECK(c.err.find(row.says) != std::string::npos);
+  }
+}
