--- a/src/load/play.cpp
+++ b/src/load/play.cpp
@@ -5,6 +5,7 @@
 
 #include <CLI/CLI.hpp>
 #include <algorithm>
+#include <cmath>
 #include <csignal>
 #include <cstdlib>
 #include <filesystem>
@@ -237,6 +238,11 @@
 void judge_budget(const lab::scenario& s, const fleet& stand_ins, outcome& o) {
   constexpr double window = 1000, on_the_way = 50;  // ms
   o.further = stand_ins.further().size();
+  o.further_by_second.resize(static_cast<std::size_t>(std::ceil(s.length / window)));
+  for (const double at : stand_ins.further())
+    if (const auto second = static_cast<std::size_t>(std::max(at, 0.0) / window);
+        second < o.further_by_second.size())
+      ++o.further_by_second[second];
   if (!s.talk.on || s.talk.further_picks <= 0) return;
   o.most_further = stand_ins.most_further(window - on_the_way);
   o.used_of_budget = static_cast<double>(o.further) / (s.talk.further_picks * s.length / window);
@@ -332,6 +338,14 @@
     line("most_a_second", static_cast<double>(o.most_further));
     line("over_budget", static_cast<double>(o.over_budget));
     line("used_of_budget", o.used_of_budget);
+    out << "  further picks, second by second:\n";
+    constexpr std::size_t widest = 60;
+    const std::size_t most = *std::max_element(o.further_by_second.begin(), o.further_by_second.end());
+    for (std::size_t second = 0; second < o.further_by_second.size(); ++second) {
+      const std::size_t n = o.further_by_second[second];
+      out << "  " << std::right << std::setw(4) << second << std::setw(5) << n << ' '
+          << std::string(most > widest ? n * widest / most : n, '#') << '\n';
+    }
   }
   line("sent_late_p99_ms", o.heard.behind.quantile(0.99));
   for (const std::string& b : o.broken) out << "  broken: " << b << '\n';
--- a/src/load/play.h
+++ b/src/load/play.h
@@ -23,6 +23,7 @@
   told heard;
   std::uint64_t came = 0, ran = 0, probes = 0, connections = 0, falls = 0, list_calls = 0;
   std::uint64_t further = 0, most_further = 0, over_budget = 0;
+  std::vector<std::size_t> further_by_second;
   double used_of_budget = -1;       // of the whole over all the run; -1: there is none
   std::vector<std::string> broken;  // rules, a line each
   bool kept_pace = true;
