Newcomers read the whole view twice more; who was redirected asks on; members measured in the laboratory

And a sidecar without a share asked another voter at random in place of the holder that it had just been named.

Measured with indigorill-lab gather, new: the sidecar's own members and bytes on an emulated network. A redirect is followed at once, once for each question; a holder that leaves two questions unanswered is no longer asked.

--- a/src/lab/cli.cpp
+++ b/src/lab/cli.cpp
@@ -4,6 +4,7 @@
 #include <fstream>
 #include <thread>
 
+#include "gathering.h"
 #include "report.h"
 
 namespace indigorill::lab {
@@ -139,12 +140,33 @@
   find->add_option("--tries", w.tries, "days to draw")->check(CLI::Range(1, 100000));
   find->add_option("--keep", w.keep, "the share of the worst loss that a smaller day must keep")
       ->check(CLI::Range(0.0, 1.0));
+  CLI::App* gathers = app.add_subcommand("gather", "how soon members know of each other, and what it costs");
+  gathering g;
+  std::vector<int> sizes{10, 100};
+  std::vector<double> losses{0, 0.05, 0.2};
+  gathers->add_option("--sidecars", sizes, "how many, one or more")->check(CLI::Range(3, 5000));
+  gathers->add_option("--loss", losses, "the share of datagrams that is lost, one or more")
+      ->check(CLI::Range(0.0, 0.9));
+  gathers->add_option("--period", g.period, "ms, of a probe")->check(CLI::Range(50.0, 60000.0));
+  gathers->add_option("--timeout", g.timeout, "ms, for a direct answer")->check(CLI::Range(1.0, 30000.0));
+  gathers->add_option("--seed", g.seed, "of chance");
   try {
     app.parse(argc, argv);
   } catch (const CLI::ParseError& e) {
     return app.exit(e, out, err) == 0 ? 0 : 2;
   }
   try {
+    if (*gathers) {
+      std::vector<std::pair<gathering, gathered>> all;
+      for (const int n : sizes)
+        for (const double loss : losses) {
+          g.sidecars = n;
+          g.loss = loss;
+          all.emplace_back(g, gather(g));
+        }
+      print_gathered(out, all);
+      return 0;
+    }
     if (*find) return play_search(w, out);
     if (*compare && compare->count("--policy") == 0)
       w.policies = {"module", "random", "round-robin", "two-choices", "true-state"};
--- a/src/members/members.cpp
+++ b/src/members/members.cpp
@@ -1,8 +1,10 @@
 #include "members.h"
 
 #include <algorithm>
+#include <array>
 #include <cmath>
 #include <limits>
+#include <string_view>
 #include <tuple>
 #include <utility>
 
@@ -24,8 +26,9 @@
 constexpr int worst_health = 8;
 constexpr std::uint64_t page_every = 5,
                         recall_every = 5;  // periods: views that differ, sides of a healed cut
-// Of many that start at once the first pages know few: a newcomer asks oftener for a while.
-constexpr std::uint64_t new_for = 10, page_every_when_new = 2;
+// Of many that start at once the first pages know few: a newcomer reads the whole view again in these
+// periods.
+constexpr std::array<std::uint64_t, 2> read_again{4, 10};
 constexpr double remembered = 600000;  // ms; the dead and those that left
 constexpr std::size_t most_known = 10000, most_errands = 256, most_out = 4096;
 
@@ -153,19 +156,19 @@
   // buddy).
   if (const auto it = known.find(about); it != known.end() && it->second.is != member::state::alive)
     put(it->second);
-  std::vector<std::pair<int, std::string>> order;
+  std::vector<std::pair<int, std::string_view>> order;  // the least told first; no more than could fit
   for (const auto& [name, times] : unsaid)
     if (name != about) order.emplace_back(times, name);
-  std::sort(order.begin(), order.end());
+  constexpr std::size_t most_fitting = room_for_news / cost_of_numbers;
+  const auto end = order.begin() + static_cast<std::ptrdiff_t>(std::min(order.size(), most_fitting));
+  std::partial_sort(order.begin(), end, order.end());
   const int most =
       static_cast<int>(std::ceil(retellings * std::max(1.0, std::log10(1.0 + static_cast<double>(there())))));
-  for (const auto& [times, name] : order) {
-    const auto it = known.find(name);
+  for (auto next = order.begin(); next != end; ++next) {
+    const auto told = unsaid.find(std::string(next->second));
+    const auto it = known.find(told->first);
     if (it != known.end() && !put(it->second)) break;
-    if (it == known.end() || times + 1 >= most)
-      unsaid.erase(name);
-    else
-      unsaid[name] = times + 1;
+    if (it == known.end() || ++told->second >= most) unsaid.erase(told);
   }
   out.push_back({to, std::move(g)});
 }
@@ -274,8 +277,12 @@
   judge_suspects(now);
   if (!joined && now >= next_join) {
     next_join = now + is.period;
-    for (const std::string& seed : is.seeds)
-      if (seed != self.address) send(seed, {gossip::kind::ask, ++numbers, cursor, {}, {}});
+    if (any_alive().empty()) {
+      for (const std::string& seed : is.seeds)
+        if (seed != self.address) send(seed, {gossip::kind::ask, ++numbers, cursor, {}, {}});
+    } else {
+      ask_for_page();
+    }
     if (is.seeds.empty() || (is.seeds.size() == 1 && is.seeds.front() == self.address)) joined = true;
   }
   if (now < next_turn) return;
@@ -283,7 +290,11 @@
   next_turn = now + is.period * stretch();
   ++turn;
   begin_probe(now);
-  if (turn % (turn < new_for ? page_every_when_new : page_every) == 0 && joined) {
+  if (std::find(read_again.begin(), read_again.end(), turn) != read_again.end()) {
+    cursor.clear();
+    joined = false;
+    next_join = now;
+  } else if (turn % page_every == 0 && joined) {
     cursor = any_alive();
     ask_for_page();
   }
--- a/src/net/company.cpp
+++ b/src/net/company.cpp
@@ -81,10 +81,13 @@
   }
   if (e.what == envelope::kind::grant && own) {
     own->heard(now(), e.grants);
-    // Who was asked in vain names the holder, or nobody: then any voter is asked, in a while.
-    if (e.grants.what == share_grant::kind::not_mine &&
-        std::exchange(whom, e.grants.holder) != e.grants.holder && !whom.empty())
-      ask_at = now();
+    unheard = 0;
+    // Who was asked in vain names the holder. Once for each question: two that name each other would be asked
+    // in turn for ever.
+    if (e.grants.what == share_grant::kind::not_mine) {
+      whom = e.grants.holder;
+      if (!whom.empty() && std::exchange(may_ask_on, false)) ask_at = now();
+    }
   }
   if (e.what == envelope::kind::gossip) others.heard(now(), e.name, e.address, e.talk);
   work();
@@ -156,9 +159,13 @@
   if (right->holds(now())) {
     own->heard(now(), answer(a));
   } else {
-    // Whom it knows to divide may be dead: who has no share any more asks another voter each time.
-    if (whom.empty() || whom == is.name || others.address_of(whom).empty() || !own->shared(now()))
+    // Whom it knows to divide may be dead: after two questions without an answer any voter is asked.
+    constexpr int patience = 2;
+    if (unheard++ >= patience) whom.clear();
+    if (whom.empty() || whom == is.name || others.address_of(whom).empty()) {
       whom = is.voters[std::uniform_int_distribution<std::size_t>(0, is.voters.size() - 1)(chance)];
+      may_ask_on = true;
+    }
     envelope e;
     e.what = envelope::kind::ask;
     e.asks = a;
