Ports of processes to come are held, so that no other socket is given them

Seen under sanitizers: listen: Address already in use, one start in some hundred: a port that was free when it was drawn went to another socket before its process bound it. Held by a bound socket that does not listen (SO_REUSEADDR on both); those for datagrams until the wire's own stand.

--- a/src/load/process.cpp
+++ b/src/load/process.cpp
@@ -38,12 +38,22 @@
 
 sockaddr_in free_place() { return place_of(listen_on(loopback_at(0))); }
 
-sockaddr_in free_place_for_datagrams() {
-  const descriptor fd(::socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0));
-  const sockaddr_in any = loopback_at(0);
-  if (!fd || ::bind(fd.get(), reinterpret_cast<const sockaddr*>(&any), sizeof any) < 0)
+descriptor hold(const sockaddr_in& where) {
+  descriptor fd(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
+  const int on = 1;
+  if (fd) ::setsockopt(fd.get(), SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+  if (!fd || ::bind(fd.get(), reinterpret_cast<const sockaddr*>(&where), sizeof where) < 0)
+    throw std::runtime_error("can't hold a port");
+  return fd;
+}
+
+descriptor hold_for_datagrams(sockaddr_in& where) {
+  descriptor fd(::socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0));
+  where = loopback_at(0);
+  if (!fd || ::bind(fd.get(), reinterpret_cast<const sockaddr*>(&where), sizeof where) < 0)
     throw std::runtime_error("no place for datagrams");
-  return place_of(fd);
+  where = place_of(fd);
+  return fd;
 }
 
 folder::folder() {
