--- a/src/load/crew.cpp
+++ b/src/load/crew.cpp
@@ -35,14 +35,11 @@
            const std::function<nlohmann::json(std::size_t)>& config, const std::optional<talking>& how,
            std::uint64_t seed)
     : runs(in), places(std::move(at)) {
-  // A port that is free now may be given to any socket before its process starts.
-  for (const sockaddr_in& p : places) held.push_back(hold(p));
   std::vector<sockaddr_in> ends(how ? places.size() : 0);
   std::vector<descriptor> until_doors_stand;
   for (sockaddr_in& end : ends) {
     until_doors_stand.push_back(hold_for_datagrams(end));
     staff.push_back(free_place());
-    held.push_back(hold(staff.back()));
   }
   if (how) talk = std::make_unique<wire>(runs, ends, how->manners, seed);
   for (std::size_t i = 0; i < places.size(); ++i) {
--- a/src/load/crew.h
+++ b/src/load/crew.h
@@ -49,7 +49,6 @@
   loop& runs;
   folder files;
   std::vector<sockaddr_in> places, staff;
-  std::vector<descriptor> held;  // their ports
   std::vector<std::unique_ptr<process>> sidecars;
   std::unique_ptr<wire> talk;
 };
--- a/src/load/process.cpp
+++ b/src/load/process.cpp
@@ -36,15 +36,16 @@
 
 }  // namespace
 
-sockaddr_in free_place() { return place_of(listen_on(loopback_at(0))); }
-
-descriptor hold(const sockaddr_in& where) {
-  descriptor fd(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
+sockaddr_in free_place() {
+  static std::vector<descriptor> held;
   const int on = 1;
+  descriptor fd(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
   if (fd) ::setsockopt(fd.get(), SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
-  if (!fd || ::bind(fd.get(), reinterpret_cast<const sockaddr*>(&where), sizeof where) < 0)
-    throw std::runtime_error("can't hold a port");
-  return fd;
+  const sockaddr_in any = loopback_at(0);
+  if (!fd || ::bind(fd.get(), reinterpret_cast<const sockaddr*>(&any), sizeof any) < 0)
+    throw std::runtime_error("no free port");
+  held.push_back(std::move(fd));
+  return place_of(held.back());
 }
 
 descriptor hold_for_datagrams(sockaddr_in& where) {
--- a/src/load/process.h
+++ b/src/load/process.h
@@ -16,11 +16,9 @@
 namespace indigorill::loading {
 
 sockaddr_in loopback_at(std::uint16_t port);
-// A port that is free now. Another process could take it before the sidecar does, which would then say so.
+// A port for a process to come. It stays bound here, though not listened on, so that no other socket is given
+// it meanwhile; the process binds it all the same (SO_REUSEADDR).
 sockaddr_in free_place();
-// Held for a process to come: bound but not listened on, so that no other socket is given that port
-// meanwhile.
-descriptor hold(const sockaddr_in& where);
 // One for datagrams, which can't be held while another process has it: let go of just before.
 descriptor hold_for_datagrams(sockaddr_in& where);
 
