--- a/src/decode/section.h
+++ b/src/decode/section.h
@@ -42,7 +42,7 @@
   int whole(const char* key, std::optional<int> absent, int least, int most);
   bool mark(const char* key, bool absent);
   std::string text_of(const char* key, std::optional<std::string> absent);
-  std::vector<std::string> texts(const char* key);  // a list; empty where absent
+  std::vector<std::string> texts(const char* key);         // a list; empty where absent
   const toml::table& inner(const char* key, bool needed);  // empty where absent
   std::vector<const toml::table*> tables(const char* key, bool needed);
 
--- a/src/net/company.h
+++ b/src/net/company.h
@@ -66,7 +66,7 @@
   std::optional<purse> own;
   double ask_at = 0;
   std::string whom;  // to ask, "": any voter
-  int unheard = 0;     // questions since the last answer
+  int unheard = 0;   // questions since the last answer
   bool may_ask_on = false;
   bool full = false;
   seen_serials seen;
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -213,6 +213,16 @@
 
 namespace {
 
+talking with_budget(int most) {
+  talking how = with_votes(3);
+  how.further_picks = 40;
+  how.floor = 2;
+  how.most = most;
+  how.share = 400;
+  how.seat = 2000;
+  return how;
+}
+
 double sum_of(together& t, const char* what) {
   double sum = 0;
   for (std::size_t i = 0; i < t.all->size(); ++i) {
@@ -226,13 +236,7 @@
 }  // namespace
 
 TEST_CASE("processes: a budget is divided among those that are there, and anew when one dies") {
-  talking how = with_votes(3);
-  how.further_picks = 40;
-  how.floor = 2;
-  how.most = 5;
-  how.share = 400;
-  how.seat = 2000;
-  together t(5, how);
+  together t(5, with_budget(5));
   // All of it: what is not set aside for floors, and the floors.
   REQUIRE(t.all->until([&] { return sum_of(t, "own") == 40; }, long_enough));
   t.all->at(4).kill();
@@ -241,13 +245,7 @@
 }
 
 TEST_CASE("processes: more sidecars than allowed: one gets nothing, says so and serves") {
-  talking how = with_votes(3);
-  how.further_picks = 40;
-  how.floor = 2;
-  how.most = 4;
-  how.share = 400;
-  how.seat = 2000;
-  together t(5, how);
+  together t(5, with_budget(4));
   const auto full = [&] {
     int n = 0;
     for (std::size_t i = 0; i < 5; ++i) {
