--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -70,7 +70,6 @@
   REQUIRE(t.meet());
   t.all->at(3).kill();
   CHECK(t.all->until([&] { return t.all_see(3, "dead"); }, long_enough));
-  const auto before = t.all->asked(0, "/-/members");
   t.all->start(3);
   REQUIRE(t.all->await(3, long_enough));
   CHECK(t.meet());
