Endings: unsent picks are taken back, clients' leaving is always seen, the list's silence is short

At fault and mended: - relay.cpp left(), conclude(): where the settings allow no cancelling, a pick whose connection was still coming up was written after its RPC's final answer, or after its client had left. Picks whose last byte is not written are now withdrawn, which cancels nothing: nothing was asked yet. - pool.cpp listed(): a connect in hand was not withdrawn when the list said draining, gone, moved or started anew; connections of the process before passed for the new one's. - front.cpp read(): behind 4 KiB of a next request, or an upload that no endpoint takes, a client's end was never read, and its requests were sent on one after the other. - front.cpp close_door(): idle connections were closed with the door, when a request that crosses the closing has nowhere to go; they are given back at SIGTERM, while the door stands open. Who came last may still ask. - front.cpp drain(): nothing ended what a deadline above 3 s or a slow reader held past the kill. - front.cpp close_oldest(): room was made by closing over a request that waited unread. - discovery.cpp call(): a connect that hung, and a call lost while the agent was away, were found after 5.5 s; waits between tries grew to 1 s, whatever the grace.

--- a/src/decode/settings.cpp
+++ b/src/decode/settings.cpp
@@ -67,6 +67,7 @@
   links l;
   l.idle = bounds.ms("keepalive", l.idle);
   l.connect = bounds.ms("connectTimeout", l.connect);
+  l.grace = f.inner("rules").ms("drainGrace", l.grace);
   return l;
 }
 
--- a/src/decode/settings.h
+++ b/src/decode/settings.h
@@ -15,6 +15,7 @@
 struct links {
   double idle = 5000;    // an endpoint closes a connection idle for this long, at the latest
   double connect = 250;  // one not up within this time has failed
+  double grace = 1000;   // after the list's word on an endpoint, nothing new may begin there
 };
 
 links decode_links(const fields& f);
--- a/src/net/discovery.h
+++ b/src/net/discovery.h
@@ -37,7 +37,7 @@
   using told = std::function<void(const roster&)>;
 
   discovery(loop& in, descriptor_budget& budget, counters& counts, logger& log_to, const sockaddr_in& where,
-            std::string name, std::uint64_t seed, told then, loop::task on_failure);
+            std::string name, std::uint64_t seed, double grace, told then, loop::task on_failure);
   ~discovery();
 
   void begin();  // with a watch from the version last had; with the whole list where none was
@@ -65,13 +65,15 @@
   std::knuth_b chance;
   told tell;
   loop::task failed;
+  double brief;  // ms, in which an agent that is there has answered what needs no wait
   bool by_itself = false, whole_wanted = true, connected = false, silent = false;
+  bool proven = false;  // the last call was answered: the next may wait at the agent
   std::uint64_t version = 0;
-  double failures = 0, called = 0;
+  double called = 0;
   std::unique_ptr<stream> wire;
   http::reader reader;
   outgoing out;
-  loop::timer patience, next_call;
+  loop::timer patience, connecting, next_call;
 };
 
 }  // namespace indigorill
--- a/src/net/front.cpp
+++ b/src/net/front.cpp
@@ -3,6 +3,7 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <array>
 #include <cerrno>
 #include <sstream>
@@ -26,6 +27,7 @@
   http::message answer;
   outgoing out;
   bool close_after = false, heard = false, surplus = false;  // heard: a whole request came over it
+  bool left = false;                                         // the client closed its side, or all of it
   bool uploading = false, wanted = false;    // a long request comes in; the endpoint takes more of it
   bool chunked = false, last_given = false;  // a long answer: its framing, and whether all of it is in `out`
   bool old = false, head_alone = false;      // what the request's answer may be
@@ -102,16 +104,20 @@
     c.opened = runs.now();
     c.reader.in_pieces();
     c.surplus = connections.size() > bounds.clients;
-    c.wire =
-        std::make_unique<stream>(runs, room, std::move(fd), [this, name](std::uint32_t) { ready(name); });
+    c.wire = std::make_unique<stream>(runs, room, std::move(fd),
+                                      [this, name](std::uint32_t events) { ready(name, events); });
     ready(name);
   }
   return backlog::more;
 }
 
-void front::ready(std::uint64_t which) {
+void front::ready(std::uint64_t which, std::uint32_t events) {
   connection& c = *connections.at(which);
+  c.left |= (events & (EPOLLRDHUP | EPOLLHUP | EPOLLERR)) != 0;
   if (c.in == connection::stage::writing || c.in == connection::stage::passing) return write(c);
+  // Its end may lie behind more than is read ahead, or behind an upload that no endpoint takes: who waits for
+  // that to be read would send on what nobody waits for.
+  if (c.left && c.in != connection::stage::lingering) return close(which);
   if (!read(c)) return;
   weigh(c);
   if (c.uploading) return pass_up(c);
@@ -191,7 +197,7 @@
       await_body(c);
     else if (!c.patience.set())
       await(c, (c.heard ? c.first_came : c.opened) + to_ask);
-  } else if (draining && !door) {
+  } else if (draining && !door && c.heard) {
     close(c.name);
   } else {
     set_use(c, c.heard ? use::idle : use::silent);
@@ -381,8 +387,9 @@
 
 // Who reads slowly gets all the same what there is, as long as it reads.
 void front::await_reader(connection& c, std::size_t unread) {
-  constexpr double longest = 3000;  // no deadline is later; who doesn't read must not keep its answer here
-  c.patience = runs.at(runs.now() + longest, [this, name = c.name, unread] {
+  // Honest readers pause for less; who doesn't read must not keep its answer here past the time of its use.
+  constexpr double pause = 3000;
+  c.patience = runs.at(runs.now() + std::max(pause, bounds.deadline), [this, name = c.name, unread] {
     connection& slow = *connections.at(name);
     const std::size_t now = slow.wire->unread();
     if (now >= unread) return close(name);
@@ -419,11 +426,21 @@
     c.in = connection::stage::lingering;
     set_use(c, use::answered);
     c.wire->end_sending();
-    c.patience = runs.at(runs.now() + patience, [this, name = c.name] { close(name); });
+    linger(c, patience);
   }
   c.wire->again();
 }
 
+void front::linger(connection& c, double patience) {
+  c.patience = runs.at(runs.now() + patience, [this, name = c.name, patience, unread = c.wire->unread()] {
+    connection& slow = *connections.at(name);
+    // What it still reads must not be lost with this process.
+    const std::size_t now = slow.wire->unread();
+    if (now == 0 || now >= unread) return close(name);
+    linger(slow, patience);
+  });
+}
+
 void front::close(std::uint64_t which) {
   const auto it = connections.find(which);
   connection& c = *it->second;
@@ -449,23 +466,65 @@
 
 // Of those that have been of this use for so long, in ms.
 bool front::close_oldest(use is, double least) {
-  const auto first = spare.lower_bound({is, 0, 0});
-  if (first == spare.end() || std::get<0>(*first) != is || runs.now() < std::get<1>(*first) + least)
-    return false;
-  ++counted.closed_for_room;
-  ++counted.closed_by_use[static_cast<std::size_t>(is)];
-  close(std::get<2>(*first));
-  return true;
+  for (auto it = spare.lower_bound({is, 0, 0}); it != spare.end() && std::get<0>(*it) == is; ++it) {
+    if (runs.now() < std::get<1>(*it) + least) return false;
+    const std::uint64_t name = std::get<2>(*it);
+    // A request that is here but was not read yet would be lost with its connection.
+    if ((is == use::idle || is == use::silent) && connections.at(name)->wire->waiting()) continue;
+    ++counted.closed_for_room;
+    ++counted.closed_by_use[static_cast<std::size_t>(is)];
+    close(name);
+    return true;
+  }
+  return false;
 }
 
 void front::drain(loop::task then) {
   // Clients may connect for 0.4 s after the word, and what the kernel accepted counts as ours.
   constexpr double doors_open = 450;
+  // The word is followed by a kill after the longest deadline, 3 s at most, and 0.7 s more: what endpoints or
+  // slow readers would hold past that is answered or cut while it can be.
+  constexpr double longest = 3000, before_the_kill = 600;
   if (draining) return;
   draining = true;
   told = runs.now();
   when_empty = std::move(then);
-  door_shut = runs.at(runs.now() + doors_open, [this] { close_door(); });
+  door_shut = runs.at(told + doors_open, [this] { close_door(); });
+  by_force = runs.at(told + std::min(bounds.deadline, longest) + before_the_kill, [this] { end_by_force(); });
+  give_back_idle();
+}
+
+std::vector<std::uint64_t> front::those_reading() const {
+  std::vector<std::uint64_t> all;
+  for (const auto& [name, c] : connections)
+    if (c->in == connection::stage::reading) all.push_back(name);
+  return all;
+}
+
+// Clients send on what stays open. A request that crosses the closing is sent once more over a new
+// connection, which is to be had only while the door is open: so what rests goes now, and not with the door.
+void front::give_back_idle() {
+  for (const std::uint64_t name : those_reading()) {
+    const auto it = connections.find(name);
+    if (it == connections.end() || !read(*it->second)) continue;
+    connection& c = *it->second;
+    weigh(c);
+    if (!c.reader.begun() && c.heard)
+      close(name);
+    else
+      serve(c);
+  }
+}
+
+void front::end_by_force() {
+  takes.end_all();
+  // What was answered just now is on its way; who still reads, or sends, does so in vain.
+  constexpr double last_words = 40;
+  by_force = runs.at(runs.now() + last_words, [this] {
+    door = {};
+    while (!connections.empty()) close(connections.begin()->first);
+    end_if_empty();
+  });
 }
 
 void front::close_door() {
@@ -483,18 +542,15 @@
   at_door.drop();
   door = {};
   // What was written to a connection before we close it is ours: look once more.
-  std::vector<std::uint64_t> open;
-  for (const auto& [name, c] : connections)
-    if (c->in == connection::stage::reading) open.push_back(name);
-  for (const std::uint64_t name : open) {
+  for (const std::uint64_t name : those_reading()) {
     const auto it = connections.find(name);  // room may have been made at its cost
     if (it == connections.end() || !read(*it->second)) continue;
     connection& c = *it->second;
-    constexpr double last = 200;  // who began to send a request may end it
-    if (!c.reader.begun())
-      close(name);
-    else if (c.reader.now() == http::reader::state::reading)
+    constexpr double last = 200;  // who began to send a request, or came last of all, may end it
+    if (c.reader.begun() ? c.reader.now() == http::reader::state::reading : !c.heard)
       await(c, runs.now() + last);
+    else if (!c.reader.begun())
+      close(name);
     else
       serve(c);
   }
--- a/src/net/front.h
+++ b/src/net/front.h
@@ -4,6 +4,7 @@
 #include <memory>
 #include <set>
 #include <unordered_map>
+#include <vector>
 
 #include "counters.h"
 #include "http.h"
@@ -16,9 +17,10 @@
 class front {
  public:
   struct limits {
-    std::size_t clients;  // connections, beyond which room is made at the cost of those that hold no RPC
-    std::size_t spare;    // connections that hold no RPC, beyond which they are given back to the clients
-    std::size_t bytes;    // in messages of clients
+    std::size_t clients = 0;  // connections, beyond which room is made at the cost of those that hold no RPC
+    std::size_t spare = 0;    // connections that hold no RPC, beyond which they are given back to the clients
+    std::size_t bytes = 0;    // in messages of clients
+    double deadline = 3000;   // ms; no client waits for longer, as far as the settings tell
   };
 
   front(loop& in, descriptor_budget& budget, counters& counts, logger& log_to, relay& to, limits within,
@@ -37,7 +39,8 @@
   // the oldest first. False if there is none.
   bool close_idle();
 
-  // Takes on what still comes for a while, answers all that is held, then calls `then`.
+  // Takes on what still comes for a while, answers all that is held, then calls `then`: before it would be
+  // killed, whatever endpoints and clients do.
   void drain(loop::task then);
 
  private:
@@ -49,7 +52,7 @@
   enum class backlog { empty, more, stuck };
   void open_door();
   backlog accept();
-  void ready(std::uint64_t which);
+  void ready(std::uint64_t which, std::uint32_t events = 0);
   bool read(connection& c);
   void serve(connection& c);
   void await(connection& c, double until);
@@ -66,6 +69,10 @@
   void write(connection& c);
   void close(std::uint64_t which);
   void close_door();
+  std::vector<std::uint64_t> those_reading() const;
+  void give_back_idle();
+  void linger(connection& c, double patience);
+  void end_by_force();
   void end_if_empty();
   bool close_oldest(use is, double least);
   bool crowded();
@@ -81,7 +88,7 @@
   std::function<bool()> make_room;
   descriptor door;
   loop::watch at_door;
-  loop::timer door_again, door_shut;
+  loop::timer door_again, door_shut, by_force;
   loop::task when_empty;
   bool draining = false, taking = true, hurried = false;
   double told = 0, last_warning = 0;  // told: to stop
--- a/src/net/pool.cpp
+++ b/src/net/pool.cpp
@@ -18,12 +18,13 @@
   enum class stage { connecting, writing, awaiting, idle } in = stage::connecting;
   ticket name;
   std::string server;
-  sockaddr_in to{};
   std::unique_ptr<stream> wire;
   http::reader reader{http::reader::kind::answer};
   outgoing out;
   exchange with;
+  std::uint64_t process = 0;                       // that it leads to, by the pool's count
   double began = 0, idle_since = 0, answered = 0;  // answered: when a long answer began
+  double until = 0;                                // the time for the exchange is over
   bool passing = false, paused = false, more_to_come = false;
   loop::timer patience, connecting, retiring;
 };
@@ -40,15 +41,23 @@
 
 pool::~pool() = default;
 
-void pool::listed(const std::string& server, const std::string& address) {
+void pool::listed(const std::string& server, const std::string& address, standing state, double started) {
   const auto parsed = parse_address(address);
   if (!parsed) {
+    // Its old address may be another's by now.
     lines.warning() << "list names an address that is none: " << address;
-    return;
+    return gone(server);
   }
   place& p = places[server];
-  if (!same(p.address, *parsed)) close_idle_at(p);  // what is idle there leads to the old address
+  // Long ago is no new start, it is how an old one is told some day.
+  if (p.process == 0 || !same(p.address, *parsed) || started > p.started) {
+    close_idle_at(p);  // what is idle there leads to the old address, or to the process before
+    p.process = ++processes;
+  }
   p.address = *parsed;
+  p.started = started;
+  p.ready = state == standing::ready;
+  if (!p.ready) close_idle_at(p);
 }
 
 void pool::gone(const std::string& server) {
@@ -60,14 +69,24 @@
 
 void pool::withheld(const std::string& server, bool is) {
   const auto it = places.find(server);
-  if (it != places.end()) it->second.withheld = is;
-  if (!is) return;
-  if (it != places.end()) close_idle_at(it->second);
-  std::vector<ticket> unsent;
+  if (it == places.end()) return;
+  it->second.withheld = is;
+  if (is) close_idle_at(it->second);
+}
+
+// Where it leads to is still to be had.
+bool pool::open_still(const connection& c) const {
+  const auto at = places.find(c.server);
+  return at != places.end() && at->second.open_to(c.process);
+}
+
+void pool::let_go() {
+  std::vector<ticket> unbegun;
   for (const auto& [name, c] : connections)
-    if (c->server == server && c->in != connection::stage::awaiting && !c->out.begun())
-      unsent.push_back(name);
-  for (const ticket name : unsent)
+    if ((c->in == connection::stage::connecting || c->in == connection::stage::writing) && !c->out.begun() &&
+        !open_still(*c))
+      unbegun.push_back(name);
+  for (const ticket name : unbegun)
     if (const auto c = connections.find(name); c != connections.end())
       finish(*c->second, ending::withdrawn, {}, false);
 }
@@ -88,19 +107,18 @@
 pool::ticket pool::send(const std::string& server, outgoing what, double patience, exchange with) {
   const auto at = places.find(server);
   const ticket name = ++tickets;
-  auto fresh = at != places.end() && reuse(at->second) ? nullptr : std::make_unique<connection>();
-  if (!fresh) {
-    // The last used: its idle time is the shortest.
-    const ticket before = at->second.idle.back();
+  const connection* again = at != places.end() ? reuse(at->second) : nullptr;
+  if (again) {
+    const ticket before = again->name;
     auto node = connections.extract(before);
-    at->second.idle.pop_back();
+    std::erase(at->second.idle, before);
     resting(server, at->second.idle.size());
     idle.erase({node.mapped()->idle_since, before});
     node.key() = name;
     connections.insert(std::move(node));
     ++counted.reused;
   } else {
-    connections.emplace(name, std::move(fresh));
+    connections.emplace(name, std::make_unique<connection>());
   }
   connection& c = *connections[name];
   c.name = name;
@@ -109,6 +127,7 @@
   c.with = std::move(with);
   c.began = runs.now();
   c.answered = 0;
+  c.process = at != places.end() ? at->second.process : 0;
   c.passing = c.paused = false;
   c.more_to_come = c.with.more_to_come;
   if (c.with.head_alone) c.reader.no_body();
@@ -130,26 +149,44 @@
 }
 
 pool::connection* pool::reuse(place& at) {
-  while (!at.idle.empty()) {
-    connection& c = *connections.at(at.idle.back());
+  // Some endpoints answer twice, the second time some milliseconds late: on a connection used again at once
+  // that passes for the answer to the next request. Once rested for so long, what comes unasked closes it.
+  // Where requests follow one another faster, or descriptors are scarce, the one that rested longest has to
+  // do: each would else be given up for a new one.
+  constexpr double rested = 25;
+  constexpr std::size_t spared = 2;
+  const auto usable = [&](connection& c) {
     // A request on a connection that the endpoint has closed is a reset, and one that must not run twice is
     // lost by it: look once more, the event may be still to come.
-    if (!c.wire->stale()) return &c;
+    if (!c.wire->stale()) return true;
     close(c.name);
+    return false;
+  };
+  for (std::size_t i = at.idle.size(); i-- > 0;) {  // the last used: its idle time is the shortest
+    connection& c = *connections.at(at.idle[i]);
+    if (runs.now() >= c.idle_since + rested && usable(c)) return &c;
+  }
+  while (!at.idle.empty() && (at.idle.size() >= spared || room.left() <= room.most / 2)) {
+    connection& c = *connections.at(at.idle.front());
+    if (usable(c)) return &c;
   }
   return nullptr;
 }
 
 void pool::open(connection& c, const sockaddr_in* address) {
   descriptor fd;
-  if (address && (room.left() > 0 || close_idle() || make_room())) fd = connect_to(c.to = *address);
+  if (address && (room.left() > 0 || close_idle() || make_room())) fd = connect_to(*address);
   if (!fd) {
     break_at(c, c.began);
     return;
   }
   ++counted.opened;
-  c.connecting = runs.at(c.began + connects.now(), [this, name = c.name] {
-    connects.not_up();
+  // A connect that hangs is no reason to let the time of its RPC pass: while less than half of that is over,
+  // another server may have it, or the client hear that it is to return.
+  constexpr double part = 0.4, least = 20;
+  const double usual = connects.now(), most = std::max(part * (c.until - c.began), least);
+  c.connecting = runs.at(c.began + std::min(usual, most), [this, name = c.name, slow = usual <= most] {
+    if (slow) connects.not_up();  // else it says less of connects than of the RPC
     broke(*connections.at(name), ending::reset);
   });
   c.wire = std::make_unique<stream>(runs, room, std::move(fd),
@@ -167,6 +204,9 @@
     if (!(events & EPOLLOUT)) return;
     c.connecting.drop();
     connects.up(runs.now() - c.began);
+    // The loop may come to this late: what is over by now must not be sent any more.
+    if (runs.now() >= c.until) return broke(c, ending::reset);
+    if (c.with.told_late) c.out = c.with.told_late(c.until - runs.now());
     c.in = connection::stage::writing;
   }
   if (c.in == connection::stage::writing) {
@@ -194,8 +234,8 @@
 }
 
 void pool::await(connection& c, double longest) {
-  c.patience = runs.at(runs.now() + longest,
-                       [this, name = c.name] { broke(*connections.at(name), ending::timed_out); });
+  c.until = runs.now() + longest;
+  c.patience = runs.at(c.until, [this, name = c.name] { broke(*connections.at(name), ending::timed_out); });
 }
 
 bool pool::more(ticket which, std::string bytes, bool last, double patience) {
@@ -306,10 +346,9 @@
   const double took = (c.answered > 0 ? c.answered : runs.now()) - c.began;
   const done then = std::move(c.with.then);
   c.with = {};
-  // An endpoint that has gone or moved meanwhile: its id, or the next one's at its address, must not get
-  // this.
-  const auto at = places.find(c.server);
-  if (keep && at != places.end() && !at->second.withheld && same(at->second.address, c.to))
+  // An endpoint that has gone, moved or was started anew meanwhile: its id, or the next one's at its address,
+  // must not get this.
+  if (keep && open_still(c))
     rest(c);
   else
     close(c.name);
@@ -351,6 +390,12 @@
   if (connections.count(which)) close(which);
 }
 
+bool pool::unsent(ticket which) const {
+  const auto it = connections.find(which);
+  return it != connections.end() &&
+         (it->second->in == connection::stage::connecting || it->second->in == connection::stage::writing);
+}
+
 bool pool::close_idle() {
   if (idle.empty()) return false;
   ++counted.closed_for_room;
--- a/src/net/relay.cpp
+++ b/src/net/relay.cpp
@@ -69,6 +69,7 @@
   const auto still = rpcs.find(id);  // the balancer may have cancelled its last pick
   if (still == rpcs.end()) return;
   rpc& r = still->second;
+  withdraw_unsent(id);
   // The balancer cancels no pick whose bytes are on their way; nobody gives or takes them any more.
   if (r.spent || r.passing)
     for (std::size_t n = 0; n < r.picks.size(); ++n)
@@ -77,6 +78,24 @@
   forget_if_over(id);
 }
 
+void relay::end_all() {
+  std::vector<std::string> all;
+  for (const auto& [id, r] : rpcs) all.push_back(id);
+  for (const std::string& id : all) {
+    const auto it = rpcs.find(id);
+    if (it == rpcs.end()) continue;
+    const loop::task cut = it->second.passing ? it->second.who.cut : [] {};
+    if (it->second.passing) ++counted.cut;
+    if (!it->second.over) {
+      conclude(id, {verdict::what::aborted, {}, 0});  // an earlier pick may have run: no word on a retry
+      decides.client_left(runs.now(), id);
+      pull();
+      forget_if_over(id);
+    }
+    cut();
+  }
+}
+
 relay::pick* relay::open_pick(const std::string& id) {
   const auto it = rpcs.find(id);
   if (it == rpcs.end()) return nullptr;
@@ -123,12 +142,14 @@
 
 void relay::listed(bool whole, bool asked, const std::vector<endpoint>& entries) {
   decides.listed(runs.now(), whole, asked, entries);
+  endpoints.let_go();
   pull();
 }
 
 void relay::withheld(const std::string& server, bool is, double since) {
   decides.withheld(runs.now(), server, is, since);
   endpoints.withheld(server, is);
+  endpoints.let_go();
   pull();
 }
 
@@ -199,8 +220,9 @@
   rpc& r = rpcs.at(d.rpc);
   const double now = runs.now(), patience = std::min(d.after, r.deadline - now);
   r.picks.push_back({0, d.server, now, true});
-  if (d.pick > 0 && further && !further->take()) {
-    // The share ended since it was asked about, as this process may have stood still: nothing was sent.
+  // Its time ended while this round went on, or the share ended since it was asked about, as this process may
+  // have stood still: nothing was sent.
+  if (patience <= 0 || (d.pick > 0 && further && !further->take())) {
     pool::result none{};
     none.how = ending::withdrawn;
     return pick_ended(d.rpc, d.pick, std::move(none));
@@ -213,6 +235,7 @@
     return pass(bytes, last);
   };
   with.wants = [this, id = d.rpc, n = d.pick] { wants(id, n); };
+  with.told_late = [this, id = d.rpc](double left) { return pick_of(rpcs.at(id).call, left); };
   with.head_alone = asks_head(r.call);
   with.more_to_come = r.call.partial;
   r.picks.back().at = endpoints.send(d.server, pick_of(r.call, patience), patience, std::move(with));
@@ -246,13 +269,23 @@
   forget_if_over(d.rpc);
 }
 
-void relay::give_up(const std::string& id, int number) {
+void relay::give_up(const std::string& id, int number, ending how) {
   rpc& r = rpcs.at(id);
   pick& p = r.picks.at(static_cast<std::size_t>(number));
   endpoints.give_up(p.at);
   p.out = false;
-  counters::add(counted.picks, ending::cancelled);
-  decides.pick_ended(runs.now(), id, number, ending::cancelled, runs.now() - p.sent, r.over, {});
+  counters::add(counted.picks, how);
+  decides.pick_ended(runs.now(), id, number, how, runs.now() - p.sent, r.over, {});
+}
+
+// A connection that comes up late would else bring to an endpoint what has had its final answer, or what
+// nobody waits for any more. Also where the settings allow no cancelling: nothing was asked of it yet.
+void relay::withdraw_unsent(const std::string& id) {
+  rpc& r = rpcs.at(id);
+  if (r.passing) return;  // answered before its last byte was out
+  for (std::size_t n = 0; n < r.picks.size(); ++n)
+    if (r.picks[n].out && endpoints.unsent(r.picks[n].at))
+      give_up(id, static_cast<int>(n), ending::withdrawn);
 }
 
 void relay::probe(const std::string& server) {
@@ -275,6 +308,7 @@
   rpc& r = rpcs.at(id);
   if (r.over) return;
   r.over = true;
+  withdraw_unsent(id);
   ++(v.how == verdict::what::ok            ? counted.ok
      : v.how == verdict::what::pushed_back ? counted.pushed_back
                                            : counted.aborted);
--- a/src/net/relay.h
+++ b/src/net/relay.h
@@ -46,6 +46,8 @@
   // Takes an RPC that came at this time; `then` is called once, unless the client leaves before.
   std::string take(http::message call, double came, asker who);
   void left(const std::string& rpc);
+  // The process ends: all that is held has its final answer now, a long one that is not whole is cut.
+  void end_all();
   void resume(const std::string& rpc);
   // The next piece of a long request, the last one with when it came; true if more may be given at once.
   bool more(const std::string& rpc, std::string_view bytes, bool last, double came);
@@ -94,7 +96,8 @@
   void send(const decision& d);
   void pick_ended(const std::string& id, int number, pool::result r);
   void cancel(const decision& d);
-  void give_up(const std::string& id, int number);
+  void give_up(const std::string& id, int number, ending how = ending::cancelled);
+  void withdraw_unsent(const std::string& id);
   bool began(const std::string& id, int number, const http::message& answer);
   void wants(const std::string& id, int number);
   pick* open_pick(const std::string& id);
--- a/src/net/sidecar.cpp
+++ b/src/net/sidecar.cpp
@@ -4,6 +4,7 @@
 #include <sys/signalfd.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <cerrno>
 #include <csignal>
 #include <map>
@@ -19,12 +20,16 @@
 namespace indigorill {
 namespace {
 
-descriptor signals() {
+sigset_t ours() {
   sigset_t set;
   sigemptyset(&set);
   for (const int s : {SIGTERM, SIGINT, SIGUSR1, SIGHUP}) sigaddset(&set, s);
-  if (::sigprocmask(SIG_BLOCK, &set, nullptr) < 0)
-    throw std::system_error(errno, std::generic_category(), "sigprocmask");
+  return set;
+}
+
+descriptor signals() {
+  hold_signals();
+  const sigset_t set = ours();
   descriptor fd(::signalfd(-1, &set, SFD_NONBLOCK | SFD_CLOEXEC));
   if (!fd) throw std::system_error(errno, std::generic_category(), "signalfd");
   return fd;
@@ -44,6 +49,12 @@
 
 }  // namespace
 
+void hold_signals() {
+  const sigset_t set = ours();
+  if (::sigprocmask(SIG_BLOCK, &set, nullptr) < 0)
+    throw std::system_error(errno, std::generic_category(), "sigprocmask");
+}
+
 void run_sidecar(const start& with, const std::function<start()>& read_again, logger& lines) {
   // Standard input, output and error, epoll, signals, the listener, and some to spare.
   const std::size_t own_descriptors =
@@ -65,13 +76,16 @@
   // Clients hold a third of the descriptors at most for requests, so a third is enough for their picks, and
   // half of what they may hold may rest. A third of the memory for requests leaves as much for answers and as
   // much for what the allocator wastes.
+  double told = 0;  // for how long a client waits, at most
+  for (const method& m : with.where.methods) told = std::max({told, m.deadline, m.latency_target});
+  const double waited = told > 0 ? told : front::limits{}.deadline;
   const auto within = [&] {
     // Of two processes each keeps to its part, what it holds for itself included.
     constexpr std::size_t least = 4;  // the list's connection and a few others
     const auto most = static_cast<std::size_t>(part() * static_cast<double>(with.descriptors));
     budget.most = most > own_descriptors + least ? most - own_descriptors : least;
     return front::limits{budget.most - budget.most / 3, budget.most / 6,
-                         static_cast<std::size_t>(part() * static_cast<double>(with.memory) / 3)};
+                         static_cast<std::size_t>(part() * static_cast<double>(with.memory) / 3), waited};
   };
   front clients(runs, budget, counts, lines, rpcs, within(), [&] { return endpoints.close_idle(); });
   door = &clients;
@@ -94,7 +108,7 @@
         endpoints.gone(e.is.id);
         listed.erase(e.is.id);
       } else {
-        endpoints.listed(e.is.id, e.address);
+        endpoints.listed(e.is.id, e.address, e.is.state, e.is.started);
         listed[e.is.id] = e;
       }
       (e.is.state == standing::gone ? gone : here).push_back(e.is.id);
@@ -111,7 +125,7 @@
   learn(known, false);
 
   discovery lists(
-      runs, budget, counts, lines, with.discovery, with.discovery_host, with.seed + 1,
+      runs, budget, counts, lines, with.discovery, with.discovery_host, with.seed + 1, with.with.grace,
       [&](const roster& list) { learn(list, true); }, [&] { rpcs.list_failed(); });
   // Many that start at once and ask for the whole list each keep its service busy for longer than it lasts.
   const auto watch_list = [&] {
--- a/src/net/socket.cpp
+++ b/src/net/socket.cpp
@@ -174,6 +174,11 @@
   return ::recv(fd.get(), &c, 1, MSG_PEEK | MSG_DONTWAIT) >= 0 || (errno != EAGAIN && errno != EINTR);
 }
 
+bool stream::waiting() const {
+  char c;
+  return ::recv(fd.get(), &c, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
 void stream::abort_on_close() {
   const linger at_once{1, 0};
   ::setsockopt(fd.get(), SOL_SOCKET, SO_LINGER, &at_once, sizeof at_once);
--- a/src/net/socket.h
+++ b/src/net/socket.h
@@ -65,6 +65,7 @@
   bool write(outgoing& what);  // false if it is broken; done() tells whether all went out
   int pending_error() const;   // of a connect, for one
   bool stale() const;          // the other side has closed it, or wrote unasked
+  bool waiting() const;        // bytes came that are not read yet
   void end_sending();
   void abort_on_close();       // the other side sees a reset, not an end
   std::size_t unread() const;  // bytes written that the other side's machine has not taken
