A repeat whose connection comes up late is not sent past its group's memory

Ruled out: another zone or cell (balance.cpp allowed(): unchanged since it was drilled; all repeats in the traces stayed in it); a decision after the window (latest repeat decided 2,280 ms after the first pick, bound 2,315). A repeat decided at 2.2 s on one of these is written at 3.2 s. At fault: balance.cpp may_pick() bounds the decision, relay.cpp and pool.cpp wrote whenever the connect came up.

--- a/include/indigorill/balance.h
+++ b/include/indigorill/balance.h
@@ -98,6 +98,7 @@
   double after = 0;        // time-out of a pick, advice of a push-back, delay of a wake-up
   std::uint64_t wake = 0;  // to be given back to woken()
   news told = {};          // to all other sidecars
+  double begin_by = 1e18;  // a pick that isn't sent whole by then is to be withdrawn, however it came late
 };
 
 class balancer {
--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -165,8 +165,7 @@
   }
 
   void ease(pick& p) {  // it keeps nobody waiting there any more
-    if (std::exchange(p.eased, true)) return;
-    p.to->in_flight -= 1;
+    if (!std::exchange(p.eased, true)) p.to->in_flight -= 1;
   }
 
   void set_due(rpc& r, double at) {
@@ -388,8 +387,7 @@
     const pick* first = r.first_that_may_have_run();
     if (!first || r.how->repeats != repeatable::deduplicated) return true;
     if (r.how->drops_repeats == group::zone) return s.zone == first->to->zone;
-    if (r.how->drops_repeats == group::cell) return s.cell == first->to->cell;
-    return true;
+    return r.how->drops_repeats != group::cell || s.cell == first->to->cell;
   }
 
   std::vector<std::uint64_t> homes_of(const rpc& r) const {
@@ -583,13 +581,17 @@
     return r.how->repeats == repeatable::deduplicated && r.how->drops_repeats == group::everywhere;
   }
 
-  bool may_pick(const rpc& r) const {
-    if (r.tried() >= land.most_picks) return false;
+  // A repeat that is on its way for longer, as its connection came up late, could run for the second time.
+  double repeat_by(const rpc& r) const {
+    constexpr double margin = 0.9;  // of the group's memory: it still has to travel
     const pick* first = r.first_that_may_have_run();
-    if (!first || r.how->repeats == repeatable::idempotent) return true;
-    if (r.how->repeats == repeatable::non_idempotent) return false;
-    constexpr double margin = 0.9;  // of the group's memory: the repeat still has to travel
-    return now < first->sent + margin * r.how->remembers;
+    return first && r.how->repeats == repeatable::deduplicated ? first->sent + margin * r.how->remembers
+                                                               : -never;
+  }
+
+  bool may_pick(const rpc& r) const {
+    const bool once = r.how->repeats == repeatable::non_idempotent && r.first_that_may_have_run();
+    return r.tried() < land.most_picks && !once && now < repeat_by(r);
   }
 
   decision give_up(rpc& r) {
@@ -617,6 +619,7 @@
   }
 
   decision send(rpc& r, server& s, bool further, double left) {
+    const double by = repeat_by(r);
     r.picks.push_back({&s, &r, static_cast<int>(r.picks.size()), now, ahead(s), true, true, further});
     s.in_flight += 1;
     s.last_send = last_send = now;
@@ -625,7 +628,7 @@
     granted -= further;
     spare = further ? spare - 1 : std::min(spare + further_success * 0.5, 10.0);
     set_due(r, now + std::max(left, 0.0));
-    return {decision::verb::pick, r.id, s.id, r.picks.back().number, std::max(left, 0.001), 0};
+    return {decision::verb::pick, r.id, s.id, r.picks.back().number, std::max(left, 0.001), 0, {}, by};
   }
 
   double worth_asking(const rpc& r, const ballot& b) {
@@ -814,9 +817,7 @@
   const double value = r->share * r->how->utility;
   constexpr double of_one = 0.02;  // some fifty RPCs are remembered
   b.mean_value += (r->order > 0 ? of_one : 1) * (value - b.mean_value);
-  rpc& kept = *r;
-  b.rpcs[kept.id] = std::move(r);
-  b.queue(kept);
+  b.queue(*(b.rpcs[std::string(what.id)] = std::move(r)));
 }
 
 void balancer::answer_began(double now, std::string_view id, int number, bool eases) {
--- a/src/net/pool.cpp
+++ b/src/net/pool.cpp
@@ -26,7 +26,7 @@
   double began = 0, idle_since = 0, answered = 0;  // answered: when a long answer began
   double until = 0;                                // the time for the exchange is over
   bool passing = false, paused = false, more_to_come = false;
-  loop::timer patience, connecting, retiring;
+  loop::timer patience, connecting, retiring, too_late;
 };
 
 pool::pool(loop& in, descriptor_budget& budget, counters& counts, logger& log_to, links with,
@@ -134,6 +134,8 @@
   c.reader.in_pieces(static_cast<bool>(c.with.began));
   c.retiring.drop();
   await(c, patience);
+  if (c.with.whole_by < c.until)
+    c.too_late = runs.at(c.with.whole_by, [this, name] { miss(*connections.at(name)); });
   if (c.in == connection::stage::idle) {
     // Only written to: an answer, however quick, is read from the loop, since `then` must not be called
     // before the caller has the ticket.
@@ -206,6 +208,7 @@
     connects.up(runs.now() - c.began);
     // The loop may come to this late: what is over by now must not be sent any more.
     if (runs.now() >= c.until) return broke(c, ending::reset);
+    if (runs.now() >= c.with.whole_by) return miss(c);
     if (c.with.told_late) c.out = c.with.told_late(c.until - runs.now());
     c.in = connection::stage::writing;
   }
@@ -221,12 +224,15 @@
 void pool::written(connection& c) {
   if (!c.more_to_come) {
     c.in = connection::stage::awaiting;
+    c.too_late.drop();
   } else {
     await_progress(c);
     c.with.wants();
   }
 }
 
+void pool::miss(connection& c) { finish(c, ending::withdrawn, {}, false); }
+
 // A transfer that goes on may take its time; one that stands still is over.
 void pool::await_progress(connection& c) {
   constexpr double longest = 5000;  // ms; honest ends pause for less than 2 s
@@ -257,7 +263,7 @@
     return false;
   }
   if (!c.out.done()) return false;
-  if (last) c.in = connection::stage::awaiting;
+  if (last) written(c);
   return !last;
 }
 
@@ -363,6 +369,7 @@
   c.in = connection::stage::idle;
   c.out = {};
   c.patience.drop();
+  c.too_late.drop();
   c.idle_since = runs.now();
   c.retiring = runs.at(c.idle_since + part * known.idle, [this, name] {
     ++counted.retired;
--- a/src/net/pool.h
+++ b/src/net/pool.h
@@ -37,6 +37,7 @@
     // What is written once a connection is up, by the time that is then left.
     std::function<outgoing(double left)> told_late = nullptr;
     bool head_alone = false, more_to_come = false;
+    double whole_by = 1e18;  // what has its last byte unwritten then was not sent, and ends as withdrawn
   };
 
   // closes_idle: closes some idle connection elsewhere, if there is one.
@@ -90,6 +91,7 @@
   void open(connection& c, const sockaddr_in* address);  // none: fails as a connect does
   void ready(ticket which, std::uint32_t events);
   void read(connection& c);
+  void miss(connection& c);
   void broke(connection& c, ending once_written);
   void break_at(connection& c, double when);  // unless it is connected by then
   void finish(connection& c, ending how, http::message answer, bool keep);
--- a/src/net/relay.cpp
+++ b/src/net/relay.cpp
@@ -222,7 +222,7 @@
   r.picks.push_back({0, d.server, now, true});
   // Its time ended while this round went on, or the share ended since it was asked about, as this process may
   // have stood still: nothing was sent.
-  if (patience <= 0 || (d.pick > 0 && further && !further->take())) {
+  if (patience <= 0 || now >= d.begin_by || (d.pick > 0 && further && !further->take())) {
     pool::result none{};
     none.how = ending::withdrawn;
     return pick_ended(d.rpc, d.pick, std::move(none));
@@ -238,6 +238,7 @@
   with.told_late = [this, id = d.rpc](double left) { return pick_of(rpcs.at(id).call, left); };
   with.head_alone = asks_head(r.call);
   with.more_to_come = r.call.partial;
+  with.whole_by = d.begin_by;
   r.picks.back().at = endpoints.send(d.server, pick_of(r.call, patience), patience, std::move(with));
 }
 
--- a/tests/balance_test.cpp
+++ b/tests/balance_test.cpp
@@ -760,3 +760,32 @@
   }
   CHECK(late <= early + 20000);  // 200 rounds of 20 are more than 1 MB
 }
+
+TEST_CASE(
+    "a repeat says by when it has to be sent whole: inside the group's memory, however its connection "
+    "comes") {
+  struct {
+    repeatable repeats;
+    ending first;
+    double by;  // after the first pick
+  } table[] = {
+      {repeatable::deduplicated, ending::reset, 180},  // nine tenths of the 200 that the group remembers
+      {repeatable::deduplicated, ending::full, 1e17},  // that one never ran
+      {repeatable::idempotent, ending::reset, 1e17},
+      {repeatable::non_idempotent, ending::connect_failed, 1e17},
+  };
+  for (const auto& row : table) {
+    one host(ground(row.repeats));
+    host.list(letters('a', 'c'));
+    const std::string id = host.arrive();
+    const decision first = host.only();
+    REQUIRE(first.what == verb::pick);
+    CHECK(first.begin_by > 1e17);
+    const double sent = host.now;
+    host.now += 7;
+    host.b.pick_ended(host.now, id, 0, row.first, 7, false, {});
+    const decision second = host.only();
+    REQUIRE(second.what == verb::pick);
+    CHECK(std::min(second.begin_by - sent, 1e17) == doctest::Approx(row.by));
+  }
+}
