Tests of endings on real sockets: the crossing forced; at the forced end open picks are closed

Fifteen tables over effect, cancels and short and long deadlines: a client's leaving, lists that cross a connect, a repeat past its window, time over in the round of the connect, room, second answers, SIGTERM. Which guard each one holds, and what it prints without, is in docs/endings.md.

--- a/src/net/relay.cpp
+++ b/src/net/relay.cpp
@@ -90,9 +90,12 @@
       conclude(id, {verdict::what::aborted, {}, 0});  // an earlier pick may have run: no word on a retry
       decides.client_left(runs.now(), id);
       pull();
-      forget_if_over(id);
     }
+    if (const auto still = rpcs.find(id); still != rpcs.end())
+      for (std::size_t n = 0; n < still->second.picks.size(); ++n)
+        if (still->second.picks[n].out) give_up(id, static_cast<int>(n));
     cut();
+    forget_if_over(id);
   }
 }
 
--- /dev/null
+++ b/tests/endings_test.cpp
@@ -0,0 +1,607 @@
+// What is owed at the instant in which something ends (docs/endings.md), on real sockets. The crossing is
+// forced: the loop is stepped by hand, a full queue holds a connect back until it is let up, bytes and an end
+// go into one round.
+#include <doctest/doctest.h>
+#include <sys/wait.h>
+
+#include <algorithm>
+#include <array>
+#include <random>
+
+#include "../src/net/discovery.h"
+#include "parts.h"
+
+using namespace host;
+
+namespace {
+
+std::size_t ended(const here& h, ending how) { return h.counts.picks[static_cast<std::size_t>(how)]; }
+
+bool each_had_one_answer(const here& h) {
+  return h.rpcs.held() == 0 &&
+         h.counts.taken == h.counts.ok + h.counts.pushed_back + h.counts.aborted + h.counts.left;
+}
+
+// Settings unlike one another in what bears on endings: the long one leaves a connect the second that a lost
+// SYN costs.
+terrain customer(bool longer, bool cancels, repeatable repeats, group drops = group::everywhere) {
+  terrain t = ground(repeats, drops);
+  for (method& m : t.methods) {
+    m.latency_target = m.deadline = longer ? 4000 : 150;
+    m.remembers = 10000;
+  }
+  t.cancelling = cancels;
+  t.probing = cancels;
+  t.most_picks = cancels ? 4 : 2;
+  t.longest_retry_after = cancels ? 1000 : 0;
+  return t;
+}
+constexpr links slow_links{5000, 3000, 300};
+
+// An endpoint whose queue is full: connects to it hang until it is let up, and come up with the next try of
+// their kernel, a second after the first. It says what came over any connection, and nothing.
+struct late_door {
+  descriptor door = loopback();
+  sockaddr_in where = address_of(door);
+  std::vector<descriptor> filling, taken;
+  std::string heard;
+
+  late_door() {
+    ::listen(door.get(), 0);
+    for (int i = 0; i < 8; ++i) filling.push_back(connect_to(where));
+  }
+  void let_up() {
+    filling.clear();
+    ::listen(door.get(), 100);
+  }
+  void hear() {
+    for (;;) {
+      descriptor fd(::accept4(door.get(), nullptr, nullptr, SOCK_NONBLOCK));
+      if (!fd) break;
+      taken.push_back(std::move(fd));
+    }
+    std::array<char, 4096> some;
+    for (const descriptor& fd : taken)
+      for (ssize_t n; (n = ::recv(fd.get(), some.data(), some.size(), 0)) > 0;)
+        heard.append(some.data(), static_cast<std::size_t>(n));
+  }
+  std::size_t requests() const {
+    std::size_t n = 0;
+    for (std::size_t at = 0; (at = heard.find("X-Call-Id", at)) != std::string::npos; ++at) ++n;
+    return n;
+  }
+};
+
+// What one row of a table needs; all rows take their second together.
+struct case_of_late {
+  here h;
+  late_door a;
+  case_of_late(const terrain& t, links with) : h(t, with) {}
+};
+using cases = std::vector<std::unique_ptr<case_of_late>>;
+
+void pass_all(cases& all, double ms) {
+  const double until_then = all.front()->h.runs.now() + ms;
+  while (all.front()->h.runs.now() < until_then)
+    for (auto& one : all) {
+      one->h.runs.round(0.2);
+      one->a.hear();
+    }
+}
+void let_all_up(cases& all) {
+  for (auto& one : all) one->a.let_up();
+  pass_all(all, 1500);
+}
+
+// A burst of rounds, in which nothing has to wait for time.
+void some_rounds(loop& runs, int n = 20) {
+  for (int i = 0; i < n; ++i) runs.round(0);
+}
+
+}  // namespace
+
+TEST_CASE(
+    "a client that left is owed nothing: what waits for its connection is not sent on when that comes up") {
+  enum class leaves { not_at_all, by_fin, by_reset, by_half_close };
+  cases all;
+  std::vector<leaves> how;
+  for (const bool cancels : {false, true})
+    for (const repeatable repeats :
+         {repeatable::idempotent, repeatable::deduplicated, repeatable::non_idempotent})
+      for (const leaves by : {leaves::not_at_all, leaves::by_fin, leaves::by_reset, leaves::by_half_close}) {
+        all.push_back(std::make_unique<case_of_late>(customer(true, cancels, repeats), slow_links));
+        how.push_back(by);
+        here& h = all.back()->h;
+        h.list(text_of(all.back()->a.where));
+        side& c = h.client();
+        c.say(rpc("read", 3900));
+        REQUIRE(until(h.runs, [&] { return h.counts.opened == 1; }));
+        if (by == leaves::by_reset) c.wire->abort_on_close();
+        if (by == leaves::by_half_close)
+          c.wire->end_sending();
+        else if (by != leaves::not_at_all)
+          c.hang_up();
+        if (by == leaves::not_at_all) continue;
+        CHECK(until(h.runs, [&] { return h.counts.left == 1; }));
+        some_rounds(h.runs);
+        CHECK(ended(h, ending::withdrawn) + ended(h, ending::cancelled) == 1);
+        CHECK(each_had_one_answer(h));
+      }
+  let_all_up(all);
+  for (std::size_t i = 0; i < all.size(); ++i) {
+    CAPTURE(i);
+    // Where the client stayed, the same connect did come up, and brought its request.
+    CHECK(all[i]->a.requests() == (how[i] == leaves::not_at_all ? 1 : 0));
+  }
+}
+
+TEST_CASE(
+    "an endpoint that drains, goes, moves or starts anew is owed no byte of what still connects to it") {
+  struct {
+    const char* what;
+    void (*tell)(here&, const std::string& late, const std::string& other);
+    bool goes_elsewhere;
+  } table[] = {
+      {"nothing happens", [](here&, const std::string&, const std::string&) {}, false},
+      {"draining",
+       [](here& h, const std::string& late, const std::string& other) {
+         h.endpoints.listed("a", late, standing::draining);
+         h.endpoints.listed("b", other);
+         h.rpcs.listed(false, true, {at("a", 0, standing::draining), at("b")});
+       },
+       true},
+      {"gone",
+       [](here& h, const std::string&, const std::string& other) {
+         h.endpoints.gone("a");
+         h.endpoints.listed("b", other);
+         h.rpcs.listed(false, true, {at("a", 0, standing::gone), at("b")});
+       },
+       true},
+      {"left out of a whole list",
+       [](here& h, const std::string&, const std::string& other) {
+         h.endpoints.listed("b", other);
+         h.endpoints.keep_only({at("b")});
+         h.rpcs.listed(true, true, {at("b")});
+       },
+       true},
+      {"moved",
+       [](here& h, const std::string&, const std::string& other) {
+         h.endpoints.listed("a", other);
+         h.rpcs.listed(false, true, {at("a")});
+       },
+       true},
+      {"gone, and back elsewhere in the same answer",
+       [](here& h, const std::string&, const std::string& other) {
+         h.endpoints.gone("a");
+         h.endpoints.listed("a", other);
+         h.rpcs.listed(false, true, {at("a", 0, standing::gone), at("a")});
+       },
+       true},
+      {"told with an address that is none",
+       [](here& h, const std::string&, const std::string& other) {
+         h.endpoints.listed("a", "nowhere");
+         h.endpoints.listed("b", other);
+         h.rpcs.listed(false, true, {at("a", 0, standing::draining), at("b")});
+       },
+       true},
+      {"started anew",
+       [](here& h, const std::string& late, const std::string& other) {
+         h.endpoints.listed("a", late, standing::ready, 1e12);
+         h.endpoints.listed("b", other);
+         h.rpcs.listed(false, true, {at("a", 1e12, standing::draining), at("b")});
+       },
+       true},
+      {"out by hand",
+       [](here& h, const std::string&, const std::string& other) {
+         h.endpoints.listed("b", other);
+         h.rpcs.listed(false, true, {at("b")});
+         h.rpcs.withheld("a", true, 0);
+       },
+       true},
+  };
+  cases all;
+  std::vector<bool> stays;
+  std::vector<std::unique_ptr<stand_in>> others;
+  for (const bool cancels : {false, true})
+    for (const repeatable repeats : {repeatable::idempotent, repeatable::non_idempotent})
+      for (const auto& t : table) {
+        CAPTURE(std::string(t.what));
+        all.push_back(std::make_unique<case_of_late>(customer(true, cancels, repeats), slow_links));
+        here& h = all.back()->h;
+        others.push_back(std::make_unique<stand_in>(h.runs, std::vector<std::string>{served}));
+        stand_in& other = *others.back();
+        const std::string late = text_of(all.back()->a.where);
+        h.list(late);
+        side& c = h.client();
+        c.say(rpc("read", 3900));
+        REQUIRE(until(h.runs, [&] { return h.counts.opened == 1; }));
+        t.tell(h, late, text_of(other.where));
+        stays.push_back(!t.goes_elsewhere);
+        if (!t.goes_elsewhere) continue;
+        REQUIRE(until(h.runs, [&] { return c.came.size() == 1; }));
+        CHECK(c.came[0].status == 200);
+        CHECK(ended(h, ending::withdrawn) == 1);
+        CHECK(ended(h, ending::connect_failed) == 0);  // it is no fault of the endpoint's
+        CHECK(other.asked.size() == 1);
+        CHECK(each_had_one_answer(h));
+      }
+  let_all_up(all);
+  for (std::size_t i = 0; i < all.size(); ++i) {
+    CAPTURE(i);
+    CHECK(all[i]->a.requests() == (stays[i] ? 1 : 0));
+  }
+}
+
+TEST_CASE("a group is owed no repeat that it may have forgotten, though its connection comes up late") {
+  cases all;
+  std::vector<std::unique_ptr<stand_in>> firsts;
+  const std::array<double, 2> remembered{600, 20000};
+  for (const bool cancels : {false, true})
+    for (const double remembers : remembered) {
+      terrain t = customer(true, cancels, repeatable::deduplicated);
+      for (method& m : t.methods) m.remembers = remembers;
+      all.push_back(std::make_unique<case_of_late>(t, slow_links));
+      here& h = all.back()->h;
+      firsts.push_back(std::make_unique<stand_in>(h.runs, std::vector<std::string>{"silent"}));
+      stand_in& first = *firsts.back();
+      h.list(text_of(first.where));
+      side& c = h.client();
+      c.say(rpc("read", 3900));
+      REQUIRE(until(h.runs, [&] { return first.asked.size() == 1; }));
+      h.endpoints.listed("b", text_of(all.back()->a.where));
+      h.rpcs.listed(true, true, {at("b")});
+      first.sides[0]->hang_up();  // it may have run: the repeat goes to b, whose connect hangs
+      REQUIRE(until(h.runs, [&] { return h.counts.opened == 2; }));
+    }
+  pass_all(all, 700);
+  for (std::size_t i = 0; i < all.size(); ++i) {
+    CAPTURE(i);
+    const bool forgets = i % 2 == 0;
+    CHECK(ended(all[i]->h, ending::withdrawn) == (forgets ? 1 : 0));
+    CHECK(all[i]->h.sides[0]->came.size() == (forgets ? 1 : 0));  // answered at once, as there is no way left
+  }
+  let_all_up(all);
+  for (std::size_t i = 0; i < all.size(); ++i) CHECK(all[i]->a.requests() == i % 2);
+}
+
+TEST_CASE("an endpoint is told how long is left when its connection is up, not when that was begun") {
+  cases all;
+  all.push_back(std::make_unique<case_of_late>(customer(true, true, repeatable::idempotent), slow_links));
+  here& h = all[0]->h;
+  h.list(text_of(all[0]->a.where));
+  h.client().say(rpc("read", 3900));
+  REQUIRE(until(h.runs, [&] { return h.counts.opened == 1; }));
+  let_all_up(all);
+  const std::string& heard = all[0]->a.heard;
+  const std::size_t at = heard.find("X-Budget: ");
+  REQUIRE(at != std::string::npos);
+  const double told = std::stod(heard.substr(at + 10)) / 1000;
+  CHECK(told < 3000);
+  CHECK(told > 1500);
+}
+
+TEST_CASE(
+    "a connect that hangs costs an RPC less than half of its time: then it goes elsewhere or is answered") {
+  for (const bool longer : {false, true})
+    for (const bool elsewhere : {false, true}) {
+      CAPTURE(longer);
+      CAPTURE(elsewhere);
+      here h(customer(longer, longer, repeatable::non_idempotent), {5000, 3000, 300});
+      late_door a;
+      stand_in b(h.runs, {served});
+      h.list(text_of(a.where));
+      side& c = h.client();
+      const double budget = longer ? 1000 : 150, began = h.runs.now();
+      c.say(rpc("read", static_cast<int>(budget)));
+      REQUIRE(until(h.runs, [&] { return h.counts.opened == 1; }));
+      if (elsewhere) {
+        h.endpoints.listed("b", text_of(b.where));
+        h.rpcs.listed(false, true, {at("b")});
+      }
+      REQUIRE(until(h.runs, [&] { return c.came.size() == 1; }));
+      CHECK(h.runs.now() - began < budget / 2 + (elsewhere ? 30 : 25));
+      // To the same server again, where no other is known: by its weight it may come first with another, too.
+      if (!elsewhere) CHECK(c.came[0].status == 503);
+      CHECK(each_had_one_answer(h));
+    }
+}
+
+TEST_CASE(
+    "what is over is not sent, though its connect and the end of its time are found in the same round") {
+  for (const bool cancels : {false, true})
+    for (const repeatable repeats : {repeatable::idempotent, repeatable::non_idempotent}) {
+      here h(customer(false, cancels, repeats), {5000, 3000, 300});
+      stand_in endpoint(h.runs, {served});
+      h.list(text_of(endpoint.where));
+      side& c = h.client();
+      c.say(rpc("read", 100));
+      while (h.counts.opened == 0) h.runs.round(0);  // the kernel has the connection up by now
+      while (endpoint.sides.empty()) {
+        descriptor fd(::accept4(endpoint.door.get(), nullptr, nullptr, SOCK_NONBLOCK));
+        if (!fd) continue;
+        endpoint.sides.push_back(std::make_unique<side>(h.runs, endpoint.budget, std::move(fd), request));
+      }
+      for (const double end = h.runs.now() + 150; h.runs.now() < end;) continue;  // this process gets no core
+      REQUIRE(until(h.runs, [&] { return c.came.size() == 1; }));
+      pass(h.runs, 20);
+      endpoint.sides[0]->read();
+      CHECK(endpoint.sides[0]->came.empty());
+      CHECK(c.came[0].status == 503);  // it ran nowhere: a retry is harmless
+      CHECK(each_had_one_answer(h));
+    }
+}
+
+TEST_CASE("a client's end is seen behind what is not read: nothing of all that it sent is sent on after it") {
+  struct {
+    const char* what;
+    int whole;           // further requests behind the first
+    std::size_t behind;  // bytes of one more that is not whole
+    bool held;           // the first is at the endpoint when the end comes; else all comes in one round
+  } table[] = {
+      {"one request, and gone", 0, 0, false},
+      {"more than is read ahead of the next one, held", 0, 20000, true},
+      {"more than is read ahead of the next one, in one breath", 0, 20000, false},
+      {"a hundred requests at once, and gone", 100, 0, false},
+      {"a hundred requests at once, the first held, and gone", 100, 0, true},
+  };
+  for (const bool cancels : {false, true})
+    for (const auto& t : table) {
+      CAPTURE(std::string(t.what));
+      here h(customer(true, cancels, repeatable::idempotent), {5000, 60, 300});
+      stand_in endpoint(h.runs, {"silent"});
+      h.list(text_of(endpoint.where));
+      side& c = h.client();
+      some_rounds(h.runs);
+      std::string all = rpc("read", 3000);
+      for (int i = 0; i < t.whole; ++i) all += rpc("read", 3000);
+      if (t.behind > 0)
+        all += "POST /read HTTP/1.1\r\nContent-Length: 60000\r\n\r\n" + std::string(t.behind, 'x');
+      if (t.held) {
+        c.say(all);
+        REQUIRE(until(h.runs, [&] { return endpoint.asked.size() == 1; }));
+        c.hang_up();
+        CHECK(until(h.runs, [&] { return h.counts.left == 1; }));
+      } else {
+        c.say(all);
+        c.hang_up();
+      }
+      pass(h.runs, 30);
+      // With cancels the endpoint hears that it may stop; without them what it has goes on, and is all.
+      CHECK(endpoint.asked.size() <= 1);
+      if (!t.held) CHECK(endpoint.asked.empty());
+      if (!endpoint.sides.empty()) endpoint.sides[0]->say(served);
+      pass(h.runs, 30);
+      CHECK(endpoint.asked.size() <= 1);
+      CHECK(h.rpcs.held() == 0);
+      CHECK(h.counts.ok == 0);
+    }
+}
+
+TEST_CASE(
+    "a client that is gone during an upload which the endpoint doesn't take is seen, and its pick given up") {
+  for (const bool cancels : {false, true}) {
+    here h(customer(true, cancels, repeatable::non_idempotent), {5000, 60, 300});
+    const descriptor door = loopback();  // accepts, and never reads
+    const int small = 4096;
+    ::setsockopt(door.get(), SOL_SOCKET, SO_RCVBUF, &small, sizeof small);
+    h.list(text_of(address_of(door)));
+    side& c = h.client();
+    outgoing body;
+    const std::string long_one(24 << 20, 'x');
+    body.own("POST /read HTTP/1.1\r\nX-Call-Id: upload\r\nX-Budget: 3000m\r\nContent-Length: " +
+             std::to_string(long_one.size()) + "\r\n\r\n");
+    body.lend(long_one);
+    std::size_t before = 1;
+    while (body.written() != before) {  // until neither side takes any more
+      before = body.written();
+      c.wire->write(body);
+      pass(h.runs, 30);
+    }
+    REQUIRE_FALSE(body.done());
+    REQUIRE(h.rpcs.held() == 1);
+    c.wire->abort_on_close();  // an end that comes behind what our machine has no room for is not here yet
+    c.hang_up();
+    CHECK(until(h.runs, [&] { return h.counts.left == 1; }));
+    some_rounds(h.runs);
+    CHECK(each_had_one_answer(h));
+    CHECK(h.budget.open == 0);
+  }
+}
+
+TEST_CASE("an RPC is owed its own answer: the late second one of the RPC before it is not given to it") {
+  for (const double late : {1.0, 8.0, 15.0}) {
+    here h(customer(true, true, repeatable::non_idempotent), {5000, 60, 300});
+    stand_in endpoint(h.runs, {answer_text(200, "first"), "silent"});
+    h.list(text_of(endpoint.where));
+    side& c = h.client();
+    CHECK(h.ask(c, rpc("read", 3900)) == 200);
+    c.say(rpc("read", 3900));
+    REQUIRE(until(h.runs, [&] { return endpoint.asked.size() == 2; }));
+    pass(h.runs, late);
+    endpoint.sides[0]->say(answer_text(200, "first, once more"));
+    pass(h.runs, 10);
+    CHECK(c.came.size() == 1);
+    side& now = *endpoint.sides.back();
+    now.say(answer_text(200, "second"));
+    REQUIRE(until(h.runs, [&] { return c.came.size() == 2; }));
+    CHECK(c.came[1].body() == "second");
+    CHECK(until(h.runs, [&] { return endpoint.sides[0]->ended; }));  // it is not trusted again
+  }
+}
+
+TEST_CASE("a whole answer and a reset in one read: the answer is passed on, the connection not used again") {
+  for (const bool by_reset : {false, true}) {
+    here h(customer(true, true, repeatable::non_idempotent), {5000, 60, 300});
+    stand_in endpoint(h.runs, {"silent", served});
+    h.list(text_of(endpoint.where));
+    side& c = h.client();
+    c.say(rpc("read", 3900));
+    REQUIRE(until(h.runs, [&] { return endpoint.asked.size() == 1; }));
+    endpoint.sides[0]->say(served);
+    if (by_reset)
+      endpoint.sides[0]->wire->end_sending();
+    else
+      endpoint.sides[0]->hang_up();
+    REQUIRE(until(h.runs, [&] { return c.came.size() == 1; }));
+    CHECK(c.came[0].status == 200);
+    pass(h.runs, rested);
+    CHECK(h.ask(c, rpc("read", 3900)) == 200);
+    CHECK(endpoint.sides.size() == 2);
+    CHECK(each_had_one_answer(h));
+  }
+}
+
+TEST_CASE("room is not made at the cost of a request that is here and not read yet") {
+  here h(customer(true, true, repeatable::idempotent), {5000, 60, 300});
+  stand_in endpoint(h.runs, {served, served, served, served});
+  h.list(text_of(endpoint.where));
+  side &oldest = h.client(), &other = h.client(), &fresh = h.client();
+  CHECK(h.ask(oldest, rpc("read", 3900)) == 200);
+  CHECK(h.ask(other, rpc("read", 3900)) == 200);
+  pass(h.runs, 30);  // also long enough for who said nothing
+  oldest.say(rpc("read", 3900));
+  fresh.say(rpc("read", 3900));
+  CHECK(h.clients.close_idle());        // the other one
+  CHECK_FALSE(h.clients.close_idle());  // who waits unread is neither idle nor silent
+  REQUIRE(until(h.runs, [&] { return oldest.came.size() == 2 && fresh.came.size() == 1; }));
+  CHECK(oldest.came[1].status == 200);
+  CHECK(fresh.came[0].status == 200);
+  CHECK(until(h.runs, [&] { return other.ended; }));
+  CHECK(each_had_one_answer(h));
+}
+
+TEST_CASE(
+    "told to stop: what rests is given back while the door is open, so that what crosses it has where to "
+    "go") {
+  for (const bool longer : {false, true}) {
+    const int budget = longer ? 3900 : 140;
+    here h(customer(longer, longer, repeatable::non_idempotent), {5000, 60, 300});
+    stand_in endpoint(h.runs, std::vector<std::string>(9, served));
+    h.list(text_of(endpoint.where));
+    side &rests = h.client(), &crosses = h.client(), &unread = h.client();
+    for (side* c : {&rests, &crosses, &unread}) CHECK(h.ask(*c, rpc("read", budget)) == 200);
+    pass(h.runs, rested);
+    bool gone = false;
+    unread.say(rpc("read", budget));  // in the kernel before the word
+    h.clients.drain([&] { gone = true; });
+    crosses.say(rpc("read", budget));  // crosses the closing
+    REQUIRE(until(h.runs, [&] { return unread.came.size() == 2 && rests.ended && crosses.ended; }));
+    CHECK(unread.came[1].status == 200);
+    CHECK(crosses.came.size() == 1);
+    // It is sent once more, over a new connection, as the protocol has it.
+    side& once_more = h.client();
+    CHECK(h.ask(once_more, rpc("read", budget)) == 200);
+    CHECK_FALSE(once_more.came[0].keeps);
+    CHECK_FALSE(gone);
+    REQUIRE(until(h.runs, [&] { return gone; }));
+    CHECK(each_had_one_answer(h));
+  }
+}
+
+TEST_CASE("told to stop: who connected last of all may still ask, and has an answer") {
+  here h(customer(false, false, repeatable::non_idempotent), {5000, 60, 300});
+  stand_in endpoint(h.runs, {served});
+  h.list(text_of(endpoint.where));
+  bool gone = false;
+  h.clients.drain([&] { gone = true; });
+  pass(h.runs, 440);
+  side last(h.runs, h.of_clients, connect_to(h.where), answer);  // in the backlog as the door is shut
+  for (const double end = h.runs.now() + 15; h.runs.now() < end;) continue;
+  some_rounds(h.runs, 3);
+  CHECK_FALSE(last.ended);
+  last.say(rpc("read", 140));
+  REQUIRE(until(h.runs, [&] { return last.came.size() == 1; }));
+  CHECK(last.came[0].status == 200);
+  CHECK(until(h.runs, [&] { return gone; }));
+  CHECK(each_had_one_answer(h));
+}
+
+TEST_CASE("told to stop: all has ended before the kill, whatever endpoints and clients do") {
+  struct {
+    const char* what;
+    double deadline;  // the longest that the settings tell
+    int budget;
+    std::string says;  // the endpoint, if it says anything
+    bool reads;        // the client
+    int status;
+  } table[] = {
+      {"an endpoint that hangs, a budget past the longest deadline", 200, 9000, "", true, 502},
+      {"an endpoint that hangs, usual times", 200, 150, "", true, 502},
+      {"an answer that never ends", 200, 9000, "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nabc", true, 502},
+      {"a long answer that is read by nobody", 200, 150, "long", false, 0},
+  };
+  for (const bool cancels : {false, true})
+    for (const auto& t : table) {
+      CAPTURE(std::string(t.what));
+      terrain where = customer(true, cancels, repeatable::non_idempotent);
+      for (method& m : where.methods) m.latency_target = t.budget;
+      here h(where, {5000, 60, 300}, 100, 64 << 20, t.deadline);
+      stand_in endpoint(h.runs, {"silent"});
+      h.list(text_of(endpoint.where));
+      side& c = h.client();
+      c.say(rpc("read", t.budget));
+      REQUIRE(until(h.runs, [&] { return endpoint.asked.size() == 1; }));
+      outgoing flood;
+      const std::string body(20 << 20, 'y');
+      if (t.says == "long") {
+        flood.own("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n");
+        flood.lend(body);
+      } else {
+        flood.own(t.says);
+      }
+      if (!t.reads) {
+        c.ended = true;  // it looks at nothing any more
+      }
+      const double told = h.runs.now();
+      double gone = 0;
+      h.clients.drain([&] { gone = h.runs.now(); });
+      while (gone == 0 && h.runs.now() < told + 2500) {
+        if (!flood.done()) endpoint.sides[0]->wire->write(flood);
+        h.runs.round(5);
+      }
+      CHECK(gone > 0);
+      CHECK(gone - told < t.deadline + 700);
+      CHECK(h.rpcs.held() == 0);
+      if (!t.status) continue;
+      pass(h.runs, 5);
+      REQUIRE(c.came.size() == 1);
+      CHECK(c.came[0].status == t.status);
+      CHECK(h.counts.aborted == 1);
+    }
+}
+
+TEST_CASE(
+    "told to stop twice, with requests half sent, pipelined, waiting and connecting: each has one end") {
+  for (const bool longer : {false, true}) {
+    CAPTURE(longer);
+    here h(customer(longer, longer, repeatable::non_idempotent), {5000, 3000, 300}, 100, 64 << 20,
+           longer ? 400 : 150);
+    stand_in endpoint(h.runs, {served, "silent", served, served, served});
+    late_door late;
+    h.endpoints.listed("a", text_of(endpoint.where));
+    h.rpcs.listed(true, false, {at("a")});
+    side &half = h.client(), &pipelined = h.client(), &waits = h.client(), &connects = h.client();
+    const std::string text = rpc("read", 140);
+    half.say(text.substr(0, 30));
+    pipelined.say(rpc("read", 140) + rpc("read", 140));
+    REQUIRE(until(h.runs, [&] { return pipelined.came.size() == 1; }));
+    waits.say(rpc("read", 140));
+    h.endpoints.listed("b", text_of(late.where));
+    h.rpcs.listed(true, false, {at("b")});
+    connects.say(rpc("read", 140));
+    some_rounds(h.runs);
+    int gone = 0;
+    h.clients.drain([&] { ++gone; });
+    h.clients.drain([&] { ++gone; });
+    half.say(text.substr(30));
+    REQUIRE(until(h.runs, [&] { return gone > 0; }));
+    pass(h.runs, 5);
+    CHECK(gone == 1);
+    for (const side* c : {&half, &pipelined, &waits, &connects}) {
+      CHECK(c->came.size() >= 1);
+      CHECK(c->ended);
+    }
+    CHECK(h.rpcs.held() == 0);
+    CHECK(h.counts.taken == h.counts.ok + h.counts.pushed_back + h.counts.aborted + h.counts.left);
+  }
+}
--- /dev/null
+++ b/tests/parts.h
@@ -0,0 +1,69 @@
+// For the tests: a sidecar's parts on loopback, stepped by hand, and endpoints that hold a connect back.
+#pragma once
+
+#include <sstream>
+
+#include "../src/net/front.h"
+#include "host.h"
+
+namespace host {
+
+constexpr auto request = http::reader::kind::request, answer = http::reader::kind::answer;
+
+// How long a connection rests before it is used again (src/net/pool.cpp), and some more.
+constexpr double rested = 30;
+
+struct here {
+  loop runs;
+  std::ostringstream log_text;
+  logger lines{log_text, level::debug};
+  counters counts;
+  descriptor_budget budget;
+  pool endpoints;
+  relay rpcs;
+  front clients;
+  sockaddr_in where;
+  descriptor_budget of_clients{100};
+  std::vector<std::unique_ptr<side>> sides;
+
+  explicit here(repeatable repeats = repeatable::idempotent, std::size_t descriptors = 100,
+                links with = {5000, 60}, std::size_t bytes = 64 << 20)
+      : here(ground(repeats), with, descriptors, bytes) {}
+  here(const terrain& where_it_stands, links with, std::size_t descriptors = 100,
+       std::size_t bytes = 64 << 20, double deadline = 3000)
+      : budget{descriptors},
+        endpoints(runs, budget, counts, lines, with, [this] { return clients.close_idle(); }),
+        rpcs(runs, endpoints, counts, lines, where_it_stands, 1),
+        clients(runs, budget, counts, lines, rpcs,
+                {descriptors - descriptors / 8, descriptors / 2, bytes, deadline},
+                [this] { return endpoints.close_idle(); }) {
+    descriptor door = loopback();
+    where = address_of(door);
+    clients.adopt(std::move(door));
+  }
+  void list(const std::string& address, standing state = standing::ready) {
+    endpoints.listed("a", address);
+    rpcs.listed(true, false, {at("a", 0, state)});
+  }
+  side& client() {
+    sides.push_back(std::make_unique<side>(runs, of_clients, connect_to(where), answer));
+    until(runs, [&] { return sides.back()->wire->pending_error() == 0; });
+    return *sides.back();
+  }
+  int ask(side& from, const std::string& text) {
+    const std::size_t before = from.came.size();
+    from.say(text);
+    until(runs, [&] { return from.came.size() > before || from.ended; });
+    return from.came.size() > before ? from.came.back().status : 0;
+  }
+};
+
+inline std::string rpc(const std::string& method = "read", int budget = 300, int id = 0) {
+  static int ids = 0;  // each has one of its own, unless told
+  return "GET /" + method + " HTTP/1.1\r\nX-Call-Id: " + std::to_string(id ? id : --ids) +
+         "\r\nX-Call-Class: " + method + "\r\nX-Budget: " + std::to_string(budget) + "m\r\n\r\n";
+}
+
+inline const std::string served = answer_text(200, "served");
+
+}  // namespace host
