--- a/tests/endings_test.cpp
+++ b/tests/endings_test.cpp
@@ -605,3 +605,155 @@
     CHECK(h.counts.taken == h.counts.ok + h.counts.pushed_back + h.counts.aborted + h.counts.left);
   }
 }
+
+namespace {
+
+// Until so, for so long at most; how long it took, or -1.
+double took(loop& runs, double longest, const std::function<bool()>& so) {
+  const double began = runs.now();
+  while (!so()) {
+    if (runs.now() > began + longest) return -1;
+    runs.round(2);
+  }
+  return runs.now() - began;
+}
+
+const std::string list9 = list_text(9, true, entry("a") + "," + entry("b")),
+                  drain10 = list_text(10, false, entry("b", "draining"));
+
+// Nobody accepts at this door any more, and its queue is full: a connect hangs.
+std::vector<descriptor> fill(const descriptor& door) {
+  ::listen(door.get(), 0);
+  std::vector<descriptor> all;
+  for (int i = 0; i < 8; ++i) all.push_back(connect_to(address_of(door)));
+  return all;
+}
+
+}  // namespace
+
+TEST_CASE("a list is owed to the balancer within half of the grace, once its agent can tell it again") {
+  struct {
+    const char* what;
+    std::vector<std::string> script;  // until the list is told
+    bool known;                       // from before the start
+  } table[] = {
+      {"silent from its first moment", {"silent", list9}, false},
+      {"silent, with a list from before", {"silent", drain10}, true},
+      {"silent after a part of its answer",
+       {"HTTP/1.1 200 OK\r\nContent-Length: 500\r\n\r\n{\"generation\"", list9},
+       false},
+      {"reset", {"close", list9}, false},
+      {"rubbish", {"rubbish\r\n\r\n", list9}, false},
+      {"5 MB", {"HTTP/1.1 200 OK\r\nContent-Length: 5000000\r\n\r\n" + std::string(9000, ' '), list9}, false},
+      {"chunks without end", {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\n[", list9}, false},
+      {"an entry without an id", {list_text(9, true, R"({"lifecycle":"up"})"), list9}, false},
+      {"nothing wrong", {list9}, false},
+  };
+  for (const double grace : {300.0, 1000.0})
+    for (const auto& t : table) {
+      CAPTURE(std::string(t.what));
+      follower f;
+      stand_in agent(f.runs, t.script);
+      f.grace = grace;
+      f.follow(agent.where, true, t.known ? std::optional<std::uint64_t>(8) : std::nullopt);
+      const double ms = took(f.runs, 2000, [&] { return !f.heard.empty(); });
+      CHECK(ms >= 0);
+      CHECK(ms < grace / 2 + 30);
+      CHECK(f.heard == (t.known ? "+10b" : "=9ab"));
+      CHECK(f.counts.list_failures == static_cast<std::int64_t>(t.script.size()) - 1);
+    }
+}
+
+TEST_CASE("a connect to the agent that hangs between two calls is no watch that waits") {
+  for (const double grace : {300.0, 1000.0}) {
+    follower f;
+    f.grace = grace;
+    stand_in agent(f.runs, {answer_text(200, R"({"generation":9,"reset":true,"instances":[]})",
+                                        "Connection: close\r\n")});
+    f.follow(agent.where, true);
+    while (agent.sides.empty()) f.runs.round(1);
+    agent.at_door.drop();
+    const auto filling = fill(agent.door);
+    REQUIRE(took(f.runs, 500, [&] { return f.heard == "=9"; }) >= 0);
+    const double ms = took(f.runs, 2000, [&] { return f.counts.list_failures == 2; });
+    CHECK(ms >= 0);
+    CHECK(ms < grace);
+  }
+}
+
+TEST_CASE("a watch that fell silent is opened anew within 3 s of its first moment, pushed or asked for") {
+  struct row {
+    const char* what;
+    bool by_itself;
+    std::string dies;
+    follower f;
+    std::unique_ptr<stand_in> agent;
+    double called = 0, again = 0;
+  };
+  std::vector<std::unique_ptr<row>> all;
+  for (const bool by_itself : {true, false})
+    for (const std::string& dies :
+         {std::string("silent"), std::string("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n{")}) {
+      all.push_back(std::make_unique<row>());
+      row& r = *all.back();
+      r.by_itself = by_itself;
+      r.agent = std::make_unique<stand_in>(r.f.runs, std::vector<std::string>{list9, dies, drain10});
+      r.f.follow(r.agent->where, by_itself);
+    }
+  for (const double end = all[0]->f.runs.now() + 3500; all[0]->f.runs.now() < end;)
+    for (auto& r : all) {
+      r->f.runs.round(0.5);
+      if (r->called == 0 && r->agent->asked.size() == 2) r->called = r->f.runs.now();
+      if (r->again == 0 && r->agent->asked.size() == 3) r->again = r->f.runs.now();
+    }
+  for (auto& r : all) {
+    CAPTURE(r->by_itself);
+    CHECK(r->called > 0);
+    CHECK(r->again - r->called < 3150);
+    CHECK(r->f.heard == "=9ab+10b");
+    CHECK(r->f.failed == 0);  // a balancer that asks would wait, as for a service that can't answer
+  }
+}
+
+TEST_CASE("a watch that breaks is opened anew at once; that this fails too is told to a balancer that asks") {
+  follower f;
+  stand_in agent(f.runs, {list9, "close", drain10, "close", "close"});
+  f.follow(agent.where, false);
+  CHECK(took(f.runs, 300, [&] { return f.heard == "=9ab+10b"; }) >= 0);
+  CHECK(took(f.runs, 300, [&] { return f.failed == 1; }) >= 0);
+  pass(f.runs, 100);
+  CHECK(agent.asked.size() == 5);
+  CHECK(f.failed == 1);
+}
+
+TEST_CASE(
+    "SIGHUP while a call is out, twice, and by way of an agent that is dead: the last one's list is told") {
+  follower f;
+  stand_in before(f.runs, {"silent"}), after(f.runs, {list_text(3, true, entry("c"))});
+  f.follow(before.where, true);
+  REQUIRE(until(f.runs, [&] { return before.asked.size() == 1; }));
+  const sockaddr_in dead = address_of(loopback());
+  f.lists->move(dead, "dead");
+  f.runs.round(0);
+  f.lists->move(after.where, "after");
+  f.lists->move(after.where, "after");
+  before.sides[0]->say(list9);  // too late: it is not asked any more
+  CHECK(took(f.runs, 300, [&] { return f.heard == "=3c"; }) >= 0);
+  pass(f.runs, 200);
+  CHECK(f.heard == "=3c");
+  CHECK(after.asked[0] == "/api/targets");
+  CHECK(std::count(after.asked.begin(), after.asked.end(), "/api/targets") == 1);
+  f.lists->move(dead, "dead");
+  pass(f.runs, 400);
+  CHECK(f.counts.list_failures >= 2);
+  f.lists->move(before.where, "before");
+  CHECK(until(f.runs, [&] { return before.asked.size() == 2; }));
+}
+
+TEST_CASE("a list that comes indented is read, whatever its white space") {
+  follower f;
+  const std::string plain = R"({"generation":9,"reset":true,"instances":[)" + entry("a") + "]}";
+  stand_in agent(f.runs, {answer_text(200, nlohmann::json::parse(plain).dump(4) + "\n\n")});
+  f.follow(agent.where, true);
+  CHECK(until(f.runs, [&] { return f.heard == "=9a"; }));
+}
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -617,42 +617,6 @@
   CHECK(out.done());
 }
 
-namespace {
-
-std::string entry(const std::string& id, const std::string& state = "up") {
-  return R"({"instanceId":")" + id + R"(","hostPort":"127.0.0.1:1","zone":"z","cell":3,"lifecycle":")" +
-         state + R"(","weight":1.0,"startedAtMs":5})";
-}
-std::string list_text(int version, bool whole, const std::string& entries) {
-  return answer_text(200, R"({"generation":)" + std::to_string(version) + R"(,"reset":)" +
-                              (whole ? "true" : "false") + R"(,"instances":[)" + entries + "]}");
-}
-
-struct follower {
-  loop runs;
-  std::ostringstream log_text;
-  logger lines{log_text, level::info};
-  counters counts;
-  descriptor_budget budget{10};
-  std::string heard;
-  int failed = 0;
-  std::unique_ptr<discovery> lists;
-  void follow(const sockaddr_in& agent, bool by_itself, std::optional<std::uint64_t> had = {}) {
-    lists = std::make_unique<discovery>(
-        runs, budget, counts, lines, agent, "agent", 1, 500,
-        [this](const roster& r) {
-          heard += (r.whole ? "=" : "+") + std::to_string(r.version);
-          for (const auto& e : r.entries) heard += e.is.id;
-        },
-        [this] { ++failed; });
-    if (by_itself) lists->keep_asking();
-    if (had) lists->knows(*had);
-    lists->begin();
-  }
-};
-
-}  // namespace
-
 TEST_CASE("the list: the whole, then a watch that is kept open, through all that can go wrong") {
   const std::string whole = list_text(9, true, entry("a") + "," + entry("b")),
                     change = list_text(10, false, entry("b", "draining")), none = list_text(10, false, ""),
--- a/tests/parts.h
+++ b/tests/parts.h
@@ -3,6 +3,7 @@
 
 #include <sstream>
 
+#include "../src/net/discovery.h"
 #include "../src/net/front.h"
 #include "host.h"
 
@@ -66,4 +67,37 @@
 
 inline const std::string served = answer_text(200, "served");
 
+inline std::string entry(const std::string& id, const std::string& state = "up") {
+  return R"({"instanceId":")" + id + R"(","hostPort":"127.0.0.1:1","zone":"z","cell":3,"lifecycle":")" +
+         state + R"(","weight":1.0,"startedAtMs":5})";
+}
+inline std::string list_text(int version, bool whole, const std::string& entries) {
+  return answer_text(200, R"({"generation":)" + std::to_string(version) + R"(,"reset":)" +
+                              (whole ? "true" : "false") + R"(,"instances":[)" + entries + "]}");
+}
+
+struct follower {
+  loop runs;
+  std::ostringstream log_text;
+  logger lines{log_text, level::info};
+  counters counts;
+  descriptor_budget budget{10};
+  std::string heard;
+  int failed = 0;
+  double grace = 500;
+  std::unique_ptr<discovery> lists;
+  void follow(const sockaddr_in& agent, bool by_itself, std::optional<std::uint64_t> had = {}) {
+    lists = std::make_unique<discovery>(
+        runs, budget, counts, lines, agent, "agent", 1, grace,
+        [this](const roster& r) {
+          heard += (r.whole ? "=" : "+") + std::to_string(r.version);
+          for (const auto& e : r.entries) heard += e.is.id;
+        },
+        [this] { ++failed; });
+    if (by_itself) lists->keep_asking();
+    if (had) lists->knows(*had);
+    lists->begin();
+  }
+};
+
 }  // namespace host
