--- a/src/decode/fields.cpp
+++ b/src/decode/fields.cpp
@@ -31,6 +31,18 @@
   return number(field, absent * us_per_ms) / us_per_ms;
 }
 
+double fields::span(const char* field, double absent) const {
+  const double v = ms(field, absent);
+  if (!(v >= 0)) fault("field " + std::string(field) + " is below 0");
+  return v;
+}
+
+double fields::some_span(const char* field, double absent) const {
+  const double v = ms(field, absent);
+  if (!(v > 0)) fault("field " + std::string(field) + " is not above 0");
+  return v;
+}
+
 std::uint64_t fields::whole(const char* field) const {
   const json& v = need(field);
   if (v.is_number_unsigned()) return v.get<std::uint64_t>();
--- a/src/decode/fields.h
+++ b/src/decode/fields.h
@@ -27,7 +27,9 @@
   const json& need(const char* field) const;
   double number(const char* field) const;
   double number(const char* field, double absent) const;
-  double ms(const char* field, double absent = 0) const;  // from whole microseconds
+  double ms(const char* field, double absent = 0) const;     // from whole microseconds
+  double span(const char* field, double absent = 0) const;   // a time that lasts: not below 0
+  double some_span(const char* field, double absent) const;  // and not 0
   std::uint64_t whole(const char* field) const;
   int small(const char* field) const;
   int small(const char* field, int absent) const;
--- a/src/decode/settings.cpp
+++ b/src/decode/settings.cpp
@@ -10,8 +10,9 @@
     const fields m = f.entry("methods", j);
     method to;
     to.name = m.text("name");
-    to.latency_target = m.ms("latencyTarget", m.ms("deadline"));
-    to.deadline = m.ms("deadline");
+    // Without either no RPC could ever be in time.
+    to.deadline = m.find("deadline") ? m.some_span("deadline", 0) : 0;
+    to.latency_target = m.some_span("latencyTarget", to.deadline);
     to.utility = m.number("utility", 1);
     to.late_utility = m.number("overdueUtility", 0);
     to.repeats = m.word<repeatable>("effect", {{"retryable", repeatable::idempotent},
@@ -20,20 +21,21 @@
     if (m.find("group"))
       to.drops_repeats =
           m.word<group>("group", {{"all", group::everywhere}, {"zone", group::zone}, {"cell", group::cell}});
-    to.remembers = m.ms("dedupWindow");
+    to.remembers = m.span("dedupWindow");
     t.methods.push_back(to);
   }
   if (t.methods.empty()) f.fault("names no methods");
   t.zone = f.text("zone", "");
-  t.tick = f.ms("round", 1);
+  t.tick = f.span("round", 1);
   t.sidecars = f.number("balancers", 1);
   t.must_ask = f.text("discovery", "automatic") == "subscribe";
   t.warm_keys = f.inner("familyInfo").mark("warmKeys");
   const fields bounds = f.inner("bounds");
   t.most_picks = bounds.small("maxPicks", 1);
+  if (t.most_picks == 0) bounds.fault("field maxPicks is 0, so that nothing may be sent");
   t.cancelling = bounds.mark("cancelling");
   t.probing = bounds.mark("probes");
-  t.longest_retry_after = bounds.mark("retryAfter") ? bounds.ms("maxRetryAfter") : 0;
+  t.longest_retry_after = bounds.mark("retryAfter") ? bounds.span("maxRetryAfter") : 0;
   const fields reporting = f.inner("reporting");
   for (const json& j : reporting.list("fields")) t.probes_report |= j == held_word;
   t.probes_report &= reporting.text("how", "none") != "none";
@@ -42,11 +44,11 @@
   t.probe_price = charges.number("probe", 0);
   t.handshake_price = charges.number("handshake", 0);
   const fields rules = f.inner("rules");
-  t.ask_within = rules.ms("askWithin", 10000);
+  t.ask_within = rules.span("askWithin", 10000);
   t.cold_from = rules.number("coldFrom", 1);
-  t.cold_for = rules.ms("cold");
+  t.cold_for = rules.span("cold");
   t.cold_multiple = rules.number("overloadFactor", 1);
-  t.cold_span = rules.ms("fall");
+  t.cold_span = rules.span("fall");
   for (const json& j : f.list("parties")) {
     const fields p = f.entry("parties", j);
     constexpr double a_second = 1000;
@@ -65,9 +67,9 @@
 links decode_links(const fields& f) {
   const fields bounds = f.inner("bounds");
   links l;
-  l.idle = bounds.ms("keepalive", l.idle);
-  l.connect = bounds.ms("connectTimeout", l.connect);
-  l.grace = f.inner("rules").ms("drainGrace", l.grace);
+  l.idle = bounds.span("keepalive", l.idle);
+  l.connect = bounds.some_span("connectTimeout", l.connect);
+  l.grace = f.inner("rules").span("drainGrace", l.grace);
   return l;
 }
 
