--- a/tests/endings_test.cpp
+++ b/tests/endings_test.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <array>
+#include <map>
 #include <random>
 
 #include "../src/net/discovery.h"
@@ -135,6 +136,31 @@
   }
 }
 
+TEST_CASE("a client that left while its RPC waits for probes is owed nothing: it is sent nowhere") {
+  for (const bool leaves : {false, true}) {
+    terrain t = customer(true, true, repeatable::idempotent);
+    t.probes_report = true;
+    t.probe_price = 0.0001;
+    here h(t, slow_links);
+    stand_in one(h.runs, {}), other(h.runs, {});
+    h.endpoints.listed("a", text_of(one.where));
+    h.endpoints.listed("b", text_of(other.where));
+    h.rpcs.listed(true, false, {at("a"), at("b")});
+    side& c = h.client();
+    c.say(rpc("read", 3900));
+    const auto asked = [&](const char* target) {
+      return std::count(one.asked.begin(), one.asked.end(), target) +
+             std::count(other.asked.begin(), other.asked.end(), target);
+    };
+    REQUIRE(until(h.runs, [&] { return asked("/-/load") > 0; }));
+    REQUIRE(asked("/read") == 0);
+    if (leaves) c.hang_up();
+    pass(h.runs, 400);  // an RPC waits for them no longer than a part of that
+    CHECK(asked("/read") == (leaves ? 0 : 1));
+    if (leaves) CHECK(each_had_one_answer(h));
+  }
+}
+
 TEST_CASE(
     "an endpoint that drains, goes, moves or starts anew is owed no byte of what still connects to it") {
   struct {
@@ -776,3 +802,224 @@
   f.follow(agent.where, true);
   CHECK(until(f.runs, [&] { return f.heard == "=9a"; }));
 }
+
+namespace {
+
+// An endpoint that does as chance says, and counts from outside what came to it.
+struct wild {
+  here& h;
+  std::mt19937& chance;
+  stand_in at;
+  bool wanted = true;                      // by the list
+  std::size_t since = 0;                   // asked when the list said otherwise
+  std::vector<std::size_t> owes;           // sides with a request that waits
+  std::map<std::string, int>& runs_of_id;  // whole requests, by the client's id
+  std::size_t seen = 0;
+
+  wild(here& in, std::mt19937& by, std::map<std::string, int>& counted)
+      : h(in), chance(by), at(in.runs, {}), runs_of_id(counted) {}
+  std::size_t pick(std::size_t n) { return std::uniform_int_distribution<std::size_t>(0, n - 1)(chance); }
+  std::map<std::size_t, std::size_t> noted;  // of each side, requests seen
+
+  // What came since: noted, and owed an answer.
+  void look() {
+    std::size_t all = 0;
+    for (std::size_t i = 0; i < at.sides.size(); ++i) {
+      side& s = *at.sides[i];
+      all += s.came.size();
+      for (std::size_t n = noted[i]; n < s.came.size(); ++n) {
+        ++runs_of_id[std::string(s.came[n].find("X-Call-Id").value_or("none"))];
+        owes.push_back(i);
+      }
+      noted[i] = s.came.size();
+    }
+    seen = all;
+  }
+  void act() {
+    if (owes.empty()) return;
+    const std::size_t which = pick(owes.size());
+    side& s = *at.sides[owes[which]];
+    owes.erase(owes.begin() + static_cast<std::ptrdiff_t>(which));
+    if (!s.wire) return;
+    switch (pick(8)) {
+      case 0:
+        return s.hang_up();
+      case 1:
+        s.wire->abort_on_close();
+        return s.hang_up();
+      case 2:
+        return s.say(answer_text(500, ""));
+      case 3:  // it did not run
+        --runs_of_id[std::string(s.came.back().find("X-Call-Id").value_or("none"))];
+        return s.say(answer_text(503, "", "X-Rejected: 1\r\n"));
+      case 4:
+        return s.say("HTTP/1.1 200 OK\r\nContent-Length: 900\r\n\r\nhalf");
+      case 5:
+        s.say(answer_text(200, "last", "Connection: close\r\n"));
+        return s.hang_up();
+      default:
+        return s.say(served);
+    }
+  }
+};
+
+}  // namespace
+
+TEST_CASE(
+    "whatever the order: one answer each, no effect twice, nothing sent to who is gone or for who has left") {
+  std::size_t left = 0, answers = 0, withdrawn = 0, repeats_seen = 0;
+  for (std::uint32_t seed = 1; seed <= 24; ++seed) {
+    CAPTURE(seed);
+    std::mt19937 chance(seed);
+    const auto pick = [&](std::size_t n) {
+      return std::uniform_int_distribution<std::size_t>(0, n - 1)(chance);
+    };
+    const bool longer = seed % 2 == 0, cancels = seed % 4 < 2;
+    const repeatable repeats = seed % 3 == 0   ? repeatable::idempotent
+                               : seed % 3 == 1 ? repeatable::non_idempotent
+                                               : repeatable::deduplicated;
+    here h(customer(longer, cancels, repeats), {5000, 200, 300}, 100, 64 << 20, 300);
+    std::map<std::string, int> runs_of_id;
+    std::vector<std::unique_ptr<wild>> all;
+    for (int i = 0; i < 4; ++i) all.push_back(std::make_unique<wild>(h, chance, runs_of_id));
+    const auto name = [](std::size_t i) { return std::string(1, static_cast<char>('a' + i)); };
+    double started = 1;
+    const auto tell = [&](std::size_t i, standing state, bool anew) {
+      wild& w = *all[i];
+      some_rounds(h.runs, 6);  // what was written before is on its way
+      w.look();
+      w.wanted = state == standing::ready;
+      w.since = w.seen;
+      if (anew) ++started;
+      if (state == standing::gone)
+        h.endpoints.gone(name(i));
+      else
+        h.endpoints.listed(name(i), text_of(w.at.where), state, anew ? started : 0);
+      h.rpcs.listed(false, true, {at(name(i), anew ? started : 0, state)});
+    };
+    for (std::size_t i = 0; i < all.size(); ++i) {
+      h.endpoints.listed(name(i), text_of(all[i]->at.where));
+      h.rpcs.listed(false, true, {at(name(i))});
+    }
+    struct asker {
+      side* over;
+      std::vector<std::string> ids;
+      bool gone = false;
+    };
+    std::vector<asker> askers;
+    std::map<std::string, int> ran_when_left;  // ids whose client left, and how often they had come by then
+    int ids = 0;
+    const auto see = [&] {
+      for (std::size_t i = 0; i < all.size(); ++i) {
+        all[i]->look();
+        if (!all[i]->wanted) CHECK_MESSAGE(all[i]->seen == all[i]->since, "a request came after the news");
+      }
+    };
+    for (int step = 0; step < 260; ++step) {
+      switch (pick(9)) {
+        case 0:
+        case 1:
+        case 2:
+          if (askers.size() < 20 && pick(3) == 0) askers.push_back({&h.client(), {}});
+          if (!askers.empty()) {
+            asker& a = askers[pick(askers.size())];
+            // One at a time: the one before is answered.
+            if (a.gone || a.over->ended || a.ids.size() > a.over->came.size()) break;
+            a.ids.push_back("wild" + std::to_string(seed) + "-" + std::to_string(++ids));
+            a.over->say("GET /read HTTP/1.1\r\nX-Call-Id: " + a.ids.back() +
+                        "\r\nX-Call-Class: read\r\nX-Budget: " + (longer ? "3900" : "140") + "m\r\n\r\n");
+          }
+          break;
+        case 3:
+          if (!askers.empty() && pick(3) == 0) {
+            asker& a = askers[pick(askers.size())];
+            if (a.gone || a.over->ended) break;
+            a.gone = true;
+            if (pick(2)) a.over->wire->abort_on_close();
+            a.over->hang_up();
+            some_rounds(h.runs, 8);
+            see();
+            if (!a.ids.empty()) ran_when_left[a.ids.back()] = runs_of_id[a.ids.back()];
+          }
+          break;
+        case 4:
+          if (const std::size_t what = pick(4); what == 1) {
+            // All begin to drain while a pick connects: it is sent to none of them.
+            some_rounds(h.runs, 8);
+            see();
+            if (askers.size() >= 40) break;
+            askers.push_back({&h.client(), {"wild" + std::to_string(seed) + "-" + std::to_string(++ids)}});
+            some_rounds(h.runs, 3);
+            const auto opened = h.counts.opened, reused = h.counts.reused, taken = h.counts.taken;
+            const std::string id = askers.back().ids[0];
+            askers.back().over->say("GET /read HTTP/1.1\r\nX-Call-Id: " + id +
+                                    "\r\nX-Call-Class: read\r\nX-Budget: " + (longer ? "3900" : "140") +
+                                    "m\r\n\r\n");
+            for (int n = 0; n < 50 && h.counts.taken == taken; ++n) h.runs.round(0);
+            if (h.counts.opened != opened + 1 || h.counts.reused != reused) break;
+            std::vector<endpoint> draining, back;
+            for (std::size_t i = 0; i < all.size(); ++i) {
+              h.endpoints.listed(name(i), text_of(all[i]->at.where), standing::draining);
+              draining.push_back(at(name(i), 0, standing::draining));
+              back.push_back(at(name(i)));
+            }
+            h.rpcs.listed(false, true, draining);
+            some_rounds(h.runs, 10);
+            for (std::size_t i = 0; i < all.size(); ++i) {
+              all[i]->look();
+              h.endpoints.listed(name(i), text_of(all[i]->at.where));
+              all[i]->wanted = true;
+            }
+            CHECK_MESSAGE(runs_of_id[id] == 0, id);
+            runs_of_id.erase(id);
+            h.rpcs.listed(false, true, back);
+          } else if (what == 0) {
+            const std::size_t i = pick(all.size());
+            constexpr standing states[] = {standing::ready, standing::draining, standing::gone};
+            tell(i, all[i]->wanted ? states[pick(3)] : standing::ready, pick(3) == 0);
+          }
+          break;
+        case 5:
+        case 6:
+          all[pick(all.size())]->act();
+          break;
+        default:
+          for (std::size_t n = pick(6); n > 0; --n) h.runs.round(0);
+          if (pick(6) == 0) pass(h.runs, 3);
+      }
+      some_rounds(h.runs, static_cast<int>(pick(3)));
+      see();
+    }
+    bool gone = false;
+    h.clients.drain([&] { gone = true; });
+    const double told = h.runs.now();
+    while (!gone && h.runs.now() < told + 3000) {
+      h.runs.round(2);
+      see();
+      if (pick(20) == 0) all[pick(all.size())]->act();
+    }
+    CHECK(gone);
+    CHECK(h.runs.now() - told < 1000);
+    some_rounds(h.runs);
+    see();
+    CHECK(each_had_one_answer(h));
+    for (const asker& a : askers)
+      if (!a.gone) {
+        CHECK(a.over->ended);
+        CHECK(a.over->came.size() == a.ids.size());  // each asked had its one answer
+        answers += a.over->came.size();
+      }
+    for (const auto& [id, times] : runs_of_id) {
+      if (repeats == repeatable::non_idempotent) CHECK_MESSAGE(times <= 1, id);
+      repeats_seen += times > 1;
+    }
+    for (const auto& [id, times] : ran_when_left) CHECK_MESSAGE(runs_of_id[id] <= times, id);
+    left += static_cast<std::size_t>(h.counts.left);
+    withdrawn += ended(h, ending::withdrawn);
+  }
+  // The orders did meet what they are for.
+  CHECK(answers > 100);
+  CHECK(left > 20);
+  CHECK(withdrawn > 5);
+  CHECK(repeats_seen > 5);
+}
