After a stall clients' ends count first; what we have no descriptor for is no endpoint's failure

At fault: loop.cpp round() served a batch in epoll's order. Clients' connections have the rank ends_first now. Forced by leaving the connect up in the kernel and closing before the next round; without the rank the test sees the endpoint asked. Observed on reading: pool.cpp open() ended a pick for which this process has no descriptor as connect_failed, which halves the endpoint's reputation. It ends as moot (never ran, nothing learned); the balancer says how the RPC goes on.

--- a/src/net/front.cpp
+++ b/src/net/front.cpp
@@ -104,8 +104,9 @@
     c.opened = runs.now();
     c.reader.in_pieces();
     c.surplus = connections.size() > bounds.clients;
-    c.wire = std::make_unique<stream>(runs, room, std::move(fd),
-                                      [this, name](std::uint32_t events) { ready(name, events); });
+    c.wire = std::make_unique<stream>(
+        runs, room, std::move(fd), [this, name](std::uint32_t events) { ready(name, events); },
+        loop::rank::ends_first);
     ready(name);
   }
   return backlog::more;
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -110,9 +110,11 @@
   (*held)(events);
 }
 
-bool loop::first(std::uint64_t id) const {
+bool loop::first(std::uint64_t id, std::uint32_t events) const {
   const auto it = watches.find(id);
-  return it != watches.end() && it->second.as == rank::first;
+  if (it == watches.end()) return false;
+  const bool ends = (events & (EPOLLRDHUP | EPOLLHUP | EPOLLERR)) != 0;
+  return it->second.as == rank::first || (ends && it->second.as == rank::ends_first);
 }
 
 void loop::call_due() {
@@ -133,7 +135,7 @@
   const int n = ::epoll_wait(epoll.get(), events.data(), events.size(),
                              static_cast<int>(std::ceil(std::clamp(wait, 0.0, 60000.0))));
   std::stable_partition(events.begin(), events.begin() + std::max(n, 0),
-                        [this](const epoll_event& e) { return first(e.data.u64); });
+                        [this](const epoll_event& e) { return first(e.data.u64, e.events); });
   for (int i = 0; i < n; ++i) call(events[i].data.u64, events[i].events);
   std::deque<std::uint64_t> once;
   once.swap(requeued);
--- a/src/net/loop.h
+++ b/src/net/loop.h
@@ -70,7 +70,9 @@
 
   timer at(double when, task what);
   // first: its events are served ahead of all others in a round, or staff would wait behind a crowd.
-  enum class rank { usual, first };
+  // ends_first: so is its end, or what it gave up would still be worked on, in that round, after the process
+  // stood still.
+  enum class rank { usual, first, ends_first };
 
   // Edge-triggered: `what` must read, write or accept until EAGAIN, or ask to be called again.
   watch on(int fd, events_task what, rank as = rank::usual);
@@ -82,7 +84,7 @@
 
  private:
   void call(std::uint64_t id, std::uint32_t events);
-  bool first(std::uint64_t id) const;
+  bool first(std::uint64_t id, std::uint32_t events) const;
   void call_due();
 
   descriptor epoll;
--- a/src/net/pool.cpp
+++ b/src/net/pool.cpp
@@ -1,6 +1,7 @@
 #include "pool.h"
 
 #include <algorithm>
+#include <cerrno>
 
 #include "words.h"
 
@@ -180,9 +181,14 @@
 
 void pool::open(connection& c, const sockaddr_in* address) {
   descriptor fd;
-  if (address && (room.left() > 0 || close_idle() || make_room())) fd = connect_to(*address);
+  const bool affordable = room.left() > 0 || close_idle() || make_room();
+  if (address && affordable) fd = connect_to(*address);
   if (!fd) {
-    break_at(c, c.began);
+    // What we can't afford is no fault of the endpoint's: its reputation must not pay for our descriptors.
+    const bool ours = !affordable || (address && (errno == EMFILE || errno == ENFILE || errno == ENOBUFS));
+    c.connecting = runs.at(c.began, [this, ours, name = c.name] {
+      finish(*connections.at(name), ours ? ending::moot : ending::connect_failed, {}, false);
+    });
     return;
   }
   ++counted.opened;
--- a/src/net/relay.cpp
+++ b/src/net/relay.cpp
@@ -257,7 +257,8 @@
   if (broke) ++counted.cut;
   if (ended.how == ending::ok && !r.over) conclude(id, {verdict::what::ok, std::move(ended.answer), 0});
   // A bad client must not cost endpoints their reputation, nor be tried at one after the other.
-  if (ended.how == ending::moot && !r.over)
+  // Without an answer it is us who had no room; the balancer says how it goes on.
+  if (ended.how == ending::moot && ended.answer.status != 0 && !r.over)
     conclude(id, {verdict::what::aborted, std::move(ended.answer), 0});
   decides.pick_ended(runs.now(), id, number, ended.how, ended.took, r.over, report);
   pull();
--- a/tests/endings_test.cpp
+++ b/tests/endings_test.cpp
@@ -136,6 +136,32 @@
   }
 }
 
+TEST_CASE(
+    "a client's end and its RPC's connect in one round, after the process stood still: the end counts "
+    "first") {
+  for (const bool longer : {false, true})
+    for (const bool cancels : {false, true})
+      for (const repeatable repeats :
+           {repeatable::idempotent, repeatable::deduplicated, repeatable::non_idempotent})
+        for (const bool by_reset : {false, true}) {
+          here h(customer(longer, cancels, repeats), {5000, 3000, 300});
+          stand_in endpoint(h.runs, {served});
+          h.list(text_of(endpoint.where));
+          side& c = h.client();
+          some_rounds(h.runs);
+          c.say(rpc("read", longer ? 3900 : 140));
+          while (h.counts.opened == 0) h.runs.round(0);  // up in the kernel, not told yet
+          if (by_reset) c.wire->abort_on_close();
+          c.hang_up();
+          h.runs.round(0);
+          CHECK(h.counts.left == 1);
+          CHECK(ended(h, ending::withdrawn) + ended(h, ending::cancelled) == 1);
+          pass(h.runs, 10);
+          CHECK(endpoint.asked.empty());
+          CHECK(each_had_one_answer(h));
+        }
+}
+
 TEST_CASE("a client that left while its RPC waits for probes is owed nothing: it is sent nowhere") {
   for (const bool leaves : {false, true}) {
     terrain t = customer(true, true, repeatable::idempotent);
@@ -484,6 +510,33 @@
   }
 }
 
+TEST_CASE(
+    "no descriptor left for a pick, or for its repeat: pushed back at once, and no fault of the endpoint's") {
+  for (const bool repeat : {false, true}) {
+    CAPTURE(repeat);
+    here h(customer(true, true, repeatable::idempotent), {5000, 60, 300}, 3);
+    stand_in endpoint(h.runs, {"silent"});
+    h.list(text_of(endpoint.where));
+    side &first = h.client(), &other = h.client();
+    first.say(rpc("read", 3900));
+    REQUIRE(until(h.runs, [&] { return endpoint.asked.size() == 1; }));
+    REQUIRE(h.budget.left() == 0);
+    side& asks = repeat ? first : other;
+    if (repeat) {
+      // What the pick frees, a third client takes in the same breath.
+      h.budget.most = 2;
+      endpoint.sides[0]->hang_up();
+    } else {
+      other.say(rpc("read", 3900));
+    }
+    REQUIRE(until(h.runs, [&] { return asks.came.size() == 1; }));
+    CHECK(asks.came[0].status == 503);
+    CHECK(ended(h, ending::moot) > 0);
+    CHECK(ended(h, ending::connect_failed) == 0);
+    CHECK(endpoint.asked.size() == 1);
+  }
+}
+
 TEST_CASE("room is not made at the cost of a request that is here and not read yet") {
   here h(customer(true, true, repeatable::idempotent), {5000, 60, 300});
   stand_in endpoint(h.runs, {served, served, served, served});
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -476,6 +476,10 @@
   CHECK(until(h.runs, [&] { return h.counts.ok + h.counts.pushed_back + h.counts.aborted >= 4; }));
   CHECK(until(h.runs, [&] { return more.came.size() == 1 || more.ended; }));
   CHECK(h.budget.open <= 8);
+  // Room that we have not is no failure of the endpoint's.
+  CHECK(h.counts.picks[static_cast<std::size_t>(ending::connect_failed)] == 0);
+  CHECK(more.came.size() == 1);
+  CHECK(more.came.back().status == 503);
 }
 
 TEST_CASE("little memory: RPCs are pushed back, nothing is sent") {
