Who asks for readiness and closes its side in the same breath is still told

At fault: front.cpp ready(). Only a held RPC ends at once; an RPC that is whole with its client's end is dropped in handle(), all else is answered.

--- a/src/net/front.cpp
+++ b/src/net/front.cpp
@@ -118,7 +118,7 @@
   if (c.in == connection::stage::writing || c.in == connection::stage::passing) return write(c);
   // Its end may lie behind more than is read ahead, or behind an upload that no endpoint takes: who waits for
   // that to be read would send on what nobody waits for.
-  if (c.left && c.in != connection::stage::lingering) return close(which);
+  if (c.left && c.in == connection::stage::held) return close(which);
   if (!read(c)) return;
   weigh(c);
   if (c.uploading) return pass_up(c);
@@ -275,6 +275,8 @@
 
 void front::handle(connection& c, http::message m) {
   const errand what = errand_of(m);
+  // Nobody waits for its answer; what costs nothing is told all the same to who closed only one side.
+  if (c.left && what == errand::rpc) return this->close(c.name);
   const bool close = !m.keeps || draining || hurried || c.surplus || (what != errand::rpc && crowded());
   if (what == errand::readiness)
     return answer(c, draining ? plain(503, "stopping\n", close) : plain(200, "ready\n", close), close);
--- a/tests/endings_test.cpp
+++ b/tests/endings_test.cpp
@@ -429,6 +429,17 @@
     }
 }
 
+TEST_CASE("who asks whether we are ready and closes its side in the same breath is told") {
+  here h;
+  side& c = h.client();
+  some_rounds(h.runs);
+  c.say("GET /-/ready HTTP/1.1\r\n\r\n");
+  c.wire->end_sending();
+  REQUIRE(until(h.runs, [&] { return c.came.size() == 1; }));
+  CHECK(c.came[0].status == 200);
+  CHECK(until(h.runs, [&] { return c.ended; }));
+}
+
 TEST_CASE(
     "a client that is gone during an upload which the endpoint doesn't take is seen, and its pick given up") {
   for (const bool cancels : {false, true}) {
