--- a/tests/endings_test.cpp
+++ b/tests/endings_test.cpp
@@ -39,40 +39,6 @@
 }
 constexpr links slow_links{5000, 3000, 300};
 
-// An endpoint whose queue is full: connects to it hang until it is let up, and come up with the next try of
-// their kernel, a second after the first. It says what came over any connection, and nothing.
-struct late_door {
-  descriptor door = loopback();
-  sockaddr_in where = address_of(door);
-  std::vector<descriptor> filling, taken;
-  std::string heard;
-
-  late_door() {
-    ::listen(door.get(), 0);
-    for (int i = 0; i < 8; ++i) filling.push_back(connect_to(where));
-  }
-  void let_up() {
-    filling.clear();
-    ::listen(door.get(), 100);
-  }
-  void hear() {
-    for (;;) {
-      descriptor fd(::accept4(door.get(), nullptr, nullptr, SOCK_NONBLOCK));
-      if (!fd) break;
-      taken.push_back(std::move(fd));
-    }
-    std::array<char, 4096> some;
-    for (const descriptor& fd : taken)
-      for (ssize_t n; (n = ::recv(fd.get(), some.data(), some.size(), 0)) > 0;)
-        heard.append(some.data(), static_cast<std::size_t>(n));
-  }
-  std::size_t requests() const {
-    std::size_t n = 0;
-    for (std::size_t at = 0; (at = heard.find("X-Call-Id", at)) != std::string::npos; ++at) ++n;
-    return n;
-  }
-};
-
 // What one row of a table needs; all rows take their second together.
 struct case_of_late {
   here h;
--- a/tests/process_test.cpp
+++ b/tests/process_test.cpp
@@ -319,3 +319,37 @@
     CHECK(lines[0].find(t.said) != std::string::npos);
   }
 }
+
+TEST_CASE(
+    "processes: stopped while a client leaves and its pick's connect comes up, it sends nothing on "
+    "afterwards") {
+  for (const bool leaves : {false, true}) {
+    loop runs;
+    stand_in agent(runs, {});
+    late_door late;
+    const settings_of patient{"a connect may take its second", 8000, 8000, 3000, 1000, false};
+    sidecar s(agent.where, patient,
+              R"("known":{"generation":1,"reset":true,"instances":[{"instanceId":"a","hostPort":")" +
+                  text_of(late.where) + R"(","lifecycle":"up"}]},)");
+    s.start();
+    REQUIRE(s.ready(runs));
+    descriptor_budget room{10};
+    side client(runs, room, connect_to(s.where), answer), second(runs, room, connect_to(s.where), answer);
+    client.say(pay(1, 8000));
+    // Its pick connects by the time that another client has an answer to what came behind it.
+    REQUIRE(wait_for(runs, 2000, [&] { return client.wire->unread() == 0; }));
+    for (int i = 0; i < 3; ++i) {
+      second.say("GET /-/ready HTTP/1.1\r\n\r\n");
+      REQUIRE(wait_for(runs, 2000, [&] { return second.came.size() == static_cast<std::size_t>(i + 1); }));
+    }
+    s.say(SIGSTOP);
+    if (leaves) client.hang_up();
+    late.let_up();
+    for (const double end = runs.now() + 1500; runs.now() < end; late.hear()) runs.round(5);
+    CHECK_FALSE(late.taken.empty());  // it came up
+    CHECK(late.requests() == 0);
+    s.say(SIGCONT);
+    for (const double end = runs.now() + 300; runs.now() < end; late.hear()) runs.round(5);
+    CHECK(late.requests() == (leaves ? 0 : 1));
+  }
+}
