Endings: one pass that looks once more, one loop that gives up, one word for what is unsent

The list in the process tests is written once. No assertion changed. Not run on it: sanitizers, laboratory and fleet tests.

--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -78,7 +78,6 @@
   agent = where;
   host = std::move(name);
   wire.reset();
-  next_call.drop();
   whole_wanted = true;
   proven = false;
   begin();
--- a/src/net/front.cpp
+++ b/src/net/front.cpp
@@ -497,26 +497,28 @@
   give_back_idle();
 }
 
-std::vector<std::uint64_t> front::those_reading() const {
-  std::vector<std::uint64_t> all;
+// What was written to a connection before it is closed is ours: each that reads is looked at once more, and
+// `then` has those that are still there.
+void front::look_once_more(const std::function<void(connection&)>& then) {
+  std::vector<std::uint64_t> reading;
   for (const auto& [name, c] : connections)
-    if (c->in == connection::stage::reading) all.push_back(name);
-  return all;
+    if (c->in == connection::stage::reading) reading.push_back(name);
+  for (const std::uint64_t name : reading) {
+    const auto it = connections.find(name);  // room may have been made at its cost
+    if (it != connections.end() && read(*it->second)) then(*it->second);
+  }
 }
 
 // Clients send on what stays open. A request that crosses the closing is sent once more over a new
 // connection, which is to be had only while the door is open: so what rests goes now, and not with the door.
 void front::give_back_idle() {
-  for (const std::uint64_t name : those_reading()) {
-    const auto it = connections.find(name);
-    if (it == connections.end() || !read(*it->second)) continue;
-    connection& c = *it->second;
+  look_once_more([this](connection& c) {
     weigh(c);
     if (!c.reader.begun() && c.heard)
-      close(name);
+      close(c.name);
     else
       serve(c);
-  }
+  });
 }
 
 void front::end_by_force() {
@@ -544,19 +546,15 @@
   door_again.drop();
   at_door.drop();
   door = {};
-  // What was written to a connection before we close it is ours: look once more.
-  for (const std::uint64_t name : those_reading()) {
-    const auto it = connections.find(name);  // room may have been made at its cost
-    if (it == connections.end() || !read(*it->second)) continue;
-    connection& c = *it->second;
+  look_once_more([this](connection& c) {
     constexpr double last = 200;  // who began to send a request, or came last of all, may end it
     if (c.reader.begun() ? c.reader.now() == http::reader::state::reading : !c.heard)
       await(c, runs.now() + last);
     else if (!c.reader.begun())
-      close(name);
+      close(c.name);
     else
       serve(c);
-  }
+  });
   end_if_empty();
 }
 
--- a/src/net/front.h
+++ b/src/net/front.h
@@ -69,7 +69,7 @@
   void write(connection& c);
   void close(std::uint64_t which);
   void close_door();
-  std::vector<std::uint64_t> those_reading() const;
+  void look_once_more(const std::function<void(connection&)>& then);
   void give_back_idle();
   void linger(connection& c, double patience);
   void end_by_force();
--- a/src/net/pool.cpp
+++ b/src/net/pool.cpp
@@ -17,6 +17,7 @@
 // A connection's name is the ticket of its exchange; it gets a new one with each.
 struct pool::connection {
   enum class stage { connecting, writing, awaiting, idle } in = stage::connecting;
+  bool unsent() const { return in == stage::connecting || in == stage::writing; }
   ticket name;
   std::string server;
   std::unique_ptr<stream> wire;
@@ -84,12 +85,9 @@
 void pool::let_go() {
   std::vector<ticket> unbegun;
   for (const auto& [name, c] : connections)
-    if ((c->in == connection::stage::connecting || c->in == connection::stage::writing) && !c->out.begun() &&
-        !open_still(*c))
-      unbegun.push_back(name);
+    if (c->unsent() && !c->out.begun() && !open_still(*c)) unbegun.push_back(name);
   for (const ticket name : unbegun)
-    if (const auto c = connections.find(name); c != connections.end())
-      finish(*c->second, ending::withdrawn, {}, false);
+    if (const auto c = connections.find(name); c != connections.end()) miss(*c->second);
 }
 
 void pool::close_idle_at(place& at) {
@@ -181,7 +179,7 @@
 
 void pool::open(connection& c, const sockaddr_in* address) {
   descriptor fd;
-  const bool affordable = room.left() > 0 || close_idle() || make_room();
+  const bool affordable = !address || room.left() > 0 || close_idle() || make_room();
   if (address && affordable) fd = connect_to(*address);
   if (!fd) {
     // What we can't afford is no fault of the endpoint's: its reputation must not pay for our descriptors.
@@ -410,8 +408,7 @@
 
 bool pool::unsent(ticket which) const {
   const auto it = connections.find(which);
-  return it != connections.end() &&
-         (it->second->in == connection::stage::connecting || it->second->in == connection::stage::writing);
+  return it != connections.end() && it->second->unsent();
 }
 
 bool pool::close_idle() {
--- a/src/net/relay.cpp
+++ b/src/net/relay.cpp
@@ -71,9 +71,7 @@
   rpc& r = still->second;
   withdraw_unsent(id);
   // The balancer cancels no pick whose bytes are on their way; nobody gives or takes them any more.
-  if (r.spent || r.passing)
-    for (std::size_t n = 0; n < r.picks.size(); ++n)
-      if (r.picks[n].out) give_up(id, static_cast<int>(n));
+  if (r.spent || r.passing) give_up_all(id);
   r.who = {};
   forget_if_over(id);
 }
@@ -91,9 +89,7 @@
       decides.client_left(runs.now(), id);
       pull();
     }
-    if (const auto still = rpcs.find(id); still != rpcs.end())
-      for (std::size_t n = 0; n < still->second.picks.size(); ++n)
-        if (still->second.picks[n].out) give_up(id, static_cast<int>(n));
+    if (rpcs.count(id)) give_up_all(id);
     cut();
     forget_if_over(id);
   }
@@ -283,6 +279,12 @@
   decides.pick_ended(runs.now(), id, number, how, runs.now() - p.sent, r.over, {});
 }
 
+void relay::give_up_all(const std::string& id) {
+  const std::vector<pick>& picks = rpcs.at(id).picks;
+  for (std::size_t n = 0; n < picks.size(); ++n)
+    if (picks[n].out) give_up(id, static_cast<int>(n));
+}
+
 // A connection that comes up late would else bring to an endpoint what has had its final answer, or what
 // nobody waits for any more. Also where the settings allow no cancelling: nothing was asked of it yet.
 void relay::withdraw_unsent(const std::string& id) {
--- a/src/net/relay.h
+++ b/src/net/relay.h
@@ -97,6 +97,7 @@
   void pick_ended(const std::string& id, int number, pool::result r);
   void cancel(const decision& d);
   void give_up(const std::string& id, int number, ending how = ending::cancelled);
+  void give_up_all(const std::string& id);
   void withdraw_unsent(const std::string& id);
   bool began(const std::string& id, int number, const http::message& answer);
   void wants(const std::string& id, int number);
--- a/tests/process_test.cpp
+++ b/tests/process_test.cpp
@@ -97,6 +97,12 @@
   int status = -1;
 };
 
+// The list from before the start: one endpoint.
+std::string knows(const sockaddr_in& endpoint) {
+  return R"("known":{"generation":1,"reset":true,"instances":[{"instanceId":"a","hostPort":")" +
+         text_of(endpoint) + R"(","lifecycle":"up"}]},)";
+}
+
 bool wait_for(loop& runs, double longest, const std::function<bool()>& so) {
   for (const double end = runs.now() + longest; !so();) {
     if (runs.now() > end) return false;
@@ -212,9 +218,7 @@
     stand_in agent(runs, {});
     stand_in endpoint(runs, std::vector<std::string>(100000, answer_text(200, "paid")));
     endpoint.budget.most = 1000;
-    sidecar s(agent.where, settings,
-              R"("known":{"generation":1,"reset":true,"instances":[{"instanceId":"a","hostPort":")" +
-                  text_of(endpoint.where) + R"(","lifecycle":"up"}]},)");
+    sidecar s(agent.where, settings, knows(endpoint.where));
     s.start();
     REQUIRE(s.ready(runs));
     crowd clients(runs, s.where, settings.deadline, 24);
@@ -261,9 +265,7 @@
     CAPTURE(std::string(settings.what));
     loop runs;
     stand_in agent(runs, {}), endpoint(runs, {});
-    sidecar s(agent.where, settings,
-              R"("known":{"generation":1,"reset":true,"instances":[{"instanceId":"a","hostPort":")" +
-                  text_of(endpoint.where) + R"(","lifecycle":"up"}]},)");
+    sidecar s(agent.where, settings, knows(endpoint.where));
     s.start();
     REQUIRE(s.ready(runs));
     descriptor_budget room{100};
@@ -328,9 +330,7 @@
     stand_in agent(runs, {});
     late_door late;
     const settings_of patient{"a connect may take its second", 8000, 8000, 3000, 1000, false};
-    sidecar s(agent.where, patient,
-              R"("known":{"generation":1,"reset":true,"instances":[{"instanceId":"a","hostPort":")" +
-                  text_of(late.where) + R"(","lifecycle":"up"}]},)");
+    sidecar s(agent.where, patient, knows(late.where));
     s.start();
     REQUIRE(s.ready(runs));
     descriptor_budget room{10};
