The divider keeps sums: an answer costs the logarithm of the sharers, not all of them

Cause: divider::answer went over all sharers four times and sorted them by their wishes (targets, of_one, forget, sharers in src/shares/shares.cpp). Change: wishes stand in an order-statistic tree with sums (src/shares/demand), what is in use is a sum kept up with every change, and what ends next is looked at when it ends. Odd units go by turns among those that want more, in the tree's order. A flood of questions by one sharer is bounded to 32 grants: two become one that covers both.

--- /dev/null
+++ b/bench/scale.cpp
@@ -0,0 +1,151 @@
+// What parts of the control cost by the size of the fleet, with the complexity fitted: one answer of the
+// divider, one datagram out of and into the membership, one list of endpoints taken in whole and by change,
+// one decision. Run with --benchmark_repetitions=5 for the spread.
+#include <benchmark/benchmark.h>
+
+#include <string>
+
+#include "../src/members/envelope.h"
+#include "../src/net/discovery.h"
+#include "../src/shares/shares.h"
+#include "indigorill/balance.h"
+
+namespace {
+
+using namespace indigorill;
+
+std::string named(const char* what, std::size_t i) { return std::string(what).append(std::to_string(i)); }
+std::string place(std::size_t i) {
+  std::string s("10.");
+  for (const std::size_t part : {i / 62500 % 250, i / 250 % 250}) s.append(std::to_string(part)).append(".");
+  return s.append(std::to_string(i % 250)).append(":7900");
+}
+
+void divider_answer(benchmark::State& state) {
+  const auto n = static_cast<std::size_t>(state.range(0));
+  const shares_traits with{
+      {{"picks", 4.0 * static_cast<double>(n), 0, 1000}}, static_cast<int>(n), 2000, 60000, 0.01};
+  divider d(with);
+  std::vector<purse> all;
+  for (std::size_t i = 0; i < n; ++i) all.emplace_back(with, 1 + i);
+  double now = 1e6;
+  d.begin(now, now);
+  std::size_t i = 0;
+  const auto ask = [&](purse& p, std::size_t wants) {
+    for (std::size_t w = 0; w < wants; ++w) p.wanted(now, 0);
+    return p.ask(now);
+  };
+  const auto one = [&] {
+    purse& p = all[i];
+    p.heard(now, d.answer(now, 1e18, ask(p, i % 100 == 0 ? 50 : i % 3)));
+    now += with.share / 3 / static_cast<double>(n);
+    i = (i + 1) % n;
+  };
+  for (std::size_t k = 0; k < 6 * n; ++k) one();  // settled
+  for (auto _ : state) one();
+  state.SetComplexityN(state.range(0));
+}
+// With the purse's own work for one question, which does not depend on the size.
+BENCHMARK(divider_answer)->RangeMultiplier(4)->Range(100, 25600)->Complexity();
+
+// Two of a fleet in which each knows all.
+struct knows_all {
+  members one;
+  double now = 1e6;
+  explicit knows_all(std::size_t n) : one({"n0", place(0), {place(1)}, 1000, 300}, 1, 1, 1e6) {
+    gossip page{gossip::kind::page, 1, {}, {}, {}};
+    for (std::size_t i = 1; i < n; ++i)
+      page.news.push_back({member::state::alive, named("n", i), place(i), 1});
+    one.heard(now, "n1", place(1), page);
+  }
+};
+
+void datagram_in_and_out(benchmark::State& state) {
+  knows_all k(static_cast<std::size_t>(state.range(0)));
+  envelope e;
+  e.fleet = "lab";
+  e.name = named("n", 1);
+  e.address = place(1);
+  e.incarnation = 1;
+  e.talk = {gossip::kind::ping, 1, {}, {}, {{member::state::alive, named("n", 1), place(1), 1}}};
+  for (auto _ : state) {
+    ++e.serial;
+    const auto got = std::get<envelope>(decode_envelope(encode(e), "lab"));
+    k.one.heard(k.now, got.name, got.address, got.talk);
+    while (auto l = k.one.next()) benchmark::DoNotOptimize(l);
+  }
+  state.SetComplexityN(state.range(0));
+}
+BENCHMARK(datagram_in_and_out)->RangeMultiplier(4)->Range(100, 25600)->Complexity();
+
+// A period of one that hears nothing back but the answers to its own probes.
+void member_period(benchmark::State& state) {
+  knows_all k(static_cast<std::size_t>(state.range(0)));
+  for (auto _ : state) {
+    k.now = std::max(k.now, k.one.next_due());
+    k.one.due(k.now);
+    while (auto l = k.one.next())
+      if (l->what.what == gossip::kind::ping) {
+        const std::string name = named("n", 1);
+        k.one.heard(k.now, name, l->to, {gossip::kind::ack, l->what.number, {}, {}, {}});
+      }
+  }
+  state.SetComplexityN(state.range(0));
+}
+BENCHMARK(member_period)->RangeMultiplier(4)->Range(100, 25600)->Complexity();
+
+roster list_of(std::size_t n) {
+  roster r;
+  r.version = n;
+  r.whole = true;
+  for (std::size_t i = 0; i < n; ++i)
+    r.entries.push_back({{named("endpoint-", i), "here", 0, 0, standing::ready}, place(i)});
+  return r;
+}
+
+void list_whole(benchmark::State& state) {
+  const std::string text = encode_roster(list_of(static_cast<std::size_t>(state.range(0))));
+  terrain t;
+  balancer b(t, 1, 1e6);
+  double now = 1e6;
+  for (auto _ : state) {
+    const roster r = read_roster(text);
+    std::vector<endpoint> all;
+    for (const roster::entry& e : r.entries) all.push_back(e.is);
+    b.listed(++now, true, false, all);
+    while (b.next()) {
+    }
+  }
+  state.counters["bytes"] = static_cast<double>(text.size());
+  state.SetComplexityN(state.range(0));
+}
+BENCHMARK(list_whole)->RangeMultiplier(10)->Range(10, 10000)->Complexity();
+
+// One endpoint of n comes or goes.
+void list_change(benchmark::State& state) {
+  const auto n = static_cast<std::size_t>(state.range(0));
+  terrain t;
+  balancer b(t, 1, 1e6);
+  std::vector<endpoint> all;
+  for (const roster::entry& e : list_of(n).entries) all.push_back(e.is);
+  double now = 1e6;
+  b.listed(now, true, false, all);
+  while (b.next()) {
+  }
+  roster change;
+  change.entries = {{all[n / 2], place(n / 2)}};
+  for (auto _ : state) {
+    standing& s = change.entries[0].is.state;
+    s = s == standing::ready ? standing::gone : standing::ready;
+    const roster r = read_roster(encode_roster(change));
+    b.listed(++now, false, false, {r.entries[0].is});
+    while (b.next()) {
+    }
+  }
+  state.SetComplexityN(state.range(0));
+}
+BENCHMARK(list_change)->RangeMultiplier(10)->Range(10, 10000)->Complexity();
+
+}  // namespace
+
+BENCHMARK_MAIN();
--- a/src/shares/shares.cpp
+++ b/src/shares/shares.cpp
@@ -4,7 +4,7 @@
 #include <array>
 #include <charconv>
 #include <cmath>
-#include <numeric>
+#include <utility>
 
 namespace indigorill {
 namespace {
@@ -61,52 +61,93 @@
 }
 
 bool divider::counts(const sharer& s, double now) const {
-  return now < s.seat_until || now <= s.heard + 2 * is.share ||
+  return now < s.seat_until || now < s.heard + 2 * is.share ||
          std::any_of(s.grants.begin(), s.grants.end(), [&](const grant& g) { return now < g.until; });
 }
 
-void divider::forget(double now) {
-  for (auto& [session, s] : all) std::erase_if(s.grants, [&](const grant& g) { return now >= g.until; });
-  // Who has asked for nothing since its last share ended is no sharer any more.
-  std::erase_if(all, [&](const auto& s) { return !counts(s.second, now); });
+divider::divider(shares_traits with, share_guards g)
+    : is(std::move(with)), stand(g), demands(is.budgets.size()), in_use(is.budgets.size()) {}
+
+std::uint64_t divider::steps() const {
+  std::uint64_t n = looked;
+  for (const demand& d : demands) n += d.steps();
+  return n;
+}
+
+std::size_t divider::stored() const {
+  std::size_t n = 0;
+  for (const auto& [session, s] : all) n += s.grants.size();
+  return n;
+}
+
+divider::sharer& divider::admit(std::uint64_t session) {
+  const auto [it, fresh] = all.try_emplace(session);
+  sharer& s = it->second;
+  if (fresh) {
+    s.wants.resize(is.budgets.size());
+    s.in_use.resize(is.budgets.size());
+    for (demand& d : demands) d.add({0, session});
+    looks.insert({s.look_at, session});
+  }
+  return s;
 }
 
-// Max-min fair (Bertsekas, Gallager, "Data Networks", 6.5): nobody has more while another one wants and has
-// less; what nobody wants goes to all alike, for who wants more a moment later. Whole units; the odd ones by
-// turns.
-std::vector<double> divider::targets(double now, std::size_t budget) const {
-  const std::size_t n = all.size(), turn = static_cast<std::size_t>(std::max(0.0, now / is.share));
-  std::vector<double> wants, has(n);
-  for (const auto& [session, s] : all) wants.push_back(std::ceil(s.wants[budget]));
-  double left = std::floor(std::max(0.0, is.divided(is.budgets[budget])));
-  std::vector<std::size_t> order(n);
-  std::iota(order.begin(), order.end(), 0);
-  std::stable_sort(order.begin(), order.end(),
-                   [&](std::size_t a, std::size_t b) { return wants[a] < wants[b]; });
-  for (std::size_t i = 0; i < n; ++i) {
-    const double part = left / static_cast<double>(n - i);
-    has[order[i]] = std::min(wants[order[i]], part);
-    left -= has[order[i]];
+void divider::wish(std::uint64_t session, sharer& s, const std::vector<double>& wants) {
+  // What is no number has no place in an order, and sums of such a size are still exact.
+  constexpr double most = 1e9;
+  for (std::size_t b = 0; b < wants.size(); ++b) {
+    const double w = wants[b] > 0 ? std::ceil(std::min(wants[b], most)) : 0;
+    if (w == s.wants[b]) continue;
+    demands[b].take_out({s.wants[b], session});
+    demands[b].add({s.wants[b] = w, session});
   }
-  // Whole units alone are given; the parts of units that are over go on by turns.
-  for (double& h : has) {
-    const double units = std::floor(h + 1e-9);
-    left += h - units;
-    h = units;
+}
+
+// Many questions in a short time must not fill the memory: two grants become one that covers both, which
+// counts for more than they did and never for less.
+void divider::give(sharer& s, grant g) {
+  constexpr std::size_t most = 32;  // a share that is asked for three times and a window as long leave six
+  if (s.grants.size() >= most) {
+    grant& first = s.grants[0];
+    const grant& second = s.grants[1];
+    first.number = std::max(first.number, second.number);
+    first.until = std::max(first.until, second.until);
+    for (std::size_t b = 0; b < first.amounts.size(); ++b)
+      first.amounts[b] = std::max(first.amounts[b], second.amounts[b]);
+    s.grants.erase(std::next(s.grants.begin()));
   }
-  left = std::floor(left + 1e-9);
-  const bool enough = std::equal(has.begin(), has.end(), wants.begin());
-  if (enough) {
-    const double alike = std::floor(left / static_cast<double>(std::max<std::size_t>(n, 1)));
-    for (double& h : has) h += alike;
-    left -= alike * static_cast<double>(n);
+  s.grants.push_back(std::move(g));
+}
+
+// Brings the sums in line with what it has now, and says when that has to be done again.
+void divider::settle(std::uint64_t session, sharer& s, double now) {
+  ++looked;
+  std::erase_if(s.grants, [&](const grant& g) { return now >= g.until; });
+  for (std::size_t b = 0; b < in_use.size(); ++b) {
+    const double most = of_one(s, now, b);
+    in_use[b] += most - std::exchange(s.in_use[b], most);
   }
-  // First to those that want more than they have; whose turn it is goes round.
-  for (std::size_t i = 0; i < n && left >= 1; ++i) {
-    const std::size_t at = (i + turn) % n;
-    if (enough || has[at] < wants[at]) ++has[at], --left;
+  double next = std::max(s.seat_until, s.heard + 2 * is.share);
+  for (const grant& g : s.grants) next = std::min(next, g.until);
+  // Without a grant only its place is left to end; a grant that ends after that is looked at for its own
+  // sake.
+  if (next <= now)
+    for (const grant& g : s.grants) next = next <= now ? g.until : std::min(next, g.until);
+  looks.erase({s.look_at, session});
+  looks.insert({s.look_at = next, session});
+}
+
+void divider::forget(double now) {
+  while (!looks.empty() && looks.begin()->first <= now) {
+    const std::uint64_t session = looks.begin()->second;
+    sharer& s = all.at(session);
+    settle(session, s, now);
+    // Who has asked for nothing since its last share ended is no sharer any more.
+    if (counts(s, now)) continue;
+    for (std::size_t b = 0; b < demands.size(); ++b) demands[b].take_out({s.wants[b], session});
+    looks.erase({s.look_at, session});
+    all.erase(session);
   }
-  return has;
 }
 
 share_grant divider::answer(double now, double right_ends, const share_ask& a) {
@@ -114,34 +155,32 @@
   if (a.wants.size() != is.budgets.size() || now >= right_ends) return g;
   forget(now);
   const bool known = all.count(a.session) > 0;
-  if (!known && sharers(now) >= static_cast<std::size_t>(is.most)) {
+  if (!known && all.size() >= static_cast<std::size_t>(is.most)) {
     g.what = share_grant::kind::full;
     return g;
   }
-  sharer& s = all[a.session];
+  sharer& s = admit(a.session);
   // Doubled or overtaken: what was answered is answered.
   if (known && a.number <= s.last) return g;
   s.last = a.number;
   s.heard = now;
-  s.wants = a.wants;
+  wish(a.session, s, a.wants);
   s.seat_until =
       std::max(s.seat_until, a.seat_left > 0 ? now + stretch(std::min(a.seat_left, is.seat)) : long_ago);
   // It never goes back to an earlier answer; what it spent under one counts for a window more.
   for (grant& old : s.grants)
     if (old.number < a.goes_by) old.until = std::min(old.until, now + stretch(longest_window()));
   const double certain = now + stretch(is.share);
-  if (now < from || (stand.within_right && certain > right_ends)) return g;
+  if (now < from || (stand.within_right && certain > right_ends)) return settle(a.session, s, now), g;
   if (!stand.counts_given) s.grants.clear();
   grant given_now{a.number, {}, certain + stretch(longest_window())};
-  const auto at = static_cast<std::size_t>(std::distance(all.begin(), all.find(a.session)));
+  const auto turn = static_cast<std::size_t>(std::max(0.0, now / is.share));
   for (std::size_t b = 0; b < is.budgets.size(); ++b) {
-    double others = 0;
-    if (stand.counts_given)
-      for (const auto& [session, o] : all)
-        if (session != a.session) others += of_one(o, now, b);
+    const double whole = std::floor(std::max(0.0, is.divided(is.budgets[b])));
     // Decrease before increase: what others still may spend is theirs, whatever their target is.
-    const double free = std::floor(is.divided(is.budgets[b])) - others;
-    given_now.amounts.push_back(std::max(0.0, std::min(targets(now, b)[at], free)));
+    const double others = stand.counts_given ? in_use[b] - s.in_use[b] : 0;
+    given_now.amounts.push_back(
+        std::max(0.0, std::min(demands[b].part({s.wants[b], a.session}, whole, turn), whole - others)));
   }
   if (now >= strangers_from || now < s.seat_until) {
     g.seat = is.seat;
@@ -151,7 +190,8 @@
   g.lasts = is.share;
   g.amounts = given_now.amounts;
   for (const budget_of_all& b : is.budgets) g.floors.push_back(b.floor);
-  s.grants.push_back(std::move(given_now));
+  give(s, std::move(given_now));
+  settle(a.session, s, now);
   return g;
 }
 
--- a/src/shares/shares.h
+++ b/src/shares/shares.h
@@ -11,9 +11,12 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
+#include "demand.h"
+
 namespace indigorill {
 
 struct budget_of_all {
@@ -63,7 +66,7 @@
 // With the right to divide: who has what.
 class divider {
  public:
-  explicit divider(shares_traits with, share_guards g = {}) : is(std::move(with)), stand(g) {}
+  explicit divider(shares_traits with, share_guards g = {});
 
   // The right begins: nothing that was given before it is in use after quiet_from.
   void begin(double now, double quiet_from);
@@ -73,6 +76,9 @@
   double given(double now, std::size_t budget) const;  // in use at most
   std::size_t sharers(double now) const;
   std::string state(double now) const;  // two with the same text act alike from now on
+  // What the answers so far cost, in entries looked at: must not grow with the sharers beyond a logarithm.
+  std::uint64_t steps() const;
+  std::size_t stored() const;  // grants, of all sharers
 
  private:
   struct grant {
@@ -83,20 +89,30 @@
   struct sharer {
     std::uint64_t last = 0;  // question
     double heard = 0, seat_until = 0;
-    std::vector<double> wants;
+    std::vector<double> wants, in_use;  // by budget; in_use: at most, as it was when last looked at
     std::vector<grant> grants;
+    double look_at = 0;  // when something of it ends next
   };
   double longest_window() const;
   double of_one(const sharer& s, double now, std::size_t budget) const;
-  std::vector<double> targets(double now, std::size_t budget) const;
   bool counts(const sharer& s, double now) const;
   double stretch(double ms) const { return stand.allows_drift ? is.stretched(ms) : ms; }
+  sharer& admit(std::uint64_t session);
+  void wish(std::uint64_t session, sharer& s, const std::vector<double>& wants);
+  void give(sharer& s, grant g);
+  void settle(std::uint64_t session, sharer& s, double now);
   void forget(double now);
 
   shares_traits is;
   share_guards stand;
   double from = 0, strangers_from = 0;
   std::map<std::uint64_t, sharer> all;  // by session
+  // Kept up with every change, so that an answer doesn't go over all sharers: at some thousands that was more
+  // than a core can do.
+  std::vector<demand> demands;                       // by budget
+  std::vector<double> in_use;                        // by budget, of all sharers
+  std::set<std::pair<double, std::uint64_t>> looks;  // by look_at
+  std::uint64_t looked = 0;
 };
 
 // What one sidecar may spend.
