Standing terms: tests for lists at a return, leavers in a burst, cold fleets, full descriptors

tests/standing_test.cpp: a pushed change that waits at an agent which refused, hung, was given up, broke off, told rubbish or an error, with SIGHUP in between, is in force 3 s after its return; bursts of pipelined clients, most of whom leave by end, reset or half-close while a first or a further attempt connects or is still to begin; idle clients that hold all descriptors while discovery is down; a cold server under 20, 30 and 300 sidecars within N + 2 roots of N + 2. tests/process_test.cpp: thirty processes killed and restarted together with discovery up, slow and down; idle clients that hold all descriptors of a process, coming again, until discovery returns. No assertion changed.

--- a/tests/endings_test.cpp
+++ b/tests/endings_test.cpp
@@ -16,29 +16,6 @@
 
 namespace {
 
-std::size_t ended(const here& h, ending how) { return h.counts.picks[static_cast<std::size_t>(how)]; }
-
-bool each_had_one_answer(const here& h) {
-  return h.rpcs.held() == 0 &&
-         h.counts.taken == h.counts.ok + h.counts.pushed_back + h.counts.aborted + h.counts.left;
-}
-
-// Settings unlike one another in what bears on endings: the long one leaves a connect the second that a lost
-// SYN costs.
-terrain customer(bool longer, bool cancels, repeatable repeats, group drops = group::everywhere) {
-  terrain t = ground(repeats, drops);
-  for (method& m : t.methods) {
-    m.latency_target = m.deadline = longer ? 4000 : 150;
-    m.remembers = 10000;
-  }
-  t.cancelling = cancels;
-  t.probing = cancels;
-  t.most_picks = cancels ? 4 : 2;
-  t.longest_retry_after = cancels ? 1000 : 0;
-  return t;
-}
-constexpr links slow_links{5000, 3000, 300};
-
 // What one row of a table needs; all rows take their second together.
 struct case_of_late {
   here h;
@@ -60,11 +37,6 @@
   pass_all(all, 1500);
 }
 
-// A burst of rounds, in which nothing has to wait for time.
-void some_rounds(loop& runs, int n = 20) {
-  for (int i = 0; i < n; ++i) runs.round(0);
-}
-
 }  // namespace
 
 TEST_CASE(
@@ -669,31 +641,6 @@
   }
 }
 
-namespace {
-
-// Until so, for so long at most; how long it took, or -1.
-double took(loop& runs, double longest, const std::function<bool()>& so) {
-  const double began = runs.now();
-  while (!so()) {
-    if (runs.now() > began + longest) return -1;
-    runs.round(2);
-  }
-  return runs.now() - began;
-}
-
-const std::string list9 = list_text(9, true, entry("a") + "," + entry("b")),
-                  drain10 = list_text(10, false, entry("b", "draining"));
-
-// Nobody accepts at this door any more, and its queue is full: a connect hangs.
-std::vector<descriptor> fill(const descriptor& door) {
-  ::listen(door.get(), 0);
-  std::vector<descriptor> all;
-  for (int i = 0; i < 8; ++i) all.push_back(connect_to(address_of(door)));
-  return all;
-}
-
-}  // namespace
-
 TEST_CASE("a list is owed to the balancer within half of the grace, once its agent can tell it again") {
   struct {
     const char* what;
--- a/tests/host.h
+++ b/tests/host.h
@@ -135,11 +135,21 @@
   return a;
 }
 inline std::string text_of(const sockaddr_in& a) { return "127.0.0.1:" + std::to_string(ntohs(a.sin_port)); }
-inline descriptor loopback() {
+inline sockaddr_in any_loopback() {
   sockaddr_in a{};
   a.sin_family = AF_INET;
   a.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  return listen_on(a);
+  return a;
+}
+inline descriptor loopback() { return listen_on(any_loopback()); }
+// It refuses connects until it is made to listen, and no other socket is given its place meanwhile.
+inline descriptor loopback_unheard() {
+  const sockaddr_in a = any_loopback();
+  descriptor fd(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
+  const int on = 1;
+  ::setsockopt(fd.get(), SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+  ::bind(fd.get(), reinterpret_cast<const sockaddr*>(&a), sizeof a);
+  return fd;
 }
 
 // One end of a connection: what came over it, and whether it ended.
@@ -189,14 +199,21 @@
 struct stand_in {
   loop& runs;
   descriptor_budget budget{100};
-  descriptor door = loopback();
+  descriptor door;
   sockaddr_in where = address_of(door);
   std::vector<std::string> script;
   std::vector<std::string> asked;  // targets
   std::vector<std::unique_ptr<side>> sides;
   loop::watch at_door;
+  double slow = 0;  // ms, until each answer
+  std::vector<loop::timer> later;
 
-  stand_in(loop& in, std::vector<std::string> answers) : runs(in), script(std::move(answers)) {
+  stand_in(loop& in, std::vector<std::string> answers, descriptor at = loopback())
+      : runs(in), door(std::move(at)), script(std::move(answers)) {
+    open();
+  }
+  void open() {
+    at_door.drop();
     at_door = runs.on(door.get(), [this](std::uint32_t) {
       for (;;) {
         descriptor fd(::accept4(door.get(), nullptr, nullptr, SOCK_NONBLOCK));
@@ -212,7 +229,11 @@
     asked.emplace_back(s.came.back().text(s.came.back().target));
     const std::string text = turn < script.size() ? script[turn] : "silent";
     if (text == "close") return s.hang_up();
-    if (text != "silent") s.say(text);
+    if (text == "silent") return;
+    if (slow > 0)
+      later.push_back(runs.at(runs.now() + slow, [&s, text] { s.say(text); }));
+    else
+      s.say(text);
   }
 };
 
--- a/tests/process_test.cpp
+++ b/tests/process_test.cpp
@@ -3,6 +3,7 @@
 #include <doctest/doctest.h>
 #include <fcntl.h>
 #include <sys/prctl.h>
+#include <sys/resource.h>
 #include <sys/stat.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -31,7 +32,9 @@
 class sidecar {
  public:
   sockaddr_in where;
-  std::string config = "sidecar-" + std::to_string(::getpid()) + ".json", log = config + ".log";
+  std::string config = "sidecar-" + std::to_string(::getpid()) + "-" + std::to_string(++made) + ".json",
+              log = config + ".log";
+  rlim_t most_descriptors = 0;  // as the kernel has it; 0: as here
 
   explicit sidecar(const sockaddr_in& agent, const settings_of& s, const std::string& known = "") {
     held = loopback_unheard();
@@ -47,7 +50,7 @@
            R"(},"rules":{"drainGrace":)" + us(s.grace) + "}}}";
   }
   ~sidecar() {
-    if (pid > 0) ::kill(pid, SIGKILL), ::waitpid(pid, nullptr, 0);
+    kill_it();
     std::remove(config.c_str());
     std::remove(log.c_str());
   }
@@ -57,11 +60,19 @@
     pid = ::fork();
     if (pid != 0) return;
     ::prctl(PR_SET_PDEATHSIG, SIGKILL);
+    if (most_descriptors > 0) {
+      const rlimit most{most_descriptors, most_descriptors};
+      ::setrlimit(RLIMIT_NOFILE, &most);
+    }
     ::setenv("LB_CONFIG", config.c_str(), 1);
     if (!std::freopen(log.c_str(), "w", stderr)) ::_exit(126);
     ::execl(INDIGORILL_SIDECAR, INDIGORILL_SIDECAR, static_cast<char*>(nullptr));
     ::_exit(127);
   }
+  void kill_it() {
+    if (pid > 0) ::kill(pid, SIGKILL), ::waitpid(pid, nullptr, 0);
+    pid = 0;
+  }
   void say(int word) { ::kill(pid, word); }
   bool ended() {
     if (pid > 0 && ::waitpid(pid, &status, WNOHANG) == pid) pid = 0;
@@ -82,16 +93,7 @@
   std::string text;
 
  private:
-  static descriptor loopback_unheard() {  // so that no other socket is given its place meanwhile
-    sockaddr_in a{};
-    a.sin_family = AF_INET;
-    a.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    descriptor fd(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
-    const int on = 1;
-    ::setsockopt(fd.get(), SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
-    ::bind(fd.get(), reinterpret_cast<const sockaddr*>(&a), sizeof a);
-    return fd;
-  }
+  static inline int made = 0;
   descriptor held;
   pid_t pid = 0;
   int status = -1;
@@ -354,3 +356,115 @@
     CHECK(late.requests() == (leaves ? 0 : 1));
   }
 }
+
+TEST_CASE(
+    "processes: thirty restarted together, nine in ten are ready within 10 s, whatever discovery does") {
+  struct {
+    const char* what;
+    double slow;  // ms, until discovery answers; below 0 it is down
+    bool asked;   // the list is asked for, not pushed
+  } table[] = {{"discovery is up", 0, false},
+               {"discovery answers after 1 s", 1000, false},
+               {"discovery answers after 1 s, and is asked", 1000, true},
+               {"discovery is down", -1, false},
+               {"discovery is down, and is asked", -1, true}};
+  constexpr std::size_t n = 30;
+  for (const auto& t : table) {
+    CAPTURE(std::string(t.what));
+    loop runs;
+    stand_in endpoint(runs, {});
+    stand_in agent(runs,
+                   std::vector<std::string>(100000, answer_text(200, R"({"generation":1,"reset":true,)"
+                                                                     R"("instances":[]})")),
+                   t.slow < 0 ? loopback_unheard() : loopback());
+    agent.budget.most = 100000;
+    agent.slow = std::max(t.slow, 0.0);
+    std::vector<std::unique_ptr<sidecar>> all;
+    for (std::size_t i = 0; i < n; ++i) {
+      all.push_back(std::make_unique<sidecar>(agent.where, customers[1], knows(endpoint.where)));
+      std::string& text = all.back()->text;
+      if (t.asked) text.replace(text.find(R"("settings":{)"), 12, R"("settings":{"discovery":"subscribe",)");
+    }
+    // How many are ready after so long; all are asked side by side.
+    const auto ready_within = [&](double longest) {
+      descriptor_budget room{2 * n};
+      std::vector<std::unique_ptr<side>> asks(n);
+      std::vector<double> since(n, 0);
+      std::vector<bool> ready(n, false);
+      for (const double end = runs.now() + longest;
+           runs.now() < end && std::count(ready.begin(), ready.end(), true) < 30;) {
+        for (std::size_t i = 0; i < n; ++i) {
+          if (ready[i]) continue;
+          if (asks[i] && !asks[i]->came.empty() && asks[i]->came[0].status == 200) {
+            ready[i] = true;
+            asks[i].reset();
+          } else if (!asks[i] || asks[i]->ended || runs.now() > since[i] + 500) {
+            asks[i] = std::make_unique<side>(runs, room, connect_to(all[i]->where), answer);
+            asks[i]->say("GET /-/ready HTTP/1.1\r\n\r\n");
+            since[i] = runs.now();
+          }
+        }
+        runs.round(5);
+      }
+      return std::count(ready.begin(), ready.end(), true);
+    };
+    for (auto& s : all) s->start();
+    REQUIRE(ready_within(30000) == n);
+    for (auto& s : all) s->kill_it();
+    for (auto& s : all) s->start();
+    CHECK(ready_within(10000) >= 27);
+    CHECK(std::none_of(all.begin(), all.end(), [](auto& s) { return s->ended(); }));
+  }
+}
+
+TEST_CASE(
+    "processes: idle clients hold all descriptors while discovery is down; its list is reached at its "
+    "return") {
+  for (const bool refused : {false, true}) {
+    CAPTURE(refused);
+    loop runs;
+    stand_in agent(runs, {}, refused ? loopback_unheard() : loopback());
+    std::vector<descriptor> filling;
+    if (!refused) {
+      agent.at_door.drop();
+      filling = fill(agent.door);
+    }
+    stand_in before(runs, {}), after(runs, std::vector<std::string>(10, answer_text(200, "paid")));
+    sidecar s(agent.where, customers[1], knows(before.where));
+    const std::string limit = R"("sockets":300)";
+    s.text.replace(s.text.find(limit), limit.size(), R"("sockets":64)");
+    s.most_descriptors = 64;
+    s.start();
+    REQUIRE(s.ready(runs));
+    descriptor_budget room{400};
+    std::vector<std::unique_ptr<side>> idle;
+    for (int i = 0; i < 150; ++i) {
+      idle.push_back(std::make_unique<side>(runs, room, connect_to(s.where), answer));
+      if (i % 10 == 0) pass(runs, 10);
+    }
+    // Who is closed for room comes again.
+    const auto stay = [&] {
+      for (auto& c : idle)
+        if (c->ended) c = std::make_unique<side>(runs, room, connect_to(s.where), answer);
+    };
+    for (const double end = runs.now() + 1000; runs.now() < end; stay()) runs.round(5);
+    CHECK(before.asked.empty());
+    filling.clear();
+    const std::string told =
+        answer_text(200, R"({"generation":2,"reset":true,"instances":[{"instanceId":"b","hostPort":")" +
+                             text_of(after.where) + R"(","lifecycle":"up"}]})");
+    agent.script = {told};
+    ::listen(agent.door.get(), 100);
+    agent.open();
+    REQUIRE(wait_for(runs, 3000, [&] { return stay(), !agent.asked.empty(); }));
+    for (const double end = runs.now() + 300; runs.now() < end; stay()) runs.round(5);
+    idle.clear();
+    side client(runs, room, connect_to(s.where), answer);
+    client.say(pay(1, 3000));
+    REQUIRE(wait_for(runs, 4000, [&] { return !client.came.empty() || client.ended; }));
+    REQUIRE(client.came.size() == 1);
+    CHECK(client.came[0].status == 200);
+    CHECK(after.asked.size() == 1);
+    CHECK(before.asked.empty());
+  }
+}
--- /dev/null
+++ b/tests/standing_test.cpp
@@ -0,0 +1,304 @@
+// What the standing fleet test newly binds (docs/standing.md): a list that waits for discovery's return, who
+// leaves in a burst, cold servers under a whole fleet, descriptors that idle clients fill. On real sockets
+// but for the fleet, whose clock is stepped.
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <cmath>
+#include <map>
+#include <random>
+
+#include "parts.h"
+
+using namespace host;
+
+namespace {
+
+enum class outage { refused, hangs, silent, half, rubbish, error };
+constexpr std::pair<outage, const char*> outages[] = {{outage::refused, "refused"},
+                                                      {outage::hangs, "a connect that hangs"},
+                                                      {outage::silent, "given up without an answer"},
+                                                      {outage::half, "half an answer"},
+                                                      {outage::rubbish, "rubbish"},
+                                                      {outage::error, "an error"}};
+
+std::string said_in(outage how) {
+  return how == outage::half      ? "HTTP/1.1 200 OK\r\nContent-Length: 500\r\n\r\n{\"generation\""
+         : how == outage::rubbish ? "rubbish\r\n\r\n"
+         : how == outage::error   ? answer_text(500, "")
+                                  : "silent";
+}
+
+// An agent that fails so until it is back, and then tells this, once.
+struct failing_agent {
+  stand_in at;
+  std::vector<descriptor> filling;
+
+  failing_agent(loop& runs, outage how)
+      : at(runs, std::vector<std::string>(1000, said_in(how)),
+           how == outage::refused ? loopback_unheard() : loopback()) {
+    if (how != outage::hangs) return;
+    at.at_door.drop();
+    filling = fill(at.door);
+  }
+  void back(const std::string& tells) {
+    at.script.resize(at.asked.size());
+    at.script.push_back(tells);
+    filling.clear();
+    ::listen(at.door.get(), 100);
+    at.open();
+  }
+};
+
+}  // namespace
+
+TEST_CASE(
+    "a pushed change that waits at the agent is in force 3 s after its return, whatever failed before") {
+  struct row {
+    const char* what;
+    bool known, moves;
+    follower f;
+    std::unique_ptr<failing_agent> agent, before;
+    double ms = -1;
+  };
+  std::vector<std::unique_ptr<row>> all;
+  for (const auto& [how, what] : outages)
+    for (const bool known : {false, true})
+      for (const bool moves : {false, true}) {
+        all.push_back(std::make_unique<row>());
+        row& r = *all.back();
+        r.what = what;
+        r.known = known;
+        r.moves = moves;
+        r.f.grace = known ? 300 : 1000;
+        r.agent = std::make_unique<failing_agent>(r.f.runs, how);
+        if (moves) r.before = std::make_unique<failing_agent>(r.f.runs, how);
+        r.f.follow(moves ? r.before->at.where : r.agent->at.where, true,
+                   known ? std::optional<std::uint64_t>(9) : std::nullopt);
+      }
+  const loop& clock = all[0]->f.runs;
+  const double began = clock.now();
+  bool moved = false;
+  while (clock.now() < began + 2000) {
+    for (auto& r : all) r->f.runs.round(0);
+    // SIGHUP in the middle of it, to one that fails as well.
+    if (!moved && clock.now() > began + 1000) {
+      moved = true;
+      for (auto& r : all)
+        if (r->moves) r->f.lists->move(r->agent->at.where, "after");
+    }
+  }
+  for (auto& r : all) {
+    CHECK(r->f.heard.empty());
+    CHECK(r->f.counts.list_failures >= 3);
+    r->agent->back(r->known && !r->moves ? drain10 : list9);
+  }
+  const double back = clock.now();
+  while (clock.now() < back + 3000)
+    for (auto& r : all) {
+      r->f.runs.round(0);
+      if (r->ms < 0 && !r->f.heard.empty()) r->ms = clock.now() - back;
+    }
+  for (auto& r : all) {
+    CAPTURE(std::string(r->what));
+    CAPTURE(r->known);
+    CAPTURE(r->moves);
+    CHECK(r->ms >= 0);
+    CHECK(r->f.heard == (r->known && !r->moves ? "+10b" : "=9ab"));
+    CHECK(r->f.failed == 0);
+  }
+}
+
+namespace {
+
+enum class leaves { not_at_all, by_fin, by_reset, by_half_close };
+
+void leave(side& c, leaves by) {
+  if (by == leaves::not_at_all) return;
+  if (by == leaves::by_half_close) return c.wire->end_sending();
+  if (by == leaves::by_reset) c.wire->abort_on_close();
+  c.hang_up();
+}
+
+// As many ids at one place: what a sidecar sends to a single server at once is bounded.
+void list_many(here& h, const std::string& address, std::size_t n, bool asked = false) {
+  std::vector<endpoint> all;
+  for (std::size_t i = 0; i < n; ++i) {
+    all.push_back(at(address + std::to_string(i)));
+    h.endpoints.listed(all.back().id, address);
+  }
+  h.rpcs.listed(true, asked, all);
+}
+
+// Clients that each send three requests in one breath; every fourth stays, the others leave each in its way.
+struct burst {
+  std::vector<side*> all;
+  std::size_t stay = 0;
+
+  burst(here& h, std::size_t n) {
+    for (std::size_t i = 0; i < n; ++i) all.push_back(&h.client());
+    for (side* c : all) c->say(rpc("read", 3900) + rpc("read", 3900) + rpc("read", 3900));
+  }
+  std::size_t go() {
+    for (std::size_t i = 0; i < all.size(); ++i) {
+      leave(*all[i], static_cast<leaves>(i % 4));
+      stay += i % 4 == 0;
+    }
+    return all.size() - stay;
+  }
+};
+
+}  // namespace
+
+TEST_CASE("a burst of pipelined clients, most of whom leave while their first picks connect: theirs stay") {
+  for (const bool cancels : {false, true}) {
+    here h(customer(true, cancels, repeatable::non_idempotent), slow_links);
+    late_door late;
+    list_many(h, text_of(late.where), 12);
+    burst clients(h, 12);
+    REQUIRE(until(h.runs, [&] { return h.counts.opened == 12; }));
+    const std::size_t leave = clients.go();
+    CHECK(until(h.runs, [&] { return static_cast<std::size_t>(h.counts.left) == leave; }));
+    pass(h.runs, 120);  // what begins from now on is a break
+    late.let_up();
+    for (const double end = h.runs.now() + 1800; h.runs.now() < end; late.hear()) h.runs.round(2);
+    CHECK(late.requests() == clients.stay);
+    CHECK(h.rpcs.held() == clients.stay);
+  }
+}
+
+TEST_CASE("a burst of clients who leave while a further attempt of theirs connects, or is still to begin") {
+  for (const bool cancels : {false, true})
+    for (const bool connects : {false, true}) {
+      CAPTURE(cancels);
+      CAPTURE(connects);
+      constexpr std::size_t n = 6;  // as many as may have a further attempt at once
+      here h(customer(true, cancels, repeatable::idempotent), slow_links);
+      stand_in first(h.runs, {});
+      late_door late;
+      stand_in quick(h.runs, std::vector<std::string>(100, "silent"));
+      list_many(h, text_of(first.where), n);
+      burst clients(h, n);
+      REQUIRE(until(h.runs, [&] { return first.asked.size() == n; }));
+      list_many(h, text_of(connects ? late.where : quick.where), n, true);
+      const auto fail_first = [&] {
+        for (auto& s : first.sides) s->hang_up();
+      };
+      if (connects) {
+        fail_first();
+        REQUIRE(until(h.runs, [&] { return h.counts.opened == 2 * n; }));
+      }
+      const std::size_t leave = clients.go();
+      CHECK(until(h.runs, [&] { return static_cast<std::size_t>(h.counts.left) == leave; }));
+      pass(h.runs, 120);
+      if (!connects) fail_first();
+      late.let_up();
+      for (const double end = h.runs.now() + 1800; h.runs.now() < end; late.hear()) h.runs.round(2);
+      CHECK(late.requests() + quick.asked.size() == clients.stay);
+      CHECK(h.rpcs.held() == clients.stay);
+    }
+}
+
+TEST_CASE("idle clients fill the descriptors while discovery is down: its list is reached when it is back") {
+  for (const auto& [how, what] : outages) {
+    CAPTURE(std::string(what));
+    here h(customer(true, true, repeatable::idempotent), slow_links, 24);
+    failing_agent agent(h.runs, how);
+    std::string heard;
+    discovery lists(
+        h.runs, h.budget, h.counts, h.lines, agent.at.where, "agent", 1, 500,
+        [&](const roster& r) { heard += std::to_string(r.version); }, [] {});
+    lists.keep_asking();
+    lists.begin();
+    std::vector<std::unique_ptr<side>> idle;
+    for (int i = 0; i < 60; ++i) {
+      idle.push_back(std::make_unique<side>(h.runs, h.of_clients, connect_to(h.where), answer));
+      pass(h.runs, 5);
+    }
+    REQUIRE(until(h.runs, [&] { return h.counts.list_failures >= 2; }));
+    h.budget.most = h.budget.open;  // and whatever else holds the rest
+    agent.back(list9);
+    CHECK(until(h.runs, [&] { return heard == "9"; }));
+  }
+}
+
+TEST_CASE("a cold server under a fleet of sidecars: what all send it stays within 2 roots of its N, and 2") {
+  struct {
+    const char* what;
+    int sidecars;
+    double a_second;  // RPCs, at each sidecar
+    bool in_bursts;   // three seconds of little, one of twice the mean
+  } table[] = {{"20 sidecars", 20, 20, false},
+               {"30 sidecars", 30, 20, false},
+               {"30 sidecars, bursts", 30, 20, true},
+               {"300 sidecars of little traffic, bursts", 300, 2, true}};
+  constexpr int warm = 16, cold = 4;
+  for (const auto& t : table) {
+    CAPTURE(std::string(t.what));
+    terrain land = ground();
+    land.sidecars = t.sidecars;
+    land.cross_zone_price = 1;  // all like the cold ones best
+    std::vector<std::unique_ptr<one>> fleet;
+    std::vector<endpoint> before = letters('a', static_cast<char>('a' + warm - 1), "there"), after = before;
+    constexpr double joined = 103000;
+    for (int i = 0; i < cold; ++i) after.push_back(at("new" + std::to_string(i), joined));
+    for (int i = 0; i < t.sidecars; ++i) {
+      fleet.push_back(std::make_unique<one>(land, i + 1));
+      fleet.back()->now = 100000;
+      fleet.back()->list(before);
+    }
+    std::mt19937 chance(7);
+    std::map<std::string, std::vector<double>> sent;
+    struct running {
+      double end;
+      int at;
+      std::string id;
+      int pick;
+    };
+    std::vector<running> out;
+    bool told = false;
+    for (double now = 100000; now < joined + 12000; now += 10) {
+      if (!told && now >= joined) {
+        told = true;
+        for (auto& h : fleet) h->now = now, h->list(after);
+      }
+      const bool much = std::fmod(now, 4000) >= 3000;
+      const double rate = t.a_second * (t.in_bursts ? (much ? 2 : 2.0 / 3) : 1);
+      for (int i = 0; i < t.sidecars; ++i) {
+        one& h = *fleet[static_cast<std::size_t>(i)];
+        h.now = now;
+        if (std::fmod(now, 100) == 0) h.b.woken(now, 1);
+        h.b.woken(now, 2);
+        if (std::uniform_real_distribution<double>(0, 1)(chance) < rate / 100) h.arrive("vital");
+        for (const decision& d : h.pull()) {
+          if (d.what != verb::pick) continue;
+          if (d.server.starts_with("new")) sent[d.server].push_back(now);
+          out.push_back({now + 20, i, d.rpc, d.pick});
+        }
+      }
+      std::erase_if(out, [&](const running& r) {
+        if (r.end > now) return false;
+        one& h = *fleet[static_cast<std::size_t>(r.at)];
+        h.b.pick_ended(now, r.id, r.pick, ending::ok, 20, true, {});
+        h.pull();
+        return true;
+      });
+    }
+    // A server of the mean can do what is sent to the mean; a burst makes it no stronger.
+    const double mean = t.sidecars * t.a_second / 1000 / (warm + cold) * land.cold_span;
+    std::size_t all = 0;
+    for (const auto& [id, times] : sent) {
+      all += times.size();
+      double worst = 0;
+      for (std::size_t i = 0, from = 0; i < times.size(); ++i) {
+        while (times[from] <= times[i] - land.cold_span) ++from;
+        const double warmth = land.cold_from + (1 - land.cold_from) * (times[i] - joined) / land.cold_for;
+        const double n = land.cold_multiple * warmth * mean;
+        worst = std::max(worst, (static_cast<double>(i - from + 1) - 2) / (n + 2 * std::sqrt(n)));
+      }
+      CAPTURE(id);
+      CHECK(worst <= 1);
+    }
+    CHECK(all > 100);  // nor are they left idle
+  }
+}
