Standing terms: an answer of no length that is reset is no whole one

Forced with the reset in the same read as the bytes and 50 ms behind them; an end in their place is a whole answer. What may be repeated is, what may not is told to have failed.

--- a/tests/standing_test.cpp
+++ b/tests/standing_test.cpp
@@ -302,3 +302,30 @@
     CHECK(all > 100);  // nor are they left idle
   }
 }
+
+TEST_CASE(
+    "an answer of no length that is reset is not whole: repeated where it may be, else told to have failed") {
+  enum class ends { by_end, by_reset, by_reset_later };
+  for (const ends how : {ends::by_end, ends::by_reset, ends::by_reset_later})
+    for (const repeatable repeats : {repeatable::idempotent, repeatable::non_idempotent}) {
+      CAPTURE(static_cast<int>(how));
+      here h(customer(true, true, repeats), slow_links);
+      stand_in endpoint(h.runs, {"silent", served});
+      h.list(text_of(endpoint.where));
+      side& c = h.client();
+      c.say(rpc("read", 3900));
+      REQUIRE(until(h.runs, [&] { return endpoint.asked.size() == 1; }));
+      endpoint.sides[0]->say("HTTP/1.1 200 OK\r\n\r\nhalf");
+      if (how == ends::by_reset_later) pass(h.runs, 50);
+      CHECK(c.came.empty());
+      if (how != ends::by_end) endpoint.sides[0]->wire->abort_on_close();
+      endpoint.sides[0]->hang_up();
+      REQUIRE(until(h.runs, [&] { return c.came.size() == 1; }));
+      const bool again = how != ends::by_end && repeats == repeatable::idempotent;
+      CHECK(c.came[0].status == (how == ends::by_end || again ? 200 : 502));
+      if (how == ends::by_end) CHECK(c.came[0].body() == "half");
+      if (again) CHECK(c.came[0].body() == "served");
+      CHECK(endpoint.asked.size() == (again ? 2 : 1));
+      CHECK(each_had_one_answer(h));
+    }
+}
