--- a/tests/standing_test.cpp
+++ b/tests/standing_test.cpp
@@ -50,6 +50,44 @@
   }
 };
 
+// A sidecar whose balancer asks for the list itself, with one that is known from before.
+struct asking {
+  loop runs;
+  std::ostringstream log_text;
+  logger lines{log_text, level::error};
+  counters counts;
+  descriptor_budget budget{10};
+  pool endpoints{runs, budget, counts, lines, {}, [] { return false; }};
+  relay rpcs;
+  std::string heard;
+  discovery lists;
+
+  static terrain asks(double sidecars) {
+    terrain t = ground();
+    t.must_ask = true;
+    t.ask_within = 10000;  // as where the settings say nothing
+    t.sidecars = sidecars;
+    return t;
+  }
+  asking(const sockaddr_in& agent, double sidecars, std::uint64_t seed)
+      : rpcs(runs, endpoints, counts, lines, asks(sidecars), seed),
+        lists(
+            runs, budget, counts, lines, agent, "agent", seed + 1, 500,
+            [this](const roster& r) {
+              heard += (r.whole ? "=" : "+") + std::to_string(r.version);
+              std::vector<endpoint> entries;
+              for (const auto& e : r.entries) entries.push_back(e.is);
+              rpcs.listed(r.whole, true, entries);
+            },
+            [this] { rpcs.list_failed(); }) {
+    rpcs.listed(true, false, {at("a"), at("b")});
+    lists.knows(9);
+    rpcs.when_list_wanted([this] { lists.begin(); });
+  }
+};
+
+constexpr double told_after = 6000;  // ms, since discovery had it and could be reached
+
 }  // namespace
 
 TEST_CASE(
@@ -109,6 +147,92 @@
   }
 }
 
+TEST_CASE("a change that is asked for is in force 6 s after discovery's return, however many ask for it") {
+  struct row {
+    const char* what;
+    int sidecars;
+    loop runs;
+    std::unique_ptr<failing_agent> agent;
+    std::unique_ptr<asking> with;
+    double ms = -1;
+  };
+  std::vector<std::unique_ptr<row>> all;
+  for (const auto& [how, what] : outages)
+    for (const int sidecars : {1, 30, 300})
+      for (const std::uint64_t seed : {1, 2, 3}) {
+        all.push_back(std::make_unique<row>());
+        row& r = *all.back();
+        r.what = what;
+        r.sidecars = sidecars;
+        r.agent = std::make_unique<failing_agent>(r.runs, how);
+        r.with = std::make_unique<asking>(r.agent->at.where, sidecars, seed);
+      }
+  const loop& clock = all[0]->runs;
+  const double began = clock.now();
+  const auto turn = [&] {
+    for (auto& r : all) {
+      r->runs.round(0);
+      r->with->runs.round(0);
+    }
+  };
+  while (clock.now() < began + 8000) turn();
+  for (auto& r : all) {
+    CHECK(r->with->heard.empty());
+    CHECK(r->with->counts.list_failures >= 1);
+    r->agent->back(drain10);
+  }
+  const double back = clock.now();
+  while (clock.now() < back + told_after) {
+    turn();
+    for (auto& r : all)
+      if (r->ms < 0 && !r->with->heard.empty()) r->ms = clock.now() - back;
+  }
+  for (auto& r : all) {
+    CAPTURE(std::string(r->what));
+    CAPTURE(r->sidecars);
+    CHECK(r->ms >= 0);
+  }
+}
+
+TEST_CASE(
+    "where the balancer asks, what SIGHUP leads to is in force 4 s after it, though a first call fails") {
+  struct row {
+    int sidecars;
+    loop runs;
+    std::unique_ptr<stand_in> before, after;
+    std::unique_ptr<asking> with;
+  };
+  std::vector<std::unique_ptr<row>> all;
+  for (const int sidecars : {1, 30, 300})
+    for (const std::uint64_t seed : {1, 2, 3, 4}) {
+      all.push_back(std::make_unique<row>());
+      row& r = *all.back();
+      r.sidecars = sidecars;
+      r.before = std::make_unique<stand_in>(r.runs, std::vector<std::string>{list_text(9, false, "")});
+      r.after = std::make_unique<stand_in>(r.runs, std::vector<std::string>{"close", list_text(3, true, "")});
+      r.with = std::make_unique<asking>(r.before->where, sidecars, seed);
+    }
+  const loop& clock = all[0]->runs;
+  const auto turn = [&](double ms, const std::function<bool()>& so) {
+    for (const double end = clock.now() + ms; !so() && clock.now() < end;)
+      for (auto& r : all) {
+        r->runs.round(0);
+        r->with->runs.round(0);
+      }
+  };
+  const auto each_heard = [&](const std::string& what) {
+    return std::all_of(all.begin(), all.end(), [&](const auto& r) { return r->with->heard == what; });
+  };
+  turn(told_after, [&] { return each_heard("+9"); });
+  REQUIRE(each_heard("+9"));
+  for (auto& r : all) r->with->lists.move(r->after->where, "after");
+  turn(4000, [&] { return each_heard("+9=3"); });
+  for (auto& r : all) {
+    CAPTURE(r->sidecars);
+    CHECK(r->with->heard == "+9=3");
+  }
+}
+
 namespace {
 
 enum class leaves { not_at_all, by_fin, by_reset, by_half_close };
@@ -199,6 +323,56 @@
     }
 }
 
+TEST_CASE("who left while waiting for room is owed nothing once there is some, though a connection rests") {
+  for (const bool cancels : {false, true})
+    for (const leaves by : {leaves::not_at_all, leaves::by_fin, leaves::by_reset, leaves::by_half_close}) {
+      CAPTURE(cancels);
+      CAPTURE(static_cast<int>(by));
+      // One descriptor for a client, one for its pick: the second client waits in the backlog.
+      here h(customer(true, cancels, repeatable::non_idempotent), slow_links, 2);
+      stand_in endpoint(h.runs, {"silent", "silent"});
+      h.list(text_of(endpoint.where));
+      side& first = h.client();
+      first.say(rpc("read", 3900));
+      REQUIRE(until(h.runs, [&] { return endpoint.asked.size() == 1; }));
+      side& waits = h.client();
+      waits.say(rpc("read", 3900));
+      pass(h.runs, 20);
+      leave(waits, by);
+      pass(h.runs, 150);
+      REQUIRE(h.counts.accepted == 1);
+      endpoint.sides[0]->say(served);
+      REQUIRE(until(h.runs, [&] { return h.counts.accepted == 2; }));
+      pass(h.runs, 50);
+      CHECK(endpoint.asked.size() == (by == leaves::not_at_all ? 2 : 1));
+    }
+}
+
+TEST_CASE("who connected, asked and left before the process came to it is owed nothing: none of a burst") {
+  for (const bool cancels : {false, true}) {
+    here h(customer(true, cancels, repeatable::non_idempotent), slow_links);
+    stand_in endpoint(h.runs, std::vector<std::string>(100, served));
+    h.list(text_of(endpoint.where));
+    {
+      burst warm(h, 4);
+      REQUIRE(until(h.runs, [&] { return h.counts.ok == 12; }));
+      for (side* c : warm.all) c->hang_up();
+      pass(h.runs, 50);
+    }
+    const std::size_t before = endpoint.asked.size();
+    REQUIRE(h.rpcs.held() == 0);
+    std::vector<std::unique_ptr<side>> all;  // in the backlog
+    for (int i = 0; i < 12; ++i) {
+      all.push_back(std::make_unique<side>(h.runs, h.of_clients, connect_to(h.where), answer));
+      all.back()->say(rpc("read", 3900) + rpc("read", 3900) + rpc("read", 3900));
+      leave(*all.back(), static_cast<leaves>(i % 4));
+    }
+    for (const double end = h.runs.now() + 120; h.runs.now() < end;) continue;  // this process gets no core
+    pass(h.runs, 100);
+    CHECK(endpoint.asked.size() - before == 9);  // of the three who stay, three each
+  }
+}
+
 TEST_CASE("idle clients fill the descriptors while discovery is down: its list is reached when it is back") {
   for (const auto& [how, what] : outages) {
     CAPTURE(std::string(what));
