--- a/src/net/front.cpp
+++ b/src/net/front.cpp
@@ -107,7 +107,9 @@
     c.wire = std::make_unique<stream>(
         runs, room, std::move(fd), [this, name](std::uint32_t events) { ready(name, events); },
         loop::rank::ends_first);
-    ready(name);
+    // It may have waited in the backlog, for room or while this process stood still, and have left meanwhile.
+    // Its first event tells of its end with its bytes; read at once, what it asked would be sent on for
+    // nobody.
   }
   return backlog::more;
 }
