--- a/bench/scale.cpp
+++ b/bench/scale.cpp
@@ -1,6 +1,6 @@
 // What parts of the control cost by the size of the fleet, with the complexity fitted: one answer of the
-// divider, one datagram out of and into the membership, one list of endpoints taken in whole and by change,
-// one decision. Run with --benchmark_repetitions=5 for the spread.
+// divider, one datagram into and out of the membership, one list of endpoints taken in whole and by change. A
+// decision is in decision.cpp. Run with --benchmark_repetitions=5 for the spread.
 #include <benchmark/benchmark.h>
 
 #include <string>
