--- a/tests/fixtures_test.cpp
+++ b/tests/fixtures_test.cpp
@@ -20,6 +20,7 @@
 #include "../src/members/envelope.h"
 #include "../src/net/admin.h"
 #include "../src/net/company.h"
+#include "../src/net/config.h"
 #include "../src/net/counters.h"
 #include "../src/net/discovery.h"
 #include "../src/net/twin.h"
@@ -159,6 +160,12 @@
   return n;
 }
 
+std::string address_text(const sockaddr_in& address) {
+  std::array<char, INET_ADDRSTRLEN> host_text{};
+  ::inet_ntop(AF_INET, &address.sin_addr, host_text.data(), host_text.size());
+  return std::string(host_text.data()) + ":" + std::to_string(ntohs(address.sin_port));
+}
+
 struct temporary_folder {
   std::string path = "/tmp/indigorill-fixtures-XXXXXX";
   temporary_folder() { REQUIRE(::mkdtemp(path.data())); }
@@ -421,7 +428,7 @@
   REQUIRE(o.with_others);
   const company::traits& m = *o.with_others;
   CHECK(m.fleet == "maps");
-  CHECK(text_of(m.listen) == "127.0.0.1:7900");
+  CHECK(address_text(m.listen) == "127.0.0.1:7900");
   CHECK(m.advertised == "127.0.0.1:7999");
   CHECK(m.seeds == std::vector<std::string>{"127.0.0.1:7901", "127.0.0.1:7902"});
   CHECK(m.period == 500);
@@ -441,3 +448,91 @@
   CHECK(b.floor == 2);
   CHECK(b.window == 1000);
 }
+
+TEST_CASE("fixtures: a config file with every key") {
+  const std::string path = std::string(INDIGORILL_FIXTURES) + "/config.json";
+  const start s = read_start(
+      [&](const char* name) { return std::string_view(name) == "LB_CONFIG" ? path.c_str() : nullptr; });
+  CHECK(s.name == "tiles-1");
+  CHECK(address_text(s.listen) == "127.0.0.1:7100");
+  REQUIRE(s.second);
+  CHECK(address_text(*s.second) == "127.0.0.1:7101");
+  CHECK(address_text(s.discovery) == "127.0.0.1:7102");
+  CHECK(s.discovery_host == "127.0.0.1:7102");
+  CHECK(s.seed == 0x1f);
+  CHECK(s.memory == 100 * 1024 * 1024);
+  CHECK(s.descriptors == 500);
+  CHECK(s.known.version == 7);
+  CHECK(s.known.whole);
+  REQUIRE(s.known.entries.size() == 1);
+  CHECK(s.known.entries[0].address == "127.0.0.1:8001");
+  CHECK(s.known.entries[0].is.id == "a");
+  CHECK(s.known.entries[0].is.zone == "z1");
+  CHECK(s.known.entries[0].is.cell == 3);
+  CHECK(s.known.entries[0].is.started == 5.5);
+  CHECK(s.known.entries[0].is.state == standing::draining);
+  CHECK(s.known.entries[0].is.kind == "large");
+  CHECK(s.with.idle == 7000);
+  CHECK(s.with.connect == 350);
+  CHECK(s.with.grace == 1500);
+}
+
+TEST_CASE("fixtures: the settings of a balancer with every key") {
+  const nlohmann::json config = nlohmann::json::parse(fixture("config.json"));
+  const terrain t = decode_settings(fields("settings", config.at("settings")));
+  REQUIRE(t.methods.size() == 4);
+  const method& read = t.methods[0];
+  CHECK(read.name == "read");
+  CHECK(read.utility == 2.5);
+  CHECK(read.late_utility == 0.25);
+  CHECK(read.repeats == repeatable::idempotent);
+  CHECK(read.deadline == 300);
+  CHECK(read.latency_target == 100);
+  CHECK(read.drops_repeats == group::everywhere);
+  CHECK(read.remembers == 0);
+  const method& write = t.methods[1];
+  CHECK(write.name == "write");
+  CHECK(write.utility == 3);
+  CHECK(write.deadline == 400);
+  CHECK(write.latency_target == 150);
+  CHECK(write.late_utility == 0);
+  CHECK(write.repeats == repeatable::deduplicated);
+  CHECK(write.drops_repeats == group::cell);
+  CHECK(write.remembers == 60000);
+  const method& send = t.methods[2];
+  CHECK(send.name == "send");
+  CHECK(send.utility == 1);
+  CHECK(send.repeats == repeatable::non_idempotent);
+  CHECK(send.latency_target == 500);
+  CHECK(send.drops_repeats == group::zone);
+  CHECK(t.methods[3].name == "plain");
+  CHECK(t.methods[3].deadline == 600);
+  CHECK(t.methods[3].drops_repeats == group::everywhere);
+  CHECK(t.zone == "z1");
+  CHECK(t.tick == 2);
+  CHECK(t.sidecars == 12);
+  CHECK(t.must_ask);
+  CHECK(t.warm_keys);
+  CHECK(t.most_picks == 3);
+  CHECK(t.cancelling);
+  CHECK(t.probing);
+  CHECK(t.probes_report);
+  CHECK(t.longest_retry_after == 2000);
+  CHECK(t.cross_zone_price == 0.01);
+  CHECK(t.probe_price == 0.02);
+  CHECK(t.handshake_price == 0.03);
+  CHECK(t.message_price == 0.04);
+  CHECK(t.ask_within == 8000);
+  CHECK(t.cold_from == 0.2);
+  CHECK(t.cold_for == 20000);
+  CHECK(t.cold_multiple == 3);
+  CHECK(t.cold_span == 1000);
+  REQUIRE(t.tenants.size() == 2);
+  CHECK(t.tenants[0].name == "north");
+  CHECK(t.tenants[0].allowance == 0.05);
+  CHECK(t.tenants[1].name == "south");
+  CHECK(t.tenants[1].allowance == 0);
+  CHECK(t.surplus_utility == 0.5);
+  CHECK(t.marks_repeats);
+  CHECK(t.telling);
+}
