--- a/bench/decision.cpp
+++ b/bench/decision.cpp
@@ -9,20 +9,20 @@
 namespace {
 
 using namespace indigorill;
-using verb = decision::verb;
+using Verb = Decision::Action;
 
-terrain ground() {
-  terrain t;
-  t.methods = {{"read", 100, 1, 0, repeatable::idempotent, group::everywhere, 0, 0},
-               {"order", 100, 4, 0, repeatable::non_idempotent, group::everywhere, 0, 0}};
+LoadBalancerConfig ground() {
+  LoadBalancerConfig t;
+  t.methods = {{"read", 100, 1, 0, RetrySafety::idempotent, DeduplicationScope::global, 0, 0},
+               {"order", 100, 4, 0, RetrySafety::non_idempotent, DeduplicationScope::global, 0, 0}};
   t.zone = "here";
-  t.most_picks = 4;
-  t.cancelling = true;
-  t.handshake_price = 0.01;
-  t.cold_from = 0.2;
-  t.cold_for = 20000;
-  t.cold_multiple = 3;
-  t.cold_span = 1000;
+  t.max_attempts = 4;
+  t.cancellation_enabled = true;
+  t.handshake_cost = 0.01;
+  t.slow_start_initial_weight = 0.2;
+  t.slow_start_duration_ms = 20000;
+  t.slow_start_overload_factor = 3;
+  t.slow_start_burst_ms = 1000;
   return t;
 }
 
@@ -31,27 +31,28 @@
   const auto servers = static_cast<int>(state.range(0));
   const auto cold = static_cast<int>(state.range(1));
   double now = 1000000;
-  balancer b(ground(), 1, now);
-  std::vector<endpoint> all;
+  LoadBalancer b(ground(), 1, now);
+  std::vector<Endpoint> all;
   for (int i = 0; i < servers; ++i)
     all.push_back({std::string("s").append(std::to_string(i)), "here", 0,
-                   i * 100 < servers * cold ? now - 1000 : 0, standing::ready});
-  b.listed(now, true, false, all);
-  while (b.next()) {
+                   i * 100 < servers * cold ? now - 1000 : 0, EndpointState::ready});
+  b.update_endpoints(now, true, false, all);
+  while (b.next_decision()) {
   }
   std::uint64_t rpc = 0;
   double beat = now;
   for (auto _ : state) {
     now += 1;
     if (now - beat >= 1000) {
-      b.woken(beat = now, 1);
-      while (b.next()) {
+      b.on_timer(beat = now, 1);
+      while (b.next_decision()) {
       }
     }
     const std::string id = std::to_string(++rpc);
-    b.rpc_arrived(now, {id, rpc % 4 ? "read" : "order", now + 300, {}});
-    while (const auto d = b.next())
-      if (d->what == verb::pick) b.pick_ended(now + 0.5, d->rpc, d->pick, ending::ok, 20, true, {2.0});
+    b.on_rpc_arrived(now, {id, rpc % 4 ? "read" : "order", now + 300, {}});
+    while (const auto d = b.next_decision())
+      if (d->action == Verb::send_attempt)
+        b.on_attempt_finished(now + 0.5, d->rpc_id, d->attempt_index, AttemptOutcome::ok, 20, true, {2.0});
     now += 0.5;
   }
 }
--- a/bench/scale.cpp
+++ b/bench/scale.cpp
@@ -23,22 +23,22 @@
 
 void divider_answer(benchmark::State& state) {
   const auto n = static_cast<std::size_t>(state.range(0));
-  const shares_traits with{
+  const QuotaConfig with{
       {{"picks", 4.0 * static_cast<double>(n), 0, 1000}}, static_cast<int>(n), 2000, 60000, 0.01};
-  divider d(with);
-  std::vector<purse> all;
+  QuotaAllocator d(with);
+  std::vector<QuotaClient> all;
   for (std::size_t i = 0; i < n; ++i) all.emplace_back(with, 1 + i);
   double now = 1e6;
-  d.begin(now, now);
+  d.start_term(now, now);
   std::size_t i = 0;
-  const auto ask = [&](purse& p, std::size_t wants) {
-    for (std::size_t w = 0; w < wants; ++w) p.wanted(now, 0);
-    return p.ask(now);
+  const auto ask = [&](QuotaClient& p, std::size_t wants) {
+    for (std::size_t w = 0; w < wants; ++w) p.record_demand(now, 0);
+    return p.make_request(now);
   };
   const auto one = [&] {
-    purse& p = all[i];
-    p.heard(now, d.answer(now, 1e18, ask(p, i % 100 == 0 ? 50 : i % 3)));
-    now += with.share / 3 / static_cast<double>(n);
+    QuotaClient& p = all[i];
+    p.on_grant(now, d.handle_request(now, 1e18, ask(p, i % 100 == 0 ? 50 : i % 3)));
+    now += with.grant_duration_ms / 3 / static_cast<double>(n);
     i = (i + 1) % n;
   };
   for (std::size_t k = 0; k < 6 * n; ++k) one();  // settled
@@ -49,30 +49,30 @@
 BENCHMARK(divider_answer)->RangeMultiplier(4)->Range(100, 25600)->Complexity();
 
 // Two of a fleet in which each knows all.
-struct knows_all {
-  members one;
+struct KnowsAll {
+  Membership one;
   double now = 1e6;
-  explicit knows_all(std::size_t n) : one({"n0", place(0), {place(1)}, 1000, 300}, 1, 1, 1e6) {
-    gossip page{gossip::kind::page, 1, {}, {}, {}};
+  explicit KnowsAll(std::size_t n) : one({"n0", place(0), {place(1)}, 1000, 300}, 1, 1, 1e6) {
+    SwimMessage page{SwimMessage::Kind::view_page, 1, {}, {}, {}};
     for (std::size_t i = 1; i < n; ++i)
-      page.news.push_back({member::state::alive, named("n", i), place(i), 1});
-    one.heard(now, "n1", place(1), page);
+      page.updates.push_back({Member::State::alive, named("n", i), place(i), 1});
+    one.on_message(now, "n1", place(1), page);
   }
 };
 
 void datagram_in_and_out(benchmark::State& state) {
-  knows_all k(static_cast<std::size_t>(state.range(0)));
-  envelope e;
+  KnowsAll k(static_cast<std::size_t>(state.range(0)));
+  Envelope e;
   e.fleet = "lab";
   e.name = named("n", 1);
   e.address = place(1);
   e.incarnation = 1;
-  e.talk = {gossip::kind::ping, 1, {}, {}, {{member::state::alive, named("n", 1), place(1), 1}}};
+  e.swim_message = {SwimMessage::Kind::ping, 1, {}, {}, {{Member::State::alive, named("n", 1), place(1), 1}}};
   for (auto _ : state) {
-    ++e.serial;
-    const auto got = std::get<envelope>(decode_envelope(encode(e), "lab"));
-    k.one.heard(k.now, got.name, got.address, got.talk);
-    while (auto l = k.one.next()) benchmark::DoNotOptimize(l);
+    ++e.sequence_number;
+    const auto got = std::get<Envelope>(decode_envelope(encode(e), "lab"));
+    k.one.on_message(k.now, got.name, got.address, got.swim_message);
+    while (auto l = k.one.next_message()) benchmark::DoNotOptimize(l);
   }
   state.SetComplexityN(state.range(0));
 }
@@ -80,40 +80,41 @@
 
 // A period of one that hears nothing back but the answers to its own probes.
 void member_period(benchmark::State& state) {
-  knows_all k(static_cast<std::size_t>(state.range(0)));
+  KnowsAll k(static_cast<std::size_t>(state.range(0)));
   for (auto _ : state) {
-    k.now = std::max(k.now, k.one.next_due());
-    k.one.due(k.now);
-    while (auto l = k.one.next())
-      if (l->what.what == gossip::kind::ping) {
+    k.now = std::max(k.now, k.one.next_timer_at());
+    k.one.on_timer(k.now);
+    while (auto l = k.one.next_message())
+      if (l->message.kind == SwimMessage::Kind::ping) {
         const std::string name = named("n", 1);
-        k.one.heard(k.now, name, l->to, {gossip::kind::ack, l->what.number, {}, {}, {}});
+        k.one.on_message(k.now, name, l->recipient,
+                         {SwimMessage::Kind::ack, l->message.sequence_number, {}, {}, {}});
       }
   }
   state.SetComplexityN(state.range(0));
 }
 BENCHMARK(member_period)->RangeMultiplier(4)->Range(100, 25600)->Complexity();
 
-roster list_of(std::size_t n) {
-  roster r;
+EndpointListUpdate list_of(std::size_t n) {
+  EndpointListUpdate r;
   r.version = n;
-  r.whole = true;
+  r.complete = true;
   for (std::size_t i = 0; i < n; ++i)
-    r.entries.push_back({{named("endpoint-", i), "here", 0, 0, standing::ready}, place(i)});
+    r.entries.push_back({{named("endpoint-", i), "here", 0, 0, EndpointState::ready}, place(i)});
   return r;
 }
 
 void list_whole(benchmark::State& state) {
-  const std::string text = encode_roster(list_of(static_cast<std::size_t>(state.range(0))));
-  terrain t;
-  balancer b(t, 1, 1e6);
+  const std::string text = encode_endpoint_list(list_of(static_cast<std::size_t>(state.range(0))));
+  LoadBalancerConfig t;
+  LoadBalancer b(t, 1, 1e6);
   double now = 1e6;
   for (auto _ : state) {
-    const roster r = read_roster(text);
-    std::vector<endpoint> all;
-    for (const roster::entry& e : r.entries) all.push_back(e.is);
-    b.listed(++now, true, false, all);
-    while (b.next()) {
+    const EndpointListUpdate r = parse_endpoint_list(text);
+    std::vector<Endpoint> all;
+    for (const EndpointListUpdate::Entry& e : r.entries) all.push_back(e.endpoint);
+    b.update_endpoints(++now, true, false, all);
+    while (b.next_decision()) {
     }
   }
   state.counters["bytes"] = static_cast<double>(text.size());
@@ -124,22 +125,22 @@
 // One endpoint of n comes or goes.
 void list_change(benchmark::State& state) {
   const auto n = static_cast<std::size_t>(state.range(0));
-  terrain t;
-  balancer b(t, 1, 1e6);
-  std::vector<endpoint> all;
-  for (const roster::entry& e : list_of(n).entries) all.push_back(e.is);
+  LoadBalancerConfig t;
+  LoadBalancer b(t, 1, 1e6);
+  std::vector<Endpoint> all;
+  for (const EndpointListUpdate::Entry& e : list_of(n).entries) all.push_back(e.endpoint);
   double now = 1e6;
-  b.listed(now, true, false, all);
-  while (b.next()) {
+  b.update_endpoints(now, true, false, all);
+  while (b.next_decision()) {
   }
-  roster change;
+  EndpointListUpdate change;
   change.entries = {{all[n / 2], place(n / 2)}};
   for (auto _ : state) {
-    standing& s = change.entries[0].is.state;
-    s = s == standing::ready ? standing::gone : standing::ready;
-    const roster r = read_roster(encode_roster(change));
-    b.listed(++now, false, false, {r.entries[0].is});
-    while (b.next()) {
+    EndpointState& s = change.entries[0].endpoint.state;
+    s = s == EndpointState::ready ? EndpointState::gone : EndpointState::ready;
+    const EndpointListUpdate r = parse_endpoint_list(encode_endpoint_list(change));
+    b.update_endpoints(++now, false, false, {r.entries[0].endpoint});
+    while (b.next_decision()) {
     }
   }
   state.SetComplexityN(state.range(0));
--- a/src/adapter/main.cpp
+++ b/src/adapter/main.cpp
@@ -5,7 +5,7 @@
 int main() {
   std::ios::sync_with_stdio(false);
   try {
-    indigorill::serve(std::cin, std::cout);
+    indigorill::run_sim_adapter(std::cin, std::cout);
   } catch (const std::exception& e) {
     std::cerr << "indigorill: " << e.what() << '\n';
     return 1;
--- a/src/adapter/wire.cpp
+++ b/src/adapter/wire.cpp
@@ -17,213 +17,235 @@
 
 using nlohmann::json;
 
-endpoint decode_endpoint(const json& j) {
-  const fields f("DIRECTORY.members", j);
-  endpoint e;
-  e.id = f.text("endpoint");
-  e.zone = f.text("site", "");
-  e.cell = f.small("stripe", 0);
-  e.started = f.ms("upSince");
-  e.state = f.word<standing>(
-      "state", {{"active", standing::ready}, {"leaving", standing::draining}, {"left", standing::gone}});
-  e.kind = f.text("shape", "");
+Endpoint decode_endpoint(const json& j) {
+  const JsonFields f("DIRECTORY.members", j);
+  Endpoint e;
+  e.id = f.string("endpoint");
+  e.zone = f.string("site", "");
+  e.cell = f.integer("stripe", 0);
+  e.started_at_ms = f.microseconds_as_ms("upSince");
+  e.state = f.enum_value<EndpointState>("state", {{"active", EndpointState::ready},
+                                                  {"leaving", EndpointState::draining},
+                                                  {"left", EndpointState::gone}});
+  e.machine_type = f.string("shape", "");
   return e;
 }
 
-load decode_load(const fields& f) {
-  load l;
+LoadReport decode_load_report(const JsonFields& f) {
+  LoadReport l;
   const json* stats = f.find("serverStats");
   if (!stats || !stats->is_object()) return l;
-  const auto it = stats->find(held_word);
-  if (it != stats->end() && it->is_number()) l.held = it->get<double>();
+  const auto it = stats->find(in_flight_key);
+  if (it != stats->end() && it->is_number()) l.in_flight = it->get<double>();
   return l;
 }
 
-ending decode_ending(const fields& f) {
-  return f.word<ending>("result", {{"GOOD", ending::ok},
-                                   {"BAD", ending::error},
-                                   {"FULL", ending::full},
-                                   {"LATE", ending::timed_out},
-                                   {"NOCONN", ending::connect_failed},
-                                   {"RST", ending::reset},
-                                   {"CXL", ending::cancelled},
-                                   {"NOP", ending::moot}});
+AttemptOutcome decode_attempt_outcome(const JsonFields& f) {
+  return f.enum_value<AttemptOutcome>("result", {{"GOOD", AttemptOutcome::ok},
+                                                 {"BAD", AttemptOutcome::error},
+                                                 {"FULL", AttemptOutcome::rejected},
+                                                 {"LATE", AttemptOutcome::timed_out},
+                                                 {"NOCONN", AttemptOutcome::connect_failed},
+                                                 {"RST", AttemptOutcome::reset},
+                                                 {"CXL", AttemptOutcome::cancelled},
+                                                 {"NOP", AttemptOutcome::client_error}});
 }
 
-std::int64_t to_us(double ms) { return static_cast<std::int64_t>(std::ceil(ms * us_per_ms)); }
+std::int64_t to_microseconds(double ms) { return static_cast<std::int64_t>(std::ceil(ms * us_per_ms)); }
 
 // Text and number fields are written one by one: building a JSON object for each took a third of a reply.
-class action {
+class MessageWriter {
  public:
-  action(const char* name, int instance) : line("{\"" + std::string(name) + "\":{") { with("i", instance); }
-  action& with(const char* field, std::int64_t value) { return add(field, std::to_string(value)); }
-  action& with(const char* field, const std::string& value) { return add(field, json(value).dump()); }
-  action& on(const char* field) { return add(field, "true"); }
-  std::string str() const { return line + "}}\n"; }
+  MessageWriter(const char* name, int instance) : line_("{\"" + std::string(name) + "\":{") {
+    with("i", instance);
+  }
+  MessageWriter& with(const char* field, std::int64_t value) { return add(field, std::to_string(value)); }
+  MessageWriter& with(const char* field, const std::string& value) { return add(field, json(value).dump()); }
+  MessageWriter& on(const char* field) { return add(field, "true"); }
+  std::string str() const { return line_ + "}}\n"; }
 
  private:
-  action& add(const char* field, const std::string& value) {
-    if (line.back() != '{') line += ',';
-    line.append("\"").append(field).append("\":").append(value);
+  MessageWriter& add(const char* field, const std::string& value) {
+    if (line_.back() != '{') line_ += ',';
+    line_.append("\"").append(field).append("\":").append(value);
     return *this;
   }
-  std::string line;
+  std::string line_;
 };
 
-std::string encode(int instance, const decision& d) {
-  using verb = decision::verb;
-  switch (d.what) {
-    case verb::pick:
-      return action("SEND", instance)
-          .with("ticket", d.rpc)
-          .with("endpoint", d.server)
-          .with("cap", to_us(d.after))
+std::string encode(int instance, const Decision& d) {
+  using Verb = Decision::Action;
+  switch (d.action) {
+    case Verb::send_attempt:
+      return MessageWriter("SEND", instance)
+          .with("ticket", d.rpc_id)
+          .with("endpoint", d.endpoint_id)
+          .with("cap", to_microseconds(d.delay_ms))
           .str();
-    case verb::push_back: {
-      action shed("SHED", instance);
-      shed.with("ticket", d.rpc);
-      if (d.after > 0) shed.with("retryIn", to_us(d.after));
+    case Verb::reject: {
+      MessageWriter shed("SHED", instance);
+      shed.with("ticket", d.rpc_id);
+      if (d.delay_ms > 0) shed.with("retryIn", to_microseconds(d.delay_ms));
       return shed.str();
     }
-    case verb::abort:
-      return action("FAIL", instance).with("ticket", d.rpc).str();
-    case verb::cancel:
-      return action("RETRACT", instance).with("ticket", d.rpc).with("try", d.pick).str();
-    case verb::probe:
-      return action("PROBE", instance).with("endpoint", d.server).str();
-    case verb::tell:
-      return action("SHARE", instance).with("peer", -1).with("blob", encode_news(d.told)).str();
-    case verb::follow_list:
-      return action("STREAM_CHANGES", instance).on("want").str();
-    case verb::wake:
-      return action("WAKE_ME", instance)
-          .with("offset", std::max<std::int64_t>(to_us(d.after), 0))
-          .with("token", static_cast<std::int64_t>(d.wake))
+    case Verb::fail:
+      return MessageWriter("FAIL", instance).with("ticket", d.rpc_id).str();
+    case Verb::cancel_attempt:
+      return MessageWriter("RETRACT", instance).with("ticket", d.rpc_id).with("try", d.attempt_index).str();
+    case Verb::health_check:
+      return MessageWriter("PROBE", instance).with("endpoint", d.endpoint_id).str();
+    case Verb::send_gossip:
+      return MessageWriter("SHARE", instance)
+          .with("peer", -1)
+          .with("blob", encode_load_gossip(d.gossip))
+          .str();
+    case Verb::poll_endpoints:
+      return MessageWriter("STREAM_CHANGES", instance).on("want").str();
+    case Verb::set_timer:
+      return MessageWriter("WAKE_ME", instance)
+          .with("offset", std::max<std::int64_t>(to_microseconds(d.delay_ms), 0))
+          .with("token", static_cast<std::int64_t>(d.timer_id))
           .str();
   }
   return {};
 }
 
-class wire {
+class SimProtocol {
  public:
-  wire(std::istream& from, std::ostream& to) : in(from), out(to) {}
+  SimProtocol(std::istream& from, std::ostream& to) : input_(from), output_(to) {}
 
-  void serve() {
+  void run() {
     std::string line;
-    while (std::getline(in, line)) {
+    while (std::getline(input_, line)) {
       if (line.find_first_not_of(" \t\r") == std::string::npos) continue;
       const json message = json::parse(line, nullptr, false);
-      if (message.is_discarded()) throw malformed("line is not JSON");
-      if (!message.is_object() || message.size() != 1) throw malformed("line is not an object with one key");
+      if (message.is_discarded()) throw ParseError("line is not JSON");
+      if (!message.is_object() || message.size() != 1) throw ParseError("line is not an object with one key");
       const std::string& name = message.begin().key();
-      take(name, fields(name, message.begin().value()));
+      dispatch(name, JsonFields(name, message.begin().value()));
     }
-    if (in_batch) throw malformed("GO: input ended within a batch");
+    if (in_batch_) throw ParseError("GO: input ended within a batch");
   }
 
  private:
-  void take(const std::string& name, const fields& f) {
+  void dispatch(const std::string& name, const JsonFields& f) {
     if (name == "SYNC") {
-      if (in_batch) f.fault("batch within a batch");
-      now = static_cast<double>(f.whole("simTime")) / us_per_ms;
-      in_batch = true;
-      touched.clear();
+      if (in_batch_) f.fail("batch within a batch");
+      now_ms_ = static_cast<double>(f.unsigned_integer("simTime")) / us_per_ms;
+      in_batch_ = true;
+      touched_instances_.clear();
       return;
     }
-    static const std::map<std::string, void (wire::*)(const fields&)> known{
-        {"GO", &wire::reply},           {"DIRECTORY", &wire::directory}, {"BEGIN", &wire::begin},
-        {"KILLED", &wire::killed},      {"INCOMING", &wire::incoming},   {"BACKENDS_CHANGED", &wire::changed},
-        {"UNDER_WAY", &wire::underway}, {"OUTCOME", &wire::outcome},     {"DROPPED", &wire::dropped},
-        {"TIMER", &wire::timer},        {"STATUS_BACK", &wire::status},  {"WHISPER", &wire::whisper}};
+    static const std::map<std::string, void (SimProtocol::*)(const JsonFields&)> known{
+        {"GO", &SimProtocol::on_go},
+        {"DIRECTORY", &SimProtocol::on_directory},
+        {"BEGIN", &SimProtocol::on_begin},
+        {"KILLED", &SimProtocol::on_killed},
+        {"INCOMING", &SimProtocol::on_incoming},
+        {"BACKENDS_CHANGED", &SimProtocol::on_backends_changed},
+        {"UNDER_WAY", &SimProtocol::on_under_way},
+        {"OUTCOME", &SimProtocol::on_outcome},
+        {"DROPPED", &SimProtocol::on_dropped},
+        {"TIMER", &SimProtocol::on_timer},
+        {"STATUS_BACK", &SimProtocol::on_status_back},
+        {"WHISPER", &SimProtocol::on_whisper}};
     const auto it = known.find(name);
-    if (it == known.end()) throw malformed("message of unknown name " + json(name).dump());
-    if (!in_batch) f.fault("outside a batch");
+    if (it == known.end()) throw ParseError("message of unknown name " + json(name).dump());
+    if (!in_batch_) f.fail("outside a batch");
     (this->*it->second)(f);
   }
 
-  balancer& instance(const fields& f) {
-    const int i = f.small("i");
-    const auto it = instances.find(i);
-    if (it == instances.end()) f.fault("unknown instance " + std::to_string(i));
-    touched.insert(i);
+  LoadBalancer& find_instance(const JsonFields& f) {
+    const int i = f.integer("i");
+    const auto it = instances_.find(i);
+    if (it == instances_.end()) f.fail("unknown instance " + std::to_string(i));
+    touched_instances_.insert(i);
     return *it->second;
   }
 
-  void directory(const fields& f) {
-    std::vector<endpoint> entries;
-    f.need("members");
-    for (const json& j : f.list("members")) entries.push_back(decode_endpoint(j));
-    rosters[f.small("rosterId")] = std::move(entries);
-  }
-  void begin(const fields& f) {
-    const int i = f.small("i");
-    f.need("settings");
-    instances[i] = std::make_unique<balancer>(decode_settings(f.inner("settings")), f.whole("seed"), now);
-    touched.insert(i);
-  }
-  void killed(const fields& f) {
-    instance(f);
-    const int i = f.small("i");
-    instances.erase(i);
-    touched.erase(i);
-  }
-  void changed(const fields& f) {
-    balancer& b = instance(f);
-    enum class scope { update, replace, restored, unavailable };
-    const scope s = f.word<scope>("scope", {{"update", scope::update},
-                                            {"replace", scope::replace},
-                                            {"restored", scope::restored},
-                                            {"unavailable", scope::unavailable}});
-    if (s == scope::unavailable) return b.list_failed(now);
-    const auto it = rosters.find(f.small("rosterId"));
-    if (it == rosters.end()) f.fault("unknown list " + std::to_string(f.small("rosterId")));
-    b.listed(now, s != scope::update, s != scope::restored, it->second);
-  }
-  void incoming(const fields& f) {
-    balancer& b = instance(f);
-    const std::string id = f.text("ticket"), cls = f.text("cls");
-    const std::string tenant = f.text("tenant", "");
-    arrival a{id, cls, static_cast<double>(f.whole("expires")) / us_per_ms, {}, tenant, f.mark("repeat")};
-    if (f.find("routeKey")) a.key = f.whole("routeKey");
-    b.rpc_arrived(now, a);
-  }
-  void underway(const fields& f) { instance(f).answer_began(now, f.text("ticket"), f.small("try")); }
-  void outcome(const fields& f) {
-    f.text("endpoint");
-    instance(f).pick_ended(now, f.text("ticket"), f.small("try"), decode_ending(f),
-                           f.number("elapsed") / us_per_ms, f.mark("finished"), decode_load(f));
-  }
-  void dropped(const fields& f) { instance(f).client_left(now, f.text("ticket")); }
-  void timer(const fields& f) { instance(f).woken(now, f.whole("token")); }
-  void status(const fields& f) {
+  void on_directory(const JsonFields& f) {
+    std::vector<Endpoint> entries;
+    f.require("members");
+    for (const json& j : f.array("members")) entries.push_back(decode_endpoint(j));
+    endpoint_lists_[f.integer("rosterId")] = std::move(entries);
+  }
+  void on_begin(const JsonFields& f) {
+    const int i = f.integer("i");
+    f.require("settings");
+    instances_[i] = std::make_unique<LoadBalancer>(decode_load_balancer_config(f.object("settings")),
+                                                   f.unsigned_integer("seed"), now_ms_);
+    touched_instances_.insert(i);
+  }
+  void on_killed(const JsonFields& f) {
+    find_instance(f);
+    const int i = f.integer("i");
+    instances_.erase(i);
+    touched_instances_.erase(i);
+  }
+  void on_backends_changed(const JsonFields& f) {
+    LoadBalancer& b = find_instance(f);
+    enum class Scope { update, replace, restored, unavailable };
+    const Scope s = f.enum_value<Scope>("scope", {{"update", Scope::update},
+                                                  {"replace", Scope::replace},
+                                                  {"restored", Scope::restored},
+                                                  {"unavailable", Scope::unavailable}});
+    if (s == Scope::unavailable) return b.endpoint_poll_failed(now_ms_);
+    const auto it = endpoint_lists_.find(f.integer("rosterId"));
+    if (it == endpoint_lists_.end()) f.fail("unknown list " + std::to_string(f.integer("rosterId")));
+    b.update_endpoints(now_ms_, s != Scope::update, s != Scope::restored, it->second);
+  }
+  void on_incoming(const JsonFields& f) {
+    LoadBalancer& b = find_instance(f);
+    const std::string id = f.string("ticket"), cls = f.string("cls");
+    const std::string tenant = f.string("tenant", "");
+    RpcArrival a{id, cls,    static_cast<double>(f.unsigned_integer("expires")) / us_per_ms,
+                 {}, tenant, f.boolean("repeat")};
+    if (f.find("routeKey")) a.routing_key = f.unsigned_integer("routeKey");
+    b.on_rpc_arrived(now_ms_, a);
+  }
+  void on_under_way(const JsonFields& f) {
+    find_instance(f).on_response_started(now_ms_, f.string("ticket"), f.integer("try"));
+  }
+  void on_outcome(const JsonFields& f) {
+    f.string("endpoint");
+    find_instance(f).on_attempt_finished(now_ms_, f.string("ticket"), f.integer("try"),
+                                         decode_attempt_outcome(f), f.number("elapsed") / us_per_ms,
+                                         f.boolean("finished"), decode_load_report(f));
+  }
+  void on_dropped(const JsonFields& f) {
+    find_instance(f).on_client_disconnected(now_ms_, f.string("ticket"));
+  }
+  void on_timer(const JsonFields& f) { find_instance(f).on_timer(now_ms_, f.unsigned_integer("token")); }
+  void on_status_back(const JsonFields& f) {
     f.number("elapsed");
-    instance(f).probe_ended(now, f.text("endpoint"), decode_ending(f), decode_load(f));
+    find_instance(f).on_probe_finished(now_ms_, f.string("endpoint"), decode_attempt_outcome(f),
+                                       decode_load_report(f));
   }
-  void whisper(const fields& f) {
-    balancer& b = instance(f);
-    const int sender = f.small("sender");
-    if (const auto n = decode_news(f.text("blob"))) b.told(now, sender, *n);
+  void on_whisper(const JsonFields& f) {
+    LoadBalancer& b = find_instance(f);
+    const int sender = f.integer("sender");
+    if (const auto n = decode_load_gossip(f.string("blob"))) b.on_gossip(now_ms_, sender, *n);
   }
 
-  void reply(const fields&) {
+  void on_go(const JsonFields&) {
     std::string text;
-    for (const int i : touched)
-      while (const auto d = instances.at(i)->next()) text += encode(i, *d);
-    out << text << "{\"OK\":{}}\n" << std::flush;
-    in_batch = false;
-  }
-
-  std::istream& in;
-  std::ostream& out;
-  double now = 0;
-  bool in_batch = false;
-  std::map<int, std::unique_ptr<balancer>> instances;
-  std::map<int, std::vector<endpoint>> rosters;
-  std::set<int> touched;
+    for (const int i : touched_instances_)
+      while (const auto d = instances_.at(i)->next_decision()) text += encode(i, *d);
+    output_ << text << "{\"OK\":{}}\n" << std::flush;
+    in_batch_ = false;
+  }
+
+  std::istream& input_;
+  std::ostream& output_;
+  double now_ms_ = 0;
+  bool in_batch_ = false;
+  std::map<int, std::unique_ptr<LoadBalancer>> instances_;
+  std::map<int, std::vector<Endpoint>> endpoint_lists_;
+  std::set<int> touched_instances_;
 };
 
 }  // namespace
 
-void serve(std::istream& in, std::ostream& out) { wire(in, out).serve(); }
+void run_sim_adapter(std::istream& in, std::ostream& out) { SimProtocol(in, out).run(); }
 
 }  // namespace indigorill
--- a/src/adapter/wire.h
+++ b/src/adapter/wire.h
@@ -7,6 +7,6 @@
 
 // Serves until the end of the input. Throws malformed (decode/fields.h), having written nothing for the batch
 // at fault.
-void serve(std::istream& in, std::ostream& out);
+void run_sim_adapter(std::istream& in, std::ostream& out);
 
 }  // namespace indigorill
--- a/src/decode/section.h
+++ b/src/decode/section.h
@@ -15,62 +15,62 @@
 namespace indigorill {
 
 // Each fault is a line of its own: file, line, reason.
-struct faulty : std::runtime_error {
+struct ConfigError : std::runtime_error {
   using std::runtime_error::runtime_error;
 };
 
-toml::table read_toml(const std::string& file);  // throws faulty
+toml::table read_toml_file(const std::string& file);  // throws faulty
 
-class faults {
+class ConfigDiagnostics {
  public:
-  void at(const toml::source_region& where, const std::string& reason);
-  void raise() const;  // throws faulty, if there is any
+  void add(const toml::source_region& where, const std::string& reason);
+  void throw_if_any() const;  // throws faulty, if there is any
 
  private:
-  std::string text;
+  std::string text_;
 };
 
 // One table; what is not read by none_left() is a fault.
-class section {
+class TomlSection {
  public:
-  section(const toml::table& t, std::string name, faults& into)
-      : from(t), title(std::move(name)), wrong(into) {}
+  TomlSection(const toml::table& t, std::string name, ConfigDiagnostics& into)
+      : table_(t), name_(std::move(name)), diagnostics_(into) {}
 
   double number(const char* key, std::optional<double> absent, double least, double most);
-  double seconds(const char* key, std::optional<double> absent);  // up to a day, as ms
-  double ms(const char* key, std::optional<double> absent);       // up to a day
-  int whole(const char* key, std::optional<int> absent, int least, int most);
-  bool mark(const char* key, bool absent);
-  std::string text_of(const char* key, std::optional<std::string> absent);
-  std::vector<std::string> texts(const char* key);         // a list; empty where absent
-  const toml::table& inner(const char* key, bool needed);  // empty where absent
+  double seconds_as_ms(const char* key, std::optional<double> absent);  // up to a day, as ms
+  double duration_ms(const char* key, std::optional<double> absent);    // up to a day
+  int integer(const char* key, std::optional<int> absent, int least, int most);
+  bool boolean(const char* key, bool absent);
+  std::string string(const char* key, std::optional<std::string> absent);
+  std::vector<std::string> strings(const char* key);       // a list; empty where absent
+  const toml::table& table(const char* key, bool needed);  // empty where absent
   std::vector<const toml::table*> tables(const char* key, bool needed);
 
   template <class T>
-  T word(const char* key, std::optional<T> absent, const std::map<std::string, T>& words) {
-    const toml::node* n = take(key, absent.has_value());
+  T enum_value(const char* key, std::optional<T> absent, const std::map<std::string, T>& words) {
+    const toml::node* n = find(key, absent.has_value());
     if (!n) return absent.value_or(words.begin()->second);
     const auto it = words.find(n->value_or(std::string()));
     if (n->is_string() && it != words.end()) return it->second;
     std::string all;
     for (const auto& [w, meaning] : words) all += (all.empty() ? "" : ", ") + w;
-    fault(*n, key, "is none of " + all);
+    add_error_at(*n, key, "is none of " + all);
     return words.begin()->second;
   }
 
-  bool has(const char* key) const { return from.contains(key); }
-  void fault_here(const char* key, const std::string& reason);
-  void none_left();
+  bool has(const char* key) const { return table_.contains(key); }
+  void add_error(const char* key, const std::string& reason);
+  void reject_unknown_keys();
 
  private:
-  std::string named(std::string_view key) const;
-  void fault(const toml::node& n, const char* key, const std::string& reason);
-  const toml::node* take(const char* key, bool may_be_absent);
+  std::string qualified_key(std::string_view key) const;
+  void add_error_at(const toml::node& n, const char* key, const std::string& reason);
+  const toml::node* find(const char* key, bool may_be_absent);
 
-  const toml::table& from;
-  std::string title;
-  faults& wrong;
-  std::set<std::string> used;
+  const toml::table& table_;
+  std::string name_;
+  ConfigDiagnostics& diagnostics_;
+  std::set<std::string> used_keys_;
 };
 
 }  // namespace indigorill
--- a/src/decode/settings.cpp
+++ b/src/decode/settings.cpp
@@ -4,72 +4,74 @@
 
 using nlohmann::json;
 
-terrain decode_settings(const fields& f) {
-  terrain t;
-  for (const json& j : f.list("methods")) {
-    const fields m = f.entry("methods", j);
-    method to;
-    to.name = m.text("name");
-    to.utility = m.number("utility", 1);
-    to.late_utility = m.number("overdueUtility", 0);
-    to.repeats = m.word<repeatable>("effect", {{"retryable", repeatable::idempotent},
-                                               {"dedup", repeatable::deduplicated},
-                                               {"fragile", repeatable::non_idempotent}});
+LoadBalancerConfig decode_load_balancer_config(const JsonFields& f) {
+  LoadBalancerConfig t;
+  for (const json& j : f.array("methods")) {
+    const JsonFields m = f.element("methods", j);
+    MethodConfig to;
+    to.name = m.string("name");
+    to.priority_weight = m.number("utility", 1);
+    to.late_weight = m.number("overdueUtility", 0);
+    to.retry_safety = m.enum_value<RetrySafety>("effect", {{"retryable", RetrySafety::idempotent},
+                                                           {"dedup", RetrySafety::idempotency_key},
+                                                           {"fragile", RetrySafety::non_idempotent}});
     // Without either no RPC could ever be in time.
-    to.deadline = m.find("deadline") ? m.some_span("deadline", 0) : 0;
-    to.latency_target = m.some_span("latencyTarget", to.deadline);
+    to.deadline_ms = m.find("deadline") ? m.positive_duration_ms("deadline", 0) : 0;
+    to.latency_objective_ms = m.positive_duration_ms("latencyTarget", to.deadline_ms);
     if (m.find("group"))
-      to.drops_repeats =
-          m.word<group>("group", {{"all", group::everywhere}, {"zone", group::zone}, {"cell", group::cell}});
-    to.remembers = m.span("dedupWindow");
+      to.deduplication_scope =
+          m.enum_value<DeduplicationScope>("group", {{"all", DeduplicationScope::global},
+                                                     {"zone", DeduplicationScope::zone},
+                                                     {"cell", DeduplicationScope::cell}});
+    to.deduplication_window_ms = m.duration_ms("dedupWindow");
     t.methods.push_back(to);
   }
-  if (t.methods.empty()) f.fault("names no methods");
-  t.zone = f.text("zone", "");
-  t.tick = f.span("round", 1);
-  t.sidecars = f.number("balancers", 1);
-  t.must_ask = f.text("discovery", "automatic") == "subscribe";
-  t.warm_keys = f.inner("familyInfo").mark("warmKeys");
-  const fields bounds = f.inner("bounds");
-  t.most_picks = bounds.small("maxPicks", 1);
-  if (t.most_picks == 0) bounds.fault("field maxPicks is 0, so that nothing may be sent");
-  t.cancelling = bounds.mark("cancelling");
-  t.probing = bounds.mark("probes");
-  t.longest_retry_after = bounds.mark("retryAfter") ? bounds.span("maxRetryAfter") : 0;
-  const fields reporting = f.inner("reporting");
-  for (const json& j : reporting.list("fields")) t.probes_report |= j == held_word;
-  t.probes_report &= reporting.text("how", "none") != "none";
-  const fields charges = f.inner("charges");
-  t.cross_zone_price = charges.number("crossZone", 0);
-  t.probe_price = charges.number("probe", 0);
-  t.handshake_price = charges.number("handshake", 0);
-  const fields rules = f.inner("rules");
-  t.ask_within = rules.span("askWithin", 10000);
-  t.cold_from = rules.number("coldFrom", 1);
-  t.cold_for = rules.span("cold");
-  t.cold_multiple = rules.number("overloadFactor", 1);
-  t.cold_span = rules.span("fall");
-  for (const json& j : f.list("parties")) {
-    const fields p = f.entry("parties", j);
+  if (t.methods.empty()) f.fail("names no methods");
+  t.zone = f.string("zone", "");
+  t.tick_ms = f.duration_ms("round", 1);
+  t.sidecar_count = f.number("balancers", 1);
+  t.must_poll_endpoints = f.string("discovery", "automatic") == "subscribe";
+  t.key_affinity = f.object("familyInfo").boolean("warmKeys");
+  const JsonFields bounds = f.object("bounds");
+  t.max_attempts = bounds.integer("maxPicks", 1);
+  if (t.max_attempts == 0) bounds.fail("field maxPicks is 0, so that nothing may be sent");
+  t.cancellation_enabled = bounds.boolean("cancelling");
+  t.probing_enabled = bounds.boolean("probes");
+  t.max_retry_after_ms = bounds.boolean("retryAfter") ? bounds.duration_ms("maxRetryAfter") : 0;
+  const JsonFields reporting = f.object("reporting");
+  for (const json& j : reporting.array("fields")) t.probes_report_load |= j == in_flight_key;
+  t.probes_report_load &= reporting.string("how", "none") != "none";
+  const JsonFields charges = f.object("charges");
+  t.cross_zone_cost = charges.number("crossZone", 0);
+  t.probe_cost = charges.number("probe", 0);
+  t.handshake_cost = charges.number("handshake", 0);
+  const JsonFields rules = f.object("rules");
+  t.max_poll_silence_ms = rules.duration_ms("askWithin", 10000);
+  t.slow_start_initial_weight = rules.number("coldFrom", 1);
+  t.slow_start_duration_ms = rules.duration_ms("cold");
+  t.slow_start_overload_factor = rules.number("overloadFactor", 1);
+  t.slow_start_burst_ms = rules.duration_ms("fall");
+  for (const json& j : f.array("parties")) {
+    const JsonFields p = f.element("parties", j);
     constexpr double a_second = 1000;
-    t.tenants.push_back({p.text("name"), p.number("allowancePerS", 0) / a_second});
-    if (!(t.tenants.back().allowance >= 0)) p.fault("field allowancePerS is below 0");
+    t.tenants.push_back({p.string("name"), p.number("allowancePerS", 0) / a_second});
+    if (!(t.tenants.back().allowance_per_ms >= 0)) p.fail("field allowancePerS is below 0");
   }
-  t.surplus_utility = f.number("surplusUtility", 1);
-  if (!(t.surplus_utility >= 0 && t.surplus_utility <= 1)) f.fault("field surplusUtility is not 0 to 1");
-  t.marks_repeats = f.inner("callers").mark("marksRetry");
-  t.telling = bounds.mark("mayTell");
-  t.message_price = charges.number("peer", 0);
-  if (!(t.message_price >= 0)) f.fault("field charges.peer is below 0");
+  t.over_quota_weight = f.number("surplusUtility", 1);
+  if (!(t.over_quota_weight >= 0 && t.over_quota_weight <= 1)) f.fail("field surplusUtility is not 0 to 1");
+  t.clients_mark_retries = f.object("callers").boolean("marksRetry");
+  t.gossip_enabled = bounds.boolean("mayTell");
+  t.gossip_message_cost = charges.number("peer", 0);
+  if (!(t.gossip_message_cost >= 0)) f.fail("field charges.peer is below 0");
   return t;
 }
 
-links decode_links(const fields& f) {
-  const fields bounds = f.inner("bounds");
-  links l;
-  l.idle = bounds.span("keepalive", l.idle);
-  l.connect = bounds.some_span("connectTimeout", l.connect);
-  l.grace = f.inner("rules").span("drainGrace", l.grace);
+ConnectionConfig decode_connection_config(const JsonFields& f) {
+  const JsonFields bounds = f.object("bounds");
+  ConnectionConfig l;
+  l.idle_timeout_ms = bounds.duration_ms("keepalive", l.idle_timeout_ms);
+  l.connect_timeout_ms = bounds.positive_duration_ms("connectTimeout", l.connect_timeout_ms);
+  l.drain_grace_ms = f.object("rules").duration_ms("drainGrace", l.drain_grace_ms);
   return l;
 }
 
--- a/src/decode/settings.h
+++ b/src/decode/settings.h
@@ -6,18 +6,18 @@
 
 namespace indigorill {
 
-terrain decode_settings(const fields& f);
+LoadBalancerConfig decode_load_balancer_config(const JsonFields& f);
 
 // How settings and load reports name the RPCs in hand.
-constexpr const char* held_word = "outstanding";
+constexpr const char* in_flight_key = "outstanding";
 
 // What a host with connections of its own has to know of them.
-struct links {
-  double idle = 5000;    // an endpoint closes a connection idle for this long, at the latest
-  double connect = 250;  // one not up within this time has failed
-  double grace = 1000;   // after the list's word on an endpoint, nothing new may begin there
+struct ConnectionConfig {
+  double idle_timeout_ms = 5000;    // an endpoint closes a connection idle for this long, at the latest
+  double connect_timeout_ms = 250;  // one not up within this time has failed
+  double drain_grace_ms = 1000;     // after the list's word on an endpoint, nothing new may begin there
 };
 
-links decode_links(const fields& f);
+ConnectionConfig decode_connection_config(const JsonFields& f);
 
 }  // namespace indigorill
--- a/src/handover/handover.h
+++ b/src/handover/handover.h
@@ -12,67 +12,72 @@
 namespace indigorill {
 
 // What a process says of itself to the other.
-struct record {
-  enum class stage { starting, serving, leaving } at = stage::starting;
-  double born = 0;         // Unix ms; the older process is the elder
-  std::uint64_t bans = 0;  // the revision of the bans that is in force here
-  bool made_room = false;  // it keeps to its part of the limits
-  bool operator==(const record&) const = default;
+struct ProcessRecord {
+  enum class ProcessState { starting, serving, draining } state = ProcessState::starting;
+  double started_at_ms = 0;             // Unix ms; the older process is the elder
+  std::uint64_t ejection_revision = 0;  // the revision of the bans that is in force here
+  bool limits_reduced = false;          // it keeps to its part of the limits
+  bool operator==(const ProcessRecord&) const = default;
 };
 
 // The endpoints out by hand, as all processes of a sidecar have agreed.
-struct bans {
+struct EjectionRecord {
   std::uint64_t revision = 0;
-  std::set<std::string, std::less<>> out;
+  std::set<std::string, std::less<>> ejected;
   // When the others were put back, Unix ms: a newcomer must take them for as cold as the elder does.
-  std::map<std::string, double, std::less<>> back;
-  bool operator==(const bans&) const = default;
+  std::map<std::string, double, std::less<>> restored_at_ms;
+  bool operator==(const EjectionRecord&) const = default;
 };
 
-void take_out(bans& b, const std::string& id);
-void put_back(bans& b, const std::string& id, double now);
+void eject_endpoint(EjectionRecord& b, const std::string& id);
+void restore_endpoint(EjectionRecord& b, const std::string& id, double now);
 
-std::string encode(const record& r);
-std::string encode(const bans& b);
+std::string encode(const ProcessRecord& r);
+std::string encode(const EjectionRecord& b);
 // None for what is torn, foreign or of another format: it is taken for nothing.
-std::optional<record> decode_record(const std::string& text);
-std::optional<bans> decode_bans(const std::string& text);
+std::optional<ProcessRecord> decode_process_record(const std::string& text);
+std::optional<EjectionRecord> decode_ejection_record(const std::string& text);
 
-class handover {
+class HotRestartPolicy {
  public:
-  explicit handover(double born) { own.born = born; }
+  explicit HotRestartPolicy(double born) { own_record_.started_at_ms = born; }
 
-  const record& self() const { return own; }
+  const ProcessRecord& own_record() const { return own_record_; }
 
-  void sees(std::optional<record> of_other, bool other_lives);
-  void serves() { own.at = record::stage::serving; }
-  void leaves() { own.at = record::stage::leaving; }
-  void applied(std::uint64_t revision) { own.bans = revision; }
-  void made_room(bool has) { own.made_room = has; }
+  void update_other_process(std::optional<ProcessRecord> of_other, bool other_lives);
+  void start_serving() { own_record_.state = ProcessRecord::ProcessState::serving; }
+  void start_draining() { own_record_.state = ProcessRecord::ProcessState::draining; }
+  void set_ejection_revision(std::uint64_t revision) { own_record_.ejection_revision = revision; }
+  void set_limits_reduced(bool has) { own_record_.limits_reduced = has; }
 
-  bool paired() const { return lives; }
+  bool is_paired() const { return other_is_alive_; }
   // Where the other one's record can't be read, who still starts takes itself for the newcomer.
-  bool newcomer() const {
-    return lives && (other ? other->born < own.born : own.at == record::stage::starting);
+  bool is_child() const {
+    return other_is_alive_ && (other_record_ ? other_record_->started_at_ms < own_record_.started_at_ms
+                                             : own_record_.state == ProcessRecord::ProcessState::starting);
   }
-  bool elder() const { return lives && !newcomer(); }
+  bool is_parent() const { return other_is_alive_ && !is_child(); }
 
   // Takes new connections. An elder leaves them to a newcomer that serves, a newcomer begins when it is told
   // to serve; whoever is left alone takes all.
-  bool accepts() const;
+  bool is_accepting() const;
   // Each answer ends its connection, so that clients move over before the elder is told to stop.
-  bool hurries() const { return elder() && other && other->at == record::stage::serving; }
+  bool is_force_closing() const {
+    return is_parent() && other_record_ && other_record_->state == ProcessRecord::ProcessState::serving;
+  }
   // The part of the limits that is its own. A newcomer has less than half until the elder has made room.
-  double share() const;
+  double limit_fraction() const;
   // The elder keeps to its part, so that a newcomer may take connections.
-  bool has_room() const { return !newcomer() || (other && other->made_room); }
+  bool can_start_serving() const { return !is_child() || (other_record_ && other_record_->limits_reduced); }
   // What was asked of one is in force in both.
-  bool agreed(std::uint64_t revision) const { return !lives || (other && other->bans >= revision); }
+  bool is_revision_in_force(std::uint64_t revision) const {
+    return !other_is_alive_ || (other_record_ && other_record_->ejection_revision >= revision);
+  }
 
  private:
-  record own;
-  std::optional<record> other;
-  bool lives = false;
+  ProcessRecord own_record_;
+  std::optional<ProcessRecord> other_record_;
+  bool other_is_alive_ = false;
 };
 
 }  // namespace indigorill
--- a/src/lab/agenda.h
+++ b/src/lab/agenda.h
@@ -10,52 +10,52 @@
 
 namespace indigorill::lab {
 
-enum class rank : std::uint8_t { trouble, server, network, list, timer, client };
+enum class EventPriority : std::uint8_t { fault, server, network, discovery, timer, client };
 
-class agenda {
+class EventQueue {
  public:
-  using task = std::function<void()>;
+  using Callback = std::function<void()>;
 
-  double now() const { return clock; }
-  bool empty() const { return heap.empty(); }
-  double next_at() const { return heap.front().at; }
+  double now() const { return now_ms_; }
+  bool empty() const { return heap_.empty(); }
+  double next_time_ms() const { return heap_.front().time_ms; }
 
   // What is put down for the past is due now: the clock never goes back.
-  void at(double when, rank of, task what) {
-    heap.push_back({std::max(when, clock), of, ++put_down, std::move(what)});
-    std::push_heap(heap.begin(), heap.end(), later);
+  void schedule(double when, EventPriority of, Callback what) {
+    heap_.push_back({std::max(when, now_ms_), of, ++last_sequence_, std::move(what)});
+    std::push_heap(heap_.begin(), heap_.end(), runs_later);
   }
 
   // The next one, unless it is due after `end`; then the clock stands at `end`.
-  bool step(double end) {
-    if (heap.empty() || heap.front().at > end) {
-      clock = std::max(clock, end);
+  bool run_next(double end) {
+    if (heap_.empty() || heap_.front().time_ms > end) {
+      now_ms_ = std::max(now_ms_, end);
       return false;
     }
-    std::pop_heap(heap.begin(), heap.end(), later);
-    const item due = std::move(heap.back());
-    heap.pop_back();
-    clock = due.at;
-    due.what();
+    std::pop_heap(heap_.begin(), heap_.end(), runs_later);
+    const Event due = std::move(heap_.back());
+    heap_.pop_back();
+    now_ms_ = due.time_ms;
+    due.callback();
     return true;
   }
 
  private:
-  struct item {
-    double at;
-    rank of;
-    std::uint64_t order;
-    task what;
+  struct Event {
+    double time_ms;
+    EventPriority priority;
+    std::uint64_t sequence;
+    Callback callback;
   };
-  static bool later(const item& a, const item& b) {
-    if (a.at != b.at) return a.at > b.at;
-    if (a.of != b.of) return a.of > b.of;
-    return a.order > b.order;
+  static bool runs_later(const Event& a, const Event& b) {
+    if (a.time_ms != b.time_ms) return a.time_ms > b.time_ms;
+    if (a.priority != b.priority) return a.priority > b.priority;
+    return a.sequence > b.sequence;
   }
 
-  double clock = 0;
-  std::uint64_t put_down = 0;
-  std::vector<item> heap;
+  double now_ms_ = 0;
+  std::uint64_t last_sequence_ = 0;
+  std::vector<Event> heap_;
 };
 
 }  // namespace indigorill::lab
--- a/src/lab/audit.cpp
+++ b/src/lab/audit.cpp
@@ -5,221 +5,248 @@
 
 namespace indigorill::lab {
 
-std::string describe(const breach& b) {
+std::string describe(const RuleViolation& b) {
   std::ostringstream s;
-  s << "rule " << b.rule << " at " << b.at << " ms: ";
+  s << "rule " << b.rule << " at " << b.time_ms << " ms: ";
   if (b.rpc) s << "RPC " << b.rpc << ", ";
-  s << "server s" << b.server << ", sidecar " << b.sidecar << ": " << b.text;
+  s << "server s" << b.server << ", sidecar " << b.sidecar << ": " << b.description;
   return s.str();
 }
 
-void auditor::found_breach(int rule, const entry& e, std::string text) {
-  ++counts[static_cast<std::size_t>(rule) - 1];
+void RuleChecker::add_violation(int rule, const TraceEvent& e, std::string text) {
+  ++violation_counts_[static_cast<std::size_t>(rule) - 1];
   constexpr std::size_t kept = 1000;  // more of them tell no more
-  if (found.size() < kept) found.push_back({rule, e.at, e.rpc, e.server, e.sidecar, std::move(text)});
+  if (violations_.size() < kept)
+    violations_.push_back({rule, e.time_ms, e.rpc, e.server, e.sidecar, std::move(text)});
 }
 
-void auditor::saw(const entry& e) {
-  using what = entry::what;
-  switch (e.is) {
-    case what::server_is: {
-      server& s = servers[e.server];
-      s = {e.capacity, e.started, e.cold_from, e.cold_for, e.zone, e.cell, {}, 0, false};
+void RuleChecker::on_event(const TraceEvent& e) {
+  using What = TraceEvent::Kind;
+  switch (e.kind) {
+    case What::server_state: {
+      Server& s = servers_[e.server];
+      s = {e.capacity,
+           e.started_at_ms,
+           e.slow_start_initial_capacity,
+           e.slow_start_duration_ms,
+           e.zone,
+           e.cell,
+           {},
+           0,
+           false};
       return;
     }
-    case what::told: {
+    case What::endpoint_notified: {
       const auto both = std::pair(e.sidecar, e.server);
-      if (e.state == standing::ready)
-        told_to_stop.erase(both);
+      if (e.state == EndpointState::ready)
+        stop_notified_at_.erase(both);
       else
-        told_to_stop.emplace(both, e.at);  // the first word counts
-      if (e.started > 0) told_of_start[both] = e.started;
+        stop_notified_at_.emplace(both, e.time_ms);  // the first word counts
+      if (e.started_at_ms > 0) start_notified_[both] = e.started_at_ms;
       return;
     }
-    case what::rpc_taken:
-      return taken(e);
-    case what::pick_decided:
-      return decided(e);
-    case what::pick_written:
-    case what::probe_written:
-      return written(e);
-    case what::pick_came:
-      return came(e);
-    case what::pick_began:
-      return began(e);
-    case what::pick_over:
-      return pick_over(e);
-    case what::answered:
-      return answered(e);
-    case what::client_left:
-      if (rpc* r = open(e, "its client left")) {
-        r->over = true;
-        drop_if_done(e.rpc);
+    case What::rpc_received:
+      return on_rpc_received(e);
+    case What::attempt_decided:
+      return on_attempt_decided(e);
+    case What::attempt_sent:
+    case What::health_check_sent:
+      return on_attempt_sent(e);
+    case What::attempt_received:
+      return on_attempt_received(e);
+    case What::attempt_started:
+      return on_attempt_started(e);
+    case What::attempt_finished:
+      return on_attempt_finished(e);
+    case What::answered:
+      return on_answered(e);
+    case What::client_disconnected:
+      if (Rpc* r = find_open_rpc(e, "its client left")) {
+        r->concluded = true;
+        forget_if_finished(e.rpc);
       }
       return;
-    case what::sidecar_died:
-      return died(e);
-    case what::end:
-      return at_end(e);
+    case What::sidecar_died:
+      return on_sidecar_died(e);
+    case What::run_ended:
+      return on_run_ended(e);
   }
 }
 
-auditor::rpc* auditor::open(const entry& e, const char* doing) {
-  const auto it = rpcs.find(e.rpc);
-  if (it != rpcs.end()) return &it->second;
-  found_breach(
-      1, e,
-      std::string(doing) + (done.count(e.rpc) ? " after it was over" : ", though nobody took this RPC"));
+RuleChecker::Rpc* RuleChecker::find_open_rpc(const TraceEvent& e, const char* doing) {
+  const auto it = rpcs_.find(e.rpc);
+  if (it != rpcs_.end()) return &it->second;
+  add_violation(1, e,
+                std::string(doing) +
+                    (finished_rpcs_.count(e.rpc) ? " after it was over" : ", though nobody took this RPC"));
   return nullptr;
 }
 
-void auditor::taken(const entry& e) {
-  if (rpcs.count(e.rpc) || done.count(e.rpc)) return found_breach(1, e, "was taken twice");
-  rpcs.emplace(e.rpc, rpc{e.sidecar, e.repeats, e.drops, e.remembers, e.deadline, false, false, 0, {}});
+void RuleChecker::on_rpc_received(const TraceEvent& e) {
+  if (rpcs_.count(e.rpc) || finished_rpcs_.count(e.rpc)) return add_violation(1, e, "was taken twice");
+  rpcs_.emplace(e.rpc, Rpc{e.sidecar,
+                           e.retry_safety,
+                           e.deduplication_scope,
+                           e.deduplication_window_ms,
+                           e.deadline_ms,
+                           false,
+                           false,
+                           0,
+                           {}});
 }
 
-const auditor::pick* auditor::first_that_may_have_run(const rpc& r, int before) {
-  for (const auto& [number, p] : r.picks)
-    if (number < before && (p.out || p.may_have_run)) return &p;
+const RuleChecker::Attempt* RuleChecker::first_attempt_possibly_executed(const Rpc& r, int before) {
+  for (const auto& [number, p] : r.attempts)
+    if (number < before && (p.in_flight || p.possibly_executed)) return &p;
   return nullptr;
 }
 
-void auditor::decided(const entry& e) {
-  rpc* r = open(e, "a pick was made");
+void RuleChecker::on_attempt_decided(const TraceEvent& e) {
+  Rpc* r = find_open_rpc(e, "a pick was made");
   if (!r) return;
-  if (r->over) found_breach(1, e, "a pick was made after its final answer");
-  const pick* first = first_that_may_have_run(*r, e.pick);
-  if (first && r->repeats == repeatable::non_idempotent)
-    found_breach(2, e, "a non-idempotent RPC got another pick, though one may have run");
-  if (first && r->repeats == repeatable::deduplicated) {
-    const server &a = servers[first->server], &b = servers[e.server];
-    if ((r->drops == group::zone && a.zone != b.zone) || (r->drops == group::cell && a.cell != b.cell))
-      found_breach(2, e, "a deduplicated RPC got another pick outside its group");
-    if (e.at > first->decided + r->remembers)
-      found_breach(2, e, "a deduplicated RPC got another pick after its window");
+  if (r->concluded) add_violation(1, e, "a pick was made after its final answer");
+  const Attempt* first = first_attempt_possibly_executed(*r, e.attempt);
+  if (first && r->retry_safety == RetrySafety::non_idempotent)
+    add_violation(2, e, "a non-idempotent RPC got another pick, though one may have run");
+  if (first && r->retry_safety == RetrySafety::idempotency_key) {
+    const Server &a = servers_[first->server], &b = servers_[e.server];
+    if ((r->deduplication_scope == DeduplicationScope::zone && a.zone != b.zone) ||
+        (r->deduplication_scope == DeduplicationScope::cell && a.cell != b.cell))
+      add_violation(2, e, "a deduplicated RPC got another pick outside its group");
+    if (e.time_ms > first->decided_at_ms + r->deduplication_window_ms)
+      add_violation(2, e, "a deduplicated RPC got another pick after its window");
   }
-  if (!r->picks.emplace(e.pick, pick{e.server, e.at}).second) found_breach(1, e, "a pick was made twice");
+  if (!r->attempts.emplace(e.attempt, Attempt{e.server, e.time_ms}).second)
+    add_violation(1, e, "a pick was made twice");
 }
 
-void auditor::written(const entry& e) {
-  const auto told = told_to_stop.find({e.sidecar, e.server});
-  if (told != told_to_stop.end() && e.at > told->second + within.grace)
-    found_breach(3, e,
-                 "something new was sent " + std::to_string(static_cast<int>(e.at - told->second)) +
-                     " ms after it was told that the server drains or is gone");
-  if (e.is == entry::what::probe_written) return;
-  rpc* r = open(e, "a pick was sent");
+void RuleChecker::on_attempt_sent(const TraceEvent& e) {
+  const auto told = stop_notified_at_.find({e.sidecar, e.server});
+  if (told != stop_notified_at_.end() && e.time_ms > told->second + bounds_.drain_grace_ms)
+    add_violation(3, e,
+                  "something new was sent " + std::to_string(static_cast<int>(e.time_ms - told->second)) +
+                      " ms after it was told that the server drains or is gone");
+  if (e.kind == TraceEvent::Kind::health_check_sent) return;
+  Rpc* r = find_open_rpc(e, "a pick was sent");
   if (!r) return;
-  if (r->over) found_breach(1, e, "a pick was sent after its final answer");
-  if (e.at > r->deadline) found_breach(1, e, "a pick was sent after its deadline");
+  if (r->concluded) add_violation(1, e, "a pick was sent after its final answer");
+  if (e.time_ms > r->deadline_ms) add_violation(1, e, "a pick was sent after its deadline");
 }
 
-void auditor::came(const entry& e) {
-  const auto it = servers.find(e.server);
-  if (it == servers.end()) return;
-  server& s = it->second;
-  if (s.started <= 0 || s.cold_for <= 0 || e.at >= s.started + s.cold_for) return;
-  const auto told = told_of_start.find({e.sidecar, e.server});
-  if (told == told_of_start.end() || told->second != s.started) return;
-  s.sent.push_back({e.at, e.work});
-  s.sent_work += e.work;
-  while (s.sent.front().at <= e.at - within.cold_span) {
-    s.sent_work -= s.sent.front().work;
-    s.sent.pop_front();
+void RuleChecker::on_attempt_received(const TraceEvent& e) {
+  const auto it = servers_.find(e.server);
+  if (it == servers_.end()) return;
+  Server& s = it->second;
+  if (s.started_at_ms <= 0 || s.slow_start_duration_ms <= 0 ||
+      e.time_ms >= s.started_at_ms + s.slow_start_duration_ms)
+    return;
+  const auto told = start_notified_.find({e.sidecar, e.server});
+  if (told == start_notified_.end() || told->second != s.started_at_ms) return;
+  s.recent_work.push_back({e.time_ms, e.work_ms});
+  s.recent_work_sum += e.work_ms;
+  while (s.recent_work.front().time_ms <= e.time_ms - bounds_.slow_start_window_ms) {
+    s.recent_work_sum -= s.recent_work.front().work_ms;
+    s.recent_work.pop_front();
   }
-  const double warmth = s.cold_from + (1 - s.cold_from) * (e.at - s.started) / s.cold_for;
-  const double can = s.capacity * warmth * within.cold_span;
-  const double share = s.sent_work / can;
-  worst = std::max(worst, share / within.cold_multiple);
-  if (share <= within.cold_multiple || s.broken) return;
-  s.broken = true;
+  const double warmth = s.slow_start_initial_capacity + (1 - s.slow_start_initial_capacity) *
+                                                            (e.time_ms - s.started_at_ms) /
+                                                            s.slow_start_duration_ms;
+  const double can = s.capacity * warmth * bounds_.slow_start_window_ms;
+  const double share = s.recent_work_sum / can;
+  peak_slow_start_overload_ = std::max(peak_slow_start_overload_, share / bounds_.slow_start_overload_limit);
+  if (share <= bounds_.slow_start_overload_limit || s.violation_reported) return;
+  s.violation_reported = true;
   std::ostringstream text;
-  text << "a cold server got " << share << " times what it can do, over " << within.cold_span << " ms";
-  found_breach(4, e, text.str());
+  text << "a cold server got " << share << " times what it can do, over " << bounds_.slow_start_window_ms
+       << " ms";
+  add_violation(4, e, text.str());
 }
 
-void auditor::began(const entry& e) {
-  const auto it = rpcs.find(e.rpc);
-  if (it == rpcs.end()) return;  // its sidecar died, or gave it up and forgot: the server may still work
-  rpc& r = it->second;
-  const auto p = r.picks.find(e.pick);
-  if (p == r.picks.end()) return found_breach(1, e, "a server works on a pick that nobody made");
-  if (!p->second.out && !p->second.may_have_run)
-    found_breach(2, e, "a server works on a pick that was held never to run");
-  p->second.began = true;
-  if (++r.runs > 1 && r.repeats == repeatable::non_idempotent)
-    found_breach(2, e, "a non-idempotent RPC ran twice");
+void RuleChecker::on_attempt_started(const TraceEvent& e) {
+  const auto it = rpcs_.find(e.rpc);
+  if (it == rpcs_.end()) return;  // its sidecar died, or gave it up and forgot: the server may still work
+  Rpc& r = it->second;
+  const auto p = r.attempts.find(e.attempt);
+  if (p == r.attempts.end()) return add_violation(1, e, "a server works on a pick that nobody made");
+  if (!p->second.in_flight && !p->second.possibly_executed)
+    add_violation(2, e, "a server works on a pick that was held never to run");
+  p->second.started = true;
+  if (++r.executions > 1 && r.retry_safety == RetrySafety::non_idempotent)
+    add_violation(2, e, "a non-idempotent RPC ran twice");
 }
 
-void auditor::pick_over(const entry& e) {
-  const auto it = rpcs.find(e.rpc);
-  if (it == rpcs.end()) return;
-  const auto p = it->second.picks.find(e.pick);
-  if (p == it->second.picks.end()) return found_breach(1, e, "a pick ended that nobody made");
-  p->second.out = false;
-  p->second.served = e.how == ending::ok;
-  p->second.may_have_run = e.how != ending::connect_failed && e.how != ending::full && e.how != ending::moot;
-  if (p->second.began && !p->second.may_have_run)
-    found_breach(2, e, "a pick that ran is held never to have run");
-  drop_if_done(e.rpc);
+void RuleChecker::on_attempt_finished(const TraceEvent& e) {
+  const auto it = rpcs_.find(e.rpc);
+  if (it == rpcs_.end()) return;
+  const auto p = it->second.attempts.find(e.attempt);
+  if (p == it->second.attempts.end()) return add_violation(1, e, "a pick ended that nobody made");
+  p->second.in_flight = false;
+  p->second.succeeded = e.outcome == AttemptOutcome::ok;
+  p->second.possibly_executed = e.outcome != AttemptOutcome::connect_failed &&
+                                e.outcome != AttemptOutcome::rejected &&
+                                e.outcome != AttemptOutcome::client_error;
+  if (p->second.started && !p->second.possibly_executed)
+    add_violation(2, e, "a pick that ran is held never to have run");
+  forget_if_finished(e.rpc);
 }
 
-void auditor::answered(const entry& e) {
-  rpc* r = open(e, "a final answer was given");
+void RuleChecker::on_answered(const TraceEvent& e) {
+  Rpc* r = find_open_rpc(e, "a final answer was given");
   if (!r) return;
-  if (r->answered) return found_breach(1, e, "a second final answer was given");
-  if (r->over) found_breach(1, e, "a final answer was given after its client left");
-  if (e.at > r->deadline) found_breach(1, e, "the final answer came after the deadline");
-  r->over = r->answered = true;
-  const auto served = [](const auto& p) { return p.second.served; };
-  if (e.final == answer::ok && std::none_of(r->picks.begin(), r->picks.end(), served))
-    found_breach(1, e, "was answered ok, though no pick was");
-  const pick* ran = first_that_may_have_run(*r, static_cast<int>(r->picks.size()));
-  if (e.final == answer::pushed_back && ran) {
-    if (r->repeats == repeatable::non_idempotent)
-      found_breach(2, e, "a non-idempotent RPC was pushed back, though a pick may have run");
-    if (r->repeats == repeatable::deduplicated && r->drops != group::everywhere)
-      found_breach(2, e, "a deduplicated RPC was pushed back, though its repeat may leave the group");
+  if (r->answered) return add_violation(1, e, "a second final answer was given");
+  if (r->concluded) add_violation(1, e, "a final answer was given after its client left");
+  if (e.time_ms > r->deadline_ms) add_violation(1, e, "the final answer came after the deadline");
+  r->concluded = r->answered = true;
+  const auto served = [](const auto& p) { return p.second.succeeded; };
+  if (e.answer == RpcAnswer::ok && std::none_of(r->attempts.begin(), r->attempts.end(), served))
+    add_violation(1, e, "was answered ok, though no pick was");
+  const Attempt* ran = first_attempt_possibly_executed(*r, static_cast<int>(r->attempts.size()));
+  if (e.answer == RpcAnswer::rejected && ran) {
+    if (r->retry_safety == RetrySafety::non_idempotent)
+      add_violation(2, e, "a non-idempotent RPC was pushed back, though a pick may have run");
+    if (r->retry_safety == RetrySafety::idempotency_key &&
+        r->deduplication_scope != DeduplicationScope::global)
+      add_violation(2, e, "a deduplicated RPC was pushed back, though its repeat may leave the group");
   }
-  drop_if_done(e.rpc);
+  forget_if_finished(e.rpc);
 }
 
 // What is answered and has no pick out is kept by its id alone.
-void auditor::drop_if_done(std::uint64_t id) {
-  const auto it = rpcs.find(id);
-  const auto out = [](const auto& p) { return p.second.out; };
-  if (it == rpcs.end() || !it->second.over) return;
-  if (std::any_of(it->second.picks.begin(), it->second.picks.end(), out)) return;
+void RuleChecker::forget_if_finished(std::uint64_t id) {
+  const auto it = rpcs_.find(id);
+  const auto out = [](const auto& p) { return p.second.in_flight; };
+  if (it == rpcs_.end() || !it->second.concluded) return;
+  if (std::any_of(it->second.attempts.begin(), it->second.attempts.end(), out)) return;
   // What must not run twice is watched until the end: a cancelled pick may begin late.
-  if (it->second.repeats == repeatable::non_idempotent && it->second.picks.size() > 1) return;
-  done.insert(id);
-  rpcs.erase(it);
+  if (it->second.retry_safety == RetrySafety::non_idempotent && it->second.attempts.size() > 1) return;
+  finished_rpcs_.insert(id);
+  rpcs_.erase(it);
 }
 
-void auditor::died(const entry& e) {
-  for (auto it = rpcs.begin(); it != rpcs.end();) {
+void RuleChecker::on_sidecar_died(const TraceEvent& e) {
+  for (auto it = rpcs_.begin(); it != rpcs_.end();) {
     if (it->second.sidecar != e.sidecar) {
       ++it;
       continue;
     }
-    done.insert(it->first);
-    it = rpcs.erase(it);
+    finished_rpcs_.insert(it->first);
+    it = rpcs_.erase(it);
   }
-  std::erase_if(told_to_stop, [&](const auto& t) { return t.first.first == e.sidecar; });
-  std::erase_if(told_of_start, [&](const auto& t) { return t.first.first == e.sidecar; });
+  std::erase_if(stop_notified_at_, [&](const auto& t) { return t.first.first == e.sidecar; });
+  std::erase_if(start_notified_, [&](const auto& t) { return t.first.first == e.sidecar; });
 }
 
-void auditor::at_end(const entry& e) {
-  std::vector<std::pair<std::uint64_t, const rpc*>> left;
-  for (const auto& [id, r] : rpcs)
-    if (!r.over && r.deadline < e.at) left.emplace_back(id, &r);
+void RuleChecker::on_run_ended(const TraceEvent& e) {
+  std::vector<std::pair<std::uint64_t, const Rpc*>> left;
+  for (const auto& [id, r] : rpcs_)
+    if (!r.concluded && r.deadline_ms < e.time_ms) left.emplace_back(id, &r);
   std::sort(left.begin(), left.end());
   for (const auto& [id, r] : left) {
-    entry of = e;
+    TraceEvent of = e;
     of.rpc = id;
     of.sidecar = r->sidecar;
-    of.server = r->picks.empty() ? 0 : r->picks.rbegin()->second.server;
-    found_breach(1, of, "got no final answer before its deadline");
+    of.server = r->attempts.empty() ? 0 : r->attempts.rbegin()->second.server;
+    add_violation(1, of, "got no final answer before its deadline");
   }
 }
 
--- a/src/lab/brain.cpp
+++ b/src/lab/brain.cpp
@@ -13,219 +13,237 @@
 namespace indigorill::lab {
 namespace {
 
-class module_brain : public brain {
+class LoadBalancerPolicy : public BalancingPolicy {
  public:
-  module_brain(const terrain& where, std::uint64_t seed, double now) : decides(where, seed, now) {}
-  void listed(double now, bool whole, bool asked, const std::vector<endpoint>& entries) override {
-    decides.listed(now, whole, asked, entries);
+  LoadBalancerPolicy(const LoadBalancerConfig& where, std::uint64_t seed, double now)
+      : load_balancer_(where, seed, now) {}
+  void update_endpoints(double now, bool whole, bool asked, const std::vector<Endpoint>& entries) override {
+    load_balancer_.update_endpoints(now, whole, asked, entries);
   }
-  void list_failed(double now) override { decides.list_failed(now); }
-  void rpc_arrived(double now, const arrival& what) override { decides.rpc_arrived(now, what); }
-  void pick_ended(double now, const std::string& rpc, int pick, ending how, double took, bool concluded,
-                  const load& report) override {
-    decides.pick_ended(now, rpc, pick, how, took, concluded, report);
+  void endpoint_poll_failed(double now) override { load_balancer_.endpoint_poll_failed(now); }
+  void on_rpc_arrived(double now, const RpcArrival& what) override {
+    load_balancer_.on_rpc_arrived(now, what);
   }
-  void probe_ended(double now, const std::string& server, ending how, const load& report) override {
-    decides.probe_ended(now, server, how, report);
+  void on_attempt_finished(double now, const std::string& rpc, int pick, AttemptOutcome how, double took,
+                           bool concluded, const LoadReport& report) override {
+    load_balancer_.on_attempt_finished(now, rpc, pick, how, took, concluded, report);
   }
-  void client_left(double now, const std::string& rpc) override { decides.client_left(now, rpc); }
-  void resting(const std::string& server, std::size_t connections) override {
-    decides.resting(server, connections);
+  void on_probe_finished(double now, const std::string& server, AttemptOutcome how,
+                         const LoadReport& report) override {
+    load_balancer_.on_probe_finished(now, server, how, report);
   }
-  void barred(const std::string& server, bool is) override { decides.barred(server, is); }
-  void woken(double now, std::uint64_t wake) override { decides.woken(now, wake); }
-  std::optional<decision> next() override { return decides.next(); }
+  void on_client_disconnected(double now, const std::string& rpc) override {
+    load_balancer_.on_client_disconnected(now, rpc);
+  }
+  void set_idle_connections(const std::string& server, std::size_t connections) override {
+    load_balancer_.set_idle_connections(server, connections);
+  }
+  void set_connection_limited(const std::string& server, bool is) override {
+    load_balancer_.set_connection_limited(server, is);
+  }
+  void on_timer(double now, std::uint64_t wake) override { load_balancer_.on_timer(now, wake); }
+  std::optional<Decision> next_decision() override { return load_balancer_.next_decision(); }
 
  private:
-  balancer decides;
+  LoadBalancer load_balancer_;
 };
 
 // A plain balancer round one rule of choice: time-outs at the latency target, repeats elsewhere as the rules
 // allow, a push-back where nothing is left to do.
-class baseline : public brain {
+class BaselinePolicy : public BalancingPolicy {
  public:
-  baseline(policy rule, const terrain& where, std::uint64_t seed, double now, oracle sees)
-      : by(rule), land(where), chance(seed), truth(std::move(sees)), clock(now) {
-    turn = chance.below(1 << 20);  // in round robin sidecars must not go round in step
+  BaselinePolicy(PolicyKind rule, const LoadBalancerConfig& where, std::uint64_t seed, double now,
+                 ResponseTimeOracle sees)
+      : policy_(rule), config_(where), random_(seed), response_time_(std::move(sees)), now_ms_(now) {
+    round_robin_index_ = random_.uniform_index(1 << 20);  // in round robin sidecars must not go round in step
   }
 
-  void listed(double now, bool whole, bool asked, const std::vector<endpoint>& entries) override {
-    clock = now;
-    if (whole) ready.clear();
-    for (const endpoint& e : entries) {
-      if (e.state == standing::ready)
-        ready.insert(e.id);
+  void update_endpoints(double now, bool whole, bool asked, const std::vector<Endpoint>& entries) override {
+    now_ms_ = now;
+    if (whole) ready_endpoints_.clear();
+    for (const Endpoint& e : entries) {
+      if (e.state == EndpointState::ready)
+        ready_endpoints_.insert(e.id);
       else
-        ready.erase(e.id);
+        ready_endpoints_.erase(e.id);
     }
-    names.assign(ready.begin(), ready.end());
-    if (asked) wants_list = false;
+    ready_ids_.assign(ready_endpoints_.begin(), ready_endpoints_.end());
+    if (asked) poll_pending_ = false;
   }
-  void list_failed(double now) override {
-    clock = now;
-    wants_list = land.must_ask;
+  void endpoint_poll_failed(double now) override {
+    now_ms_ = now;
+    poll_pending_ = config_.must_poll_endpoints;
     constexpr double again = 1000;
-    ask_at = now + again * (0.5 + chance.unit());
-    wake_at = ask_at;
-  }
-  void rpc_arrived(double now, const arrival& what) override {
-    clock = now;
-    rpc r{land.methods.front(), what.deadline, {}, false};
-    for (const method& m : land.methods)
-      if (m.name == what.method) r.how = m;
-    const double target = now + r.how.latency_target;
-    r.until = std::min(what.deadline - land.tick, r.how.late_utility > 0 ? what.deadline : target);
-    rpcs.emplace(what.id, std::move(r));
-    undecided.emplace_back(what.id);
-  }
-  void pick_ended(double now, const std::string& id, int number, ending how, double, bool concluded,
-                  const load&) override {
-    clock = now;
-    const auto it = rpcs.find(id);
-    if (it == rpcs.end()) return;
-    pick& p = it->second.picks.at(static_cast<std::size_t>(number));
-    p.out = false;
-    p.may_have_run = how != ending::full && how != ending::connect_failed && how != ending::moot;
-    --in_flight[p.server];
-    if (concluded || it->second.over)
-      rpcs.erase(it);
+    next_poll_at_ms_ = now + again * (0.5 + random_.uniform());
+    timer_at_ms_ = next_poll_at_ms_;
+  }
+  void on_rpc_arrived(double now, const RpcArrival& what) override {
+    now_ms_ = now;
+    Rpc r{config_.methods.front(), what.deadline_ms, {}, false};
+    for (const MethodConfig& m : config_.methods)
+      if (m.name == what.method) r.method = m;
+    const double target = now + r.method.latency_objective_ms;
+    r.attempt_deadline_ms =
+        std::min(what.deadline_ms - config_.tick_ms, r.method.late_weight > 0 ? what.deadline_ms : target);
+    rpcs_.emplace(what.id, std::move(r));
+    pending_rpcs_.emplace_back(what.id);
+  }
+  void on_attempt_finished(double now, const std::string& id, int number, AttemptOutcome how, double,
+                           bool concluded, const LoadReport&) override {
+    now_ms_ = now;
+    const auto it = rpcs_.find(id);
+    if (it == rpcs_.end()) return;
+    Attempt& p = it->second.attempts.at(static_cast<std::size_t>(number));
+    p.in_flight = false;
+    p.possibly_executed = how != AttemptOutcome::rejected && how != AttemptOutcome::connect_failed &&
+                          how != AttemptOutcome::client_error;
+    --in_flight_[p.endpoint];
+    if (concluded || it->second.concluded)
+      rpcs_.erase(it);
     else
-      undecided.push_back(id);
-  }
-  void probe_ended(double, const std::string&, ending, const load&) override {}
-  void client_left(double now, const std::string& id) override {
-    clock = now;
-    const auto it = rpcs.find(id);
-    if (it == rpcs.end()) return;
-    const bool out = !it->second.picks.empty() && it->second.picks.back().out;
-    it->second.over = true;
-    if (!out) rpcs.erase(it);
-  }
-  void resting(const std::string&, std::size_t) override {}
-  void barred(const std::string&, bool) override {}  // limits are the module's; baselines run without
-  void woken(double now, std::uint64_t) override { clock = now; }
-
-  std::optional<decision> next() override {
-    using verb = decision::verb;
-    if (land.must_ask && wants_list && clock >= ask_at) {
-      wants_list = false;
-      return decision{verb::follow_list, {}, {}, 0, 0, 0};
+      pending_rpcs_.push_back(id);
+  }
+  void on_probe_finished(double, const std::string&, AttemptOutcome, const LoadReport&) override {}
+  void on_client_disconnected(double now, const std::string& id) override {
+    now_ms_ = now;
+    const auto it = rpcs_.find(id);
+    if (it == rpcs_.end()) return;
+    const bool out = !it->second.attempts.empty() && it->second.attempts.back().in_flight;
+    it->second.concluded = true;
+    if (!out) rpcs_.erase(it);
+  }
+  void set_idle_connections(const std::string&, std::size_t) override {}
+  void set_connection_limited(const std::string&, bool) override {
+  }  // limits are the module's; baselines run without
+  void on_timer(double now, std::uint64_t) override { now_ms_ = now; }
+
+  std::optional<Decision> next_decision() override {
+    using Verb = Decision::Action;
+    if (config_.must_poll_endpoints && poll_pending_ && now_ms_ >= next_poll_at_ms_) {
+      poll_pending_ = false;
+      return Decision{Verb::poll_endpoints, {}, {}, 0, 0, 0};
     }
-    if (wake_at > 0) return decision{verb::wake, {}, {}, 0, std::exchange(wake_at, 0) - clock, 1};
-    while (!undecided.empty()) {
-      const std::string id = undecided.front();
-      undecided.pop_front();
-      const auto it = rpcs.find(id);
-      if (it == rpcs.end()) continue;
-      rpc& r = it->second;
-      if (clock < r.until && may_pick(r) && !names.empty())
-        if (const auto to = choose(r)) return send(id, r, *to);
-      const bool harmless = may_push_back(r);
-      rpcs.erase(it);
-      return decision{harmless ? verb::push_back : verb::abort, id, {}, 0,
-                      harmless ? land.longest_retry_after : 0,  0};
+    if (timer_at_ms_ > 0)
+      return Decision{Verb::set_timer, {}, {}, 0, std::exchange(timer_at_ms_, 0) - now_ms_, 1};
+    while (!pending_rpcs_.empty()) {
+      const std::string id = pending_rpcs_.front();
+      pending_rpcs_.pop_front();
+      const auto it = rpcs_.find(id);
+      if (it == rpcs_.end()) continue;
+      Rpc& r = it->second;
+      if (now_ms_ < r.attempt_deadline_ms && may_attempt(r) && !ready_ids_.empty())
+        if (const auto to = select_endpoint(r)) return start_attempt(id, r, *to);
+      const bool harmless = may_reject(r);
+      rpcs_.erase(it);
+      return Decision{harmless ? Verb::reject : Verb::fail,      id, {}, 0,
+                      harmless ? config_.max_retry_after_ms : 0, 0};
     }
     return {};
   }
 
  private:
-  struct pick {
-    std::string server;
-    bool out = true, may_have_run = true;
+  struct Attempt {
+    std::string endpoint;
+    bool in_flight = true, possibly_executed = true;
   };
-  struct rpc {
-    method how;
-    double until;
-    std::vector<pick> picks;
-    bool over;
-    bool may_have_run() const {
-      return std::any_of(picks.begin(), picks.end(), [](const pick& p) { return p.may_have_run; });
+  struct Rpc {
+    MethodConfig method;
+    double attempt_deadline_ms;
+    std::vector<Attempt> attempts;
+    bool concluded;
+    bool possibly_executed() const {
+      return std::any_of(attempts.begin(), attempts.end(),
+                         [](const Attempt& p) { return p.possibly_executed; });
     }
   };
 
-  bool may_pick(const rpc& r) const {
-    if (static_cast<int>(r.picks.size()) >= land.most_picks) return false;
-    return r.how.repeats == repeatable::idempotent || !r.may_have_run();
+  bool may_attempt(const Rpc& r) const {
+    if (static_cast<int>(r.attempts.size()) >= config_.max_attempts) return false;
+    return r.method.retry_safety == RetrySafety::idempotent || !r.possibly_executed();
   }
-  static bool may_push_back(const rpc& r) {
-    return r.how.repeats == repeatable::idempotent || !r.may_have_run();
+  static bool may_reject(const Rpc& r) {
+    return r.method.retry_safety == RetrySafety::idempotent || !r.possibly_executed();
   }
 
-  decision send(const std::string& id, rpc& r, const std::string& to) {
-    ++in_flight[to];
-    r.picks.push_back({to});
-    return {decision::verb::pick, id, to, static_cast<int>(r.picks.size()) - 1, r.until - clock, 0};
+  Decision start_attempt(const std::string& id, Rpc& r, const std::string& to) {
+    ++in_flight_[to];
+    r.attempts.push_back({to});
+    return {Decision::Action::send_attempt,  id, to, static_cast<int>(r.attempts.size()) - 1,
+            r.attempt_deadline_ms - now_ms_, 0};
   }
 
   // None, where it is seen that no server would answer in time.
-  std::optional<std::string> choose(const rpc& r) {
+  std::optional<std::string> select_endpoint(const Rpc& r) {
     std::vector<std::string> fresh;
-    for (const std::string& n : names)
-      if (std::none_of(r.picks.begin(), r.picks.end(), [&](const pick& p) { return p.server == n; }))
+    for (const std::string& n : ready_ids_)
+      if (std::none_of(r.attempts.begin(), r.attempts.end(),
+                       [&](const Attempt& p) { return p.endpoint == n; }))
         fresh.push_back(n);
-    const std::vector<std::string>& from = fresh.empty() ? names : fresh;
-    switch (by) {
-      case policy::round_robin:
-        return from[turn++ % from.size()];
-      case policy::two_choices: {
-        const std::string &a = from[chance.below(from.size())], &b = from[chance.below(from.size())];
-        return in_flight[b] < in_flight[a] ? b : a;
+    const std::vector<std::string>& from = fresh.empty() ? ready_ids_ : fresh;
+    switch (policy_) {
+      case PolicyKind::round_robin:
+        return from[round_robin_index_++ % from.size()];
+      case PolicyKind::two_choices: {
+        const std::string &a = from[random_.uniform_index(from.size())],
+                          &b = from[random_.uniform_index(from.size())];
+        return in_flight_[b] < in_flight_[a] ? b : a;
       }
-      case policy::true_state: {
+      case PolicyKind::true_state: {
         // Ties are broken by chance: else all would go to the first of the idle ones.
         double best = std::numeric_limits<double>::infinity();
         std::vector<const std::string*> those;
         for (const std::string& n : from) {
-          const double takes = truth(n);
+          const double takes = response_time_(n);
           if (takes < best) those.clear(), best = takes;
           if (takes == best) those.push_back(&n);
         }
-        if (clock + best > r.until) return {};
-        return *those[chance.below(those.size())];
+        if (now_ms_ + best > r.attempt_deadline_ms) return {};
+        return *those[random_.uniform_index(those.size())];
       }
       default:
-        return from[chance.below(from.size())];
+        return from[random_.uniform_index(from.size())];
     }
   }
 
-  policy by;
-  terrain land;
-  stream chance;
-  oracle truth;
-  double clock, ask_at = 0, wake_at = 0;
-  bool wants_list = true;
-  std::size_t turn = 0;
-  std::set<std::string> ready;
-  std::vector<std::string> names;
-  std::map<std::string, int> in_flight;
-  std::map<std::string, rpc> rpcs;
-  std::deque<std::string> undecided;
+  PolicyKind policy_;
+  LoadBalancerConfig config_;
+  RandomStream random_;
+  ResponseTimeOracle response_time_;
+  double now_ms_, next_poll_at_ms_ = 0, timer_at_ms_ = 0;
+  bool poll_pending_ = true;
+  std::size_t round_robin_index_ = 0;
+  std::set<std::string> ready_endpoints_;
+  std::vector<std::string> ready_ids_;
+  std::map<std::string, int> in_flight_;
+  std::map<std::string, Rpc> rpcs_;
+  std::deque<std::string> pending_rpcs_;
 };
 
-constexpr std::array<std::pair<const char*, policy>, 5> words{{{"module", policy::module},
-                                                               {"random", policy::random},
-                                                               {"round-robin", policy::round_robin},
-                                                               {"two-choices", policy::two_choices},
-                                                               {"true-state", policy::true_state}}};
+constexpr std::array<std::pair<const char*, PolicyKind>, 5> policy_names{
+    {{"module", PolicyKind::load_balancer},
+     {"random", PolicyKind::random},
+     {"round-robin", PolicyKind::round_robin},
+     {"two-choices", PolicyKind::two_choices},
+     {"true-state", PolicyKind::true_state}}};
 
 }  // namespace
 
-std::optional<policy> policy_named(const std::string& word) {
-  for (const auto& [name, p] : words)
+std::optional<PolicyKind> parse_policy_kind(const std::string& word) {
+  for (const auto& [name, p] : policy_names)
     if (word == name) return p;
   return {};
 }
 
-std::string name_of(policy p) {
-  for (const auto& [name, is] : words)
+std::string policy_name(PolicyKind p) {
+  for (const auto& [name, is] : policy_names)
     if (is == p) return name;
   return {};
 }
 
-std::unique_ptr<brain> make_brain(policy p, const terrain& where, std::uint64_t seed, double now,
-                                  oracle truth) {
-  if (p == policy::module) return std::make_unique<module_brain>(where, seed, now);
-  return std::make_unique<baseline>(p, where, seed, now, std::move(truth));
+std::unique_ptr<BalancingPolicy> make_policy(PolicyKind p, const LoadBalancerConfig& where,
+                                             std::uint64_t seed, double now, ResponseTimeOracle truth) {
+  if (p == PolicyKind::load_balancer) return std::make_unique<LoadBalancerPolicy>(where, seed, now);
+  return std::make_unique<BaselinePolicy>(p, where, seed, now, std::move(truth));
 }
 
 }  // namespace indigorill::lab
--- a/src/lab/brain.h
+++ b/src/lab/brain.h
@@ -12,31 +12,32 @@
 
 namespace indigorill::lab {
 
-class brain {
+class BalancingPolicy {
  public:
-  virtual ~brain() = default;
-  virtual void listed(double now, bool whole, bool asked, const std::vector<endpoint>& entries) = 0;
-  virtual void list_failed(double now) = 0;
-  virtual void rpc_arrived(double now, const arrival& what) = 0;
-  virtual void pick_ended(double now, const std::string& rpc, int pick, ending how, double took,
-                          bool concluded, const load& report) = 0;
-  virtual void probe_ended(double now, const std::string& server, ending how, const load& report) = 0;
-  virtual void client_left(double now, const std::string& rpc) = 0;
-  virtual void resting(const std::string& server, std::size_t connections) = 0;
-  virtual void barred(const std::string& server, bool is) = 0;
-  virtual void woken(double now, std::uint64_t wake) = 0;
-  virtual std::optional<decision> next() = 0;
+  virtual ~BalancingPolicy() = default;
+  virtual void update_endpoints(double now, bool whole, bool asked, const std::vector<Endpoint>& entries) = 0;
+  virtual void endpoint_poll_failed(double now) = 0;
+  virtual void on_rpc_arrived(double now, const RpcArrival& what) = 0;
+  virtual void on_attempt_finished(double now, const std::string& rpc, int pick, AttemptOutcome how,
+                                   double took, bool concluded, const LoadReport& report) = 0;
+  virtual void on_probe_finished(double now, const std::string& server, AttemptOutcome how,
+                                 const LoadReport& report) = 0;
+  virtual void on_client_disconnected(double now, const std::string& rpc) = 0;
+  virtual void set_idle_connections(const std::string& server, std::size_t connections) = 0;
+  virtual void set_connection_limited(const std::string& server, bool is) = 0;
+  virtual void on_timer(double now, std::uint64_t wake) = 0;
+  virtual std::optional<Decision> next_decision() = 0;
 };
 
-enum class policy { module, random, round_robin, two_choices, true_state };
+enum class PolicyKind { load_balancer, random, round_robin, two_choices, true_state };
 
-std::optional<policy> policy_named(const std::string& word);
-std::string name_of(policy p);
+std::optional<PolicyKind> parse_policy_kind(const std::string& word);
+std::string policy_name(PolicyKind p);
 
 // How long an RPC sent to this server now would truly take there, for the policy that sees the true state.
-using oracle = std::function<double(const std::string& server)>;
+using ResponseTimeOracle = std::function<double(const std::string& server)>;
 
-std::unique_ptr<brain> make_brain(policy p, const terrain& where, std::uint64_t seed, double now,
-                                  oracle truth);
+std::unique_ptr<BalancingPolicy> make_policy(PolicyKind p, const LoadBalancerConfig& where,
+                                             std::uint64_t seed, double now, ResponseTimeOracle truth);
 
 }  // namespace indigorill::lab
--- a/src/lab/chance.h
+++ b/src/lab/chance.h
@@ -8,65 +8,67 @@
 
 namespace indigorill::lab {
 
-enum class use : std::uint64_t {
+enum class RandomPurpose : std::uint64_t {
   arrivals,
-  shares,
+  arrival_pattern,
   servers,
   network,
-  troubles,
+  fault_schedule,
   policy,
-  list,
+  discovery,
   clients,
-  faults
+  server_errors
 };
 
-inline std::uint64_t mixed(std::uint64_t a, std::uint64_t b) {  // splitmix64's finaliser
+inline std::uint64_t mix_seed(std::uint64_t a, std::uint64_t b) {  // splitmix64's finaliser
   std::uint64_t h = a + 0x9e3779b97f4a7c15ULL * (b + 1);
   h = (h ^ (h >> 30)) * 0xbf58476d1ce4e5b9ULL;
   h = (h ^ (h >> 27)) * 0x94d049bb133111ebULL;
   return h ^ (h >> 31);
 }
 
-inline std::uint64_t seed_of(std::uint64_t seed, use what, std::uint64_t which = 0) {
-  return mixed(mixed(seed, static_cast<std::uint64_t>(what)), which);
+inline std::uint64_t derive_seed(std::uint64_t seed, RandomPurpose what, std::uint64_t which = 0) {
+  return mix_seed(mix_seed(seed, static_cast<std::uint64_t>(what)), which);
 }
 
-enum class shape { fixed, exponential, lognormal, pareto };
+enum class DistributionShape { fixed, exponential, lognormal, pareto };
 
 // How long something takes: its mean, and for lognormal the spread (standard deviation over mean), for pareto
 // the tail's exponent.
-struct law {
-  shape of = shape::exponential;
+struct Distribution {
+  DistributionShape shape = DistributionShape::exponential;
   double mean = 1, spread = 1;
 };
 
-class stream {
+class RandomStream {
  public:
-  explicit stream(std::uint64_t seed) : engine(seed) {}
+  explicit RandomStream(std::uint64_t seed) : engine_(seed) {}
 
-  double unit() { return std::uniform_real_distribution<double>(0, 1)(engine); }
-  bool happens(double chance) { return chance > 0 && unit() < chance; }
-  double exponential(double mean) { return mean > 0 ? -mean * std::log1p(-unit()) : 0; }
-  std::size_t below(std::size_t n) { return std::uniform_int_distribution<std::size_t>(0, n - 1)(engine); }
+  double uniform() { return std::uniform_real_distribution<double>(0, 1)(engine_); }
+  bool bernoulli(double chance) { return chance > 0 && uniform() < chance; }
+  double exponential(double mean) { return mean > 0 ? -mean * std::log1p(-uniform()) : 0; }
+  std::size_t uniform_index(std::size_t n) {
+    return std::uniform_int_distribution<std::size_t>(0, n - 1)(engine_);
+  }
 
-  double draw(const law& l) {
-    switch (l.of) {
-      case shape::fixed:
+  double sample(const Distribution& l) {
+    switch (l.shape) {
+      case DistributionShape::fixed:
         return l.mean;
-      case shape::exponential:
+      case DistributionShape::exponential:
         return exponential(l.mean);
-      case shape::lognormal: {
+      case DistributionShape::lognormal: {
         const double s2 = std::log1p(l.spread * l.spread);
-        return l.mean * std::exp(std::normal_distribution<double>(-s2 / 2, std::sqrt(s2))(engine));
+        return l.mean * std::exp(std::normal_distribution<double>(-s2 / 2, std::sqrt(s2))(engine_));
       }
-      case shape::pareto:
-        return l.mean * (l.spread - 1) / l.spread * std::pow(1 - unit(), -1 / l.spread);
+      case DistributionShape::pareto:
+        return l.mean * (l.spread - 1) / l.spread * std::pow(1 - uniform(), -1 / l.spread);
     }
     return l.mean;
   }
 
  private:
-  std::mt19937_64 engine;
+  std::mt19937_64 engine_;
 };
 
 }  // namespace indigorill::lab
--- a/src/lab/cli.h
+++ b/src/lab/cli.h
@@ -7,6 +7,6 @@
 
 // Exit status: 0, 1 if something can't be done, 2 for a scenario or arguments that are at fault (nothing has
 // run then), 3 if a rule was broken.
-int command(int argc, const char* const* argv, std::ostream& out, std::ostream& err);
+int run_command(int argc, const char* const* argv, std::ostream& out, std::ostream& err);
 
 }  // namespace indigorill::lab
--- a/src/lab/experiment.cpp
+++ b/src/lab/experiment.cpp
@@ -11,14 +11,14 @@
 
 namespace indigorill::lab {
 
-std::vector<figures> play_all(const std::vector<one_run>& plan, unsigned threads) {
-  std::vector<figures> all(plan.size());
+std::vector<RunMetrics> run_all(const std::vector<RunRequest>& plan, unsigned threads) {
+  std::vector<RunMetrics> all(plan.size());
   std::atomic<std::size_t> next{0};
   std::mutex guard;
   std::exception_ptr wrong;
   const auto work = [&] {
     for (std::size_t i = next++; i < plan.size(); i = next++) try {
-        all[i] = play(plan[i].plays, plan[i].by, plan[i].seed);
+        all[i] = run_simulation(plan[i].scenario, plan[i].policy, plan[i].seed);
       } catch (...) {
         const std::lock_guard<std::mutex> hold(guard);
         wrong = std::current_exception();
@@ -33,57 +33,57 @@
   return all;
 }
 
-const std::vector<measure>& measures() {
-  const auto share = [](std::uint64_t figures::*of) {
-    return [of](const figures& f) {
+const std::vector<Metric>& measures() {
+  const auto share = [](std::uint64_t RunMetrics::*of) {
+    return [of](const RunMetrics& f) {
       return f.arrived ? static_cast<double>(f.*of) / static_cast<double>(f.arrived) : 0;
     };
   };
-  const auto whole = [](std::uint64_t figures::*of) {
-    return [of](const figures& f) { return static_cast<double>(f.*of); };
+  const auto whole = [](std::uint64_t RunMetrics::*of) {
+    return [of](const RunMetrics& f) { return static_cast<double>(f.*of); };
   };
-  const auto quantile = [](double q) { return [q](const figures& f) { return f.answered.quantile(q); }; };
-  static const std::vector<measure> all{
-      {"utility", [](const figures& f) { return f.utility(); }},
-      {"mean_ms", [](const figures& f) { return f.answered.mean(); }},
+  const auto quantile = [](double q) { return [q](const RunMetrics& f) { return f.latency.quantile(q); }; };
+  static const std::vector<Metric> all{
+      {"utility", [](const RunMetrics& f) { return f.utility(); }},
+      {"mean_ms", [](const RunMetrics& f) { return f.latency.mean(); }},
       {"p50_ms", quantile(0.5), 0.5},
       {"p99_ms", quantile(0.99), 0.99},
       {"p99.9_ms", quantile(0.999), 0.999},
-      {"ok", share(&figures::ok)},
-      {"late", share(&figures::late)},
-      {"pushed_back", share(&figures::pushed_back)},
-      {"aborted", share(&figures::aborted)},
-      {"unanswered", share(&figures::unanswered)},
-      {"lost", share(&figures::lost)},
-      {"picks", share(&figures::picks)},
-      {"handshakes", share(&figures::handshakes)},
-      {"probes", share(&figures::probes)},
-      {"connect_failed", share(&figures::connect_failed)},
-      {"timed_out", share(&figures::timed_out)},
-      {"full", share(&figures::full)},
-      {"errors", share(&figures::errors)},
-      {"list_calls", whole(&figures::list_calls)},
-      {"list_refusals", whole(&figures::list_refusals)},
-      {"all_told_ms", [](const figures& f) { return f.all_told; }},
-      {"most_connections", whole(&figures::most_connections)},
-      {"most_handshakes", whole(&figures::most_handshakes)},
-      {"most_probes", whole(&figures::most_probes)},
-      {"most_list_calls", whole(&figures::most_list_calls)},
-      {"denied", share(&figures::denied)},
-      {"worst_cold", [](const figures& f) { return f.worst_cold; }},
-      {"falls", whole(&figures::falls)},
-      {"breaches", whole(&figures::breached)},
+      {"ok", share(&RunMetrics::ok)},
+      {"late", share(&RunMetrics::late)},
+      {"pushed_back", share(&RunMetrics::rejected)},
+      {"aborted", share(&RunMetrics::failed)},
+      {"unanswered", share(&RunMetrics::unanswered)},
+      {"lost", share(&RunMetrics::lost)},
+      {"picks", share(&RunMetrics::attempts)},
+      {"handshakes", share(&RunMetrics::handshakes)},
+      {"probes", share(&RunMetrics::health_checks)},
+      {"connect_failed", share(&RunMetrics::connect_failed)},
+      {"timed_out", share(&RunMetrics::timed_out)},
+      {"full", share(&RunMetrics::queue_full)},
+      {"errors", share(&RunMetrics::errors)},
+      {"list_calls", whole(&RunMetrics::discovery_polls)},
+      {"list_refusals", whole(&RunMetrics::discovery_rejections)},
+      {"all_told_ms", [](const RunMetrics& f) { return f.endpoint_convergence_ms; }},
+      {"most_connections", whole(&RunMetrics::peak_connections)},
+      {"most_handshakes", whole(&RunMetrics::peak_handshakes_per_second)},
+      {"most_probes", whole(&RunMetrics::peak_health_checks_per_second)},
+      {"most_list_calls", whole(&RunMetrics::peak_discovery_polls_per_second)},
+      {"denied", share(&RunMetrics::limit_denials)},
+      {"worst_cold", [](const RunMetrics& f) { return f.peak_slow_start_overload; }},
+      {"falls", whole(&RunMetrics::crashes)},
+      {"breaches", whole(&RunMetrics::violation_count)},
   };
   return all;
 }
 
 namespace {
 
-double decimal(const std::string& text, const std::string& of) {
+double parse_number(const std::string& text, const std::string& of) {
   double v = 0;
   const auto [end, fault] = std::from_chars(text.data(), text.data() + text.size(), v);
   if (text.empty() || fault != std::errc() || end != text.data() + text.size() || !std::isfinite(v))
-    throw faulty(of + ": '" + text + "' is not a number");
+    throw ConfigError(of + ": '" + text + "' is not a number");
   return v;
 }
 
@@ -96,55 +96,55 @@
   return parts;
 }
 
-std::pair<std::string, std::string> at_equals(const std::string& text) {
+std::pair<std::string, std::string> split_assignment(const std::string& text) {
   const std::size_t at = text.find('=');
-  if (at == std::string::npos || at == 0) throw faulty(text + ": no name=value");
+  if (at == std::string::npos || at == 0) throw ConfigError(text + ": no name=value");
   return {text.substr(0, at), text.substr(at + 1)};
 }
 
 }  // namespace
 
 std::pair<std::string, double> parse_setting(const std::string& text) {
-  const auto [path, value] = at_equals(text);
-  return {path, decimal(value, text)};
+  const auto [path, value] = split_assignment(text);
+  return {path, parse_number(value, text)};
 }
 
-axis parse_axis(const std::string& text) {
-  const auto [path, values] = at_equals(text);
-  axis a{path, {}};
+SweepAxis parse_axis(const std::string& text) {
+  const auto [path, values] = split_assignment(text);
+  SweepAxis a{path, {}};
   const std::vector<std::string> range = split(values, ':');
   if (range.size() == 3) {
-    const double from = decimal(range[0], text), to = decimal(range[1], text),
-                 steps = decimal(range[2], text);
+    const double from = parse_number(range[0], text), to = parse_number(range[1], text),
+                 steps = parse_number(range[2], text);
     constexpr double most = 1000;
     if (steps < 2 || steps > most || steps != std::floor(steps))
-      throw faulty(text + ": from:to:count wants 2 to 1000 points");
+      throw ConfigError(text + ": from:to:count wants 2 to 1000 points");
     for (double i = 0; i < steps; ++i) a.values.push_back(from + (to - from) * i / (steps - 1));
   } else if (range.size() == 1) {
-    for (const std::string& v : split(values, ',')) a.values.push_back(decimal(v, text));
+    for (const std::string& v : split(values, ',')) a.values.push_back(parse_number(v, text));
   } else {
-    throw faulty(text + ": neither a,b,c nor from:to:count");
+    throw ConfigError(text + ": neither a,b,c nor from:to:count");
   }
   return a;
 }
 
-std::vector<point> conduct(const experiment& e) {
-  std::vector<point> points;
-  std::vector<one_run> plan;
+std::vector<ExperimentPoint> run_experiment(const Experiment& e) {
+  std::vector<ExperimentPoint> points;
+  std::vector<RunRequest> plan;
   std::vector<std::size_t> at(e.axes.size(), 0);
   for (bool more = true; more;) {
-    toml::table here = e.base;
-    point p;
+    toml::table here = e.base_scenario;
+    ExperimentPoint p;
     for (std::size_t i = 0; i < at.size(); ++i) {
-      p.at.emplace_back(e.axes[i].path, e.axes[i].values[at[i]]);
+      p.settings.emplace_back(e.axes[i].path, e.axes[i].values[at[i]]);
       set_value(here, e.axes[i].path, e.axes[i].values[at[i]]);
     }
-    const scenario s = decode_scenario(here);
-    for (const policy by : e.policies) {
-      p.by = by;
+    const Scenario s = decode_scenario(here);
+    for (const PolicyKind by : e.policies) {
+      p.policy = by;
       p.seeds.clear();
       // The same seeds for all: what clients ask for is then the same, and differences are paired.
-      for (std::size_t run = 0; run < e.runs; ++run) {
+      for (std::size_t run = 0; run < e.run_count; ++run) {
         p.seeds.push_back((e.first_seed ? e.first_seed : s.seed) + run);
         plan.push_back({s, by, p.seeds.back()});
       }
@@ -159,105 +159,110 @@
       at[i] = 0;
     }
   }
-  const std::vector<figures> all = play_all(plan, e.threads);
+  const std::vector<RunMetrics> all = run_all(plan, e.threads);
   for (std::size_t i = 0; i < points.size(); ++i)
-    points[i].runs.assign(all.begin() + static_cast<std::ptrdiff_t>(i * e.runs),
-                          all.begin() + static_cast<std::ptrdiff_t>((i + 1) * e.runs));
+    points[i].results.assign(all.begin() + static_cast<std::ptrdiff_t>(i * e.run_count),
+                             all.begin() + static_cast<std::ptrdiff_t>((i + 1) * e.run_count));
   return points;
 }
 
 namespace {
 
-using setting = std::vector<double>;  // a value for each of the ranges
+using RangeValues = std::vector<double>;  // a value for each of the ranges
 
-class searcher {
+class WorstCaseFinder {
  public:
-  explicit searcher(const hunt& with)
-      : h(with), ranges(ranges_of(with.base)), seed(decode_scenario(with.base).seed) {
-    for (const range& r : ranges) whole.push_back(is_whole(r));
-    base.reserve(ranges.size());
-    for (const range& r : ranges) base.push_back(value_at(h.base, r.path));
+  explicit WorstCaseFinder(const WorstCaseSearch& with)
+      : search_(with),
+        ranges_(decode_search_ranges(with.base_scenario)),
+        seed_(decode_scenario(with.base_scenario).seed) {
+    for (const SearchRange& r : ranges_) integer_ranges_.push_back(is_integer(r));
+    base_values_.reserve(ranges_.size());
+    for (const SearchRange& r : ranges_) base_values_.push_back(value_at(search_.base_scenario, r.path));
   }
 
-  found_day run() {
-    found_day found;
-    stream chance(seed_of(seed, use::shares, 1));
-    setting best = base;
-    found.loss = losses({table_of(base)}).front().value_or(0);
+  WorstCase run() {
+    WorstCase found;
+    RandomStream chance(derive_seed(seed_, RandomPurpose::arrival_pattern, 1));
+    RangeValues best = base_values_;
+    found.worst_loss = evaluate_losses({make_scenario_table(base_values_)}).front().value_or(0);
     // In rounds of a fixed size, so that the number of threads changes nothing. The first half is drawn from
     // the whole of the ranges, the second near the worst so far.
     constexpr std::size_t at_once = 8;
-    for (std::size_t tried = 0; tried < h.tries; tried += at_once) {
-      std::vector<setting> settings;
+    for (std::size_t tried = 0; tried < search_.trial_count; tried += at_once) {
+      std::vector<RangeValues> settings;
       std::vector<toml::table> tables;
-      for (std::size_t i = 0; i < std::min(at_once, h.tries - tried); ++i) {
-        settings.push_back(tried < h.tries / 2 ? anywhere(chance) : near(best, chance));
-        tables.push_back(table_of(settings.back()));
+      for (std::size_t i = 0; i < std::min(at_once, search_.trial_count - tried); ++i) {
+        settings.push_back(tried < search_.trial_count / 2 ? sample_uniformly(chance)
+                                                           : sample_near(best, chance));
+        tables.push_back(make_scenario_table(settings.back()));
       }
-      const auto lost = losses(tables);
+      const auto lost = evaluate_losses(tables);
       for (std::size_t i = 0; i < lost.size(); ++i)
-        if (lost[i] && *lost[i] > found.loss) found.loss = *lost[i], best = settings[i];
+        if (lost[i] && *lost[i] > found.worst_loss) found.worst_loss = *lost[i], best = settings[i];
     }
-    found.worst = table_of(best);
-    found.smallest = found.worst;
-    found.smallest_loss = found.loss;
-    cut_down(found, best);
-    found.worst.erase("ranges");
-    found.smallest.erase("ranges");
-    found.played = played;
+    found.worst_scenario = make_scenario_table(best);
+    found.smallest_scenario = found.worst_scenario;
+    found.smallest_loss = found.worst_loss;
+    reduce(found, best);
+    found.worst_scenario.erase("ranges");
+    found.smallest_scenario.erase("ranges");
+    found.run_count = run_count_;
     return found;
   }
 
  private:
-  bool is_whole(const range& r) const { return h.base.at_path(r.path).is_integer(); }
+  bool is_integer(const SearchRange& r) const { return search_.base_scenario.at_path(r.path).is_integer(); }
 
-  double rounded(std::size_t i, double v) const {
-    v = std::clamp(v, ranges[i].least, ranges[i].most);
-    return whole[i] ? std::round(v) : v;
+  double clamp_to_range(std::size_t i, double v) const {
+    v = std::clamp(v, ranges_[i].minimum, ranges_[i].maximum);
+    return integer_ranges_[i] ? std::round(v) : v;
   }
-  setting anywhere(stream& chance) const {
-    setting s;
-    for (std::size_t i = 0; i < ranges.size(); ++i) {
-      const range& r = ranges[i];
+  RangeValues sample_uniformly(RandomStream& chance) const {
+    RangeValues s;
+    for (std::size_t i = 0; i < ranges_.size(); ++i) {
+      const SearchRange& r = ranges_[i];
       constexpr double decades = 10;  // a range this wide is drawn by its logarithm
-      const bool by_log = r.least > 0 && r.most / r.least > decades;
-      const double x = chance.unit();
-      s.push_back(
-          rounded(i, by_log ? r.least * std::pow(r.most / r.least, x) : r.least + (r.most - r.least) * x));
+      const bool by_log = r.minimum > 0 && r.maximum / r.minimum > decades;
+      const double x = chance.uniform();
+      s.push_back(clamp_to_range(i, by_log ? r.minimum * std::pow(r.maximum / r.minimum, x)
+                                           : r.minimum + (r.maximum - r.minimum) * x));
     }
     return s;
   }
-  setting near(setting s, stream& chance) const {
+  RangeValues sample_near(RangeValues s, RandomStream& chance) const {
     if (s.empty()) return s;
     constexpr double step = 0.2;  // of the range
-    const std::size_t i = chance.below(s.size());
-    s[i] = rounded(i, s[i] + (chance.unit() * 2 - 1) * step * (ranges[i].most - ranges[i].least));
+    const std::size_t i = chance.uniform_index(s.size());
+    s[i] = clamp_to_range(
+        i, s[i] + (chance.uniform() * 2 - 1) * step * (ranges_[i].maximum - ranges_[i].minimum));
     return s;
   }
-  toml::table table_of(const setting& s) const {
-    toml::table t = h.base;
-    for (std::size_t i = 0; i < s.size(); ++i) set_value(t, ranges[i].path, s[i]);
+  toml::table make_scenario_table(const RangeValues& s) const {
+    toml::table t = search_.base_scenario;
+    for (std::size_t i = 0; i < s.size(); ++i) set_value(t, ranges_[i].path, s[i]);
     return t;
   }
 
   // None where the table is no scenario.
-  std::vector<std::optional<double>> losses(const std::vector<toml::table>& tables) {
-    std::vector<one_run> plan;
+  std::vector<std::optional<double>> evaluate_losses(const std::vector<toml::table>& tables) {
+    std::vector<RunRequest> plan;
     std::vector<bool> sound;
     for (const toml::table& t : tables) {
       try {
         toml::table alone = t;
         alone.erase("ranges");
-        const scenario s = decode_scenario(alone);
+        const Scenario s = decode_scenario(alone);
         sound.push_back(true);
-        for (std::size_t run = 0; run < h.runs; ++run)
-          for (const policy by : {policy::module, h.against}) plan.push_back({s, by, seed + run});
-      } catch (const faulty&) {
+        for (std::size_t run = 0; run < search_.runs_per_trial; ++run)
+          for (const PolicyKind by : {PolicyKind::load_balancer, search_.baseline})
+            plan.push_back({s, by, seed_ + run});
+      } catch (const ConfigError&) {
         sound.push_back(false);
       }
     }
-    const std::vector<figures> all = play_all(plan, h.threads);
-    played += plan.size();
+    const std::vector<RunMetrics> all = run_all(plan, search_.threads);
+    run_count_ += plan.size();
     std::vector<std::optional<double>> lost;
     std::size_t at = 0;
     for (const bool is : sound) {
@@ -266,55 +271,57 @@
         continue;
       }
       double sum = 0;
-      for (std::size_t run = 0; run < h.runs; ++run, at += 2)
+      for (std::size_t run = 0; run < search_.runs_per_trial; ++run, at += 2)
         sum += all[at + 1].utility() - all[at].utility();
-      lost.push_back(sum / static_cast<double>(h.runs));
+      lost.push_back(sum / static_cast<double>(search_.runs_per_trial));
     }
     return lost;
   }
 
-  bool try_cut(found_day& found, const toml::table& t, const std::string& what) {
-    const auto lost = losses({t}).front();
-    if (!lost || *lost < h.keep * found.loss) return false;
-    found.smallest = t;
+  bool try_reduction(WorstCase& found, const toml::table& t, const std::string& what) {
+    const auto lost = evaluate_losses({t}).front();
+    if (!lost || *lost < search_.loss_fraction_kept * found.worst_loss) return false;
+    found.smallest_scenario = t;
     found.smallest_loss = *lost;
-    found.steps.push_back(what);
+    found.reductions.push_back(what);
     return true;
   }
 
-  void cut_down(found_day& found, const setting& best) {
+  void reduce(WorstCase& found, const RangeValues& best) {
     for (bool shorter = true; shorter;) {
       shorter = false;
-      if (const toml::array* all = found.smallest["trouble"].as_array())
+      if (const toml::array* all = found.smallest_scenario["trouble"].as_array())
         for (std::size_t i = all->size(); i-- > 0;) {
-          toml::table t = found.smallest;
+          toml::table t = found.smallest_scenario;
           toml::array& troubles = *t["trouble"].as_array();
           const std::string what = troubles[i].at_path("what").value_or(std::string("?"));
           troubles.erase(troubles.begin() + static_cast<std::ptrdiff_t>(i));
-          if (try_cut(found, t, "without " + what)) {
+          if (try_reduction(found, t, "without " + what)) {
             shorter = true;
             break;
           }
         }
-      if (auto t = halved(found.smallest); t && try_cut(found, *t, "half the sidecars, servers and load"))
+      if (auto t = halve_size(found.smallest_scenario);
+          t && try_reduction(found, *t, "half the sidecars, servers and load"))
         shorter = true;
-      toml::table brief = found.smallest;
+      toml::table brief = found.smallest_scenario;
       set_value(brief, "seconds", std::ceil(value_at(brief, "seconds") / 2));
-      if (value_at(brief, "seconds") < value_at(found.smallest, "seconds") &&
-          try_cut(found, brief, "half as long"))
+      if (value_at(brief, "seconds") < value_at(found.smallest_scenario, "seconds") &&
+          try_reduction(found, brief, "half as long"))
         shorter = true;
     }
-    for (std::size_t i = 0; i < ranges.size(); ++i) {
+    for (std::size_t i = 0; i < ranges_.size(); ++i) {
       // Paths into troubles that went lead nowhere.
-      if (best[i] == base[i] || !found.smallest.at_path(ranges[i].path).value<double>()) continue;
-      if (ranges[i].path.rfind("trouble[", 0) == 0 && !found.steps.empty()) continue;
-      toml::table t = found.smallest;
-      set_value(t, ranges[i].path, base[i]);
-      try_cut(found, t, ranges[i].path + " as it was");
+      if (best[i] == base_values_[i] || !found.smallest_scenario.at_path(ranges_[i].path).value<double>())
+        continue;
+      if (ranges_[i].path.rfind("trouble[", 0) == 0 && !found.reductions.empty()) continue;
+      toml::table t = found.smallest_scenario;
+      set_value(t, ranges_[i].path, base_values_[i]);
+      try_reduction(found, t, ranges_[i].path + " as it was");
     }
   }
 
-  static std::optional<toml::table> halved(const toml::table& from) {
+  static std::optional<toml::table> halve_size(const toml::table& from) {
     toml::table t = from;
     const double sidecars = value_at(t, "sidecars");
     toml::array* servers = t["server"].as_array();
@@ -329,16 +336,16 @@
     return t;
   }
 
-  const hunt& h;
-  std::vector<range> ranges;
-  std::uint64_t seed;
-  std::vector<bool> whole;
-  setting base;
-  std::size_t played = 0;
+  const WorstCaseSearch& search_;
+  std::vector<SearchRange> ranges_;
+  std::uint64_t seed_;
+  std::vector<bool> integer_ranges_;
+  RangeValues base_values_;
+  std::size_t run_count_ = 0;
 };
 
 }  // namespace
 
-found_day search(const hunt& h) { return searcher(h).run(); }
+WorstCase find_worst_case(const WorstCaseSearch& h) { return WorstCaseFinder(h).run(); }
 
 }  // namespace indigorill::lab
--- a/src/lab/main.cpp
+++ b/src/lab/main.cpp
@@ -2,4 +2,4 @@
 
 #include "cli.h"
 
-int main(int argc, char** argv) { return indigorill::lab::command(argc, argv, std::cout, std::cerr); }
+int main(int argc, char** argv) { return indigorill::lab::run_command(argc, argv, std::cout, std::cerr); }
--- a/src/lab/report.h
+++ b/src/lab/report.h
@@ -10,25 +10,25 @@
 
 namespace indigorill::lab {
 
-void print_table(std::ostream& out, const std::vector<point>& points);
+void print_table(std::ostream& out, const std::vector<ExperimentPoint>& points);
 // Each policy beside the first, seed by seed.
-void print_differences(std::ostream& out, const std::vector<point>& points);
+void print_differences(std::ostream& out, const std::vector<ExperimentPoint>& points);
 
-void write_summary(std::ostream& out, const std::vector<point>& points);  // CSV
-void write_seconds(std::ostream& out, const std::vector<point>& points);  // CSV, means over runs
-void write_runs(std::ostream& out, const std::vector<point>& points);     // JSON lines
-void write_plot(std::ostream& out, const std::vector<point>& points);
+void write_summary(std::ostream& out, const std::vector<ExperimentPoint>& points);  // CSV
+void write_seconds(std::ostream& out, const std::vector<ExperimentPoint>& points);  // CSV, means over runs
+void write_runs(std::ostream& out, const std::vector<ExperimentPoint>& points);     // JSON lines
+void write_plot(std::ostream& out, const std::vector<ExperimentPoint>& points);
 
-void write_all(const std::filesystem::path& folder, const std::vector<point>& points);
+void write_all(const std::filesystem::path& folder, const std::vector<ExperimentPoint>& points);
 
 // The record as JSON lines.
-class record_file : public witness {
+class TraceWriter : public TraceListener {
  public:
-  explicit record_file(std::ostream& to) : out(to) {}
-  void saw(const entry& e) override;
+  explicit TraceWriter(std::ostream& to) : output_(to) {}
+  void on_event(const TraceEvent& e) override;
 
  private:
-  std::ostream& out;
+  std::ostream& output_;
 };
 
 }  // namespace indigorill::lab
