--- a/src/lab/world.cpp
+++ b/src/lab/world.cpp
@@ -11,13 +11,13 @@
 
 std::string server_name(std::uint32_t server) { return std::string("s").append(std::to_string(server)); }
 
-std::uint32_t server_number(const std::string& name) {
+std::uint32_t parse_server_index(const std::string& name) {
   std::uint32_t n = 0;
   std::from_chars(name.data() + 1, name.data() + name.size(), n);
   return n;
 }
 
-std::uint64_t number(const std::string& id) {
+std::uint64_t parse_rpc_id(const std::string& id) {
   std::uint64_t n = 0;
   std::from_chars(id.data(), id.data() + id.size(), n);
   return n;
@@ -25,217 +25,236 @@
 
 }  // namespace
 
-bool world::rpc::idle() const {
-  return std::all_of(picks.begin(), picks.end(), [](const pick& p) { return p.in == stage::over; });
+bool Simulation::OpenRpc::has_no_open_attempt() const {
+  return std::all_of(attempts.begin(), attempts.end(),
+                     [](const Attempt& p) { return p.phase == AttemptPhase::finished; });
 }
 
 // ---- set up ----------------------------------------------------------------------------------------------
 
-world::world(const scenario& s, policy p, std::uint64_t number_of_run, std::vector<witness*> listeners)
-    : plays(s),
-      by(p),
-      seed(number_of_run),
-      told(std::move(listeners)),
-      end_at(s.length + s.longest_deadline()),
-      network(seed_of(seed, use::network)),
-      lists(seed_of(seed, use::list)),
-      wishes(seed_of(seed, use::clients)),
-      loss(s.net.loss) {
-  stream speeds(seed_of(seed, use::servers));
-  for (const server_kind& k : plays.servers)
+Simulation::Simulation(const Scenario& s, PolicyKind p, std::uint64_t number_of_run,
+                       std::vector<TraceListener*> listeners)
+    : scenario_(s),
+      policy_(p),
+      seed_(number_of_run),
+      listeners_(std::move(listeners)),
+      end_at_ms_(s.duration_ms + s.longest_deadline_ms()),
+      network_random_(derive_seed(seed_, RandomPurpose::network)),
+      discovery_random_(derive_seed(seed_, RandomPurpose::discovery)),
+      client_random_(derive_seed(seed_, RandomPurpose::clients)),
+      packet_loss_(s.network.loss) {
+  RandomStream speeds(derive_seed(seed_, RandomPurpose::servers));
+  for (const ServerGroup& k : scenario_.servers)
     for (int i = 0; i < k.count; ++i)
-      add_server(k, i % k.zones, i % k.cells, speeds.draw({shape::lognormal, k.speed, k.speed_spread}));
-  for (std::uint32_t i = 0; i < places.size(); ++i) first_list.push_back(shown(i, standing::ready));
-
-  stream shares(seed_of(seed, use::shares));
-  comes = pace_of(plays, shares);
-  sidecars.resize(static_cast<std::size_t>(plays.sidecars));
+      add_server(k, i % k.zones, i % k.cells,
+                 speeds.sample({DistributionShape::lognormal, k.speed, k.speed_spread}));
+  for (std::uint32_t i = 0; i < servers_.size(); ++i)
+    initial_endpoints_.push_back(make_endpoint(i, EndpointState::ready));
+
+  RandomStream shares(derive_seed(seed_, RandomPurpose::arrival_pattern));
+  arrival_pattern_ = make_arrival_pattern(scenario_, shares);
+  sidecars_.resize(static_cast<std::size_t>(scenario_.sidecars));
   double all = 0;
-  for (std::size_t i = 0; i < sidecars.size(); ++i)
-    all += sidecars[i].weight = std::pow(static_cast<double>(i) + 1, -plays.load.skew);
-  for (std::uint32_t i = 0; i < sidecars.size(); ++i) {
-    sidecar& c = sidecars[i];
-    c.weight /= all;
-    c.zone = static_cast<int>(i) % plays.zones;
-    c.arrives = stream(seed_of(seed, use::arrivals, i));
+  for (std::size_t i = 0; i < sidecars_.size(); ++i)
+    all += sidecars_[i].arrival_share = std::pow(static_cast<double>(i) + 1, -scenario_.load.zipf_exponent);
+  for (std::uint32_t i = 0; i < sidecars_.size(); ++i) {
+    SidecarState& c = sidecars_[i];
+    c.arrival_share /= all;
+    c.zone = static_cast<int>(i) % scenario_.zones;
+    c.arrival_random = RandomStream(derive_seed(seed_, RandomPurpose::arrivals, i));
     start_sidecar(i);
-    next_arrival(i);
+    schedule_next_arrival(i);
   }
-  for (std::size_t i = 0; i < plays.troubles.size(); ++i) plan(plays.troubles[i], i);
+  for (std::size_t i = 0; i < scenario_.faults.size(); ++i) schedule_fault(scenario_.faults[i], i);
 }
 
-std::uint32_t world::add_server(const server_kind& k, int zone, int cell, double speed) {
-  const auto index = static_cast<std::uint32_t>(places.size());
-  place& at = places.emplace_back();
+std::uint32_t Simulation::add_server(const ServerGroup& k, int zone, int cell, double speed) {
+  const auto index = static_cast<std::uint32_t>(servers_.size());
+  ServerState& at = servers_.emplace_back();
   at.zone = zone;
   at.cell = cell;
-  at.kind = &k;
+  at.group = &k;
   at.speed = speed;
-  station::traits is{
-      k.cores,         k.queue, speed, k.cold_from, k.cold_for, k.error_share, plays.rules.multiple,
-      plays.rules.span};
-  at.at = std::make_unique<station>(
-      due, is, seed_of(seed, use::faults, index),
-      station::events{
-          [this, index](std::uint64_t of) {
-            const auto it = jobs.find(of);
-            if (it == jobs.end() || it->second.rpc == 0) return;
-            if (places[index].at->warmth() < 1) ++this_second().cold_began;
-            entry e{entry::what::pick_began};
-            e.rpc = it->second.rpc;
-            e.pick = it->second.pick;
-            e.server = index;
-            e.sidecar = it->second.sidecar;
-            say(e);
-          },
-          [this, index](std::uint64_t of, station::outcome how, double held) { ended(index, of, how, held); },
-          [this, index] {
-            ++seen.falls;
-            stop_server(index, false, true);
-          }});
-  say_what_it_is(index);
+  EmulatedServer::Config is{k.cores,
+                            k.queue_capacity,
+                            speed,
+                            k.slow_start_initial_capacity,
+                            k.slow_start_duration_ms,
+                            k.error_rate,
+                            scenario_.rules.multiple,
+                            scenario_.rules.span};
+  at.server = std::make_unique<EmulatedServer>(
+      events_, is, derive_seed(seed_, RandomPurpose::server_errors, index),
+      EmulatedServer::Callbacks{[this, index](std::uint64_t of) {
+                                  const auto it = jobs_.find(of);
+                                  if (it == jobs_.end() || it->second.rpc == 0) return;
+                                  if (servers_[index].server->capacity_fraction() < 1)
+                                    ++current_second().started_in_slow_start;
+                                  TraceEvent e{TraceEvent::Kind::attempt_started};
+                                  e.rpc = it->second.rpc;
+                                  e.attempt = it->second.attempt;
+                                  e.server = index;
+                                  e.sidecar = it->second.sidecar;
+                                  trace(e);
+                                },
+                                [this, index](std::uint64_t of, EmulatedServer::JobOutcome how, double held) {
+                                  on_job_finished(index, of, how, held);
+                                },
+                                [this, index] {
+                                  ++metrics_.crashes;
+                                  stop_server(index, false, true);
+                                }});
+  trace_server_state(index);
   return index;
 }
 
-void world::say_what_it_is(std::uint32_t server) {
-  const place& at = places[server];
-  entry e{entry::what::server_is};
+void Simulation::trace_server_state(std::uint32_t server) {
+  const ServerState& at = servers_[server];
+  TraceEvent e{TraceEvent::Kind::server_state};
   e.server = server;
-  e.capacity = at.kind->cores * at.speed;
-  e.started = at.at->started();
-  e.cold_from = at.kind->cold_from;
-  e.cold_for = at.kind->cold_for;
+  e.capacity = at.group->cores * at.speed;
+  e.started_at_ms = at.server->started_at_ms();
+  e.slow_start_initial_capacity = at.group->slow_start_initial_capacity;
+  e.slow_start_duration_ms = at.group->slow_start_duration_ms;
   e.zone = at.zone;
   e.cell = at.cell;
-  say(e);
+  trace(e);
 }
 
-void world::start_sidecar(std::uint32_t s) {
-  sidecar& c = sidecars[s];
-  c.up = true;
-  ++c.life;
-  c.subscribed = c.news_due = c.whole_next = false;
-  c.call = 0;
-  c.resting.assign(places.size(), {});
-  c.patience = connect_patience(plays.net.connect_timeout);
-  c.within.reset();
-  c.barred.clear();
-  if (plays.limits.any() && by == policy::module) {
-    place_among where{std::max(1.0, std::round(plays.sidecars * plays.limits.told)), 1, {}};
-    if (plays.limits.by_turns) where.turn = s;
-    c.within = std::make_unique<limits>(plays.limits.all, where, seed_of(seed, use::policy, s));
+void Simulation::start_sidecar(std::uint32_t s) {
+  SidecarState& c = sidecars_[s];
+  c.running = true;
+  ++c.incarnation;
+  c.subscribed = c.update_scheduled = c.full_list_next = false;
+  c.pending_poll = 0;
+  c.idle_connections.assign(servers_.size(), {});
+  c.connect_timeout = ConnectTimeoutEstimator(scenario_.network.connect_timeout);
+  c.limiter.reset();
+  c.connection_limited.clear();
+  if (scenario_.limits.any() && policy_ == PolicyKind::load_balancer) {
+    InstancePosition where{std::max(1.0, std::round(scenario_.sidecars * scenario_.limits.told)), 1, {}};
+    if (scenario_.limits.by_turns) where.index = s;
+    c.limiter = std::make_unique<FleetLimiter>(scenario_.limits.all, where,
+                                               derive_seed(seed_, RandomPurpose::policy, s));
   }
-  c.decides = make_brain(
-      by, plays.ground(c.zone), seed_of(seed, use::policy, s + (std::uint64_t{c.life} << 32)), due.now(),
-      [this, s](const std::string& server) { return true_time(s, server_number(server)); });
+  c.policy = make_policy(
+      policy_, scenario_.load_balancer_config(c.zone),
+      derive_seed(seed_, RandomPurpose::policy, s + (std::uint64_t{c.incarnation} << 32)), events_.now(),
+      [this, s](const std::string& server) { return true_response_time(s, parse_server_index(server)); });
   // The list as it last had it is restored, as a sidecar finds it in its config.
-  const bool lags = c.known < changes.size();
-  if (lags && !c.behind) ++behind;
-  c.behind = lags;
-  tell(s, true, false);
-  if (!plays.list.asked && c.behind) news_for(s);
+  const bool lags = c.known_changes < endpoint_changes_.size();
+  if (lags && !c.stale) ++stale_sidecar_count_;
+  c.stale = lags;
+  deliver_endpoints(s, true, false);
+  if (!scenario_.discovery.asked && c.stale) schedule_endpoint_update(s);
 }
 
-void world::plan(const trouble& t, std::size_t which) {
-  using kind = trouble::kind;
-  stream chance(seed_of(seed, use::troubles, which + 1));
-  const auto at = [this](double when, agenda::task what) { due.at(when, rank::trouble, std::move(what)); };
-  const double from = t.at, until = t.at + t.lasts;
+void Simulation::schedule_fault(const Fault& t, std::size_t which) {
+  using Kind = Fault::Kind;
+  RandomStream chance(derive_seed(seed_, RandomPurpose::fault_schedule, which + 1));
+  const auto at = [this](double when, EventQueue::Callback what) {
+    events_.schedule(when, EventPriority::fault, std::move(what));
+  };
+  const double from = t.start_ms, until = t.start_ms + t.duration_ms;
   // Drawn now, so that what happens until then changes nothing.
-  const auto befallen = [&](std::size_t n) { return some_of(n, t.share, chance); };
-  switch (t.what) {
-    case kind::stop_sidecars:
-    case kind::end_sidecars:
-    case kind::cut_talk:
+  const auto befallen = [&](std::size_t n) { return sample_indices(n, t.share, chance); };
+  switch (t.kind) {
+    case Kind::suspend_sidecars:
+    case Kind::terminate_sidecars:
+    case Kind::gossip_partition:
       return;  // refused before: not_emulated
-    case kind::restart_sidecars:
-      for (const std::uint32_t s : befallen(sidecars.size())) {
-        const double when = from + t.over * chance.unit();
+    case Kind::restart_sidecars:
+      for (const std::uint32_t s : befallen(sidecars_.size())) {
+        const double when = from + t.spread_ms * chance.uniform();
         at(when, [this, s] { kill_sidecar(s); });
-        at(when + t.lasts, [this, s] {
-          if (!sidecars[s].up) start_sidecar(s);
+        at(when + t.duration_ms, [this, s] {
+          if (!sidecars_[s].running) start_sidecar(s);
         });
       }
       return;
-    case kind::lose_zone:
-      for (std::uint32_t i = 0; i < places.size(); ++i) {
-        if (places[i].zone != t.zone) continue;
+    case Kind::lose_zone:
+      for (std::uint32_t i = 0; i < servers_.size(); ++i) {
+        if (servers_[i].zone != t.zone) continue;
         at(from, [this, i] { stop_server(i, true, true); });
-        at(until, [this, i] { return_server(i); });
+        at(until, [this, i] { restart_server(i); });
       }
       return;
-    case kind::kill_servers:
-      for (const std::uint32_t i : befallen(places.size())) {
-        const double when = from + t.over * chance.unit();
+    case Kind::kill_servers:
+      for (const std::uint32_t i : befallen(servers_.size())) {
+        const double when = from + t.spread_ms * chance.uniform();
         at(when, [this, i] { stop_server(i, false, true); });
-        at(when + t.lasts, [this, i] { return_server(i); });
+        at(when + t.duration_ms, [this, i] { restart_server(i); });
       }
       return;
-    case kind::replace:
-    case kind::drain:
-      for (const std::uint32_t i : befallen(places.size())) {
-        const double when = from + t.over * chance.unit();
-        const bool replaced = t.what == kind::replace;
+    case Kind::replace_servers:
+    case Kind::drain_servers:
+      for (const std::uint32_t i : befallen(servers_.size())) {
+        const double when = from + t.spread_ms * chance.uniform();
+        const bool replaced = t.kind == Kind::replace_servers;
         at(when, [this, i, replaced] {
-          places[i].draining = true;
-          change(i, standing::draining);
+          servers_[i].draining = true;
+          publish_change(i, EndpointState::draining);
           if (!replaced) return;
           const std::uint32_t fresh =
-              add_server(*places[i].kind, places[i].zone, places[i].cell, places[i].speed);
-          for (sidecar& c : sidecars) c.resting.resize(places.size());
-          return_server(fresh);
+              add_server(*servers_[i].group, servers_[i].zone, servers_[i].cell, servers_[i].speed);
+          for (SidecarState& c : sidecars_) c.idle_connections.resize(servers_.size());
+          restart_server(fresh);
         });
-        at(when + t.lasts, [this, i, replaced] {
+        at(when + t.duration_ms, [this, i, replaced] {
           stop_server(i, false, false);
-          change(i, standing::gone);
-          places[i].listed = false;
-          if (!replaced) return_server(i);
+          publish_change(i, EndpointState::gone);
+          servers_[i].advertised = false;
+          if (!replaced) restart_server(i);
         });
       }
       return;
-    case kind::stall:
-      for (const std::uint32_t i : befallen(places.size()))
-        at(from, [this, i, until] { places[i].at->stall(until); });
+    case Kind::stall_servers:
+      for (const std::uint32_t i : befallen(servers_.size()))
+        at(from, [this, i, until] { servers_[i].server->stall(until); });
       return;
-    case kind::slow:
-    case kind::errors:
-      for (const std::uint32_t i : befallen(places.size())) {
-        const bool slow = t.what == kind::slow;
-        at(from,
-           [this, i, slow, much = t.factor] { slow ? places[i].at->slow(much) : places[i].at->fail(much); });
+    case Kind::slow_servers:
+    case Kind::server_errors:
+      for (const std::uint32_t i : befallen(servers_.size())) {
+        const bool slow = t.kind == Kind::slow_servers;
+        at(from, [this, i, slow, much = t.factor] {
+          slow ? servers_[i].server->set_slowdown(much) : servers_[i].server->set_error_rate(much);
+        });
         at(until, [this, i, slow] {
-          slow ? places[i].at->slow(1) : places[i].at->fail(places[i].kind->error_share);
+          slow ? servers_[i].server->set_slowdown(1)
+               : servers_[i].server->set_error_rate(servers_[i].group->error_rate);
         });
       }
       return;
-    case kind::loss:
-      at(from, [this, much = t.factor] { loss = much; });
-      at(until, [this] { loss = plays.net.loss; });
+    case Kind::packet_loss:
+      at(from, [this, much = t.factor] { packet_loss_ = much; });
+      at(until, [this] { packet_loss_ = scenario_.network.loss; });
       return;
-    case kind::surge:
-      at(from, [this, much = t.factor] { surge *= much; });
-      at(until, [this, much = t.factor] { surge /= much; });
+    case Kind::load_surge:
+      at(from, [this, much = t.factor] { surge_factor_ *= much; });
+      at(until, [this, much = t.factor] { surge_factor_ /= much; });
       return;
-    case kind::list_overbooked:
-      at(from, [this, much = t.factor] { list_slowness = much; });
-      at(until, [this] { list_slowness = 1; });
+    case Kind::discovery_overload:
+      at(from, [this, much = t.factor] { discovery_slowdown_ = much; });
+      at(until, [this] { discovery_slowdown_ = 1; });
       return;
-    case kind::list_silent:
+    case Kind::discovery_outage:
       at(from, [this] {
-        list_silent = true;
+        discovery_silent_ = true;
         // Who watches finds out by a silence.
         constexpr double silence = 1500;
-        for (std::uint32_t s = 0; s < sidecars.size(); ++s) {
-          if (!sidecars[s].subscribed) continue;
-          const std::uint64_t call = sidecars[s].call = ++next_call;
-          due.at(due.now() + silence, rank::list, [this, s, call] { list_failed(s, call); });
+        for (std::uint32_t s = 0; s < sidecars_.size(); ++s) {
+          if (!sidecars_[s].subscribed) continue;
+          const std::uint64_t call = sidecars_[s].pending_poll = ++last_poll_id_;
+          events_.schedule(events_.now() + silence, EventPriority::discovery,
+                           [this, s, call] { on_poll_failed(s, call); });
         }
       });
       at(until, [this] {
-        list_silent = false;
-        for (std::uint32_t s = 0; s < sidecars.size(); ++s)
-          if (sidecars[s].up && sidecars[s].behind && (!plays.list.asked || sidecars[s].subscribed))
-            news_for(s);
+        discovery_silent_ = false;
+        for (std::uint32_t s = 0; s < sidecars_.size(); ++s)
+          if (sidecars_[s].running && sidecars_[s].stale &&
+              (!scenario_.discovery.asked || sidecars_[s].subscribed))
+            schedule_endpoint_update(s);
       });
       return;
   }
@@ -244,822 +263,879 @@
 // ---- applications -------------------------------------------------------------------------------------
 
 // Thinned from the highest rate, so that what one sidecar's clients ask does not hang on another's.
-void world::next_arrival(std::uint32_t s) {
-  sidecar& c = sidecars[s];
-  const double mean = ms_per_s / (comes.most * c.weight);
+void Simulation::schedule_next_arrival(std::uint32_t s) {
+  SidecarState& c = sidecars_[s];
+  const double mean = ms_per_s / (arrival_pattern_.peak_rate * c.arrival_share);
   if (!std::isfinite(mean)) return;
-  const double when = due.now() + c.arrives.exponential(mean);
-  if (when >= plays.length) return;
-  due.at(when, rank::client, [this, s] {
-    if (sidecars[s].arrives.happens(rate_at(plays, comes, due.now()) * surge / comes.most)) arrive(s);
-    next_arrival(s);
+  const double when = events_.now() + c.arrival_random.exponential(mean);
+  if (when >= scenario_.duration_ms) return;
+  events_.schedule(when, EventPriority::client, [this, s] {
+    if (sidecars_[s].arrival_random.bernoulli(arrival_rate(scenario_, arrival_pattern_, events_.now()) *
+                                              surge_factor_ / arrival_pattern_.peak_rate))
+      on_arrival(s);
+    schedule_next_arrival(s);
   });
 }
 
-void world::arrive(std::uint32_t s) {
-  sidecar& c = sidecars[s];
-  const auto [method, work] = draw_rpc(plays, c.arrives);
-  if (!c.up) return;  // an application stops and starts with its sidecar
-  const std::uint64_t id = ++next_task;
-  const bool counted = due.now() >= plays.warmup;
-  tasks[id] = {s, method, due.now(), work, plays.clients.retries, plays.clients.wait, counted};
-  ++seen.arrived;
-  ++this_second().arrived;
-  ask(id);
+void Simulation::on_arrival(std::uint32_t s) {
+  SidecarState& c = sidecars_[s];
+  const auto [method, work] = sample_rpc(scenario_, c.arrival_random);
+  if (!c.running) return;  // an application stops and starts with its sidecar
+  const std::uint64_t id = ++last_request_id_;
+  const bool counted = events_.now() >= scenario_.warmup_ms;
+  requests_[id] = {s,      method, events_.now(), work, scenario_.clients.retries, scenario_.clients.wait,
+                   counted};
+  ++metrics_.arrived;
+  ++current_second().arrived;
+  send_request(id);
 }
 
-void world::ask(std::uint64_t of) {
-  const task& t = tasks.at(of);
-  const std::uint64_t id = ++next_rpc;
-  const method& how = plays.methods[t.method].is;
-  const double deadline = t.came + how.deadline;
-  rpcs[id] = {t.sidecar, of, false, {}};
-  entry e{entry::what::rpc_taken};
+void Simulation::send_request(std::uint64_t of) {
+  const ClientRequest& t = requests_.at(of);
+  const std::uint64_t id = ++last_rpc_id_;
+  const MethodConfig& how = scenario_.methods[t.method].method;
+  const double deadline = t.arrived_at_ms + how.deadline_ms;
+  rpcs_[id] = {t.sidecar, of, false, {}};
+  TraceEvent e{TraceEvent::Kind::rpc_received};
   e.rpc = id;
   e.sidecar = t.sidecar;
-  e.deadline = deadline;
-  e.repeats = how.repeats;
-  e.drops = how.drops_repeats;
-  e.remembers = how.remembers;
-  say(e);
-  due.at(deadline, rank::client, [this, id] {
-    const auto it = rpcs.find(id);
-    if (it == rpcs.end() || it->second.over) return;
+  e.deadline_ms = deadline;
+  e.retry_safety = how.retry_safety;
+  e.deduplication_scope = how.deduplication_scope;
+  e.deduplication_window_ms = how.deduplication_window_ms;
+  trace(e);
+  events_.schedule(deadline, EventPriority::client, [this, id] {
+    const auto it = rpcs_.find(id);
+    if (it == rpcs_.end() || it->second.concluded) return;
     const std::uint32_t s = it->second.sidecar;
-    it->second.over = true;
+    it->second.concluded = true;
     // The record keeps it open: that its client had to leave is the breach.
-    conclude_task(it->second.task, fate::unanswered);
-    sidecars[s].decides->client_left(due.now(), std::to_string(id));
-    pull(s);
-    forget_if_over(id);
+    conclude_request(it->second.request, RequestOutcome::unanswered);
+    sidecars_[s].policy->on_client_disconnected(events_.now(), std::to_string(id));
+    execute_decisions(s);
+    erase_if_finished(id);
   });
   const std::string name = std::to_string(id);
   const std::uint32_t s = t.sidecar;
-  sidecars[s].decides->rpc_arrived(due.now(), {name, how.name, deadline, {}});
-  pull(s);
+  sidecars_[s].policy->on_rpc_arrived(events_.now(), {name, how.name, deadline, {}});
+  execute_decisions(s);
 }
 
-void world::conclude_task(std::uint64_t of, fate f) {
-  const auto it = tasks.find(of);
-  const task t = it->second;
-  const method& how = plays.methods[t.method].is;
-  tasks.erase(it);
-  const double took = due.now() - t.came;
-  const auto came_in = std::min(static_cast<std::size_t>(t.came / ms_per_s),
-                                static_cast<std::size_t>(plays.length / ms_per_s));
-  if (seen.seconds.size() <= came_in) seen.seconds.resize(came_in + 1);
-  second& sec = seen.seconds[came_in];
-  const double gained = f == fate::ok ? how.utility : f == fate::late ? how.utility * how.late_utility : 0;
+void Simulation::conclude_request(std::uint64_t of, RequestOutcome f) {
+  const auto it = requests_.find(of);
+  const ClientRequest t = it->second;
+  const MethodConfig& how = scenario_.methods[t.method].method;
+  requests_.erase(it);
+  const double took = events_.now() - t.arrived_at_ms;
+  const auto came_in = std::min(static_cast<std::size_t>(t.arrived_at_ms / ms_per_s),
+                                static_cast<std::size_t>(scenario_.duration_ms / ms_per_s));
+  if (metrics_.seconds.size() <= came_in) metrics_.seconds.resize(came_in + 1);
+  SecondMetrics& sec = metrics_.seconds[came_in];
+  const double gained = f == RequestOutcome::ok     ? how.priority_weight
+                        : f == RequestOutcome::late ? how.priority_weight * how.late_weight
+                                                    : 0;
   switch (f) {
-    case fate::ok:
-      ++seen.ok, ++sec.ok;
+    case RequestOutcome::ok:
+      ++metrics_.ok, ++sec.ok;
       break;
-    case fate::late:
-      ++seen.late, ++sec.late;
+    case RequestOutcome::late:
+      ++metrics_.late, ++sec.late;
       break;
-    case fate::pushed_back:
-      ++seen.pushed_back, ++sec.pushed_back;
+    case RequestOutcome::rejected:
+      ++metrics_.rejected, ++sec.rejected;
       break;
-    case fate::aborted:
-      ++seen.aborted, ++sec.aborted;
+    case RequestOutcome::failed:
+      ++metrics_.failed, ++sec.failed;
       break;
-    case fate::unanswered:
-      ++seen.unanswered;
+    case RequestOutcome::unanswered:
+      ++metrics_.unanswered;
       break;
-    case fate::lost:
-      ++seen.lost;
+    case RequestOutcome::lost:
+      ++metrics_.lost;
       return;  // nobody is left to whom it was worth anything
   }
-  sec.offered += how.utility;
-  sec.gained += gained;
-  if (!t.counted) return;
-  seen.offered += how.utility;
-  seen.gained += gained;
-  if (f == fate::ok || f == fate::late) seen.answered.add(took);
+  sec.offered_utility += how.priority_weight;
+  sec.gained_utility += gained;
+  if (!t.measured) return;
+  metrics_.offered_utility += how.priority_weight;
+  metrics_.gained_utility += gained;
+  if (f == RequestOutcome::ok || f == RequestOutcome::late) metrics_.latency.add(took);
 }
 
-void world::retry_or(std::uint64_t of, fate f, double advice) {
-  task& t = tasks.at(of);
-  const method& how = plays.methods[t.method].is;
-  const bool harmless = f == fate::pushed_back || how.repeats == repeatable::idempotent;
-  const double waits = std::max(t.wait, wishes.happens(plays.clients.heeds) ? advice : 0);
-  if (!harmless || t.tries_left <= 0 || due.now() + waits >= t.came + how.deadline)
-    return conclude_task(of, f);
-  --t.tries_left;
-  if (plays.clients.doubles) t.wait *= 2;
-  due.at(due.now() + waits, rank::client, [this, of] {
-    if (tasks.count(of)) ask(of);
+void Simulation::retry_or_conclude(std::uint64_t of, RequestOutcome f, double advice) {
+  ClientRequest& t = requests_.at(of);
+  const MethodConfig& how = scenario_.methods[t.method].method;
+  const bool harmless = f == RequestOutcome::rejected || how.retry_safety == RetrySafety::idempotent;
+  const double waits =
+      std::max(t.retry_delay_ms, client_random_.bernoulli(scenario_.clients.heeds) ? advice : 0);
+  if (!harmless || t.retries_left <= 0 || events_.now() + waits >= t.arrived_at_ms + how.deadline_ms)
+    return conclude_request(of, f);
+  --t.retries_left;
+  if (scenario_.clients.doubles) t.retry_delay_ms *= 2;
+  events_.schedule(events_.now() + waits, EventPriority::client, [this, of] {
+    if (requests_.count(of)) send_request(of);
   });
 }
 
 // ---- sidecars -----------------------------------------------------------------------------------------
 
-void world::pull(std::uint32_t s) {
-  sidecar& c = sidecars[s];
-  if (c.pulling || !c.up) return;
-  c.pulling = true;
+void Simulation::execute_decisions(std::uint32_t s) {
+  SidecarState& c = sidecars_[s];
+  if (c.executing_decisions || !c.running) return;
+  c.executing_decisions = true;
   for (;;) {
-    tell_limits(s);
-    const auto d = c.decides->next();
+    apply_limits(s);
+    const auto d = c.policy->next_decision();
     if (!d) break;
-    carry_out(s, *d);
+    execute(s, *d);
   }
-  c.pulling = false;
+  c.executing_decisions = false;
 }
 
-void world::carry_out(std::uint32_t s, const decision& d) {
-  using verb = decision::verb;
-  switch (d.what) {
-    case verb::pick:
-      return send(s, d);
-    case verb::push_back:
-      conclude(number(d.rpc), answer::pushed_back, d.after);
-      return forget_if_over(number(d.rpc));
-    case verb::abort:
-      conclude(number(d.rpc), answer::aborted, 0);
-      return forget_if_over(number(d.rpc));
-    case verb::cancel:
-      return cancel(s, d);
-    case verb::probe:
-      return probe(s, server_number(d.server));
-    case verb::follow_list:
-      return call_list(s);
-    case verb::tell:
+void Simulation::execute(std::uint32_t s, const Decision& d) {
+  using Verb = Decision::Action;
+  switch (d.action) {
+    case Verb::send_attempt:
+      return start_attempt(s, d);
+    case Verb::reject:
+      answer_rpc(parse_rpc_id(d.rpc_id), RpcAnswer::rejected, d.delay_ms);
+      return erase_if_finished(parse_rpc_id(d.rpc_id));
+    case Verb::fail:
+      answer_rpc(parse_rpc_id(d.rpc_id), RpcAnswer::failed, 0);
+      return erase_if_finished(parse_rpc_id(d.rpc_id));
+    case Verb::cancel_attempt:
+      return cancel_attempt(s, d);
+    case Verb::health_check:
+      return start_health_check(s, parse_server_index(d.endpoint_id));
+    case Verb::poll_endpoints:
+      return poll_discovery(s);
+    case Verb::send_gossip:
       return;
-    case verb::wake:
-      due.at(due.now() + d.after, rank::timer, [this, s, life = sidecars[s].life, wake = d.wake] {
-        if (!sidecars[s].up || sidecars[s].life != life) return;
-        sidecars[s].decides->woken(due.now(), wake);
-        pull(s);
-      });
+    case Verb::set_timer:
+      events_.schedule(events_.now() + d.delay_ms, EventPriority::timer,
+                       [this, s, life = sidecars_[s].incarnation, wake = d.timer_id] {
+                         if (!sidecars_[s].running || sidecars_[s].incarnation != life) return;
+                         sidecars_[s].policy->on_timer(events_.now(), wake);
+                         execute_decisions(s);
+                       });
   }
 }
 
-world::pick* world::live(std::uint64_t id, int n) {
-  const auto it = rpcs.find(id);
-  if (it == rpcs.end()) return nullptr;
-  pick& p = it->second.picks[static_cast<std::size_t>(n)];
-  return p.in == stage::over ? nullptr : &p;
+Simulation::Attempt* Simulation::find_open_attempt(std::uint64_t id, int n) {
+  const auto it = rpcs_.find(id);
+  if (it == rpcs_.end()) return nullptr;
+  Attempt& p = it->second.attempts[static_cast<std::size_t>(n)];
+  return p.phase == AttemptPhase::finished ? nullptr : &p;
 }
 
-void world::send(std::uint32_t s, const decision& d) {
-  const std::uint64_t id = number(d.rpc);
-  rpc& r = rpcs.at(id);
-  const std::uint32_t server = server_number(d.server);
-  const int n = static_cast<int>(r.picks.size());
-  r.picks.push_back({server, places[server].life, stage::connecting, true, true, due.now(), 0});
-  ++places[server].coming;
-  ++seen.picks;
-  ++this_second().picks;
-  entry e{entry::what::pick_decided};
+void Simulation::start_attempt(std::uint32_t s, const Decision& d) {
+  const std::uint64_t id = parse_rpc_id(d.rpc_id);
+  OpenRpc& r = rpcs_.at(id);
+  const std::uint32_t server = parse_server_index(d.endpoint_id);
+  const int n = static_cast<int>(r.attempts.size());
+  r.attempts.push_back(
+      {server, servers_[server].incarnation, AttemptPhase::connecting, true, true, events_.now(), 0});
+  ++servers_[server].incoming_attempts;
+  ++metrics_.attempts;
+  ++current_second().attempts;
+  TraceEvent e{TraceEvent::Kind::attempt_decided};
   e.rpc = id;
-  e.pick = n;
+  e.attempt = n;
   e.server = server;
   e.sidecar = s;
-  say(e);
-  due.at(due.now() + d.after, rank::timer, [this, id, n] { time_out(id, n); });
-  connection got;
-  if (!take_rested(s, server, got)) return connect(id, n);
-  r.picks.back().fresh = false;
-  r.picks.back().server_life = got.life;
-  write(id, n);
+  trace(e);
+  events_.schedule(events_.now() + d.delay_ms, EventPriority::timer,
+                   [this, id, n] { on_attempt_timeout(id, n); });
+  IdleConnection got;
+  if (!take_idle_connection(s, server, got)) return connect(id, n);
+  r.attempts.back().new_connection = false;
+  r.attempts.back().server_incarnation = got.incarnation;
+  send_attempt_bytes(id, n);
 }
 
-bool world::take_rested(std::uint32_t s, std::uint32_t server, connection& got) {
-  std::vector<connection>& rested = sidecars[s].resting[server];
+bool Simulation::take_idle_connection(std::uint32_t s, std::uint32_t server, IdleConnection& got) {
+  std::vector<IdleConnection>& rested = sidecars_[s].idle_connections[server];
   if (rested.empty()) return false;
   got = rested.back();
   rested.pop_back();
-  tell_resting(s, server);
+  report_idle_connections(s, server);
   return true;
 }
 
-void world::tell_resting(std::uint32_t s, std::uint32_t server) {
-  sidecars[s].decides->resting(server_name(server), sidecars[s].resting[server].size());
+void Simulation::report_idle_connections(std::uint32_t s, std::uint32_t server) {
+  sidecars_[s].policy->set_idle_connections(server_name(server),
+                                            sidecars_[s].idle_connections[server].size());
 }
 
 // Told before each decision, so that nothing is picked that may not be opened.
-void world::tell_limits(std::uint32_t s) {
-  sidecar& c = sidecars[s];
-  if (!c.within) return;
-  c.barred.resize(places.size(), false);
-  for (std::uint32_t i = 0; i < places.size(); ++i) {
-    while (!c.resting[i].empty() && !c.within->keeps(server_name(i), due.now())) {
-      close(i, c.resting[i].front().life);
-      closed(s, i);
-      c.resting[i].erase(c.resting[i].begin());
-      tell_resting(s, i);
+void Simulation::apply_limits(std::uint32_t s) {
+  SidecarState& c = sidecars_[s];
+  if (!c.limiter) return;
+  c.connection_limited.resize(servers_.size(), false);
+  for (std::uint32_t i = 0; i < servers_.size(); ++i) {
+    while (!c.idle_connections[i].empty() &&
+           !c.limiter->within_connection_limit(server_name(i), events_.now())) {
+      close_connection(i, c.idle_connections[i].front().incarnation);
+      release_connection_slot(s, i);
+      c.idle_connections[i].erase(c.idle_connections[i].begin());
+      report_idle_connections(s, i);
     }
-    const bool is = !c.within->may_open(server_name(i), due.now());
-    if (is == static_cast<bool>(c.barred[i])) continue;
-    c.barred[i] = is;
-    c.decides->barred(server_name(i), is);
+    const bool is = !c.limiter->may_open_connection(server_name(i), events_.now());
+    if (is == static_cast<bool>(c.connection_limited[i])) continue;
+    c.connection_limited[i] = is;
+    c.policy->set_connection_limited(server_name(i), is);
   }
 }
 
-void world::list_servers(std::uint32_t s) {
-  if (!sidecars[s].within) return;
+void Simulation::update_limiter_endpoints(std::uint32_t s) {
+  if (!sidecars_[s].limiter) return;
   std::vector<std::string> names;
-  for (std::uint32_t i = 0; i < places.size(); ++i)
-    if (places[i].listed) names.push_back(server_name(i));
-  sidecars[s].within->listed(names);
-  sidecars[s].barred.assign(places.size(), false);
-  for (std::uint32_t i = 0; i < places.size(); ++i) sidecars[s].decides->barred(server_name(i), false);
+  for (std::uint32_t i = 0; i < servers_.size(); ++i)
+    if (servers_[i].advertised) names.push_back(server_name(i));
+  sidecars_[s].limiter->update_endpoints(names);
+  sidecars_[s].connection_limited.assign(servers_.size(), false);
+  for (std::uint32_t i = 0; i < servers_.size(); ++i)
+    sidecars_[s].policy->set_connection_limited(server_name(i), false);
 }
 
-void world::closed(std::uint32_t s, std::uint32_t server) {
-  if (sidecars[s].within) sidecars[s].within->give_back(server_name(server));
+void Simulation::release_connection_slot(std::uint32_t s, std::uint32_t server) {
+  if (sidecars_[s].limiter) sidecars_[s].limiter->release_connection(server_name(server));
 }
 
-void world::count_second(place& at) {
-  const auto second_now = static_cast<std::int64_t>(due.now() / ms_per_s);
-  if (at.second != second_now) at.second = second_now, at.handshakes = at.probes = 0;
+void Simulation::roll_second_counters(ServerState& at) {
+  const auto second_now = static_cast<std::int64_t>(events_.now() / ms_per_s);
+  if (at.counted_second != second_now)
+    at.counted_second = second_now, at.handshakes_in_second = at.health_checks_in_second = 0;
 }
 
-bool world::accept(place& at) {
-  if (at.connections >= static_cast<std::uint64_t>(at.kind->connections)) return false;
+bool Simulation::accept_connection(ServerState& at) {
+  if (at.connections >= static_cast<std::uint64_t>(at.group->max_connections)) return false;
   ++at.connections;
-  seen.most_connections = std::max(seen.most_connections, at.connections);
-  count_second(at);
-  seen.most_handshakes = std::max(seen.most_handshakes, ++at.handshakes);
-  ++seen.handshakes;
-  ++this_second().handshakes;
+  metrics_.peak_connections = std::max(metrics_.peak_connections, at.connections);
+  roll_second_counters(at);
+  metrics_.peak_handshakes_per_second =
+      std::max(metrics_.peak_handshakes_per_second, ++at.handshakes_in_second);
+  ++metrics_.handshakes;
+  ++current_second().handshakes;
   return true;
 }
 
-void world::connect(std::uint64_t id, int n) {
-  const rpc& r = rpcs.at(id);
-  const std::uint32_t s = r.sidecar, server = r.picks[static_cast<std::size_t>(n)].server;
-  const double began = due.now();
-  if (sidecars[s].within && !sidecars[s].within->open(server_name(server), began)) {
+void Simulation::connect(std::uint64_t id, int n) {
+  const OpenRpc& r = rpcs_.at(id);
+  const std::uint32_t s = r.sidecar, server = r.attempts[static_cast<std::size_t>(n)].server;
+  const double began = events_.now();
+  if (sidecars_[s].limiter && !sidecars_[s].limiter->open_connection(server_name(server), began)) {
     // Two decisions in one breath: nothing was sent, and no server is to blame.
-    rpcs.at(id).picks[static_cast<std::size_t>(n)].fresh = false;
-    due.at(began, rank::timer, [this, id, n] {
-      if (live(id, n)) end_pick(id, n, ending::moot, {});
+    rpcs_.at(id).attempts[static_cast<std::size_t>(n)].new_connection = false;
+    events_.schedule(began, EventPriority::timer, [this, id, n] {
+      if (find_open_attempt(id, n)) finish_attempt(id, n, AttemptOutcome::client_error, {});
     });
     return;
   }
-  due.at(began + sidecars[s].patience.now(), rank::timer, [this, id, n, s] {
-    pick* p = live(id, n);
-    if (!p || p->in != stage::connecting) return;
-    sidecars[s].patience.not_up();
-    end_pick(id, n, ending::connect_failed, {});
-  });
-  due.at(began + trip(sidecars[s].zone, places[server].zone), rank::network, [this, id, n, s, server, began] {
-    place& at = places[server];
-    if (at.vanished) return;
-    const double back = trip(at.zone, sidecars[s].zone);
-    if (!at.at->up() || !accept(at)) {
-      due.at(due.now() + back, rank::network, [this, id, n] {
-        pick* p = live(id, n);
-        if (p && p->in == stage::connecting) end_pick(id, n, ending::connect_failed, {});
-      });
-      return;
-    }
-    due.at(due.now() + back + plays.net.handshake, rank::network,
-           [this, id, n, server, began, life = at.life] { connected(id, n, server, life, began); });
+  events_.schedule(began + sidecars_[s].connect_timeout.timeout_ms(), EventPriority::timer, [this, id, n, s] {
+    Attempt* p = find_open_attempt(id, n);
+    if (!p || p->phase != AttemptPhase::connecting) return;
+    sidecars_[s].connect_timeout.on_connect_timed_out();
+    finish_attempt(id, n, AttemptOutcome::connect_failed, {});
   });
+  events_.schedule(began + one_way_delay(sidecars_[s].zone, servers_[server].zone), EventPriority::network,
+                   [this, id, n, s, server, began] {
+                     ServerState& at = servers_[server];
+                     if (at.unreachable) return;
+                     const double back = one_way_delay(at.zone, sidecars_[s].zone);
+                     if (!at.server->is_running() || !accept_connection(at)) {
+                       events_.schedule(events_.now() + back, EventPriority::network, [this, id, n] {
+                         Attempt* p = find_open_attempt(id, n);
+                         if (p && p->phase == AttemptPhase::connecting)
+                           finish_attempt(id, n, AttemptOutcome::connect_failed, {});
+                       });
+                       return;
+                     }
+                     events_.schedule(events_.now() + back + scenario_.network.handshake,
+                                      EventPriority::network,
+                                      [this, id, n, server, began, life = at.incarnation] {
+                                        on_connected(id, n, server, life, began);
+                                      });
+                   });
 }
 
-void world::connected(std::uint64_t id, int n, std::uint32_t server, std::uint32_t life, double began) {
-  pick* p = live(id, n);
-  if (!p || p->in != stage::connecting) return close(server, life);
-  sidecars[rpcs.at(id).sidecar].patience.up(due.now() - began);
-  p->server_life = life;
-  write(id, n);
+void Simulation::on_connected(std::uint64_t id, int n, std::uint32_t server, std::uint32_t life,
+                              double began) {
+  Attempt* p = find_open_attempt(id, n);
+  if (!p || p->phase != AttemptPhase::connecting) return close_connection(server, life);
+  sidecars_[rpcs_.at(id).sidecar].connect_timeout.on_connected(events_.now() - began);
+  p->server_incarnation = life;
+  send_attempt_bytes(id, n);
 }
 
-void world::write(std::uint64_t id, int n) {
-  rpc& r = rpcs.at(id);
-  pick& p = r.picks[static_cast<std::size_t>(n)];
-  p.in = stage::written;
-  p.job = ++next_job;
-  const double work = tasks.count(r.task) ? tasks.at(r.task).work : 0;
-  const double all = work + (p.fresh ? plays.net.handshake_work : 0);
-  entry e{entry::what::pick_written};
+void Simulation::send_attempt_bytes(std::uint64_t id, int n) {
+  OpenRpc& r = rpcs_.at(id);
+  Attempt& p = r.attempts[static_cast<std::size_t>(n)];
+  p.phase = AttemptPhase::sent;
+  p.job = ++last_job_id_;
+  const double work = requests_.count(r.request) ? requests_.at(r.request).work_ms : 0;
+  const double all = work + (p.new_connection ? scenario_.network.handshake_work : 0);
+  TraceEvent e{TraceEvent::Kind::attempt_sent};
   e.rpc = id;
-  e.pick = n;
+  e.attempt = n;
   e.server = p.server;
   e.sidecar = r.sidecar;
-  say(e);
-  due.at(due.now() + trip(sidecars[r.sidecar].zone, places[p.server].zone), rank::network,
-         [this, id, n, s = r.sidecar, server = p.server, life = p.server_life, of = p.job, all] {
-           come(id, n, s, server, life, of, all);
-         });
+  trace(e);
+  events_.schedule(events_.now() + one_way_delay(sidecars_[r.sidecar].zone, servers_[p.server].zone),
+                   EventPriority::network,
+                   [this, id, n, s = r.sidecar, server = p.server, life = p.server_incarnation, of = p.job,
+                    all] { on_attempt_received(id, n, s, server, life, of, all); });
 }
 
-void world::come(std::uint64_t id, int n, std::uint32_t s, std::uint32_t server, std::uint32_t life,
-                 std::uint64_t of, double work) {
-  place& at = places[server];
-  pick* p = live(id, n);
-  if (p && p->coming) p->coming = false, --at.coming;
-  if (at.vanished) return;
-  const auto answer_with = [&](ending how) {
-    due.at(due.now() + trip(at.zone, sidecars[s].zone), rank::network, [this, id, n, how] {
-      if (live(id, n)) end_pick(id, n, how, {});
-    });
+void Simulation::on_attempt_received(std::uint64_t id, int n, std::uint32_t s, std::uint32_t server,
+                                     std::uint32_t life, std::uint64_t of, double work) {
+  ServerState& at = servers_[server];
+  Attempt* p = find_open_attempt(id, n);
+  if (p && p->counted_as_incoming) p->counted_as_incoming = false, --at.incoming_attempts;
+  if (at.unreachable) return;
+  const auto answer_with = [&](AttemptOutcome how) {
+    events_.schedule(events_.now() + one_way_delay(at.zone, sidecars_[s].zone), EventPriority::network,
+                     [this, id, n, how] {
+                       if (find_open_attempt(id, n)) finish_attempt(id, n, how, {});
+                     });
   };
-  if (!at.at->up() || at.life != life) return answer_with(ending::reset);
-  entry e{entry::what::pick_came};
+  if (!at.server->is_running() || at.incarnation != life) return answer_with(AttemptOutcome::reset);
+  TraceEvent e{TraceEvent::Kind::attempt_received};
   e.rpc = id;
-  e.pick = n;
+  e.attempt = n;
   e.server = server;
   e.sidecar = s;
-  e.work = work;
-  say(e);
-  if (at.draining) return answer_with(ending::full);
-  jobs[of] = {id, n, s};
-  at.at->come(of, work);
-  if (!p) at.at->withdraw(of);  // its connection ended right behind it
+  e.work_ms = work;
+  trace(e);
+  if (at.draining) return answer_with(AttemptOutcome::rejected);
+  jobs_[of] = {id, n, s};
+  at.server->submit(of, work);
+  if (!p) at.server->cancel_queued(of);  // its connection ended right behind it
 }
 
-void world::ended(std::uint32_t server, std::uint64_t of, station::outcome how, double held) {
-  const auto it = jobs.find(of);
-  if (it == jobs.end()) return;
-  const job was = it->second;
-  jobs.erase(it);
-  if (was.rpc == 0 || places[server].vanished) return;
-  load report;
-  if (plays.rules.reports) report.held = held;
-  using outcome = station::outcome;
-  const ending means = how == outcome::served  ? ending::ok
-                       : how == outcome::error ? ending::error
-                       : how == outcome::full  ? ending::full
-                                               : ending::reset;
-  due.at(due.now() + trip(places[server].zone, sidecars[was.sidecar].zone), rank::network,
-         [this, was, means, report] {
-           if (live(was.rpc, was.pick)) end_pick(was.rpc, was.pick, means, report);
-         });
+void Simulation::on_job_finished(std::uint32_t server, std::uint64_t of, EmulatedServer::JobOutcome how,
+                                 double held) {
+  const auto it = jobs_.find(of);
+  if (it == jobs_.end()) return;
+  const ServerJob was = it->second;
+  jobs_.erase(it);
+  if (was.rpc == 0 || servers_[server].unreachable) return;
+  LoadReport report;
+  if (scenario_.rules.reports) report.in_flight = held;
+  using Outcome = EmulatedServer::JobOutcome;
+  const AttemptOutcome means = how == Outcome::served       ? AttemptOutcome::ok
+                               : how == Outcome::error      ? AttemptOutcome::error
+                               : how == Outcome::queue_full ? AttemptOutcome::rejected
+                                                            : AttemptOutcome::reset;
+  events_.schedule(events_.now() + one_way_delay(servers_[server].zone, sidecars_[was.sidecar].zone),
+                   EventPriority::network, [this, was, means, report] {
+                     if (find_open_attempt(was.rpc, was.attempt))
+                       finish_attempt(was.rpc, was.attempt, means, report);
+                   });
 }
 
 // The pick is over; its connection rests or ends, and what still waits for it at the server goes.
-void world::let_go(rpc& r, pick& p, ending how) {
-  place& at = places[p.server];
-  if (p.coming) p.coming = false, --at.coming;
-  const bool whole = how == ending::ok || how == ending::error || how == ending::full;
-  if (p.in == stage::connecting && p.fresh) closed(r.sidecar, p.server);
-  if (p.in == stage::written && whole) {
-    rest(r.sidecar, p.server, p.server_life);
-  } else if (p.in == stage::written) {
-    close(p.server, p.server_life);
-    closed(r.sidecar, p.server);
-    due.at(due.now() + trip(sidecars[r.sidecar].zone, at.zone), rank::network,
-           [this, server = p.server, of = p.job] {
-             if (!places[server].vanished) places[server].at->withdraw(of);
-           });
+void Simulation::release_attempt(OpenRpc& r, Attempt& p, AttemptOutcome how) {
+  ServerState& at = servers_[p.server];
+  if (p.counted_as_incoming) p.counted_as_incoming = false, --at.incoming_attempts;
+  const bool whole =
+      how == AttemptOutcome::ok || how == AttemptOutcome::error || how == AttemptOutcome::rejected;
+  if (p.phase == AttemptPhase::connecting && p.new_connection) release_connection_slot(r.sidecar, p.server);
+  if (p.phase == AttemptPhase::sent && whole) {
+    keep_idle_connection(r.sidecar, p.server, p.server_incarnation);
+  } else if (p.phase == AttemptPhase::sent) {
+    close_connection(p.server, p.server_incarnation);
+    release_connection_slot(r.sidecar, p.server);
+    events_.schedule(events_.now() + one_way_delay(sidecars_[r.sidecar].zone, at.zone),
+                     EventPriority::network, [this, server = p.server, of = p.job] {
+                       if (!servers_[server].unreachable) servers_[server].server->cancel_queued(of);
+                     });
   }
-  p.in = stage::over;
+  p.phase = AttemptPhase::finished;
 }
 
-void world::end_pick(std::uint64_t id, int n, ending how, const load& report) {
-  rpc& r = rpcs.at(id);
-  pick& p = r.picks[static_cast<std::size_t>(n)];
+void Simulation::finish_attempt(std::uint64_t id, int n, AttemptOutcome how, const LoadReport& report) {
+  OpenRpc& r = rpcs_.at(id);
+  Attempt& p = r.attempts[static_cast<std::size_t>(n)];
   const std::uint32_t s = r.sidecar;
-  const double took = due.now() - p.sent;
-  let_go(r, p, how);
-  seen.timed_out += how == ending::timed_out;
-  seen.full += how == ending::full;
-  seen.errors += how == ending::error || how == ending::reset;
-  if (how == ending::connect_failed) ++seen.connect_failed, ++this_second().connect_failed;
-  entry e{entry::what::pick_over};
+  const double took = events_.now() - p.started_at_ms;
+  release_attempt(r, p, how);
+  metrics_.timed_out += how == AttemptOutcome::timed_out;
+  metrics_.queue_full += how == AttemptOutcome::rejected;
+  metrics_.errors += how == AttemptOutcome::error || how == AttemptOutcome::reset;
+  if (how == AttemptOutcome::connect_failed) ++metrics_.connect_failed, ++current_second().connect_failed;
+  TraceEvent e{TraceEvent::Kind::attempt_finished};
   e.rpc = id;
-  e.pick = n;
+  e.attempt = n;
   e.server = p.server;
   e.sidecar = s;
-  e.how = how;
-  say(e);
-  if (how == ending::ok && !r.over) conclude(id, answer::ok, 0);
-  sidecars[s].decides->pick_ended(due.now(), std::to_string(id), n, how, took, r.over, report);
-  pull(s);
-  forget_if_over(id);
+  e.outcome = how;
+  trace(e);
+  if (how == AttemptOutcome::ok && !r.concluded) answer_rpc(id, RpcAnswer::ok, 0);
+  sidecars_[s].policy->on_attempt_finished(events_.now(), std::to_string(id), n, how, took, r.concluded,
+                                           report);
+  execute_decisions(s);
+  erase_if_finished(id);
 }
 
-void world::time_out(std::uint64_t id, int n) {
-  const pick* p = live(id, n);
+void Simulation::on_attempt_timeout(std::uint64_t id, int n) {
+  const Attempt* p = find_open_attempt(id, n);
   if (!p) return;
-  end_pick(id, n, p->in == stage::connecting ? ending::connect_failed : ending::timed_out, {});
+  finish_attempt(
+      id, n,
+      p->phase == AttemptPhase::connecting ? AttemptOutcome::connect_failed : AttemptOutcome::timed_out, {});
 }
 
-void world::cancel(std::uint32_t, const decision& d) {
-  const std::uint64_t id = number(d.rpc);
-  if (live(id, d.pick)) end_pick(id, d.pick, ending::cancelled, {});
+void Simulation::cancel_attempt(std::uint32_t, const Decision& d) {
+  const std::uint64_t id = parse_rpc_id(d.rpc_id);
+  if (find_open_attempt(id, d.attempt_index))
+    finish_attempt(id, d.attempt_index, AttemptOutcome::cancelled, {});
 }
 
-void world::conclude(std::uint64_t id, answer a, double advice) {
-  rpc& r = rpcs.at(id);
-  if (r.over) return;
-  r.over = true;
-  entry e{entry::what::answered};
+void Simulation::answer_rpc(std::uint64_t id, RpcAnswer a, double advice) {
+  OpenRpc& r = rpcs_.at(id);
+  if (r.concluded) return;
+  r.concluded = true;
+  TraceEvent e{TraceEvent::Kind::answered};
   e.rpc = id;
   e.sidecar = r.sidecar;
-  e.final = a;
-  if (!r.picks.empty()) e.server = r.picks.back().server;
-  say(e);
-  const task& t = tasks.at(r.task);
-  const bool in_time = due.now() - t.came <= plays.methods[t.method].is.latency_target;
-  if (a == answer::ok)
-    conclude_task(r.task, in_time ? fate::ok : fate::late);
+  e.answer = a;
+  if (!r.attempts.empty()) e.server = r.attempts.back().server;
+  trace(e);
+  const ClientRequest& t = requests_.at(r.request);
+  const bool in_time =
+      events_.now() - t.arrived_at_ms <= scenario_.methods[t.method].method.latency_objective_ms;
+  if (a == RpcAnswer::ok)
+    conclude_request(r.request, in_time ? RequestOutcome::ok : RequestOutcome::late);
   else
-    retry_or(r.task, a == answer::pushed_back ? fate::pushed_back : fate::aborted, advice);
+    retry_or_conclude(r.request, a == RpcAnswer::rejected ? RequestOutcome::rejected : RequestOutcome::failed,
+                      advice);
 }
 
-void world::forget_if_over(std::uint64_t id) {
-  const auto it = rpcs.find(id);
-  if (it != rpcs.end() && it->second.over && it->second.idle()) rpcs.erase(it);
+void Simulation::erase_if_finished(std::uint64_t id) {
+  const auto it = rpcs_.find(id);
+  if (it != rpcs_.end() && it->second.concluded && it->second.has_no_open_attempt()) rpcs_.erase(it);
 }
 
-void world::rest(std::uint32_t s, std::uint32_t server, std::uint32_t life) {
-  if (places[server].life != life && !places[server].vanished) return closed(s, server);  // ended with it
-  sidecars[s].resting[server].push_back({due.now(), life});
-  tell_resting(s, server);
+void Simulation::keep_idle_connection(std::uint32_t s, std::uint32_t server, std::uint32_t life) {
+  if (servers_[server].incarnation != life && !servers_[server].unreachable)
+    return release_connection_slot(s, server);  // ended with it
+  sidecars_[s].idle_connections[server].push_back({events_.now(), life});
+  report_idle_connections(s, server);
   // Retired before the server would close it: a pick written to it then would be a reset.
   constexpr double part = 0.75;
-  due.at(due.now() + part * plays.net.idle, rank::timer, [this, s, server, of = sidecars[s].life] {
-    if (sidecars[s].life != of || !sidecars[s].up) return;
-    std::vector<connection>& rested = sidecars[s].resting[server];
-    const double since = due.now() - part * plays.net.idle;
-    const std::size_t before = rested.size();
-    while (!rested.empty() && rested.front().since <= since) {
-      close(server, rested.front().life);
-      closed(s, server);
-      rested.erase(rested.begin());
-    }
-    if (rested.size() != before) tell_resting(s, server);
-  });
+  events_.schedule(events_.now() + part * scenario_.network.idle, EventPriority::timer,
+                   [this, s, server, of = sidecars_[s].incarnation] {
+                     if (sidecars_[s].incarnation != of || !sidecars_[s].running) return;
+                     std::vector<IdleConnection>& rested = sidecars_[s].idle_connections[server];
+                     const double since = events_.now() - part * scenario_.network.idle;
+                     const std::size_t before = rested.size();
+                     while (!rested.empty() && rested.front().idle_since_ms <= since) {
+                       close_connection(server, rested.front().incarnation);
+                       release_connection_slot(s, server);
+                       rested.erase(rested.begin());
+                     }
+                     if (rested.size() != before) report_idle_connections(s, server);
+                   });
 }
 
-void world::close(std::uint32_t server, std::uint32_t life) {
-  if (places[server].life == life && places[server].connections > 0) --places[server].connections;
+void Simulation::close_connection(std::uint32_t server, std::uint32_t life) {
+  if (servers_[server].incarnation == life && servers_[server].connections > 0)
+    --servers_[server].connections;
 }
 
-void world::probe(std::uint32_t s, std::uint32_t server) {
-  sidecar& c = sidecars[s];
-  using kind = limits::kind;
-  if (c.within && (!c.within->take(kind::probe, server_name(server), due.now()) ||
-                   (c.resting[server].empty() && !c.within->open(server_name(server), due.now())))) {
-    due.at(due.now(), rank::timer, [this, s, server, life = c.life] {
-      if (!sidecars[s].up || sidecars[s].life != life) return;
-      sidecars[s].decides->probe_ended(due.now(), server_name(server), ending::moot, {});
-      pull(s);
+void Simulation::start_health_check(std::uint32_t s, std::uint32_t server) {
+  SidecarState& c = sidecars_[s];
+  using Kind = FleetLimiter::Resource;
+  if (c.limiter && (!c.limiter->acquire(Kind::health_check, server_name(server), events_.now()) ||
+                    (c.idle_connections[server].empty() &&
+                     !c.limiter->open_connection(server_name(server), events_.now())))) {
+    events_.schedule(events_.now(), EventPriority::timer, [this, s, server, life = c.incarnation] {
+      if (!sidecars_[s].running || sidecars_[s].incarnation != life) return;
+      sidecars_[s].policy->on_probe_finished(events_.now(), server_name(server), AttemptOutcome::client_error,
+                                             {});
+      execute_decisions(s);
     });
     return;
   }
-  ++seen.probes;
-  ++this_second().probes;
-  entry e{entry::what::probe_written};
+  ++metrics_.health_checks;
+  ++current_second().health_checks;
+  TraceEvent e{TraceEvent::Kind::health_check_sent};
   e.server = server;
   e.sidecar = s;
-  say(e);
+  trace(e);
   // Ended at most once: by its answer, a refusal or the time-out.
   const auto over = std::make_shared<bool>(false);
-  const auto end = [this, s, server, over, life = sidecars[s].life](ending how, const load& report) {
-    if (std::exchange(*over, true) || !sidecars[s].up || sidecars[s].life != life) return false;
-    if (how != ending::ok && how != ending::error) closed(s, server);
-    sidecars[s].decides->probe_ended(due.now(), server_name(server), how, report);
-    pull(s);
+  const auto end = [this, s, server, over, life = sidecars_[s].incarnation](AttemptOutcome how,
+                                                                            const LoadReport& report) {
+    if (std::exchange(*over, true) || !sidecars_[s].running || sidecars_[s].incarnation != life) return false;
+    if (how != AttemptOutcome::ok && how != AttemptOutcome::error) release_connection_slot(s, server);
+    sidecars_[s].policy->on_probe_finished(events_.now(), server_name(server), how, report);
+    execute_decisions(s);
     return true;
   };
   constexpr double patience = 250;  // the sidecar's own
-  due.at(due.now() + patience, rank::timer, [end] { end(ending::timed_out, {}); });
+  events_.schedule(events_.now() + patience, EventPriority::timer,
+                   [end] { end(AttemptOutcome::timed_out, {}); });
 
   const auto answered = [this, s, server, end](std::uint32_t life) {
-    place& at = places[server];
-    if (at.vanished) return;
-    const double back = trip(at.zone, sidecars[s].zone);
-    if (!at.at->up() || at.life != life) {
-      due.at(due.now() + back, rank::network, [end] { end(ending::reset, {}); });
+    ServerState& at = servers_[server];
+    if (at.unreachable) return;
+    const double back = one_way_delay(at.zone, sidecars_[s].zone);
+    if (!at.server->is_running() || at.incarnation != life) {
+      events_.schedule(events_.now() + back, EventPriority::network,
+                       [end] { end(AttemptOutcome::reset, {}); });
       return;
     }
-    count_second(at);
-    seen.most_probes = std::max(seen.most_probes, ++at.probes);
-    const double when = std::max(due.now(), at.at->stalled_until());
-    due.at(when, rank::server, [this, s, server, end, life, back] {
-      load report;
-      if (plays.rules.reports) report.held = places[server].at->held();
-      const ending how = places[server].draining ? ending::error : ending::ok;
-      due.at(due.now() + back, rank::network, [this, s, server, end, life, how, report] {
-        if (end(how, report))
-          rest(s, server, life);
-        else
-          close(server, life);
-      });
+    roll_second_counters(at);
+    metrics_.peak_health_checks_per_second =
+        std::max(metrics_.peak_health_checks_per_second, ++at.health_checks_in_second);
+    const double when = std::max(events_.now(), at.server->stalled_until_ms());
+    events_.schedule(when, EventPriority::server, [this, s, server, end, life, back] {
+      LoadReport report;
+      if (scenario_.rules.reports) report.in_flight = servers_[server].server->jobs_in_flight();
+      const AttemptOutcome how = servers_[server].draining ? AttemptOutcome::error : AttemptOutcome::ok;
+      events_.schedule(events_.now() + back, EventPriority::network,
+                       [this, s, server, end, life, how, report] {
+                         if (end(how, report))
+                           keep_idle_connection(s, server, life);
+                         else
+                           close_connection(server, life);
+                       });
     });
   };
-  const double there = trip(sidecars[s].zone, places[server].zone);
-  connection got;
-  if (take_rested(s, server, got)) {
-    due.at(due.now() + there, rank::network, [answered, life = got.life] { answered(life); });
+  const double there = one_way_delay(sidecars_[s].zone, servers_[server].zone);
+  IdleConnection got;
+  if (take_idle_connection(s, server, got)) {
+    events_.schedule(events_.now() + there, EventPriority::network,
+                     [answered, life = got.incarnation] { answered(life); });
     return;
   }
-  due.at(due.now() + there, rank::network, [this, s, server, end, answered] {
-    place& at = places[server];
-    if (at.vanished) return;
-    const double back = trip(at.zone, sidecars[s].zone);
-    if (!at.at->up() || !accept(at)) {
-      due.at(due.now() + back, rank::network, [end] { end(ending::connect_failed, {}); });
+  events_.schedule(events_.now() + there, EventPriority::network, [this, s, server, end, answered] {
+    ServerState& at = servers_[server];
+    if (at.unreachable) return;
+    const double back = one_way_delay(at.zone, sidecars_[s].zone);
+    if (!at.server->is_running() || !accept_connection(at)) {
+      events_.schedule(events_.now() + back, EventPriority::network,
+                       [end] { end(AttemptOutcome::connect_failed, {}); });
       return;
     }
-    entry work{entry::what::pick_came};
+    TraceEvent work{TraceEvent::Kind::attempt_received};
     work.server = server;
     work.sidecar = s;
-    work.work = plays.net.handshake_work;
-    say(work);
-    const std::uint64_t of = ++next_job;
-    const std::uint32_t life = at.life;
-    jobs[of] = {0, 0, s};
-    at.at->come(of, plays.net.handshake_work);
-    const double forth = trip(sidecars[s].zone, at.zone);
-    due.at(due.now() + back + plays.net.handshake + forth, rank::network,
-           [answered, life] { answered(life); });
+    work.work_ms = scenario_.network.handshake_work;
+    trace(work);
+    const std::uint64_t of = ++last_job_id_;
+    const std::uint32_t life = at.incarnation;
+    jobs_[of] = {0, 0, s};
+    at.server->submit(of, scenario_.network.handshake_work);
+    const double forth = one_way_delay(sidecars_[s].zone, at.zone);
+    events_.schedule(events_.now() + back + scenario_.network.handshake + forth, EventPriority::network,
+                     [answered, life] { answered(life); });
   });
 }
 
-void world::kill_sidecar(std::uint32_t s) {
-  sidecar& c = sidecars[s];
-  if (!c.up) return;
-  c.up = false;
-  if (c.behind) c.behind = false, --behind;
-  c.decides.reset();
+void Simulation::kill_sidecar(std::uint32_t s) {
+  SidecarState& c = sidecars_[s];
+  if (!c.running) return;
+  c.running = false;
+  if (c.stale) c.stale = false, --stale_sidecar_count_;
+  c.policy.reset();
   c.subscribed = false;
-  entry e{entry::what::sidecar_died};
+  TraceEvent e{TraceEvent::Kind::sidecar_died};
   e.sidecar = s;
-  say(e);
-  for (auto it = rpcs.begin(); it != rpcs.end();) {
-    rpc& r = it->second;
+  trace(e);
+  for (auto it = rpcs_.begin(); it != rpcs_.end();) {
+    OpenRpc& r = it->second;
     if (r.sidecar != s) {
       ++it;
       continue;
     }
-    for (pick& p : r.picks) {
-      if (p.in == stage::over) continue;
-      if (p.coming) --places[p.server].coming;
-      if (p.in == stage::written) {
-        close(p.server, p.server_life);
-        if (!places[p.server].vanished) places[p.server].at->withdraw(p.job);
+    for (Attempt& p : r.attempts) {
+      if (p.phase == AttemptPhase::finished) continue;
+      if (p.counted_as_incoming) --servers_[p.server].incoming_attempts;
+      if (p.phase == AttemptPhase::sent) {
+        close_connection(p.server, p.server_incarnation);
+        if (!servers_[p.server].unreachable) servers_[p.server].server->cancel_queued(p.job);
       }
     }
-    it = rpcs.erase(it);
+    it = rpcs_.erase(it);
   }
-  for (std::uint32_t i = 0; i < c.resting.size(); ++i)
-    for (const connection& k : c.resting[i]) close(i, k.life);
-  c.resting.assign(places.size(), {});
+  for (std::uint32_t i = 0; i < c.idle_connections.size(); ++i)
+    for (const IdleConnection& k : c.idle_connections[i]) close_connection(i, k.incarnation);
+  c.idle_connections.assign(servers_.size(), {});
   std::vector<std::uint64_t> gone;
-  for (const auto& [id, t] : tasks)
+  for (const auto& [id, t] : requests_)
     if (t.sidecar == s) gone.push_back(id);
-  for (const std::uint64_t id : gone) conclude_task(id, fate::lost);
+  for (const std::uint64_t id : gone) conclude_request(id, RequestOutcome::lost);
 }
 
 // ---- the list -----------------------------------------------------------------------------------------
 
-endpoint world::shown(std::uint32_t server, standing how) const {
-  const place& at = places[server];
-  return {server_name(server), zone_name(at.zone), at.cell, at.at->started(), how};
+Endpoint Simulation::make_endpoint(std::uint32_t server, EndpointState how) const {
+  const ServerState& at = servers_[server];
+  return {server_name(server), zone_name(at.zone), at.cell, at.server->started_at_ms(), how};
 }
 
-void world::change(std::uint32_t server, standing how) {
-  changes.push_back(shown(server, how));
-  changed.push_back(server);
-  if (first_change < 0) first_change = due.now();
-  seen.all_told = 0;
-  for (std::uint32_t s = 0; s < sidecars.size(); ++s) {
-    sidecar& c = sidecars[s];
-    if (!c.up) continue;
-    if (!c.behind) c.behind = true, ++behind;
-    if (!plays.list.asked || c.subscribed) news_for(s);
+void Simulation::publish_change(std::uint32_t server, EndpointState how) {
+  endpoint_changes_.push_back(make_endpoint(server, how));
+  changed_servers_.push_back(server);
+  if (first_change_at_ms_ < 0) first_change_at_ms_ = events_.now();
+  metrics_.endpoint_convergence_ms = 0;
+  for (std::uint32_t s = 0; s < sidecars_.size(); ++s) {
+    SidecarState& c = sidecars_[s];
+    if (!c.running) continue;
+    if (!c.stale) c.stale = true, ++stale_sidecar_count_;
+    if (!scenario_.discovery.asked || c.subscribed) schedule_endpoint_update(s);
   }
 }
 
-void world::news_for(std::uint32_t s) {
-  sidecar& c = sidecars[s];
-  if (c.news_due || list_silent) return;
-  c.news_due = true;
-  const double after = plays.list.delay + plays.list.spread * lists.unit();
-  due.at(due.now() + after, rank::list, [this, s, life = c.life] {
-    if (!sidecars[s].up || sidecars[s].life != life) return;
-    sidecars[s].news_due = false;
-    if (!list_silent && sidecars[s].behind) tell(s, false, true);
+void Simulation::schedule_endpoint_update(std::uint32_t s) {
+  SidecarState& c = sidecars_[s];
+  if (c.update_scheduled || discovery_silent_) return;
+  c.update_scheduled = true;
+  const double after = scenario_.discovery.delay + scenario_.discovery.spread * discovery_random_.uniform();
+  events_.schedule(events_.now() + after, EventPriority::discovery, [this, s, life = c.incarnation] {
+    if (!sidecars_[s].running || sidecars_[s].incarnation != life) return;
+    sidecars_[s].update_scheduled = false;
+    if (!discovery_silent_ && sidecars_[s].stale) deliver_endpoints(s, false, true);
   });
 }
 
 // All that happened since the version that the sidecar knows; at a start, the whole list as it last had it.
-void world::tell(std::uint32_t s, bool whole, bool asked) {
-  sidecar& c = sidecars[s];
-  const auto note = [&](std::uint32_t server, const endpoint& is) {
-    if (is.state == standing::ready && is.started <= 0) return;
-    entry e{entry::what::told};
+void Simulation::deliver_endpoints(std::uint32_t s, bool whole, bool asked) {
+  SidecarState& c = sidecars_[s];
+  const auto note = [&](std::uint32_t server, const Endpoint& is) {
+    if (is.state == EndpointState::ready && is.started_at_ms <= 0) return;
+    TraceEvent e{TraceEvent::Kind::endpoint_notified};
     e.sidecar = s;
     e.server = server;
     e.state = is.state;
-    e.started = is.started;
-    say(e);
+    e.started_at_ms = is.started_at_ms;
+    trace(e);
   };
   if (!whole) {
-    const auto from = static_cast<std::ptrdiff_t>(c.known);
-    const std::vector<endpoint> news(changes.begin() + from, changes.end());
-    for (std::size_t i = c.known; i < changes.size(); ++i) note(changed[i], changes[i]);
-    for (std::size_t i = c.known; i < changes.size(); ++i) {
-      if (changes[i].state != standing::gone) continue;
-      for (const connection& k : c.resting[changed[i]]) close(changed[i], k.life), closed(s, changed[i]);
-      c.resting[changed[i]].clear();
-      tell_resting(s, changed[i]);
+    const auto from = static_cast<std::ptrdiff_t>(c.known_changes);
+    const std::vector<Endpoint> news(endpoint_changes_.begin() + from, endpoint_changes_.end());
+    for (std::size_t i = c.known_changes; i < endpoint_changes_.size(); ++i)
+      note(changed_servers_[i], endpoint_changes_[i]);
+    for (std::size_t i = c.known_changes; i < endpoint_changes_.size(); ++i) {
+      if (endpoint_changes_[i].state != EndpointState::gone) continue;
+      for (const IdleConnection& k : c.idle_connections[changed_servers_[i]])
+        close_connection(changed_servers_[i], k.incarnation), release_connection_slot(s, changed_servers_[i]);
+      c.idle_connections[changed_servers_[i]].clear();
+      report_idle_connections(s, changed_servers_[i]);
     }
-    c.known = changes.size();
-    up_to_date(s);
-    c.decides->listed(due.now(), false, asked, news);
-    list_servers(s);
-    return pull(s);
+    c.known_changes = endpoint_changes_.size();
+    mark_up_to_date(s);
+    c.policy->update_endpoints(events_.now(), false, asked, news);
+    update_limiter_endpoints(s);
+    return execute_decisions(s);
   }
   if (asked) {
-    c.known = changes.size();
-    up_to_date(s);
+    c.known_changes = endpoint_changes_.size();
+    mark_up_to_date(s);
   }
-  std::map<std::uint32_t, endpoint> all;
-  for (std::uint32_t i = 0; i < first_list.size(); ++i) all[i] = first_list[i];
-  for (std::size_t i = 0; i < c.known; ++i) {
-    if (changes[i].state == standing::gone)
-      all.erase(changed[i]);
+  std::map<std::uint32_t, Endpoint> all;
+  for (std::uint32_t i = 0; i < initial_endpoints_.size(); ++i) all[i] = initial_endpoints_[i];
+  for (std::size_t i = 0; i < c.known_changes; ++i) {
+    if (endpoint_changes_[i].state == EndpointState::gone)
+      all.erase(changed_servers_[i]);
     else
-      all[changed[i]] = changes[i];
+      all[changed_servers_[i]] = endpoint_changes_[i];
   }
-  std::vector<endpoint> entries;
+  std::vector<Endpoint> entries;
   for (const auto& [server, is] : all) {
     note(server, is);
     entries.push_back(is);
   }
-  c.decides->listed(due.now(), true, asked, entries);
-  list_servers(s);
-  pull(s);
+  c.policy->update_endpoints(events_.now(), true, asked, entries);
+  update_limiter_endpoints(s);
+  execute_decisions(s);
 }
 
-void world::up_to_date(std::uint32_t s) {
-  if (!sidecars[s].behind) return;
-  sidecars[s].behind = false;
-  if (--behind == 0) seen.all_told = due.now() - first_change;
+void Simulation::mark_up_to_date(std::uint32_t s) {
+  if (!sidecars_[s].stale) return;
+  sidecars_[s].stale = false;
+  if (--stale_sidecar_count_ == 0) metrics_.endpoint_convergence_ms = events_.now() - first_change_at_ms_;
 }
 
 // One service for all: it works on one call after the other, and what was given up on still fills its queue.
-void world::call_list(std::uint32_t s) {
-  sidecar& c = sidecars[s];
-  if (c.within && !c.within->take(limits::kind::list_call, "", due.now())) {
-    due.at(due.now() + c.within->again(limits::kind::list_call, due.now()), rank::list,
-           [this, s, life = c.life] {
-             if (sidecars[s].up && sidecars[s].life == life) call_list(s);
-           });
+void Simulation::poll_discovery(std::uint32_t s) {
+  SidecarState& c = sidecars_[s];
+  if (c.limiter && !c.limiter->acquire(FleetLimiter::Resource::discovery_poll, "", events_.now())) {
+    events_.schedule(
+        events_.now() + c.limiter->next_slot_delay_ms(FleetLimiter::Resource::discovery_poll, events_.now()),
+        EventPriority::discovery, [this, s, life = c.incarnation] {
+          if (sidecars_[s].running && sidecars_[s].incarnation == life) poll_discovery(s);
+        });
     return;
   }
-  ++seen.list_calls;
-  ++this_second().list_calls;
-  const std::uint64_t call = c.call = ++next_call;
-  const bool whole = c.whole_next;
+  ++metrics_.discovery_polls;
+  ++current_second().discovery_polls;
+  const std::uint64_t call = c.pending_poll = ++last_poll_id_;
+  const bool whole = c.full_list_next;
   constexpr double gives_up = 1500;  // the sidecar's own
-  due.at(due.now() + gives_up, rank::list, [this, s, call] { list_failed(s, call); });
-  due.at(due.now() + trip(c.zone, 0), rank::network, [this, s, call, whole] {
-    if (list_silent) return;
-    if (list_pending >= static_cast<std::size_t>(plays.list.queue) + 1) {
-      ++seen.list_refusals;
-      due.at(due.now() + trip(0, sidecars[s].zone), rank::network, [this, s, call] { list_failed(s, call); });
+  events_.schedule(events_.now() + gives_up, EventPriority::discovery,
+                   [this, s, call] { on_poll_failed(s, call); });
+  events_.schedule(events_.now() + one_way_delay(c.zone, 0), EventPriority::network, [this, s, call, whole] {
+    if (discovery_silent_) return;
+    if (discovery_queue_length_ >= static_cast<std::size_t>(scenario_.discovery.queue) + 1) {
+      ++metrics_.discovery_rejections;
+      events_.schedule(events_.now() + one_way_delay(0, sidecars_[s].zone), EventPriority::network,
+                       [this, s, call] { on_poll_failed(s, call); });
       return;
     }
-    ++list_pending;
-    list_free =
-        std::max(list_free, due.now()) + (whole ? plays.list.whole : plays.list.changes) * list_slowness;
-    due.at(list_free, rank::list, [this, s, call, whole] {
-      --list_pending;
-      due.at(due.now() + trip(0, sidecars[s].zone), rank::network, [this, s, call, whole] {
-        sidecar& to = sidecars[s];
-        if (!to.up || to.call != call || list_silent) return;
-        to.call = 0;
-        to.subscribed = true;
-        to.whole_next = false;
-        tell(s, whole, true);
-      });
+    ++discovery_queue_length_;
+    discovery_free_at_ms_ =
+        std::max(discovery_free_at_ms_, events_.now()) +
+        (whole ? scenario_.discovery.whole : scenario_.discovery.changes) * discovery_slowdown_;
+    events_.schedule(discovery_free_at_ms_, EventPriority::discovery, [this, s, call, whole] {
+      --discovery_queue_length_;
+      events_.schedule(events_.now() + one_way_delay(0, sidecars_[s].zone), EventPriority::network,
+                       [this, s, call, whole] {
+                         SidecarState& to = sidecars_[s];
+                         if (!to.running || to.pending_poll != call || discovery_silent_) return;
+                         to.pending_poll = 0;
+                         to.subscribed = true;
+                         to.full_list_next = false;
+                         deliver_endpoints(s, whole, true);
+                       });
     });
   });
 }
 
-void world::list_failed(std::uint32_t s, std::uint64_t call) {
-  sidecar& c = sidecars[s];
-  if (!c.up || c.call != call) return;
-  c.call = 0;
+void Simulation::on_poll_failed(std::uint32_t s, std::uint64_t call) {
+  SidecarState& c = sidecars_[s];
+  if (!c.running || c.pending_poll != call) return;
+  c.pending_poll = 0;
   c.subscribed = false;
-  c.whole_next = true;
-  c.decides->list_failed(due.now());
-  pull(s);
+  c.full_list_next = true;
+  c.policy->endpoint_poll_failed(events_.now());
+  execute_decisions(s);
 }
 
 // ---- servers ------------------------------------------------------------------------------------------
 
 // machine: it says nothing any more; else its connections end and new ones are refused.
-void world::stop_server(std::uint32_t server, bool machine, bool noticed) {
-  place& at = places[server];
-  at.vanished = machine;
-  if (at.at->up()) at.at->die();
+void Simulation::stop_server(std::uint32_t server, bool machine, bool noticed) {
+  ServerState& at = servers_[server];
+  at.unreachable = machine;
+  if (at.server->is_running()) at.server->terminate();
   at.connections = 0;
   if (!machine) {
-    ++at.life;
+    ++at.incarnation;
     // Who holds a connection there sees it end a trip later.
-    due.at(due.now() + plays.net.delay, rank::network, [this, server] {
-      for (std::uint32_t s = 0; s < sidecars.size(); ++s) {
-        std::vector<connection>& rested = sidecars[s].resting[server];
-        const auto ended_ones =
-            std::erase_if(rested, [&](const connection& k) { return k.life != places[server].life; });
-        for (std::size_t i = 0; i < ended_ones; ++i) closed(s, server);
-        if (ended_ones > 0 && sidecars[s].up) tell_resting(s, server);
+    events_.schedule(events_.now() + scenario_.network.delay, EventPriority::network, [this, server] {
+      for (std::uint32_t s = 0; s < sidecars_.size(); ++s) {
+        std::vector<IdleConnection>& rested = sidecars_[s].idle_connections[server];
+        const auto ended_ones = std::erase_if(
+            rested, [&](const IdleConnection& k) { return k.incarnation != servers_[server].incarnation; });
+        for (std::size_t i = 0; i < ended_ones; ++i) release_connection_slot(s, server);
+        if (ended_ones > 0 && sidecars_[s].running) report_idle_connections(s, server);
       }
     });
   }
   if (!noticed) return;
-  due.at(due.now() + plays.list.notice, rank::list, [this, server, life = at.life] {
-    place& then = places[server];
-    if (then.life != life || (then.at->up() && !then.vanished) || !then.listed) return;
-    then.listed = false;
-    change(server, standing::gone);
-  });
+  events_.schedule(
+      events_.now() + scenario_.discovery.notice, EventPriority::discovery,
+      [this, server, life = at.incarnation] {
+        ServerState& then = servers_[server];
+        if (then.incarnation != life || (then.server->is_running() && !then.unreachable) || !then.advertised)
+          return;
+        then.advertised = false;
+        publish_change(server, EndpointState::gone);
+      });
 }
 
-void world::return_server(std::uint32_t server) {
-  place& at = places[server];
-  if (at.vanished) ++at.life, at.connections = 0;
-  at.vanished = at.draining = false;
-  at.listed = true;
-  at.at->start_cold();
-  say_what_it_is(server);
-  change(server, standing::ready);
+void Simulation::restart_server(std::uint32_t server) {
+  ServerState& at = servers_[server];
+  if (at.unreachable) ++at.incarnation, at.connections = 0;
+  at.unreachable = at.draining = false;
+  at.advertised = true;
+  at.server->restart();
+  trace_server_state(server);
+  publish_change(server, EndpointState::ready);
 }
 
-double world::true_time(std::uint32_t s, std::uint32_t server) const {
+double Simulation::true_response_time(std::uint32_t s, std::uint32_t server) const {
   constexpr double hopeless = 1e12;
-  const place& at = places[server];
-  if (at.vanished || at.draining || !at.at->up()) return hopeless;
+  const ServerState& at = servers_[server];
+  if (at.unreachable || at.draining || !at.server->is_running()) return hopeless;
   double mean = 0, shares = 0;
-  for (const work_kind& k : plays.methods) mean += k.share * k.work.mean, shares += k.share;
+  for (const MethodWorkload& k : scenario_.methods) mean += k.share * k.work_ms.mean, shares += k.share;
   mean /= shares;
-  const double rate = at.at->rate();
-  const double on_the_way = static_cast<double>(at.coming) * mean / (rate * at.at->is().cores);
-  const double there = plays.net.delay + (at.zone == sidecars[s].zone ? 0 : plays.net.cross_zone);
-  const bool fresh = sidecars[s].resting[server].empty();
-  const double joining = fresh ? plays.net.handshake + plays.net.handshake_work / rate + 2 * there : 0;
-  return at.at->work_ahead() + on_the_way + mean / rate + 2 * there + joining;
+  const double rate = at.server->service_rate();
+  const double on_the_way =
+      static_cast<double>(at.incoming_attempts) * mean / (rate * at.server->config().cores);
+  const double there =
+      scenario_.network.delay + (at.zone == sidecars_[s].zone ? 0 : scenario_.network.cross_zone);
+  const bool fresh = sidecars_[s].idle_connections[server].empty();
+  const double joining =
+      fresh ? scenario_.network.handshake + scenario_.network.handshake_work / rate + 2 * there : 0;
+  return at.server->queueing_delay_ms() + on_the_way + mean / rate + 2 * there + joining;
 }
 
 // ---- all of it ----------------------------------------------------------------------------------------
 
 // One way. What is lost comes after the retransmission's time, doubled each time, as TCP sends it again.
-double world::trip(int from_zone, int to_zone) {
-  double takes = plays.net.delay + network.exponential(plays.net.jitter) +
-                 (from_zone == to_zone ? 0 : plays.net.cross_zone);
+double Simulation::one_way_delay(int from_zone, int to_zone) {
+  double takes = scenario_.network.delay + network_random_.exponential(scenario_.network.jitter) +
+                 (from_zone == to_zone ? 0 : scenario_.network.cross_zone);
   constexpr double longest_wait = 10000;
-  for (double again = plays.net.retransmit; again < longest_wait && network.happens(loss); again *= 2)
+  for (double again = scenario_.network.retransmit;
+       again < longest_wait && network_random_.bernoulli(packet_loss_); again *= 2)
     takes += again;
   return takes;
 }
 
-void world::say(entry e) {
-  e.at = due.now();
-  for (witness* w : told) w->saw(e);
+void Simulation::trace(TraceEvent e) {
+  e.time_ms = events_.now();
+  for (TraceListener* w : listeners_) w->on_event(e);
 }
 
-second& world::this_second() {
-  const auto at = static_cast<std::size_t>(due.now() / ms_per_s);
-  if (seen.seconds.size() <= at) seen.seconds.resize(at + 1);
-  return seen.seconds[at];
+SecondMetrics& Simulation::current_second() {
+  const auto at = static_cast<std::size_t>(events_.now() / ms_per_s);
+  if (metrics_.seconds.size() <= at) metrics_.seconds.resize(at + 1);
+  return metrics_.seconds[at];
 }
 
-bool world::step() {
-  const bool more = due.step(end_at);
-  if (more) ++seen.events;
+bool Simulation::run_next_event() {
+  const bool more = events_.run_next(end_at_ms_);
+  if (more) ++metrics_.events;
   return more;
 }
 
-figures world::finish() {
-  while (step()) {
+RunMetrics Simulation::run_to_end() {
+  while (run_next_event()) {
   }
-  seen.open = tasks.size();
-  for (const second& sec : seen.seconds)
-    seen.most_list_calls = std::max(seen.most_list_calls, sec.list_calls);
-  using kind = limits::kind;
-  for (const sidecar& c : sidecars)
-    for (const kind k : {kind::connection, kind::handshake, kind::probe, kind::list_call})
-      if (c.within) seen.denied += c.within->counted(k).denied;
-  entry e{entry::what::end};
-  say(e);
-  return seen;
+  metrics_.open_at_end = requests_.size();
+  for (const SecondMetrics& sec : metrics_.seconds)
+    metrics_.peak_discovery_polls_per_second =
+        std::max(metrics_.peak_discovery_polls_per_second, sec.discovery_polls);
+  using Kind = FleetLimiter::Resource;
+  for (const SidecarState& c : sidecars_)
+    for (const Kind k : {Kind::connection, Kind::handshake, Kind::health_check, Kind::discovery_poll})
+      if (c.limiter) metrics_.limit_denials += c.limiter->counts(k).denied;
+  TraceEvent e{TraceEvent::Kind::run_ended};
+  trace(e);
+  return metrics_;
 }
 
-bool world::conserved() const {
-  return seen.arrived ==
-         seen.ok + seen.late + seen.pushed_back + seen.aborted + seen.unanswered + seen.lost + tasks.size();
+bool Simulation::is_conserved() const {
+  return metrics_.arrived == metrics_.ok + metrics_.late + metrics_.rejected + metrics_.failed +
+                                 metrics_.unanswered + metrics_.lost + requests_.size();
 }
 
-figures play(const scenario& s, policy by, std::uint64_t seed, witness* more) {
-  auditor checks({s.rules.grace, s.rules.multiple, s.rules.span});
-  std::vector<witness*> listeners{&checks};
+RunMetrics run_simulation(const Scenario& s, PolicyKind by, std::uint64_t seed, TraceListener* more) {
+  RuleChecker checks({s.rules.grace, s.rules.multiple, s.rules.span});
+  std::vector<TraceListener*> listeners{&checks};
   if (more) listeners.push_back(more);
-  world w(s, by, seed, listeners);
-  figures f = w.finish();
-  f.breaches = checks.breaches();
-  f.breached = checks.count();
-  f.worst_cold = checks.worst_cold();
+  Simulation w(s, by, seed, listeners);
+  RunMetrics f = w.run_to_end();
+  f.violations = checks.violations();
+  f.violation_count = checks.count();
+  f.peak_slow_start_overload = checks.peak_slow_start_overload();
   return f;
 }
 
--- a/src/lease/lease.h
+++ b/src/lease/lease.h
@@ -19,122 +19,130 @@
 namespace indigorill {
 
 // A later one leads. session: of one process, never used twice.
-struct ballot {
+struct BallotNumber {
   std::uint64_t round = 0, session = 0;
-  auto operator<=>(const ballot&) const = default;
+  auto operator<=>(const BallotNumber&) const = default;
 };
 
-struct lease_word {
-  enum class kind : std::uint8_t {
+struct LeaseMessage {
+  enum class Type : std::uint8_t {
     prepare,
     promise,
     propose,
     accepted,
-    refused,
+    rejected,
     released
-  } what = kind::prepare;
-  ballot number;
-  std::string holder;         // promise, refused: whose lease the voter knows of, if it has not ended
-  std::uint64_t session = 0;  // of that holder
-  double remaining = 0;       // ms, of that lease
-  double quiet = 0;           // ms, until all that was given under any lease known to the voter has ended
-  bool operator==(const lease_word&) const = default;
+  } type = Type::prepare;
+  BallotNumber ballot;
+  std::string holder;                // promise, refused: whose lease the voter knows of, if it has not ended
+  std::uint64_t holder_session = 0;  // of that holder
+  double remaining_ms = 0;           // ms, of that lease
+  double previous_leases_remaining_ms =
+      0;  // ms, until all that was given under any lease known to the voter has ended
+  bool operator==(const LeaseMessage&) const = default;
 };
 
-class lease {
+class LeaderLease {
  public:
-  struct traits {
+  struct Config {
     std::string name;
-    std::vector<std::string> voters;  // an odd number of names
-    double length = 10000;            // ms, of a lease by its holder's clock
-    double drift = 0.01;              // by how much any clock's rate may be off
+    std::vector<std::string> voters;   // an odd number of names
+    double lease_duration_ms = 10000;  // ms, of a lease by its holder's clock
+    double max_clock_drift = 0.01;     // by how much any clock's rate may be off
   };
-  struct letter {
-    std::string to;  // a voter's name
-    lease_word what;
+  struct OutgoingMessage {
+    std::string recipient;  // a voter's name
+    LeaseMessage message;
   };
   // Which guards stand; all of them, but in a test that shows what each one is for.
-  struct guards {
-    bool abstains = true;      // a voter that comes back knows nothing of what it promised
-    bool counts_early = true;  // the holder counts from its first question, not from the last answer
-    bool respects = true;      // who hears of another's lease doesn't propose
-    bool keeps_word = true;    // a voter that promised a later ballot refuses an earlier one
-    bool allows_drift = true;  // voters wait for as long as the slowest holder's clock takes
-    bool is_itself = true;     // a process is not the holder that it was before its restart
-    bool looks_at_clock = true;
+  struct Safeguards {
+    bool abstain_after_start = true;  // a voter that comes back knows nothing of what it promised
+    bool expire_from_round_start =
+        true;                           // the holder counts from its first question, not from the last answer
+    bool yield_to_known_holder = true;  // who hears of another's lease doesn't propose
+    bool reject_lower_ballots = true;   // a voter that promised a later ballot refuses an earlier one
+    bool allow_clock_drift = true;      // voters wait for as long as the slowest holder's clock takes
+    bool identify_holder_by_session = true;  // a process is not the holder that it was before its restart
+    bool check_expiry = true;
   };
 
-  lease(traits with, std::uint64_t session, std::uint64_t seed, double now, guards stand);
-  lease(traits with, std::uint64_t session, std::uint64_t seed, double now)
-      : lease(std::move(with), session, seed, now, guards{}) {}
+  LeaderLease(Config with, std::uint64_t session, std::uint64_t seed, double now, Safeguards stand);
+  LeaderLease(Config with, std::uint64_t session, std::uint64_t seed, double now)
+      : LeaderLease(std::move(with), session, seed, now, Safeguards{}) {}
 
-  void heard(double now, const std::string& from, const lease_word& w);
-  void due(double now);
-  void begin(double now);  // asks for it at once; due() does so in its time
-  double next_due() const;
-  std::optional<letter> next();
+  void on_message(double now, const std::string& from, const LeaseMessage& w);
+  void on_timer(double now);
+  void start_round(double now);  // asks for it at once; due() does so in its time
+  double next_timer_at() const;
+  std::optional<OutgoingMessage> next_message();
 
   // Holds it at this very time; and for how long what is given now may last.
-  bool holds(double now) const { return !leaving && held && (!stand.looks_at_clock || now < ends); }
-  double ends_at() const { return ends; }
-  const ballot& number() const { return held_by; }
+  bool is_holder(double now) const {
+    return !has_resigned_ && is_held_ && (!safeguards_.check_expiry || now < expires_at_);
+  }
+  double expires_at() const { return expires_at_; }
+  const BallotNumber& held_ballot() const { return held_ballot_; }
   // From when on nothing that was given under an earlier lease can still be in use.
-  double quiet_from() const { return quiet_until; }
+  double previous_leases_expired_at() const { return previous_leases_expired_at_; }
   // Gives it up for good: nothing may be given after it.
-  void leave(double now);
+  void resign(double now);
 
-  bool votes() const { return is_voter; }
-  bool abstains(double now) const { return now < mute_until; }
+  bool is_voter() const { return is_voter_; }
+  bool is_abstaining(double now) const { return now < may_vote_from_; }
   // Whom this voter knows to hold it, "" if none: a hint.
   std::string known_holder(double now) const;
-  std::uint64_t session() const { return self; }
+  std::uint64_t session() const { return session_; }
   // Whether an answer of this kind to this ballot can still count.
-  bool awaits(const ballot& of, lease_word::kind answer) const {
-    return of == asking && at == (answer == lease_word::kind::promise ? phase::preparing : phase::proposing);
+  bool is_awaiting(const BallotNumber& of, LeaseMessage::Type answer) const {
+    return of == round_ballot_ &&
+           phase_ == (answer == LeaseMessage::Type::promise ? Phase::preparing : Phase::proposing);
   }
   // All that decides what it does from now on, but chance: two with the same text act alike.
-  std::string state(double now) const;
+  std::string state_digest(double now) const;
   // How long a time of `ms` by any clock can take by another one.
-  double stretched(double ms) const { return stand.allows_drift ? ms * (1 + is.drift) / (1 - is.drift) : ms; }
+  double with_drift_margin(double ms) const {
+    return safeguards_.allow_clock_drift ? ms * (1 + config_.max_clock_drift) / (1 - config_.max_clock_drift)
+                                         : ms;
+  }
 
  private:
-  struct record {
-    ballot number;
+  struct AcceptedLease {
+    BallotNumber ballot;
     std::string holder;
-    std::uint64_t session = 0;
-    double until = 0;
-    bool released = false;
+    std::uint64_t holder_session = 0;
+    double expires_at = 0;
+    bool is_released = false;
   };
 
-  std::optional<lease_word> vote(double now, const lease_word& w);
-  void hear_answer(double now, const std::string& from, const lease_word& w);
-  void ask_all(double now, lease_word w);
-  void try_later(double now, double least);
-  bool known(const record& r, double now) const { return !r.released && now < r.until; }
-  std::size_t majority() const { return is.voters.size() / 2 + 1; }
+  std::optional<LeaseMessage> answer_as_voter(double now, const LeaseMessage& w);
+  void on_reply(double now, const std::string& from, const LeaseMessage& w);
+  void broadcast(double now, LeaseMessage w);
+  void schedule_round(double now, double least);
+  bool is_current(const AcceptedLease& r, double now) const { return !r.is_released && now < r.expires_at; }
+  std::size_t majority() const { return config_.voters.size() / 2 + 1; }
 
-  traits is;
-  guards stand;
-  std::uint64_t self;
-  std::knuth_b chance;
-  bool is_voter, leaving = false;
+  Config config_;
+  Safeguards safeguards_;
+  std::uint64_t session_;
+  std::knuth_b random_;
+  bool is_voter_, has_resigned_ = false;
 
   // As a voter.
-  double mute_until, voter_quiet = 0;
-  ballot promised;
-  std::optional<record> accepted;
+  double may_vote_from_, accepted_leases_end_at_ = 0;
+  BallotNumber promised_ballot_;
+  std::optional<AcceptedLease> accepted_lease_;
 
   // As one that wants it.
-  enum class phase { idle, preparing, proposing } at = phase::idle;
-  ballot asking;
-  std::uint64_t highest = 0;
-  double counted_from = 0, try_at;
-  std::set<std::string> yes;
-  double heard_quiet = 0;
-  bool held = false;
-  double ends = 0, quiet_until = 0;
-  ballot held_by;
-  std::vector<letter> out;
+  enum class Phase { idle, preparing, proposing } phase_ = Phase::idle;
+  BallotNumber round_ballot_;
+  std::uint64_t highest_round_ = 0;
+  double round_started_at_ = 0, next_round_at_;
+  std::set<std::string> supporters_;
+  double reported_expiry_at_ = 0;
+  bool is_held_ = false;
+  double expires_at_ = 0, previous_leases_expired_at_ = 0;
+  BallotNumber held_ballot_;
+  std::vector<OutgoingMessage> outbox_;
 };
 
 }  // namespace indigorill
--- a/src/limits/limits.h
+++ b/src/limits/limits.h
@@ -18,75 +18,75 @@
 namespace indigorill {
 
 // What a server can take from all instances together, and the list's service; 0: no bound.
-struct bounds_of_all {
-  double connections = 0;  // open at one server, in use or not
-  double handshakes = 0;   // a second at one server
-  double probes = 0;       // a second at one server
-  double list_calls = 0;   // a second
+struct FleetLimits {
+  double connections = 0;                 // open at one server, in use or not
+  double handshakes_per_second = 0;       // a second at one server
+  double health_checks_per_second = 0;    // a second at one server
+  double discovery_polls_per_second = 0;  // a second
 };
 
-struct place_among {
-  double instances = 1;          // how many share the bounds, as far as told
-  double weight = 1;             // of this one, where they are unequal: as many instances' shares
-  std::optional<double> turn{};  // which of them it is, from 0
+struct InstancePosition {
+  double instances = 1;           // how many share the bounds, as far as told
+  double weight = 1;              // of this one, where they are unequal: as many instances' shares
+  std::optional<double> index{};  // which of them it is, from 0
 };
 
 // What is wrong with these figures, in one line; none where they are sound.
-std::optional<std::string> fault_of(const bounds_of_all& b, const place_among& p);
+std::optional<std::string> find_limits_error(const FleetLimits& b, const InstancePosition& p);
 
-class limits {
+class FleetLimiter {
  public:
-  enum class kind { connection, handshake, probe, list_call };
-  struct count {
+  enum class Resource { connection, handshake, health_check, discovery_poll };
+  struct GrantCounts {
     std::uint64_t granted = 0, denied = 0;
   };
 
-  limits(const bounds_of_all& b, const place_among& p, std::uint64_t identity);
+  FleetLimiter(const FleetLimits& b, const InstancePosition& p, std::uint64_t identity);
 
-  void listed(const std::vector<std::string>& servers);  // all that there are
+  void update_endpoints(const std::vector<std::string>& servers);  // all that there are
 
   // Whether it would be granted now; a connection that is opened wants a handshake as well.
-  bool may(kind what, std::string_view server, double now) const;
-  bool may_open(std::string_view server, double now) const {
-    return may(kind::connection, server, now) && may(kind::handshake, server, now);
+  bool may_acquire(Resource what, std::string_view server, double now) const;
+  bool may_open_connection(std::string_view server, double now) const {
+    return may_acquire(Resource::connection, server, now) && may_acquire(Resource::handshake, server, now);
   }
   // Granted, or counted as denied. Connections are given back, by who took them, however they end.
-  bool take(kind what, std::string_view server, double now);
-  bool open(std::string_view server, double now);
-  void give_back(std::string_view server);
+  bool acquire(Resource what, std::string_view server, double now);
+  bool open_connection(std::string_view server, double now);
+  void release_connection(std::string_view server);
   // Whether all that is held there may stay: else what rests there is to be closed.
-  bool keeps(std::string_view server, double now) const;
-  double again(kind what, double now) const;  // how long until the next slot has begun, ms
+  bool within_connection_limit(std::string_view server, double now) const;
+  double next_slot_delay_ms(Resource what, double now) const;  // how long until the next slot has begun, ms
 
-  const count& counted(kind what) const { return counts[static_cast<std::size_t>(what)]; }
-  std::uint64_t held() const;
+  const GrantCounts& counts(Resource what) const { return counts_[static_cast<std::size_t>(what)]; }
+  std::uint64_t open_connections() const;
 
  private:
   // How one bound is shared out in each slot.
-  struct share {
+  struct SlotShare {
     bool bounded = false;
-    double length = 0;  // of a slot, ms
-    double whole = 0;   // for each instance
-    double some = 0;    // by turns: how many instances have one more; by chance: with which chance
+    double slot_ms = 0;     // of a slot, ms
+    double guaranteed = 0;  // for each instance
+    double extra = 0;       // by turns: how many instances have one more; by chance: with which chance
   };
-  struct used {
+  struct SlotUsage {
     std::int64_t slot = -1;
-    double taken = 0;
+    double acquired = 0;
   };
   static constexpr std::size_t kinds = 4;
 
-  const share& of(kind what) const { return shares[static_cast<std::size_t>(what)]; }
-  std::int64_t slot(kind what, double now) const;
-  double allowed(kind what, std::string_view server, double now) const;
-  bool one_more(kind what, std::string_view server, std::int64_t slot) const;
+  const SlotShare& share_of(Resource what) const { return shares_[static_cast<std::size_t>(what)]; }
+  std::int64_t slot_number(Resource what, double now) const;
+  double allowed(Resource what, std::string_view server, double now) const;
+  bool has_extra_unit(Resource what, std::string_view server, std::int64_t slot) const;
 
-  place_among place;
-  std::uint64_t self;
-  std::array<share, kinds> shares;
-  std::array<count, kinds> counts;
-  std::vector<std::string> known;  // servers, in order of their names
-  std::map<std::string, std::uint64_t, std::less<>> connections;
-  std::map<std::pair<std::string, std::size_t>, used> spent;
+  InstancePosition position_;
+  std::uint64_t identity_;
+  std::array<SlotShare, kinds> shares_;
+  std::array<GrantCounts, kinds> counts_;
+  std::vector<std::string> endpoints_;  // servers, in order of their names
+  std::map<std::string, std::uint64_t, std::less<>> connections_;
+  std::map<std::pair<std::string, std::size_t>, SlotUsage> slot_usage_;
 };
 
 }  // namespace indigorill
--- a/src/load/clients.h
+++ b/src/load/clients.h
@@ -17,72 +17,75 @@
 
 namespace indigorill::loading {
 
-struct told {  // what clients were told
-  std::uint64_t tasks = 0, sent = 0, ok = 0, late = 0, pushed_back = 0, aborted = 0, unanswered = 0, lost = 0;
-  std::uint64_t left_out = 0;  // more than were allowed, or no descriptor was to be had
-  double offered = 0, gained = 0;
-  lab::times answered;                      // from the intended sending
-  lab::times behind;                        // from the intended to the true sending
-  std::set<std::string> must_not_have_run;  // non-idempotent ones that were pushed back
-  std::uint64_t open() const { return tasks - ok - late - pushed_back - aborted - unanswered - lost; }
-  double utility() const { return offered > 0 ? gained / offered : 0; }
+struct ClientMetrics {  // what clients were told
+  std::uint64_t requests = 0, sent = 0, ok = 0, late = 0, rejected = 0, failed = 0, unanswered = 0, lost = 0;
+  std::uint64_t skipped = 0;  // more than were allowed, or no descriptor was to be had
+  double offered_utility = 0, gained_utility = 0;
+  lab::LatencyHistogram latency;                  // from the intended sending
+  lab::LatencyHistogram send_delay;               // from the intended to the true sending
+  std::set<std::string> rejected_non_idempotent;  // non-idempotent ones that were pushed back
+  std::uint64_t open() const { return requests - ok - late - rejected - failed - unanswered - lost; }
+  double utility() const { return offered_utility > 0 ? gained_utility / offered_utility : 0; }
 };
 
-class clients {
+class LoadClients {
  public:
-  clients(loop& in, descriptor_budget& budget, clockwork& clock, const lab::scenario& plays,
-          std::uint64_t seed, std::uint64_t most, std::vector<sockaddr_in> sidecars);
-  ~clients();
+  LoadClients(EventLoop& in, FileDescriptorBudget& budget, WallClockScheduler& clock,
+              const lab::Scenario& plays, std::uint64_t seed, std::uint64_t most,
+              std::vector<sockaddr_in> sidecars);
+  ~LoadClients();
 
-  void begin();
-  void died(std::size_t sidecar);  // its application stops with it
-  void back(std::size_t sidecar);
-  void surge(double factor) { times *= factor; }
-  const told& heard() const { return got; }
-  std::size_t open() const { return tasks.size(); }
-  bool once(const std::string& id) const { return unsafe.count(id) > 0; }  // non-idempotent
+  void start();
+  void on_sidecar_stopped(std::size_t sidecar);  // its application stops with it
+  void on_sidecar_started(std::size_t sidecar);
+  void multiply_rate(double factor) { rate_factor_ *= factor; }
+  const ClientMetrics& metrics() const { return metrics_; }
+  std::size_t open() const { return requests_.size(); }
+  bool is_non_idempotent(const std::string& id) const {
+    return non_idempotent_ids_.count(id) > 0;
+  }  // non-idempotent
 
  private:
-  struct connection;
-  struct task {
+  struct Connection;
+  struct ClientRequest {
     std::size_t sidecar, method;
-    double meant, work, wait;
-    int tries_left;
+    double intended_at_ms, work_ms, retry_delay_ms;
+    int retries_left;
   };
-  enum class fate { ok, late, pushed_back, aborted, unanswered, lost };
+  enum class RequestOutcome { ok, late, rejected, failed, unanswered, lost };
 
-  void next_arrival(std::size_t s);
-  void arrive(std::size_t s, double meant);
-  void ask(std::uint64_t of, double meant);
-  void write(connection& c);
-  void ready(std::uint64_t which);
-  void answered(connection& c, const http::message& m);
-  void broke(connection& c);
-  void conclude(std::uint64_t of, fate f);
-  void retry_or(std::uint64_t of, fate f, double advice);
-  void release(connection& c);
+  void schedule_next_arrival(std::size_t s);
+  void on_arrival(std::size_t s, double meant);
+  void send_request(std::uint64_t of, double meant);
+  void write(Connection& c);
+  void on_ready(std::uint64_t which);
+  void on_answer(Connection& c, const http::Message& m);
+  void on_connection_broken(Connection& c);
+  void conclude_request(std::uint64_t of, RequestOutcome f);
+  void retry_or_conclude(std::uint64_t of, RequestOutcome f, double advice);
+  void release_connection(Connection& c);
 
-  loop& runs;
-  descriptor_budget& room;
-  clockwork& clock;
-  const lab::scenario plays;
-  std::uint64_t seed, most;
-  lab::stream wishes;
-  struct sidecar {
-    sockaddr_in where;
-    double weight;
-    lab::stream arrives;
-    bool up = true;
-    std::vector<std::uint64_t> idle;
+  EventLoop& loop_;
+  FileDescriptorBudget& descriptors_;
+  WallClockScheduler& clock_;
+  const lab::Scenario scenario_;
+  std::uint64_t seed_, max_requests_;
+  lab::RandomStream client_random_;
+  struct Sidecar {
+    sockaddr_in address;
+    double arrival_share;
+    lab::RandomStream arrival_random;
+    bool running = true;
+    std::vector<std::uint64_t> idle_connections;
   };
-  std::vector<sidecar> sidecars;
-  lab::pace comes;
-  double times = 1;
-  std::uint64_t names = 0, next_task = 0, next_rpc = 0;
-  std::unordered_map<std::uint64_t, std::unique_ptr<connection>> connections;
-  std::unordered_map<std::uint64_t, task> tasks;
-  std::set<std::string> unsafe;
-  told got;
+  std::vector<Sidecar> sidecars_;
+  lab::ArrivalPattern arrival_pattern_;
+  double rate_factor_ = 1;
+  std::uint64_t last_connection_id_ = 0, last_request_id_ = 0, last_rpc_id_ = 0;
+  std::unordered_map<std::uint64_t, std::unique_ptr<Connection>> connections_;
+  std::unordered_map<std::uint64_t, ClientRequest> requests_;
+  std::set<std::string> non_idempotent_ids_;
+  ClientMetrics metrics_;
 };
 
 }  // namespace indigorill::loading
--- a/src/load/clockwork.h
+++ b/src/load/clockwork.h
@@ -9,44 +9,44 @@
 
 namespace indigorill::loading {
 
-class clockwork {
+class WallClockScheduler {
  public:
-  explicit clockwork(loop& in) : runs(in) {}
+  explicit WallClockScheduler(EventLoop& in) : loop_(in) {}
 
   // ago: the start lies in the past, as for a process that was held up at once.
   void start(double ago = 0) {
-    zero = runs.now() - ago;
-    started = true;
-    catch_up();
+    started_at_ms_ = loop_.now() - ago;
+    started_ = true;
+    run_due_events();
   }
-  double now() const { return runs.now() - zero; }  // ms since the start
-  double unix_of(double when) const { return zero + when; }
+  double now() const { return loop_.now() - started_at_ms_; }  // ms since the start
+  double to_unix_ms(double when) const { return started_at_ms_ + when; }
 
   // All that is due by now; called before anything is put down for now.
-  void catch_up() {
-    if (!started || std::exchange(busy, true)) return;
-    while (due.step(now())) {
+  void run_due_events() {
+    if (!started_ || std::exchange(running_events_, true)) return;
+    while (events_.run_next(now())) {
     }
-    busy = false;
-    arm();
+    running_events_ = false;
+    arm_timer();
   }
-  lab::agenda& plan() { return due; }
-  void at(double when, lab::rank of, lab::agenda::task what) {
-    due.at(when, of, std::move(what));
-    if (started && !busy) arm();
+  lab::EventQueue& queue() { return events_; }
+  void schedule(double when, lab::EventPriority of, lab::EventQueue::Callback what) {
+    events_.schedule(when, of, std::move(what));
+    if (started_ && !running_events_) arm_timer();
   }
 
  private:
-  void arm() {
-    if (due.empty()) return;
-    next = runs.at(zero + due.next_at(), [this] { catch_up(); });
+  void arm_timer() {
+    if (events_.empty()) return;
+    timer_ = loop_.schedule_at(started_at_ms_ + events_.next_time_ms(), [this] { run_due_events(); });
   }
 
-  loop& runs;
-  lab::agenda due;
-  double zero = 0;
-  bool started = false, busy = false;
-  loop::timer next;
+  EventLoop& loop_;
+  lab::EventQueue events_;
+  double started_at_ms_ = 0;
+  bool started_ = false, running_events_ = false;
+  EventLoop::Timer timer_;
 };
 
 }  // namespace indigorill::loading
--- a/src/load/crew.cpp
+++ b/src/load/crew.cpp
@@ -12,78 +12,81 @@
 
 namespace {
 
-std::string options_of(const talking& how, const wire& between, const sockaddr_in& listen, std::size_t i) {
+std::string format_options(const GossipOptions& how, const DatagramProxy& between, const sockaddr_in& listen,
+                           std::size_t i) {
   std::string seeds;
-  for (std::size_t s = 0; s < static_cast<std::size_t>(how.seeds); ++s)
-    if (s != i) seeds.append(seeds.empty() ? "\"" : ", \"").append(between.place(s)).append("\"");
+  for (std::size_t s = 0; s < static_cast<std::size_t>(how.seed_count); ++s)
+    if (s != i) seeds.append(seeds.empty() ? "\"" : ", \"").append(between.address_for_peers(s)).append("\"");
   std::ostringstream text;
-  text << "[members]\nfleet = \"" << how.fleet << "\"\nlisten = \"" << text_of(listen) << "\"\nadvertise = \""
-       << between.place(i) << "\"\nseeds = [" << seeds << "]\nperiod_ms = " << how.period
-       << "\ntimeout_ms = " << how.timeout << "\nlease_ms = " << how.lease << "\nvoters = [";
-  for (int v = 0; v < how.voters; ++v) text << (v ? ", " : "") << "\"n" << v << '"';
+  text << "[members]\nfleet = \"" << how.cluster_name << "\"\nlisten = \"" << format_address(listen)
+       << "\"\nadvertise = \"" << between.address_for_peers(i) << "\"\nseeds = [" << seeds
+       << "]\nperiod_ms = " << how.probe_interval_ms << "\ntimeout_ms = " << how.probe_timeout_ms
+       << "\nlease_ms = " << how.lease_ms << "\nvoters = [";
+  for (int v = 0; v < how.voter_count; ++v) text << (v ? ", " : "") << "\"n" << v << '"';
   text << "]\n";
-  if (how.further_picks > 0)
-    text << "[budgets]\nmost = " << how.most << "\nshare_ms = " << how.share
-         << "\nseat_s = " << how.seat / 1000 << "\n[budgets.further_picks]\na_second = " << how.further_picks
-         << "\nfloor = " << how.floor << "\n";
+  if (how.retries_per_second > 0)
+    text << "[budgets]\nmost = " << how.max_quota_holders << "\nshare_ms = " << how.quota_refresh_ms
+         << "\nseat_s = " << how.registration_lease_ms / 1000
+         << "\n[budgets.further_picks]\na_second = " << how.retries_per_second
+         << "\nfloor = " << how.guaranteed_minimum << "\n";
   return text.str();
 }
 
 }  // namespace
 
-crew::crew(loop& in, std::string command, std::vector<sockaddr_in> at,
-           const std::function<nlohmann::json(std::size_t)>& config, const std::optional<talking>& how,
-           std::uint64_t seed)
-    : runs(in), places(std::move(at)) {
-  std::vector<sockaddr_in> ends(how ? places.size() : 0);
-  std::vector<descriptor> until_doors_stand;
+SidecarProcesses::SidecarProcesses(EventLoop& in, std::string command, std::vector<sockaddr_in> at,
+                                   const std::function<nlohmann::json(std::size_t)>& config,
+                                   const std::optional<GossipOptions>& how, std::uint64_t seed)
+    : loop_(in), addresses_(std::move(at)) {
+  std::vector<sockaddr_in> ends(how ? addresses_.size() : 0);
+  std::vector<FileDescriptor> until_doors_stand;
   for (sockaddr_in& end : ends) {
-    until_doors_stand.push_back(hold_for_datagrams(end));
-    staff.push_back(free_place());
+    until_doors_stand.push_back(reserve_datagram_port(end));
+    admin_addresses_.push_back(reserve_port());
   }
-  if (how) talk = std::make_unique<wire>(runs, ends, how->manners, seed);
-  for (std::size_t i = 0; i < places.size(); ++i) {
+  if (how) datagram_proxy_ = std::make_unique<DatagramProxy>(loop_, ends, how->conditions, seed);
+  for (std::size_t i = 0; i < addresses_.size(); ++i) {
     const std::string name = std::string("n").append(std::to_string(i));
     nlohmann::json c = config(i);
-    process::variables with{{"LB_CONFIG", files.path / (name + ".json")}};
+    SidecarProcess::Environment with{{"LB_CONFIG", directory_.path / (name + ".json")}};
     if (how) {
-      c["admin_addr"] = text_of(staff[i]);
-      with.emplace_back("TMPDIR", files.path);
-      with.emplace_back("INDIGORILL_OPTIONS", files.path / (name + ".toml"));
-      write_file(with.back().second, options_of(*how, *talk, ends[i], i));
+      c["admin_addr"] = format_address(admin_addresses_[i]);
+      with.emplace_back("TMPDIR", directory_.path);
+      with.emplace_back("INDIGORILL_OPTIONS", directory_.path / (name + ".toml"));
+      write_file(with.back().second, format_options(*how, *datagram_proxy_, ends[i], i));
     }
     write_file(with.front().second, c.dump(1));
-    sidecars.push_back(std::make_unique<process>(command, with, files.path / (name + ".log")));
+    processes_.push_back(std::make_unique<SidecarProcess>(command, with, directory_.path / (name + ".log")));
   }
 }
 
-bool crew::await(std::size_t i, double within) {
-  return ready(runs, places[i], within, [&] { return sidecars[i]->ended(); });
+bool SidecarProcesses::wait_until_ready(std::size_t i, double within) {
+  return loading::wait_until_ready(loop_, addresses_[i], within, [&] { return processes_[i]->has_exited(); });
 }
 
-nlohmann::json crew::asked(std::size_t i, const std::string& path) {
+nlohmann::json SidecarProcesses::admin_query(std::size_t i, const std::string& path) {
   constexpr double patience = 1000;
-  const auto answer = get(runs, staff[i], path, patience);
+  const auto answer = http_get(loop_, admin_addresses_[i], path, patience);
   if (!answer || answer->status != 200) return {};
   const nlohmann::json j = nlohmann::json::parse(answer->body, nullptr, false);
   return j.is_discarded() ? nlohmann::json() : j;
 }
 
-bool crew::until(const std::function<bool()>& holds, double within) {
+bool SidecarProcesses::wait_until(const std::function<bool()>& holds, double within) {
   constexpr double pause = 50;
-  for (const double end = runs.now() + within; !holds();) {
-    if (runs.now() >= end) return false;
-    pass(pause);
+  for (const double end = loop_.now() + within; !holds();) {
+    if (loop_.now() >= end) return false;
+    run_for(pause);
   }
   return true;
 }
 
-void crew::pass(double ms) {
-  for (const double end = runs.now() + ms; runs.now() < end;) runs.round(end - runs.now());
+void SidecarProcesses::run_for(double ms) {
+  for (const double end = loop_.now() + ms; loop_.now() < end;) loop_.run_once(end - loop_.now());
 }
 
-std::string crew::sees(std::size_t i, std::size_t other) {
-  const nlohmann::json said = asked(i, "/-/members");
+std::string SidecarProcesses::membership_view(std::size_t i, std::size_t other) {
+  const nlohmann::json said = admin_query(i, "/-/members");
   const std::string name = std::string("n").append(std::to_string(other));
   if (said.is_object())
     for (const auto& m : said.at("others"))
--- a/src/load/fleet.h
+++ b/src/load/fleet.h
@@ -16,91 +16,94 @@
 namespace indigorill::loading {
 
 // Where ports are told by a base: agents first, then sidecars, then servers. Base 0: the kernel chooses.
-constexpr std::size_t ports_of_sidecars = 1000, ports_of_servers = 2000;
+constexpr std::size_t sidecar_port_offset = 1000, server_port_offset = 2000;
 std::uint16_t port_of(std::uint16_t base, std::size_t which);
 
 // What an endpoint saw of one RPC.
-struct seen_rpc {
-  int came = 0, ran = 0;
+struct RpcObservation {
+  int received = 0, executed = 0;
 };
 
-class fleet {
+class FakeFleet {
  public:
-  fleet(loop& in, descriptor_budget& budget, clockwork& clock, const lab::scenario& plays, std::uint64_t seed,
-        std::uint16_t base_port);
+  FakeFleet(EventLoop& in, FileDescriptorBudget& budget, WallClockScheduler& clock,
+            const lab::Scenario& plays, std::uint64_t seed, std::uint16_t base_port);
 
   // One agent for each sidecar.
-  std::string agent(std::size_t sidecar) const { return text_of(agents[sidecar]->door.where()); }
-  std::string list() const;  // the whole, as an agent would tell it at the start
-  void plan(const lab::trouble& t, std::size_t which);
+  std::string agent_address(std::size_t sidecar) const {
+    return format_address(agents_[sidecar]->listener.address());
+  }
+  std::string endpoint_list() const;  // the whole, as an agent would tell it at the start
+  void schedule_fault(const lab::Fault& t, std::size_t which);
 
-  const std::unordered_map<std::string, seen_rpc>& rpcs() const { return seen; }
+  const std::unordered_map<std::string, RpcObservation>& rpcs() const { return observations_; }
   // The most further picks that began here within so many ms.
-  std::size_t most_further(double window) const;
-  const std::vector<double>& further() const { return further_at; }
-  std::uint64_t probes = 0, connections = 0, falls = 0, unreadable = 0, list_calls = 0;
+  std::size_t max_retries_within(double window) const;
+  const std::vector<double>& retry_times() const { return retry_times_; }
+  std::uint64_t health_checks = 0, connections = 0, crashes = 0, malformed_requests = 0, discovery_polls = 0;
 
  private:
-  struct job {
-    std::string rpc;
+  struct ServerJob {
+    std::string rpc_id;
     std::uint64_t connection;
   };
-  struct place {
-    std::unique_ptr<lab::station> at;
-    std::unique_ptr<listener> door;
-    const lab::server_kind* kind = nullptr;
+  struct ServerState {
+    std::unique_ptr<lab::EmulatedServer> server;
+    std::unique_ptr<HttpListener> listener;
+    const lab::ServerGroup* group = nullptr;
     int zone = 0, cell = 0;
     double speed = 1;
-    bool draining = false, listed = true, vanished = false;
-    std::map<std::uint64_t, job> jobs;
-    std::unordered_map<std::uint64_t, bool> fresh;  // connections that have carried nothing yet
+    bool draining = false, advertised = true, unreachable = false;
+    std::map<std::uint64_t, ServerJob> jobs;
+    std::unordered_map<std::uint64_t, bool> new_connections;  // connections that have carried nothing yet
   };
-  struct agent_stand_in {
-    agent_stand_in(loop& in, descriptor_budget& budget, listener::asked then,
-                   std::function<void(std::uint64_t)> closed, std::uint16_t port)
-        : door(in, budget, std::move(then), std::move(closed), port) {}
-    listener door;
-    std::size_t has = 0;  // changes that it has been sent
-    bool due = false;
-    struct watch {
+  struct FakeAgent {
+    FakeAgent(EventLoop& in, FileDescriptorBudget& budget, HttpListener::RequestHandler then,
+              std::function<void(std::uint64_t)> closed, std::uint16_t port)
+        : listener(in, budget, std::move(then), std::move(closed), port) {}
+    HttpListener listener;
+    std::size_t known_changes = 0;  // changes that it has been sent
+    bool update_scheduled = false;
+    struct Watch {
       std::uint64_t connection;
-      std::size_t from;
-      loop::timer until;
+      std::size_t known_changes;
+      EventLoop::Timer timer;
     };
-    std::vector<watch> watches;
+    std::vector<Watch> watches;
   };
 
-  std::size_t add(const lab::server_kind& k, int zone, int cell, double speed);
-  void asked(std::size_t server, std::uint64_t connection, const http::message& m);
-  void ended(std::size_t server, std::uint64_t job, lab::station::outcome how, double held);
-  void hung_up(std::size_t server, std::uint64_t connection);
-  void stop(std::size_t server, bool machine);
-  void come_back(std::size_t server);
-  void change(std::size_t server, standing how);
-  void send_news(std::size_t agent);
-  void call(std::size_t agent, std::uint64_t connection, const http::message& m);
-  void tell(std::size_t agent, std::uint64_t connection, std::size_t from, bool whole);
-  std::string entry(std::size_t server, standing how) const;
+  std::size_t add_server(const lab::ServerGroup& k, int zone, int cell, double speed);
+  void on_request(std::size_t server, std::uint64_t connection, const http::Message& m);
+  void on_job_finished(std::size_t server, std::uint64_t job, lab::EmulatedServer::JobOutcome how,
+                       double held);
+  void on_connection_closed(std::size_t server, std::uint64_t connection);
+  void stop_server(std::size_t server, bool machine);
+  void restart_server(std::size_t server);
+  void publish_change(std::size_t server, EndpointState how);
+  void schedule_endpoint_update(std::size_t agent);
+  void on_discovery_poll(std::size_t agent, std::uint64_t connection, const http::Message& m);
+  void answer_poll(std::size_t agent, std::uint64_t connection, std::size_t from, bool whole);
+  std::string format_endpoint(std::size_t server, EndpointState how) const;
 
-  loop& runs;
-  descriptor_budget& budget;
-  clockwork& clock;
-  const lab::scenario plays;
-  std::uint64_t seed;
-  std::uint16_t base_port;
-  lab::stream chance;
-  std::vector<std::unique_ptr<place>> places;
-  std::vector<std::unique_ptr<agent_stand_in>> agents;
-  std::vector<std::string> changes;
-  std::vector<std::size_t> changed;
-  std::uint64_t jobs = 0;
-  double list_slowness = 1;
-  bool list_silent = false;
-  std::unordered_map<std::string, seen_rpc> seen;
-  std::vector<double> further_at;  // when each came
+  EventLoop& loop_;
+  FileDescriptorBudget& budget_;
+  WallClockScheduler& clock_;
+  const lab::Scenario scenario_;
+  std::uint64_t seed_;
+  std::uint16_t base_port_;
+  lab::RandomStream discovery_random_;
+  std::vector<std::unique_ptr<ServerState>> servers_;
+  std::vector<std::unique_ptr<FakeAgent>> agents_;
+  std::vector<std::string> endpoint_changes_;
+  std::vector<std::size_t> changed_servers_;
+  std::uint64_t last_job_id_ = 0;
+  double discovery_slowdown_ = 1;
+  bool discovery_silent_ = false;
+  std::unordered_map<std::string, RpcObservation> observations_;
+  std::vector<double> retry_times_;  // when each came
 };
 
 // The words of a scenario that can't be played on loopback, a line each.
-std::vector<std::string> not_on_sockets(const lab::scenario& s);
+std::vector<std::string> find_unsupported_features(const lab::Scenario& s);
 
 }  // namespace indigorill::loading
--- a/src/load/listener.h
+++ b/src/load/listener.h
@@ -11,42 +11,42 @@
 
 namespace indigorill::loading {
 
-class listener {
+class HttpListener {
  public:
   // Called with each whole request; the answer may come later, by answer().
-  using asked = std::function<void(std::uint64_t connection, const http::message& m)>;
+  using RequestHandler = std::function<void(std::uint64_t connection, const http::Message& m)>;
 
-  listener(loop& in, descriptor_budget& budget, asked then, std::function<void(std::uint64_t)> closed,
-           std::uint16_t port);
-  ~listener();
+  HttpListener(EventLoop& in, FileDescriptorBudget& budget, RequestHandler then,
+               std::function<void(std::uint64_t)> closed, std::uint16_t port);
+  ~HttpListener();
 
-  void open();  // port 0: the first time at one of the kernel's choice, then at that again
-  void shut();  // the door and every connection
-  void freeze() { frozen = true; }  // until it is shut: nothing is accepted, read or written, nothing ends
-  void answer(std::uint64_t connection, std::string bytes);
+  void open();       // port 0: the first time at one of the kernel's choice, then at that again
+  void close_all();  // the door and every connection
+  void freeze() { frozen_ = true; }  // until it is shut: nothing is accepted, read or written, nothing ends
+  void send_answer(std::uint64_t connection, std::string bytes);
 
-  const sockaddr_in& where() const { return place; }
-  std::size_t connections() const { return sides.size(); }
+  const sockaddr_in& address() const { return address_; }
+  std::size_t connections() const { return connections_.size(); }
 
  private:
-  struct side;
-  void accept();
-  void read(std::uint64_t which);
-  void write(side& s);
-  void close(std::uint64_t which);
-
-  loop& runs;
-  descriptor_budget& counted;
-  asked then;
-  std::function<void(std::uint64_t)> closed;
-  sockaddr_in place{};
-  descriptor door;
-  loop::watch at_door;
-  bool frozen = false;
-  std::uint64_t names = 0;
-  std::unordered_map<std::uint64_t, std::unique_ptr<side>> sides;
+  struct Connection;
+  void accept_connections();
+  void on_readable(std::uint64_t which);
+  void flush(Connection& s);
+  void close_connection(std::uint64_t which);
+
+  EventLoop& loop_;
+  FileDescriptorBudget& descriptors_;
+  RequestHandler on_request_;
+  std::function<void(std::uint64_t)> on_closed_;
+  sockaddr_in address_{};
+  FileDescriptor socket_;
+  EventLoop::Watch socket_watch_;
+  bool frozen_ = false;
+  std::uint64_t last_connection_id_ = 0;
+  std::unordered_map<std::uint64_t, std::unique_ptr<Connection>> connections_;
 };
 
-std::string text_of(const sockaddr_in& a);
+std::string format_address(const sockaddr_in& a);
 
 }  // namespace indigorill::loading
--- a/src/load/main.cpp
+++ b/src/load/main.cpp
@@ -2,4 +2,4 @@
 
 #include "play.h"
 
-int main(int argc, char** argv) { return indigorill::loading::command(argc, argv, std::cout, std::cerr); }
+int main(int argc, char** argv) { return indigorill::loading::run_command(argc, argv, std::cout, std::cerr); }
--- a/src/load/play.cpp
+++ b/src/load/play.cpp
@@ -20,16 +20,16 @@
 namespace indigorill::loading {
 namespace {
 
-using lab::trouble;
+using lab::Fault;
 
-std::string hex(std::uint64_t v) {
+std::string format_hex(std::uint64_t v) {
   std::ostringstream s;
   s << std::hex << v;
   return s.str();
 }
 
 // As many descriptors as this process may have.
-std::size_t raised_limit() {
+std::size_t raise_descriptor_limit() {
   rlimit most{};
   ::getrlimit(RLIMIT_NOFILE, &most);
   most.rlim_cur = most.rlim_max;
@@ -39,7 +39,8 @@
   return std::min<std::size_t>(most.rlim_cur, enough);
 }
 
-std::vector<std::string> verdict(const told& heard, const fleet& stand_ins, const clients& apps) {
+std::vector<std::string> find_rule_violations(const ClientMetrics& heard, const FakeFleet& stand_ins,
+                                              const LoadClients& apps) {
   std::vector<std::string> broken;
   if (heard.unanswered > 0)
     broken.push_back("rule 1: " + std::to_string(heard.unanswered) +
@@ -47,71 +48,73 @@
   std::uint64_t twice = 0, ran = 0;
   std::string example;
   for (const auto& [id, s] : stand_ins.rpcs())
-    if (s.ran > 1 && apps.once(id)) ++twice, example = id;
+    if (s.executed > 1 && apps.is_non_idempotent(id)) ++twice, example = id;
   if (twice > 0)
     broken.push_back("rule 2: " + std::to_string(twice) + " non-idempotent RPCs ran twice, " + example +
                      " for one");
-  for (const std::string& id : heard.must_not_have_run) {
+  for (const std::string& id : heard.rejected_non_idempotent) {
     const auto it = stand_ins.rpcs().find(id);
-    if (it != stand_ins.rpcs().end() && it->second.ran > 0) ++ran, example = id;
+    if (it != stand_ins.rpcs().end() && it->second.executed > 0) ++ran, example = id;
   }
   if (ran > 0)
     broken.push_back("rule 2: " + std::to_string(ran) +
                      " non-idempotent RPCs were pushed back though they ran, " + example + " for one");
-  if (stand_ins.unreadable > 0)
-    broken.push_back(std::to_string(stand_ins.unreadable) +
+  if (stand_ins.malformed_requests > 0)
+    broken.push_back(std::to_string(stand_ins.malformed_requests) +
                      " RPCs came to endpoints without what clients sent");
   return broken;
 }
 
 }  // namespace
 
-nlohmann::json config_of(const lab::scenario& s, std::size_t sidecar, const std::string& listen,
-                         const std::string& discovery, const std::string& known, std::uint64_t seed) {
+nlohmann::json make_sidecar_config(const lab::Scenario& s, std::size_t sidecar, const std::string& listen,
+                                   const std::string& discovery, const std::string& known,
+                                   std::uint64_t seed) {
   using nlohmann::json;
   const auto us = [](double ms) { return static_cast<std::uint64_t>(std::llround(ms * 1000)); };
-  const terrain t = s.ground(static_cast<int>(sidecar) % s.zones);
+  const LoadBalancerConfig t = s.load_balancer_config(static_cast<int>(sidecar) % s.zones);
   json methods = json::array();
-  for (const method& m : t.methods) {
+  for (const MethodConfig& m : t.methods) {
     const char* effects[] = {"retryable", "dedup", "fragile"};
     const char* groups[] = {"all", "zone", "cell"};
     methods.push_back({{"name", m.name},
-                       {"latencyTarget", us(m.latency_target)},
-                       {"deadline", us(m.deadline)},
-                       {"utility", m.utility},
-                       {"overdueUtility", m.late_utility},
-                       {"effect", effects[static_cast<std::size_t>(m.repeats)]},
-                       {"group", groups[static_cast<std::size_t>(m.drops_repeats)]},
-                       {"dedupWindow", us(m.remembers)}});
+                       {"latencyTarget", us(m.latency_objective_ms)},
+                       {"deadline", us(m.deadline_ms)},
+                       {"utility", m.priority_weight},
+                       {"overdueUtility", m.late_weight},
+                       {"effect", effects[static_cast<std::size_t>(m.retry_safety)]},
+                       {"group", groups[static_cast<std::size_t>(m.deduplication_scope)]},
+                       {"dedupWindow", us(m.deduplication_window_ms)}});
   }
   json settings{
       {"methods", methods},
       {"zone", t.zone},
-      {"round", us(t.tick)},
-      {"balancers", t.sidecars},
-      {"discovery", t.must_ask ? "subscribe" : "automatic"},
+      {"round", us(t.tick_ms)},
+      {"balancers", t.sidecar_count},
+      {"discovery", t.must_poll_endpoints ? "subscribe" : "automatic"},
       {"bounds",
-       {{"maxPicks", t.most_picks},
-        {"cancelling", t.cancelling},
-        {"probes", t.probing},
-        {"retryAfter", t.longest_retry_after > 0},
-        {"maxRetryAfter", us(t.longest_retry_after)},
-        {"keepalive", us(s.net.idle)},
-        {"connectTimeout", us(s.net.connect_timeout)}}},
-      {"reporting", {{"how", t.probes_report ? "answers" : "none"}, {"fields", json::array({held_word})}}},
+       {{"maxPicks", t.max_attempts},
+        {"cancelling", t.cancellation_enabled},
+        {"probes", t.probing_enabled},
+        {"retryAfter", t.max_retry_after_ms > 0},
+        {"maxRetryAfter", us(t.max_retry_after_ms)},
+        {"keepalive", us(s.network.idle)},
+        {"connectTimeout", us(s.network.connect_timeout)}}},
+      {"reporting",
+       {{"how", t.probes_report_load ? "answers" : "none"}, {"fields", json::array({in_flight_key})}}},
       {"charges",
-       {{"crossZone", t.cross_zone_price}, {"probe", t.probe_price}, {"handshake", t.handshake_price}}},
+       {{"crossZone", t.cross_zone_cost}, {"probe", t.probe_cost}, {"handshake", t.handshake_cost}}},
       {"rules",
-       {{"askWithin", us(t.ask_within)},
-        {"coldFrom", t.cold_from},
-        {"cold", us(t.cold_for)},
-        {"overloadFactor", t.cold_multiple},
-        {"fall", us(t.cold_span)},
+       {{"askWithin", us(t.max_poll_silence_ms)},
+        {"coldFrom", t.slow_start_initial_weight},
+        {"cold", us(t.slow_start_duration_ms)},
+        {"overloadFactor", t.slow_start_overload_factor},
+        {"fall", us(t.slow_start_burst_ms)},
         {"drainGrace", us(s.rules.grace)}}}};
   return {{"name", "n" + std::to_string(sidecar)},
           {"listen", listen},
           {"discovery", discovery},
-          {"seed", hex(lab::seed_of(seed, lab::use::policy, sidecar))},
+          {"seed", format_hex(lab::derive_seed(seed, lab::RandomPurpose::policy, sidecar))},
           {"known", json::parse(known)},
           {"settings", settings}};
 }
@@ -119,103 +122,107 @@
 namespace {
 
 // Stand-ins and where the sidecars are to be.
-struct stage {
-  explicit stage(const start_of_load& with) : room{raised_limit() - own}, clock(runs) {
-    if (with.plays.sidecars > static_cast<int>(ports_of_sidecars))
-      throw std::runtime_error("at most " + std::to_string(ports_of_sidecars) + " sidecars on sockets");
-    if (with.base_port > 0 && with.base_port + ports_of_servers + with.plays.servers_at_start() > 65535)
+struct LoadTestBed {
+  explicit LoadTestBed(const LoadRunConfig& with)
+      : descriptors{raise_descriptor_limit() - reserved_descriptors}, clock(loop) {
+    if (with.scenario.sidecars > static_cast<int>(sidecar_port_offset))
+      throw std::runtime_error("at most " + std::to_string(sidecar_port_offset) + " sidecars on sockets");
+    if (with.base_port > 0 &&
+        with.base_port + server_port_offset + with.scenario.initial_server_count() > 65535)
       throw std::runtime_error("--base-port leaves no room for the servers' ports");
-    stand_ins = std::make_unique<fleet>(runs, room, clock, with.plays, with.seed, with.base_port);
-    for (std::size_t i = 0; i < static_cast<std::size_t>(with.plays.sidecars); ++i)
-      places.push_back(with.base_port ? loopback_at(port_of(with.base_port, ports_of_sidecars + i))
-                                      : free_place());
+    fleet = std::make_unique<FakeFleet>(loop, descriptors, clock, with.scenario, with.seed, with.base_port);
+    for (std::size_t i = 0; i < static_cast<std::size_t>(with.scenario.sidecars); ++i)
+      sidecar_addresses.push_back(
+          with.base_port ? loopback_at(port_of(with.base_port, sidecar_port_offset + i)) : reserve_port());
   }
-  static constexpr std::size_t own = 32;  // descriptors for all that is no socket
-  loop runs;
-  descriptor_budget room;
-  clockwork clock;
-  std::unique_ptr<fleet> stand_ins;
-  std::vector<sockaddr_in> places;
+  static constexpr std::size_t reserved_descriptors = 32;  // descriptors for all that is no socket
+  EventLoop loop;
+  FileDescriptorBudget descriptors;
+  WallClockScheduler clock;
+  std::unique_ptr<FakeFleet> fleet;
+  std::vector<sockaddr_in> sidecar_addresses;
 };
 
-nlohmann::json config_at(const start_of_load& with, const stage& on, std::size_t i) {
-  return config_of(with.plays, i, text_of(on.places[i]), on.stand_ins->agent(i), on.stand_ins->list(),
-                   with.seed);
+nlohmann::json make_config_at(const LoadRunConfig& with, const LoadTestBed& on, std::size_t i) {
+  return make_sidecar_config(with.scenario, i, format_address(on.sidecar_addresses[i]),
+                             on.fleet->agent_address(i), on.fleet->endpoint_list(), with.seed);
 }
 
-std::optional<talking> talk_of(const lab::scenario& s) {
-  if (!s.talk.on) return {};
-  const auto& t = s.talk;
-  return talking{
+std::optional<GossipOptions> gossip_options(const lab::Scenario& s) {
+  if (!s.gossip.on) return {};
+  const auto& t = s.gossip;
+  return GossipOptions{
       "load",   t.period, t.timeout, t.seeds, {t.loss, t.doubled, t.delay, t.jitter, t.late, t.late_by},
       t.voters, t.lease,  t.share,   t.seat,  t.further_picks,
       t.floor,  t.most};
 }
 
-bool of_sidecars(trouble::kind what) {
-  using kind = trouble::kind;
-  return what == kind::restart_sidecars || what == kind::stop_sidecars || what == kind::end_sidecars ||
-         what == kind::cut_talk;
+bool is_sidecar_fault(Fault::Kind what) {
+  using Kind = Fault::Kind;
+  return what == Kind::restart_sidecars || what == Kind::suspend_sidecars ||
+         what == Kind::terminate_sidecars || what == Kind::gossip_partition;
 }
 
-void plan(const trouble& t, std::size_t which, stage& on, clients& apps, std::uint64_t seed, crew* sidecars) {
-  const auto at = [&](double when, lab::agenda::task what) {
-    on.clock.at(when, lab::rank::trouble, std::move(what));
+void schedule_fault(const Fault& t, std::size_t which, LoadTestBed& on, LoadClients& apps, std::uint64_t seed,
+                    SidecarProcesses* sidecars) {
+  const auto at = [&](double when, lab::EventQueue::Callback what) {
+    on.clock.schedule(when, lab::EventPriority::fault, std::move(what));
   };
-  if (t.what == trouble::kind::surge) {
-    at(t.at, [&apps, much = t.factor] { apps.surge(much); });
-    return at(t.at + t.lasts, [&apps, much = t.factor] { apps.surge(1 / much); });
+  if (t.kind == Fault::Kind::load_surge) {
+    at(t.start_ms, [&apps, much = t.factor] { apps.multiply_rate(much); });
+    return at(t.start_ms + t.duration_ms, [&apps, much = t.factor] { apps.multiply_rate(1 / much); });
   }
-  using kind = trouble::kind;
-  if (!of_sidecars(t.what)) return on.stand_ins->plan(t, which);
-  lab::stream draw(lab::seed_of(seed, lab::use::troubles, which + 1));
-  const std::vector<std::uint32_t> some = lab::some_of(sidecars->size(), t.share, draw);
-  if (t.what == kind::cut_talk) {
+  using Kind = Fault::Kind;
+  if (!is_sidecar_fault(t.kind)) return on.fleet->schedule_fault(t, which);
+  lab::RandomStream draw(lab::derive_seed(seed, lab::RandomPurpose::fault_schedule, which + 1));
+  const std::vector<std::uint32_t> some = lab::sample_indices(sidecars->size(), t.share, draw);
+  if (t.kind == Kind::gossip_partition) {
     const std::set<std::size_t> apart(some.begin(), some.end());
     for (const bool is : {true, false})
-      at(is ? t.at : t.at + t.lasts, [sidecars, apart, is, one_way = t.one_way] {
+      at(is ? t.start_ms : t.start_ms + t.duration_ms, [sidecars, apart, is, one_way = t.one_way] {
         for (std::size_t a = 0; a < sidecars->size(); ++a)
           for (const std::size_t b : apart)
             if (apart.count(a) == 0) {
-              sidecars->between().cut(a, b, is);
-              if (!one_way) sidecars->between().cut(b, a, is);
+              sidecars->datagram_proxy().set_partitioned(a, b, is);
+              if (!one_way) sidecars->datagram_proxy().set_partitioned(b, a, is);
             }
       });
     return;
   }
   for (const std::size_t s : some) {
-    const double when = t.at + t.over * draw.unit();
-    if (t.what == kind::stop_sidecars) {
+    const double when = t.start_ms + t.spread_ms * draw.uniform();
+    if (t.kind == Kind::suspend_sidecars) {
       // Its machine stands still, its application too: what that had asked is lost to it.
       at(when, [sidecars, &apps, s] {
-        sidecars->at(s).signal(SIGSTOP);
-        apps.died(s);
+        sidecars->process(s).send_signal(SIGSTOP);
+        apps.on_sidecar_stopped(s);
       });
-      at(when + t.lasts, [sidecars, &apps, s] {
-        sidecars->at(s).signal(SIGCONT);
-        apps.back(s);
+      at(when + t.duration_ms, [sidecars, &apps, s] {
+        sidecars->process(s).send_signal(SIGCONT);
+        apps.on_sidecar_started(s);
       });
       continue;
     }
-    at(when, [sidecars, &apps, s, in_order = t.what == kind::end_sidecars] {
+    at(when, [sidecars, &apps, s, in_order = t.kind == Kind::terminate_sidecars] {
       if (in_order)
-        sidecars->at(s).signal(SIGTERM);
+        sidecars->process(s).send_signal(SIGTERM);
       else
-        sidecars->at(s).kill();
-      apps.died(s);
+        sidecars->process(s).kill_and_wait();
+      apps.on_sidecar_stopped(s);
     });
-    at(when + t.lasts, [sidecars, &on, &apps, s] {
-      sidecars->at(s).kill();  // one that was told to end and hangs
+    at(when + t.duration_ms, [sidecars, &on, &apps, s] {
+      sidecars->process(s).kill_and_wait();  // one that was told to end and hangs
       sidecars->start(s);
       // Its application waits until it is ready, without holding up the others.
-      const auto again = std::make_shared<lab::agenda::task>();
+      const auto again = std::make_shared<lab::EventQueue::Callback>();
       *again = [&on, &apps, s, again = std::weak_ptr(again)] {
-        const descriptor fd(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
-        const auto* where = reinterpret_cast<const sockaddr*>(&on.places[s]);
+        const FileDescriptor fd(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
+        const auto* where = reinterpret_cast<const sockaddr*>(&on.sidecar_addresses[s]);
         constexpr double pause = 5;
-        if (fd && ::connect(fd.get(), where, sizeof on.places[s]) == 0) return apps.back(s);
+        if (fd && ::connect(fd.get(), where, sizeof on.sidecar_addresses[s]) == 0)
+          return apps.on_sidecar_started(s);
         if (const auto self = again.lock())
-          on.clock.at(on.clock.now() + pause, lab::rank::client, [self] { (*self)(); });
+          on.clock.schedule(on.clock.now() + pause, lab::EventPriority::client, [self] { (*self)(); });
       };
       (*again)();
     });
@@ -224,138 +231,143 @@
 
 }  // namespace
 
-void write_configs(const start_of_load& with, const std::string& to) {
-  const stage on(with);
+void write_configs(const LoadRunConfig& with, const std::string& to) {
+  const LoadTestBed on(with);
   std::filesystem::create_directories(to);
-  for (std::size_t i = 0; i < on.places.size(); ++i)
+  for (std::size_t i = 0; i < on.sidecar_addresses.size(); ++i)
     write_file(std::filesystem::path(to) / ("n" + std::to_string(i) + ".json"),
-               config_at(with, on, i).dump(1));
+               make_config_at(with, on, i).dump(1));
 }
 
 namespace {
 
 // Judged by what came to the stand-ins: picks that were sent within a window come within a little more.
-void judge_budget(const lab::scenario& s, const fleet& stand_ins, outcome& o) {
+void check_retry_budget(const lab::Scenario& s, const FakeFleet& stand_ins, LoadRunResult& o) {
   constexpr double window = 1000, on_the_way = 50;  // ms
-  o.further = stand_ins.further().size();
-  o.further_by_second.resize(static_cast<std::size_t>(std::ceil(s.length / window)));
-  for (const double at : stand_ins.further())
+  o.retries = stand_ins.retry_times().size();
+  o.retries_by_second.resize(static_cast<std::size_t>(std::ceil(s.duration_ms / window)));
+  for (const double at : stand_ins.retry_times())
     if (const auto second = static_cast<std::size_t>(std::max(at, 0.0) / window);
-        second < o.further_by_second.size())
-      ++o.further_by_second[second];
-  if (!s.talk.on || s.talk.further_picks <= 0) return;
-  o.most_further = stand_ins.most_further(window - on_the_way);
-  o.used_of_budget = static_cast<double>(o.further) / (s.talk.further_picks * s.length / window);
-  if (static_cast<double>(o.most_further) <= s.talk.further_picks) return;
-  ++o.over_budget;
+        second < o.retries_by_second.size())
+      ++o.retries_by_second[second];
+  if (!s.gossip.on || s.gossip.further_picks <= 0) return;
+  o.max_retries_per_second = stand_ins.max_retries_within(window - on_the_way);
+  o.budget_used_fraction = static_cast<double>(o.retries) / (s.gossip.further_picks * s.duration_ms / window);
+  if (static_cast<double>(o.max_retries_per_second) <= s.gossip.further_picks) return;
+  ++o.budget_violations;
   std::ostringstream text;
-  text << "budget: " << o.most_further << " further picks in a second, of " << s.talk.further_picks;
-  o.broken.push_back(text.str());
+  text << "budget: " << o.max_retries_per_second << " further picks in a second, of "
+       << s.gossip.further_picks;
+  o.violations.push_back(text.str());
 }
 
 }  // namespace
 
-outcome play(const start_of_load& with) {
+LoadRunResult run_scenario(const LoadRunConfig& with) {
   ::signal(SIGPIPE, SIG_IGN);
-  stage on(with);
-  std::unique_ptr<crew> sidecars;
-  if (!with.command.empty()) {
-    sidecars = std::make_unique<crew>(
-        on.runs, with.command, on.places, [&](std::size_t i) { return config_at(with, on, i); },
-        talk_of(with.plays), with.seed);
-    for (std::size_t i = 0; i < on.places.size(); ++i) sidecars->start(i);
+  LoadTestBed on(with);
+  std::unique_ptr<SidecarProcesses> sidecars;
+  if (!with.sidecar_command.empty()) {
+    sidecars = std::make_unique<SidecarProcesses>(
+        on.loop, with.sidecar_command, on.sidecar_addresses,
+        [&](std::size_t i) { return make_config_at(with, on, i); }, gossip_options(with.scenario), with.seed);
+    for (std::size_t i = 0; i < on.sidecar_addresses.size(); ++i) sidecars->start(i);
   }
   constexpr double to_begin = 10000;
-  for (std::size_t i = 0; i < on.places.size(); ++i) {
-    const auto gone = [&] { return sidecars && sidecars->at(i).ended(); };
-    if (!ready(on.runs, on.places[i], to_begin, gone))
-      throw std::runtime_error("sidecar n" + std::to_string(i) + " at " + text_of(on.places[i]) +
-                               " is not ready" + (sidecars ? ": " + sidecars->at(i).last_line() : ""));
+  for (std::size_t i = 0; i < on.sidecar_addresses.size(); ++i) {
+    const auto gone = [&] { return sidecars && sidecars->process(i).has_exited(); };
+    if (!wait_until_ready(on.loop, on.sidecar_addresses[i], to_begin, gone))
+      throw std::runtime_error("sidecar n" + std::to_string(i) + " at " +
+                               format_address(on.sidecar_addresses[i]) + " is not ready" +
+                               (sidecars ? ": " + sidecars->process(i).last_line() : ""));
   }
-  clients apps(on.runs, on.room, on.clock, with.plays, with.seed, with.most, on.places);
-  apps.begin();
-  for (std::size_t i = 0; i < with.plays.troubles.size(); ++i)
-    plan(with.plays.troubles[i], i, on, apps, with.seed, sidecars.get());
+  LoadClients apps(on.loop, on.descriptors, on.clock, with.scenario, with.seed, with.max_requests,
+                   on.sidecar_addresses);
+  apps.start();
+  for (std::size_t i = 0; i < with.scenario.faults.size(); ++i)
+    schedule_fault(with.scenario.faults[i], i, on, apps, with.seed, sidecars.get());
   on.clock.start();
   constexpr double spare = 1000, round = 20;
-  const double end = with.plays.length + with.plays.longest_deadline();
-  while (on.clock.now() < with.plays.length || (apps.open() > 0 && on.clock.now() < end + spare))
-    on.runs.round(round);
+  const double end = with.scenario.duration_ms + with.scenario.longest_deadline_ms();
+  while (on.clock.now() < with.scenario.duration_ms || (apps.open() > 0 && on.clock.now() < end + spare))
+    on.loop.run_once(round);
 
-  outcome o;
-  o.heard = apps.heard();
-  for (const auto& [id, s] : on.stand_ins->rpcs()) {
-    o.came += static_cast<std::uint64_t>(s.came);
-    o.ran += static_cast<std::uint64_t>(s.ran);
+  LoadRunResult o;
+  o.client_metrics = apps.metrics();
+  for (const auto& [id, s] : on.fleet->rpcs()) {
+    o.attempts_received += static_cast<std::uint64_t>(s.received);
+    o.attempts_executed += static_cast<std::uint64_t>(s.executed);
   }
-  o.probes = on.stand_ins->probes;
-  o.connections = on.stand_ins->connections;
-  o.falls = on.stand_ins->falls;
-  o.list_calls = on.stand_ins->list_calls;
-  o.broken = verdict(o.heard, *on.stand_ins, apps);
-  judge_budget(with.plays, *on.stand_ins, o);
+  o.health_checks = on.fleet->health_checks;
+  o.connections = on.fleet->connections;
+  o.crashes = on.fleet->crashes;
+  o.discovery_polls = on.fleet->discovery_polls;
+  o.violations = find_rule_violations(o.client_metrics, *on.fleet, apps);
+  check_retry_budget(with.scenario, *on.fleet, o);
   // The clock of a busy process stands: what it measures then is itself.
   constexpr double too_late = 5, q = 0.99;
-  if (o.heard.behind.quantile(q) > too_late) {
+  if (o.client_metrics.send_delay.quantile(q) > too_late) {
     std::ostringstream text;
-    text << "one RPC in a hundred was sent " << o.heard.behind.quantile(q) << " ms late or more";
-    o.pace = text.str();
-  } else if (o.heard.left_out > 0) {
-    o.pace = std::to_string(o.heard.left_out) + " RPCs were not sent, for lack of room";
+    text << "one RPC in a hundred was sent " << o.client_metrics.send_delay.quantile(q) << " ms late or more";
+    o.pace_failure = text.str();
+  } else if (o.client_metrics.skipped > 0) {
+    o.pace_failure = std::to_string(o.client_metrics.skipped) + " RPCs were not sent, for lack of room";
   }
-  o.kept_pace = o.pace.empty();
+  o.kept_pace = o.pace_failure.empty();
   return o;
 }
 
 namespace {
 
-void print(std::ostream& out, const outcome& o) {
+void print_result(std::ostream& out, const LoadRunResult& o) {
   const auto line = [&](const char* name, double v) {
     out << "  " << std::left << std::setw(18) << name << std::setprecision(4) << v << '\n';
   };
   const auto share = [&](std::uint64_t n) {
-    return o.heard.tasks ? static_cast<double>(n) / static_cast<double>(o.heard.tasks) : 0;
+    return o.client_metrics.requests ? static_cast<double>(n) / static_cast<double>(o.client_metrics.requests)
+                                     : 0;
   };
-  out << o.heard.tasks << " RPCs wanted, " << o.heard.sent << " sent with retries\n";
-  line("utility", o.heard.utility());
-  line("p50_ms", o.heard.answered.quantile(0.5));
-  line("p99_ms", o.heard.answered.quantile(0.99));
-  out << "  " << std::left << std::setw(18) << "p99.9_ms" << o.heard.answered.quantile(0.999)
-      << (o.heard.answered.few(0.999) ? " *" : "") << '\n';
-  line("ok", share(o.heard.ok));
-  line("late", share(o.heard.late));
-  line("pushed_back", share(o.heard.pushed_back));
-  line("aborted", share(o.heard.aborted));
-  line("unanswered", share(o.heard.unanswered));
-  line("lost", share(o.heard.lost));
-  line("picks", share(o.came));
+  out << o.client_metrics.requests << " RPCs wanted, " << o.client_metrics.sent << " sent with retries\n";
+  line("utility", o.client_metrics.utility());
+  line("p50_ms", o.client_metrics.latency.quantile(0.5));
+  line("p99_ms", o.client_metrics.latency.quantile(0.99));
+  out << "  " << std::left << std::setw(18) << "p99.9_ms" << o.client_metrics.latency.quantile(0.999)
+      << (o.client_metrics.latency.has_too_few_samples(0.999) ? " *" : "") << '\n';
+  line("ok", share(o.client_metrics.ok));
+  line("late", share(o.client_metrics.late));
+  line("pushed_back", share(o.client_metrics.rejected));
+  line("aborted", share(o.client_metrics.failed));
+  line("unanswered", share(o.client_metrics.unanswered));
+  line("lost", share(o.client_metrics.lost));
+  line("picks", share(o.attempts_received));
   line("handshakes", share(o.connections));
-  line("probes", share(o.probes));
-  line("list_calls", static_cast<double>(o.list_calls));
-  line("falls", static_cast<double>(o.falls));
-  line("further_picks", static_cast<double>(o.further));
-  if (o.used_of_budget >= 0) {
-    line("most_a_second", static_cast<double>(o.most_further));
-    line("over_budget", static_cast<double>(o.over_budget));
-    line("used_of_budget", o.used_of_budget);
+  line("probes", share(o.health_checks));
+  line("list_calls", static_cast<double>(o.discovery_polls));
+  line("falls", static_cast<double>(o.crashes));
+  line("further_picks", static_cast<double>(o.retries));
+  if (o.budget_used_fraction >= 0) {
+    line("most_a_second", static_cast<double>(o.max_retries_per_second));
+    line("over_budget", static_cast<double>(o.budget_violations));
+    line("used_of_budget", o.budget_used_fraction);
     out << "  further picks, second by second:\n";
     constexpr std::size_t widest = 60;
-    const std::size_t most = *std::max_element(o.further_by_second.begin(), o.further_by_second.end());
-    for (std::size_t second = 0; second < o.further_by_second.size(); ++second) {
-      const std::size_t n = o.further_by_second[second];
+    const std::size_t most = *std::max_element(o.retries_by_second.begin(), o.retries_by_second.end());
+    for (std::size_t second = 0; second < o.retries_by_second.size(); ++second) {
+      const std::size_t n = o.retries_by_second[second];
       out << "  " << std::right << std::setw(4) << second << std::setw(5) << n << ' '
           << std::string(most > widest ? n * widest / most : n, '#') << '\n';
     }
   }
-  line("sent_late_p99_ms", o.heard.behind.quantile(0.99));
-  for (const std::string& b : o.broken) out << "  broken: " << b << '\n';
-  if (!o.kept_pace) out << "  could not keep its own pace: " << o.pace << '\n';
-  if (o.heard.answered.few(0.999)) out << "* fewer than ten samples lie beyond this quantile\n";
+  line("sent_late_p99_ms", o.client_metrics.send_delay.quantile(0.99));
+  for (const std::string& b : o.violations) out << "  broken: " << b << '\n';
+  if (!o.kept_pace) out << "  could not keep its own pace: " << o.pace_failure << '\n';
+  if (o.client_metrics.latency.has_too_few_samples(0.999))
+    out << "* fewer than ten samples lie beyond this quantile\n";
 }
 
 }  // namespace
 
-int command(int argc, const char* const* argv, std::ostream& out, std::ostream& err) {
+int run_command(int argc, const char* const* argv, std::ostream& out, std::ostream& err) {
   CLI::App app(
       "Plays a scenario on sockets: open-loop load on sidecars, with stand-ins for endpoints and discovery, "
       "all on "
@@ -365,52 +377,54 @@
       "indigorill-load");
   std::string file, folder_for_configs;
   std::vector<std::string> settings;
-  start_of_load with;
+  LoadRunConfig with;
   app.add_option("scenario", file, "the scenario, a TOML file")->required();
   app.add_option("--set", settings, "path=value in place of the file's, as load.rate=500");
   app.add_option("--seed", with.seed, "in place of the scenario's");
-  app.add_option("--start", with.command, "the sidecar's program, started as often as the scenario says");
+  app.add_option("--start", with.sidecar_command,
+                 "the sidecar's program, started as often as the scenario says");
   app.add_option("--base-port", with.base_port,
                  "agents listen from here on, sidecars 1000 above, endpoints 2000 above");
   app.add_option("--write-configs", folder_for_configs, "write the sidecars' configs into a folder, and end");
-  app.add_option("--most", with.most, "RPCs, at most")->check(CLI::Range(1, 100000000));
+  app.add_option("--most", with.max_requests, "RPCs, at most")->check(CLI::Range(1, 100000000));
   try {
     app.parse(argc, argv);
   } catch (const CLI::ParseError& e) {
     return app.exit(e, out, err) == 0 ? 0 : 2;
   }
   try {
-    toml::table t = read_toml(file);
-    with.plays = lab::decode_scenario(t);
+    toml::table t = read_toml_file(file);
+    with.scenario = lab::decode_scenario(t);
     for (const std::string& text : settings) {
       const auto [path, value] = lab::parse_setting(text);
       lab::set_value(t, path, value);
     }
-    with.plays = lab::decode_scenario(t);
-    if (app.count("--seed") == 0) with.seed = with.plays.seed;
+    with.scenario = lab::decode_scenario(t);
+    if (app.count("--seed") == 0) with.seed = with.scenario.seed;
     std::string wrong;
-    for (const std::string& fault : not_on_sockets(with.plays)) wrong += (wrong.empty() ? "" : "\n") + fault;
-    for (const trouble& is : with.plays.troubles)
-      if (is.what == trouble::kind::cut_talk && !with.plays.talk.on)
+    for (const std::string& fault : find_unsupported_features(with.scenario))
+      wrong += (wrong.empty() ? "" : "\n") + fault;
+    for (const Fault& is : with.scenario.faults)
+      if (is.kind == Fault::Kind::gossip_partition && !with.scenario.gossip.on)
         wrong = "trouble cut_talk wants a section talk";
-    if (with.command.empty() && with.base_port == 0)
+    if (with.sidecar_command.empty() && with.base_port == 0)
       wrong = "neither --start nor --base-port: where are the sidecars?";
-    if (with.command.empty())
-      for (const trouble& is : with.plays.troubles)
-        if (of_sidecars(is.what))
+    if (with.sidecar_command.empty())
+      for (const Fault& is : with.scenario.faults)
+        if (is_sidecar_fault(is.kind))
           wrong =
               "trouble restart_sidecars wants --start, as do all of sidecars: only what it started does it "
               "kill";
-    if (!wrong.empty()) throw faulty(wrong);
+    if (!wrong.empty()) throw ConfigError(wrong);
     if (!folder_for_configs.empty()) {
       write_configs(with, folder_for_configs);
-      out << with.plays.sidecars << " configs in " << folder_for_configs << '\n';
+      out << with.scenario.sidecars << " configs in " << folder_for_configs << '\n';
       return 0;
     }
-    const outcome o = play(with);
-    print(out, o);
-    return !o.broken.empty() ? 3 : !o.kept_pace ? 4 : 0;
-  } catch (const faulty& e) {
+    const LoadRunResult o = run_scenario(with);
+    print_result(out, o);
+    return !o.violations.empty() ? 3 : !o.kept_pace ? 4 : 0;
+  } catch (const ConfigError& e) {
     err << e.what() << '\n';
     return 2;
   } catch (const std::exception& e) {
--- a/src/load/wire.cpp
+++ b/src/load/wire.cpp
@@ -6,63 +6,69 @@
 
 namespace indigorill::loading {
 
-wire::wire(loop& in, std::vector<sockaddr_in> sidecars, manners how, std::uint64_t seed)
-    : runs(in), ends(std::move(sidecars)), now(how), chance(seed), kept(ends.size()) {
-  for (std::size_t i = 0; i < ends.size(); ++i)
-    doors.push_back(std::make_unique<datagrams>(
-        runs, loopback_at(0),
-        [this, i](std::string_view bytes, const sockaddr_in& from) { carry(i, bytes, from); }));
+DatagramProxy::DatagramProxy(EventLoop& in, std::vector<sockaddr_in> sidecars, NetworkConditions how,
+                             std::uint64_t seed)
+    : loop_(in),
+      sidecar_addresses_(std::move(sidecars)),
+      conditions_(how),
+      random_(seed),
+      recent_datagrams_(sidecar_addresses_.size()) {
+  for (std::size_t i = 0; i < sidecar_addresses_.size(); ++i)
+    sockets_.push_back(std::make_unique<DatagramSocket>(
+        loop_, loopback_at(0),
+        [this, i](std::string_view bytes, const sockaddr_in& from) { forward(i, bytes, from); }));
 }
 
-void wire::cut(std::size_t from, std::size_t to, bool is) {
+void DatagramProxy::set_partitioned(std::size_t from, std::size_t to, bool is) {
   if (is)
-    cuts.insert({from, to});
+    partitioned_.insert({from, to});
   else
-    cuts.erase({from, to});
+    partitioned_.erase({from, to});
 }
 
-void wire::carry(std::size_t to, std::string_view bytes, const sockaddr_in& from) {
-  ++counts.came;
-  const auto it = std::find_if(ends.begin(), ends.end(),
+void DatagramProxy::forward(std::size_t to, std::string_view bytes, const sockaddr_in& from) {
+  ++counters_.received;
+  const auto it = std::find_if(sidecar_addresses_.begin(), sidecar_addresses_.end(),
                                [&](const sockaddr_in& e) { return e.sin_port == from.sin_port; });
-  if (it == ends.end()) {
-    ++counts.stray;
+  if (it == sidecar_addresses_.end()) {
+    ++counters_.unknown_sender;
     return;
   }
-  const auto sender = static_cast<std::size_t>(it - ends.begin());
-  if (cuts.count({sender, to}) > 0) {
-    ++counts.cut;
+  const auto sender = static_cast<std::size_t>(it - sidecar_addresses_.begin());
+  if (partitioned_.count({sender, to}) > 0) {
+    ++counters_.partitioned;
     return;
   }
-  if (chance.happens(now.loss)) {
-    ++counts.lost;
+  if (random_.bernoulli(conditions_.loss)) {
+    ++counters_.lost;
     return;
   }
-  counts.bytes += bytes.size();
+  counters_.bytes += bytes.size();
   constexpr std::size_t remembered = 64;
-  std::vector<std::string>& last = kept[to];
+  std::vector<std::string>& last = recent_datagrams_[to];
   if (last.size() == remembered) last.erase(last.begin());
   last.emplace_back(bytes);
   const auto wait = [&] {
-    return now.delay + now.jitter * chance.unit() + (chance.happens(now.late) ? now.late_by : 0);
+    return conditions_.delay_ms + conditions_.jitter_ms * random_.uniform() +
+           (random_.bernoulli(conditions_.late) ? conditions_.late_by_ms : 0);
   };
-  if (chance.happens(now.doubled)) {
-    ++counts.doubled;
-    pass(to, std::string(bytes), wait());
+  if (random_.bernoulli(conditions_.duplicated)) {
+    ++counters_.duplicated;
+    deliver(to, std::string(bytes), wait());
   }
-  pass(to, std::string(bytes), wait());
+  deliver(to, std::string(bytes), wait());
 }
 
-void wire::pass(std::size_t to, std::string bytes, double wait) {
-  ++counts.passed;
+void DatagramProxy::deliver(std::size_t to, std::string bytes, double wait) {
+  ++counters_.forwarded;
   if (wait <= 0) {
-    doors[to]->send(ends[to], bytes);
+    sockets_[to]->send(sidecar_addresses_[to], bytes);
     return;
   }
-  const std::uint64_t name = ++serial;
-  on_the_way[name] = runs.at(runs.now() + wait, [this, name, to, held = std::move(bytes)] {
-    doors[to]->send(ends[to], held);
-    on_the_way.erase(name);
+  const std::uint64_t name = ++last_delayed_id_;
+  delayed_[name] = loop_.schedule_at(loop_.now() + wait, [this, name, to, held = std::move(bytes)] {
+    sockets_[to]->send(sidecar_addresses_[to], held);
+    delayed_.erase(name);
   });
 }
 
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -5,7 +5,7 @@
 #include "options/command.h"
 
 int main(int argc, char** argv) {
-  indigorill::hold_signals();
-  return indigorill::command(
+  indigorill::block_signals();
+  return indigorill::run_command_line(
       argc, argv, [](const char* name) { return std::getenv(name); }, std::cout, std::cerr);
 }
--- a/src/maintenance/maintenance.cpp
+++ b/src/maintenance/maintenance.cpp
@@ -5,14 +5,15 @@
 
 namespace indigorill {
 
-void maintenance::listed(bool whole, const std::vector<std::string>& here,
-                         const std::vector<std::string>& gone) {
-  if (whole) on_list.clear();
-  on_list.insert(here.begin(), here.end());
-  for (const std::string& id : gone) on_list.erase(id);
+void ManualEjections::update_endpoints(bool whole, const std::vector<std::string>& here,
+                                       const std::vector<std::string>& gone) {
+  if (whole) listed_.clear();
+  listed_.insert(here.begin(), here.end());
+  for (const std::string& id : gone) listed_.erase(id);
 }
 
-std::vector<std::string> missing(const maintenance::ids& from, const maintenance::ids& in) {
+std::vector<std::string> ids_missing_from(const ManualEjections::EndpointIds& from,
+                                          const ManualEjections::EndpointIds& in) {
   std::vector<std::string> lack;
   std::set_difference(in.begin(), in.end(), from.begin(), from.end(), std::back_inserter(lack));
   return lack;
--- a/src/maintenance/maintenance.h
+++ b/src/maintenance/maintenance.h
@@ -11,24 +11,26 @@
 
 namespace indigorill {
 
-class maintenance {
+class ManualEjections {
  public:
-  using ids = std::set<std::string, std::less<>>;
+  using EndpointIds = std::set<std::string, std::less<>>;
 
-  void listed(bool whole, const std::vector<std::string>& here, const std::vector<std::string>& gone);
+  void update_endpoints(bool whole, const std::vector<std::string>& here,
+                        const std::vector<std::string>& gone);
 
-  bool knows(std::string_view id) const { return on_list.count(id) > 0 || is_out.count(id) > 0; }
-  bool out(std::string_view id) const { return is_out.count(id) > 0; }
-  const ids& all_out() const { return is_out; }
+  bool is_known(std::string_view id) const { return listed_.count(id) > 0 || ejected_.count(id) > 0; }
+  bool is_ejected(std::string_view id) const { return ejected_.count(id) > 0; }
+  const EndpointIds& ejected() const { return ejected_; }
 
   // What another process of this sidecar, or one before it, left in force.
-  void restore(ids all) { is_out = std::move(all); }
+  void replace_ejected(EndpointIds all) { ejected_ = std::move(all); }
 
  private:
-  ids on_list, is_out;
+  EndpointIds listed_, ejected_;
 };
 
 // What one set has that the other lacks.
-std::vector<std::string> missing(const maintenance::ids& from, const maintenance::ids& in);
+std::vector<std::string> ids_missing_from(const ManualEjections::EndpointIds& from,
+                                          const ManualEjections::EndpointIds& in);
 
 }  // namespace indigorill
--- a/src/members/envelope.cpp
+++ b/src/members/envelope.cpp
@@ -9,95 +9,105 @@
 
 using nlohmann::json;
 
-constexpr int form = 1;  // a later one is not guessed at
-constexpr std::size_t longest_text = 64, fields_of_envelope = 8, fields_of_gossip = 5, fields_of_member = 4,
-                      fields_of_vote = 7, fields_of_ask = 5, fields_of_grant = 8;
+constexpr int format_version = 1;  // a later one is not guessed at
+constexpr std::size_t max_text_bytes = 64, envelope_field_count = 8, swim_message_field_count = 5,
+                      member_field_count = 4, lease_message_field_count = 7, quota_request_field_count = 5,
+                      quota_grant_field_count = 8;
 // Rounds and spans that no sound process reaches: what counts beyond them would come to its end.
-constexpr std::uint64_t most_rounds = std::uint64_t{1} << 48;
-constexpr double longest_span = 86400000;  // ms
+constexpr std::uint64_t max_ballot_round = std::uint64_t{1} << 48;
+constexpr double max_duration_ms = 86400000;  // ms
 
 // Reads an array's entries one by one; the first that doesn't fit spoils the whole.
-class reader {
+class ArrayReader {
  public:
-  reader(const json& of, std::size_t fields) : from(of), sound(of.is_array() && of.size() == fields) {}
+  ArrayReader(const json& of, std::size_t fields)
+      : array_(of), valid_(of.is_array() && of.size() == fields) {}
 
-  std::string text() {
-    const json* j = next();
-    if (j && j->is_string() && j->get_ref<const std::string&>().size() <= longest_text) return *j;
-    sound = false;
+  std::string read_text() {
+    const json* j = next_element();
+    if (j && j->is_string() && j->get_ref<const std::string&>().size() <= max_text_bytes) return *j;
+    valid_ = false;
     return {};
   }
-  std::uint64_t number(std::uint64_t most = UINT64_MAX) {
-    const json* j = next();
+  std::uint64_t read_unsigned(std::uint64_t most = UINT64_MAX) {
+    const json* j = next_element();
     if (j && j->is_number_unsigned() && j->get<std::uint64_t>() <= most) return j->get<std::uint64_t>();
-    sound = false;
+    valid_ = false;
     return 0;
   }
-  double span() {
-    const json* j = next();
+  double read_duration_ms() {
+    const json* j = next_element();
     const double v = j && j->is_number() ? j->get<double>() : -1;
-    if (v >= 0 && v <= longest_span) return v;
-    sound = false;
+    if (v >= 0 && v <= max_duration_ms) return v;
+    valid_ = false;
     return 0;
   }
-  const json& any() {
+  const json& read_element() {
     static const json nothing;
-    const json* j = next();
+    const json* j = next_element();
     return j ? *j : nothing;
   }
-  bool fits() const { return sound; }
+  bool is_valid() const { return valid_; }
 
  private:
-  const json* next() { return sound ? &from[at++] : nullptr; }
-  const json& from;
-  std::size_t at = 0;
-  bool sound;
+  const json* next_element() { return valid_ ? &array_[position_++] : nullptr; }
+  const json& array_;
+  std::size_t position_ = 0;
+  bool valid_;
 };
 
-json of_member(const member& m) { return {m.name, m.address, m.incarnation, static_cast<int>(m.is)}; }
+json encode_member(const Member& m) { return {m.name, m.address, m.incarnation, static_cast<int>(m.state)}; }
 
-bool read_member(const json& j, member& m) {
-  reader r(j, fields_of_member);
-  m.name = r.text();
-  m.address = r.text();
-  m.incarnation = r.number();
-  m.is = static_cast<member::state>(r.number(static_cast<int>(member::state::left)));
-  return r.fits() && plain_name(m.name) && plain_name(m.address);
+bool decode_member(const json& j, Member& m) {
+  ArrayReader r(j, member_field_count);
+  m.name = r.read_text();
+  m.address = r.read_text();
+  m.incarnation = r.read_unsigned();
+  m.state = static_cast<Member::State>(r.read_unsigned(static_cast<int>(Member::State::left)));
+  return r.is_valid() && is_valid_name(m.name) && is_valid_name(m.address);
 }
 
-bool read_gossip(const json& j, gossip& g) {
-  reader r(j, fields_of_gossip);
-  g.what = static_cast<gossip::kind>(r.number(static_cast<int>(gossip::kind::page)));
-  g.number = r.number();
-  g.target = r.text();
-  g.target_at = r.text();
-  const json& news = r.any();
-  if (!r.fits() || !news.is_array()) return false;
+bool decode_swim_message(const json& j, SwimMessage& g) {
+  ArrayReader r(j, swim_message_field_count);
+  g.kind = static_cast<SwimMessage::Kind>(r.read_unsigned(static_cast<int>(SwimMessage::Kind::view_page)));
+  g.sequence_number = r.read_unsigned();
+  g.target = r.read_text();
+  g.target_address = r.read_text();
+  const json& news = r.read_element();
+  if (!r.is_valid() || !news.is_array()) return false;
   for (const json& n : news)
-    if (!read_member(n, g.news.emplace_back())) return false;
-  return (g.target.empty() || plain_name(g.target)) && (g.target_at.empty() || plain_name(g.target_at));
+    if (!decode_member(n, g.updates.emplace_back())) return false;
+  return (g.target.empty() || is_valid_name(g.target)) &&
+         (g.target_address.empty() || is_valid_name(g.target_address));
 }
 
-json of_vote(const lease_word& w) {
-  return {
-      static_cast<int>(w.what), w.number.round, w.number.session, w.holder, w.session, w.remaining, w.quiet};
+json encode_lease_message(const LeaseMessage& w) {
+  return {static_cast<int>(w.type),
+          w.ballot.round,
+          w.ballot.session,
+          w.holder,
+          w.holder_session,
+          w.remaining_ms,
+          w.previous_leases_remaining_ms};
 }
 
-bool read_vote(const json& j, lease_word& w) {
-  reader r(j, fields_of_vote);
-  w.what = static_cast<lease_word::kind>(r.number(static_cast<int>(lease_word::kind::released)));
-  w.number.round = r.number(most_rounds);
-  w.number.session = r.number();
-  w.holder = r.text();
-  w.session = r.number();
-  w.remaining = r.span();
-  w.quiet = r.span();
-  return r.fits() && (w.holder.empty() || plain_name(w.holder));
+bool decode_lease_message(const json& j, LeaseMessage& w) {
+  ArrayReader r(j, lease_message_field_count);
+  w.type = static_cast<LeaseMessage::Type>(r.read_unsigned(static_cast<int>(LeaseMessage::Type::released)));
+  w.ballot.round = r.read_unsigned(max_ballot_round);
+  w.ballot.session = r.read_unsigned();
+  w.holder = r.read_text();
+  w.holder_session = r.read_unsigned();
+  w.remaining_ms = r.read_duration_ms();
+  w.previous_leases_remaining_ms = r.read_duration_ms();
+  return r.is_valid() && (w.holder.empty() || is_valid_name(w.holder));
 }
 
-json of_ask(const share_ask& a) { return {a.session, a.number, a.goes_by, a.seat_left, a.wants}; }
+json encode_quota_request(const QuotaRequest& a) {
+  return {a.session, a.request_number, a.oldest_grant_in_use, a.registration_remaining_ms, a.demands};
+}
 
-bool read_units(const json& j, std::vector<double>& units) {
+bool decode_amounts(const json& j, std::vector<double>& units) {
   constexpr double most = 1e9;
   if (!j.is_array()) return false;
   for (const json& n : j)
@@ -105,125 +115,131 @@
   return true;
 }
 
-bool read_ask(const json& j, share_ask& a) {
-  reader r(j, fields_of_ask);
-  a.session = r.number();
-  a.number = r.number();
-  a.goes_by = r.number();
-  a.seat_left = r.span();
-  return read_units(r.any(), a.wants) && r.fits();
+bool decode_quota_request(const json& j, QuotaRequest& a) {
+  ArrayReader r(j, quota_request_field_count);
+  a.session = r.read_unsigned();
+  a.request_number = r.read_unsigned();
+  a.oldest_grant_in_use = r.read_unsigned();
+  a.registration_remaining_ms = r.read_duration_ms();
+  return decode_amounts(r.read_element(), a.demands) && r.is_valid();
 }
 
-json of_grant(const share_grant& g) {
-  return {static_cast<int>(g.what), g.session, g.number, g.lasts, g.seat, g.amounts, g.floors, g.holder};
+json encode_quota_grant(const QuotaGrant& g) {
+  return {static_cast<int>(g.status), g.session, g.request_number,      g.duration_ms,
+          g.registration_duration_ms, g.amounts, g.guaranteed_minimums, g.leader};
 }
 
-bool read_grant(const json& j, share_grant& g) {
-  reader r(j, fields_of_grant);
-  g.what = static_cast<share_grant::kind>(r.number(static_cast<int>(share_grant::kind::not_mine)));
-  g.session = r.number();
-  g.number = r.number();
-  g.lasts = r.span();
-  g.seat = r.span();
-  if (!read_units(r.any(), g.amounts) || !read_units(r.any(), g.floors)) return false;
-  g.holder = r.text();
-  return r.fits() && (g.holder.empty() || plain_name(g.holder));
+bool decode_quota_grant(const json& j, QuotaGrant& g) {
+  ArrayReader r(j, quota_grant_field_count);
+  g.status =
+      static_cast<QuotaGrant::Status>(r.read_unsigned(static_cast<int>(QuotaGrant::Status::not_leader)));
+  g.session = r.read_unsigned();
+  g.request_number = r.read_unsigned();
+  g.duration_ms = r.read_duration_ms();
+  g.registration_duration_ms = r.read_duration_ms();
+  if (!decode_amounts(r.read_element(), g.amounts) ||
+      !decode_amounts(r.read_element(), g.guaranteed_minimums))
+    return false;
+  g.leader = r.read_text();
+  return r.is_valid() && (g.leader.empty() || is_valid_name(g.leader));
 }
 
 }  // namespace
 
-bool plain_name(std::string_view name) {
+bool is_valid_name(std::string_view name) {
   constexpr std::string_view others = "-_.:/";
-  return !name.empty() && name.size() <= longest_text &&
+  return !name.empty() && name.size() <= max_text_bytes &&
          std::all_of(name.begin(), name.end(), [&](unsigned char c) {
            return std::isalnum(c) || others.find(static_cast<char>(c)) != std::string_view::npos;
          });
 }
 
-std::string_view name_of(misfit m) {
-  constexpr std::array<std::string_view, misfits> names{"torn",   "too_long", "other_form", "foreign",
-                                                        "former", "doubled",  "late"};
+std::string_view name_of(DecodeError m) {
+  constexpr std::array<std::string_view, decode_error_count> names{
+      "torn", "too_long", "other_form", "foreign", "former", "doubled", "late"};
   return names[static_cast<std::size_t>(m)];
 }
 
-std::string encode(const envelope& e) {
+std::string encode(const Envelope& e) {
   json body;
-  if (e.what == envelope::kind::gossip) {
+  if (e.kind == Envelope::Kind::membership) {
     json news = json::array();
-    for (const member& m : e.talk.news) news.push_back(of_member(m));
-    body = {static_cast<int>(e.talk.what), e.talk.number, e.talk.target, e.talk.target_at, std::move(news)};
-  } else if (e.what == envelope::kind::lease) {
-    body = of_vote(e.vote);
-  } else if (e.what == envelope::kind::ask) {
-    body = of_ask(e.asks);
-  } else if (e.what == envelope::kind::grant) {
-    body = of_grant(e.grants);
+    for (const Member& m : e.swim_message.updates) news.push_back(encode_member(m));
+    body = {static_cast<int>(e.swim_message.kind), e.swim_message.sequence_number, e.swim_message.target,
+            e.swim_message.target_address, std::move(news)};
+  } else if (e.kind == Envelope::Kind::lease) {
+    body = encode_lease_message(e.lease_message);
+  } else if (e.kind == Envelope::Kind::quota_request) {
+    body = encode_quota_request(e.quota_request);
+  } else if (e.kind == Envelope::Kind::quota_grant) {
+    body = encode_quota_grant(e.quota_grant);
   } else {
-    body = e.told;
+    body = e.load_gossip;
   }
   std::string bytes;
-  json::to_msgpack(json{form, e.fleet, e.name, e.address, e.incarnation, e.serial, static_cast<int>(e.what),
-                        std::move(body)},
+  json::to_msgpack(json{format_version, e.fleet, e.name, e.address, e.incarnation, e.sequence_number,
+                        static_cast<int>(e.kind), std::move(body)},
                    bytes);
   return bytes;
 }
 
-std::variant<envelope, misfit> decode_envelope(std::string_view bytes, std::string_view fleet) {
-  if (bytes.size() > longest_datagram) return misfit::too_long;
+std::variant<Envelope, DecodeError> decode_envelope(std::string_view bytes, std::string_view fleet) {
+  if (bytes.size() > max_datagram_bytes) return DecodeError::too_long;
   const json j = json::from_msgpack(bytes.begin(), bytes.end(), true, false);
-  if (j.is_discarded() || !j.is_array() || j.empty() || !j[0].is_number_unsigned()) return misfit::torn;
-  if (j[0] != form) return misfit::other_form;
-  reader r(j, fields_of_envelope);
-  envelope e;
-  r.number();
-  e.fleet = r.text();
-  e.name = r.text();
-  e.address = r.text();
-  e.incarnation = r.number();
-  e.serial = r.number();
-  e.what = static_cast<envelope::kind>(r.number(static_cast<int>(envelope::kind::grant)));
-  const json& body = r.any();
-  if (!r.fits()) return misfit::torn;
-  if (e.fleet != fleet) return misfit::foreign;
-  if (!plain_name(e.name) || !plain_name(e.address)) return misfit::torn;
-  if (e.what == envelope::kind::news) {
-    if (!body.is_string()) return misfit::torn;
-    e.told = body;
-  } else if (e.what == envelope::kind::lease) {
-    if (!read_vote(body, e.vote)) return misfit::torn;
-  } else if (e.what == envelope::kind::ask) {
-    if (!read_ask(body, e.asks)) return misfit::torn;
-  } else if (e.what == envelope::kind::grant) {
-    if (!read_grant(body, e.grants)) return misfit::torn;
-  } else if (!read_gossip(body, e.talk)) {
-    return misfit::torn;
+  if (j.is_discarded() || !j.is_array() || j.empty() || !j[0].is_number_unsigned())
+    return DecodeError::malformed;
+  if (j[0] != format_version) return DecodeError::unsupported_version;
+  ArrayReader r(j, envelope_field_count);
+  Envelope e;
+  r.read_unsigned();
+  e.fleet = r.read_text();
+  e.name = r.read_text();
+  e.address = r.read_text();
+  e.incarnation = r.read_unsigned();
+  e.sequence_number = r.read_unsigned();
+  e.kind = static_cast<Envelope::Kind>(r.read_unsigned(static_cast<int>(Envelope::Kind::quota_grant)));
+  const json& body = r.read_element();
+  if (!r.is_valid()) return DecodeError::malformed;
+  if (e.fleet != fleet) return DecodeError::other_fleet;
+  if (!is_valid_name(e.name) || !is_valid_name(e.address)) return DecodeError::malformed;
+  if (e.kind == Envelope::Kind::load_gossip) {
+    if (!body.is_string()) return DecodeError::malformed;
+    e.load_gossip = body;
+  } else if (e.kind == Envelope::Kind::lease) {
+    if (!decode_lease_message(body, e.lease_message)) return DecodeError::malformed;
+  } else if (e.kind == Envelope::Kind::quota_request) {
+    if (!decode_quota_request(body, e.quota_request)) return DecodeError::malformed;
+  } else if (e.kind == Envelope::Kind::quota_grant) {
+    if (!decode_quota_grant(body, e.quota_grant)) return DecodeError::malformed;
+  } else if (!decode_swim_message(body, e.swim_message)) {
+    return DecodeError::malformed;
   }
   return e;
 }
 
-std::optional<misfit> seen_serials::saw(const envelope& e, double now) {
+std::optional<DecodeError> ReplayFilter::check(const Envelope& e, double now) {
   constexpr std::uint64_t width = 64;
   constexpr std::size_t most = 10000;    // senders; past it the silent ones go, else all
   constexpr double forgotten = 3600000;  // ms
-  if (senders.size() >= most) {
-    std::erase_if(senders, [&](const auto& s) { return now - s.second.heard > forgotten; });
-    if (senders.size() >= most) senders.clear();
+  if (senders_.size() >= most) {
+    std::erase_if(senders_, [&](const auto& s) { return now - s.second.last_heard_at > forgotten; });
+    if (senders_.size() >= most) senders_.clear();
   }
-  sender& s = senders[e.name];
-  if (e.incarnation < s.incarnation) return misfit::former;
+  Sender& s = senders_[e.name];
+  if (e.incarnation < s.incarnation) return DecodeError::stale_incarnation;
   if (e.incarnation > s.incarnation)
-    s = {e.incarnation, e.serial, 1, now};
-  else if (e.serial > s.last) {
-    const std::uint64_t on = e.serial - s.last;
-    s.window = on >= width ? 1 : (s.window << on) | 1;
-    s.last = e.serial;
+    s = {e.incarnation, e.sequence_number, 1, now};
+  else if (e.sequence_number > s.highest_sequence_number) {
+    const std::uint64_t on = e.sequence_number - s.highest_sequence_number;
+    s.received_window = on >= width ? 1 : (s.received_window << on) | 1;
+    s.highest_sequence_number = e.sequence_number;
   } else {
-    const std::uint64_t behind = s.last - e.serial;
-    if (behind >= width) return misfit::late;
-    if (s.window >> behind & 1) return misfit::doubled;
-    s.window |= std::uint64_t{1} << behind;
+    const std::uint64_t behind = s.highest_sequence_number - e.sequence_number;
+    if (behind >= width) return DecodeError::outside_window;
+    if (s.received_window >> behind & 1) return DecodeError::duplicate;
+    s.received_window |= std::uint64_t{1} << behind;
   }
-  s.heard = now;
+  s.last_heard_at = now;
   return {};
 }
 
--- a/src/members/envelope.h
+++ b/src/members/envelope.h
@@ -15,48 +15,62 @@
 
 namespace indigorill {
 
-struct envelope {
+struct Envelope {
   std::string fleet, name, address;  // of the sender; the address is where it is to be answered
-  std::uint64_t incarnation = 0, serial = 0;
-  enum class kind : std::uint8_t { gossip, news, lease, ask, grant } what = kind::gossip;
-  gossip talk = {};
-  lease_word vote = {};
-  share_ask asks = {};
-  share_grant grants = {};
-  std::string told = {};  // the balancer's news, as src/peers writes it
+  std::uint64_t incarnation = 0, sequence_number = 0;
+  enum class Kind : std::uint8_t {
+    membership,
+    load_gossip,
+    lease,
+    quota_request,
+    quota_grant
+  } kind = Kind::membership;
+  SwimMessage swim_message = {};
+  LeaseMessage lease_message = {};
+  QuotaRequest quota_request = {};
+  QuotaGrant quota_grant = {};
+  std::string load_gossip = {};  // the balancer's news, as src/peers writes it
 };
 
 // Why a datagram is dropped. former, doubled, late: told by the sender's incarnation and serial.
-enum class misfit : std::uint8_t { torn, too_long, other_form, foreign, former, doubled, late };
-constexpr std::size_t misfits = 7;
-std::string_view name_of(misfit m);
+enum class DecodeError : std::uint8_t {
+  malformed,
+  too_long,
+  unsupported_version,
+  other_fleet,
+  stale_incarnation,
+  duplicate,
+  outside_window
+};
+constexpr std::size_t decode_error_count = 7;
+std::string_view name_of(DecodeError m);
 
 // No path between two sidecars has to cut such a datagram up (IPv4 over Ethernet, tunnels included, takes
 // 1,400).
-constexpr std::size_t longest_datagram = 1300;
+constexpr std::size_t max_datagram_bytes = 1300;
 
 // Names go into log lines and pages of staff, and many into one datagram: 64 letters, digits and -_.:/ at
 // most.
-bool plain_name(std::string_view name);
+bool is_valid_name(std::string_view name);
 
-std::string encode(const envelope& e);
+std::string encode(const Envelope& e);
 // fleet: ours; what is of another one is foreign.
-std::variant<envelope, misfit> decode_envelope(std::string_view bytes, std::string_view fleet);
+std::variant<Envelope, DecodeError> decode_envelope(std::string_view bytes, std::string_view fleet);
 
 // Which datagrams of a sender came already: a window over its serials, as in RFC 4303, 3.4.3. What is
 // doubled, or from before its last restart, or so late that it can't be told from doubled, is not heard
 // again.
-class seen_serials {
+class ReplayFilter {
  public:
   // None where it is to be heard.
-  std::optional<misfit> saw(const envelope& e, double now);
+  std::optional<DecodeError> check(const Envelope& e, double now);
 
  private:
-  struct sender {
-    std::uint64_t incarnation = 0, last = 0, window = 0;
-    double heard = 0;
+  struct Sender {
+    std::uint64_t incarnation = 0, highest_sequence_number = 0, received_window = 0;
+    double last_heard_at = 0;
   };
-  std::map<std::string, sender, std::less<>> senders;
+  std::map<std::string, Sender, std::less<>> senders_;
 };
 
 }  // namespace indigorill
