--- a/src/members/members.cpp
+++ b/src/members/members.cpp
@@ -13,379 +13,410 @@
 
 // SWIM's k; with three helpers at 20 % loss a live member is missed by all of them once in 150 probes or
 // less.
-constexpr std::size_t helpers = 3;
+constexpr std::size_t indirect_probe_fanout = 3;
 // A message stays under this, so that its datagram stays well under the 1,400 bytes that no path cuts up.
-constexpr std::size_t room_for_news = 900;
-constexpr std::size_t cost_of_numbers = 14;
+constexpr std::size_t max_update_bytes = 900;
+constexpr std::size_t encoded_numbers_bytes = 14;
 // Each piece of news goes out so many times log10 of the fleet: memberlist's and Lifeguard's figure is four.
-constexpr double retellings = 4;
+constexpr double retransmit_multiplier = 4;
 // Lifeguard's alpha and beta: a suspicion lasts at least alpha log10(n) periods, and beta times that while
 // nobody else confirms it.
-constexpr double alpha = 4, beta = 6;
-constexpr double confirmations = 3;
-constexpr int worst_health = 8;
-constexpr std::uint64_t page_every = 5,
-                        recall_every = 5;  // periods: views that differ, sides of a healed cut
+constexpr double suspicion_multiplier = 4, max_suspicion_multiplier = 6;
+constexpr double expected_confirmations = 3;
+constexpr int max_local_health = 8;
+constexpr std::uint64_t view_sync_interval_rounds = 5,
+                        reconnect_interval_rounds = 5;  // periods: views that differ, sides of a healed cut
 // Of many that start at once the first pages know few: a newcomer reads the whole view again in these
 // periods.
-constexpr std::array<std::uint64_t, 2> read_again{4, 10};
-constexpr double remembered = 600000;  // ms; the dead and those that left
-constexpr std::size_t most_known = 10000, most_errands = 256, most_out = 4096;
+constexpr std::array<std::uint64_t, 2> view_reread_rounds{4, 10};
+constexpr double dead_member_retention_ms = 600000;  // ms; the dead and those that left
+constexpr std::size_t max_members = 10000, max_indirect_probes = 256, max_outgoing_messages = 4096;
 
-std::size_t cost(const member& m) { return m.name.size() + m.address.size() + cost_of_numbers; }
+std::size_t encoded_bytes(const Member& m) {
+  return m.name.size() + m.address.size() + encoded_numbers_bytes;
+}
 
-bool here(const member& m) { return m.is == member::state::alive || m.is == member::state::suspect; }
+bool is_live(const Member& m) { return m.state == Member::State::alive || m.state == Member::State::suspect; }
 
 }  // namespace
 
-bool overrides(const member& a, const member& b) {
-  return std::tie(a.incarnation, a.is, a.address) > std::tie(b.incarnation, b.is, b.address);
+bool supersedes(const Member& a, const Member& b) {
+  return std::tie(a.incarnation, a.state, a.address) > std::tie(b.incarnation, b.state, b.address);
 }
 
-members::members(traits with, std::uint64_t incarnation, std::uint64_t seed, double now)
-    : is(std::move(with)),
-      self{member::state::alive, is.name, is.address, incarnation},
-      chance(static_cast<std::knuth_b::result_type>(seed)),
-      next_turn(now + is.period * std::uniform_real_distribution<double>(0, 1)(chance)),
-      next_join(now) {}
+Membership::Membership(Config with, std::uint64_t incarnation, std::uint64_t seed, double now)
+    : config_(std::move(with)),
+      self_{Member::State::alive, config_.name, config_.address, incarnation},
+      random_(static_cast<std::knuth_b::result_type>(seed)),
+      next_probe_at_(now + config_.probe_interval_ms * std::uniform_real_distribution<double>(0, 1)(random_)),
+      next_join_at_(now) {}
 
-std::size_t members::there() const { return 1 + living; }
+std::size_t Membership::live_count() const { return 1 + live_peer_count_; }
 
-std::array<std::size_t, 4> members::by_state() const {
+std::array<std::size_t, 4> Membership::count_by_state() const {
   std::array<std::size_t, 4> n{};
-  for (const auto& [name, m] : known) ++n[static_cast<std::size_t>(m.is)];
+  for (const auto& [name, m] : members_) ++n[static_cast<std::size_t>(m.state)];
   return n;
 }
 
-std::string members::address_of(const std::string& name) const {
-  if (name == self.name) return self.address;
-  const auto it = known.find(name);
-  return it == known.end() ? "" : it->second.address;
+std::string Membership::address_of(const std::string& name) const {
+  if (name == self_.name) return self_.address;
+  const auto it = members_.find(name);
+  return it == members_.end() ? "" : it->second.address;
 }
 
-std::optional<members::letter> members::next() {
-  if (out.empty()) return {};
-  letter l = std::move(out.front());
-  out.erase(out.begin());
+std::optional<Membership::OutgoingMessage> Membership::next_message() {
+  if (outbox_.empty()) return {};
+  OutgoingMessage l = std::move(outbox_.front());
+  outbox_.erase(outbox_.begin());
   return l;
 }
 
-double members::next_due() const {
-  if (gone) return std::numeric_limits<double>::infinity();
-  double when = std::min(next_turn, joined ? next_turn : next_join);
-  if (!now_probed.answered && !now_probed.asked_others) when = std::min(when, now_probed.direct_until);
-  for (const auto& [number, e] : errands) when = std::min(when, e.nacked ? e.until : e.nack_at);
-  for (const auto& [name, s] : suspects) when = std::min(when, suspected_until(s));
+double Membership::next_timer_at() const {
+  if (has_left_) return std::numeric_limits<double>::infinity();
+  double when = std::min(next_probe_at_, joined_ ? next_probe_at_ : next_join_at_);
+  if (!current_probe_.answered && !current_probe_.indirect_started)
+    when = std::min(when, current_probe_.direct_deadline);
+  for (const auto& [number, e] : indirect_probes_)
+    when = std::min(when, e.nack_sent ? e.expires_at : e.nack_at);
+  for (const auto& [name, s] : suspicions_) when = std::min(when, suspicion_deadline(s));
   return when;
 }
 
-double members::suspected_until(const suspicion& s) const {
+double Membership::suspicion_deadline(const Suspicion& s) const {
   // Lifeguard, section IV-B. A slow process takes the longer the more it doubts itself.
-  const double least =
-      alpha * std::max(1.0, std::log10(static_cast<double>(there()))) * is.period * stretch();
-  const double most = beta * least, others = static_cast<double>(s.from.size()) - 1;
-  const double wanted = std::min(confirmations, std::max(1.0, static_cast<double>(there()) - 2));
+  const double least = suspicion_multiplier * std::max(1.0, std::log10(static_cast<double>(live_count()))) *
+                       config_.probe_interval_ms * health_multiplier();
+  const double most = max_suspicion_multiplier * least, others = static_cast<double>(s.accusers.size()) - 1;
+  const double wanted =
+      std::min(expected_confirmations, std::max(1.0, static_cast<double>(live_count()) - 2));
   const double left = most - (most - least) * std::log(std::max(others, 0.0) + 1) / std::log(wanted + 1);
-  return s.since + std::max(least, left);
+  return s.started_at + std::max(least, left);
 }
 
-void members::learn_of_self(const member& m) {
-  if (m.address != self.address && here(m)) {
+void Membership::apply_update_about_self(const Member& m) {
+  if (m.address != self_.address && is_live(m)) {
     // Two processes with one name: the later one has it. To refute each other would go on for good.
-    if (m.incarnation > self.incarnation || (m.incarnation == self.incarnation && m.address > self.address)) {
-      if (!std::exchange(out_of_name, true)) ++counts.displaced;
+    if (m.incarnation > self_.incarnation ||
+        (m.incarnation == self_.incarnation && m.address > self_.address)) {
+      if (!std::exchange(displaced_, true)) ++counters_.displacements;
     }
     return;
   }
-  if (m.incarnation < self.incarnation || (m.incarnation == self.incarnation && !overrides(m, self))) return;
+  if (m.incarnation < self_.incarnation || (m.incarnation == self_.incarnation && !supersedes(m, self_)))
+    return;
   // Said to be suspect or dead, or this process came back with an earlier clock than it once had.
-  out_of_name = false;
-  self.incarnation = m.incarnation + 1;
-  ++counts.refuted;
-  if (m.is == member::state::suspect) health = std::min(health + 1, worst_health);
+  displaced_ = false;
+  self_.incarnation = m.incarnation + 1;
+  ++counters_.refutations;
+  if (m.state == Member::State::suspect) local_health_ = std::min(local_health_ + 1, max_local_health);
 }
 
-bool members::learn(double now, const member& m, const std::string& by, bool tell) {
+bool Membership::apply_update(double now, const Member& m, const std::string& by, bool tell) {
   if (m.name.empty() || m.address.empty()) return false;
-  if (m.name == self.name) return learn_of_self(m), false;
-  const auto it = known.find(m.name);
+  if (m.name == self_.name) return apply_update_about_self(m), false;
+  const auto it = members_.find(m.name);
   // One more that suspects it of its own accord shortens the wait.
-  if (it != known.end() && it->second == m) {
-    const auto s = suspects.find(m.name);
-    if (s != suspects.end() && s->second.from.size() <= confirmations && s->second.from.insert(by).second)
-      say(m);
+  if (it != members_.end() && it->second == m) {
+    const auto s = suspicions_.find(m.name);
+    if (s != suspicions_.end() && s->second.accusers.size() <= expected_confirmations &&
+        s->second.accusers.insert(by).second)
+      enqueue_update(m);
     return false;
   }
-  if (it != known.end() && !overrides(m, it->second)) return false;
-  if (it == known.end() && (known.size() >= most_known || !here(m))) {
+  if (it != members_.end() && !supersedes(m, it->second)) return false;
+  if (it == members_.end() && (members_.size() >= max_members || !is_live(m))) {
     return false;  // a death of one never met needs no place here
   }
-  const bool was_here = it != known.end() && here(it->second);
-  known[m.name] = m;
-  living += here(m);
-  living -= was_here;
-  suspects.erase(m.name);
-  if (m.is == member::state::suspect) suspects[m.name] = {now, {by}};
-  if (here(m))
-    ended.erase(m.name);
+  const bool was_here = it != members_.end() && is_live(it->second);
+  members_[m.name] = m;
+  live_peer_count_ += is_live(m);
+  live_peer_count_ -= was_here;
+  suspicions_.erase(m.name);
+  if (m.state == Member::State::suspect) suspicions_[m.name] = {now, {by}};
+  if (is_live(m))
+    ended_at_.erase(m.name);
   else
-    ended.emplace(m.name, now);
-  if (here(m) && !was_here && !ring.empty())
-    ring.insert(ring.begin() + static_cast<std::ptrdiff_t>(
-                                   std::uniform_int_distribution<std::size_t>(0, ring.size())(chance)),
-                m.name);
-  if (tell || it != known.end()) say(m);
+    ended_at_.emplace(m.name, now);
+  if (is_live(m) && !was_here && !probe_order_.empty())
+    probe_order_.insert(
+        probe_order_.begin() + static_cast<std::ptrdiff_t>(std::uniform_int_distribution<std::size_t>(
+                                   0, probe_order_.size())(random_)),
+        m.name);
+  if (tell || it != members_.end()) enqueue_update(m);
   return true;
 }
 
-void members::send(const std::string& to, gossip g, const std::string& about) {
-  if (to.empty() || out.size() >= most_out) return;
+void Membership::send(const std::string& to, SwimMessage g, const std::string& about) {
+  if (to.empty() || outbox_.size() >= max_outgoing_messages) return;
   std::size_t used = 0;
-  const auto put = [&](const member& m) {
-    if (used + cost(m) > room_for_news) return false;
-    used += cost(m);
-    g.news.push_back(m);
+  const auto put = [&](const Member& m) {
+    if (used + encoded_bytes(m) > max_update_bytes) return false;
+    used += encoded_bytes(m);
+    g.updates.push_back(m);
     return true;
   };
-  for (const member& m : g.news) used += cost(m);
-  if (!out_of_name) {
-    used += cost(self);
-    g.news.insert(g.news.begin(), self);
+  for (const Member& m : g.updates) used += encoded_bytes(m);
+  if (!displaced_) {
+    used += encoded_bytes(self_);
+    g.updates.insert(g.updates.begin(), self_);
   }
   // Who is suspected or taken for dead hears of it first of all, so that it can refute it (Lifeguard's
   // buddy).
-  if (const auto it = known.find(about); it != known.end() && it->second.is != member::state::alive)
+  if (const auto it = members_.find(about); it != members_.end() && it->second.state != Member::State::alive)
     put(it->second);
   std::vector<std::pair<int, std::string_view>> order;  // the least told first; no more than could fit
-  for (const auto& [name, times] : unsaid)
+  for (const auto& [name, times] : pending_updates_)
     if (name != about) order.emplace_back(times, name);
-  constexpr std::size_t most_fitting = room_for_news / cost_of_numbers;
+  constexpr std::size_t most_fitting = max_update_bytes / encoded_numbers_bytes;
   const auto end = order.begin() + static_cast<std::ptrdiff_t>(std::min(order.size(), most_fitting));
   std::partial_sort(order.begin(), end, order.end());
-  const int most =
-      static_cast<int>(std::ceil(retellings * std::max(1.0, std::log10(1.0 + static_cast<double>(there())))));
+  const int most = static_cast<int>(
+      std::ceil(retransmit_multiplier * std::max(1.0, std::log10(1.0 + static_cast<double>(live_count())))));
   for (auto next = order.begin(); next != end; ++next) {
-    const auto told = unsaid.find(std::string(next->second));
-    const auto it = known.find(told->first);
-    if (it != known.end() && !put(it->second)) break;
-    if (it == known.end() || ++told->second >= most) unsaid.erase(told);
+    const auto told = pending_updates_.find(std::string(next->second));
+    const auto it = members_.find(told->first);
+    if (it != members_.end() && !put(it->second)) break;
+    if (it == members_.end() || ++told->second >= most) pending_updates_.erase(told);
   }
-  out.push_back({to, std::move(g)});
+  outbox_.push_back({to, std::move(g)});
 }
 
-std::string members::any_alive(const std::string& but) {
+std::string Membership::random_alive_member(const std::string& but) {
   // A few draws find one; what is left over is looked for in order.
-  if (known.empty()) return {};
+  if (members_.empty()) return {};
   std::vector<const std::string*> names;
-  for (const auto& [name, m] : known)
-    if (m.is == member::state::alive && name != but) names.push_back(&name);
+  for (const auto& [name, m] : members_)
+    if (m.state == Member::State::alive && name != but) names.push_back(&name);
   if (names.empty()) return {};
-  return *names[std::uniform_int_distribution<std::size_t>(0, names.size() - 1)(chance)];
+  return *names[std::uniform_int_distribution<std::size_t>(0, names.size() - 1)(random_)];
 }
 
-void members::begin_probe(double now) {
+void Membership::start_probe(double now) {
   while (true) {
-    if (ring.empty()) {
-      for (const auto& [name, m] : known)
-        if (here(m)) ring.push_back(name);
-      if (ring.empty()) return;
-      std::shuffle(ring.begin(), ring.end(), chance);
+    if (probe_order_.empty()) {
+      for (const auto& [name, m] : members_)
+        if (is_live(m)) probe_order_.push_back(name);
+      if (probe_order_.empty()) return;
+      std::shuffle(probe_order_.begin(), probe_order_.end(), random_);
     }
-    const std::string target = ring.back();
-    ring.pop_back();
-    const auto it = known.find(target);
-    if (it == known.end() || !here(it->second)) continue;
-    now_probed = {target, ++numbers, now + is.timeout * stretch(), next_turn, false, false, 0, 0};
-    ++counts.probes;
-    return send(it->second.address, {gossip::kind::ping, numbers, {}, {}, {}}, target);
+    const std::string target = probe_order_.back();
+    probe_order_.pop_back();
+    const auto it = members_.find(target);
+    if (it == members_.end() || !is_live(it->second)) continue;
+    current_probe_ = {target,
+                      ++last_sequence_number_,
+                      now + config_.probe_timeout_ms * health_multiplier(),
+                      next_probe_at_,
+                      false,
+                      false,
+                      0,
+                      0};
+    ++counters_.probes_sent;
+    return send(it->second.address, {SwimMessage::Kind::ping, last_sequence_number_, {}, {}, {}}, target);
   }
 }
 
-void members::ask_others() {
-  now_probed.asked_others = true;
-  ++counts.indirect;
+void Membership::start_indirect_probe() {
+  current_probe_.indirect_started = true;
+  ++counters_.indirect_probes;
   std::vector<std::string> names;
-  for (const auto& [name, m] : known)
-    if (m.is == member::state::alive && name != now_probed.target) names.push_back(name);
-  for (std::size_t i = 0; i < helpers && i < names.size(); ++i) {
-    std::swap(names[i], names[std::uniform_int_distribution<std::size_t>(i, names.size() - 1)(chance)]);
-    ++now_probed.relays;
-    send(known[names[i]].address,
-         {gossip::kind::relay, now_probed.number, now_probed.target, known[now_probed.target].address, {}});
+  for (const auto& [name, m] : members_)
+    if (m.state == Member::State::alive && name != current_probe_.target) names.push_back(name);
+  for (std::size_t i = 0; i < indirect_probe_fanout && i < names.size(); ++i) {
+    std::swap(names[i], names[std::uniform_int_distribution<std::size_t>(i, names.size() - 1)(random_)]);
+    ++current_probe_.indirect_requests;
+    send(members_[names[i]].address, {SwimMessage::Kind::ping_request,
+                                      current_probe_.sequence_number,
+                                      current_probe_.target,
+                                      members_[current_probe_.target].address,
+                                      {}});
   }
 }
 
-void members::end_probe(double now) {
-  if (now_probed.target.empty()) return;
-  const probe p = std::exchange(now_probed, {});
+void Membership::finish_probe(double now) {
+  if (current_probe_.target.empty()) return;
+  const Probe p = std::exchange(current_probe_, {});
   if (p.answered) {
-    health = std::max(health - 1, 0);
+    local_health_ = std::max(local_health_ - 1, 0);
     return;
   }
-  ++counts.unanswered;
+  ++counters_.failed_probes;
   // Helpers answer at least that they have heard nothing: whose nacks are missing too has itself to blame.
-  const std::size_t missing = p.relays - std::min(p.relays, p.nacks);
-  health = std::min(health + (p.relays == 0 ? 1 : static_cast<int>(missing)), worst_health);
-  const auto it = known.find(p.target);
-  if (it == known.end() || !here(it->second)) return;
-  member m = it->second;
-  m.is = member::state::suspect;
-  learn(now, m, self.name, true);
+  const std::size_t missing = p.indirect_requests - std::min(p.indirect_requests, p.nacks_received);
+  local_health_ =
+      std::min(local_health_ + (p.indirect_requests == 0 ? 1 : static_cast<int>(missing)), max_local_health);
+  const auto it = members_.find(p.target);
+  if (it == members_.end() || !is_live(it->second)) return;
+  Member m = it->second;
+  m.state = Member::State::suspect;
+  apply_update(now, m, self_.name, true);
 }
 
-void members::judge_suspects(double now) {
+void Membership::expire_suspicions(double now) {
   std::vector<std::string> over;
-  for (const auto& [name, s] : suspects)
-    if (suspected_until(s) <= now) over.push_back(name);
+  for (const auto& [name, s] : suspicions_)
+    if (suspicion_deadline(s) <= now) over.push_back(name);
   for (const std::string& name : over) {
-    member m = known.at(name);
-    m.is = member::state::dead;
-    learn(now, m, self.name, true);
+    Member m = members_.at(name);
+    m.state = Member::State::dead;
+    apply_update(now, m, self_.name, true);
   }
 }
 
-void members::ask_for_page() {
-  const std::string whom = any_alive();
-  if (!whom.empty()) send(known[whom].address, {gossip::kind::ask, ++numbers, cursor, {}, {}});
+void Membership::request_view_page() {
+  const std::string whom = random_alive_member();
+  if (!whom.empty())
+    send(members_[whom].address,
+         {SwimMessage::Kind::view_request, ++last_sequence_number_, view_cursor_, {}, {}});
 }
 
 // This process stood still: what it has not heard meanwhile is nobody's silence but its own.
-void members::catch_up(double now) {
-  const double late = now - next_due();
-  if (late < is.period) return;
-  ++counts.slept;
-  health = worst_health;
-  now_probed = {};
-  for (auto& [name, s] : suspects) s.since += late;
-  errands.clear();
-  next_turn = std::max(next_turn, now);
-  next_join = std::max(next_join, now);
+void Membership::compensate_for_pause(double now) {
+  const double late = now - next_timer_at();
+  if (late < config_.probe_interval_ms) return;
+  ++counters_.pauses;
+  local_health_ = max_local_health;
+  current_probe_ = {};
+  for (auto& [name, s] : suspicions_) s.started_at += late;
+  indirect_probes_.clear();
+  next_probe_at_ = std::max(next_probe_at_, now);
+  next_join_at_ = std::max(next_join_at_, now);
 }
 
-void members::due(double now) {
-  if (gone) return;
-  catch_up(now);
-  if (!now_probed.answered && !now_probed.asked_others && now >= now_probed.direct_until) ask_others();
-  for (auto it = errands.begin(); it != errands.end();) {
-    errand& e = it->second;
-    if (!e.nacked && now >= e.nack_at) {
-      e.nacked = true;
-      send(e.for_address, {gossip::kind::nack, e.number, {}, {}, {}});
+void Membership::on_timer(double now) {
+  if (has_left_) return;
+  compensate_for_pause(now);
+  if (!current_probe_.answered && !current_probe_.indirect_started && now >= current_probe_.direct_deadline)
+    start_indirect_probe();
+  for (auto it = indirect_probes_.begin(); it != indirect_probes_.end();) {
+    IndirectProbe& e = it->second;
+    if (!e.nack_sent && now >= e.nack_at) {
+      e.nack_sent = true;
+      send(e.requester_address, {SwimMessage::Kind::nack, e.requester_sequence_number, {}, {}, {}});
     }
-    it = now >= e.until ? errands.erase(it) : std::next(it);
+    it = now >= e.expires_at ? indirect_probes_.erase(it) : std::next(it);
   }
-  judge_suspects(now);
-  if (!joined && now >= next_join) {
-    next_join = now + is.period;
-    if (any_alive().empty()) {
-      for (const std::string& seed : is.seeds)
-        if (seed != self.address) send(seed, {gossip::kind::ask, ++numbers, cursor, {}, {}});
+  expire_suspicions(now);
+  if (!joined_ && now >= next_join_at_) {
+    next_join_at_ = now + config_.probe_interval_ms;
+    if (random_alive_member().empty()) {
+      for (const std::string& seed : config_.seed_addresses)
+        if (seed != self_.address)
+          send(seed, {SwimMessage::Kind::view_request, ++last_sequence_number_, view_cursor_, {}, {}});
     } else {
-      ask_for_page();
+      request_view_page();
     }
-    if (is.seeds.empty() || (is.seeds.size() == 1 && is.seeds.front() == self.address)) joined = true;
+    if (config_.seed_addresses.empty() ||
+        (config_.seed_addresses.size() == 1 && config_.seed_addresses.front() == self_.address))
+      joined_ = true;
   }
-  if (now < next_turn) return;
-  end_probe(now);
-  next_turn = now + is.period * stretch();
-  ++turn;
-  begin_probe(now);
-  if (std::find(read_again.begin(), read_again.end(), turn) != read_again.end()) {
-    cursor.clear();
-    joined = false;
-    next_join = now;
-  } else if (turn % page_every == 0 && joined) {
-    cursor = any_alive();
-    ask_for_page();
+  if (now < next_probe_at_) return;
+  finish_probe(now);
+  next_probe_at_ = now + config_.probe_interval_ms * health_multiplier();
+  ++probe_round_;
+  start_probe(now);
+  if (std::find(view_reread_rounds.begin(), view_reread_rounds.end(), probe_round_) !=
+      view_reread_rounds.end()) {
+    view_cursor_.clear();
+    joined_ = false;
+    next_join_at_ = now;
+  } else if (probe_round_ % view_sync_interval_rounds == 0 && joined_) {
+    view_cursor_ = random_alive_member();
+    request_view_page();
   }
-  if (turn % recall_every == 0) {
+  if (probe_round_ % reconnect_interval_rounds == 0) {
     // The two sides of a cut take each other for dead: somebody has to ask after the dead, and the seeds.
-    std::vector<const member*> old;
-    for (auto it = ended.begin(); it != ended.end();) {
-      const auto k = known.find(it->first);
-      if (k == known.end() || now - it->second > remembered) {
-        if (k != known.end()) known.erase(k);
-        it = ended.erase(it);
+    std::vector<const Member*> old;
+    for (auto it = ended_at_.begin(); it != ended_at_.end();) {
+      const auto k = members_.find(it->first);
+      if (k == members_.end() || now - it->second > dead_member_retention_ms) {
+        if (k != members_.end()) members_.erase(k);
+        it = ended_at_.erase(it);
         continue;
       }
-      if (k->second.is == member::state::dead) old.push_back(&k->second);
+      if (k->second.state == Member::State::dead) old.push_back(&k->second);
       ++it;
     }
     if (!old.empty()) {
-      const member& m = *old[std::uniform_int_distribution<std::size_t>(0, old.size() - 1)(chance)];
-      send(m.address, {gossip::kind::ping, ++numbers, {}, {}, {}}, m.name);
+      const Member& m = *old[std::uniform_int_distribution<std::size_t>(0, old.size() - 1)(random_)];
+      send(m.address, {SwimMessage::Kind::ping, ++last_sequence_number_, {}, {}, {}}, m.name);
     }
-    if (!is.seeds.empty()) {
-      const std::string& seed =
-          is.seeds[std::uniform_int_distribution<std::size_t>(0, is.seeds.size() - 1)(chance)];
-      if (seed != self.address) send(seed, {gossip::kind::ping, ++numbers, {}, {}, {}});
+    if (!config_.seed_addresses.empty()) {
+      const std::string& seed = config_.seed_addresses[std::uniform_int_distribution<std::size_t>(
+          0, config_.seed_addresses.size() - 1)(random_)];
+      if (seed != self_.address) send(seed, {SwimMessage::Kind::ping, ++last_sequence_number_, {}, {}, {}});
     }
   }
 }
 
-void members::heard(double now, const std::string& by, const std::string& from, const gossip& g) {
-  if (gone) return;
-  catch_up(now);
-  for (const member& m : g.news) learn(now, m, by, g.what != gossip::kind::page);
-  using kind = gossip::kind;
-  switch (g.what) {
-    case kind::ping:
-      return send(from, {kind::ack, g.number, {}, {}, {}}, by);
-    case kind::ack: {
-      if (!now_probed.answered && g.number == now_probed.number) now_probed.answered = true;
-      const auto it = errands.find(g.number);
-      if (it == errands.end()) return;
-      send(it->second.for_address, {kind::ack, it->second.number, {}, {}, {}});
-      errands.erase(it);
+void Membership::on_message(double now, const std::string& by, const std::string& from,
+                            const SwimMessage& g) {
+  if (has_left_) return;
+  compensate_for_pause(now);
+  for (const Member& m : g.updates) apply_update(now, m, by, g.kind != SwimMessage::Kind::view_page);
+  using Kind = SwimMessage::Kind;
+  switch (g.kind) {
+    case Kind::ping:
+      return send(from, {Kind::ack, g.sequence_number, {}, {}, {}}, by);
+    case Kind::ack: {
+      if (!current_probe_.answered && g.sequence_number == current_probe_.sequence_number)
+        current_probe_.answered = true;
+      const auto it = indirect_probes_.find(g.sequence_number);
+      if (it == indirect_probes_.end()) return;
+      send(it->second.requester_address, {Kind::ack, it->second.requester_sequence_number, {}, {}, {}});
+      indirect_probes_.erase(it);
       return;
     }
-    case kind::relay: {
-      if (errands.size() >= most_errands || g.target_at.empty()) return;
+    case Kind::ping_request: {
+      if (indirect_probes_.size() >= max_indirect_probes || g.target_address.empty()) return;
       // Four fifths of the usual wait, as in Lifeguard, so that the nack is in time.
-      errands[++numbers] = {from, g.number, now + 0.8 * is.timeout, now + is.period, false};
-      return send(g.target_at, {kind::ping, numbers, {}, {}, {}}, g.target);
+      indirect_probes_[++last_sequence_number_] = {from, g.sequence_number,
+                                                   now + 0.8 * config_.probe_timeout_ms,
+                                                   now + config_.probe_interval_ms, false};
+      return send(g.target_address, {Kind::ping, last_sequence_number_, {}, {}, {}}, g.target);
     }
-    case kind::nack:
-      if (g.number == now_probed.number) ++now_probed.nacks;
+    case Kind::nack:
+      if (g.sequence_number == current_probe_.sequence_number) ++current_probe_.nacks_received;
       return;
-    case kind::ask: {
-      gossip page{kind::page, g.number, {}, {}, {}};
-      std::size_t used = cost(self);
-      const auto put = [&](const member& m) {
-        if (used + cost(m) > room_for_news) return false;
-        used += cost(m);
-        page.news.push_back(m);
+    case Kind::view_request: {
+      SwimMessage page{Kind::view_page, g.sequence_number, {}, {}, {}};
+      std::size_t used = encoded_bytes(self_);
+      const auto put = [&](const Member& m) {
+        if (used + encoded_bytes(m) > max_update_bytes) return false;
+        used += encoded_bytes(m);
+        page.updates.push_back(m);
         return true;
       };
-      auto it = known.upper_bound(g.target);
-      while (it != known.end() && put(it->second)) ++it;
-      if (it != known.end())
-        page.target = page.news.back().name;
+      auto it = members_.upper_bound(g.target);
+      while (it != members_.end() && put(it->second)) ++it;
+      if (it != members_.end())
+        page.target = page.updates.back().name;
       else  // what room is left goes to those before
-        for (it = known.begin(); it != known.end() && it->first <= g.target && put(it->second);) ++it;
+        for (it = members_.begin(); it != members_.end() && it->first <= g.target && put(it->second);) ++it;
       return send(from, std::move(page));
     }
-    case kind::page:
-      if (joined) return;
-      joined = g.target.empty();
-      cursor = g.target;
-      next_join = now + is.period;
-      if (!joined) send(from, {kind::ask, ++numbers, cursor, {}, {}});
+    case Kind::view_page:
+      if (joined_) return;
+      joined_ = g.target.empty();
+      view_cursor_ = g.target;
+      next_join_at_ = now + config_.probe_interval_ms;
+      if (!joined_) send(from, {Kind::view_request, ++last_sequence_number_, view_cursor_, {}, {}});
       return;
   }
 }
 
-void members::leave() {
-  if (std::exchange(gone, true)) return;
-  out.clear();
-  self.is = member::state::left;
+void Membership::leave() {
+  if (std::exchange(has_left_, true)) return;
+  outbox_.clear();
+  self_.state = Member::State::left;
   std::vector<std::string> names;
-  for (const auto& [name, m] : known)
-    if (m.is == member::state::alive) names.push_back(name);
-  std::shuffle(names.begin(), names.end(), chance);
+  for (const auto& [name, m] : members_)
+    if (m.state == Member::State::alive) names.push_back(name);
+  std::shuffle(names.begin(), names.end(), random_);
   // Twice as many as a probe's helpers: at 20 % loss one in 15,000 leaves is heard by nobody.
-  for (std::size_t i = 0; i < 2 * helpers && i < names.size(); ++i)
-    send(known[names[i]].address, {gossip::kind::ack, 0, {}, {}, {}});
+  for (std::size_t i = 0; i < 2 * indirect_probe_fanout && i < names.size(); ++i)
+    send(members_[names[i]].address, {SwimMessage::Kind::ack, 0, {}, {}, {}});
 }
 
 }  // namespace indigorill
--- a/src/members/members.h
+++ b/src/members/members.h
@@ -16,110 +16,114 @@
 namespace indigorill {
 
 // What is said of one member. Of two, the one with the later incarnation holds, then the later state.
-struct member {
-  enum class state : std::uint8_t { alive, suspect, dead, left } is = state::alive;
+struct Member {
+  enum class State : std::uint8_t { alive, suspect, dead, left } state = State::alive;
   std::string name, address;
   std::uint64_t incarnation = 0;
-  bool operator==(const member&) const = default;
+  bool operator==(const Member&) const = default;
 };
-bool overrides(const member& a, const member& b);
+bool supersedes(const Member& a, const Member& b);
 
 // One message between two members; news travels on all of them.
-struct gossip {
+struct SwimMessage {
   // relay: ping another one for me; nack: it has not answered so far; ask, page: part of the whole view
-  enum class kind : std::uint8_t { ping, ack, relay, nack, ask, page } what = kind::ping;
-  std::uint64_t number = 0;       // the asker's own, given back in the answer
-  std::string target, target_at;  // relay: whom; ask, page: the name after which it goes on, "" at the ends
-  std::vector<member> news;
-  bool operator==(const gossip&) const = default;
+  enum class Kind : std::uint8_t { ping, ack, ping_request, nack, view_request, view_page } kind = Kind::ping;
+  std::uint64_t sequence_number = 0;  // the asker's own, given back in the answer
+  std::string target,
+      target_address;  // relay: whom; ask, page: the name after which it goes on, "" at the ends
+  std::vector<Member> updates;
+  bool operator==(const SwimMessage&) const = default;
 };
 
-class members {
+class Membership {
  public:
-  struct traits {
-    std::string name, address;       // where others reach this one
-    std::vector<std::string> seeds;  // addresses; through any of them it joins
-    double period = 1000;            // ms, of one probe
-    double timeout = 300;            // ms, for a direct answer
+  struct Config {
+    std::string name, address;                // where others reach this one
+    std::vector<std::string> seed_addresses;  // addresses; through any of them it joins
+    double probe_interval_ms = 1000;          // ms, of one probe
+    double probe_timeout_ms = 300;            // ms, for a direct answer
   };
-  struct letter {
-    std::string to;  // address
-    gossip what;
+  struct OutgoingMessage {
+    std::string recipient;  // address
+    SwimMessage message;
   };
-  struct count {
-    std::uint64_t probes = 0, indirect = 0, unanswered = 0, refuted = 0, slept = 0, displaced = 0;
+  struct Counters {
+    std::uint64_t probes_sent = 0, indirect_probes = 0, failed_probes = 0, refutations = 0, pauses = 0,
+                  displacements = 0;
   };
 
   // incarnation: the start's time in ms; one that is behind what others remember is raised when they say so.
-  members(traits with, std::uint64_t incarnation, std::uint64_t seed, double now);
+  Membership(Config with, std::uint64_t incarnation, std::uint64_t seed, double now);
 
   // by, from: the sender's name, and the address to which answers go.
-  void heard(double now, const std::string& by, const std::string& from, const gossip& g);
-  void due(double now);          // to be called at next_due()
-  void leave();                  // says so to a few; nothing is answered after it
-  std::optional<letter> next();  // what is to be sent
-  double next_due() const;
+  void on_message(double now, const std::string& by, const std::string& from, const SwimMessage& g);
+  void on_timer(double now);                      // to be called at next_due()
+  void leave();                                   // says so to a few; nothing is answered after it
+  std::optional<OutgoingMessage> next_message();  // what is to be sent
+  double next_timer_at() const;
 
-  std::uint64_t incarnation() const { return self.incarnation; }
-  bool displaced() const { return out_of_name; }  // another process has this name and is the later one
-  const std::map<std::string, member>& view() const { return known; }  // of the others
-  std::array<std::size_t, 4> by_state() const;                         // of the others, in the states' order
-  std::string address_of(const std::string& name) const;               // "" if unknown
-  int doubt() const { return health; }  // 0: answers come as they should; up to 8: this process is slow
-  const count& counted() const { return counts; }
+  std::uint64_t incarnation() const { return self_.incarnation; }
+  bool is_displaced() const { return displaced_; }  // another process has this name and is the later one
+  const std::map<std::string, Member>& view() const { return members_; }  // of the others
+  std::array<std::size_t, 4> count_by_state() const;      // of the others, in the states' order
+  std::string address_of(const std::string& name) const;  // "" if unknown
+  int local_health() const {
+    return local_health_;
+  }  // 0: answers come as they should; up to 8: this process is slow
+  const Counters& counters() const { return counters_; }
 
  private:
-  struct probe {
+  struct Probe {
     std::string target;
-    std::uint64_t number = 0;
-    double direct_until = 0, until = 0;
-    bool answered = true, asked_others = false;
-    std::size_t relays = 0, nacks = 0;
+    std::uint64_t sequence_number = 0;
+    double direct_deadline = 0, deadline = 0;
+    bool answered = true, indirect_started = false;
+    std::size_t indirect_requests = 0, nacks_received = 0;
   };
-  struct suspicion {
-    double since = 0;
-    std::set<std::string> from;  // who said so of itself; the more, the shorter
+  struct Suspicion {
+    double started_at = 0;
+    std::set<std::string> accusers;  // who said so of itself; the more, the shorter
   };
-  struct errand {  // a ping on behalf of another
-    std::string for_address;
-    std::uint64_t number = 0;
-    double nack_at = 0, until = 0;
-    bool nacked = false;
+  struct IndirectProbe {  // a ping on behalf of another
+    std::string requester_address;
+    std::uint64_t requester_sequence_number = 0;
+    double nack_at = 0, expires_at = 0;
+    bool nack_sent = false;
   };
 
-  bool learn(double now, const member& m, const std::string& by, bool tell);
-  void learn_of_self(const member& m);
-  void say(const member& m) { unsaid[m.name] = 0; }
-  void send(const std::string& to, gossip g, const std::string& about = {});
-  void begin_probe(double now);
-  void end_probe(double now);
-  void ask_others();
-  void judge_suspects(double now);
-  void catch_up(double now);
-  void ask_for_page();
-  double suspected_until(const suspicion& s) const;
-  std::size_t there() const;  // alive or suspect, this one included
-  std::string any_alive(const std::string& but = {});
-  double stretch() const { return 1 + health; }
+  bool apply_update(double now, const Member& m, const std::string& by, bool tell);
+  void apply_update_about_self(const Member& m);
+  void enqueue_update(const Member& m) { pending_updates_[m.name] = 0; }
+  void send(const std::string& to, SwimMessage g, const std::string& about = {});
+  void start_probe(double now);
+  void finish_probe(double now);
+  void start_indirect_probe();
+  void expire_suspicions(double now);
+  void compensate_for_pause(double now);
+  void request_view_page();
+  double suspicion_deadline(const Suspicion& s) const;
+  std::size_t live_count() const;  // alive or suspect, this one included
+  std::string random_alive_member(const std::string& but = {});
+  double health_multiplier() const { return 1 + local_health_; }
 
-  traits is;
-  member self;
-  std::knuth_b chance;
-  bool out_of_name = false, gone = false, joined = false;
-  int health = 0;
-  std::map<std::string, member> known;
-  std::map<std::string, double> ended;  // when the dead and those that left were first seen so
-  std::map<std::string, suspicion> suspects;
-  std::map<std::string, int> unsaid;  // news, and how often it was sent
-  std::vector<std::string> ring;      // whom to probe next, from the end
-  std::size_t living = 0;             // of known: alive or suspect
-  probe now_probed;
-  std::map<std::uint64_t, errand> errands;
-  std::uint64_t numbers = 0, turn = 0;
-  std::string cursor;  // of the page asked for
-  double next_turn, next_join;
-  std::vector<letter> out;
-  count counts;
+  Config config_;
+  Member self_;
+  std::knuth_b random_;
+  bool displaced_ = false, has_left_ = false, joined_ = false;
+  int local_health_ = 0;
+  std::map<std::string, Member> members_;
+  std::map<std::string, double> ended_at_;  // when the dead and those that left were first seen so
+  std::map<std::string, Suspicion> suspicions_;
+  std::map<std::string, int> pending_updates_;  // news, and how often it was sent
+  std::vector<std::string> probe_order_;        // whom to probe next, from the end
+  std::size_t live_peer_count_ = 0;             // of known: alive or suspect
+  Probe current_probe_;
+  std::map<std::uint64_t, IndirectProbe> indirect_probes_;
+  std::uint64_t last_sequence_number_ = 0, probe_round_ = 0;
+  std::string view_cursor_;  // of the page asked for
+  double next_probe_at_, next_join_at_;
+  std::vector<OutgoingMessage> outbox_;
+  Counters counters_;
 };
 
 }  // namespace indigorill
--- a/src/net/admin.h
+++ b/src/net/admin.h
@@ -14,43 +14,43 @@
 
 namespace indigorill {
 
-class admin {
+class AdminServer {
  public:
   // text: JSON for the calls that read; else the status says all.
-  using answered = std::function<void(int status, std::string text)>;
+  using ResponseCallback = std::function<void(int status, std::string text)>;
   // Carries out an order and says how it went, at once or later.
-  using carrier = std::function<void(const order&, answered)>;
+  using RequestHandler = std::function<void(const AdminRequest&, ResponseCallback)>;
 
   // Of the listener and the connections: what a config has to leave them.
-  static constexpr std::size_t own_descriptors = 13;
+  static constexpr std::size_t reserved_descriptors = 13;
 
-  admin(loop& in, counters& counts, logger& log_to, carrier carries);
-  ~admin();
+  AdminServer(EventLoop& in, Counters& counts, Logger& log_to, RequestHandler carries);
+  ~AdminServer();
 
-  void listen(const sockaddr_in& where) { adopt(listen_on(where)); }
-  void adopt(descriptor listener);
+  void listen(const sockaddr_in& where) { adopt_listener(open_listener(where)); }
+  void adopt_listener(FileDescriptor listener);
 
  private:
-  struct connection;
-
-  void open_door();
-  bool accept();  // false: some are left in the backlog
-  void ready(std::uint64_t which);
-  void answer(connection& c, int status, const std::string& text = {});
-  void write(connection& c);
-  bool close_silent();
-
-  loop& runs;
-  counters& counted;
-  logger& lines;
-  carrier carry;
-  descriptor_budget room{own_descriptors - 1};
-  descriptor door;
-  loop::watch at_door;
-  loop::timer door_again;
-  std::uint64_t names = 0;
-  std::unordered_map<std::uint64_t, std::unique_ptr<connection>> connections;
-  std::set<std::tuple<bool, double, std::uint64_t>> spare;  // unanswered, silent since, name
+  struct Connection;
+
+  void handle_listener_ready();
+  bool accept_connections();  // false: some are left in the backlog
+  void handle_events(std::uint64_t which);
+  void send_response(Connection& c, int status, const std::string& text = {});
+  void flush_response(Connection& c);
+  bool evict_idle_connection();
+
+  EventLoop& event_loop_;
+  Counters& counters_;
+  Logger& logger_;
+  RequestHandler handle_request_;
+  FileDescriptorBudget descriptor_budget_{reserved_descriptors - 1};
+  FileDescriptor listener_;
+  EventLoop::Watch listener_watch_;
+  EventLoop::Timer accept_timer_;
+  std::uint64_t last_connection_id_ = 0;
+  std::unordered_map<std::uint64_t, std::unique_ptr<Connection>> connections_;
+  std::set<std::tuple<bool, double, std::uint64_t>> evictable_;  // unanswered, silent since, name
 };
 
 }  // namespace indigorill
--- a/src/net/company.cpp
+++ b/src/net/company.cpp
@@ -11,9 +11,9 @@
 namespace indigorill {
 namespace {
 
-constexpr std::array<std::string_view, 4> states{"alive", "suspect", "dead", "left"};
+constexpr std::array<std::string_view, 4> state_names{"alive", "suspect", "dead", "left"};
 
-std::string_view name_of(member::state s) { return states[static_cast<std::size_t>(s)]; }
+std::string_view name_of(Member::State s) { return state_names[static_cast<std::size_t>(s)]; }
 
 // Later than that of this sidecar's last start, if the machine's clock is right; if not, the others say so.
 std::uint64_t new_incarnation() {
@@ -24,275 +24,295 @@
 
 }  // namespace
 
-double company::now() const {
+double ClusterNode::now_ms() const {
   // Not the loop's clock: that one stands while a machine is suspended, and who slept must know it.
   timespec t{};
   ::clock_gettime(CLOCK_BOOTTIME, &t);
   return static_cast<double>(t.tv_sec) * 1e3 + static_cast<double>(t.tv_nsec) / 1e6;
 }
 
-company::company(loop& in, logger& log_to, traits with, std::uint64_t seed)
-    : runs(in),
-      lines(log_to),
-      is(std::move(with)),
-      others({is.name, is.advertised, is.seeds, is.period, is.timeout}, new_incarnation(), seed, now()),
-      chance(static_cast<std::knuth_b::result_type>(seed + 3)) {
-  if (!is.voters.empty()) {
+ClusterNode::ClusterNode(EventLoop& in, Logger& log_to, Config with, std::uint64_t seed)
+    : event_loop_(in),
+      logger_(log_to),
+      config_(std::move(with)),
+      membership_({config_.name, config_.advertised_address, config_.seed_addresses,
+                   config_.probe_interval_ms, config_.probe_timeout_ms},
+                  new_incarnation(), seed, now_ms()),
+      random_(static_cast<std::knuth_b::result_type>(seed + 3)) {
+  if (!config_.voters.empty()) {
     // No session may come twice, whatever the machine's clock says.
     std::random_device any;
     const std::uint64_t session = std::uint64_t{any()} << 32 | any();
-    right.emplace(lease::traits{is.name, is.voters, is.lease, is.drift}, session, seed + 1, now());
-    if (is.budgets) own.emplace(*is.budgets, session);
+    leader_lease_.emplace(
+        LeaderLease::Config{config_.name, config_.voters, config_.lease_ms, config_.max_clock_drift}, session,
+        seed + 1, now_ms());
+    if (config_.quota) quota_client_.emplace(*config_.quota, session);
   }
-  take_place();
+  open_socket();
 }
 
-void company::take_place() {
+void ClusterNode::open_socket() {
   try {
-    wire = std::make_unique<datagrams>(runs, is.listen,
-                                       [this](std::string_view bytes, const sockaddr_in&) { hear(bytes); });
-    lines.info() << "member " << is.name << " of " << is.fleet << ", incarnation " << others.incarnation();
-    work();
+    socket_ = std::make_unique<DatagramSocket>(
+        event_loop_, config_.listen_address,
+        [this](std::string_view bytes, const sockaddr_in&) { on_datagram(bytes); });
+    logger_.info() << "member " << config_.name << " of " << config_.fleet << ", incarnation "
+                   << membership_.incarnation();
+    run_due_work();
   } catch (const std::system_error& e) {
     // An older process of this sidecar may hold it until it leaves: RPCs go on without.
     constexpr double again = 100;  // ms
-    lines.debug() << "no place for datagrams yet: " << e.what();
-    next = runs.at(runs.now() + again, [this] { take_place(); });
+    logger_.debug() << "no place for datagrams yet: " << e.what();
+    work_timer_ = event_loop_.schedule_at(event_loop_.now() + again, [this] { open_socket(); });
   }
 }
 
-void company::hear(std::string_view bytes) {
-  if (gone) return;
-  ++counts.heard;
-  const auto drop = [&](misfit why) {
-    ++counts.dropped[static_cast<std::size_t>(why)];
-    lines.debug() << "datagram of " << bytes.size() << " bytes dropped: " << name_of(why);
+void ClusterNode::on_datagram(std::string_view bytes) {
+  if (has_left_) return;
+  ++counters_.received;
+  const auto drop = [&](DecodeError why) {
+    ++counters_.dropped[static_cast<std::size_t>(why)];
+    logger_.debug() << "datagram of " << bytes.size() << " bytes dropped: " << name_of(why);
   };
-  const auto got = decode_envelope(bytes, is.fleet);
-  if (const auto* why = std::get_if<misfit>(&got)) return drop(*why);
-  const envelope& e = std::get<envelope>(got);
-  if (const auto why = seen.saw(e, now())) return drop(*why);
-  if (e.what == envelope::kind::lease && right) right->heard(now(), e.name, e.vote);
-  if (e.what == envelope::kind::ask && own) {
-    envelope back;
-    back.what = envelope::kind::grant;
-    back.grants = answer(e.asks);
+  const auto got = decode_envelope(bytes, config_.fleet);
+  if (const auto* why = std::get_if<DecodeError>(&got)) return drop(*why);
+  const Envelope& e = std::get<Envelope>(got);
+  if (const auto why = replay_filter_.check(e, now_ms())) return drop(*why);
+  if (e.kind == Envelope::Kind::lease && leader_lease_)
+    leader_lease_->on_message(now_ms(), e.name, e.lease_message);
+  if (e.kind == Envelope::Kind::quota_request && quota_client_) {
+    Envelope back;
+    back.kind = Envelope::Kind::quota_grant;
+    back.quota_grant = answer_quota_request(e.quota_request);
     send(e.address, std::move(back));
   }
-  if (e.what == envelope::kind::grant && own) {
-    own->heard(now(), e.grants);
-    unheard = 0;
+  if (e.kind == Envelope::Kind::quota_grant && quota_client_) {
+    quota_client_->on_grant(now_ms(), e.quota_grant);
+    unanswered_quota_requests_ = 0;
     // Who was asked in vain names the holder. Once for each question: two that name each other would be asked
     // in turn for ever.
-    if (e.grants.what == share_grant::kind::not_mine) {
-      whom = e.grants.holder;
-      if (!whom.empty() && std::exchange(may_ask_on, false)) ask_at = now();
+    if (e.quota_grant.status == QuotaGrant::Status::not_leader) {
+      allocator_name_ = e.quota_grant.leader;
+      if (!allocator_name_.empty() && std::exchange(may_follow_redirect_, false))
+        next_quota_request_at_ = now_ms();
     }
   }
-  if (e.what == envelope::kind::gossip) others.heard(now(), e.name, e.address, e.talk);
-  work();
+  if (e.kind == Envelope::Kind::membership)
+    membership_.on_message(now_ms(), e.name, e.address, e.swim_message);
+  run_due_work();
 }
 
-void company::send(const std::string& to, envelope e) {
-  e.fleet = is.fleet;
-  e.name = is.name;
-  e.address = is.advertised;
-  e.incarnation = others.incarnation();
-  e.serial = ++serials;
+void ClusterNode::send(const std::string& to, Envelope e) {
+  e.fleet = config_.fleet;
+  e.name = config_.name;
+  e.address = config_.advertised_address;
+  e.incarnation = membership_.incarnation();
+  e.sequence_number = ++last_sequence_number_;
   const std::string bytes = encode(e);
-  const auto where = parse_address(to);
-  if (!wire || !where || bytes.size() > longest_datagram || !wire->send(*where, bytes)) {
-    ++counts.unsent;
+  const auto where = parse_socket_address(to);
+  if (!socket_ || !where || bytes.size() > max_datagram_bytes || !socket_->send(*where, bytes)) {
+    ++counters_.send_failures;
     return;
   }
-  ++counts.sent;
-  counts.bytes_sent += bytes.size();
+  ++counters_.sent;
+  counters_.bytes_sent += bytes.size();
 }
 
-void company::work() {
-  if (gone) return;
-  others.due(now());
-  while (auto l = others.next()) {
-    envelope e;
-    e.talk = std::move(l->what);
-    send(l->to, std::move(e));
+void ClusterNode::run_due_work() {
+  if (has_left_) return;
+  membership_.on_timer(now_ms());
+  while (auto l = membership_.next_message()) {
+    Envelope e;
+    e.swim_message = std::move(l->message);
+    send(l->recipient, std::move(e));
   }
-  vote();
-  ask_for_share();
-  note_changes();
+  run_leader_lease();
+  request_quota();
+  log_changes();
   constexpr double least = 1;  // ms; a loop that only turns round its own due times serves nobody
-  next = runs.at(
-      runs.now() + std::max(least, std::min({others.next_due(), right ? right->next_due() : others.next_due(),
-                                             own ? ask_at : others.next_due()}) -
-                                       now()),
-      [this] { work(); });
+  work_timer_ = event_loop_.schedule_at(
+      event_loop_.now() +
+          std::max(least,
+                   std::min({membership_.next_timer_at(),
+                             leader_lease_ ? leader_lease_->next_timer_at() : membership_.next_timer_at(),
+                             quota_client_ ? next_quota_request_at_ : membership_.next_timer_at()}) -
+                       now_ms()),
+      [this] { run_due_work(); });
 }
 
-void company::vote() {
-  if (!right) return;
-  right->due(now());
-  while (auto l = right->next()) {
-    envelope e;
-    e.what = envelope::kind::lease;
-    e.vote = std::move(l->what);
-    send(others.address_of(l->to), std::move(e));
+void ClusterNode::run_leader_lease() {
+  if (!leader_lease_) return;
+  leader_lease_->on_timer(now_ms());
+  while (auto l = leader_lease_->next_message()) {
+    Envelope e;
+    e.kind = Envelope::Kind::lease;
+    e.lease_message = std::move(l->message);
+    send(membership_.address_of(l->recipient), std::move(e));
   }
 }
 
-share_grant company::answer(const share_ask& a) {
-  if (!right || !right->holds(now())) {
-    share_grant g{share_grant::kind::not_mine, a.session, a.number, 0, 0, {}, {}, {}};
-    if (right) g.holder = right->known_holder(now());
+QuotaGrant ClusterNode::answer_quota_request(const QuotaRequest& a) {
+  if (!leader_lease_ || !leader_lease_->is_holder(now_ms())) {
+    QuotaGrant g{QuotaGrant::Status::not_leader, a.session, a.request_number, 0, 0, {}, {}, {}};
+    if (leader_lease_) g.leader = leader_lease_->known_holder(now_ms());
     return g;
   }
-  if (!divides) {
-    divides.emplace(*is.budgets);
-    divides->begin(now(), right->quiet_from());
+  if (!quota_allocator_) {
+    quota_allocator_.emplace(*config_.quota);
+    quota_allocator_->start_term(now_ms(), leader_lease_->previous_leases_expired_at());
   }
-  return divides->answer(now(), right->ends_at(), a);
+  return quota_allocator_->handle_request(now_ms(), leader_lease_->expires_at(), a);
 }
 
-void company::ask_for_share() {
-  if (!own || now() < ask_at) return;
-  ask_at = now() + is.budgets->share / 3;  // two questions may be lost before a share ends
-  const share_ask a = own->ask(now());
-  if (right->holds(now())) {
-    own->heard(now(), answer(a));
+void ClusterNode::request_quota() {
+  if (!quota_client_ || now_ms() < next_quota_request_at_) return;
+  next_quota_request_at_ =
+      now_ms() + config_.quota->grant_duration_ms / 3;  // two questions may be lost before a share ends
+  const QuotaRequest a = quota_client_->make_request(now_ms());
+  if (leader_lease_->is_holder(now_ms())) {
+    quota_client_->on_grant(now_ms(), answer_quota_request(a));
   } else {
     // Whom it knows to divide may be dead: after two questions without an answer any voter is asked.
     constexpr int patience = 2;
-    if (unheard++ >= patience) whom.clear();
-    if (whom.empty() || whom == is.name || others.address_of(whom).empty()) {
-      whom = is.voters[std::uniform_int_distribution<std::size_t>(0, is.voters.size() - 1)(chance)];
-      may_ask_on = true;
+    if (unanswered_quota_requests_++ >= patience) allocator_name_.clear();
+    if (allocator_name_.empty() || allocator_name_ == config_.name ||
+        membership_.address_of(allocator_name_).empty()) {
+      allocator_name_ =
+          config_.voters[std::uniform_int_distribution<std::size_t>(0, config_.voters.size() - 1)(random_)];
+      may_follow_redirect_ = true;
     }
-    envelope e;
-    e.what = envelope::kind::ask;
-    e.asks = a;
-    send(others.address_of(whom), std::move(e));
+    Envelope e;
+    e.kind = Envelope::Kind::quota_request;
+    e.quota_request = a;
+    send(membership_.address_of(allocator_name_), std::move(e));
   }
-  if (std::exchange(full, own->full()) != own->full())
-    lines.warning() << (full ? "more sidecars than allowed: no part of any budget is ours"
-                             : "a place among the sharers is free again");
+  if (std::exchange(logged_quota_refused_, quota_client_->is_rejected_at_capacity()) !=
+      quota_client_->is_rejected_at_capacity())
+    logger_.warning() << (logged_quota_refused_ ? "more sidecars than allowed: no part of any budget is ours"
+                                                : "a place among the sharers is free again");
 }
 
-std::optional<std::size_t> company::number_of(std::string_view budget) const {
-  if (own)
-    for (std::size_t i = 0; i < is.budgets->budgets.size(); ++i)
-      if (is.budgets->budgets[i].name == budget) return i;
+std::optional<std::size_t> ClusterNode::budget_index(std::string_view budget) const {
+  if (quota_client_)
+    for (std::size_t i = 0; i < config_.quota->budgets.size(); ++i)
+      if (config_.quota->budgets[i].name == budget) return i;
   return {};
 }
 
-double company::left(std::string_view budget) {
-  const auto i = number_of(budget);
-  return i ? own->left(now(), *i) : std::numeric_limits<double>::infinity();
+double ClusterNode::available(std::string_view budget) {
+  const auto i = budget_index(budget);
+  return i ? quota_client_->available(now_ms(), *i) : std::numeric_limits<double>::infinity();
 }
 
-bool company::take(std::string_view budget) {
-  const auto i = number_of(budget);
-  return !i || own->take(now(), *i);
+bool ClusterNode::try_acquire(std::string_view budget) {
+  const auto i = budget_index(budget);
+  return !i || quota_client_->try_acquire(now_ms(), *i);
 }
 
-void company::wanted(std::string_view budget) {
-  if (const auto i = number_of(budget)) own->wanted(now(), *i);
+void ClusterNode::record_demand(std::string_view budget) {
+  if (const auto i = budget_index(budget)) quota_client_->record_demand(now_ms(), *i);
 }
 
-nlohmann::json company::budgets_as_json() {
-  const bool is_ours = divides && right->holds(now());
+nlohmann::json ClusterNode::budgets_as_json() {
+  const bool is_ours = quota_allocator_ && leader_lease_->is_holder(now_ms());
   nlohmann::json all = nlohmann::json::array();
-  for (std::size_t i = 0; own && i < is.budgets->budgets.size(); ++i) {
-    const budget_of_all& b = is.budgets->budgets[i];
+  for (std::size_t i = 0; quota_client_ && i < config_.quota->budgets.size(); ++i) {
+    const FleetBudget& b = config_.quota->budgets[i];
     all.push_back({{"name", b.name},
-                   {"whole", b.whole},
-                   {"floor", b.floor},
-                   {"window_ms", b.window},
-                   {"own", own->allowed(now(), i)},
-                   {"left", own->left(now(), i)},
-                   {"granted", own->counted(i).granted},
-                   {"denied", own->counted(i).denied},
-                   {"given_by_us", is_ours ? divides->given(now(), i) : 0}});
+                   {"whole", b.total},
+                   {"floor", b.guaranteed_minimum},
+                   {"window_ms", b.window_ms},
+                   {"own", quota_client_->allowance(now_ms(), i)},
+                   {"left", quota_client_->available(now_ms(), i)},
+                   {"granted", quota_client_->counters(i).granted},
+                   {"denied", quota_client_->counters(i).denied},
+                   {"given_by_us", is_ours ? quota_allocator_->max_in_use(now_ms(), i) : 0}});
   }
   return {{"budgets", all},
-          {"shared", own && own->shared(now())},
-          {"seated", own && own->seated(now())},
-          {"full", own && own->full()},
-          {"sharers", is_ours ? divides->sharers(now()) : 0}};
+          {"shared", quota_client_ && quota_client_->has_grant(now_ms())},
+          {"seated", quota_client_ && quota_client_->is_registered(now_ms())},
+          {"full", quota_client_ && quota_client_->is_rejected_at_capacity()},
+          {"sharers", is_ours ? quota_allocator_->holder_count(now_ms()) : 0}};
 }
 
-void company::note_changes() {
+void ClusterNode::log_changes() {
   // What it gave is known to nobody else, and others may give after it: it begins anew with the next right.
-  if (divides && !right->holds(now())) divides.reset();
-  const std::string known = right ? right->known_holder(now()) : "";
-  if (std::exchange(holder, known) != known)
-    lines.info() << (holder.empty() ? "nobody is known to divide" : "the right to divide is with " + holder);
-  for (const auto& [name, m] : others.view()) {
-    const auto [it, fresh] = noted.emplace(name, m.is);
-    if (!fresh && it->second == m.is) continue;
-    lines.info() << "member " << name << " at " << m.address << " is " << name_of(m.is);
-    it->second = m.is;
+  if (quota_allocator_ && !leader_lease_->is_holder(now_ms())) quota_allocator_.reset();
+  const std::string known = leader_lease_ ? leader_lease_->known_holder(now_ms()) : "";
+  if (std::exchange(logged_leader_, known) != known)
+    logger_.info() << (logged_leader_.empty() ? "nobody is known to divide"
+                                              : "the right to divide is with " + logged_leader_);
+  for (const auto& [name, m] : membership_.view()) {
+    const auto [it, fresh] = logged_states_.emplace(name, m.state);
+    if (!fresh && it->second == m.state) continue;
+    logger_.info() << "member " << name << " at " << m.address << " is " << name_of(m.state);
+    it->second = m.state;
   }
-  if (noted.size() > others.view().size())
-    std::erase_if(noted, [&](const auto& n) { return others.view().count(n.first) == 0; });
-  if (std::exchange(displaced, others.displaced()) != others.displaced())
-    lines.warning() << (displaced ? "another process has the name " : "again the only one with the name ")
-                    << is.name;
+  if (logged_states_.size() > membership_.view().size())
+    std::erase_if(logged_states_, [&](const auto& n) { return membership_.view().count(n.first) == 0; });
+  if (std::exchange(logged_displaced_, membership_.is_displaced()) != membership_.is_displaced())
+    logger_.warning() << (logged_displaced_ ? "another process has the name "
+                                            : "again the only one with the name ")
+                      << config_.name;
 }
 
-void company::leave() {
-  if (gone) return;
-  if (right) right->leave(now());
-  vote();
-  others.leave();
-  while (auto l = others.next()) {
-    envelope e;
-    e.talk = std::move(l->what);
-    send(l->to, std::move(e));
+void ClusterNode::leave() {
+  if (has_left_) return;
+  if (leader_lease_) leader_lease_->resign(now_ms());
+  run_leader_lease();
+  membership_.leave();
+  while (auto l = membership_.next_message()) {
+    Envelope e;
+    e.swim_message = std::move(l->message);
+    send(l->recipient, std::move(e));
   }
-  gone = true;
-  next.drop();
-  wire.reset();  // a newer process of this sidecar may have the place
+  has_left_ = true;
+  work_timer_.cancel();
+  socket_.reset();  // a newer process of this sidecar may have the place
 }
 
-nlohmann::json company::as_json() const {
+nlohmann::json ClusterNode::as_json() const {
   nlohmann::json all = nlohmann::json::array();
-  for (const auto& [name, m] : others.view())
-    all.push_back(
-        {{"name", name}, {"address", m.address}, {"state", name_of(m.is)}, {"incarnation", m.incarnation}});
+  for (const auto& [name, m] : membership_.view())
+    all.push_back({{"name", name},
+                   {"address", m.address},
+                   {"state", name_of(m.state)},
+                   {"incarnation", m.incarnation}});
   nlohmann::json by_state, dropped;
-  const auto n = others.by_state();
-  for (std::size_t i = 0; i < n.size(); ++i) by_state[std::string(states[i])] = n[i];
-  for (std::size_t i = 0; i < misfits; ++i)
-    dropped[std::string(indigorill::name_of(static_cast<misfit>(i)))] = counts.dropped[i];
-  const auto& c = others.counted();
+  const auto n = membership_.count_by_state();
+  for (std::size_t i = 0; i < n.size(); ++i) by_state[std::string(state_names[i])] = n[i];
+  for (std::size_t i = 0; i < decode_error_count; ++i)
+    dropped[std::string(indigorill::name_of(static_cast<DecodeError>(i)))] = counters_.dropped[i];
+  const auto& c = membership_.counters();
   nlohmann::json dividing;
-  if (right)
-    dividing = {{"holder", right->known_holder(now())},
-                {"holds", right->holds(now())},
-                {"left_ms", right->holds(now()) ? right->ends_at() - now() : 0},
-                {"ballot", right->number().round},
-                {"votes", right->votes()},
-                {"abstains", right->votes() && right->abstains(now())}};
-  return {{"fleet", is.fleet},
+  if (leader_lease_)
+    dividing = {{"holder", leader_lease_->known_holder(now_ms())},
+                {"holds", leader_lease_->is_holder(now_ms())},
+                {"left_ms", leader_lease_->is_holder(now_ms()) ? leader_lease_->expires_at() - now_ms() : 0},
+                {"ballot", leader_lease_->held_ballot().round},
+                {"votes", leader_lease_->is_voter()},
+                {"abstains", leader_lease_->is_voter() && leader_lease_->is_abstaining(now_ms())}};
+  return {{"fleet", config_.fleet},
           {"right", dividing},
-          {"name", is.name},
-          {"address", is.advertised},
-          {"incarnation", others.incarnation()},
-          {"displaced", others.displaced()},
-          {"doubt", others.doubt()},
+          {"name", config_.name},
+          {"address", config_.advertised_address},
+          {"incarnation", membership_.incarnation()},
+          {"displaced", membership_.is_displaced()},
+          {"doubt", membership_.local_health()},
           {"by_state", by_state},
           {"others", all},
           {"datagrams",
-           {{"sent", counts.sent},
-            {"unsent", counts.unsent},
-            {"heard", counts.heard},
-            {"bytes_sent", counts.bytes_sent},
+           {{"sent", counters_.sent},
+            {"unsent", counters_.send_failures},
+            {"heard", counters_.received},
+            {"bytes_sent", counters_.bytes_sent},
             {"dropped", dropped}}},
           {"probes",
-           {{"sent", c.probes},
-            {"indirect", c.indirect},
-            {"unanswered", c.unanswered},
-            {"refuted", c.refuted},
-            {"slept", c.slept}}}};
+           {{"sent", c.probes_sent},
+            {"indirect", c.indirect_probes},
+            {"unanswered", c.failed_probes},
+            {"refuted", c.refutations},
+            {"slept", c.pauses}}}};
 }
 
 }  // namespace indigorill
--- a/src/net/company.h
+++ b/src/net/company.h
@@ -11,73 +11,73 @@
 
 namespace indigorill {
 
-class company {
+class ClusterNode {
  public:
-  struct traits {
-    std::string fleet;                    // datagrams of any other are dropped
-    std::string name;                     // the sidecar's own
-    sockaddr_in listen{};                 // for datagrams
-    std::string advertised;               // where others reach it: address:port
-    std::vector<std::string> seeds;       // of those it joins through
-    double period = 1000, timeout = 300;  // ms
+  struct Config {
+    std::string fleet;                                        // datagrams of any other are dropped
+    std::string name;                                         // the sidecar's own
+    sockaddr_in listen_address{};                             // for datagrams
+    std::string advertised_address;                           // where others reach it: address:port
+    std::vector<std::string> seed_addresses;                  // of those it joins through
+    double probe_interval_ms = 1000, probe_timeout_ms = 300;  // ms
     // Who grants the right to divide; none: nobody divides.
     std::vector<std::string> voters;
-    double lease = 10000;  // ms
-    std::optional<shares_traits> budgets;
-    double drift = 0.01;  // by how much a clock's rate may be off
+    double lease_ms = 10000;  // ms
+    std::optional<QuotaConfig> quota;
+    double max_clock_drift = 0.01;  // by how much a clock's rate may be off
   };
-  struct count {
-    std::uint64_t sent = 0, unsent = 0, heard = 0, bytes_sent = 0;
-    std::array<std::uint64_t, misfits> dropped{};
+  struct Counters {
+    std::uint64_t sent = 0, send_failures = 0, received = 0, bytes_sent = 0;
+    std::array<std::uint64_t, decode_error_count> dropped{};
   };
 
-  company(loop& in, logger& log_to, traits with, std::uint64_t seed);
+  ClusterNode(EventLoop& in, Logger& log_to, Config with, std::uint64_t seed);
 
   // What is left to spend of a budget now, and the spending itself, by the clock at that very moment; without
   // that budget there is no bound.
-  double left(std::string_view budget);
-  bool take(std::string_view budget);
-  void wanted(std::string_view budget);  // and not had
-  nlohmann::json budgets_as_json();      // for staff
+  double available(std::string_view budget);
+  bool try_acquire(std::string_view budget);
+  void record_demand(std::string_view budget);  // and not had
+  nlohmann::json budgets_as_json();             // for staff
 
   void leave();                    // says so; nothing is said or heard after it
   nlohmann::json as_json() const;  // for staff
-  const count& counted() const { return counts; }
+  const Counters& counters() const { return counters_; }
 
  private:
-  void take_place();
-  void hear(std::string_view bytes);
-  void work();
-  void send(const std::string& to, envelope e);
-  void vote();
-  void ask_for_share();
-  share_grant answer(const share_ask& a);
-  std::optional<std::size_t> number_of(std::string_view budget) const;
-  void note_changes();
-  double now() const;  // ms since the machine's start, its sleep included
+  void open_socket();
+  void on_datagram(std::string_view bytes);
+  void run_due_work();
+  void send(const std::string& to, Envelope e);
+  void run_leader_lease();
+  void request_quota();
+  QuotaGrant answer_quota_request(const QuotaRequest& a);
+  std::optional<std::size_t> budget_index(std::string_view budget) const;
+  void log_changes();
+  double now_ms() const;  // ms since the machine's start, its sleep included
 
-  loop& runs;
-  logger& lines;
-  traits is;
-  members others;
-  std::knuth_b chance;
-  std::optional<lease> right;
-  std::optional<divider> divides;  // while this one has the right
-  std::optional<purse> own;
-  double ask_at = 0;
-  std::string whom;  // to ask, "": any voter
-  int unheard = 0;   // questions since the last answer
-  bool may_ask_on = false;
-  bool full = false;
-  seen_serials seen;
-  std::unique_ptr<datagrams> wire;
-  loop::timer next;
-  std::uint64_t serials = 0;
-  bool gone = false;
-  std::map<std::string, member::state> noted;
-  bool displaced = false;
-  std::string holder;
-  count counts;
+  EventLoop& event_loop_;
+  Logger& logger_;
+  Config config_;
+  Membership membership_;
+  std::knuth_b random_;
+  std::optional<LeaderLease> leader_lease_;
+  std::optional<QuotaAllocator> quota_allocator_;  // while this one has the right
+  std::optional<QuotaClient> quota_client_;
+  double next_quota_request_at_ = 0;
+  std::string allocator_name_;         // to ask, "": any voter
+  int unanswered_quota_requests_ = 0;  // questions since the last answer
+  bool may_follow_redirect_ = false;
+  bool logged_quota_refused_ = false;
+  ReplayFilter replay_filter_;
+  std::unique_ptr<DatagramSocket> socket_;
+  EventLoop::Timer work_timer_;
+  std::uint64_t last_sequence_number_ = 0;
+  bool has_left_ = false;
+  std::map<std::string, Member::State> logged_states_;
+  bool logged_displaced_ = false;
+  std::string logged_leader_;
+  Counters counters_;
 };
 
 }  // namespace indigorill
--- a/src/net/counters.cpp
+++ b/src/net/counters.cpp
@@ -8,39 +8,40 @@
 
 }  // namespace
 
-std::string_view name_of(ending how) { return endings[static_cast<std::size_t>(how)]; }
+std::string_view name_of(AttemptOutcome how) { return endings[static_cast<std::size_t>(how)]; }
 
-std::ostream& operator<<(std::ostream& out, const counters& c) {
-  const auto one = [&](std::string_view name, counters::count value) { out << name << ' ' << value << '\n'; };
-  one("rpcs_taken", c.taken);
-  one("rpcs_ok", c.ok);
-  one("rpcs_pushed_back", c.pushed_back);
-  one("rpcs_aborted", c.aborted);
-  one("rpcs_left", c.left);
-  one("bad_input", c.bad_input);
-  one("silent_clients", c.silent);
-  one("out_of_room", c.out_of_room);
-  one("answers_unheard", c.unheard);
-  one("long_requests", c.long_requests);
-  one("long_answers", c.long_answers);
-  one("answers_cut", c.cut);
-  for (std::size_t i = 0; i < endings.size(); ++i) out << "picks_" << endings[i] << ' ' << c.picks[i] << '\n';
+std::ostream& operator<<(std::ostream& out, const Counters& c) {
+  const auto one = [&](std::string_view name, Counters::Count value) { out << name << ' ' << value << '\n'; };
+  one("rpcs_taken", c.rpcs_received);
+  one("rpcs_ok", c.rpcs_ok);
+  one("rpcs_pushed_back", c.rpcs_rejected);
+  one("rpcs_aborted", c.rpcs_failed);
+  one("rpcs_left", c.rpcs_abandoned);
+  one("bad_input", c.malformed_requests);
+  one("silent_clients", c.timed_out_clients);
+  one("out_of_room", c.resource_rejections);
+  one("answers_unheard", c.undelivered_responses);
+  one("long_requests", c.streamed_requests);
+  one("long_answers", c.streamed_responses);
+  one("answers_cut", c.truncated_responses);
   for (std::size_t i = 0; i < endings.size(); ++i)
-    out << "probes_" << endings[i] << ' ' << c.probes[i] << '\n';
-  one("connections_accepted", c.accepted);
-  one("connections_opened", c.opened);
-  one("connections_reused", c.reused);
-  one("connections_retired", c.retired);
-  one("connections_closed_for_room", c.closed_for_room);
+    out << "picks_" << endings[i] << ' ' << c.attempts[i] << '\n';
+  for (std::size_t i = 0; i < endings.size(); ++i)
+    out << "probes_" << endings[i] << ' ' << c.health_checks[i] << '\n';
+  one("connections_accepted", c.connections_accepted);
+  one("connections_opened", c.connections_opened);
+  one("connections_reused", c.connections_reused);
+  one("connections_retired", c.connections_retired);
+  one("connections_closed_for_room", c.connections_evicted);
   constexpr std::array<std::string_view, 4> uses{"answered", "silent", "half_sent", "idle"};
   for (std::size_t i = 0; i < uses.size(); ++i)
-    out << "closed_for_room_" << uses[i] << ' ' << c.closed_by_use[i] << '\n';
-  one("out_by_hand", c.out_by_hand);
-  one("orders", c.orders);
-  one("orders_refused", c.orders_refused);
-  one("lists", c.lists);
-  one("list_failures", c.list_failures);
-  one("malformed_lists", c.malformed_lists);
+    out << "closed_for_room_" << uses[i] << ' ' << c.evictions_by_state[i] << '\n';
+  one("out_by_hand", c.manually_ejected_endpoints);
+  one("orders", c.admin_requests);
+  one("orders_refused", c.rejected_admin_requests);
+  one("lists", c.endpoint_list_updates);
+  one("list_failures", c.endpoint_poll_failures);
+  one("malformed_lists", c.malformed_endpoint_lists);
   return out;
 }
 
--- a/src/net/datagrams.h
+++ b/src/net/datagrams.h
@@ -8,24 +8,24 @@
 
 namespace indigorill {
 
-class datagrams {
+class DatagramSocket {
  public:
-  using heard = std::function<void(std::string_view bytes, const sockaddr_in& from)>;
+  using ReceiveHandler = std::function<void(std::string_view bytes, const sockaddr_in& from)>;
 
   // Throws std::system_error where the address can't be had.
-  datagrams(loop& in, const sockaddr_in& where, heard then);
+  DatagramSocket(EventLoop& in, const sockaddr_in& where, ReceiveHandler then);
 
-  const sockaddr_in& where() const { return place_of; }
+  const sockaddr_in& local_address() const { return local_address_; }
   bool send(const sockaddr_in& to, std::string_view bytes);  // false: not taken
 
  private:
-  void read();
+  void receive();
 
-  loop& runs;
-  heard tell;
-  descriptor fd;
-  sockaddr_in place_of{};
-  loop::watch place;
+  EventLoop& event_loop_;
+  ReceiveHandler on_receive_;
+  FileDescriptor fd_;
+  sockaddr_in local_address_{};
+  EventLoop::Watch watch_;
 };
 
 }  // namespace indigorill
--- a/src/net/discovery.h
+++ b/src/net/discovery.h
@@ -18,62 +18,63 @@
 
 namespace indigorill {
 
-struct roster {
-  struct entry {
-    endpoint is;
+struct EndpointListUpdate {
+  struct Entry {
+    Endpoint endpoint;
     std::string address;
   };
   std::uint64_t version = 0;
-  bool whole = false;
-  std::vector<entry> entries;
+  bool complete = false;
+  std::vector<Entry> entries;
 };
 
-roster decode_roster(const fields& f);      // throws malformed
-roster read_roster(std::string_view text);  // as well
-std::string encode_roster(const roster& r);
+EndpointListUpdate decode_endpoint_list(const JsonFields& f);   // throws malformed
+EndpointListUpdate parse_endpoint_list(std::string_view text);  // as well
+std::string encode_endpoint_list(const EndpointListUpdate& r);
 
-class discovery {
+class DiscoveryClient {
  public:
-  using told = std::function<void(const roster&)>;
+  using UpdateHandler = std::function<void(const EndpointListUpdate&)>;
 
-  discovery(loop& in, descriptor_budget& budget, counters& counts, logger& log_to, const sockaddr_in& where,
-            std::string name, std::uint64_t seed, double grace, told then, loop::task on_failure);
-  ~discovery();
+  DiscoveryClient(EventLoop& in, FileDescriptorBudget& budget, Counters& counts, Logger& log_to,
+                  const sockaddr_in& where, std::string name, std::uint64_t seed, double grace,
+                  UpdateHandler then, EventLoop::Callback on_failure);
+  ~DiscoveryClient();
 
-  void begin();  // with a watch from the version last had; with the whole list where none was
+  void poll();  // with a watch from the version last had; with the whole list where none was
   // The version of a list that is known already, from before the start.
-  void knows(std::uint64_t had) {
-    version = had;
-    whole_wanted = false;
+  void set_known_version(std::uint64_t had) {
+    version_ = had;
+    needs_complete_list_ = false;
   }
   // To another agent, which may count versions otherwise: what was told stays until it tells the whole list.
-  void move(const sockaddr_in& where, std::string name);
-  void keep_asking() { by_itself = true; }
+  void switch_agent(const sockaddr_in& where, std::string name);
+  void enable_continuous_polling() { polls_continuously_ = true; }
 
  private:
-  void call();
-  void ready(std::uint32_t events);
-  void take(const http::message& m);
-  void fail(const std::string& why);
+  void send_poll_request();
+  void handle_events(std::uint32_t events);
+  void handle_response(const http::Message& m);
+  void handle_failure(const std::string& why);
 
-  loop& runs;
-  descriptor_budget& room;
-  counters& counted;
-  logger& lines;
-  sockaddr_in agent;
-  std::string host;
-  std::knuth_b chance;
-  told tell;
-  loop::task failed;
-  double brief;  // ms, in which an agent that is there has answered what needs no wait
-  bool by_itself = false, whole_wanted = true, connected = false, silent = false;
-  bool proven = false;  // the last call was answered: the next may wait at the agent
-  std::uint64_t version = 0;
-  double called = 0;
-  std::unique_ptr<stream> wire;
-  http::reader reader;
-  outgoing out;
-  loop::timer patience, connecting, next_call;
+  EventLoop& event_loop_;
+  FileDescriptorBudget& descriptor_budget_;
+  Counters& counters_;
+  Logger& logger_;
+  sockaddr_in agent_address_;
+  std::string agent_host_;
+  std::knuth_b random_engine_;
+  UpdateHandler on_update_;
+  EventLoop::Callback on_failure_;
+  double prompt_timeout_ms_;  // ms, in which an agent that is there has answered what needs no wait
+  bool polls_continuously_ = false, needs_complete_list_ = true, connected_ = false, is_failing_ = false;
+  bool last_poll_succeeded_ = false;  // the last call was answered: the next may wait at the agent
+  std::uint64_t version_ = 0;
+  double poll_started_at_ms_ = 0;
+  std::unique_ptr<TcpStream> connection_;
+  http::HttpParser parser_;
+  WriteBuffer request_;
+  EventLoop::Timer response_timer_, connect_timer_, poll_timer_;
 };
 
 }  // namespace indigorill
--- a/src/net/log.h
+++ b/src/net/log.h
@@ -17,51 +17,51 @@
 
 namespace indigorill {
 
-enum class level { error, warning, info, debug };
-enum class log_form { text, json };
+enum class LogLevel { error, warning, info, debug };
+enum class LogFormat { text, json };
 
-std::optional<level> parse_level(std::string_view word);
+std::optional<LogLevel> parse_log_level(std::string_view word);
 
-class logger {
+class Logger {
  public:
-  logger(std::ostream& to, level most, log_form form = log_form::text);
-  ~logger();
+  Logger(std::ostream& to, LogLevel most, LogFormat form = LogFormat::text);
+  ~Logger();
 
   // One line, written whole when it ends; a filtered one costs nothing but its arguments.
-  class line {
+  class Line {
    public:
-    line(const logger* to, level of);
-    line(const line&) = delete;
-    line& operator=(const line&) = delete;
-    ~line();
+    Line(const Logger* to, LogLevel of);
+    Line(const Line&) = delete;
+    Line& operator=(const Line&) = delete;
+    ~Line();
     template <class T>
-    line& operator<<(const T& piece) {
-      if (text) *text << piece;
+    Line& operator<<(const T& piece) {
+      if (text_) *text_ << piece;
       return *this;
     }
     // A figure that the words say, once more for programs: only where lines are JSON.
-    line& field(std::string name, std::int64_t value) {
-      if (text) fields.emplace_back(std::move(name), value);
+    Line& field(std::string name, std::int64_t value) {
+      if (text_) fields_.emplace_back(std::move(name), value);
       return *this;
     }
 
    private:
-    const logger* of;
-    level is;
-    std::optional<std::ostringstream> text;
-    std::vector<std::pair<std::string, std::int64_t>> fields;
+    const Logger* logger_;
+    LogLevel level_;
+    std::optional<std::ostringstream> text_;
+    std::vector<std::pair<std::string, std::int64_t>> fields_;
   };
 
-  line at(level l) const { return {l <= shown ? this : nullptr, l}; }
-  line error() const { return at(level::error); }
-  line warning() const { return at(level::warning); }
-  line info() const { return at(level::info); }
-  line debug() const { return at(level::debug); }
+  Line log(LogLevel l) const { return {l <= max_level_ ? this : nullptr, l}; }
+  Line error() const { return log(LogLevel::error); }
+  Line warning() const { return log(LogLevel::warning); }
+  Line info() const { return log(LogLevel::info); }
+  Line debug() const { return log(LogLevel::debug); }
 
  private:
-  level shown;
-  log_form as;
-  std::unique_ptr<spdlog::logger> sink;
+  LogLevel max_level_;
+  LogFormat format_;
+  std::unique_ptr<spdlog::logger> sink_;
 };
 
 }  // namespace indigorill
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -13,139 +13,142 @@
 namespace indigorill {
 namespace {
 
-double steady_ms() {
+double steady_now_ms() {
   return std::chrono::duration<double, std::milli>(std::chrono::steady_clock::now().time_since_epoch())
       .count();
 }
 
-double unix_ms() {
+double unix_now_ms() {
   return std::chrono::duration<double, std::milli>(std::chrono::system_clock::now().time_since_epoch())
       .count();
 }
 
 }  // namespace
 
-descriptor& descriptor::operator=(descriptor&& other) noexcept {
-  std::swap(fd, other.fd);
+FileDescriptor& FileDescriptor::operator=(FileDescriptor&& other) noexcept {
+  std::swap(fd_, other.fd_);
   return *this;
 }
 
-descriptor::~descriptor() {
-  if (fd >= 0) ::close(fd);
+FileDescriptor::~FileDescriptor() {
+  if (fd_ >= 0) ::close(fd_);
 }
 
-loop::timer::timer(timer&& other) noexcept : of(std::exchange(other.of, nullptr)), key(other.key) {}
+EventLoop::Timer::Timer(Timer&& other) noexcept
+    : loop_(std::exchange(other.loop_, nullptr)), key_(other.key_) {}
 
-loop::timer& loop::timer::operator=(timer&& other) noexcept {
+EventLoop::Timer& EventLoop::Timer::operator=(Timer&& other) noexcept {
   if (this != &other) {
-    drop();
-    of = std::exchange(other.of, nullptr);
-    key = other.key;
+    cancel();
+    loop_ = std::exchange(other.loop_, nullptr);
+    key_ = other.key_;
   }
   return *this;
 }
 
-void loop::timer::drop() {
-  if (loop* l = std::exchange(of, nullptr)) l->due.erase(key);
+void EventLoop::Timer::cancel() {
+  if (EventLoop* l = std::exchange(loop_, nullptr)) l->timers_.erase(key_);
 }
 
-loop::watch::watch(watch&& other) noexcept
-    : of(std::exchange(other.of, nullptr)), id(other.id), fd(other.fd) {}
+EventLoop::Watch::Watch(Watch&& other) noexcept
+    : loop_(std::exchange(other.loop_, nullptr)), id_(other.id_), fd_(other.fd_) {}
 
-loop::watch& loop::watch::operator=(watch&& other) noexcept {
+EventLoop::Watch& EventLoop::Watch::operator=(Watch&& other) noexcept {
   if (this != &other) {
-    drop();
-    of = std::exchange(other.of, nullptr);
-    id = other.id;
-    fd = other.fd;
+    cancel();
+    loop_ = std::exchange(other.loop_, nullptr);
+    id_ = other.id_;
+    fd_ = other.fd_;
   }
   return *this;
 }
 
-void loop::watch::drop() {
-  if (loop* l = std::exchange(of, nullptr)) {
-    l->watches.erase(id);
-    ::epoll_ctl(l->epoll.get(), EPOLL_CTL_DEL, fd, nullptr);
+void EventLoop::Watch::cancel() {
+  if (EventLoop* l = std::exchange(loop_, nullptr)) {
+    l->watches_.erase(id_);
+    ::epoll_ctl(l->epoll_.get(), EPOLL_CTL_DEL, fd_, nullptr);
   }
 }
 
-loop::loop() : epoll(::epoll_create1(EPOLL_CLOEXEC)), offset(unix_ms() - steady_ms()) {
-  if (!epoll) throw std::system_error(errno, std::generic_category(), "epoll");
+EventLoop::EventLoop()
+    : epoll_(::epoll_create1(EPOLL_CLOEXEC)), unix_offset_ms_(unix_now_ms() - steady_now_ms()) {
+  if (!epoll_) throw std::system_error(errno, std::generic_category(), "epoll");
 }
 
-double loop::now() const { return steady_ms() + offset; }
+double EventLoop::now() const { return steady_now_ms() + unix_offset_ms_; }
 
-loop::timer loop::at(double when, task what) {
-  timer t;
-  t.of = this;
-  t.key = {when, ++ids};
-  due.emplace(t.key, std::move(what));
+EventLoop::Timer EventLoop::schedule_at(double when, Callback what) {
+  Timer t;
+  t.loop_ = this;
+  t.key_ = {when, ++last_id_};
+  timers_.emplace(t.key_, std::move(what));
   return t;
 }
 
-loop::watch loop::on(int fd, events_task what, rank as) {
+EventLoop::Watch EventLoop::watch_fd(int fd, EventCallback what, WatchPriority as) {
   epoll_event e{};
   e.events = EPOLLIN | EPOLLOUT | EPOLLRDHUP | EPOLLET;
-  e.data.u64 = ++ids;
-  if (::epoll_ctl(epoll.get(), EPOLL_CTL_ADD, fd, &e) < 0)
+  e.data.u64 = ++last_id_;
+  if (::epoll_ctl(epoll_.get(), EPOLL_CTL_ADD, fd, &e) < 0)
     throw std::system_error(errno, std::generic_category(), "epoll_ctl");
-  watches.emplace(ids, watched{std::make_shared<events_task>(std::move(what)), as});
-  watch w;
-  w.of = this;
-  w.id = ids;
-  w.fd = fd;
+  watches_.emplace(last_id_, WatchEntry{std::make_shared<EventCallback>(std::move(what)), as});
+  Watch w;
+  w.loop_ = this;
+  w.id_ = last_id_;
+  w.fd_ = fd;
   return w;
 }
 
-void loop::again(const watch& which) {
-  if (which.of) requeued.push_back(which.id);
+void EventLoop::requeue(const Watch& which) {
+  if (which.loop_) requeued_.push_back(which.id_);
 }
 
-void loop::call(std::uint64_t id, std::uint32_t events) {
+void EventLoop::dispatch(std::uint64_t id, std::uint32_t events) {
   // An earlier event of the batch may have closed this one: a name that is gone is looked up in vain, where a
   // pointer would lead to freed memory. The task is held, since it may drop its own watch.
-  const auto it = watches.find(id);
-  if (it == watches.end()) return;
-  const std::shared_ptr<events_task> held = it->second.what;
+  const auto it = watches_.find(id);
+  if (it == watches_.end()) return;
+  const std::shared_ptr<EventCallback> held = it->second.callback;
   (*held)(events);
 }
 
-bool loop::first(std::uint64_t id, std::uint32_t events) const {
-  const auto it = watches.find(id);
-  if (it == watches.end()) return false;
+bool EventLoop::is_prioritized(std::uint64_t id, std::uint32_t events) const {
+  const auto it = watches_.find(id);
+  if (it == watches_.end()) return false;
   const bool ends = (events & (EPOLLRDHUP | EPOLLHUP | EPOLLERR)) != 0;
-  return it->second.as == rank::first || (ends && it->second.as == rank::ends_first);
+  return it->second.priority == WatchPriority::high ||
+         (ends && it->second.priority == WatchPriority::high_on_hangup);
 }
 
-void loop::call_due() {
+void EventLoop::run_due_timers() {
   // Only what is due by now: tasks that set new due times at once must not keep the sockets waiting.
   const double until = now();
-  while (!due.empty() && due.begin()->first.first <= until) {
-    const task held = std::move(due.begin()->second);
-    due.erase(due.begin());
+  while (!timers_.empty() && timers_.begin()->first.first <= until) {
+    const Callback held = std::move(timers_.begin()->second);
+    timers_.erase(timers_.begin());
     held();
   }
 }
 
-void loop::round(double longest) {
-  double wait = requeued.empty() ? longest : 0;
-  if (!due.empty()) wait = std::min(wait, due.begin()->first.first - now());
+void EventLoop::run_once(double longest) {
+  double wait = requeued_.empty() ? longest : 0;
+  if (!timers_.empty()) wait = std::min(wait, timers_.begin()->first.first - now());
   // As many as a process may hold: one round sees all that is ready, so that the first can go ahead of it.
   std::array<epoll_event, 1024> events;
-  const int n = ::epoll_wait(epoll.get(), events.data(), events.size(),
+  const int n = ::epoll_wait(epoll_.get(), events.data(), events.size(),
                              static_cast<int>(std::ceil(std::clamp(wait, 0.0, 60000.0))));
   std::stable_partition(events.begin(), events.begin() + std::max(n, 0),
-                        [this](const epoll_event& e) { return first(e.data.u64, e.events); });
-  for (int i = 0; i < n; ++i) call(events[i].data.u64, events[i].events);
+                        [this](const epoll_event& e) { return is_prioritized(e.data.u64, e.events); });
+  for (int i = 0; i < n; ++i) dispatch(events[i].data.u64, events[i].events);
   std::deque<std::uint64_t> once;
-  once.swap(requeued);
-  for (const std::uint64_t id : once) call(id, EPOLLIN | EPOLLOUT);
-  call_due();
+  once.swap(requeued_);
+  for (const std::uint64_t id : once) dispatch(id, EPOLLIN | EPOLLOUT);
+  run_due_timers();
 }
 
-void loop::run() {
+void EventLoop::run() {
   constexpr double longest = 60000;  // nothing hangs on it: each due time shortens the wait
-  while (!stopping) round(longest);
+  while (!is_stopping_) run_once(longest);
 }
 
 }  // namespace indigorill
--- a/src/net/loop.h
+++ b/src/net/loop.h
@@ -13,91 +13,91 @@
 namespace indigorill {
 
 // A descriptor with one owner; closed when the owner lets go of it.
-class descriptor {
+class FileDescriptor {
  public:
-  descriptor() = default;
-  explicit descriptor(int owned) : fd(owned) {}
-  descriptor(descriptor&& other) noexcept : fd(other.fd) { other.fd = -1; }
-  descriptor& operator=(descriptor&& other) noexcept;
-  ~descriptor();
+  FileDescriptor() = default;
+  explicit FileDescriptor(int owned) : fd_(owned) {}
+  FileDescriptor(FileDescriptor&& other) noexcept : fd_(other.fd_) { other.fd_ = -1; }
+  FileDescriptor& operator=(FileDescriptor&& other) noexcept;
+  ~FileDescriptor();
 
-  int get() const { return fd; }
-  explicit operator bool() const { return fd >= 0; }
+  int get() const { return fd_; }
+  explicit operator bool() const { return fd_ >= 0; }
 
  private:
-  int fd = -1;
+  int fd_ = -1;
 };
 
-class loop {
+class EventLoop {
  public:
-  using task = std::function<void()>;
-  using events_task = std::function<void(std::uint32_t events)>;
+  using Callback = std::function<void()>;
+  using EventCallback = std::function<void(std::uint32_t events)>;
 
   // Gives its due time or its place in epoll back when it goes. The loop outlives them.
-  class timer {
+  class Timer {
    public:
-    timer() = default;
-    timer(timer&& other) noexcept;
-    timer& operator=(timer&& other) noexcept;
-    ~timer() { drop(); }
-    bool set() const { return of != nullptr; }
-    void drop();
+    Timer() = default;
+    Timer(Timer&& other) noexcept;
+    Timer& operator=(Timer&& other) noexcept;
+    ~Timer() { cancel(); }
+    bool is_set() const { return loop_ != nullptr; }
+    void cancel();
 
    private:
-    friend class loop;
-    loop* of = nullptr;
-    std::pair<double, std::uint64_t> key{};
+    friend class EventLoop;
+    EventLoop* loop_ = nullptr;
+    std::pair<double, std::uint64_t> key_{};
   };
-  class watch {
+  class Watch {
    public:
-    watch() = default;
-    watch(watch&& other) noexcept;
-    watch& operator=(watch&& other) noexcept;
-    ~watch() { drop(); }
-    void drop();
+    Watch() = default;
+    Watch(Watch&& other) noexcept;
+    Watch& operator=(Watch&& other) noexcept;
+    ~Watch() { cancel(); }
+    void cancel();
 
    private:
-    friend class loop;
-    loop* of = nullptr;
-    std::uint64_t id = 0;
-    int fd = -1;
+    friend class EventLoop;
+    EventLoop* loop_ = nullptr;
+    std::uint64_t id_ = 0;
+    int fd_ = -1;
   };
 
-  loop();
+  EventLoop();
 
   // Unix time in ms that only advances: the steady clock plus one offset, fixed at the start.
   double now() const;
 
-  timer at(double when, task what);
+  Timer schedule_at(double when, Callback what);
   // first: its events are served ahead of all others in a round, or staff would wait behind a crowd.
   // ends_first: so is its end, or what it gave up would still be worked on, in that round, after the process
   // stood still.
-  enum class rank { usual, first, ends_first };
+  enum class WatchPriority { normal, high, high_on_hangup };
 
   // Edge-triggered: `what` must read, write or accept until EAGAIN, or ask to be called again.
-  watch on(int fd, events_task what, rank as = rank::usual);
-  void again(const watch& which);  // in the next round, with the other descriptors in between
+  Watch watch_fd(int fd, EventCallback what, WatchPriority as = WatchPriority::normal);
+  void requeue(const Watch& which);  // in the next round, with the other descriptors in between
 
   void run();
-  void stop() { stopping = true; }
-  void round(double longest);  // one round, which waits so many ms at most
+  void stop() { is_stopping_ = true; }
+  void run_once(double longest);  // one round, which waits so many ms at most
 
  private:
-  void call(std::uint64_t id, std::uint32_t events);
-  bool first(std::uint64_t id, std::uint32_t events) const;
-  void call_due();
-
-  descriptor epoll;
-  double offset;
-  bool stopping = false;
-  std::uint64_t ids = 0;
-  std::map<std::pair<double, std::uint64_t>, task> due;
-  struct watched {
-    std::shared_ptr<events_task> what;
-    rank as;
+  void dispatch(std::uint64_t id, std::uint32_t events);
+  bool is_prioritized(std::uint64_t id, std::uint32_t events) const;
+  void run_due_timers();
+
+  FileDescriptor epoll_;
+  double unix_offset_ms_;
+  bool is_stopping_ = false;
+  std::uint64_t last_id_ = 0;
+  std::map<std::pair<double, std::uint64_t>, Callback> timers_;
+  struct WatchEntry {
+    std::shared_ptr<EventCallback> callback;
+    WatchPriority priority;
   };
-  std::unordered_map<std::uint64_t, watched> watches;
-  std::deque<std::uint64_t> requeued;
+  std::unordered_map<std::uint64_t, WatchEntry> watches_;
+  std::deque<std::uint64_t> requeued_;
 };
 
 }  // namespace indigorill
--- a/src/net/patience.h
+++ b/src/net/patience.h
@@ -8,31 +8,33 @@
 
 // A machine that vanished never answers a connect, and each RPC would wait out the whole stated time there,
 // which may be more than its latency target; nothing was sent, so another server may have it at once.
-class connect_patience {
+class ConnectTimeoutEstimator {
  public:
-  explicit connect_patience(double longest_stated) : stated(longest_stated) {}
+  explicit ConnectTimeoutEstimator(double longest_stated) : max_timeout_ms_(longest_stated) {}
 
-  void up(double took) {
+  void on_connected(double took) {
     constexpr double fades = 0.98;  // with each one that came up: some fifty are remembered
-    slowest = std::max(took, slowest * fades);
-    seen = std::min(seen + 1, enough);
-    failed_in_a_row = 0;
+    slowest_connect_ms_ = std::max(took, slowest_connect_ms_ * fades);
+    connects_seen_ = std::min(connects_seen_ + 1, min_connects_seen);
+    consecutive_timeouts_ = 0;
   }
-  void not_up() { ++failed_in_a_row; }
+  void on_connect_timed_out() { ++consecutive_timeouts_; }
 
-  double now() const {
-    if (seen < enough) return stated;
+  double timeout_ms() const {
+    if (connects_seen_ < min_connects_seen) return max_timeout_ms_;
     // Eight times the slowest leaves room for a jam that begins; 20 ms for a process that waits for its core.
     constexpr double margin = 8, least = 20;
     // Where connects have become slower than all before, none would come up again: each failure in a row
     // doubles the time, as a retransmission's does (RFC 6298, 5.5).
-    return std::min(std::max(least, margin * slowest) * std::exp2(std::min(failed_in_a_row, 20.0)), stated);
+    return std::min(
+        std::max(least, margin * slowest_connect_ms_) * std::exp2(std::min(consecutive_timeouts_, 20.0)),
+        max_timeout_ms_);
   }
 
  private:
-  static constexpr int enough = 8;
-  double stated, slowest = 0, failed_in_a_row = 0;
-  int seen = 0;
+  static constexpr int min_connects_seen = 8;
+  double max_timeout_ms_, slowest_connect_ms_ = 0, consecutive_timeouts_ = 0;
+  int connects_seen_ = 0;
 };
 
 }  // namespace indigorill
--- a/src/net/relay.cpp
+++ b/src/net/relay.cpp
@@ -7,327 +7,349 @@
 namespace {
 
 // A whole answer says how it ended, and may carry a report.
-load understand(pool::result& ended, bool of_probe) {
-  if (ended.how != ending::ok) return {};
-  ended.how = ending_of(ended.answer);
-  return load_of(ended.answer, of_probe);
+LoadReport extract_load_report(UpstreamPool::ExchangeResult& ended, bool of_probe) {
+  if (ended.outcome != AttemptOutcome::ok) return {};
+  ended.outcome = classify_response(ended.response);
+  return decode_load_report(ended.response, of_probe);
 }
 
 // Messages between sidecars are not carried here: what is never heard must not be told either.
-terrain alone(terrain where, logger& lines) {
-  if (std::exchange(where.telling, false))
+LoadBalancerConfig without_gossip(LoadBalancerConfig where, Logger& lines) {
+  if (std::exchange(where.gossip_enabled, false))
     lines.info() << "the settings allow messages between sidecars; none are sent or heard";
   return where;
 }
 
 }  // namespace
 
-bool relay::rpc::idle() const {
-  return std::none_of(picks.begin(), picks.end(), [](const pick& p) { return p.out; });
+bool RequestDispatcher::Rpc::has_no_attempt_in_flight() const {
+  return std::none_of(attempts.begin(), attempts.end(), [](const Attempt& p) { return p.in_flight; });
 }
 
-relay::relay(loop& in, pool& to, counters& counts, logger& log_to, const terrain& where, std::uint64_t seed)
-    : runs(in),
-      endpoints(to),
-      counted(counts),
-      lines(log_to),
-      reports(where.probes_report),
-      longest_advice(where.longest_retry_after),
-      decides(alone(where, log_to), seed, in.now()) {
-  for (const method& m : where.methods) methods.insert(m.name);
-  endpoints.when_resting(
-      [this](const std::string& server, std::size_t connections) { decides.resting(server, connections); });
+RequestDispatcher::RequestDispatcher(EventLoop& in, UpstreamPool& to, Counters& counts, Logger& log_to,
+                                     const LoadBalancerConfig& where, std::uint64_t seed)
+    : event_loop_(in),
+      upstream_pool_(to),
+      counters_(counts),
+      logger_(log_to),
+      probes_report_load_(where.probes_report_load),
+      longest_retry_after_ms_(where.max_retry_after_ms),
+      load_balancer_(without_gossip(where, log_to), seed, in.now()) {
+  for (const MethodConfig& m : where.methods) known_methods_.insert(m.name);
+  upstream_pool_.on_idle_count_changed([this](const std::string& server, std::size_t connections) {
+    load_balancer_.set_idle_connections(server, connections);
+  });
 }
 
-std::string relay::take(http::message m, double came, asker who) {
+std::string RequestDispatcher::dispatch(http::Message m, double came, ResponseHandler who) {
   // The answer has still to be written and to reach the client; a wake-up may be a millisecond late.
   constexpr double to_answer = 3;
   // Ids of the client's could come twice.
-  const std::string id = std::to_string(++serial);
-  rpc& r = rpcs[id];
-  r.call = std::move(m);
-  r.who = std::move(who);
-  const call c = read_call(r.call);
-  open_ids.insert(r.client_id = c.id);
+  const std::string id = std::to_string(++last_id_);
+  Rpc& r = rpcs_[id];
+  r.request = std::move(m);
+  r.handler = std::move(who);
+  const RpcRequest c = decode_rpc_request(r.request);
+  open_call_ids_.insert(r.call_id = c.id);
   // A long request's time counts from its last byte, which is still to come.
-  r.budget = c.budget - to_answer;
+  r.budget = c.budget_ms - to_answer;
   r.deadline = came + r.budget;
-  ++counted.taken;
-  decides.rpc_arrived(runs.now(), {id, c.method, r.deadline, c.key, c.tenant, c.repeat});
-  pull();
+  ++counters_.rpcs_received;
+  load_balancer_.on_rpc_arrived(event_loop_.now(),
+                                {id, c.method, r.deadline, c.affinity_key, c.tenant, c.is_retry});
+  carry_out_decisions();
   return id;
 }
 
-void relay::left(const std::string& id) {
-  const auto it = rpcs.find(id);
-  if (it == rpcs.end() || (it->second.over && !it->second.passing)) return;
-  if (!std::exchange(it->second.over, true)) {
-    ++counted.left;
-    decides.client_left(runs.now(), id);
-    pull();
+void RequestDispatcher::on_client_left(const std::string& id) {
+  const auto it = rpcs_.find(id);
+  if (it == rpcs_.end() || (it->second.concluded && !it->second.streaming_response)) return;
+  if (!std::exchange(it->second.concluded, true)) {
+    ++counters_.rpcs_abandoned;
+    load_balancer_.on_client_disconnected(event_loop_.now(), id);
+    carry_out_decisions();
   }
-  const auto still = rpcs.find(id);  // the balancer may have cancelled its last pick
-  if (still == rpcs.end()) return;
-  rpc& r = still->second;
-  withdraw_unsent(id);
+  const auto still = rpcs_.find(id);  // the balancer may have cancelled its last pick
+  if (still == rpcs_.end()) return;
+  Rpc& r = still->second;
+  withdraw_unsent_attempts(id);
   // The balancer cancels no pick whose bytes are on their way; nobody gives or takes them any more.
-  if (r.spent || r.passing) give_up_all(id);
-  r.who = {};
-  forget_if_over(id);
+  if (r.request_body_discarded || r.streaming_response) abandon_all_attempts(id);
+  r.handler = {};
+  erase_if_concluded(id);
 }
 
-void relay::end_all() {
+void RequestDispatcher::abort_all() {
   std::vector<std::string> all;
-  for (const auto& [id, r] : rpcs) all.push_back(id);
+  for (const auto& [id, r] : rpcs_) all.push_back(id);
   for (const std::string& id : all) {
-    const auto it = rpcs.find(id);
-    if (it == rpcs.end()) continue;
-    const loop::task cut = it->second.passing ? it->second.who.cut : [] {};
-    if (it->second.passing) ++counted.cut;
-    if (!it->second.over) {
-      conclude(id, {verdict::what::aborted, {}, 0});  // an earlier pick may have run: no word on a retry
-      decides.client_left(runs.now(), id);
-      pull();
+    const auto it = rpcs_.find(id);
+    if (it == rpcs_.end()) continue;
+    const EventLoop::Callback cut = it->second.streaming_response ? it->second.handler.on_aborted : [] {};
+    if (it->second.streaming_response) ++counters_.truncated_responses;
+    if (!it->second.concluded) {
+      conclude_rpc(id,
+                   {RpcResult::Outcome::failed, {}, 0});  // an earlier pick may have run: no word on a retry
+      load_balancer_.on_client_disconnected(event_loop_.now(), id);
+      carry_out_decisions();
     }
-    if (rpcs.count(id)) give_up_all(id);
+    if (rpcs_.count(id)) abandon_all_attempts(id);
     cut();
-    forget_if_over(id);
+    erase_if_concluded(id);
   }
 }
 
-relay::pick* relay::open_pick(const std::string& id) {
-  const auto it = rpcs.find(id);
-  if (it == rpcs.end()) return nullptr;
-  for (pick& p : it->second.picks)
-    if (p.out) return &p;
+RequestDispatcher::Attempt* RequestDispatcher::find_attempt_in_flight(const std::string& id) {
+  const auto it = rpcs_.find(id);
+  if (it == rpcs_.end()) return nullptr;
+  for (Attempt& p : it->second.attempts)
+    if (p.in_flight) return &p;
   return nullptr;
 }
 
-void relay::resume(const std::string& id) {
-  if (const pick* p = open_pick(id)) endpoints.resume(p->at);
+void RequestDispatcher::resume_response(const std::string& id) {
+  if (const Attempt* p = find_attempt_in_flight(id)) upstream_pool_.resume_response(p->exchange_id);
 }
 
-bool relay::more(const std::string& id, std::string_view bytes, bool last, double came) {
-  const pick* p = open_pick(id);
+bool RequestDispatcher::send_request_body(const std::string& id, std::string_view bytes, bool last,
+                                          double came) {
+  const Attempt* p = find_attempt_in_flight(id);
   if (!p) return false;
-  rpc& r = rpcs.at(id);
+  Rpc& r = rpcs_.at(id);
   if (last) r.deadline = came + r.budget;
-  return endpoints.more(p->at, piece_of(bytes, !r.call.length, last), last,
-                        std::max(r.deadline - runs.now(), 1.0));
+  return upstream_pool_.send_request_body(p->exchange_id,
+                                          encode_body_chunk(bytes, !r.request.content_length, last), last,
+                                          std::max(r.deadline - event_loop_.now(), 1.0));
 }
 
 // The endpoint took what was here of a long request: from now on it can be sent nowhere else.
-void relay::wants(const std::string& id, int number) {
-  rpc& r = rpcs.at(id);
-  if (!std::exchange(r.spent, true)) {
-    ++counted.long_requests;
-    decides.answer_began(runs.now(), id, number, true);
+void RequestDispatcher::on_ready_for_body(const std::string& id, int number) {
+  Rpc& r = rpcs_.at(id);
+  if (!std::exchange(r.request_body_discarded, true)) {
+    ++counters_.streamed_requests;
+    load_balancer_.on_response_started(event_loop_.now(), id, number, true);
   }
-  const loop::task next = r.who.wants;
+  const EventLoop::Callback next = r.handler.on_ready_for_body;
   next();
 }
 
 // True if what follows is wanted.
-bool relay::began(const std::string& id, int number, const http::message& answer) {
-  rpc& r = rpcs.at(id);
-  if (r.over || ending_of(answer) != ending::ok) return false;
-  ++counted.long_answers;
-  r.passing = true;
-  r.report = load_of(answer, false);
-  decides.answer_began(runs.now(), id, number, true);
-  conclude(id, {verdict::what::ok, answer, 0});
+bool RequestDispatcher::on_response_started(const std::string& id, int number, const http::Message& answer) {
+  Rpc& r = rpcs_.at(id);
+  if (r.concluded || classify_response(answer) != AttemptOutcome::ok) return false;
+  ++counters_.streamed_responses;
+  r.streaming_response = true;
+  r.load_report = decode_load_report(answer, false);
+  load_balancer_.on_response_started(event_loop_.now(), id, number, true);
+  conclude_rpc(id, {RpcResult::Outcome::ok, answer, 0});
   return true;
 }
 
-void relay::listed(bool whole, bool asked, const std::vector<endpoint>& entries) {
-  decides.listed(runs.now(), whole, asked, entries);
-  endpoints.let_go();
-  pull();
+void RequestDispatcher::update_endpoints(bool whole, bool asked, const std::vector<Endpoint>& entries) {
+  load_balancer_.update_endpoints(event_loop_.now(), whole, asked, entries);
+  upstream_pool_.withdraw_unsent_exchanges();
+  carry_out_decisions();
 }
 
-void relay::withheld(const std::string& server, bool is, double since) {
-  decides.withheld(runs.now(), server, is, since);
-  endpoints.withheld(server, is);
-  endpoints.let_go();
-  pull();
+void RequestDispatcher::set_ejected_manually(const std::string& server, bool is, double since) {
+  load_balancer_.set_ejected_manually(event_loop_.now(), server, is, since);
+  upstream_pool_.set_ejected_manually(server, is);
+  upstream_pool_.withdraw_unsent_exchanges();
+  carry_out_decisions();
 }
 
-void relay::list_failed() {
-  decides.list_failed(runs.now());
-  pull();
+void RequestDispatcher::endpoint_poll_failed() {
+  load_balancer_.endpoint_poll_failed(event_loop_.now());
+  carry_out_decisions();
 }
 
-void relay::when_list_wanted(loop::task what) {
-  follow = std::move(what);
-  if (std::exchange(list_wanted, false)) follow();
+void RequestDispatcher::on_endpoint_poll(EventLoop::Callback what) {
+  poll_endpoints_ = std::move(what);
+  if (std::exchange(endpoint_poll_pending_, false)) poll_endpoints_();
 }
 
-void relay::pull() {
+void RequestDispatcher::carry_out_decisions() {
   // What is carried out may tell the balancer something at once; its decisions then follow in this round.
-  if (pulling) return;
-  pulling = true;
+  if (carrying_out_decisions_) return;
+  carrying_out_decisions_ = true;
   for (;;) {
-    if (further) decides.may_spend(further->left());
-    const auto d = decides.next();
+    if (fleet_retry_quota_) load_balancer_.set_fleet_retry_quota(fleet_retry_quota_->remaining());
+    const auto d = load_balancer_.next_decision();
     if (!d) break;
     carry_out(*d);
   }
-  pulling = false;
+  carrying_out_decisions_ = false;
 }
 
-void relay::carry_out(const decision& d) {
-  using verb = decision::verb;
-  switch (d.what) {
-    case verb::pick:
-      return send(d);
-    case verb::push_back:
-      note_want(d.rpc);
-      conclude(d.rpc, {verdict::what::pushed_back, {}, d.after});
-      return forget_if_over(d.rpc);
-    case verb::abort:
-      note_want(d.rpc);
-      conclude(d.rpc, {verdict::what::aborted, {}, 0});
-      return forget_if_over(d.rpc);
-    case verb::cancel:
-      return cancel(d);
-    case verb::probe:
-      return probe(d.server);
-    case verb::follow_list:
+void RequestDispatcher::carry_out(const Decision& d) {
+  using Verb = Decision::Action;
+  switch (d.action) {
+    case Verb::send_attempt:
+      return send_attempt(d);
+    case Verb::reject:
+      note_retry_shortage(d.rpc_id);
+      conclude_rpc(d.rpc_id, {RpcResult::Outcome::rejected, {}, d.delay_ms});
+      return erase_if_concluded(d.rpc_id);
+    case Verb::fail:
+      note_retry_shortage(d.rpc_id);
+      conclude_rpc(d.rpc_id, {RpcResult::Outcome::failed, {}, 0});
+      return erase_if_concluded(d.rpc_id);
+    case Verb::cancel_attempt:
+      return cancel_attempt(d);
+    case Verb::health_check:
+      return send_health_check(d.endpoint_id);
+    case Verb::poll_endpoints:
       // The balancer asks once and waits: a wish that is dropped leaves the sidecar with its first list.
-      list_wanted = !follow;
-      if (follow) follow();
+      endpoint_poll_pending_ = !poll_endpoints_;
+      if (poll_endpoints_) poll_endpoints_();
       return;
-    case verb::tell:
+    case Verb::send_gossip:
       return;
-    case verb::wake: {
-      const std::uint64_t name = ++serial;
-      wakes[name] = runs.at(runs.now() + d.after, [this, name, wake = d.wake] {
-        wakes.erase(name);
-        decides.woken(runs.now(), wake);
-        pull();
-      });
+    case Verb::set_timer: {
+      const std::uint64_t name = ++last_id_;
+      balancer_timers_[name] =
+          event_loop_.schedule_at(event_loop_.now() + d.delay_ms, [this, name, wake = d.timer_id] {
+            balancer_timers_.erase(name);
+            load_balancer_.on_timer(event_loop_.now(), wake);
+            carry_out_decisions();
+          });
     }
   }
 }
 
 // Given up after a pick with nothing left to spend: one more was wanted, as far as can be seen from here.
-void relay::note_want(const std::string& id) {
-  if (further && !rpcs.at(id).picks.empty() && further->left() < 1) further->wanted();
+void RequestDispatcher::note_retry_shortage(const std::string& id) {
+  if (fleet_retry_quota_ && !rpcs_.at(id).attempts.empty() && fleet_retry_quota_->remaining() < 1)
+    fleet_retry_quota_->on_shortage();
 }
 
-void relay::send(const decision& d) {
-  rpc& r = rpcs.at(d.rpc);
-  const double now = runs.now(), patience = std::min(d.after, r.deadline - now);
-  r.picks.push_back({0, d.server, now, true});
+void RequestDispatcher::send_attempt(const Decision& d) {
+  Rpc& r = rpcs_.at(d.rpc_id);
+  const double now = event_loop_.now(), patience = std::min(d.delay_ms, r.deadline - now);
+  r.attempts.push_back({0, d.endpoint_id, now, true});
   // Its time ended while this round went on, or the share ended since it was asked about, as this process may
   // have stood still: nothing was sent.
-  if (patience <= 0 || now >= d.begin_by || (d.pick > 0 && further && !further->take())) {
-    pool::result none{};
-    none.how = ending::withdrawn;
-    return pick_ended(d.rpc, d.pick, std::move(none));
+  if (patience <= 0 || now >= d.send_deadline_ms ||
+      (d.attempt_index > 0 && fleet_retry_quota_ && !fleet_retry_quota_->try_consume())) {
+    UpstreamPool::ExchangeResult none{};
+    none.outcome = AttemptOutcome::withdrawn;
+    return on_attempt_ended(d.rpc_id, d.attempt_index, std::move(none));
   }
-  pool::exchange with;
-  with.then = [this, id = d.rpc, n = d.pick](pool::result ended) { pick_ended(id, n, std::move(ended)); };
-  with.began = [this, id = d.rpc, n = d.pick](const http::message& answer) { return began(id, n, answer); };
-  with.piece = [this, id = d.rpc](std::string_view bytes, bool last) {
-    const auto pass = rpcs.at(id).who.piece;
+  UpstreamPool::Exchange with;
+  with.on_complete = [this, id = d.rpc_id, n = d.attempt_index](UpstreamPool::ExchangeResult ended) {
+    on_attempt_ended(id, n, std::move(ended));
+  };
+  with.on_response_started = [this, id = d.rpc_id, n = d.attempt_index](const http::Message& answer) {
+    return on_response_started(id, n, answer);
+  };
+  with.on_body_piece = [this, id = d.rpc_id](std::string_view bytes, bool last) {
+    const auto pass = rpcs_.at(id).handler.on_body_piece;
     return pass(bytes, last);
   };
-  with.wants = [this, id = d.rpc, n = d.pick] { wants(id, n); };
-  with.told_late = [this, id = d.rpc](double left) { return pick_of(rpcs.at(id).call, left); };
-  with.head_alone = asks_head(r.call);
-  with.more_to_come = r.call.partial;
-  with.whole_by = d.begin_by;
-  r.picks.back().at = endpoints.send(d.server, pick_of(r.call, patience), patience, std::move(with));
+  with.on_ready_for_body = [this, id = d.rpc_id, n = d.attempt_index] { on_ready_for_body(id, n); };
+  with.rebuild_request = [this, id = d.rpc_id](double left) {
+    return encode_attempt(rpcs_.at(id).request, left);
+  };
+  with.is_head_request = is_head_request(r.request);
+  with.has_more_body = r.request.is_partial;
+  with.must_be_sent_by = d.send_deadline_ms;
+  r.attempts.back().exchange_id = upstream_pool_.start_exchange(
+      d.endpoint_id, encode_attempt(r.request, patience), patience, std::move(with));
 }
 
-void relay::pick_ended(const std::string& id, int number, pool::result ended) {
-  rpc& r = rpcs.at(id);
-  r.picks[number].out = false;
-  const load report = r.passing ? r.report : understand(ended, false);
-  counters::add(counted.picks, ended.how);
-  lines.debug() << "rpc " << id << " pick " << number << " at " << r.picks[number].server << ": "
-                << name_of(ended.how) << " after " << ended.took << " ms, holds " << report.held.value_or(-1);
-  const bool broke = r.passing && ended.how != ending::ok;
-  const loop::task cut = broke ? r.who.cut : [] {};
-  if (broke) ++counted.cut;
-  if (ended.how == ending::ok && !r.over) conclude(id, {verdict::what::ok, std::move(ended.answer), 0});
+void RequestDispatcher::on_attempt_ended(const std::string& id, int number,
+                                         UpstreamPool::ExchangeResult ended) {
+  Rpc& r = rpcs_.at(id);
+  r.attempts[number].in_flight = false;
+  const LoadReport report = r.streaming_response ? r.load_report : extract_load_report(ended, false);
+  Counters::increment(counters_.attempts, ended.outcome);
+  logger_.debug() << "rpc " << id << " pick " << number << " at " << r.attempts[number].server << ": "
+                  << name_of(ended.outcome) << " after " << ended.duration_ms << " ms, holds "
+                  << report.in_flight.value_or(-1);
+  const bool broke = r.streaming_response && ended.outcome != AttemptOutcome::ok;
+  const EventLoop::Callback cut = broke ? r.handler.on_aborted : [] {};
+  if (broke) ++counters_.truncated_responses;
+  if (ended.outcome == AttemptOutcome::ok && !r.concluded)
+    conclude_rpc(id, {RpcResult::Outcome::ok, std::move(ended.response), 0});
   // A bad client must not cost endpoints their reputation, nor be tried at one after the other.
   // Without an answer it is us who had no room; the balancer says how it goes on.
-  if (ended.how == ending::moot && ended.answer.status != 0 && !r.over)
-    conclude(id, {verdict::what::aborted, std::move(ended.answer), 0});
-  decides.pick_ended(runs.now(), id, number, ended.how, ended.took, r.over, report);
-  pull();
-  forget_if_over(id);
+  if (ended.outcome == AttemptOutcome::client_error && ended.response.status != 0 && !r.concluded)
+    conclude_rpc(id, {RpcResult::Outcome::failed, std::move(ended.response), 0});
+  load_balancer_.on_attempt_finished(event_loop_.now(), id, number, ended.outcome, ended.duration_ms,
+                                     r.concluded, report);
+  carry_out_decisions();
+  erase_if_concluded(id);
   cut();
 }
 
-void relay::cancel(const decision& d) {
-  rpc& r = rpcs.at(d.rpc);
-  pick& p = r.picks.at(d.pick);
-  if (!p.out) return;
-  give_up(d.rpc, d.pick);
-  forget_if_over(d.rpc);
+void RequestDispatcher::cancel_attempt(const Decision& d) {
+  Rpc& r = rpcs_.at(d.rpc_id);
+  Attempt& p = r.attempts.at(d.attempt_index);
+  if (!p.in_flight) return;
+  abandon_attempt(d.rpc_id, d.attempt_index);
+  erase_if_concluded(d.rpc_id);
 }
 
-void relay::give_up(const std::string& id, int number, ending how) {
-  rpc& r = rpcs.at(id);
-  pick& p = r.picks.at(static_cast<std::size_t>(number));
-  endpoints.give_up(p.at);
-  p.out = false;
-  counters::add(counted.picks, how);
-  decides.pick_ended(runs.now(), id, number, how, runs.now() - p.sent, r.over, {});
+void RequestDispatcher::abandon_attempt(const std::string& id, int number, AttemptOutcome how) {
+  Rpc& r = rpcs_.at(id);
+  Attempt& p = r.attempts.at(static_cast<std::size_t>(number));
+  upstream_pool_.abandon_exchange(p.exchange_id);
+  p.in_flight = false;
+  Counters::increment(counters_.attempts, how);
+  load_balancer_.on_attempt_finished(event_loop_.now(), id, number, how, event_loop_.now() - p.sent_at,
+                                     r.concluded, {});
 }
 
-void relay::give_up_all(const std::string& id) {
-  const std::vector<pick>& picks = rpcs.at(id).picks;
+void RequestDispatcher::abandon_all_attempts(const std::string& id) {
+  const std::vector<Attempt>& picks = rpcs_.at(id).attempts;
   for (std::size_t n = 0; n < picks.size(); ++n)
-    if (picks[n].out) give_up(id, static_cast<int>(n));
+    if (picks[n].in_flight) abandon_attempt(id, static_cast<int>(n));
 }
 
 // A connection that comes up late would else bring to an endpoint what has had its final answer, or what
 // nobody waits for any more. Also where the settings allow no cancelling: nothing was asked of it yet.
-void relay::withdraw_unsent(const std::string& id) {
-  rpc& r = rpcs.at(id);
-  if (r.passing) return;  // answered before its last byte was out
-  for (std::size_t n = 0; n < r.picks.size(); ++n)
-    if (r.picks[n].out && endpoints.unsent(r.picks[n].at))
-      give_up(id, static_cast<int>(n), ending::withdrawn);
+void RequestDispatcher::withdraw_unsent_attempts(const std::string& id) {
+  Rpc& r = rpcs_.at(id);
+  if (r.streaming_response) return;  // answered before its last byte was out
+  for (std::size_t n = 0; n < r.attempts.size(); ++n)
+    if (r.attempts[n].in_flight && upstream_pool_.is_unsent(r.attempts[n].exchange_id))
+      abandon_attempt(id, static_cast<int>(n), AttemptOutcome::withdrawn);
 }
 
-void relay::probe(const std::string& server) {
+void RequestDispatcher::send_health_check(const std::string& server) {
   // An answer that comes later than this tells nothing of the load any more.
   constexpr double patience = 250;
-  pool::exchange with;
-  with.then = [this, server](pool::result ended) {
-    const load report = understand(ended, true);
-    if (ended.how == ending::withdrawn) ended.how = ending::moot;  // it was not asked at all
-    counters::add(counted.probes, ended.how);
-    lines.debug() << "probe of " << server << ": " << name_of(ended.how) << " after " << ended.took
-                  << " ms, holds " << report.held.value_or(-1);
-    decides.probe_ended(runs.now(), server, ended.how, report);
-    pull();
+  UpstreamPool::Exchange with;
+  with.on_complete = [this, server](UpstreamPool::ExchangeResult ended) {
+    const LoadReport report = extract_load_report(ended, true);
+    if (ended.outcome == AttemptOutcome::withdrawn)
+      ended.outcome = AttemptOutcome::client_error;  // it was not asked at all
+    Counters::increment(counters_.health_checks, ended.outcome);
+    logger_.debug() << "probe of " << server << ": " << name_of(ended.outcome) << " after "
+                    << ended.duration_ms << " ms, holds " << report.in_flight.value_or(-1);
+    load_balancer_.on_probe_finished(event_loop_.now(), server, ended.outcome, report);
+    carry_out_decisions();
   };
-  endpoints.send(server, probe_of(reports), patience, std::move(with));
+  upstream_pool_.start_exchange(server, encode_health_check(probes_report_load_), patience, std::move(with));
 }
 
-void relay::conclude(const std::string& id, verdict v) {
-  rpc& r = rpcs.at(id);
-  if (r.over) return;
-  r.over = true;
-  withdraw_unsent(id);
-  ++(v.how == verdict::what::ok            ? counted.ok
-     : v.how == verdict::what::pushed_back ? counted.pushed_back
-                                           : counted.aborted);
-  const auto then = std::move(r.who.then);
+void RequestDispatcher::conclude_rpc(const std::string& id, RpcResult v) {
+  Rpc& r = rpcs_.at(id);
+  if (r.concluded) return;
+  r.concluded = true;
+  withdraw_unsent_attempts(id);
+  ++(v.outcome == RpcResult::Outcome::ok         ? counters_.rpcs_ok
+     : v.outcome == RpcResult::Outcome::rejected ? counters_.rpcs_rejected
+                                                 : counters_.rpcs_failed);
+  const auto then = std::move(r.handler.on_result);
   then(std::move(v));
 }
 
-void relay::forget_if_over(const std::string& id) {
-  const auto it = rpcs.find(id);
-  if (it == rpcs.end() || !it->second.over || !it->second.idle()) return;
-  open_ids.erase(it->second.client_id);
-  rpcs.erase(it);
+void RequestDispatcher::erase_if_concluded(const std::string& id) {
+  const auto it = rpcs_.find(id);
+  if (it == rpcs_.end() || !it->second.concluded || !it->second.has_no_attempt_in_flight()) return;
+  open_call_ids_.erase(it->second.call_id);
+  rpcs_.erase(it);
 }
 
 }  // namespace indigorill
--- a/src/net/relay.h
+++ b/src/net/relay.h
@@ -19,108 +19,113 @@
 namespace indigorill {
 
 // The final answer to an RPC.
-struct verdict {
-  enum class what { ok, pushed_back, aborted } how;
-  http::message answer;  // of the endpoint, if ok or if it finds fault with the RPC
-  double after = 0;      // advice of a push-back
+struct RpcResult {
+  enum class Outcome { ok, rejected, failed } outcome;
+  http::Message response;     // of the endpoint, if ok or if it finds fault with the RPC
+  double retry_after_ms = 0;  // advice of a push-back
 };
 
-class relay {
+class RequestDispatcher {
  public:
   // Who asked: the one answer, and what long messages need. Of a long answer the verdict brings the first
   // part; `piece` gets the rest and says whether it wants more at once, else it asks by resume(); `cut`:
   // there will be no rest. `wants`: the next piece of a long request may be given.
-  struct asker {
-    std::function<void(verdict)> then;
-    std::function<bool(std::string_view, bool last)> piece = [](std::string_view, bool) { return true; };
-    loop::task cut = [] {};
-    loop::task wants = [] {};
+  struct ResponseHandler {
+    std::function<void(RpcResult)> on_result;
+    std::function<bool(std::string_view, bool last)> on_body_piece = [](std::string_view, bool) {
+      return true;
+    };
+    EventLoop::Callback on_aborted = [] {};
+    EventLoop::Callback on_ready_for_body = [] {};
   };
 
-  relay(loop& in, pool& to, counters& counts, logger& log_to, const terrain& where, std::uint64_t seed);
+  RequestDispatcher(EventLoop& in, UpstreamPool& to, Counters& counts, Logger& log_to,
+                    const LoadBalancerConfig& where, std::uint64_t seed);
 
-  bool holds(std::string_view client_id) const { return open_ids.count(client_id) > 0; }
-  double advice() const { return longest_advice; }  // when to return, ms; 0 where clients take none
-  bool knows(std::string_view method) const { return methods.count(method) > 0; }
+  bool is_call_id_open(std::string_view client_id) const { return open_call_ids_.count(client_id) > 0; }
+  double longest_retry_after_ms() const {
+    return longest_retry_after_ms_;
+  }  // when to return, ms; 0 where clients take none
+  bool is_known_method(std::string_view method) const { return known_methods_.count(method) > 0; }
 
   // Takes an RPC that came at this time; `then` is called once, unless the client leaves before.
-  std::string take(http::message call, double came, asker who);
-  void left(const std::string& rpc);
+  std::string dispatch(http::Message call, double came, ResponseHandler who);
+  void on_client_left(const std::string& rpc);
   // The process ends: all that is held has its final answer now, a long one that is not whole is cut.
-  void end_all();
-  void resume(const std::string& rpc);
+  void abort_all();
+  void resume_response(const std::string& rpc);
   // The next piece of a long request, the last one with when it came; true if more may be given at once.
-  bool more(const std::string& rpc, std::string_view bytes, bool last, double came);
+  bool send_request_body(const std::string& rpc, std::string_view bytes, bool last, double came);
 
-  void listed(bool whole, bool asked, const std::vector<endpoint>& entries);
-  void list_failed();
+  void update_endpoints(bool whole, bool asked, const std::vector<Endpoint>& entries);
+  void endpoint_poll_failed();
   // Out by hand, or back: picks of which nothing is written there yet are drawn again.
-  void withheld(const std::string& server, bool is, double since);
+  void set_ejected_manually(const std::string& server, bool is, double since);
   // Further picks are spent out of a budget of all sidecars: what is left now, a try to spend one at this
   // very moment, and that one was wanted and there was none.
-  struct account {
-    std::function<double()> left;
-    std::function<bool()> take;
-    loop::task wanted;
+  struct RetryQuota {
+    std::function<double()> remaining;
+    std::function<bool()> try_consume;
+    EventLoop::Callback on_shortage;
   };
-  void spends(account of) { further = std::move(of); }
+  void use_fleet_retry_quota(RetryQuota of) { fleet_retry_quota_ = std::move(of); }
   // The balancer may have asked before: with the first list that it is told.
-  void when_list_wanted(loop::task what);
+  void on_endpoint_poll(EventLoop::Callback what);
 
-  std::size_t held() const { return rpcs.size(); }
+  std::size_t in_flight() const { return rpcs_.size(); }
 
  private:
-  struct pick {
-    pool::ticket at;
+  struct Attempt {
+    UpstreamPool::ExchangeId exchange_id;
     std::string server;
-    double sent;
-    bool out;
+    double sent_at;
+    bool in_flight;
   };
-  struct rpc {
-    http::message call;
-    std::string_view client_id;  // in the call
+  struct Rpc {
+    http::Message request;
+    std::string_view call_id;  // in the call
     double deadline;
     double budget;
-    asker who;
-    std::vector<pick> picks;
-    bool over = false;
-    bool spent = false;    // part of a long request is no longer here: it can't be sent again
-    bool passing = false;  // a long answer is on its way
-    load report;           // that came with it
-    bool idle() const;
+    ResponseHandler handler;
+    std::vector<Attempt> attempts;
+    bool concluded = false;
+    bool request_body_discarded = false;  // part of a long request is no longer here: it can't be sent again
+    bool streaming_response = false;      // a long answer is on its way
+    LoadReport load_report;               // that came with it
+    bool has_no_attempt_in_flight() const;
   };
 
-  void pull();
-  void carry_out(const decision& d);
-  void note_want(const std::string& id);
-  void send(const decision& d);
-  void pick_ended(const std::string& id, int number, pool::result r);
-  void cancel(const decision& d);
-  void give_up(const std::string& id, int number, ending how = ending::cancelled);
-  void give_up_all(const std::string& id);
-  void withdraw_unsent(const std::string& id);
-  bool began(const std::string& id, int number, const http::message& answer);
-  void wants(const std::string& id, int number);
-  pick* open_pick(const std::string& id);
-  void probe(const std::string& server);
-  void conclude(const std::string& id, verdict v);
-  void forget_if_over(const std::string& id);
+  void carry_out_decisions();
+  void carry_out(const Decision& d);
+  void note_retry_shortage(const std::string& id);
+  void send_attempt(const Decision& d);
+  void on_attempt_ended(const std::string& id, int number, UpstreamPool::ExchangeResult r);
+  void cancel_attempt(const Decision& d);
+  void abandon_attempt(const std::string& id, int number, AttemptOutcome how = AttemptOutcome::cancelled);
+  void abandon_all_attempts(const std::string& id);
+  void withdraw_unsent_attempts(const std::string& id);
+  bool on_response_started(const std::string& id, int number, const http::Message& answer);
+  void on_ready_for_body(const std::string& id, int number);
+  Attempt* find_attempt_in_flight(const std::string& id);
+  void send_health_check(const std::string& server);
+  void conclude_rpc(const std::string& id, RpcResult v);
+  void erase_if_concluded(const std::string& id);
 
-  loop& runs;
-  pool& endpoints;
-  counters& counted;
-  logger& lines;
-  bool reports;
-  double longest_advice;
-  std::set<std::string, std::less<>> methods;
-  balancer decides;
-  loop::task follow;
-  std::optional<account> further;
-  bool pulling = false, list_wanted = false;
-  std::uint64_t serial = 0;
-  std::unordered_map<std::string, rpc> rpcs;
-  std::set<std::string_view> open_ids;  // of the clients', in the calls of rpcs
-  std::map<std::uint64_t, loop::timer> wakes;
+  EventLoop& event_loop_;
+  UpstreamPool& upstream_pool_;
+  Counters& counters_;
+  Logger& logger_;
+  bool probes_report_load_;
+  double longest_retry_after_ms_;
+  std::set<std::string, std::less<>> known_methods_;
+  LoadBalancer load_balancer_;
+  EventLoop::Callback poll_endpoints_;
+  std::optional<RetryQuota> fleet_retry_quota_;
+  bool carrying_out_decisions_ = false, endpoint_poll_pending_ = false;
+  std::uint64_t last_id_ = 0;
+  std::unordered_map<std::string, Rpc> rpcs_;
+  std::set<std::string_view> open_call_ids_;  // of the clients', in the calls of rpcs
+  std::map<std::uint64_t, EventLoop::Timer> balancer_timers_;
 };
 
 }  // namespace indigorill
--- a/src/net/sidecar.cpp
+++ b/src/net/sidecar.cpp
@@ -20,28 +20,28 @@
 namespace indigorill {
 namespace {
 
-sigset_t ours() {
+sigset_t handled_signals() {
   sigset_t set;
   sigemptyset(&set);
   for (const int s : {SIGTERM, SIGINT, SIGUSR1, SIGHUP}) sigaddset(&set, s);
   return set;
 }
 
-descriptor signals() {
-  hold_signals();
-  const sigset_t set = ours();
-  descriptor fd(::signalfd(-1, &set, SFD_NONBLOCK | SFD_CLOEXEC));
+FileDescriptor open_signal_descriptor() {
+  block_signals();
+  const sigset_t set = handled_signals();
+  FileDescriptor fd(::signalfd(-1, &set, SFD_NONBLOCK | SFD_CLOEXEC));
   if (!fd) throw std::system_error(errno, std::generic_category(), "signalfd");
   return fd;
 }
 
-void write_counters(logger& lines, const counters& counts) {
+void write_counters_to_log(Logger& lines, const Counters& counts) {
   std::stringstream text;
   text << counts;
   std::string flat = text.str();
   for (char& c : flat)
     if (c == '\n') c = ' ';
-  logger::line line = lines.info();
+  Logger::Line line = lines.info();
   line << "counters: " << flat;
   std::string name;
   for (std::int64_t value; text >> name >> value;) line.field(name, value);
@@ -49,109 +49,117 @@
 
 }  // namespace
 
-void hold_signals() {
-  const sigset_t set = ours();
+void block_signals() {
+  const sigset_t set = handled_signals();
   if (::sigprocmask(SIG_BLOCK, &set, nullptr) < 0)
     throw std::system_error(errno, std::generic_category(), "sigprocmask");
 }
 
-void run_sidecar(const start& with, const std::function<start()>& read_again, logger& lines) {
+void run_sidecar(const SidecarConfig& with, const std::function<SidecarConfig()>& read_again, Logger& lines) {
   // Standard input, output and error, epoll, signals, the listener, and some to spare.
   const std::size_t own_descriptors =
-      16 + (with.second ? admin::own_descriptors : 0) + (with.with_others ? 1 : 0);
-  if (with.descriptors <= 2 * own_descriptors) throw malformed("config: limits allow too few sockets");
+      16 + (with.admin_address ? AdminServer::reserved_descriptors : 0) + (with.cluster ? 1 : 0);
+  if (with.max_descriptors <= 2 * own_descriptors) throw ParseError("config: limits allow too few sockets");
   ::signal(SIGPIPE, SIG_IGN);
-  const descriptor signal = signals();  // before all else: a SIGHUP that isn't held ends the process
-  descriptor inherited = with.inherited ? adopt_listener(*with.inherited) : descriptor();
-  loop runs;
-  counters counts;
-  descriptor_budget budget{with.descriptors - own_descriptors};
-  std::unique_ptr<twin> other;
-  if (with.second || with.inherited) other = std::make_unique<twin>(runs, lines, with.shared, with.name);
-  const auto part = [&] { return other ? other->is().share() : 1; };
+  const FileDescriptor signal =
+      open_signal_descriptor();  // before all else: a SIGHUP that isn't held ends the process
+  FileDescriptor inherited =
+      with.inherited_listener_fd ? adopt_listener_fd(*with.inherited_listener_fd) : FileDescriptor();
+  EventLoop runs;
+  Counters counts;
+  FileDescriptorBudget budget{with.max_descriptors - own_descriptors};
+  std::unique_ptr<HotRestart> other;
+  if (with.admin_address || with.inherited_listener_fd)
+    other = std::make_unique<HotRestart>(runs, lines, with.shared_directory, with.name);
+  const auto part = [&] { return other ? other->policy().limit_fraction() : 1; };
 
-  front* door = nullptr;
-  pool endpoints(runs, budget, counts, lines, with.with, [&] { return door && door->close_idle(); });
-  relay rpcs(runs, endpoints, counts, lines, with.where, with.seed);
+  HttpServer* door = nullptr;
+  UpstreamPool endpoints(runs, budget, counts, lines, with.upstream,
+                         [&] { return door && door->close_idle_connection(); });
+  RequestDispatcher rpcs(runs, endpoints, counts, lines, with.load_balancer, with.seed);
   // Clients hold a third of the descriptors at most for requests, so a third is enough for their picks, and
   // half of what they may hold may rest. A third of the memory for requests leaves as much for answers and as
   // much for what the allocator wastes.
   double told = 0;  // for how long a client waits, at most
-  for (const method& m : with.where.methods) told = std::max({told, m.deadline, m.latency_target});
-  const double waited = told > 0 ? told : front::limits{}.deadline;
+  for (const MethodConfig& m : with.load_balancer.methods)
+    told = std::max({told, m.deadline_ms, m.latency_objective_ms});
+  const double waited = told > 0 ? told : HttpServer::Limits{}.max_client_wait_ms;
   const auto within = [&] {
     // Of two processes each keeps to its part, what it holds for itself included.
     constexpr std::size_t least = 4;  // the list's connection and a few others
-    const auto most = static_cast<std::size_t>(part() * static_cast<double>(with.descriptors));
-    budget.most = most > own_descriptors + least ? most - own_descriptors : least;
-    return front::limits{budget.most - budget.most / 3, budget.most / 6,
-                         static_cast<std::size_t>(part() * static_cast<double>(with.memory) / 3), waited};
+    const auto most = static_cast<std::size_t>(part() * static_cast<double>(with.max_descriptors));
+    budget.limit = most > own_descriptors + least ? most - own_descriptors : least;
+    return HttpServer::Limits{
+        budget.limit - budget.limit / 3, budget.limit / 6,
+        static_cast<std::size_t>(part() * static_cast<double>(with.max_memory_bytes) / 3), waited};
   };
-  front clients(runs, budget, counts, lines, rpcs, within(), [&] { return endpoints.close_idle(); });
+  HttpServer clients(runs, budget, counts, lines, rpcs, within(),
+                     [&] { return endpoints.close_idle_connection(); });
   door = &clients;
 
-  maintenance by_hand;
-  std::map<std::string, roster::entry> listed;  // for a newcomer
-  std::uint64_t version = with.known.version;
-  const auto learn = [&](const roster& list, bool asked) {
-    if (list.whole || !list.entries.empty())
-      (lines.info() << "list version " << list.version << (list.whole ? ", whole, " : ", changes, ")
+  ManualEjections by_hand;
+  std::map<std::string, EndpointListUpdate::Entry> listed;  // for a newcomer
+  std::uint64_t version = with.initial_endpoints.version;
+  const auto learn = [&](const EndpointListUpdate& list, bool asked) {
+    if (list.complete || !list.entries.empty())
+      (lines.info() << "list version " << list.version << (list.complete ? ", whole, " : ", changes, ")
                     << list.entries.size() << " entries")
           .field("version", static_cast<std::int64_t>(list.version))
           .field("entries", static_cast<std::int64_t>(list.entries.size()));
-    if (list.whole) listed.clear();
+    if (list.complete) listed.clear();
     version = list.version;
-    std::vector<endpoint> entries;
+    std::vector<Endpoint> entries;
     std::vector<std::string> here, gone;
-    for (const roster::entry& e : list.entries) {
-      if (e.is.state == standing::gone) {
-        endpoints.gone(e.is.id);
-        listed.erase(e.is.id);
+    for (const EndpointListUpdate::Entry& e : list.entries) {
+      if (e.endpoint.state == EndpointState::gone) {
+        endpoints.remove_endpoint(e.endpoint.id);
+        listed.erase(e.endpoint.id);
       } else {
-        endpoints.listed(e.is.id, e.address, e.is.state, e.is.started);
-        listed[e.is.id] = e;
+        endpoints.update_endpoint(e.endpoint.id, e.address, e.endpoint.state, e.endpoint.started_at_ms);
+        listed[e.endpoint.id] = e;
       }
-      (e.is.state == standing::gone ? gone : here).push_back(e.is.id);
-      entries.push_back(e.is);
+      (e.endpoint.state == EndpointState::gone ? gone : here).push_back(e.endpoint.id);
+      entries.push_back(e.endpoint);
     }
-    by_hand.listed(list.whole, here, gone);
+    by_hand.update_endpoints(list.complete, here, gone);
     for (const std::string& id : here)
-      if (by_hand.out(id)) endpoints.withheld(id, true);  // met anew, it is out still
-    if (list.whole) endpoints.keep_only(entries);
-    rpcs.listed(list.whole, asked, entries);
+      if (by_hand.is_ejected(id)) endpoints.set_ejected_manually(id, true);  // met anew, it is out still
+    if (list.complete) endpoints.retain_endpoints(entries);
+    rpcs.update_endpoints(list.complete, asked, entries);
   };
-  roster known = with.known;
-  known.whole = true;
+  EndpointListUpdate known = with.initial_endpoints;
+  known.complete = true;
   learn(known, false);
 
-  discovery lists(
-      runs, budget, counts, lines, with.discovery, with.discovery_host, with.seed + 1, with.with.grace,
-      [&](const roster& list) { learn(list, true); }, [&] { rpcs.list_failed(); });
+  DiscoveryClient lists(
+      runs, budget, counts, lines, with.discovery_address, with.discovery_host, with.seed + 1,
+      with.upstream.drain_grace_ms, [&](const EndpointListUpdate& list) { learn(list, true); },
+      [&] { rpcs.endpoint_poll_failed(); });
   // Many that start at once and ask for the whole list each keep its service busy for longer than it lasts.
   const auto watch_list = [&] {
-    if (!listed.empty()) lists.knows(version);
-    if (with.where.must_ask) {
-      rpcs.when_list_wanted([&] { lists.begin(); });
+    if (!listed.empty()) lists.set_known_version(version);
+    if (with.load_balancer.must_poll_endpoints) {
+      rpcs.on_endpoint_poll([&] { lists.poll(); });
     } else {
-      lists.keep_asking();
-      lists.begin();
+      lists.enable_continuous_polling();
+      lists.poll();
     }
   };
 
   // One of two processes talks at a time: the older one until the newer one serves.
-  std::unique_ptr<company> others;
+  std::unique_ptr<ClusterNode> others;
   const auto meet = [&] {
-    if (with.with_others && !others)
-      others = std::make_unique<company>(runs, lines, *with.with_others, with.seed + 2);
+    if (with.cluster && !others)
+      others = std::make_unique<ClusterNode>(runs, lines, *with.cluster, with.seed + 2);
   };
   // Without the others for a moment, between two processes of this sidecar, nothing is spent of what is
   // shared.
-  if (with.with_others && with.with_others->budgets)
-    rpcs.spends({[&] { return others ? others->left("further_picks") : 0; },
-                 [&] { return others && others->take("further_picks"); },
-                 [&] {
-                   if (others) others->wanted("further_picks");
-                 }});
+  if (with.cluster && with.cluster->quota)
+    rpcs.use_fleet_retry_quota({[&] { return others ? others->available("further_picks") : 0; },
+                                [&] { return others && others->try_acquire("further_picks"); },
+                                [&] {
+                                  if (others) others->record_demand("further_picks");
+                                }});
   const auto part_from_others = [&] {
     if (others) others->leave();
     others.reset();
@@ -161,73 +169,77 @@
   std::string agent = with.discovery_host;
   const auto reload = [&] {
     try {
-      const start now = read_again();
-      if (now.discovery_host != agent) lists.move(now.discovery, now.discovery_host);
+      const SidecarConfig now = read_again();
+      if (now.discovery_host != agent) lists.switch_agent(now.discovery_address, now.discovery_host);
       agent = now.discovery_host;
       lines.info() << "config read again, discovery at " << agent;
-    } catch (const malformed& e) {
+    } catch (const ParseError& e) {
       lines.warning() << e.what() << "; the old config stays in force";
     }
   };
-  const loop::watch on_signal = runs.on(signal.get(), [&](std::uint32_t) {
+  const EventLoop::Watch on_signal = runs.watch_fd(signal.get(), [&](std::uint32_t) {
     signalfd_siginfo s;
     while (::read(signal.get(), &s, sizeof s) == sizeof s) {
       if (s.ssi_signo == SIGUSR1) {
-        write_counters(lines, counts);
+        write_counters_to_log(lines, counts);
       } else if (s.ssi_signo == SIGHUP) {
         reload();
       } else {
         stopping = true;
-        if (other) other->leaves();
+        if (other) other->start_draining();
         part_from_others();
-        lines.info() << "told to stop, " << rpcs.held() << " RPCs held";
+        lines.info() << "told to stop, " << rpcs.in_flight() << " RPCs held";
         clients.drain([&] { runs.stop(); });
       }
     }
   });
-  loop::timer next_counters;
-  const loop::task log_counters = [&] {
-    write_counters(lines, counts);
-    next_counters = runs.at(runs.now() + with.counters_every, log_counters);
+  EventLoop::Timer next_counters;
+  const EventLoop::Callback log_counters = [&] {
+    write_counters_to_log(lines, counts);
+    next_counters = runs.schedule_at(runs.now() + with.counters_interval_ms, log_counters);
   };
-  if (with.counters_every > 0) next_counters = runs.at(runs.now() + with.counters_every, log_counters);
-  const auto put_out = [&](const bans& now) {
-    const auto out = missing(by_hand.all_out(), now.out), back = missing(now.out, by_hand.all_out());
-    by_hand.restore(now.out);
-    counts.out_by_hand = by_hand.all_out().size();
-    for (const std::string& id : out) rpcs.withheld(id, true, runs.now());
+  if (with.counters_interval_ms > 0)
+    next_counters = runs.schedule_at(runs.now() + with.counters_interval_ms, log_counters);
+  const auto put_out = [&](const EjectionRecord& now) {
+    const auto out = ids_missing_from(by_hand.ejected(), now.ejected),
+               back = ids_missing_from(now.ejected, by_hand.ejected());
+    by_hand.replace_ejected(now.ejected);
+    counts.manually_ejected_endpoints = by_hand.ejected().size();
+    for (const std::string& id : out) rpcs.set_ejected_manually(id, true, runs.now());
     for (const std::string& id : back) {
-      const auto when = now.back.find(id);
-      rpcs.withheld(id, false, when == now.back.end() ? runs.now() : when->second);
+      const auto when = now.restored_at_ms.find(id);
+      rpcs.set_ejected_manually(id, false, when == now.restored_at_ms.end() ? runs.now() : when->second);
     }
     for (const std::string& id : out) lines.info() << "endpoint " << id << " is out by hand";
     for (const std::string& id : back) lines.info() << "endpoint " << id << " is back, taken for cold";
   };
   bool serving = false;
-  admin staff(runs, counts, lines, [&](const order& asked, const admin::answered& then) {
-    if (asked.is == order::what::status) return then(serving && !stopping ? 200 : 503, {});
-    if (asked.is == order::what::members || asked.is == order::what::budgets) {
-      const bool whole = asked.is == order::what::budgets;
-      if (!others) return then(with.with_others ? 503 : 404, {});
-      return then(200, (whole ? others->budgets_as_json() : others->as_json()).dump(1) + "\n");
-    }
-    if (!by_hand.knows(asked.id)) return then(404, {});
-    const bool out = asked.is == order::what::out;
-    other->change(
-        [&runs, id = asked.id, out](bans& b) {
-          if (out)
-            take_out(b, id);
-          else
-            put_back(b, id, runs.now());
-        },
-        [then](bool done) { then(done ? 200 : 503, {}); });
-  });
+  AdminServer staff(
+      runs, counts, lines, [&](const AdminRequest& asked, const AdminServer::ResponseCallback& then) {
+        if (asked.command == AdminRequest::Command::status) return then(serving && !stopping ? 200 : 503, {});
+        if (asked.command == AdminRequest::Command::membership ||
+            asked.command == AdminRequest::Command::quotas) {
+          const bool whole = asked.command == AdminRequest::Command::quotas;
+          if (!others) return then(with.cluster ? 503 : 404, {});
+          return then(200, (whole ? others->budgets_as_json() : others->as_json()).dump(1) + "\n");
+        }
+        if (!by_hand.is_known(asked.endpoint_id)) return then(404, {});
+        const bool out = asked.command == AdminRequest::Command::eject;
+        other->change_ejections(
+            [&runs, id = asked.endpoint_id, out](EjectionRecord& b) {
+              if (out)
+                eject_endpoint(b, id);
+              else
+                restore_endpoint(b, id, runs.now());
+            },
+            [then](bool done) { then(done ? 200 : 503, {}); });
+      });
   const auto take_over_list = [&] {
-    const auto text = other->left_list();
+    const auto text = other->read_endpoint_list();
     if (!text) return;
     try {
-      learn(read_roster(*text), false);
-    } catch (const malformed& e) {
+      learn(parse_endpoint_list(*text), false);
+    } catch (const ParseError& e) {
       lines.warning() << "the older process left what is no list, ours stays in force: " << e.what();
     }
   };
@@ -235,8 +247,8 @@
     serving = true;
     meet();
     watch_list();
-    if (other) other->serves();
-    clients.accepts(true);
+    if (other) other->start_serving();
+    clients.set_accepting(true);
     lines.info() << with.name << " serves, " << listed.size() << " endpoints known";
   };
   // An upgrade: what the newer of two processes waits for, and what the older one gives up.
@@ -244,53 +256,56 @@
   bool beside = false, hurrying = false;
   const auto side_by_side = [&] {
     constexpr double longest = 500;  // ms; an elder that stands still must not keep the newcomer from serving
-    const handover& is = other->is();
-    clients.keep_within(within());
-    while (budget.open > budget.most && (clients.close_idle() || endpoints.close_idle())) continue;
-    const bool room = is.elder() && budget.open <= budget.most;
-    if (room && !is.self().made_room) {
-      roster now;
+    const HotRestartPolicy& is = other->policy();
+    clients.set_limits(within());
+    while (budget.open_count > budget.limit &&
+           (clients.close_idle_connection() || endpoints.close_idle_connection()))
+      continue;
+    const bool room = is.is_parent() && budget.open_count <= budget.limit;
+    if (room && !is.own_record().limits_reduced) {
+      EndpointListUpdate now;
       now.version = version;
-      now.whole = true;
+      now.complete = true;
       for (const auto& [id, e] : listed) now.entries.push_back(e);
-      other->leave_list(encode_roster(now));
+      other->write_endpoint_list(encode_endpoint_list(now));
       ::malloc_trim(0);  // what is free here is room for the newcomer only once the kernel has it back
     }
-    other->made_room(room);
-    if (!serving && (is.has_room() || runs.now() > started + longest)) {
-      if (is.newcomer() && is.has_room()) take_over_list();
+    other->set_limits_reduced(room);
+    if (!serving && (is.can_start_serving() || runs.now() > started + longest)) {
+      if (is.is_child() && is.can_start_serving()) take_over_list();
       serve();
     }
-    clients.hurries(is.hurries());
-    if (is.hurries())
+    clients.set_force_closing(is.is_force_closing());
+    if (is.is_force_closing())
       part_from_others();
     else if (serving && !stopping)
       meet();
-    clients.accepts(is.accepts());
-    if (std::exchange(beside, is.paired()) != is.paired())
-      lines.info() << (is.elder()      ? "a newer process of this sidecar starts, half of the limits are its"
-                       : is.newcomer() ? "an older process of this sidecar runs, half of the limits are ours"
+    clients.set_accepting(is.is_accepting());
+    if (std::exchange(beside, is.is_paired()) != is.is_paired())
+      lines.info() << (is.is_parent()  ? "a newer process of this sidecar starts, half of the limits are its"
+                       : is.is_child() ? "an older process of this sidecar runs, half of the limits are ours"
                                        : "the other process has ended, all of the limits are ours");
-    if (std::exchange(hurrying, is.hurries()) != is.hurries())
-      lines.info() << (is.hurries() ? "the newer process serves, clients move over to it"
-                                    : "the newer process has gone, clients are taken on again");
+    if (std::exchange(hurrying, is.is_force_closing()) != is.is_force_closing())
+      lines.info() << (is.is_force_closing() ? "the newer process serves, clients move over to it"
+                                             : "the newer process has gone, clients are taken on again");
   };
-  if (with.second) staff.listen(*with.second);
-  clients.accepts(false);
+  if (with.admin_address) staff.listen(*with.admin_address);
+  clients.set_accepting(false);
   if (inherited)
-    clients.adopt(std::move(inherited));
+    clients.use_listener(std::move(inherited));
   else
-    clients.listen(with.listen);
+    clients.listen(with.listen_address);
   if (other) {
-    const bans& left = other->agreed();
+    const EjectionRecord& left = other->ejections();
     put_out(left);
-    for (const auto& [id, when] : left.back) rpcs.withheld(id, false, when);  // put back before our time
-    other->begin(side_by_side, put_out);
+    for (const auto& [id, when] : left.restored_at_ms)
+      rpcs.set_ejected_manually(id, false, when);  // put back before our time
+    other->start(side_by_side, put_out);
   } else {
     serve();
   }
   runs.run();
-  write_counters(lines, counts);
+  write_counters_to_log(lines, counts);
 }
 
 }  // namespace indigorill
--- a/src/net/sidecar.h
+++ b/src/net/sidecar.h
@@ -8,9 +8,9 @@
 
 // Before all else: a word that comes while the config is read ends the process as any other time, with status
 // 0, and a SIGHUP doesn't end it.
-void hold_signals();
+void block_signals();
 
 // read_again: the config anew, as SIGHUP asks for; throws malformed.
-void run_sidecar(const start& with, const std::function<start()>& read_again, logger& lines);
+void run_sidecar(const SidecarConfig& with, const std::function<SidecarConfig()>& read_again, Logger& lines);
 
 }  // namespace indigorill
--- a/src/net/socket.cpp
+++ b/src/net/socket.cpp
@@ -20,7 +20,7 @@
 namespace indigorill {
 namespace {
 
-double age_of(msghdr& m) {
+double kernel_receive_age_ms(msghdr& m) {
   for (cmsghdr* c = CMSG_FIRSTHDR(&m); c; c = CMSG_NXTHDR(&m, c)) {
     if (c->cmsg_level != SOL_SOCKET || c->cmsg_type != SCM_TIMESTAMPNS) continue;
     timespec came;
@@ -36,7 +36,7 @@
 
 }  // namespace
 
-std::optional<sockaddr_in> parse_address(const std::string& text) {
+std::optional<sockaddr_in> parse_socket_address(const std::string& text) {
   const std::size_t colon = text.rfind(':');
   if (colon == std::string::npos) return {};
   sockaddr_in a{};
@@ -50,8 +50,8 @@
   return a;
 }
 
-descriptor listen_on(const sockaddr_in& where) {
-  descriptor fd(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
+FileDescriptor open_listener(const sockaddr_in& where) {
+  FileDescriptor fd(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
   const int on = 1;
   // A restart must not wait for the connections of the process before it.
   if (fd) ::setsockopt(fd.get(), SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
@@ -63,24 +63,24 @@
   return fd;
 }
 
-descriptor adopt_listener(int fd) {
+FileDescriptor adopt_listener_fd(int fd) {
   const auto option = [&](int name) {
     int value = 0;
     socklen_t size = sizeof value;
     return ::getsockopt(fd, SOL_SOCKET, name, &value, &size) < 0 ? -1 : value;
   };
   if (option(SO_ACCEPTCONN) != 1 || option(SO_TYPE) != SOCK_STREAM || option(SO_DOMAIN) != AF_INET)
-    throw malformed("LB_INHERITED_FD names no listening TCP socket: " + std::to_string(fd));
+    throw ParseError("LB_INHERITED_FD names no listening TCP socket: " + std::to_string(fd));
   const int on = 1;
   ::setsockopt(fd, SOL_SOCKET, SO_TIMESTAMPNS, &on, sizeof on);
   // The flag is of the socket, and so of all that hold it: a blocking accept would hold up the loop.
   if (::fcntl(fd, F_SETFL, ::fcntl(fd, F_GETFL) | O_NONBLOCK) < 0 || ::fcntl(fd, F_SETFD, FD_CLOEXEC) < 0)
     throw std::system_error(errno, std::generic_category(), "fcntl");
-  return descriptor(fd);
+  return FileDescriptor(fd);
 }
 
-descriptor connect_to(const sockaddr_in& where) {
-  descriptor fd(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
+FileDescriptor start_connect(const sockaddr_in& where) {
+  FileDescriptor fd(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
   if (!fd) return {};
   const int on = 1;
   ::setsockopt(fd.get(), IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
@@ -90,23 +90,27 @@
   return fd;
 }
 
-void outgoing::own(std::string piece) {
-  owned.push_back(std::move(piece));
-  lend(owned.back());
+void WriteBuffer::append_owned(std::string piece) {
+  owned_chunks_.push_back(std::move(piece));
+  append_borrowed(owned_chunks_.back());
 }
 
-void outgoing::lend(std::string_view piece) {
-  if (!piece.empty()) pieces.push_back(piece);
+void WriteBuffer::append_borrowed(std::string_view piece) {
+  if (!piece.empty()) chunks_.push_back(piece);
 }
 
-stream::stream(loop& in, descriptor_budget& budget, descriptor owned, loop::events_task ready, loop::rank as)
-    : runs(in), counted(budget), fd(std::move(owned)), place(in.on(fd.get(), std::move(ready), as)) {
-  ++counted.open;
+TcpStream::TcpStream(EventLoop& in, FileDescriptorBudget& budget, FileDescriptor owned,
+                     EventLoop::EventCallback ready, EventLoop::WatchPriority as)
+    : loop_(in),
+      fd_budget_(budget),
+      fd_(std::move(owned)),
+      watch_(in.watch_fd(fd_.get(), std::move(ready), as)) {
+  ++fd_budget_.open_count;
 }
 
-stream::~stream() { --counted.open; }
+TcpStream::~TcpStream() { --fd_budget_.open_count; }
 
-stream::got stream::read(std::span<char> room, std::size_t& count) {
+TcpStream::ReadStatus TcpStream::read(std::span<char> room, std::size_t& count) {
   iovec to{room.data(), room.size()};
   alignas(cmsghdr) std::array<char, CMSG_SPACE(sizeof(timespec))> stamp;
   for (;;) {
@@ -115,87 +119,87 @@
     m.msg_iovlen = 1;
     m.msg_control = stamp.data();
     m.msg_controllen = stamp.size();
-    const ssize_t n = ::recvmsg(fd.get(), &m, 0);
+    const ssize_t n = ::recvmsg(fd_.get(), &m, 0);
     if (n > 0) {
       count = static_cast<std::size_t>(n);
-      waited = age_of(m);
-      return got::some;
+      receive_age_ms_ = kernel_receive_age_ms(m);
+      return ReadStatus::data;
     }
-    if (n == 0) return got::ended;
-    if (errno == EAGAIN || errno == EWOULDBLOCK) return got::nothing;
-    if (errno != EINTR) return got::broken;
+    if (n == 0) return ReadStatus::end_of_stream;
+    if (errno == EAGAIN || errno == EWOULDBLOCK) return ReadStatus::would_block;
+    if (errno != EINTR) return ReadStatus::error;
   }
 }
 
-stream::got stream::discard() {
+TcpStream::ReadStatus TcpStream::discard() {
   constexpr std::size_t most = 256 * 1024;
   ssize_t n;
-  do n = ::recv(fd.get(), nullptr, most, MSG_TRUNC);
+  do n = ::recv(fd_.get(), nullptr, most, MSG_TRUNC);
   while (n < 0 && errno == EINTR);
-  return n > 0                                     ? got::some
-         : n == 0                                  ? got::ended
-         : errno == EAGAIN || errno == EWOULDBLOCK ? got::nothing
-                                                   : got::broken;
+  return n > 0                                     ? ReadStatus::data
+         : n == 0                                  ? ReadStatus::end_of_stream
+         : errno == EAGAIN || errno == EWOULDBLOCK ? ReadStatus::would_block
+                                                   : ReadStatus::error;
 }
 
-bool stream::write(outgoing& what) {
-  while (!what.done()) {
+bool TcpStream::write(WriteBuffer& what) {
+  while (!what.is_complete()) {
     std::array<iovec, 64> parts;  // heads take some ten; more go in the next call
     std::size_t n = 0;
-    for (std::size_t i = what.at; i < what.pieces.size() && n < parts.size(); ++i, ++n)
-      parts[n] = {const_cast<char*>(what.pieces[i].data()), what.pieces[i].size()};
+    for (std::size_t i = what.next_chunk_; i < what.chunks_.size() && n < parts.size(); ++i, ++n)
+      parts[n] = {const_cast<char*>(what.chunks_[i].data()), what.chunks_[i].size()};
     msghdr m{};
     m.msg_iov = parts.data();
     m.msg_iovlen = n;
-    const ssize_t sent = ::sendmsg(fd.get(), &m, MSG_NOSIGNAL);  // a closed peer must not kill us
+    const ssize_t sent = ::sendmsg(fd_.get(), &m, MSG_NOSIGNAL);  // a closed peer must not kill us
     if (sent < 0) {
       if (errno == EINTR) continue;
       return errno == EAGAIN || errno == EWOULDBLOCK;
     }
-    what.sent += static_cast<std::size_t>(sent);
+    what.written_bytes_ += static_cast<std::size_t>(sent);
     for (std::size_t left = static_cast<std::size_t>(sent); left > 0;) {
-      std::string_view& piece = what.pieces[what.at];
+      std::string_view& piece = what.chunks_[what.next_chunk_];
       const std::size_t now = std::min(left, piece.size());
       piece.remove_prefix(now);
       left -= now;
-      if (piece.empty()) ++what.at;
+      if (piece.empty()) ++what.next_chunk_;
     }
   }
   return true;
 }
 
-int stream::pending_error() const {
+int TcpStream::pending_error() const {
   int error = 0;
   socklen_t size = sizeof error;
-  return ::getsockopt(fd.get(), SOL_SOCKET, SO_ERROR, &error, &size) < 0 ? errno : error;
+  return ::getsockopt(fd_.get(), SOL_SOCKET, SO_ERROR, &error, &size) < 0 ? errno : error;
 }
 
-bool stream::stale() const {
+bool TcpStream::is_stale() const {
   char c;
-  return ::recv(fd.get(), &c, 1, MSG_PEEK | MSG_DONTWAIT) >= 0 || (errno != EAGAIN && errno != EINTR);
+  return ::recv(fd_.get(), &c, 1, MSG_PEEK | MSG_DONTWAIT) >= 0 || (errno != EAGAIN && errno != EINTR);
 }
 
-std::uint32_t stream::end_seen() const {
-  pollfd p{fd.get(), POLLRDHUP, 0};
+std::uint32_t TcpStream::poll_hangup_events() const {
+  pollfd p{fd_.get(), POLLRDHUP, 0};
   return ::poll(&p, 1, 0) > 0 ? static_cast<std::uint32_t>(p.revents)
                               : 0;  // epoll's words have poll's values
 }
 
-bool stream::waiting() const {
+bool TcpStream::has_unread_input() const {
   char c;
-  return ::recv(fd.get(), &c, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+  return ::recv(fd_.get(), &c, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
 }
 
-void stream::abort_on_close() {
+void TcpStream::reset_on_close() {
   const linger at_once{1, 0};
-  ::setsockopt(fd.get(), SOL_SOCKET, SO_LINGER, &at_once, sizeof at_once);
+  ::setsockopt(fd_.get(), SOL_SOCKET, SO_LINGER, &at_once, sizeof at_once);
 }
 
-std::size_t stream::unread() const {
+std::size_t TcpStream::unacknowledged_bytes() const {
   int n = 0;
-  return ::ioctl(fd.get(), SIOCOUTQ, &n) < 0 || n < 0 ? 0 : static_cast<std::size_t>(n);
+  return ::ioctl(fd_.get(), SIOCOUTQ, &n) < 0 || n < 0 ? 0 : static_cast<std::size_t>(n);
 }
 
-void stream::end_sending() { ::shutdown(fd.get(), SHUT_WR); }
+void TcpStream::shutdown_write() { ::shutdown(fd_.get(), SHUT_WR); }
 
 }  // namespace indigorill
--- a/src/net/socket.h
+++ b/src/net/socket.h
@@ -16,68 +16,69 @@
 namespace indigorill {
 
 // "address:port"; none if it is not one.
-std::optional<sockaddr_in> parse_address(const std::string& text);
+std::optional<sockaddr_in> parse_socket_address(const std::string& text);
 
 // Descriptors that the process may hold, and those that it does. Whoever opens one asks first.
-struct descriptor_budget {
-  std::size_t most, open = 0;
-  std::size_t left() const { return most > open ? most - open : 0; }
+struct FileDescriptorBudget {
+  std::size_t limit, open_count = 0;
+  std::size_t available() const { return limit > open_count ? limit - open_count : 0; }
 };
 
-descriptor listen_on(const sockaddr_in& where);
+FileDescriptor open_listener(const sockaddr_in& where);
 // One that listens already and that others hold too. Throws malformed if it is none.
-descriptor adopt_listener(int fd);
-descriptor connect_to(const sockaddr_in& where);  // begins; none if it can't
+FileDescriptor adopt_listener_fd(int fd);
+FileDescriptor start_connect(const sockaddr_in& where);  // begins; none if it can't
 
 // Pieces of a message to be written in one go, and how far that has come. Pieces of others must stay where
 // they are until it is done.
-class outgoing {
+class WriteBuffer {
  public:
-  void own(std::string piece);  // kept here
-  void lend(std::string_view piece);
-  bool done() const { return at == pieces.size(); }
-  bool begun() const { return sent > 0; }  // some of it was written
-  std::size_t written() const { return sent; }
+  void append_owned(std::string piece);  // kept here
+  void append_borrowed(std::string_view piece);
+  bool is_complete() const { return next_chunk_ == chunks_.size(); }
+  bool has_started() const { return written_bytes_ > 0; }  // some of it was written
+  std::size_t written_bytes() const { return written_bytes_; }
 
  private:
-  friend class stream;
-  std::deque<std::string> owned;
-  std::vector<std::string_view> pieces;
-  std::size_t at = 0;  // the first piece not written whole; it is shortened as it goes
-  std::size_t sent = 0;
+  friend class TcpStream;
+  std::deque<std::string> owned_chunks_;
+  std::vector<std::string_view> chunks_;
+  std::size_t next_chunk_ = 0;  // the first piece not written whole; it is shortened as it goes
+  std::size_t written_bytes_ = 0;
 };
 
 // A non-blocking connection in the loop.
-class stream {
+class TcpStream {
  public:
-  enum class got { some, nothing, ended, broken };
+  enum class ReadStatus { data, would_block, end_of_stream, error };
 
-  stream(loop& in, descriptor_budget& budget, descriptor owned, loop::events_task ready,
-         loop::rank as = loop::rank::usual);
-  ~stream();
-  stream(const stream&) = delete;
-  stream& operator=(const stream&) = delete;
+  TcpStream(EventLoop& in, FileDescriptorBudget& budget, FileDescriptor owned, EventLoop::EventCallback ready,
+            EventLoop::WatchPriority as = EventLoop::WatchPriority::normal);
+  ~TcpStream();
+  TcpStream(const TcpStream&) = delete;
+  TcpStream& operator=(const TcpStream&) = delete;
 
-  got read(std::span<char> room, std::size_t& count);
-  got discard();  // some of what came, uncopied
+  ReadStatus read(std::span<char> room, std::size_t& count);
+  ReadStatus discard();  // some of what came, uncopied
   // How long ago, in ms, the last bytes read had come to this machine; 0 where the listener doesn't tell.
-  double age() const { return waited; }
-  bool write(outgoing& what);      // false if it is broken; done() tells whether all went out
-  int pending_error() const;       // of a connect, for one
-  bool stale() const;              // the other side has closed it, or wrote unasked
-  bool waiting() const;            // bytes came that are not read yet
-  std::uint32_t end_seen() const;  // EPOLLRDHUP, EPOLLHUP, EPOLLERR, as epoll would tell now; 0: none of them
-  void end_sending();
-  void abort_on_close();       // the other side sees a reset, not an end
-  std::size_t unread() const;  // bytes written that the other side's machine has not taken
-  void again() { runs.again(place); }
+  double receive_age_ms() const { return receive_age_ms_; }
+  bool write(WriteBuffer& what);  // false if it is broken; done() tells whether all went out
+  int pending_error() const;      // of a connect, for one
+  bool is_stale() const;          // the other side has closed it, or wrote unasked
+  bool has_unread_input() const;  // bytes came that are not read yet
+  std::uint32_t poll_hangup_events()
+      const;  // EPOLLRDHUP, EPOLLHUP, EPOLLERR, as epoll would tell now; 0: none of them
+  void shutdown_write();
+  void reset_on_close();                     // the other side sees a reset, not an end
+  std::size_t unacknowledged_bytes() const;  // bytes written that the other side's machine has not taken
+  void requeue() { loop_.requeue(watch_); }
 
  private:
-  loop& runs;
-  descriptor_budget& counted;
-  descriptor fd;
-  double waited = 0;
-  loop::watch place;  // goes before the descriptor
+  EventLoop& loop_;
+  FileDescriptorBudget& fd_budget_;
+  FileDescriptor fd_;
+  double receive_age_ms_ = 0;
+  EventLoop::Watch watch_;  // goes before the descriptor
 };
 
 }  // namespace indigorill
--- a/src/net/twin.h
+++ b/src/net/twin.h
@@ -16,58 +16,58 @@
 
 namespace indigorill {
 
-class twin {
+class HotRestart {
  public:
   // folder: empty, or one that can't be written to, and the process works alone.
-  twin(loop& in, logger& log_to, const std::string& folder, const std::string& sidecar);
-  ~twin();
+  HotRestart(EventLoop& in, Logger& log_to, const std::string& folder, const std::string& sidecar);
+  ~HotRestart();
 
   // `changed`: at first, while there are two, and when the other one has gone. `out`: the endpoints out by
   // hand, when another process changed them; both are called from the loop.
-  void begin(loop::task changed, std::function<void(const bans&)> out);
+  void start(EventLoop::Callback changed, std::function<void(const EjectionRecord&)> out);
 
-  const handover& is() const { return state; }
-  const bans& agreed() const { return in_force; }
+  const HotRestartPolicy& policy() const { return policy_; }
+  const EjectionRecord& ejections() const { return ejections_; }
 
-  void serves();
-  void leaves();
-  void made_room(bool has);
+  void start_serving();
+  void start_draining();
+  void set_limits_reduced(bool has);
 
   // Changes the set of what is out, in all processes of this sidecar before `then` says so; a no leaves it as
   // it was.
-  void change(std::function<void(bans&)> how, std::function<void(bool done)> then);
+  void change_ejections(std::function<void(EjectionRecord&)> how, std::function<void(bool done)> then);
 
   // The list as the elder last had it, in discovery's form: a newcomer's own may be as old as its config.
-  void leave_list(const std::string& text);
-  std::optional<std::string> left_list() const;
+  void write_endpoint_list(const std::string& text);
+  std::optional<std::string> read_endpoint_list() const;
 
  private:
-  struct change_under_way;
+  struct PendingChanges;
 
-  std::string settle(const std::string& under, const std::string& sidecar);
-  bool works() const { return static_cast<bool>(own_lock); }
-  std::string path(const std::string& file) const { return folder + "/" + file; }
-  bool write_aside(const std::string& file, const std::string& text) const;
-  void publish();
-  void look();
-  bool other_lives() const;
-  void read_bans();
-  void go_on();
-  std::optional<bans> stored() const;
+  std::string claim_slot(const std::string& under, const std::string& sidecar);
+  bool is_enabled() const { return static_cast<bool>(own_lock_); }
+  std::string file_path(const std::string& file) const { return directory_ + "/" + file; }
+  bool write_atomically(const std::string& file, const std::string& text) const;
+  void publish_record();
+  void poll_other_process();
+  bool is_other_process_alive() const;
+  void refresh_ejections();
+  void advance_changes();
+  std::optional<EjectionRecord> read_stored_ejections() const;
 
-  loop& runs;
-  logger& lines;
-  std::string folder;
-  handover state;
-  bans in_force;
-  int slot = 0;
-  descriptor own_lock, other_lock;
-  std::optional<record> published;
-  bool warned = false, first_look = true;
-  loop::task on_change = [] {};
-  std::function<void(const bans&)> on_bans = [](const bans&) {};
-  loop::timer next_look;
-  std::unique_ptr<change_under_way> asked;
+  EventLoop& event_loop_;
+  Logger& logger_;
+  std::string directory_;
+  HotRestartPolicy policy_;
+  EjectionRecord ejections_;
+  int slot_ = 0;
+  FileDescriptor own_lock_, other_lock_;
+  std::optional<ProcessRecord> published_record_;
+  bool write_failure_logged_ = false, is_first_poll_ = true;
+  EventLoop::Callback on_change_ = [] {};
+  std::function<void(const EjectionRecord&)> on_ejections_changed_ = [](const EjectionRecord&) {};
+  EventLoop::Timer poll_timer_;
+  std::unique_ptr<PendingChanges> pending_changes_;
 };
 
 }  // namespace indigorill
--- a/src/options/command.cpp
+++ b/src/options/command.cpp
@@ -15,8 +15,9 @@
 
 }  // namespace
 
-int command(int argc, const char* const* argv, const std::function<const char*(const char*)>& variable,
-            std::ostream& out, std::ostream& err) {
+int run_command_line(int argc, const char* const* argv,
+                     const std::function<const char*(const char*)>& variable, std::ostream& out,
+                     std::ostream& err) {
   CLI::App app("Balances the RPCs of the application beside it over the endpoints that discovery tells.",
                "indigorill");
   app.set_version_flag("--version", std::string("indigorill ") + INDIGORILL_VERSION);
@@ -38,15 +39,15 @@
   const auto led = [&](const char* name) -> const char* {
     return std::string_view(name) == "LB_CONFIG" ? config.c_str() : variable(name);
   };
-  options with;
+  Options with;
   std::vector<std::string> wrong;
   try {
-    if (!file.empty()) with = decode_options(read_toml(file));
-  } catch (const faulty& e) {
+    if (!file.empty()) with = decode_options(read_toml_file(file));
+  } catch (const ConfigError& e) {
     wrong.push_back(e.what());
   }
   if (check) {
-    for (std::string& fault : faults_of_config(config, with, led)) wrong.push_back(std::move(fault));
+    for (std::string& fault : find_config_errors(config, with, led)) wrong.push_back(std::move(fault));
     for (const std::string& fault : wrong) err << fault << '\n';
     if (wrong.empty()) out << "sound\n";
     return wrong.empty() ? 0 : 1;
@@ -56,18 +57,19 @@
     return 1;
   }
   try {
-    logger lines(err, parse_level(value_of(variable, "INDIGORILL_LOG")).value_or(with.shown), with.form);
-    start how = read_start(led);
-    how.descriptors = std::min(how.descriptors, with.descriptors);
-    how.memory = std::min(how.memory, with.memory);
-    how.counters_every = with.counters_every;
-    how.with_others = with.with_others;
-    if (how.with_others) {
-      if (const auto fault = fault_of_name(how.name)) throw malformed(*fault);
-      how.with_others->name = how.name;
+    Logger lines(err, parse_log_level(value_of(variable, "INDIGORILL_LOG")).value_or(with.log_level),
+                 with.log_format);
+    SidecarConfig how = load_sidecar_config(led);
+    how.max_descriptors = std::min(how.max_descriptors, with.max_descriptors);
+    how.max_memory_bytes = std::min(how.max_memory_bytes, with.max_memory_bytes);
+    how.counters_interval_ms = with.counters_interval_ms;
+    how.cluster = with.cluster;
+    if (how.cluster) {
+      if (const auto fault = find_node_name_error(how.name)) throw ParseError(*fault);
+      how.cluster->name = how.name;
     }
     run_sidecar(
-        how, [&] { return read_again(led); }, lines);
+        how, [&] { return reload_sidecar_config(led); }, lines);
   } catch (const std::exception& e) {
     err << "indigorill: " << e.what() << '\n';
     return 1;
--- a/src/options/command.h
+++ b/src/options/command.h
@@ -7,7 +7,8 @@
 namespace indigorill {
 
 // Exit status: 0, 1 for a config or options at fault, 2 for words that are no command line.
-int command(int argc, const char* const* argv, const std::function<const char*(const char*)>& variable,
-            std::ostream& out, std::ostream& err);
+int run_command_line(int argc, const char* const* argv,
+                     const std::function<const char*(const char*)>& variable, std::ostream& out,
+                     std::ostream& err);
 
 }  // namespace indigorill
--- a/src/options/options.h
+++ b/src/options/options.h
@@ -11,23 +11,23 @@
 
 namespace indigorill {
 
-struct options {
-  level shown = level::info;
-  log_form form = log_form::text;
-  double counters_every = 0;  // ms; 0: only when asked
+struct Options {
+  LogLevel log_level = LogLevel::info;
+  LogFormat log_format = LogFormat::text;
+  double counters_interval_ms = 0;  // ms; 0: only when asked
   // Lower bounds than the config's and the platform's lead.
-  std::size_t descriptors = std::numeric_limits<std::size_t>::max();
-  std::size_t memory = std::numeric_limits<std::size_t>::max();  // bytes
-  std::optional<company::traits> with_others;                    // its name comes from the config
+  std::size_t max_descriptors = std::numeric_limits<std::size_t>::max();
+  std::size_t max_memory_bytes = std::numeric_limits<std::size_t>::max();  // bytes
+  std::optional<ClusterNode::Config> cluster;                              // its name comes from the config
 };
 
-options decode_options(const toml::table& from);  // throws faulty
+Options decode_options(const toml::table& from);  // throws faulty
 
 // What is wrong with a sidecar's name where it talks to others.
-std::optional<std::string> fault_of_name(const std::string& name);
+std::optional<std::string> find_node_name_error(const std::string& name);
 
 // Every fault of a config, a line each; none where it is sound.
-std::vector<std::string> faults_of_config(const std::string& path, const options& with,
-                                          const std::function<const char*(const char*)>& variable);
+std::vector<std::string> find_config_errors(const std::string& path, const Options& with,
+                                            const std::function<const char*(const char*)>& variable);
 
 }  // namespace indigorill
--- a/src/peers/hearsay.h
+++ b/src/peers/hearsay.h
@@ -11,33 +11,36 @@
 
 namespace indigorill {
 
-class hearsay {
+class PeerLoadTable {
  public:
-  void hear(double now, int sidecar, const news& what);
-  void forget_silent(double now);
+  void record_gossip(double now, int sidecar, const LoadGossip& what);
+  void expire_silent_peers(double now);
 
-  bool any(double now) const { return now - last <= believed; }  // somebody was heard lately
-  double in_hand(std::uint32_t server) const { return held[server]; }
+  bool has_recent_gossip(double now) const {
+    return now - last_received_at_ms_ <= peer_timeout_ms;
+  }  // somebody was heard lately
+  double in_flight(std::uint32_t server) const { return total_in_flight_by_tag_[server]; }
   double failures(std::uint32_t server, double now) const;  // these fade
-  double arrivals(std::size_t tenant) const;                // a second, at all that were heard
+  double arrivals_per_s(std::size_t tenant) const;          // a second, at all that were heard
 
  private:
-  static constexpr double believed = 1500;  // ms; a sidecar with anything in hand tells each second at least
-  struct voice {
-    double heard = -1e18;
-    std::uint32_t serial = 0;
-    std::map<std::uint32_t, double> stakes;
-    std::vector<double> arrivals;
+  static constexpr double peer_timeout_ms =
+      1500;  // ms; a sidecar with anything in hand tells each second at least
+  struct PeerReport {
+    double received_at_ms = -1e18;
+    std::uint32_t sequence = 0;
+    std::map<std::uint32_t, double> in_flight_by_tag;
+    std::vector<double> arrivals_per_s;
   };
-  struct blame {
-    double count = 0, at = -1e18;
+  struct FailureCount {
+    double count = 0, updated_at_ms = -1e18;
   };
-  void hush(voice& v);
+  void remove_in_flight(PeerReport& v);
 
-  double last = -1e18;
-  std::map<int, voice> voices;
-  std::vector<double> held = std::vector<double>(news::marks);
-  std::map<std::uint32_t, blame> blamed;
+  double last_received_at_ms_ = -1e18;
+  std::map<int, PeerReport> reports_by_peer_;
+  std::vector<double> total_in_flight_by_tag_ = std::vector<double>(LoadGossip::endpoint_tag_count);
+  std::map<std::uint32_t, FailureCount> failures_by_tag_;
 };
 
 }  // namespace indigorill
--- a/src/peers/peers.h
+++ b/src/peers/peers.h
@@ -11,9 +11,9 @@
 namespace indigorill {
 
 // Printable ASCII alone, 256 bytes at most; what no longer fits is left out from the end.
-std::string encode_news(const news& n);
+std::string encode_load_gossip(const LoadGossip& n);
 
 // None for what is torn, too long, foreign or of another form: it is taken for nothing.
-std::optional<news> decode_news(std::string_view bytes);
+std::optional<LoadGossip> decode_load_gossip(std::string_view bytes);
 
 }  // namespace indigorill
--- a/src/shares/demand.cpp
+++ b/src/shares/demand.cpp
@@ -5,17 +5,17 @@
 namespace indigorill {
 
 template <class Holds>
-demand::below demand::front(Holds goes_on) const {
-  below before;
-  auto at = tree.node_begin();
-  const auto end = tree.node_end();
+DemandIndex::Below DemandIndex::front(Holds goes_on) const {
+  Below before;
+  auto at = tree_.node_begin();
+  const auto end = tree_.node_end();
   while (at != end) {
-    ++looked;
-    below here = before;
+    ++visited_nodes_;
+    Below here = before;
     if (const auto l = at.get_l_child(); l != end) here += l.get_metadata();
     if (goes_on(**at, here)) {
       before = here;
-      before += below{1, (**at).first};
+      before += Below{1, (**at).first};
       at = at.get_r_child();
     } else {
       at = at.get_l_child();
@@ -24,14 +24,14 @@
   return before;
 }
 
-double demand::part(const wish& of, double whole, std::size_t turn) const {
+double DemandIndex::fair_share(const Demand& of, double whole, std::size_t turn) const {
   const std::size_t n = size();
   if (n == 0) return 0;
   // In order of their wishes, those that an equal part of what those before them leave is enough for.
-  const below served = front([&](const wish& w, const below& before) {
+  const Below served = front([&](const Demand& w, const Below& before) {
     return w.first * static_cast<double>(n - before.count) <= whole - before.sum;
   });
-  const std::size_t rank = front([&](const wish& w, const below&) { return w < of; }).count;
+  const std::size_t rank = front([&](const Demand& w, const Below&) { return w < of; }).count;
   const double left = whole - served.sum;
   if (rank < served.count && served.count < n) return of.first;
   // The rest have the same part each; where all are served, what is left goes to all.
--- a/src/shares/shares.h
+++ b/src/shares/shares.h
@@ -19,141 +19,147 @@
 
 namespace indigorill {
 
-struct budget_of_all {
+struct FleetBudget {
   std::string name;
-  double whole = 0;   // units, of all together
-  double floor = 0;   // of these, to each that was admitted, also with no divider
-  double window = 0;  // ms: so many units are spent in any such span; 0: held at once
+  double total = 0;               // units, of all together
+  double guaranteed_minimum = 0;  // of these, to each that was admitted, also with no divider
+  double window_ms = 0;           // ms: so many units are spent in any such span; 0: held at once
 };
 
-struct shares_traits {
-  std::vector<budget_of_all> budgets;
-  int most = 100;       // sidecars that may have any of it
-  double share = 2000;  // ms, for which a share lasts
-  double seat = 60000;  // ms, for which the floor lasts without a divider
-  double drift = 0.01;  // by how much any clock's rate may be off
-  double stretched(double ms) const { return ms * (1 + drift) / (1 - drift); }
+struct QuotaConfig {
+  std::vector<FleetBudget> budgets;
+  int max_holders = 100;                    // sidecars that may have any of it
+  double grant_duration_ms = 2000;          // ms, for which a share lasts
+  double registration_duration_ms = 60000;  // ms, for which the floor lasts without a divider
+  double max_clock_drift = 0.01;            // by how much any clock's rate may be off
+  double with_drift_margin(double ms) const { return ms * (1 + max_clock_drift) / (1 - max_clock_drift); }
   // What is divided: the floors of all that may be there are set aside.
-  double divided(const budget_of_all& b) const { return b.whole - b.floor * most; }
+  double allocatable(const FleetBudget& b) const { return b.total - b.guaranteed_minimum * max_holders; }
 };
 
-struct share_ask {
-  std::uint64_t session = 0, number = 0;  // of the asker's process, and of this question
-  std::uint64_t goes_by = 0;              // the question whose answer it goes by; earlier ones are void
-  double seat_left = 0;                   // ms
-  std::vector<double> wants;              // by budget
-  bool operator==(const share_ask&) const = default;
+struct QuotaRequest {
+  std::uint64_t session = 0, request_number = 0;  // of the asker's process, and of this question
+  std::uint64_t oldest_grant_in_use = 0;  // the question whose answer it goes by; earlier ones are void
+  double registration_remaining_ms = 0;   // ms
+  std::vector<double> demands;            // by budget
+  bool operator==(const QuotaRequest&) const = default;
 };
 
-struct share_grant {
-  enum class kind : std::uint8_t { given, not_yet, full, not_mine } what = kind::given;
-  std::uint64_t session = 0, number = 0;  // of the question
-  double lasts = 0, seat = 0;             // ms, from the question; seat 0: no floor yet
-  std::vector<double> amounts, floors;    // by budget
-  std::string holder;                     // not_mine: whom to ask, "" if unknown
-  bool operator==(const share_grant&) const = default;
+struct QuotaGrant {
+  enum class Status : std::uint8_t { granted, not_ready, at_capacity, not_leader } status = Status::granted;
+  std::uint64_t session = 0, request_number = 0;         // of the question
+  double duration_ms = 0, registration_duration_ms = 0;  // ms, from the question; seat 0: no floor yet
+  std::vector<double> amounts, guaranteed_minimums;      // by budget
+  std::string leader;                                    // not_mine: whom to ask, "" if unknown
+  bool operator==(const QuotaGrant&) const = default;
 };
 
 // Which guards stand; all, but in a test that shows what each is for.
-struct share_guards {
-  bool from_asking = true;   // a share lasts from its question, not from the answer
-  bool waits_quiet = true;   // a new divider waits for the end of what earlier ones gave
-  bool counts_given = true;  // what was given counts until its end is certain
-  bool within_right = true;  // nothing is given past the divider's own right
-  bool allows_drift = true;
+struct QuotaSafeguards {
+  bool expire_from_request = true;       // a share lasts from its question, not from the answer
+  bool wait_for_previous_grants = true;  // a new divider waits for the end of what earlier ones gave
+  bool count_outstanding_grants = true;  // what was given counts until its end is certain
+  bool grant_within_lease = true;        // nothing is given past the divider's own right
+  bool allow_clock_drift = true;
 };
 
 // With the right to divide: who has what.
-class divider {
+class QuotaAllocator {
  public:
-  explicit divider(shares_traits with, share_guards g = {});
+  explicit QuotaAllocator(QuotaConfig with, QuotaSafeguards g = {});
 
   // The right begins: nothing that was given before it is in use after quiet_from.
-  void begin(double now, double quiet_from);
-  void whole_is(std::size_t budget, double now_whole) { is.budgets[budget].whole = now_whole; }
+  void start_term(double now, double quiet_from);
+  void set_total(std::size_t budget, double now_whole) { config_.budgets[budget].total = now_whole; }
   // right_ends: until when this process certainly has the right.
-  share_grant answer(double now, double right_ends, const share_ask& a);
-  double given(double now, std::size_t budget) const;  // in use at most
-  std::size_t sharers(double now) const;
-  std::string state(double now) const;  // two with the same text act alike from now on
+  QuotaGrant handle_request(double now, double right_ends, const QuotaRequest& a);
+  double max_in_use(double now, std::size_t budget) const;  // in use at most
+  std::size_t holder_count(double now) const;
+  std::string state_digest(double now) const;  // two with the same text act alike from now on
   // What the answers so far cost, in entries looked at: must not grow with the sharers beyond a logarithm.
-  std::uint64_t steps() const;
-  std::size_t stored() const;  // grants, of all sharers
+  std::uint64_t step_count() const;
+  std::size_t stored_grant_count() const;  // grants, of all sharers
 
  private:
-  struct grant {
-    std::uint64_t number = 0;
+  struct OutstandingGrant {
+    std::uint64_t request_number = 0;
     std::vector<double> amounts;
-    double until = 0;  // by this clock, certainly over
+    double expires_at = 0;  // by this clock, certainly over
   };
-  struct sharer {
-    std::uint64_t last = 0;  // question
-    double heard = 0, seat_until = 0;
-    std::vector<double> wants, in_use;  // by budget; in_use: at most, as it was when last looked at
-    std::vector<grant> grants;
-    double look_at = 0;  // when something of it ends next
+  struct QuotaHolder {
+    std::uint64_t last_request_number = 0;  // question
+    double last_request_at = 0, registered_until = 0;
+    std::vector<double> demands, max_in_use;  // by budget; in_use: at most, as it was when last looked at
+    std::vector<OutstandingGrant> grants;
+    double next_review_at = 0;  // when something of it ends next
   };
-  double longest_window() const;
-  double of_one(const sharer& s, double now, std::size_t budget) const;
-  bool counts(const sharer& s, double now) const;
-  double stretch(double ms) const { return stand.allows_drift ? is.stretched(ms) : ms; }
-  sharer& admit(std::uint64_t session);
-  void wish(std::uint64_t session, sharer& s, const std::vector<double>& wants);
-  void give(sharer& s, grant g);
-  void settle(std::uint64_t session, sharer& s, double now);
-  void forget(double now);
-
-  shares_traits is;
-  share_guards stand;
-  double from = 0, strangers_from = 0;
-  std::map<std::uint64_t, sharer> all;  // by session
+  double longest_window_ms() const;
+  double max_in_use_by(const QuotaHolder& s, double now, std::size_t budget) const;
+  bool is_active(const QuotaHolder& s, double now) const;
+  double with_drift_margin(double ms) const {
+    return safeguards_.allow_clock_drift ? config_.with_drift_margin(ms) : ms;
+  }
+  QuotaHolder& find_or_add_holder(std::uint64_t session);
+  void update_demands(std::uint64_t session, QuotaHolder& s, const std::vector<double>& wants);
+  void store_grant(QuotaHolder& s, OutstandingGrant g);
+  void review_holder(std::uint64_t session, QuotaHolder& s, double now);
+  void remove_expired_holders(double now);
+
+  QuotaConfig config_;
+  QuotaSafeguards safeguards_;
+  double may_grant_from_ = 0, unknown_registrations_expired_at_ = 0;
+  std::map<std::uint64_t, QuotaHolder> holders_;  // by session
   // Kept up with every change, so that an answer doesn't go over all sharers: at some thousands that was more
   // than a core can do.
-  std::vector<demand> demands;                       // by budget
-  std::vector<double> in_use;                        // by budget, of all sharers
-  std::set<std::pair<double, std::uint64_t>> looks;  // by look_at
-  std::uint64_t looked = 0;
+  std::vector<DemandIndex> demand_indexes_;                  // by budget
+  std::vector<double> max_in_use_;                           // by budget, of all sharers
+  std::set<std::pair<double, std::uint64_t>> review_queue_;  // by look_at
+  std::uint64_t review_count_ = 0;
 };
 
 // What one sidecar may spend.
-class purse {
+class QuotaClient {
  public:
-  struct count {
+  struct Counters {
     std::uint64_t granted = 0, denied = 0;
   };
 
-  purse(shares_traits with, std::uint64_t session, share_guards g = {});
-
-  share_ask ask(double now);
-  void heard(double now, const share_grant& g);
-  double allowed(double now, std::size_t budget) const;               // share and floor
-  double left(double now, std::size_t budget);                        // to be spent now
-  bool take(double now, std::size_t budget);                          // spent or held, or counted as denied
-  void wanted(double now, std::size_t budget) { note(now, budget); }  // in vain, without a try
-  void give_back(std::size_t budget);                                 // of what is held at once
-
-  bool shared(double now) const { return now < until; }
-  bool seated(double now) const { return now < seat_until; }
-  bool full() const { return refused; }  // more sidecars than allowed: this one has nothing
-  std::uint64_t session() const { return self; }
-  std::string state(double now) const;  // two with the same text act alike from now on
-  const count& counted(std::size_t budget) const { return counts[budget]; }
+  QuotaClient(QuotaConfig with, std::uint64_t session, QuotaSafeguards g = {});
+
+  QuotaRequest make_request(double now);
+  void on_grant(double now, const QuotaGrant& g);
+  double allowance(double now, std::size_t budget) const;  // share and floor
+  double available(double now, std::size_t budget);        // to be spent now
+  bool try_acquire(double now, std::size_t budget);        // spent or held, or counted as denied
+  void record_demand(double now, std::size_t budget) { add_demand(now, budget); }  // in vain, without a try
+  void release(std::size_t budget);                                                // of what is held at once
+
+  bool has_grant(double now) const { return now < grant_expires_at_; }
+  bool is_registered(double now) const { return now < registered_until_; }
+  bool is_rejected_at_capacity() const {
+    return rejected_at_capacity_;
+  }  // more sidecars than allowed: this one has nothing
+  std::uint64_t session() const { return session_; }
+  std::string state_digest(double now) const;  // two with the same text act alike from now on
+  const Counters& counters(std::size_t budget) const { return counters_[budget]; }
 
  private:
-  void note(double now, std::size_t budget);
-  void pass(double now, std::size_t budget);
-  double window(std::size_t budget) const { return is.stretched(is.budgets[budget].window); }
-
-  shares_traits is;
-  share_guards stand;
-  std::uint64_t self, questions = 0, goes_by = 0, void_before = 0;
-  std::map<std::uint64_t, double> asked;  // when
-  std::vector<double> amounts, floors;
-  double until = 0, seat_until = 0;
-  bool refused = false;
-  std::vector<std::deque<double>> spent, wants;  // when; held: spent alone
-  std::vector<double> most_wanted;
-  std::vector<count> counts;
+  void add_demand(double now, std::size_t budget);
+  void expire_history(double now, std::size_t budget);
+  double window_ms(std::size_t budget) const {
+    return config_.with_drift_margin(config_.budgets[budget].window_ms);
+  }
+
+  QuotaConfig config_;
+  QuotaSafeguards safeguards_;
+  std::uint64_t session_, last_request_number_ = 0, current_grant_ = 0, oldest_grant_in_use_ = 0;
+  std::map<std::uint64_t, double> request_times_;  // when
+  std::vector<double> amounts_, guaranteed_minimums_;
+  double grant_expires_at_ = 0, registered_until_ = 0;
+  bool rejected_at_capacity_ = false;
+  std::vector<std::deque<double>> acquired_at_, demanded_at_;  // when; held: spent alone
+  std::vector<double> smoothed_demands_;
+  std::vector<Counters> counters_;
 };
 
 }  // namespace indigorill
--- a/tests/adapter_test.cpp
+++ b/tests/adapter_test.cpp
@@ -60,7 +60,7 @@
     CAPTURE(row.input);
     std::istringstream in(row.input);
     std::ostringstream out;
-    CHECK_THROWS_WITH_AS(indigorill::serve(in, out), row.said.c_str(), indigorill::malformed);
+    CHECK_THROWS_WITH_AS(indigorill::run_sim_adapter(in, out), row.said.c_str(), indigorill::ParseError);
     CHECK(out.str().empty());
   }
 }
@@ -83,7 +83,7 @@
     CAPTURE(row.input);
     std::istringstream in(row.input);
     std::ostringstream out;
-    indigorill::serve(in, out);
+    indigorill::run_sim_adapter(in, out);
     CHECK(out.str().find(row.has) != std::string::npos);
     CHECK(out.str().find(row.has_not) == std::string::npos);
   }
