--- a/tests/host.h
+++ b/tests/host.h
@@ -19,133 +19,140 @@
 namespace host {
 
 using namespace indigorill;
-using verb = decision::verb;
+using Action = Decision::Action;
 
-inline terrain ground(repeatable repeats = repeatable::idempotent, group drops = group::everywhere) {
-  terrain t;
+inline LoadBalancerConfig test_config(RetrySafety repeats = RetrySafety::idempotent,
+                                      DeduplicationScope drops = DeduplicationScope::global) {
+  LoadBalancerConfig t;
   t.methods = {{"read", 100, 1, 0, repeats, drops, 200}, {"vital", 100, 10, 0, repeats, drops, 200}};
   t.zone = "here";
-  t.most_picks = 4;
-  t.cancelling = true;
-  t.longest_retry_after = 1000;
-  t.cold_from = 0.2;
-  t.cold_for = 20000;
-  t.cold_multiple = 3;
-  t.cold_span = 1000;
+  t.max_attempts = 4;
+  t.cancellation_enabled = true;
+  t.max_retry_after_ms = 1000;
+  t.slow_start_initial_weight = 0.2;
+  t.slow_start_duration_ms = 20000;
+  t.slow_start_overload_factor = 3;
+  t.slow_start_burst_ms = 1000;
   return t;
 }
 
-inline endpoint at(std::string id, double started = 0, standing state = standing::ready,
-                   std::string zone = "here", int cell = 0) {
+inline Endpoint make_endpoint(std::string id, double started = 0, EndpointState state = EndpointState::ready,
+                              std::string zone = "here", int cell = 0) {
   return {std::move(id), std::move(zone), cell, started, state};
 }
 
 // Warm servers named by the letters from first to last.
-inline std::vector<endpoint> letters(char first, char last, const std::string& zone = "here") {
-  std::vector<endpoint> all;
-  for (char c = first; c <= last; ++c) all.push_back(at(std::string(1, c), 0, standing::ready, zone));
+inline std::vector<Endpoint> make_endpoints(char first, char last, const std::string& zone = "here") {
+  std::vector<Endpoint> all;
+  for (char c = first; c <= last; ++c)
+    all.push_back(make_endpoint(std::string(1, c), 0, EndpointState::ready, zone));
   return all;
 }
 
-struct one {
-  balancer b;
+struct LoadBalancerHarness {
+  LoadBalancer load_balancer;
   double now = 1000;
-  int rpcs = 0;
+  int next_rpc_number = 0;
 
-  explicit one(terrain t = ground(), std::uint64_t seed = 1) : b(std::move(t), seed, 0) {}
+  explicit LoadBalancerHarness(LoadBalancerConfig t = test_config(), std::uint64_t seed = 1)
+      : load_balancer(std::move(t), seed, 0) {}
 
-  void list(const std::vector<endpoint>& entries) { b.listed(now, true, false, entries); }
+  void update_endpoints(const std::vector<Endpoint>& entries) {
+    load_balancer.update_endpoints(now, true, false, entries);
+  }
 
   // All decisions now; wake-ups left out.
-  std::vector<decision> pull() {
-    std::vector<decision> all;
-    while (auto d = b.next())
-      if (d->what != verb::wake) all.push_back(*d);
+  std::vector<Decision> take_decisions() {
+    std::vector<Decision> all;
+    while (auto d = load_balancer.next_decision())
+      if (d->action != Action::set_timer) all.push_back(*d);
     return all;
   }
-  void beats(double until) {
+  void run_maintenance_until(double until) {
     while (now < until) {
       now += 100;
-      b.woken(now, 1);
-      b.woken(now, 2);
-      pull();
+      load_balancer.on_timer(now, 1);
+      load_balancer.on_timer(now, 2);
+      take_decisions();
     }
   }
-  decision only() {
-    const auto all = pull();
-    return all.size() == 1 ? all.front() : decision{verb::wake, "", "none, or several", 0, 0, 0};
+  Decision only_decision() {
+    const auto all = take_decisions();
+    return all.size() == 1 ? all.front() : Decision{Action::set_timer, "", "none, or several", 0, 0, 0};
   }
-  std::string arrive(const char* method = "read", double patience = 300) {
-    std::string id = std::to_string(rpcs++);
-    b.rpc_arrived(now, {id, method, now + patience, {}});
+  std::string start_rpc(const char* method = "read", double patience = 300) {
+    std::string id = std::to_string(next_rpc_number++);
+    load_balancer.on_rpc_arrived(now, {id, method, now + patience, {}});
     return id;
   }
   // One RPC at the time that only this server is ready, ended like this after so long; 25 is the pace
   // guessed.
-  void history(const std::string& server, ending how, double took = 25) {
-    list({at(server)});
-    const std::string id = arrive();
-    const auto all = pull();
-    if (all.empty() || all.front().what != verb::pick) return;
-    b.pick_ended(now, id, 0, how, took, true, {});
-    pull();
+  void record_attempt(const std::string& server, AttemptOutcome how, double took = 25) {
+    update_endpoints({make_endpoint(server)});
+    const std::string id = start_rpc();
+    const auto all = take_decisions();
+    if (all.empty() || all.front().action != Action::send_attempt) return;
+    load_balancer.on_attempt_finished(now, id, 0, how, took, true, {});
+    take_decisions();
   }
 };
 
-inline http::message parsed(http::reader::kind kind, const std::string& bytes) {
-  http::reader r(kind);
+inline http::Message parse_message(http::HttpParser::MessageKind kind, const std::string& bytes) {
+  http::HttpParser r(kind);
   for (const char c : bytes) {
-    r.room()[0] = c;
-    r.fed(1);
+    r.writable_buffer()[0] = c;
+    r.commit(1);
   }
-  return r.now() == http::reader::state::whole ? r.take() : http::message{};
+  return r.state() == http::HttpParser::ParseState::complete ? r.take_message() : http::Message{};
 }
 
 // Turns the loop until something is so, for two seconds at most.
-inline bool until(loop& runs, const std::function<bool()>& so) {
+inline bool run_until(EventLoop& runs, const std::function<bool()>& so) {
   for (const double end = runs.now() + 2000; !so();) {
     if (runs.now() > end) return false;
-    runs.round(5);
+    runs.run_once(5);
   }
   return true;
 }
-inline void pass(loop& runs, double ms) {
-  for (const double end = runs.now() + ms; runs.now() < end;) runs.round(1);
+inline void run_for(EventLoop& runs, double ms) {
+  for (const double end = runs.now() + ms; runs.now() < end;) runs.run_once(1);
 }
 
 // What goes out over a socket.
-inline std::string written(outgoing what) {
+inline std::string write_to_socket(WriteBuffer what) {
   int ends[2];
   if (::socketpair(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK, 0, ends) < 0) return "no socketpair";
-  loop runs;
-  descriptor_budget budget{10};
-  const descriptor other(ends[1]);
-  stream to(runs, budget, descriptor(ends[0]), [](std::uint32_t) {});
-  if (!to.write(what) || !what.done()) return "not written whole";
+  EventLoop runs;
+  FileDescriptorBudget budget{10};
+  const FileDescriptor other(ends[1]);
+  TcpStream to(runs, budget, FileDescriptor(ends[0]), [](std::uint32_t) {});
+  if (!to.write(what) || !what.is_complete()) return "not written whole";
   std::string text(4096, 0);
   text.resize(
       static_cast<std::size_t>(std::max<ssize_t>(::recv(other.get(), text.data(), text.size(), 0), 0)));
   return text;
 }
 
-inline sockaddr_in address_of(const descriptor& fd) {
+inline sockaddr_in local_address(const FileDescriptor& fd) {
   sockaddr_in a{};
   socklen_t size = sizeof a;
   ::getsockname(fd.get(), reinterpret_cast<sockaddr*>(&a), &size);
   return a;
 }
-inline std::string text_of(const sockaddr_in& a) { return "127.0.0.1:" + std::to_string(ntohs(a.sin_port)); }
-inline sockaddr_in any_loopback() {
+inline std::string address_text(const sockaddr_in& a) {
+  return "127.0.0.1:" + std::to_string(ntohs(a.sin_port));
+}
+inline sockaddr_in loopback_address() {
   sockaddr_in a{};
   a.sin_family = AF_INET;
   a.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
   return a;
 }
-inline descriptor loopback() { return listen_on(any_loopback()); }
+inline FileDescriptor listen_on_loopback() { return open_listener(loopback_address()); }
 // It refuses connects until it is made to listen, and no other socket is given its place meanwhile.
-inline descriptor loopback_unheard() {
-  const sockaddr_in a = any_loopback();
-  descriptor fd(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
+inline FileDescriptor bind_on_loopback() {
+  const sockaddr_in a = loopback_address();
+  FileDescriptor fd(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
   const int on = 1;
   ::setsockopt(fd.get(), SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
   ::bind(fd.get(), reinterpret_cast<const sockaddr*>(&a), sizeof a);
@@ -153,87 +160,90 @@
 }
 
 // One end of a connection: what came over it, and whether it ended.
-struct side {
-  loop& runs;
-  descriptor_budget& budget;
-  std::unique_ptr<stream> wire;
-  http::reader reader;
-  std::vector<http::message> came;
-  bool ended = false;
-  std::function<void(side&)> then = [](side&) {};
-
-  side(loop& in, descriptor_budget& count, descriptor fd, http::reader::kind kind)
-      : runs(in), budget(count), reader(kind) {
-    wire = std::make_unique<stream>(in, count, std::move(fd), [this](std::uint32_t) { read(); });
+struct TestConnection {
+  EventLoop& loop;
+  FileDescriptorBudget& budget;
+  std::unique_ptr<TcpStream> stream;
+  http::HttpParser parser;
+  std::vector<http::Message> received;
+  bool is_ended = false;
+  std::function<void(TestConnection&)> on_message = [](TestConnection&) {};
+
+  TestConnection(EventLoop& in, FileDescriptorBudget& count, FileDescriptor fd,
+                 http::HttpParser::MessageKind kind)
+      : loop(in), budget(count), parser(kind) {
+    stream = std::make_unique<TcpStream>(in, count, std::move(fd), [this](std::uint32_t) { read(); });
   }
   void read() {
-    while (wire && !ended) {
+    while (stream && !is_ended) {
       std::size_t n = 0;
-      const stream::got got = wire->read(reader.room(), n);
-      if (got == stream::got::nothing) return;
-      if (got == stream::got::some)
-        reader.fed(n);
+      const TcpStream::ReadStatus got = stream->read(parser.writable_buffer(), n);
+      if (got == TcpStream::ReadStatus::would_block) return;
+      if (got == TcpStream::ReadStatus::data)
+        parser.commit(n);
       else
-        reader.ended(), ended = true;
-      while (reader.now() == http::reader::state::whole) {
-        came.push_back(reader.take());
-        then(*this);
+        parser.on_end_of_stream(), is_ended = true;
+      while (parser.state() == http::HttpParser::ParseState::complete) {
+        received.push_back(parser.take_message());
+        on_message(*this);
       }
     }
   }
-  void say(const std::string& bytes) {
-    outgoing out;
-    out.own(bytes);
-    if (wire) wire->write(out);
+  void send(const std::string& bytes) {
+    WriteBuffer out;
+    out.append_owned(bytes);
+    if (stream) stream->write(out);
   }
-  void hang_up() { wire.reset(); }
+  void close() { stream.reset(); }
 };
 
-inline std::string answer_text(int status, const std::string& body, const std::string& headers = "") {
+inline std::string response_text(int status, const std::string& body, const std::string& headers = "") {
   return "HTTP/1.1 " + std::to_string(status) + " X\r\n" + headers +
          "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
 // Serves on loopback by a script of answers; past its end it is silent. "close" hangs up, "silent" says
 // nothing.
-struct stand_in {
-  loop& runs;
-  descriptor_budget budget{100};
-  descriptor door;
-  sockaddr_in where = address_of(door);
-  std::vector<std::string> script;
-  std::vector<std::string> asked;  // targets
-  std::vector<std::unique_ptr<side>> sides;
-  loop::watch at_door;
-  double slow = 0;  // ms, until each answer
-  std::vector<loop::timer> later;
-
-  stand_in(loop& in, std::vector<std::string> answers, descriptor at = loopback())
-      : runs(in), door(std::move(at)), script(std::move(answers)) {
-    open();
+struct FakeServer {
+  EventLoop& loop;
+  FileDescriptorBudget budget{100};
+  FileDescriptor listener;
+  sockaddr_in address = local_address(listener);
+  std::vector<std::string> responses;
+  std::vector<std::string> request_targets;  // targets
+  std::vector<std::unique_ptr<TestConnection>> connections;
+  EventLoop::Watch listener_watch;
+  double response_delay_ms = 0;  // ms, until each answer
+  std::vector<EventLoop::Timer> delayed_responses;
+
+  FakeServer(EventLoop& in, std::vector<std::string> answers, FileDescriptor at = listen_on_loopback())
+      : loop(in), listener(std::move(at)), responses(std::move(answers)) {
+    start_accepting();
   }
-  void open() {
-    at_door.drop();
-    at_door = runs.on(door.get(), [this](std::uint32_t) {
+  void start_accepting() {
+    listener_watch.cancel();
+    listener_watch = loop.watch_fd(listener.get(), [this](std::uint32_t) {
       for (;;) {
-        descriptor fd(::accept4(door.get(), nullptr, nullptr, SOCK_NONBLOCK));
+        FileDescriptor fd(::accept4(listener.get(), nullptr, nullptr, SOCK_NONBLOCK));
         if (!fd) return;
-        sides.push_back(std::make_unique<side>(runs, budget, std::move(fd), http::reader::kind::request));
-        sides.back()->then = [this](side& s) { answer(s); };
-        sides.back()->read();
+        connections.push_back(std::make_unique<TestConnection>(loop, budget, std::move(fd),
+                                                               http::HttpParser::MessageKind::request));
+        connections.back()->on_message = [this](TestConnection& s) { respond(s); };
+        connections.back()->read();
       }
     });
   }
-  void answer(side& s) {
-    const std::size_t turn = asked.size();
-    asked.emplace_back(s.came.back().text(s.came.back().target));
-    const std::string text = turn < script.size() ? script[turn] : "silent";
-    if (text == "close") return s.hang_up();
+  void respond(TestConnection& s) {
+    const std::size_t turn = request_targets.size();
+    request_targets.emplace_back(s.received.back().slice(s.received.back().target));
+    const std::string text = turn < responses.size() ? responses[turn] : "silent";
+    if (text == "close") return s.close();
     if (text == "silent") return;
-    if (slow > 0)
-      later.push_back(runs.at(runs.now() + slow, [&s, text] { s.say(text); }));
+    if (response_delay_ms > 0)
+      delayed_responses.push_back(
+          loop.schedule_at(loop.now() + response_delay_ms, [&s, text] { s.send(text); }));
     else
-      s.say(text);
+      s.send(text);
   }
 };
 
--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -3,19 +3,20 @@
 #include "host.h"
 
 using namespace host;
-using http::reader;
+using http::HttpParser;
 
 namespace {
 
-constexpr auto request = reader::kind::request, answer = reader::kind::answer;
-constexpr auto reading = reader::state::reading, whole = reader::state::whole, broken = reader::state::broken;
+constexpr auto request = HttpParser::MessageKind::request, answer = HttpParser::MessageKind::response;
+constexpr auto reading = HttpParser::ParseState::reading, whole = HttpParser::ParseState::complete,
+               broken = HttpParser::ParseState::error;
 
-void feed(reader& r, std::string_view bytes) {
+void feed(HttpParser& r, std::string_view bytes) {
   while (!bytes.empty()) {
-    const auto room = r.room();
+    const auto room = r.writable_buffer();
     const std::size_t n = std::min(room.size(), bytes.size());
     std::copy_n(bytes.data(), n, room.data());
-    r.fed(n);
+    r.commit(n);
     bytes.remove_prefix(n);
   }
 }
@@ -26,12 +27,12 @@
   return all;
 }
 
-struct row {
+struct Row {
   const char* what;
-  reader::kind kind;
+  HttpParser::MessageKind kind;
   std::string bytes;
   bool ends;  // the sender closes then
-  reader::state is;
+  HttpParser::ParseState is;
   int status;  // of the fault, or of the answer
   std::string body;
   bool keeps = true;
@@ -42,7 +43,7 @@
 }  // namespace
 
 TEST_CASE("messages are the same however their bytes are split") {
-  const row table[] = {
+  const Row table[] = {
       {"no body", request, "GET /a?b HTTP/1.1\r\nHost: x\r\n\r\n", false, whole, 0, ""},
       {"an empty line before", request, "\r\nGET /a HTTP/1.1\r\n\r\n", false, whole, 0, ""},
       {"a length", request, post + "Content-Length: 3\r\n\r\nabc", false, whole, 0, "abc"},
@@ -104,29 +105,29 @@
       {"odd status", answer, "HTTP/1.1 2x0 OK\r\n\r\n", false, broken, 400, ""},
       {"long answer", answer, ok + "\r\n" + many("a", 65537), false, broken, 413, ""},
   };
-  for (const row& t : table) {
+  for (const Row& t : table) {
     CAPTURE(std::string(t.what));
     const std::size_t every = t.bytes.size() < 300 ? 1 : 997;
     for (std::size_t cut = 0; cut <= t.bytes.size(); cut += every) {
       CAPTURE(cut);
-      reader r(t.kind);
+      HttpParser r(t.kind);
       feed(r, std::string_view(t.bytes).substr(0, cut));
       feed(r, std::string_view(t.bytes).substr(cut));
-      if (t.ends) r.ended();
-      REQUIRE(r.now() == t.is);
-      if (t.is == broken) CHECK(r.fault() == t.status);
+      if (t.ends) r.on_end_of_stream();
+      REQUIRE(r.state() == t.is);
+      if (t.is == broken) CHECK(r.error_status() == t.status);
       if (t.is != whole) continue;
-      const http::message m = r.take();
+      const http::Message m = r.take_message();
       CHECK(m.body() == t.body);
-      CHECK(m.keeps == t.keeps);
+      CHECK(m.keep_alive == t.keeps);
       CHECK(m.status == t.status);
-      if (t.kind == request) CHECK(m.text(m.target).substr(0, 2) == "/a");
-      CHECK(r.now() == reading);
+      if (t.kind == request) CHECK(m.slice(m.target).substr(0, 2) == "/a");
+      CHECK(r.state() == reading);
     }
-    reader r(t.kind);
+    HttpParser r(t.kind);
     for (const char c : t.bytes) feed(r, std::string_view(&c, 1));
-    if (t.ends) r.ended();
-    CHECK(r.now() == t.is);
+    if (t.ends) r.on_end_of_stream();
+    CHECK(r.state() == t.is);
   }
 }
 
@@ -136,19 +137,19 @@
       "Transfer-Encoding: chunked\r\n\r\n1\r\nc\r\n0\r\n\r\nGET /d HTTP/1.1\r\nX: e\r\n\r\n";
   for (std::size_t cut = 0; cut <= bytes.size(); ++cut) {
     CAPTURE(cut);
-    reader r(request);
+    HttpParser r(request);
     std::string bodies;
     for (const std::string_view part :
          {std::string_view(bytes).substr(0, cut), std::string_view(bytes).substr(cut)}) {
       feed(r, part);
-      while (r.now() == whole) {
-        const http::message m = r.take();
+      while (r.state() == whole) {
+        const http::Message m = r.take_message();
         bodies += m.body();
-        bodies += m.find("x").value_or("-");
+        bodies += m.find_header("x").value_or("-");
       }
     }
     CHECK(bodies == "ab-c-e");
-    CHECK_FALSE(r.begun());
+    CHECK_FALSE(r.has_partial_input());
   }
 }
 
@@ -161,7 +162,8 @@
     std::string_view tenant = "";
     bool repeat = false;
   } table[] = {
-      {"GET /read HTTP/1.1\r\nX-Caller: acme\r\nX-Again: 1\r\n" + id + "X-Budget: 1m\r\n", "read", 0, 1, "acme", true},
+      {"GET /read HTTP/1.1\r\nX-Caller: acme\r\nX-Again: 1\r\n" + id + "X-Budget: 1m\r\n", "read", 0, 1,
+       "acme", true},
       {"GET /read HTTP/1.1\r\nX-Again: yes\r\n" + id + "X-Budget: 1m\r\n", "read", 0, 1},
       {"GET /read/x HTTP/1.1\r\n" + id + "X-Budget: 480m\r\n", "read", 0, 480},
       {"POST /vital HTTP/1.1\r\nx-call-class: vital\r\n" + id + "X-Budget: 1500u\r\n", "vital", 0, 1.5},
@@ -177,13 +179,13 @@
   };
   for (const auto& t : table) {
     CAPTURE(t.head);
-    const http::message m = parsed(request, t.head + "\r\n");
-    const call c = read_call(m);
+    const http::Message m = parse_message(request, t.head + "\r\n");
+    const RpcRequest c = decode_rpc_request(m);
     CHECK(c.method == t.method);
-    CHECK(c.fault == t.fault);
-    CHECK(c.budget == doctest::Approx(t.budget));
+    CHECK(c.error_status == t.fault);
+    CHECK(c.budget_ms == doctest::Approx(t.budget));
     CHECK(c.tenant == t.tenant);
-    CHECK(c.repeat == t.repeat);
+    CHECK(c.is_retry == t.repeat);
   }
 }
 
@@ -202,7 +204,7 @@
     const auto key = [](const std::string& target) {
       std::string escaped = target;
       std::replace(escaped.begin(), escaped.end(), ' ', '+');
-      return read_call(parsed(request, "GET " + escaped + " HTTP/1.1\r\n\r\n")).key;
+      return decode_rpc_request(parse_message(request, "GET " + escaped + " HTTP/1.1\r\n\r\n")).affinity_key;
     };
     CAPTURE(t.one);
     CHECK((key(t.one) == key(t.other)) == t.same);
@@ -213,56 +215,59 @@
   struct {
     std::string head, body;
     bool of_probe;
-    ending how;
+    AttemptOutcome how;
     std::optional<double> held;
   } table[] = {
-      {"200 OK", "x", false, ending::ok, {}},
-      {"200 OK\r\nX-Load-Report: outstanding=7,backlog=2,utilization=0.61", "x", false, ending::ok, 7},
-      {"500 No\r\nX-Load-Report: backlog=2, outstanding=3.5", "", false, ending::error, 3.5},
-      {"503 No\r\nX-Rejected: 1", "", false, ending::full, {}},
-      {"504 No\r\nX-Rejected: 1", "", false, ending::full, {}},
-      {"500 No\r\nX-Rejected: 1", "", false, ending::error, {}},
-      {"503 No", "", false, ending::error, {}},
-      {"302 Away", "", false, ending::error, {}},
-      {"200 OK\r\nX-Load-Report: outstanding=much,=,x", "", false, ending::ok, {}},
-      {"200 OK", "outstanding=2,backlog=1\n", true, ending::ok, 2},
-      {"200 OK", "outstanding=2,backlog=1\n", false, ending::ok, {}},
+      {"200 OK", "x", false, AttemptOutcome::ok, {}},
+      {"200 OK\r\nX-Load-Report: outstanding=7,backlog=2,utilization=0.61", "x", false, AttemptOutcome::ok,
+       7},
+      {"500 No\r\nX-Load-Report: backlog=2, outstanding=3.5", "", false, AttemptOutcome::error, 3.5},
+      {"503 No\r\nX-Rejected: 1", "", false, AttemptOutcome::rejected, {}},
+      {"504 No\r\nX-Rejected: 1", "", false, AttemptOutcome::rejected, {}},
+      {"500 No\r\nX-Rejected: 1", "", false, AttemptOutcome::error, {}},
+      {"503 No", "", false, AttemptOutcome::error, {}},
+      {"302 Away", "", false, AttemptOutcome::error, {}},
+      {"200 OK\r\nX-Load-Report: outstanding=much,=,x", "", false, AttemptOutcome::ok, {}},
+      {"200 OK", "outstanding=2,backlog=1\n", true, AttemptOutcome::ok, 2},
+      {"200 OK", "outstanding=2,backlog=1\n", false, AttemptOutcome::ok, {}},
   };
   for (const auto& t : table) {
     CAPTURE(t.head);
-    const http::message m =
-        parsed(answer, "HTTP/1.1 " + t.head + "\r\nContent-Length: " + std::to_string(t.body.size()) +
-                           "\r\n\r\n" + t.body);
-    CHECK(ending_of(m) == t.how);
-    CHECK(load_of(m, t.of_probe).held == t.held);
+    const http::Message m =
+        parse_message(answer, "HTTP/1.1 " + t.head + "\r\nContent-Length: " + std::to_string(t.body.size()) +
+                                  "\r\n\r\n" + t.body);
+    CHECK(classify_response(m) == t.how);
+    CHECK(decode_load_report(m, t.of_probe).in_flight == t.held);
   }
 }
 
 TEST_CASE("heads that we write") {
-  const http::message get = parsed(request,
-                                   "GET /read?a HTTP/1.1\r\nHost: h\r\nConnection: keep-alive, "
-                                   "x-hop\r\nX-Hop: 1\r\nX-Call-Id: 9\r\nX-Budget: 480m\r\n\r\n");
-  const http::message sent = parsed(
+  const http::Message get = parse_message(request,
+                                          "GET /read?a HTTP/1.1\r\nHost: h\r\nConnection: keep-alive, "
+                                          "x-hop\r\nX-Hop: 1\r\nX-Call-Id: 9\r\nX-Budget: 480m\r\n\r\n");
+  const http::Message sent = parse_message(
       request,
       "POST /x HTTP/1.0\r\nTransfer-Encoding: chunked\r\nX-Call-Id: 9\r\nA: b\r\n\r\n2\r\nhi\r\n0\r\n\r\n");
-  const http::message served = parsed(
+  const http::Message served = parse_message(
       answer,
       "HTTP/1.1 200 Fine\r\nX-Load-Report: outstanding=1\r\nA: b\r\nContent-Length: 2\r\nC: d\r\n\r\nok");
   struct {
-    outgoing what;
+    WriteBuffer what;
     std::string text;
   } table[] = {
-      {pick_of(get, 12.5), "GET /read?a HTTP/1.1\r\nHost: h\r\nX-Call-Id: 9\r\nX-Budget: 12500u\r\n\r\n"},
-      {pick_of(sent, 0),
+      {encode_attempt(get, 12.5),
+       "GET /read?a HTTP/1.1\r\nHost: h\r\nX-Call-Id: 9\r\nX-Budget: 12500u\r\n\r\n"},
+      {encode_attempt(sent, 0),
        "POST /x HTTP/1.1\r\nX-Call-Id: 9\r\nA: b\r\nX-Budget: 1u\r\nContent-Length: 2\r\n\r\nhi"},
-      {passed_on(served, false), "HTTP/1.1 200 OK\r\nA: b\r\nC: d\r\nContent-Length: 2\r\n\r\nok"},
-      {pushed_back(1500, true),
+      {encode_forwarded_response(served, false),
+       "HTTP/1.1 200 OK\r\nA: b\r\nC: d\r\nContent-Length: 2\r\n\r\nok"},
+      {encode_rejection(1500, true),
        "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1.500\r\nContent-Length: 0\r\nConnection: "
        "close\r\n\r\n"},
-      {pushed_back(7, false),
+      {encode_rejection(7, false),
        "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 0.007\r\nContent-Length: 0\r\n\r\n"},
-      {pushed_back(0, false), "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"},
-      {aborted(false), "HTTP/1.1 502 Bad Gateway\r\nContent-Length: 0\r\n\r\n"},
+      {encode_rejection(0, false), "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"},
+      {encode_failure(false), "HTTP/1.1 502 Bad Gateway\r\nContent-Length: 0\r\n\r\n"},
   };
-  for (auto& t : table) CHECK(written(std::move(t.what)) == t.text);
+  for (auto& t : table) CHECK(write_to_socket(std::move(t.what)) == t.text);
 }
--- a/tests/lab_test.cpp
+++ b/tests/lab_test.cpp
@@ -17,26 +17,27 @@
 namespace {
 
 // The mean wait in one queue before service begins, after a warm-up; work has mean 1.
-double mean_wait(int cores, law service, double rho, std::uint64_t seed) {
-  agenda due;
+double mean_wait(int cores, Distribution service, double rho, std::uint64_t seed) {
+  EventQueue due;
   std::vector<double> came;
   double waited = 0, counted = 0;
   constexpr std::size_t all = 60000, warm = 10000;
-  station queue(due, {cores, 1 << 30, 1, 1, 0, 0, 0, 0}, seed,
-                {[&](std::uint64_t job) {
-                   if (job >= warm) waited += due.now() - came[job], ++counted;
-                 },
-                 [](std::uint64_t, station::outcome, double) {},
-                 {}});
-  stream arrivals(seed_of(seed, use::arrivals)), works(seed_of(seed, use::shares));
+  EmulatedServer queue(due, {cores, 1 << 30, 1, 1, 0, 0, 0, 0}, seed,
+                       {[&](std::uint64_t job) {
+                          if (job >= warm) waited += due.now() - came[job], ++counted;
+                        },
+                        [](std::uint64_t, EmulatedServer::JobOutcome, double) {},
+                        {}});
+  RandomStream arrivals(derive_seed(seed, RandomPurpose::arrivals)),
+      works(derive_seed(seed, RandomPurpose::arrival_pattern));
   std::function<void()> arrive = [&] {
     if (came.size() >= all) return;
     came.push_back(due.now());
-    queue.come(came.size() - 1, works.draw(service));
-    due.at(due.now() + arrivals.exponential(1 / (rho * cores)), rank::client, arrive);
+    queue.submit(came.size() - 1, works.sample(service));
+    due.schedule(due.now() + arrivals.exponential(1 / (rho * cores)), EventPriority::client, arrive);
   };
   arrive();
-  while (due.step(1e12)) {
+  while (due.run_next(1e12)) {
   }
   return waited / counted;
 }
@@ -51,45 +52,47 @@
 
 // The mean time in the system of many servers of which the emptier of `choices` gets each job.
 double time_of_choices(int choices, double rho, std::uint64_t seed) {
-  agenda due;
+  EventQueue due;
   constexpr std::size_t servers = 300, all = 90000, warm = 30000;
   std::vector<double> came;
   double took = 0, counted = 0;
-  std::vector<std::unique_ptr<station>> farm;
+  std::vector<std::unique_ptr<EmulatedServer>> farm;
   for (std::size_t i = 0; i < servers; ++i)
-    farm.push_back(
-        std::make_unique<station>(due, station::traits{1, 1 << 30, 1, 1, 0, 0, 0, 0}, i,
-                                  station::events{{},
-                                                  [&](std::uint64_t job, station::outcome, double) {
-                                                    if (job >= warm && job < all)
-                                                      took += due.now() - came[job], ++counted;
-                                                  },
-                                                  {}}));
-  stream arrivals(seed_of(seed, use::arrivals)), works(seed_of(seed, use::shares)), draw(seed);
+    farm.push_back(std::make_unique<EmulatedServer>(
+        due, EmulatedServer::Config{1, 1 << 30, 1, 1, 0, 0, 0, 0}, i,
+        EmulatedServer::Callbacks{{},
+                                  [&](std::uint64_t job, EmulatedServer::JobOutcome, double) {
+                                    if (job >= warm && job < all) took += due.now() - came[job], ++counted;
+                                  },
+                                  {}}));
+  RandomStream arrivals(derive_seed(seed, RandomPurpose::arrivals)),
+      works(derive_seed(seed, RandomPurpose::arrival_pattern)), draw(seed);
   std::function<void()> arrive = [&] {
     if (came.size() >= all) return;
     came.push_back(due.now());
-    station* to = farm[draw.below(servers)].get();
+    EmulatedServer* to = farm[draw.uniform_index(servers)].get();
     for (int i = 1; i < choices; ++i) {
-      station* other = farm[draw.below(servers)].get();
-      if (other->held() < to->held()) to = other;
+      EmulatedServer* other = farm[draw.uniform_index(servers)].get();
+      if (other->jobs_in_flight() < to->jobs_in_flight()) to = other;
     }
-    to->come(came.size() - 1, works.exponential(1));
-    due.at(due.now() + arrivals.exponential(1 / (rho * servers)), rank::client, arrive);
+    to->submit(came.size() - 1, works.exponential(1));
+    due.schedule(due.now() + arrivals.exponential(1 / (rho * servers)), EventPriority::client, arrive);
   };
   arrive();
-  while (due.step(1e12)) {
+  while (due.run_next(1e12)) {
   }
   return took / counted;
 }
 
-spread over_seeds(int runs, const std::function<double(std::uint64_t)>& one) {
+ConfidenceInterval over_seeds(int runs, const std::function<double(std::uint64_t)>& one) {
   std::vector<double> all;
   for (int i = 1; i <= runs; ++i) all.push_back(one(static_cast<std::uint64_t>(i)));
-  return spread_of(all);
+  return confidence_interval(all);
 }
 
-bool holds(const spread& s, double expected) { return std::abs(s.mean - expected) <= s.half; }
+bool holds(const ConfidenceInterval& s, double expected) {
+  return std::abs(s.mean - expected) <= s.half_width;
+}
 
 // A small fleet, with all that can go wrong.
 const char* rough = R"(name = "rough"
@@ -237,14 +240,14 @@
   return text.replace(at, what.size(), in_place);
 }
 
-struct folder {
+struct Folder {
   std::filesystem::path path;
-  folder() {
+  Folder() {
     std::string name = (std::filesystem::temp_directory_path() / "indigorill-lab-XXXXXX").string();
     REQUIRE(::mkdtemp(name.data()));
     path = name;
   }
-  ~folder() { std::filesystem::remove_all(path); }
+  ~Folder() { std::filesystem::remove_all(path); }
   std::string put(const std::string& name, const std::string& text) const {
     std::ofstream(path / name) << text;
     return (path / name).string();
@@ -254,7 +257,7 @@
 int call(std::vector<const char*> words, std::string* out = nullptr, std::string* err = nullptr) {
   words.insert(words.begin(), "indigorill-lab");
   std::ostringstream o, e;
-  const int status = command(static_cast<int>(words.size()), words.data(), o, e);
+  const int status = run_command(static_cast<int>(words.size()), words.data(), o, e);
   if (out) *out = o.str();
   if (err) *err = e.str();
   return status;
@@ -263,14 +266,14 @@
 }  // namespace
 
 TEST_CASE("lab: one queue waits as M/M/1, M/M/c and M/D/1 do, and another law of service is told apart") {
-  const auto waits = [](int cores, law service, double rho) {
+  const auto waits = [](int cores, Distribution service, double rho) {
     return over_seeds(10, [=](std::uint64_t seed) { return mean_wait(cores, service, rho, seed); });
   };
-  const law exponential{shape::exponential, 1, 1}, fixed{shape::fixed, 1, 1};
+  const Distribution exponential{DistributionShape::exponential, 1, 1}, fixed{DistributionShape::fixed, 1, 1};
   struct {
     const char* what;
     int cores;
-    law service;
+    Distribution service;
     double rho, theory;
   } table[] = {
       {"M/M/1 at 0.5", 1, exponential, 0.5, 1.0},
@@ -281,168 +284,173 @@
   };
   for (const auto& row : table) {
     CAPTURE(row.what);
-    const spread s = waits(row.cores, row.service, row.rho);
+    const ConfidenceInterval s = waits(row.cores, row.service, row.rho);
     CAPTURE(s.mean);
-    CAPTURE(s.half);
+    CAPTURE(s.half_width);
     CHECK(holds(s, row.theory));
-    CHECK(s.half < 0.15 * row.theory);
+    CHECK(s.half_width < 0.15 * row.theory);
   }
   CHECK(erlang_c_wait(1, 0.8) == doctest::Approx(4));
   CHECK_FALSE(holds(waits(1, fixed, 0.8), 4.0));
-  CHECK_FALSE(holds(waits(1, {shape::lognormal, 1, 1.6}, 0.8), 4.0));
+  CHECK_FALSE(holds(waits(1, {DistributionShape::lognormal, 1, 1.6}, 0.8), 4.0));
 }
 
 TEST_CASE("lab: the better of two choices gains what theory says (Mitzenmacher 2001)") {
   constexpr double rho = 0.9;
   double theory = 0;
   for (int i = 1; i < 8; ++i) theory += std::pow(rho, std::pow(2, i) - 2);
-  const spread two = over_seeds(5, [](std::uint64_t seed) { return time_of_choices(2, rho, seed); });
-  const spread one = over_seeds(5, [](std::uint64_t seed) { return time_of_choices(1, rho, seed); });
+  const ConfidenceInterval two =
+      over_seeds(5, [](std::uint64_t seed) { return time_of_choices(2, rho, seed); });
+  const ConfidenceInterval one =
+      over_seeds(5, [](std::uint64_t seed) { return time_of_choices(1, rho, seed); });
   CAPTURE(two.mean);
   CAPTURE(one.mean);
   // The theory is of endlessly many servers; 300 of them are a few parts in a hundred off.
-  CHECK(std::abs(two.mean - theory) <= two.half + 0.04 * theory);
+  CHECK(std::abs(two.mean - theory) <= two.half_width + 0.04 * theory);
   CHECK(one.mean > 2.5 * two.mean);
 }
 
 TEST_CASE("lab: laws have the means that they state") {
-  for (const law l : {law{shape::fixed, 7, 0}, law{shape::exponential, 7, 0}, law{shape::lognormal, 7, 0.8},
-                      law{shape::pareto, 7, 3}}) {
-    CAPTURE(static_cast<int>(l.of));
-    const spread s = over_seeds(20, [&](std::uint64_t seed) {
-      stream chance(seed);
+  for (const Distribution l :
+       {Distribution{DistributionShape::fixed, 7, 0}, Distribution{DistributionShape::exponential, 7, 0},
+        Distribution{DistributionShape::lognormal, 7, 0.8}, Distribution{DistributionShape::pareto, 7, 3}}) {
+    CAPTURE(static_cast<int>(l.shape));
+    const ConfidenceInterval s = over_seeds(20, [&](std::uint64_t seed) {
+      RandomStream chance(seed);
       double sum = 0;
-      for (int i = 0; i < 20000; ++i) sum += chance.draw(l);
+      for (int i = 0; i < 20000; ++i) sum += chance.sample(l);
       return sum / 20000;
     });
-    CHECK(std::abs(s.mean - 7) <= s.half + 0.05);
+    CHECK(std::abs(s.mean - 7) <= s.half_width + 0.05);
   }
 }
 
 TEST_CASE("lab: what falls together happens in the stated order") {
-  agenda due;
+  EventQueue due;
   std::string order;
-  due.at(5, rank::client, [&] { order += "c"; });
-  due.at(5, rank::timer, [&] { order += "t"; });
-  due.at(5, rank::trouble, [&] {
+  due.schedule(5, EventPriority::client, [&] { order += "c"; });
+  due.schedule(5, EventPriority::timer, [&] { order += "t"; });
+  due.schedule(5, EventPriority::fault, [&] {
     order += "T";
-    due.at(1, rank::server, [&] { order += "p"; });  // for the past: now, and the clock stays
+    due.schedule(1, EventPriority::server, [&] { order += "p"; });  // for the past: now, and the clock stays
   });
-  due.at(5, rank::network, [&] { order += "n"; });
-  due.at(5, rank::network, [&] { order += "m"; });
-  due.at(4, rank::client, [&] { order += "0"; });
-  due.at(5, rank::server, [&] { order += "s"; });
-  due.at(5, rank::list, [&] { order += "l"; });
-  while (due.step(5)) CHECK(due.now() <= 5);
+  due.schedule(5, EventPriority::network, [&] { order += "n"; });
+  due.schedule(5, EventPriority::network, [&] { order += "m"; });
+  due.schedule(4, EventPriority::client, [&] { order += "0"; });
+  due.schedule(5, EventPriority::server, [&] { order += "s"; });
+  due.schedule(5, EventPriority::discovery, [&] { order += "l"; });
+  while (due.run_next(5)) CHECK(due.now() <= 5);
   CHECK(order == "0Tspnmltc");
-  CHECK_FALSE(due.step(9));
+  CHECK_FALSE(due.run_next(9));
   CHECK(due.now() == 9);
 }
 
 TEST_CASE("lab: a server stalls, slows, warms up, sheds, dies and falls") {
-  agenda due;
-  std::vector<std::pair<std::uint64_t, station::outcome>> ended;
+  EventQueue due;
+  std::vector<std::pair<std::uint64_t, EmulatedServer::JobOutcome>> ended;
   std::vector<double> when;
   int falls = 0;
-  const auto make = [&](station::traits t) {
+  const auto make = [&](EmulatedServer::Config t) {
     ended.clear();
     when.clear();
-    return std::make_unique<station>(due, t, 1,
-                                     station::events{{},
-                                                     [&](std::uint64_t job, station::outcome how, double) {
-                                                       ended.emplace_back(job, how);
-                                                       when.push_back(due.now());
-                                                     },
-                                                     [&] { ++falls; }});
+    return std::make_unique<EmulatedServer>(
+        due, t, 1,
+        EmulatedServer::Callbacks{{},
+                                  [&](std::uint64_t job, EmulatedServer::JobOutcome how, double) {
+                                    ended.emplace_back(job, how);
+                                    when.push_back(due.now());
+                                  },
+                                  [&] { ++falls; }});
   };
   const auto play = [&] {
-    while (due.step(due.now() + 1e6)) {
+    while (due.run_next(due.now() + 1e6)) {
     }
   };
-  using outcome = station::outcome;
+  using Outcome = EmulatedServer::JobOutcome;
   SUBCASE("the queue has a bound, and what is withdrawn leaves it") {
     auto s = make({1, 1, 1, 1, 0, 0, 0, 0});
-    for (std::uint64_t job : {1, 2, 3}) s->come(job, 10);
-    CHECK(ended == std::vector<std::pair<std::uint64_t, outcome>>{{3, outcome::full}});
-    s->withdraw(2);
-    s->withdraw(1);  // it runs already
+    for (std::uint64_t job : {1, 2, 3}) s->submit(job, 10);
+    CHECK(ended == std::vector<std::pair<std::uint64_t, Outcome>>{{3, Outcome::queue_full}});
+    s->cancel_queued(2);
+    s->cancel_queued(1);  // it runs already
     play();
     CHECK(ended.size() == 2);
     CHECK(when.back() == doctest::Approx(10));
   }
   SUBCASE("a stall puts off what runs and what begins") {
     auto s = make({1, 5, 1, 1, 0, 0, 0, 0});
-    s->come(1, 10);
+    s->submit(1, 10);
     s->stall(100);
-    s->come(2, 10);
+    s->submit(2, 10);
     play();
     CHECK(when[0] == doctest::Approx(110));
     CHECK(when[1] == doctest::Approx(120));
   }
   SUBCASE("slow and cold servers take longer") {
     auto s = make({1, 5, 2, 0.25, 1000, 0, 0, 0});
-    s->come(1, 10);
+    s->submit(1, 10);
     play();
     CHECK(when[0] == doctest::Approx(5));
-    s->slow(3);
+    s->set_slowdown(3);
     const double from = due.now();
-    s->come(2, 10);
+    s->submit(2, 10);
     play();
     CHECK(when[1] == doctest::Approx(from + 15));
-    s->slow(1);
+    s->set_slowdown(1);
     const double cold = due.now();
-    s->start_cold();
-    s->come(3, 10);
+    s->restart();
+    s->submit(3, 10);
     play();
     CHECK(when[2] == doctest::Approx(cold + 20));
   }
   SUBCASE("a death loses all in hand") {
     auto s = make({1, 5, 1, 1, 0, 0, 0, 0});
-    s->come(1, 10);
-    s->come(2, 10);
-    s->die();
-    s->come(3, 10);
+    s->submit(1, 10);
+    s->submit(2, 10);
+    s->terminate();
+    s->submit(3, 10);
     play();
-    CHECK(ended == std::vector<std::pair<std::uint64_t, outcome>>{
-                       {1, outcome::lost}, {2, outcome::lost}, {3, outcome::lost}});
+    CHECK(ended == std::vector<std::pair<std::uint64_t, Outcome>>{
+                       {1, Outcome::lost}, {2, Outcome::lost}, {3, Outcome::lost}});
   }
   SUBCASE("overdriven while cold it falls, warm it does not") {
     for (const bool cold : {false, true}) {
       falls = 0;
       auto s = make({1, 100, 1, 0.1, 100000, 0, 2, 100});
-      due.at(due.now() + 1, rank::trouble, [&] {
-        if (cold) s->start_cold();
-        for (std::uint64_t job = 0; job < 10; ++job) s->come(job, 5);  // 50 ms of work; 2 x 0.1 x 100 allowed
+      due.schedule(due.now() + 1, EventPriority::fault, [&] {
+        if (cold) s->restart();
+        for (std::uint64_t job = 0; job < 10; ++job)
+          s->submit(job, 5);  // 50 ms of work; 2 x 0.1 x 100 allowed
       });
       play();
       CHECK(falls == (cold ? 1 : 0));
-      CHECK(s->up() != cold);
+      CHECK(s->is_running() != cold);
     }
   }
 }
 
 TEST_CASE(
     "lab: arrived is answered and open, at every event of a rough day, and no connection is left over") {
-  for (const policy by : {policy::module, policy::two_choices}) {
+  for (const PolicyKind by : {PolicyKind::load_balancer, PolicyKind::two_choices}) {
     // The last second is silent, longer than any RPC lasts and any connection rests.
-    world w(decode_scenario(
-                toml::parse(std::string(rough) +
-                            "[[trouble]]\nwhat = \"surge\"\nat_s = 10.9\nfor_s = 1.1\nfactor = 0.001\n")),
-            by, 3);
+    Simulation w(decode_scenario(toml::parse(
+                     std::string(rough) +
+                     "[[trouble]]\nwhat = \"surge\"\nat_s = 10.9\nfor_s = 1.1\nfactor = 0.001\n")),
+                 by, 3);
     std::uint64_t events = 0;
     bool always = true;
-    while (w.step()) {
+    while (w.run_next_event()) {
       ++events;
-      always &= w.conserved();
+      always &= w.is_conserved();
     }
-    const figures f = w.finish();
+    const RunMetrics f = w.run_to_end();
     CHECK(always);
     CHECK(events == f.events);
     CHECK(f.arrived > 2000);
-    CHECK(f.open == 0);
+    CHECK(f.open_at_end == 0);
     CHECK(f.lost > 0);
     CHECK(f.handshakes > 0);
-    for (std::uint32_t s = 0; s < w.servers(); ++s) CHECK(w.connections_at(s) == 0);
+    for (std::uint32_t s = 0; s < w.server_count(); ++s) CHECK(w.connections_at(s) == 0);
   }
 }
 
@@ -451,42 +459,42 @@
   set_value(t, "load.rate", 3000);
   set_value(t, "server[0].queue", 1000000);
   set_value(t, "seconds", 11);
-  world w(decode_scenario(t), policy::random, 1);
-  w.finish();
+  Simulation w(decode_scenario(t), PolicyKind::random, 1);
+  w.run_to_end();
   CHECK(w.now() == 11500);
-  CHECK(w.conserved());
+  CHECK(w.is_conserved());
 }
 
 TEST_CASE("lab: the module keeps the rules on a rough day, and the auditor would have seen it break them") {
   toml::table t = rough_table();
   for (std::uint64_t seed = 1; seed <= 3; ++seed) {
-    const figures f = play(decode_scenario(t), policy::module, seed);
-    CAPTURE(f.breaches.empty() ? "" : describe(f.breaches[0]));
-    CHECK(f.breached == 0);
-    CHECK(f.falls == 0);
+    const RunMetrics f = run_simulation(decode_scenario(t), PolicyKind::load_balancer, seed);
+    CAPTURE(f.violations.empty() ? "" : describe(f.violations[0]));
+    CHECK(f.violation_count == 0);
+    CHECK(f.crashes == 0);
     CHECK(f.utility() > 0.3);
   }
   // Whoever draws without a thought pushes cold servers over.
   set_value(t, "trouble[2].share", 0.6);
   set_value(t, "server[0].cold_from", 0.05);
   set_value(t, "server[0].cold_ms", 8000);
-  const figures f = play(decode_scenario(t), policy::random, 1);
-  CHECK(f.falls > 0);
-  REQUIRE(f.breached > 0);
-  CHECK(f.breaches[0].rule == 4);
+  const RunMetrics f = run_simulation(decode_scenario(t), PolicyKind::random, 1);
+  CHECK(f.crashes > 0);
+  REQUIRE(f.violation_count > 0);
+  CHECK(f.violations[0].rule == 4);
 }
 
 TEST_CASE("lab: the same seed gives the same bytes at any number of threads, another seed others") {
-  experiment e;
-  e.base = rough_table();
-  set_value(e.base, "seconds", 11);
+  Experiment e;
+  e.base_scenario = rough_table();
+  set_value(e.base_scenario, "seconds", 11);
   e.axes = {parse_axis("load.rate=100,200")};
-  e.policies = {policy::module, policy::true_state};
-  e.runs = 2;
+  e.policies = {PolicyKind::load_balancer, PolicyKind::true_state};
+  e.run_count = 2;
   const auto bytes = [&](unsigned threads, std::uint64_t seed) {
     e.threads = threads;
     e.first_seed = seed;
-    const auto points = conduct(e);
+    const auto points = run_experiment(e);
     std::ostringstream all;
     write_summary(all, points);
     write_seconds(all, points);
@@ -500,23 +508,24 @@
 }
 
 TEST_CASE("lab: two policies on one seed are asked for the same") {
-  const scenario s = decode_scenario([] {
+  const Scenario s = decode_scenario([] {
     toml::table t = rough_table();
     t.erase("trouble");
     return t;
   }());
-  CHECK(play(s, policy::random, 5).arrived == play(s, policy::module, 5).arrived);
+  CHECK(run_simulation(s, PolicyKind::random, 5).arrived ==
+        run_simulation(s, PolicyKind::load_balancer, 5).arrived);
 }
 
 TEST_CASE("lab: quantiles, and which of them rest on too few samples") {
-  times t;
+  LatencyHistogram t;
   CHECK(t.quantile(0.5) == 0);
   for (int i = 1; i <= 1000; ++i) t.add(i);
   CHECK(t.quantile(0.5) == doctest::Approx(500).epsilon(0.01));
   CHECK(t.quantile(0.99) == doctest::Approx(990).epsilon(0.01));
-  CHECK_FALSE(t.few(0.99));
-  CHECK(t.few(0.999));
-  times more;
+  CHECK_FALSE(t.has_too_few_samples(0.99));
+  CHECK(t.has_too_few_samples(0.999));
+  LatencyHistogram more;
   more.add(t);
   more.add(t);
   CHECK(more.count() == 2000);
@@ -526,75 +535,76 @@
   t.add(0);
   CHECK(t.quantile(1) == 100000);
   // Student's t for 4 degrees of freedom is 2.776.
-  const spread s = spread_of({1, 2, 3, 4, 5});
+  const ConfidenceInterval s = confidence_interval({1, 2, 3, 4, 5});
   CHECK(s.mean == 3);
-  CHECK(s.half == doctest::Approx(2.776 * std::sqrt(2.5 / 5)).epsilon(0.001));
-  CHECK(spread_of({4}).half == 0);
+  CHECK(s.half_width == doctest::Approx(2.776 * std::sqrt(2.5 / 5)).epsilon(0.001));
+  CHECK(confidence_interval({4}).half_width == 0);
 }
 
 // ---- the auditor --------------------------------------------------------------------------------------
 
 namespace {
 
-using what = entry::what;
+using What = TraceEvent::Kind;
 
-entry at(double when, what is, std::uint64_t rpc = 0, int pick = 0, std::uint32_t server = 0) {
-  entry e{is};
-  e.at = when;
+TraceEvent at(double when, What is, std::uint64_t rpc = 0, int pick = 0, std::uint32_t server = 0) {
+  TraceEvent e{is};
+  e.time_ms = when;
   e.rpc = rpc;
-  e.pick = pick;
+  e.attempt = pick;
   e.server = server;
   return e;
 }
-entry taken(double when, std::uint64_t rpc, repeatable repeats, group drops = group::everywhere) {
-  entry e = at(when, what::rpc_taken, rpc);
-  e.deadline = when + 100;
-  e.repeats = repeats;
-  e.drops = drops;
-  e.remembers = 50;
+TraceEvent taken(double when, std::uint64_t rpc, RetrySafety repeats,
+                 DeduplicationScope drops = DeduplicationScope::global) {
+  TraceEvent e = at(when, What::rpc_received, rpc);
+  e.deadline_ms = when + 100;
+  e.retry_safety = repeats;
+  e.deduplication_scope = drops;
+  e.deduplication_window_ms = 50;
   return e;
 }
-entry over(double when, std::uint64_t rpc, int pick, std::uint32_t server, ending how) {
-  entry e = at(when, what::pick_over, rpc, pick, server);
-  e.how = how;
+TraceEvent over(double when, std::uint64_t rpc, int pick, std::uint32_t server, AttemptOutcome how) {
+  TraceEvent e = at(when, What::attempt_finished, rpc, pick, server);
+  e.outcome = how;
   return e;
 }
-entry answers(double when, std::uint64_t rpc, answer a) {
-  entry e = at(when, what::answered, rpc);
-  e.final = a;
+TraceEvent answers(double when, std::uint64_t rpc, RpcAnswer a) {
+  TraceEvent e = at(when, What::answered, rpc);
+  e.answer = a;
   return e;
 }
-entry told(double when, std::uint32_t server, standing is, double started = 0) {
-  entry e = at(when, what::told, 0, 0, server);
+TraceEvent told(double when, std::uint32_t server, EndpointState is, double started = 0) {
+  TraceEvent e = at(when, What::endpoint_notified, 0, 0, server);
   e.state = is;
-  e.started = started;
+  e.started_at_ms = started;
   return e;
 }
-entry server_is(double when, std::uint32_t server, double started = 0, int zone = 0, int cell = 0) {
-  entry e = at(when, what::server_is, 0, 0, server);
+TraceEvent server_is(double when, std::uint32_t server, double started = 0, int zone = 0, int cell = 0) {
+  TraceEvent e = at(when, What::server_state, 0, 0, server);
   e.capacity = 1;
-  e.started = started;
-  e.cold_from = 0.1;
-  e.cold_for = 100000;
+  e.started_at_ms = started;
+  e.slow_start_initial_capacity = 0.1;
+  e.slow_start_duration_ms = 100000;
   e.zone = zone;
   e.cell = cell;
   return e;
 }
-entry came(double when, std::uint32_t server, double work, std::uint64_t rpc = 9) {
-  entry e = at(when, what::pick_came, rpc, 0, server);
-  e.work = work;
+TraceEvent came(double when, std::uint32_t server, double work, std::uint64_t rpc = 9) {
+  TraceEvent e = at(when, What::attempt_received, rpc, 0, server);
+  e.work_ms = work;
   return e;
 }
 
 }  // namespace
 
 TEST_CASE("lab: the auditor names what broken records break, and nothing in sound ones") {
-  const auto idem = repeatable::idempotent, once = repeatable::non_idempotent,
-             dedup = repeatable::deduplicated;
-  const auto decided = what::pick_decided, written = what::pick_written, began = what::pick_began;
+  const auto idem = RetrySafety::idempotent, once = RetrySafety::non_idempotent,
+             dedup = RetrySafety::idempotency_key;
+  const auto decided = What::attempt_decided, written = What::attempt_sent, began = What::attempt_started;
   struct {
     const char* name;
-    std::vector<entry> record;
+    std::vector<TraceEvent> record;
     int rule;  // 0: sound
     std::uint64_t rpc;
     std::uint32_t server;
@@ -602,33 +612,44 @@
   } table[] = {
       {"served once",
        {taken(0, 1, once), at(0, decided, 1, 0, 4), at(0, written, 1, 0, 4), at(1, began, 1, 0, 4),
-        over(9, 1, 0, 4, ending::ok), answers(9, 1, answer::ok), at(200, what::end)},
+        over(9, 1, 0, 4, AttemptOutcome::ok), answers(9, 1, RpcAnswer::ok), at(200, What::run_ended)},
+       0,
+       0,
+       0,
+       0},
+      {"no answer", {taken(0, 1, idem), at(200, What::run_ended)}, 1, 1, 0, 200},
+      {"not yet due at the end", {taken(150, 1, idem), at(200, What::run_ended)}, 0, 0, 0, 0},
+      {"its sidecar died",
+       {taken(0, 1, idem), at(5, What::sidecar_died), at(200, What::run_ended)},
+       0,
+       0,
+       0,
+       0},
+      {"its client left",
+       {taken(0, 1, idem), at(5, What::client_disconnected, 1), at(200, What::run_ended)},
        0,
        0,
        0,
        0},
-      {"no answer", {taken(0, 1, idem), at(200, what::end)}, 1, 1, 0, 200},
-      {"not yet due at the end", {taken(150, 1, idem), at(200, what::end)}, 0, 0, 0, 0},
-      {"its sidecar died", {taken(0, 1, idem), at(5, what::sidecar_died), at(200, what::end)}, 0, 0, 0, 0},
-      {"its client left", {taken(0, 1, idem), at(5, what::client_left, 1), at(200, what::end)}, 0, 0, 0, 0},
       {"two answers",
-       {taken(0, 1, idem), answers(5, 1, answer::pushed_back), answers(6, 1, answer::aborted)},
+       {taken(0, 1, idem), answers(5, 1, RpcAnswer::rejected), answers(6, 1, RpcAnswer::failed)},
        1,
        1,
        0,
        6},
-      {"answered late", {taken(0, 1, idem), answers(101, 1, answer::aborted)}, 1, 1, 0, 101},
-      {"ok without a server", {taken(0, 1, idem), answers(5, 1, answer::ok)}, 1, 1, 0, 5},
+      {"answered late", {taken(0, 1, idem), answers(101, 1, RpcAnswer::failed)}, 1, 1, 0, 101},
+      {"ok without a server", {taken(0, 1, idem), answers(5, 1, RpcAnswer::ok)}, 1, 1, 0, 5},
       {"taken twice", {taken(0, 1, idem), taken(1, 1, idem)}, 1, 1, 0, 1},
-      {"answered, though never taken", {answers(5, 3, answer::aborted)}, 1, 3, 0, 5},
+      {"answered, though never taken", {answers(5, 3, RpcAnswer::failed)}, 1, 3, 0, 5},
       {"a pick after the answer",
-       {taken(0, 1, idem), answers(5, 1, answer::aborted), at(6, decided, 1, 0, 4)},
+       {taken(0, 1, idem), answers(5, 1, RpcAnswer::failed), at(6, decided, 1, 0, 4)},
        1,
        1,
        4,
        6},
       {"written after the answer",
-       {taken(0, 1, idem), at(1, decided, 1, 0, 4), answers(5, 1, answer::aborted), at(6, written, 1, 0, 4)},
+       {taken(0, 1, idem), at(1, decided, 1, 0, 4), answers(5, 1, RpcAnswer::failed),
+        at(6, written, 1, 0, 4)},
        1,
        1,
        4,
@@ -646,62 +667,64 @@
        5,
        2},
       {"a second pick after a time-out",
-       {taken(0, 1, once), at(0, decided, 1, 0, 4), over(9, 1, 0, 4, ending::timed_out),
+       {taken(0, 1, once), at(0, decided, 1, 0, 4), over(9, 1, 0, 4, AttemptOutcome::timed_out),
         at(10, decided, 1, 1, 5)},
        2,
        1,
        5,
        10},
       {"a second pick after a failed connect",
-       {taken(0, 1, once), at(0, decided, 1, 0, 4), over(9, 1, 0, 4, ending::connect_failed),
+       {taken(0, 1, once), at(0, decided, 1, 0, 4), over(9, 1, 0, 4, AttemptOutcome::connect_failed),
         at(10, decided, 1, 1, 5)},
        0,
        0,
        0,
        0},
       {"an idempotent one may go twice",
-       {taken(0, 1, idem), at(0, decided, 1, 0, 4), over(9, 1, 0, 4, ending::reset),
+       {taken(0, 1, idem), at(0, decided, 1, 0, 4), over(9, 1, 0, 4, AttemptOutcome::reset),
         at(10, decided, 1, 1, 5)},
        0,
        0,
        0,
        0},
       {"pushed back though it may have run",
-       {taken(0, 1, once), at(0, decided, 1, 0, 4), over(9, 1, 0, 4, ending::cancelled),
-        answers(10, 1, answer::pushed_back)},
+       {taken(0, 1, once), at(0, decided, 1, 0, 4), over(9, 1, 0, 4, AttemptOutcome::cancelled),
+        answers(10, 1, RpcAnswer::rejected)},
        2,
        1,
        0,
        10},
       {"ran though held not to have",
-       {taken(0, 1, once), at(0, decided, 1, 0, 4), over(9, 1, 0, 4, ending::full), at(10, began, 1, 0, 4)},
+       {taken(0, 1, once), at(0, decided, 1, 0, 4), over(9, 1, 0, 4, AttemptOutcome::rejected),
+        at(10, began, 1, 0, 4)},
        2,
        1,
        4,
        10},
       {"ran, then held not to have",
-       {taken(0, 1, once), at(0, decided, 1, 0, 4), at(1, began, 1, 0, 4), over(9, 1, 0, 4, ending::full)},
+       {taken(0, 1, once), at(0, decided, 1, 0, 4), at(1, began, 1, 0, 4),
+        over(9, 1, 0, 4, AttemptOutcome::rejected)},
        2,
        1,
        4,
        9},
       {"ran on a server that nobody picked", {taken(0, 1, once), at(3, began, 1, 0, 4)}, 1, 1, 4, 3},
       {"deduplicated within its zone",
-       {server_is(0, 4, 0, 1), server_is(0, 5, 0, 1), taken(0, 1, dedup, group::zone),
+       {server_is(0, 4, 0, 1), server_is(0, 5, 0, 1), taken(0, 1, dedup, DeduplicationScope::zone),
         at(0, decided, 1, 0, 4), at(10, decided, 1, 1, 5)},
        0,
        0,
        0,
        0},
       {"deduplicated outside its zone",
-       {server_is(0, 4, 0, 1), server_is(0, 5, 0, 2), taken(0, 1, dedup, group::zone),
+       {server_is(0, 4, 0, 1), server_is(0, 5, 0, 2), taken(0, 1, dedup, DeduplicationScope::zone),
         at(0, decided, 1, 0, 4), at(10, decided, 1, 1, 5)},
        2,
        1,
        5,
        10},
       {"deduplicated outside its cell",
-       {server_is(0, 4, 0, 1, 1), server_is(0, 5, 0, 1, 2), taken(0, 1, dedup, group::cell),
+       {server_is(0, 4, 0, 1, 1), server_is(0, 5, 0, 1, 2), taken(0, 1, dedup, DeduplicationScope::cell),
         at(0, decided, 1, 0, 4), at(10, decided, 1, 1, 5)},
        2,
        1,
@@ -714,80 +737,80 @@
        4,
        51},
       {"a zone's pushed back",
-       {taken(0, 1, dedup, group::zone), at(0, decided, 1, 0, 4), over(5, 1, 0, 4, ending::reset),
-        answers(6, 1, answer::pushed_back)},
+       {taken(0, 1, dedup, DeduplicationScope::zone), at(0, decided, 1, 0, 4),
+        over(5, 1, 0, 4, AttemptOutcome::reset), answers(6, 1, RpcAnswer::rejected)},
        2,
        1,
        0,
        6},
       {"within the grace",
-       {told(0, 4, standing::draining), taken(480, 1, idem), at(490, decided, 1, 0, 4),
+       {told(0, 4, EndpointState::draining), taken(480, 1, idem), at(490, decided, 1, 0, 4),
         at(499, written, 1, 0, 4)},
        0,
        0,
        0,
        0},
       {"after the grace",
-       {told(0, 4, standing::draining), taken(480, 1, idem), at(490, decided, 1, 0, 4),
+       {told(0, 4, EndpointState::draining), taken(480, 1, idem), at(490, decided, 1, 0, 4),
         at(501, written, 1, 0, 4)},
        3,
        1,
        4,
        501},
       {"told twice, the first word counts",
-       {told(0, 4, standing::draining), told(400, 4, standing::gone), taken(480, 1, idem),
+       {told(0, 4, EndpointState::draining), told(400, 4, EndpointState::gone), taken(480, 1, idem),
         at(490, decided, 1, 0, 4), at(501, written, 1, 0, 4)},
        3,
        1,
        4,
        501},
       {"probed after the grace",
-       {told(0, 4, standing::gone), at(600, what::probe_written, 0, 0, 4)},
+       {told(0, 4, EndpointState::gone), at(600, What::health_check_sent, 0, 0, 4)},
        3,
        0,
        4,
        600},
       {"ready again",
-       {told(0, 4, standing::draining), told(400, 4, standing::ready, 300),
-        at(600, what::probe_written, 0, 0, 4)},
+       {told(0, 4, EndpointState::draining), told(400, 4, EndpointState::ready, 300),
+        at(600, What::health_check_sent, 0, 0, 4)},
        0,
        0,
        0,
        0},
       {"cold, within the multiple",  // 3 x 0.1 x 1500 = 450 ms of work, and a little more as it warms
-       {server_is(10, 4, 10), told(11, 4, standing::ready, 10), came(20, 4, 440)},
+       {server_is(10, 4, 10), told(11, 4, EndpointState::ready, 10), came(20, 4, 440)},
        0,
        0,
        0,
        0},
       {"cold, over it in one span",
-       {server_is(10, 4, 10), told(11, 4, standing::ready, 10), came(20, 4, 300), came(900, 4, 200)},
+       {server_is(10, 4, 10), told(11, 4, EndpointState::ready, 10), came(20, 4, 300), came(900, 4, 200)},
        4,
        9,
        4,
        900},
       {"cold, spread over two spans",
-       {server_is(10, 4, 10), told(11, 4, standing::ready, 10), came(20, 4, 300), came(1600, 4, 300)},
+       {server_is(10, 4, 10), told(11, 4, EndpointState::ready, 10), came(20, 4, 300), came(1600, 4, 300)},
        0,
        0,
        0,
        0},
       {"cold, by one that could not know", {server_is(10, 4, 10), came(20, 4, 3000)}, 0, 0, 0, 0},
-      {"warm", {server_is(0, 4, 0), told(1, 4, standing::ready), came(20, 4, 3000)}, 0, 0, 0, 0},
+      {"warm", {server_is(0, 4, 0), told(1, 4, EndpointState::ready), came(20, 4, 3000)}, 0, 0, 0, 0},
   };
   for (const auto& row : table) {
     CAPTURE(row.name);
-    auditor a({500, 3, 1500});
-    for (const entry& e : row.record) a.saw(e);
+    RuleChecker a({500, 3, 1500});
+    for (const TraceEvent& e : row.record) a.on_event(e);
     CHECK(a.count() == (row.rule ? 1 : 0));
-    if (!row.rule || a.breaches().empty()) continue;
-    const breach& b = a.breaches()[0];
+    if (!row.rule || a.violations().empty()) continue;
+    const RuleViolation& b = a.violations()[0];
     CAPTURE(describe(b));
     CHECK(b.rule == row.rule);
     CHECK(a.count(row.rule) == 1);
     CHECK(b.rpc == row.rpc);
     CHECK(b.server == row.server);
-    CHECK(b.at == row.when);
+    CHECK(b.time_ms == row.when);
   }
 }
 
@@ -822,12 +845,12 @@
   };
   for (const auto& row : table) {
     CAPTURE(row.in_place);
-    const folder f;
+    const Folder f;
     const std::string file = f.put("s.toml", with_line(row.what, row.in_place));
     std::string text;
     try {
-      decode_scenario(read_toml(file));
-    } catch (const faulty& e) {
+      decode_scenario(read_toml_file(file));
+    } catch (const ConfigError& e) {
       text = e.what();
     }
     CAPTURE(text);
@@ -839,7 +862,7 @@
     CHECK(err == text + "\n");
   }
   // All faults are told at once.
-  const folder f;
+  const Folder f;
   const std::string two = f.put("s.toml", with_line("queue = 6", "queue = -6\nnonsense = 1"));
   std::string err;
   CHECK(call({"run", two.c_str()}, nullptr, &err) == 2);
@@ -856,9 +879,9 @@
   CHECK(decode_scenario(t).sidecars == 9);
   for (const char* path : {"trouble[40].for_s", "nothing.here", "load.", "seconds[0]"}) {
     CAPTURE(path);
-    CHECK_THROWS_AS(set_value(t, path, 1), faulty);
+    CHECK_THROWS_AS(set_value(t, path, 1), ConfigError);
   }
-  CHECK_THROWS_AS(value_at(t, "load.none"), faulty);
+  CHECK_THROWS_AS(value_at(t, "load.none"), ConfigError);
   struct {
     const char* text;
     std::vector<double> values;  // empty: a fault
@@ -877,13 +900,13 @@
   for (const auto& row : table) {
     CAPTURE(row.text);
     if (row.values.empty())
-      CHECK_THROWS_AS(parse_axis(row.text), faulty);
+      CHECK_THROWS_AS(parse_axis(row.text), ConfigError);
     else
       CHECK(parse_axis(row.text).values == row.values);
   }
   toml::table with_ranges = rough_table();
   with_ranges.insert("ranges", toml::table{{"load.rate", toml::array{500, 100}}});
-  CHECK_THROWS_AS(decode_scenario(with_ranges), faulty);
+  CHECK_THROWS_AS(decode_scenario(with_ranges), ConfigError);
 }
 
 TEST_CASE("lab: the search finds the day that hurts and cuts it down") {
@@ -914,28 +937,29 @@
 "trouble[1].share" = [0.05, 0.9]
 "net.delay_ms" = [0.2, 0.3]
 )";
-  hunt h;
-  h.base = toml::parse(text);
-  set_value(*h.base.insert_or_assign("net", toml::table{}).first->second.as_table(), "delay_ms", 0.2);
-  h.against = policy::true_state;
-  h.tries = 16;
-  h.runs = 1;
+  WorstCaseSearch h;
+  h.base_scenario = toml::parse(text);
+  set_value(*h.base_scenario.insert_or_assign("net", toml::table{}).first->second.as_table(), "delay_ms",
+            0.2);
+  h.baseline = PolicyKind::true_state;
+  h.trial_count = 16;
+  h.runs_per_trial = 1;
   h.threads = 2;
-  const found_day d = search(h);
-  CHECK(d.loss > 0.02);
-  CHECK(d.smallest_loss >= h.keep * d.loss);
-  CHECK(value_at(d.worst, "trouble[1].share") > 0.1);
-  CHECK_FALSE(d.steps.empty());
-  CHECK(d.smallest["trouble"].as_array()->size() == 1);
-  CHECK(d.smallest["trouble"][0]["what"].value_or(std::string()) == "slow");
-  CHECK_NOTHROW(decode_scenario(d.smallest));
+  const WorstCase d = find_worst_case(h);
+  CHECK(d.worst_loss > 0.02);
+  CHECK(d.smallest_loss >= h.loss_fraction_kept * d.worst_loss);
+  CHECK(value_at(d.worst_scenario, "trouble[1].share") > 0.1);
+  CHECK_FALSE(d.reductions.empty());
+  CHECK(d.smallest_scenario["trouble"].as_array()->size() == 1);
+  CHECK(d.smallest_scenario["trouble"][0]["what"].value_or(std::string()) == "slow");
+  CHECK_NOTHROW(decode_scenario(d.smallest_scenario));
   // The same again, whatever the threads.
   h.threads = 1;
-  CHECK(search(h).loss == d.loss);
+  CHECK(find_worst_case(h).worst_loss == d.worst_loss);
 }
 
 TEST_CASE("lab: the command line plays, compares, sweeps, searches and says what is wrong") {
-  const folder f;
+  const Folder f;
   const std::string file = f.put("s.toml", std::string(rough) + "[ranges]\n\"load.rate\" = [100, 300]\n");
   const std::string to = (f.path / "out").string(), log = (f.path / "log.jsonl").string();
   std::string out, err;
@@ -945,7 +969,7 @@
   for (const char* name : {"summary.csv", "seconds.csv", "runs.jsonl", "plot.gp"})
     CHECK(std::filesystem::file_size(f.path / "out" / name) > 100);
   std::ifstream lines(log);
-  auditor again({500, 3, 1500});
+  RuleChecker again({500, 3, 1500});
   std::size_t count = 0;
   for (std::string line; std::getline(lines, line); ++count) REQUIRE(nlohmann::json::accept(line));
   CHECK(count > 1000);
--- a/tests/lease_test.cpp
+++ b/tests/lease_test.cpp
@@ -27,20 +27,20 @@
 // What was sent stays on the way for good: it is delivered at any later moment, never, or many times. A
 // process that stands still is one to which nothing is delivered. Any may restart and know nothing.
 
-struct bounds {
+struct Bounds {
   int ticks = 4, begins = 3, restarts = 1, leaves = 0;
 };
 
-struct on_the_way {
+struct OnTheWay {
   std::size_t from, to;
-  lease_word what;
+  LeaseMessage what;
   std::string text() const {
     constexpr const char* kinds[] = {"prepare", "promise", "propose", "accepted", "refused", "released"};
-    return std::string(kinds[static_cast<std::size_t>(what.what)])
+    return std::string(kinds[static_cast<std::size_t>(what.type)])
         .append(" ")
-        .append(std::to_string(what.number.round))
+        .append(std::to_string(what.ballot.round))
         .append(".")
-        .append(std::to_string(what.number.session))
+        .append(std::to_string(what.ballot.session))
         .append(what.holder.empty() ? "" : " for ")
         .append(what.holder)
         .append(" from ")
@@ -51,63 +51,63 @@
 };
 
 // Every message that was ever sent, once: a world holds their numbers.
-struct post_office {
-  std::vector<on_the_way> all;
+struct PostOffice {
+  std::vector<OnTheWay> all;
   std::unordered_map<std::string, std::uint16_t> numbers;
-  std::uint16_t number_of(const on_the_way& m) {
+  std::uint16_t number_of(const OnTheWay& m) {
     const auto [it, fresh] = numbers.emplace(m.text(), static_cast<std::uint16_t>(all.size()));
     if (fresh) all.push_back(m);
     return it->second;
   }
 };
 
-struct small_world {
-  struct person {
-    std::shared_ptr<const lease> is;
+struct SmallWorld {
+  struct Person {
+    std::shared_ptr<const LeaderLease> is;
     double clock = 0;
     std::string state;
   };
-  std::array<person, 3> all;
+  std::array<Person, 3> all;
   std::vector<std::uint16_t> net;  // in order
-  bounds left;
+  Bounds left;
 
-  void put(std::size_t i, lease is, post_office& post) {
-    person& p = all[i];
-    while (auto l = is.next()) {
+  void put(std::size_t i, LeaderLease is, PostOffice& post) {
+    Person& p = all[i];
+    while (auto l = is.next_message()) {
       // A refusal only makes its asker try again, which it may do here at any moment; so does what is left of
       // a lease, and what was given under it is the shares' affair.
-      if (l->what.what == lease_word::kind::refused) continue;
-      l->what.remaining = l->what.quiet = 0;
+      if (l->message.type == LeaseMessage::Type::rejected) continue;
+      l->message.remaining_ms = l->message.previous_leases_remaining_ms = 0;
       const std::uint16_t n =
-          post.number_of({i, static_cast<std::size_t>(l->to.front() - 'a'), std::move(l->what)});
+          post.number_of({i, static_cast<std::size_t>(l->recipient.front() - 'a'), std::move(l->message)});
       const auto where = std::lower_bound(net.begin(), net.end(), n);
       if (where == net.end() || *where != n) net.insert(where, n);
     }
-    p.state = is.state(p.clock);
-    p.is = std::make_shared<const lease>(std::move(is));
+    p.state = is.state_digest(p.clock);
+    p.is = std::make_shared<const LeaderLease>(std::move(is));
     // Answers to a round that its asker has left behind never count again.
     std::erase_if(net, [&](std::uint16_t n) {
-      const on_the_way& m = post.all[n];
-      const auto k = m.what.what;
-      return m.to == i && (k == lease_word::kind::promise || k == lease_word::kind::accepted) &&
-             !p.is->awaits(m.what.number, k);
+      const OnTheWay& m = post.all[n];
+      const auto k = m.what.type;
+      return m.to == i && (k == LeaseMessage::Type::promise || k == LeaseMessage::Type::accepted) &&
+             !p.is->is_awaiting(m.what.ballot, k);
     });
   }
   std::string key() const {
     std::string s;
-    for (const person& p : all) s.append(p.state).append("/");
+    for (const Person& p : all) s.append(p.state).append("/");
     s.append(reinterpret_cast<const char*>(net.data()), net.size() * sizeof net[0]);
     for (const int n : {left.ticks, left.begins, left.restarts, left.leaves}) s += static_cast<char>('0' + n);
     return s;
   }
   std::size_t holders() const {
     std::size_t n = 0;
-    for (const person& p : all) n += p.is->holds(p.clock);
+    for (const Person& p : all) n += p.is->is_holder(p.clock);
     return n;
   }
 };
 
-struct verdict {
+struct Verdict {
   std::size_t states = 0;
   std::vector<std::string> trace;  // to two holders; empty where there are none
 };
@@ -115,64 +115,68 @@
 // Rates: a slow clock makes two steps in a tick, a fast one four; a third off is the stated bound.
 constexpr double drift = 1.0 / 3;
 
-verdict explore(const std::array<double, 3>& rates, lease::guards stand, bounds within) {
+Verdict explore(const std::array<double, 3>& rates, LeaderLease::Safeguards stand, Bounds within) {
   constexpr double length = 4;
   const auto made = [&](std::size_t i, std::uint64_t session, double now) {
-    return lease({three[i], three, length, drift}, session, 1, now, stand);
+    return LeaderLease({three[i], three, length, drift}, session, 1, now, stand);
   };
-  post_office post;
-  small_world first;
+  PostOffice post;
+  SmallWorld first;
   first.left = within;
   for (std::size_t i = 0; i < 3; ++i) first.put(i, made(i, i, -2 * length), post);  // long enough ago to vote
-  struct step {
+  struct Step {
     std::size_t parent;
     std::string what;
   };
-  std::vector<step> steps{{0, ""}};
+  std::vector<Step> steps{{0, ""}};
   std::unordered_set<std::string> seen{first.key()};
-  std::queue<std::pair<std::size_t, small_world>> todo;
+  std::queue<std::pair<std::size_t, SmallWorld>> todo;
   todo.emplace(0, first);
-  verdict v;
+  Verdict v;
   bool broke = false;
   while (!todo.empty() && !broke) {
-    const auto [id, w] = std::move(todo.front());
+    const std::pair<std::size_t, SmallWorld> visited = std::move(todo.front());
+    const auto& id = visited.first;
+    const SmallWorld& w = visited.second;
     todo.pop();
-    const auto reach = [&, id = id](small_world next, const std::string& how) {
+    const auto reach = [&, id = id](SmallWorld next, const std::string& how) {
       if (broke || !seen.insert(next.key()).second) return;
       steps.push_back({id, how});
       broke = next.holders() > 1;
       if (!broke) todo.emplace(steps.size() - 1, std::move(next));
     };
-    const auto act = [&](std::size_t i, int bounds::*less, const std::string& how, auto&& what) {
+    const auto act = [&](std::size_t i, int Bounds::*less, const std::string& how, auto&& what) {
       if (less && w.left.*less == 0) return;
-      small_world next = w;
+      SmallWorld next = w;
       if (less) --(next.left.*less);
-      lease is = *w.all[i].is;
+      LeaderLease is = *w.all[i].is;
       what(is);
       next.put(i, std::move(is), post);
       reach(std::move(next), how);
     };
     if (w.left.ticks > 0) {
-      small_world next = w;
+      SmallWorld next = w;
       --next.left.ticks;
       for (std::size_t i = 0; i < 3; ++i) {
         next.all[i].clock += rates[i];
-        next.all[i].state = next.all[i].is->state(next.all[i].clock);
+        next.all[i].state = next.all[i].is->state_digest(next.all[i].clock);
       }
       reach(std::move(next), "time passes");
     }
     for (const std::uint16_t n : w.net) {
-      const on_the_way m = post.all[n];
-      act(m.to, nullptr, m.text(), [&](lease& l) { l.heard(w.all[m.to].clock, three[m.from], m.what); });
+      const OnTheWay m = post.all[n];
+      act(m.to, nullptr, m.text(),
+          [&](LeaderLease& l) { l.on_message(w.all[m.to].clock, three[m.from], m.what); });
     }
     for (std::size_t i = 0; i < 3; ++i) {
       const double now = w.all[i].clock;
-      if (i < 2) act(i, &bounds::begins, three[i] + std::string(" asks"), [&](lease& l) { l.begin(now); });
-      act(i, &bounds::restarts, three[i] + std::string(" restarts"), [&](lease& l) {
+      if (i < 2)
+        act(i, &Bounds::begins, three[i] + std::string(" asks"), [&](LeaderLease& l) { l.start_round(now); });
+      act(i, &Bounds::restarts, three[i] + std::string(" restarts"), [&](LeaderLease& l) {
         l = made(i, std::uint64_t{10} + static_cast<std::uint64_t>(w.left.restarts), now);
       });
-      if (w.all[i].is->holds(now))
-        act(i, &bounds::leaves, three[i] + std::string(" leaves"), [&](lease& l) { l.leave(now); });
+      if (w.all[i].is->is_holder(now))
+        act(i, &Bounds::leaves, three[i] + std::string(" leaves"), [&](LeaderLease& l) { l.resign(now); });
     }
   }
   if (broke)
@@ -187,10 +191,10 @@
 TEST_CASE("lease model: no reachable state has two holders") {
   struct {
     std::array<double, 3> rates;
-    bounds within;
+    Bounds within;
   } rows[]{{{2, 4, 4}, {2, 2, 1, 0}}, {{4, 2, 4}, {2, 2, 0, 1}}, {{2, 4, 4}, {3, 2, 0, 0}}};
   for (const auto& row : rows) {
-    const verdict v = explore(row.rates, {}, row.within);
+    const Verdict v = explore(row.rates, {}, row.within);
     MESSAGE("lease model: " << v.states << " states");
     CHECK(v.states > 1000);
     CHECK(v.trace.empty());
@@ -200,18 +204,18 @@
 TEST_CASE("lease model: with any guard taken out two holders are found, with the way there") {
   struct {
     const char* name;
-    void (*without)(lease::guards&);
-  } rows[]{{"abstains", [](lease::guards& g) { g.abstains = false; }},
-           {"counts early", [](lease::guards& g) { g.counts_early = false; }},
-           {"respects", [](lease::guards& g) { g.respects = false; }},
-           {"keeps its word", [](lease::guards& g) { g.keeps_word = false; }},
-           {"allows for drift", [](lease::guards& g) { g.allows_drift = false; }},
-           {"looks at the clock", [](lease::guards& g) { g.looks_at_clock = false; }}};
+    void (*without)(LeaderLease::Safeguards&);
+  } rows[]{{"abstains", [](LeaderLease::Safeguards& g) { g.abstain_after_start = false; }},
+           {"counts early", [](LeaderLease::Safeguards& g) { g.expire_from_round_start = false; }},
+           {"respects", [](LeaderLease::Safeguards& g) { g.yield_to_known_holder = false; }},
+           {"keeps its word", [](LeaderLease::Safeguards& g) { g.reject_lower_ballots = false; }},
+           {"allows for drift", [](LeaderLease::Safeguards& g) { g.allow_clock_drift = false; }},
+           {"looks at the clock", [](LeaderLease::Safeguards& g) { g.check_expiry = false; }}};
   for (const auto& row : rows) {
     CAPTURE(std::string(row.name));
-    lease::guards g;
+    LeaderLease::Safeguards g;
     row.without(g);
-    const verdict v = explore({2, 4, 4}, g, {2, 2, g.abstains ? 0 : 1, 0});
+    const Verdict v = explore({2, 4, 4}, g, {2, 2, g.abstain_after_start ? 0 : 1, 0});
     CHECK_FALSE(v.trace.empty());
     std::string way;
     for (const std::string& s : v.trace) way.append("\n    ").append(s);
@@ -225,26 +229,26 @@
 
 namespace {
 
-struct rough_town {
-  struct letter {
+struct RoughTown {
+  struct Letter {
     double at;
     std::size_t to;
     std::string from;
-    lease_word what;
-    bool operator>(const letter& o) const { return at > o.at; }
+    LeaseMessage what;
+    bool operator>(const Letter& o) const { return at > o.at; }
   };
   std::vector<std::string> names;
-  std::vector<std::unique_ptr<lease>> all;
+  std::vector<std::unique_ptr<LeaderLease>> all;
   std::vector<double> rate, paused_until;
   std::vector<bool> up;
-  std::priority_queue<letter, std::vector<letter>, std::greater<>> net;
+  std::priority_queue<Letter, std::vector<Letter>, std::greater<>> net;
   std::mt19937_64 chance;
   double now = 0, loss = 0, late = 0;
   std::uint64_t sessions = 1;
   double without = 0, longest_without = 0;
   std::size_t most_holders = 0;
 
-  rough_town(std::size_t n, std::uint64_t seed, double off) : chance(seed) {
+  RoughTown(std::size_t n, std::uint64_t seed, double off) : chance(seed) {
     for (std::size_t i = 0; i < n; ++i) names.push_back(std::string("v").append(std::to_string(i)));
     all.resize(n), up.resize(n, true), paused_until.resize(n);
     for (std::size_t i = 0; i < n; ++i) {
@@ -256,34 +260,35 @@
   double clock(std::size_t i) const { return 1e6 * static_cast<double>(i) + now * rate[i]; }
   void start(std::size_t i) {
     up[i] = true;
-    all[i] =
-        std::make_unique<lease>(lease::traits{names[i], names, 1000, 0.01}, sessions++, chance(), clock(i));
+    all[i] = std::make_unique<LeaderLease>(LeaderLease::Config{names[i], names, 1000, 0.01}, sessions++,
+                                           chance(), clock(i));
   }
   bool runs(std::size_t i) const { return up[i] && paused_until[i] <= now; }
   void send(std::size_t i) {
-    while (auto l = all[i]->next()) {
-      const auto to = static_cast<std::size_t>(std::find(names.begin(), names.end(), l->to) - names.begin());
+    while (auto l = all[i]->next_message()) {
+      const auto to =
+          static_cast<std::size_t>(std::find(names.begin(), names.end(), l->recipient) - names.begin());
       for (int copies = unit() < 0.1 ? 2 : 1; copies > 0; --copies)
         if (unit() >= loss)
-          net.push({now + 1 + 20 * unit() + (unit() < late ? 5000 * unit() : 0), to, names[i], l->what});
+          net.push({now + 1 + 20 * unit() + (unit() < late ? 5000 * unit() : 0), to, names[i], l->message});
     }
   }
   void run(double span) {
     constexpr double step = 5;
     for (const double until = now + span; now < until; now += step) {
       for (std::size_t i = 0; i < all.size(); ++i)
-        if (runs(i)) all[i]->due(clock(i)), send(i);
+        if (runs(i)) all[i]->on_timer(clock(i)), send(i);
       while (!net.empty() && net.top().at <= now) {
-        const letter m = net.top();
+        const Letter m = net.top();
         net.pop();
         // A process that stands still finds its letters when it goes on.
         if (up[m.to] && !runs(m.to)) net.push({paused_until[m.to], m.to, m.from, m.what});
         if (!runs(m.to)) continue;
-        all[m.to]->heard(clock(m.to), m.from, m.what), send(m.to);
+        all[m.to]->on_message(clock(m.to), m.from, m.what), send(m.to);
       }
       // One that stands still counts too: it would go on with what it holds.
       std::size_t n = 0;
-      for (std::size_t i = 0; i < all.size(); ++i) n += up[i] && all[i]->holds(clock(i));
+      for (std::size_t i = 0; i < all.size(); ++i) n += up[i] && all[i]->is_holder(clock(i));
       most_holders = std::max(most_holders, n);
       without = n == 0 ? without + step : 0;
       longest_without = std::max(longest_without, without);
@@ -294,7 +299,7 @@
 }  // namespace
 
 TEST_CASE("lease: one holder soon, and at most two leases without one after its death") {
-  rough_town t(5, 3, 0.01);
+  RoughTown t(5, 3, 0.01);
   t.run(3000);
   REQUIRE(t.most_holders == 1);
   t.longest_without = 0;
@@ -302,7 +307,7 @@
   CHECK(t.longest_without == 0);
   for (int death = 0; death < 20; ++death) {
     for (std::size_t i = 0; i < 5; ++i)
-      if (t.all[i]->holds(t.clock(i))) t.up[i] = false;
+      if (t.all[i]->is_holder(t.clock(i))) t.up[i] = false;
     t.run(4000);
     for (std::size_t i = 0; i < 5; ++i)
       if (!t.up[i]) t.start(i);
@@ -313,24 +318,24 @@
 }
 
 TEST_CASE("lease: whoever leaves in order is followed at once, and its end is told") {
-  rough_town t(3, 5, 0.01);
+  RoughTown t(3, 5, 0.01);
   t.run(3000);
   std::size_t was = 9;
   for (std::size_t i = 0; i < 3; ++i)
-    if (t.all[i]->holds(t.clock(i))) was = i;
+    if (t.all[i]->is_holder(t.clock(i))) was = i;
   REQUIRE(was < 3);
   t.longest_without = 0;
-  t.all[was]->leave(t.clock(was));
+  t.all[was]->resign(t.clock(was));
   t.send(was);
-  CHECK_FALSE(t.all[was]->holds(t.clock(was)));
+  CHECK_FALSE(t.all[was]->is_holder(t.clock(was)));
   t.run(100);
   t.up[was] = false;
   t.run(900);
   CHECK(t.longest_without < 500);
   for (std::size_t i = 0; i < 3; ++i)
-    if (i != was && t.all[i]->holds(t.clock(i))) {
+    if (i != was && t.all[i]->is_holder(t.clock(i))) {
       // What the former one gave may be in use for the rest of its lease.
-      CHECK(t.all[i]->quiet_from() > t.clock(i) - 900);
+      CHECK(t.all[i]->previous_leases_expired_at() > t.clock(i) - 900);
       was = i;
     }
   CHECK(t.most_holders == 1);
@@ -339,26 +344,26 @@
 TEST_CASE("lease: a holder that restarts is not the holder that it was") {
   for (const bool guarded : {true, false}) {
     CAPTURE(guarded);
-    lease::guards g;
-    g.is_itself = guarded;
-    lease other({"b", {"b", "a", "c"}, 1000, 0.01}, 2, 1, -3000, g),
+    LeaderLease::Safeguards g;
+    g.identify_holder_by_session = guarded;
+    LeaderLease other({"b", {"b", "a", "c"}, 1000, 0.01}, 2, 1, -3000, g),
         again({"a", {"a", "b", "c"}, 1000, 0.01}, 3, 1, -3000, g);
-    other.heard(0, "a", {lease_word::kind::prepare, {1, 1}, "a", 1, 0, 0});
-    other.heard(0, "a", {lease_word::kind::propose, {1, 1}, "a", 1, 0, 0});
-    while (other.next()) continue;
-    again.heard(0, "a", {lease_word::kind::prepare, {1, 1}, "a", 1, 0, 0});
-    while (again.next()) continue;
-    again.begin(10);
-    while (again.next()) continue;
-    again.begin(10);
-    while (auto l = again.next())
-      if (l->to == "b") other.heard(10, "a", l->what);
+    other.on_message(0, "a", {LeaseMessage::Type::prepare, {1, 1}, "a", 1, 0, 0});
+    other.on_message(0, "a", {LeaseMessage::Type::propose, {1, 1}, "a", 1, 0, 0});
+    while (other.next_message()) continue;
+    again.on_message(0, "a", {LeaseMessage::Type::prepare, {1, 1}, "a", 1, 0, 0});
+    while (again.next_message()) continue;
+    again.start_round(10);
+    while (again.next_message()) continue;
+    again.start_round(10);
+    while (auto l = again.next_message())
+      if (l->recipient == "b") other.on_message(10, "a", l->message);
     for (int turn = 0; turn < 4; ++turn) {
-      while (auto l = other.next()) again.heard(10, "b", l->what);
-      while (auto l = again.next())
-        if (l->to == "b") other.heard(10, "a", l->what);
+      while (auto l = other.next_message()) again.on_message(10, "b", l->message);
+      while (auto l = again.next_message())
+        if (l->recipient == "b") other.on_message(10, "a", l->message);
     }
-    CHECK(again.holds(10) == !guarded);
+    CHECK(again.is_holder(10) == !guarded);
   }
 }
 
@@ -368,7 +373,7 @@
   std::uint64_t takeovers = 0;
   for (std::uint64_t seed = 1; seed <= 12; ++seed) {
     CAPTURE(seed);
-    rough_town t(seed % 2 ? 3 : 5, seed, 0.01);
+    RoughTown t(seed % 2 ? 3 : 5, seed, 0.01);
     t.loss = 0.02 * static_cast<double>(seed % 5);
     t.late = 0.05;
     for (int act = 0; act < 150; ++act) {
--- a/tests/limits_test.cpp
+++ b/tests/limits_test.cpp
@@ -9,7 +9,7 @@
 #include <random>
 
 using namespace indigorill;
-using kind = limits::kind;
+using Kind = FleetLimiter::Resource;
 
 namespace {
 
@@ -19,27 +19,27 @@
   return all;
 }
 
-std::vector<limits> fleet(const bounds_of_all& b, int there, double told, bool by_turns, int of_servers) {
-  std::vector<limits> all;
+std::vector<FleetLimiter> fleet(const FleetLimits& b, int there, double told, bool by_turns, int of_servers) {
+  std::vector<FleetLimiter> all;
   for (int i = 0; i < there; ++i) {
-    place_among p{told, 1, {}};
-    if (by_turns) p.turn = i;
+    InstancePosition p{told, 1, {}};
+    if (by_turns) p.index = i;
     all.emplace_back(b, p, 1000003ULL * static_cast<std::uint64_t>(i) + 7);
-    all.back().listed(servers(of_servers));
+    all.back().update_endpoints(servers(of_servers));
   }
   return all;
 }
 
 // The most grants of a rate at one server within any window of a second, where all ask all the time.
-double most_in_a_second(std::vector<limits>& all, kind what, const std::string& server, double from,
+double most_in_a_second(std::vector<FleetLimiter>& all, Kind what, const std::string& server, double from,
                         double until) {
   constexpr double step = 50, window = 1000;
   std::deque<std::pair<double, double>> recent;
   double sum = 0, most = 0;
   for (double now = from; now < until; now += step) {
     double here = 0;
-    for (limits& l : all)
-      while (l.take(what, server, now)) ++here;
+    for (FleetLimiter& l : all)
+      while (l.acquire(what, server, now)) ++here;
     recent.emplace_back(now, here);
     sum += here;
     while (recent.front().first <= now - window) sum -= recent.front().second, recent.pop_front();
@@ -56,15 +56,15 @@
     for (const int n : {1, 2, 7, 60, 400, 3000, 10000}) {
       CAPTURE(by_turns);
       CAPTURE(n);
-      bounds_of_all b;
-      b.handshakes = 50;
-      std::vector<limits> all = fleet(b, n, n, by_turns, 3);
+      FleetLimits b;
+      b.handshakes_per_second = 50;
+      std::vector<FleetLimiter> all = fleet(b, n, n, by_turns, 3);
       // Unix time, as the sidecars have it: a start in the middle of everything.
       const double start = 1.8e12;
       const double most =
-          most_in_a_second(all, kind::handshake, "s101", start, start + (n > 1000 ? 3000 : 10000));
-      CHECK(most <= b.handshakes);
-      CHECK(most > (by_turns ? 0.3 : 0.05) * b.handshakes);  // and is of use
+          most_in_a_second(all, Kind::handshake, "s101", start, start + (n > 1000 ? 3000 : 10000));
+      CHECK(most <= b.handshakes_per_second);
+      CHECK(most > (by_turns ? 0.3 : 0.05) * b.handshakes_per_second);  // and is of use
     }
 }
 
@@ -74,11 +74,11 @@
       CAPTURE(by_turns);
       CAPTURE(told);
       constexpr int n = 800;
-      bounds_of_all b;
-      b.handshakes = 40;
-      std::vector<limits> all = fleet(b, n, n * told, by_turns, 3);
-      const double most = most_in_a_second(all, kind::handshake, "s100", 0, 8000);
-      CHECK(most <= b.handshakes * std::max(1 / told, 1.0));
+      FleetLimits b;
+      b.handshakes_per_second = 40;
+      std::vector<FleetLimiter> all = fleet(b, n, n * told, by_turns, 3);
+      const double most = most_in_a_second(all, Kind::handshake, "s100", 0, 8000);
+      CHECK(most <= b.handshakes_per_second * std::max(1 / told, 1.0));
       CHECK(most > 0);
     }
 }
@@ -89,10 +89,10 @@
     for (const int n : {3, 50, 1000}) {
       CAPTURE(by_turns);
       CAPTURE(n);
-      bounds_of_all b;
+      FleetLimits b;
       b.connections = 100;
       constexpr int of_servers = 5;
-      std::vector<limits> all = fleet(b, n, n, by_turns, of_servers);
+      std::vector<FleetLimiter> all = fleet(b, n, n, by_turns, of_servers);
       const std::vector<std::string> names = servers(of_servers);
       std::mt19937_64 chance(5);
       std::vector<std::vector<int>> held(all.size(), std::vector<int>(of_servers, 0));
@@ -101,14 +101,14 @@
       for (double now = 0; now < 45000; now += 250) {
         for (std::size_t i = 0; i < all.size(); ++i) {
           const std::size_t s = chance() % of_servers;
-          while (held[i][s] > 0 && !all[i].keeps(names[s], now)) {
-            all[i].give_back(names[s]);
+          while (held[i][s] > 0 && !all[i].within_connection_limit(names[s], now)) {
+            all[i].release_connection(names[s]);
             --held[i][s], --sum[s];
           }
           if (chance() % 3 == 0 && held[i][s] > 0) {
-            all[i].give_back(names[s]);
+            all[i].release_connection(names[s]);
             --held[i][s], --sum[s];
-          } else if (all[i].open(names[s], now)) {
+          } else if (all[i].open_connection(names[s], now)) {
             ++held[i][s], ++sum[s];
           }
           most = std::max(most, sum[s]);
@@ -119,8 +119,8 @@
       std::uint64_t by_count = 0;
       for (std::size_t i = 0; i < all.size(); ++i) {
         for (std::size_t s = 0; s < of_servers; ++s)
-          for (; held[i][s] > 0; --held[i][s]) all[i].give_back(names[s]);
-        by_count += all[i].held();
+          for (; held[i][s] > 0; --held[i][s]) all[i].release_connection(names[s]);
+        by_count += all[i].open_connections();
       }
       CHECK(by_count == 0);
     }
@@ -130,17 +130,17 @@
   constexpr int n = 600, of_servers = 30;
   for (const bool by_turns : {false, true}) {
     CAPTURE(by_turns);
-    bounds_of_all b;
+    FleetLimits b;
     b.connections = 100;  // 50 in each slot: 30 x 50 / 600 = 2.5 servers for an instance by turns
-    std::vector<limits> all = fleet(b, n, n, by_turns, of_servers);
+    std::vector<FleetLimiter> all = fleet(b, n, n, by_turns, of_servers);
     const std::vector<std::string> names = servers(of_servers);
     int without = 0, never = 0;
-    for (limits& l : all) {
+    for (FleetLimiter& l : all) {
       std::vector<bool> met(of_servers, false);
       for (double now = 0; now < 6000000; now += 10000) {
         int open = 0;
         for (int s = 0; s < of_servers; ++s) {
-          const bool may = l.may_open(names[static_cast<std::size_t>(s)], now);
+          const bool may = l.may_open_connection(names[static_cast<std::size_t>(s)], now);
           open += may;
           if (may) met[static_cast<std::size_t>(s)] = true;
         }
@@ -154,16 +154,16 @@
 }
 
 TEST_CASE("limits: a busy one is not held to the mean, a heavier one has more") {
-  bounds_of_all b;
+  FleetLimits b;
   b.connections = 200;
   constexpr int n = 1000, of_servers = 40;
   const std::vector<std::string> names = servers(of_servers);
   const auto opens = [&](double weight) {
-    limits l(b, {n, weight, {}}, 3);
-    l.listed(names);
+    FleetLimiter l(b, {n, weight, {}}, 3);
+    l.update_endpoints(names);
     int open = 0;
     for (const std::string& s : names)
-      while (l.open(s, 0)) ++open;
+      while (l.open_connection(s, 0)) ++open;
     return open;
   };
   CHECK(opens(1) >= 1);
@@ -171,36 +171,37 @@
 }
 
 TEST_CASE("limits: what is denied is counted, and says when it is worth asking again") {
-  bounds_of_all b;
-  b.list_calls = 2;
-  limits l(b, {1, 1, {}}, 9);
-  l.listed(servers(2));
+  FleetLimits b;
+  b.discovery_polls_per_second = 2;
+  FleetLimiter l(b, {1, 1, {}}, 9);
+  l.update_endpoints(servers(2));
   double now = 5000;
-  while (l.take(kind::list_call, "", now)) now += 0.001;
-  CHECK(l.counted(kind::list_call).denied == 1);
-  CHECK(l.counted(kind::list_call).granted >= 1);
-  const double again = l.again(kind::list_call, now);
+  while (l.acquire(Kind::discovery_poll, "", now)) now += 0.001;
+  CHECK(l.counts(Kind::discovery_poll).denied == 1);
+  CHECK(l.counts(Kind::discovery_poll).granted >= 1);
+  const double again = l.next_slot_delay_ms(Kind::discovery_poll, now);
   CHECK(again > 0);
   CHECK(again <= 1001);
-  CHECK_FALSE(l.take(kind::list_call, "", now + again - 2));
-  CHECK(l.take(kind::list_call, "", now + again));
+  CHECK_FALSE(l.acquire(Kind::discovery_poll, "", now + again - 2));
+  CHECK(l.acquire(Kind::discovery_poll, "", now + again));
   // Without bounds all is granted.
-  limits free(bounds_of_all{}, {1000, 1, {}}, 1);
-  for (int i = 0; i < 1000; ++i) CHECK(free.open("s", 0));
-  CHECK(free.keeps("s", 0));
-  CHECK(free.held() == 1000);
+  FleetLimiter free(FleetLimits{}, {1000, 1, {}}, 1);
+  for (int i = 0; i < 1000; ++i) CHECK(free.open_connection("s", 0));
+  CHECK(free.within_connection_limit("s", 0));
+  CHECK(free.open_connections() == 1000);
 }
 
 TEST_CASE("limits: calls for the list by instances that all fail at once are spread, not in step") {
   constexpr int n = 500;
-  bounds_of_all b;
-  b.list_calls = 100;
-  std::vector<limits> all = fleet(b, n, n, true, 2);
+  FleetLimits b;
+  b.discovery_polls_per_second = 100;
+  std::vector<FleetLimiter> all = fleet(b, n, n, true, 2);
   std::vector<int> in_tenth(200, 0);
   int told = 0;
   for (int tenth = 0; tenth < 200; ++tenth)
     for (std::size_t i = 0; i < all.size(); ++i)
-      if (all[i].counted(kind::list_call).granted == 0 && all[i].take(kind::list_call, "", tenth * 100.0))
+      if (all[i].counts(Kind::discovery_poll).granted == 0 &&
+          all[i].acquire(Kind::discovery_poll, "", tenth * 100.0))
         ++in_tenth[static_cast<std::size_t>(tenth)], ++told;
   CHECK(told == n);  // all have asked within 20 s
   CHECK(*std::max_element(in_tenth.begin(), in_tenth.end()) <= 60);
@@ -209,8 +210,8 @@
 TEST_CASE("limits: figures at fault are refused with one line") {
   const double nan = std::nan("");
   struct {
-    bounds_of_all b;
-    place_among p;
+    FleetLimits b;
+    InstancePosition p;
     const char* says;  // none: sound
   } table[] = {
       {{}, {1, 1, {}}, nullptr},
@@ -232,7 +233,7 @@
   };
   for (const auto& row : table) {
     CAPTURE(row.says);
-    const auto fault = fault_of(row.b, row.p);
+    const auto fault = find_limits_error(row.b, row.p);
     CHECK(fault.has_value() == (row.says != nullptr));
     if (!fault || !row.says) continue;
     CHECK(fault->find(row.says) == 0);
--- a/tests/load_test.cpp
+++ b/tests/load_test.cpp
@@ -102,7 +102,7 @@
 share = 0.34
 )";
 
-lab::scenario scene(const std::string& more = "") { return lab::decode_scenario(toml::parse(small + more)); }
+lab::Scenario scene(const std::string& more = "") { return lab::decode_scenario(toml::parse(small + more)); }
 
 // Ports below those that the kernel gives out, apart from those of another run of these tests.
 std::uint16_t base_port() {
@@ -111,24 +111,24 @@
 }
 
 // A sidecar as it must not be, on a thread of its own with blocking sockets.
-class bad_sidecar {
+class BadSidecar {
  public:
-  enum class fault { none, silent, twice, pushes_back_what_ran };
+  enum class Fault { none, silent, twice, pushes_back_what_ran };
 
-  bad_sidecar(std::uint16_t port, std::uint16_t server, fault f) : server_port(server), wrong(f) {
+  BadSidecar(std::uint16_t port, std::uint16_t server, Fault f) : server_port_(server), wrong_(f) {
     sockaddr_in a = loopback(port);
-    door = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    door_ = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
     const int on = 1;
-    ::setsockopt(door, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
-    REQUIRE(::bind(door, reinterpret_cast<sockaddr*>(&a), sizeof a) == 0);
-    REQUIRE(::listen(door, 100) == 0);
-    hands = std::thread([this] { serve(); });
+    ::setsockopt(door_, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+    REQUIRE(::bind(door_, reinterpret_cast<sockaddr*>(&a), sizeof a) == 0);
+    REQUIRE(::listen(door_, 100) == 0);
+    hands_ = std::thread([this] { serve(); });
   }
-  ~bad_sidecar() {
-    over = true;
-    hands.join();
-    for (const pollfd& p : those) ::close(p.fd);
-    ::close(door);
+  ~BadSidecar() {
+    over_ = true;
+    hands_.join();
+    for (const pollfd& p : those_) ::close(p.fd);
+    ::close(door_);
   }
 
  private:
@@ -141,28 +141,28 @@
   }
   void serve() {
     std::vector<std::string> heads;
-    those.push_back({door, POLLIN, 0});
+    those_.push_back({door_, POLLIN, 0});
     heads.emplace_back();
-    while (!over) {
+    while (!over_) {
       constexpr int turn = 5;
-      ::poll(those.data(), those.size(), turn);
-      for (std::size_t i = those.size(); i-- > 1;) {
-        if (!those[i].revents) continue;
+      ::poll(those_.data(), those_.size(), turn);
+      for (std::size_t i = those_.size(); i-- > 1;) {
+        if (!those_[i].revents) continue;
         char bytes[4096];
-        const ssize_t n = ::recv(those[i].fd, bytes, sizeof bytes, 0);
+        const ssize_t n = ::recv(those_[i].fd, bytes, sizeof bytes, 0);
         if (n <= 0) {
-          ::close(those[i].fd);
-          those.erase(those.begin() + static_cast<std::ptrdiff_t>(i));
+          ::close(those_[i].fd);
+          those_.erase(those_.begin() + static_cast<std::ptrdiff_t>(i));
           heads.erase(heads.begin() + static_cast<std::ptrdiff_t>(i));
           continue;
         }
         heads[i].append(bytes, static_cast<std::size_t>(n));
         if (heads[i].find("\r\n\r\n") == std::string::npos) continue;
-        answer(those[i].fd, heads[i]);
+        answer(those_[i].fd, heads[i]);
         heads[i].clear();
       }
-      if (those[0].revents) {
-        those.push_back({::accept(door, nullptr, nullptr), POLLIN, 0});
+      if (those_[0].revents) {
+        those_.push_back({::accept(door_, nullptr, nullptr), POLLIN, 0});
         heads.emplace_back();
       }
     }
@@ -171,14 +171,14 @@
     const std::string ok = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
                       later = "HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n";
     if (request.find("GET /-/ready") == 0) return say(to, ok);
-    if (wrong == fault::silent) return;
+    if (wrong_ == Fault::silent) return;
     pass_on(request);
-    if (wrong == fault::twice) pass_on(request);
-    say(to, wrong == fault::pushes_back_what_ran ? later : ok);
+    if (wrong_ == Fault::twice) pass_on(request);
+    say(to, wrong_ == Fault::pushes_back_what_ran ? later : ok);
   }
   void pass_on(const std::string& request) {
     const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    sockaddr_in a = loopback(server_port);
+    sockaddr_in a = loopback(server_port_);
     char bytes[4096];
     if (::connect(fd, reinterpret_cast<sockaddr*>(&a), sizeof a) == 0) {
       say(fd, request);
@@ -188,22 +188,22 @@
   }
   static void say(int to, const std::string& bytes) { ::send(to, bytes.data(), bytes.size(), MSG_NOSIGNAL); }
 
-  std::uint16_t server_port;
-  fault wrong;
-  int door = -1;
-  std::atomic<bool> over{false};
-  std::vector<pollfd> those;
-  std::thread hands;
+  std::uint16_t server_port_;
+  Fault wrong_;
+  int door_ = -1;
+  std::atomic<bool> over_{false};
+  std::vector<pollfd> those_;
+  std::thread hands_;
 };
 
-std::uint64_t concluded(const told& t) {
-  return t.ok + t.late + t.pushed_back + t.aborted + t.unanswered + t.lost;
+std::uint64_t concluded(const ClientMetrics& t) {
+  return t.ok + t.late + t.rejected + t.failed + t.unanswered + t.lost;
 }
 
 int call(std::vector<const char*> words, std::string& err) {
   words.insert(words.begin(), "indigorill-load");
   std::ostringstream o, e;
-  const int status = command(static_cast<int>(words.size()), words.data(), o, e);
+  const int status = run_command(static_cast<int>(words.size()), words.data(), o, e);
   err = e.str();
   return status;
 }
@@ -211,7 +211,7 @@
 }  // namespace
 
 TEST_CASE("load: a sidecar's config says what the scenario says") {
-  const lab::scenario s = scene(R"(
+  const lab::Scenario s = scene(R"(
 [[method]]
 name = "put"
 work_ms = 3
@@ -225,126 +225,127 @@
 )");
   const std::string known = R"({"generation":4,"reset":true,"instances":[]})";
   // As it is read from the file.
-  const start c = decode_start(
-      nlohmann::json::parse(config_of(s, 1, "127.0.0.1:1000", "127.0.0.1:1001", known, 5).dump()));
-  const terrain is = c.where, should = s.ground(1);
+  const SidecarConfig c = decode_sidecar_config(
+      nlohmann::json::parse(make_sidecar_config(s, 1, "127.0.0.1:1000", "127.0.0.1:1001", known, 5).dump()));
+  const LoadBalancerConfig is = c.load_balancer, should = s.load_balancer_config(1);
   CHECK(c.name == "n1");
-  CHECK(c.known.version == 4);
-  CHECK(c.with.idle == s.net.idle);
-  CHECK(c.with.connect == s.net.connect_timeout);
+  CHECK(c.initial_endpoints.version == 4);
+  CHECK(c.upstream.idle_timeout_ms == s.network.idle);
+  CHECK(c.upstream.connect_timeout_ms == s.network.connect_timeout);
   REQUIRE(is.methods.size() == should.methods.size());
   for (std::size_t i = 0; i < is.methods.size(); ++i) {
-    const method &a = is.methods[i], &b = should.methods[i];
+    const MethodConfig &a = is.methods[i], &b = should.methods[i];
     CHECK(a.name == b.name);
-    CHECK(a.latency_target == b.latency_target);
-    CHECK(a.deadline == b.deadline);
-    CHECK(a.utility == b.utility);
-    CHECK(a.late_utility == b.late_utility);
-    CHECK(a.repeats == b.repeats);
-    CHECK(a.drops_repeats == b.drops_repeats);
-    CHECK(a.remembers == b.remembers);
+    CHECK(a.latency_objective_ms == b.latency_objective_ms);
+    CHECK(a.deadline_ms == b.deadline_ms);
+    CHECK(a.priority_weight == b.priority_weight);
+    CHECK(a.late_weight == b.late_weight);
+    CHECK(a.retry_safety == b.retry_safety);
+    CHECK(a.deduplication_scope == b.deduplication_scope);
+    CHECK(a.deduplication_window_ms == b.deduplication_window_ms);
   }
   CHECK(is.zone == should.zone);
-  const auto figures = [](const terrain& t) {
-    return std::vector<double>{t.tick,
-                               static_cast<double>(t.most_picks),
-                               t.longest_retry_after,
-                               t.cross_zone_price,
-                               t.probe_price,
-                               t.handshake_price,
-                               t.ask_within,
-                               t.sidecars,
-                               t.cold_from,
-                               t.cold_for,
-                               t.cold_multiple,
-                               t.cold_span};
+  const auto figures = [](const LoadBalancerConfig& t) {
+    return std::vector<double>{t.tick_ms,
+                               static_cast<double>(t.max_attempts),
+                               t.max_retry_after_ms,
+                               t.cross_zone_cost,
+                               t.probe_cost,
+                               t.handshake_cost,
+                               t.max_poll_silence_ms,
+                               t.sidecar_count,
+                               t.slow_start_initial_weight,
+                               t.slow_start_duration_ms,
+                               t.slow_start_overload_factor,
+                               t.slow_start_burst_ms};
   };
   CHECK(figures(is) == figures(should));
-  const auto marks = [](const terrain& t) {
-    return std::vector<bool>{t.cancelling, t.probing,   t.probes_report,
-                             t.must_ask,   t.warm_keys};
+  const auto marks = [](const LoadBalancerConfig& t) {
+    return std::vector<bool>{t.cancellation_enabled, t.probing_enabled, t.probes_report_load,
+                             t.must_poll_endpoints, t.key_affinity};
   };
   CHECK(marks(is) == marks(should));
 }
 
 TEST_CASE("load: real sidecars keep the rules on a rough day, and all figures add up") {
-  start_of_load with;
-  with.plays = scene(troubles);
-  with.command = INDIGORILL_SIDECAR;
-  const outcome o = play(with);
-  for (const std::string& b : o.broken) MESSAGE(b);
-  CHECK(o.broken.empty());
-  CHECK(o.heard.tasks > 200);
-  CHECK(concluded(o.heard) == o.heard.tasks);
-  CHECK(o.heard.open() == 0);
-  CHECK(o.heard.ok > o.heard.tasks / 2);
-  CHECK(o.came >= o.ran);
-  CHECK(o.ran >= o.heard.ok);
+  LoadRunConfig with;
+  with.scenario = scene(troubles);
+  with.sidecar_command = INDIGORILL_SIDECAR;
+  const LoadRunResult o = run_scenario(with);
+  for (const std::string& b : o.violations) MESSAGE(b);
+  CHECK(o.violations.empty());
+  CHECK(o.client_metrics.requests > 200);
+  CHECK(concluded(o.client_metrics) == o.client_metrics.requests);
+  CHECK(o.client_metrics.open() == 0);
+  CHECK(o.client_metrics.ok > o.client_metrics.requests / 2);
+  CHECK(o.attempts_received >= o.attempts_executed);
+  CHECK(o.attempts_executed >= o.client_metrics.ok);
   CHECK(o.connections > 0);
-  CHECK(o.list_calls > 3);
+  CHECK(o.discovery_polls > 3);
 }
 
 TEST_CASE("load: the verdict sees what a bad sidecar does") {
-  using fault = bad_sidecar::fault;
+  using Fault = BadSidecar::Fault;
   struct {
-    fault does;
+    Fault does;
     const char* broken;  // none: sound
-  } table[] = {{fault::none, nullptr},
-               {fault::silent, "got no answer before their deadline"},
-               {fault::twice, "non-idempotent RPCs ran twice"},
-               {fault::pushes_back_what_ran, "were pushed back though they ran"}};
+  } table[] = {{Fault::none, nullptr},
+               {Fault::silent, "got no answer before their deadline"},
+               {Fault::twice, "non-idempotent RPCs ran twice"},
+               {Fault::pushes_back_what_ran, "were pushed back though they ran"}};
   for (const auto& row : table) {
     CAPTURE(row.broken);
-    start_of_load with;
+    LoadRunConfig with;
     toml::table t = toml::parse(small);
     lab::set_value(t, "sidecars", 1);
     lab::set_value(t, "server[0].count", 1);
     lab::set_value(t, "server[0].cores", 64);
     lab::set_value(t, "seconds", 0.4);
     lab::set_value(t, "load.rate", 40);
-    with.plays = lab::decode_scenario(t);
+    with.scenario = lab::decode_scenario(t);
     with.base_port = base_port();
-    bad_sidecar s(port_of(with.base_port, ports_of_sidecars), port_of(with.base_port, ports_of_servers),
-                  row.does);
-    const outcome o = play(with);
-    CHECK(o.heard.tasks > 3);
-    CHECK(concluded(o.heard) == o.heard.tasks);
-    CHECK(o.broken.size() == (row.broken ? 1 : 0));
-    if (row.broken && !o.broken.empty()) CHECK(o.broken[0].find(row.broken) != std::string::npos);
+    BadSidecar s(port_of(with.base_port, sidecar_port_offset), port_of(with.base_port, server_port_offset),
+                 row.does);
+    const LoadRunResult o = run_scenario(with);
+    CHECK(o.client_metrics.requests > 3);
+    CHECK(concluded(o.client_metrics) == o.client_metrics.requests);
+    CHECK(o.violations.size() == (row.broken ? 1 : 0));
+    if (row.broken && !o.violations.empty()) CHECK(o.violations[0].find(row.broken) != std::string::npos);
   }
 }
 
 TEST_CASE("load: time counts from when an RPC was meant to be sent, and a late sender says so") {
-  start_of_load with;
+  LoadRunConfig with;
   toml::table t = toml::parse(small);
   lab::set_value(t, "sidecars", 1);
-  const lab::scenario plays = lab::decode_scenario(t);
-  loop runs;
-  descriptor_budget room{200};
-  clockwork clock(runs);
-  fleet stand_ins(runs, room, clock, plays, 1, 0);
+  const lab::Scenario plays = lab::decode_scenario(t);
+  EventLoop runs;
+  FileDescriptorBudget room{200};
+  WallClockScheduler clock(runs);
+  FakeFleet stand_ins(runs, room, clock, plays, 1, 0);
   // In place of a sidecar, one that answers at once.
-  std::unique_ptr<listener> at_once;
-  at_once = std::make_unique<listener>(
+  std::unique_ptr<HttpListener> at_once;
+  at_once = std::make_unique<HttpListener>(
       runs, room,
-      [&](std::uint64_t c, const http::message&) {
-        at_once->answer(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+      [&](std::uint64_t c, const http::Message&) {
+        at_once->send_answer(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
       },
       [](std::uint64_t) {}, 0);
   at_once->open();
   constexpr std::uint64_t most = 50;
-  clients apps(runs, room, clock, plays, 1, most, {at_once->where()});
-  apps.begin();
+  LoadClients apps(runs, room, clock, plays, 1, most, {at_once->address()});
+  apps.start();
   // The process was held up for 500 ms: some hundred RPCs were meant to be sent by now.
   constexpr double held_up = 500;
   clock.start(held_up);
-  for (const double end = runs.now() + 5000; apps.heard().ok + apps.heard().late < most && runs.now() < end;)
-    runs.round(5);
-  const told& heard = apps.heard();
-  CHECK(heard.tasks == most);
-  CHECK(heard.left_out > 0);
-  CHECK(heard.answered.quantile(0.99) > held_up / 2);
-  CHECK(heard.behind.quantile(0.99) > held_up / 2);
+  for (const double end = runs.now() + 5000;
+       apps.metrics().ok + apps.metrics().late < most && runs.now() < end;)
+    runs.run_once(5);
+  const ClientMetrics& heard = apps.metrics();
+  CHECK(heard.requests == most);
+  CHECK(heard.skipped > 0);
+  CHECK(heard.latency.quantile(0.99) > held_up / 2);
+  CHECK(heard.send_delay.quantile(0.99) > held_up / 2);
   CHECK(heard.late > 0);
 }
 
--- a/tests/maintenance_test.cpp
+++ b/tests/maintenance_test.cpp
@@ -16,13 +16,13 @@
   std::knuth_b chance(7);
   const auto draw = [&](int n) { return static_cast<int>(chance() % static_cast<unsigned>(n)); };
   for (int run = 0; run < 50; ++run) {
-    maintenance m;
+    ManualEjections m;
     std::set<std::string> listed, out;
-    const auto change = [&](const std::function<void(bans&)>& how) {
-      bans b;
-      b.out = m.all_out();
+    const auto change = [&](const std::function<void(EjectionRecord&)>& how) {
+      EjectionRecord b;
+      b.ejected = m.ejected();
       how(b);
-      m.restore(b.out);
+      m.replace_ejected(b.ejected);
     };
     for (int step = 0; step < 200; ++step) {
       const std::string id(1, static_cast<char>('a' + draw(6)));
@@ -31,130 +31,133 @@
           std::vector<std::string> here;
           for (char c = 'a'; c < 'g'; ++c)
             if (draw(2)) here.emplace_back(1, c);
-          m.listed(true, here, {});
+          m.update_endpoints(true, here, {});
           listed = {here.begin(), here.end()};
           break;
         }
         case 1:
-          m.listed(false, {}, {id});
+          m.update_endpoints(false, {}, {id});
           listed.erase(id);
           break;
         case 2:
-          m.listed(false, {id}, {});
+          m.update_endpoints(false, {id}, {});
           listed.insert(id);
           break;
         case 3:
-          if (m.knows(id)) change([&](bans& b) { take_out(b, id); }), out.insert(id);
+          if (m.is_known(id)) change([&](EjectionRecord& b) { eject_endpoint(b, id); }), out.insert(id);
           break;
         default:
-          if (m.knows(id)) change([&](bans& b) { put_back(b, id, 0); }), out.erase(id);
+          if (m.is_known(id)) change([&](EjectionRecord& b) { restore_endpoint(b, id, 0); }), out.erase(id);
       }
       if (draw(40) == 0) {  // another process, told the list and what was out
-        maintenance next;
-        next.restore(m.all_out());
-        next.listed(true, {listed.begin(), listed.end()}, {});
+        ManualEjections next;
+        next.replace_ejected(m.ejected());
+        next.update_endpoints(true, {listed.begin(), listed.end()}, {});
         m = next;
       }
       for (char c = 'a'; c < 'g'; ++c) {
         const std::string one(1, c);
-        REQUIRE(m.out(one) == (out.count(one) > 0));
-        REQUIRE(m.knows(one) == (out.count(one) + listed.count(one) > 0));
+        REQUIRE(m.is_ejected(one) == (out.count(one) > 0));
+        REQUIRE(m.is_known(one) == (out.count(one) + listed.count(one) > 0));
       }
     }
   }
-  CHECK(missing({"a", "b"}, {"b", "c"}) == std::vector<std::string>{"c"});
+  CHECK(ids_missing_from({"a", "b"}, {"b", "c"}) == std::vector<std::string>{"c"});
 }
 
 TEST_CASE(
     "the balancer sends nothing to what is out, whatever the list says, and something when it is back") {
-  one m;
-  m.list(letters('a', 'b'));
+  LoadBalancerHarness m;
+  m.update_endpoints(make_endpoints('a', 'b'));
   const auto picked = [&](const std::string& server, int tries) {
     int n = 0;
     for (int i = 0; i < tries; ++i) {
       m.now += 20;
-      m.b.woken(m.now, 1);
-      const std::string id = m.arrive();
-      for (const decision& d : m.pull()) {
-        if (d.what != verb::pick) continue;
-        n += d.server == server;
-        m.b.pick_ended(m.now, id, d.pick, ending::ok, 25, true, {});
+      m.load_balancer.on_timer(m.now, 1);
+      const std::string id = m.start_rpc();
+      for (const Decision& d : m.take_decisions()) {
+        if (d.action != Action::send_attempt) continue;
+        n += d.endpoint_id == server;
+        m.load_balancer.on_attempt_finished(m.now, id, d.attempt_index, AttemptOutcome::ok, 25, true, {});
       }
     }
     return n;
   };
   REQUIRE(picked("a", 100) > 0);
-  m.b.withheld(m.now, "a", true, m.now);
+  m.load_balancer.set_ejected_manually(m.now, "a", true, m.now);
   CHECK(picked("a", 100) == 0);
-  m.list(letters('a', 'b'));
+  m.update_endpoints(make_endpoints('a', 'b'));
   CHECK(picked("a", 100) == 0);
-  m.list({at("b")});
-  m.beats(m.now + 60000);  // long enough to be forgotten
-  m.list({at("a", m.now), at("b")});
+  m.update_endpoints({make_endpoint("b")});
+  m.run_maintenance_until(m.now + 60000);  // long enough to be forgotten
+  m.update_endpoints({make_endpoint("a", m.now), make_endpoint("b")});
   CHECK(picked("a", 100) == 0);
-  m.b.withheld(m.now, "a", false, m.now);
-  m.list({at("a", 1), at("b")});  // the list knows of the start before
+  m.load_balancer.set_ejected_manually(m.now, "a", false, m.now);
+  m.update_endpoints({make_endpoint("a", 1), make_endpoint("b")});  // the list knows of the start before
   const int first = picked("a", 200);
   CHECK(first > 0);  // within 5 s of the call back
   m.now += 60000;
-  m.beats(m.now + 1000);
+  m.run_maintenance_until(m.now + 1000);
   CHECK(picked("a", 200) > first + 30);  // it was taken for cold
 }
 
 TEST_CASE("with all servers out RPCs are pushed back at once, with advice") {
-  one m;
-  m.list(letters('a', 'b'));
-  for (const char* id : {"a", "b"}) m.b.withheld(m.now, id, true, m.now);
-  m.arrive();
-  const decision d = m.only();
-  CHECK(d.what == verb::push_back);
-  CHECK(d.after > 0);
+  LoadBalancerHarness m;
+  m.update_endpoints(make_endpoints('a', 'b'));
+  for (const char* id : {"a", "b"}) m.load_balancer.set_ejected_manually(m.now, id, true, m.now);
+  m.start_rpc();
+  const Decision d = m.only_decision();
+  CHECK(d.action == Action::reject);
+  CHECK(d.delay_ms > 0);
 }
 
 TEST_CASE("a pick taken back unsent is drawn again at once, and neither it nor its server pays for it") {
-  one m(ground(repeatable::non_idempotent));
-  m.list(letters('a', 'b'));
+  LoadBalancerHarness m(test_config(RetrySafety::non_idempotent));
+  m.update_endpoints(make_endpoints('a', 'b'));
   for (int i = 0; i < 40; ++i) {  // more than the account of further picks could pay
-    const std::string id = m.arrive();
-    const decision first = m.only();
-    REQUIRE(first.what == verb::pick);
-    m.b.withheld(m.now, first.server, true, m.now);
-    m.b.pick_ended(m.now, id, first.pick, ending::withdrawn, 0, false, {});
-    const decision second = m.only();
-    REQUIRE(second.what == verb::pick);
-    CHECK(second.server != first.server);
-    m.b.pick_ended(m.now, id, second.pick, ending::ok, 25, true, {});
-    m.b.withheld(m.now, first.server, false, m.now);
-    m.pull();
+    const std::string id = m.start_rpc();
+    const Decision first = m.only_decision();
+    REQUIRE(first.action == Action::send_attempt);
+    m.load_balancer.set_ejected_manually(m.now, first.endpoint_id, true, m.now);
+    m.load_balancer.on_attempt_finished(m.now, id, first.attempt_index, AttemptOutcome::withdrawn, 0, false,
+                                        {});
+    const Decision second = m.only_decision();
+    REQUIRE(second.action == Action::send_attempt);
+    CHECK(second.endpoint_id != first.endpoint_id);
+    m.load_balancer.on_attempt_finished(m.now, id, second.attempt_index, AttemptOutcome::ok, 25, true, {});
+    m.load_balancer.set_ejected_manually(m.now, first.endpoint_id, false, m.now);
+    m.take_decisions();
     m.now += 30000;  // warm again
-    m.beats(m.now + 1000);
+    m.run_maintenance_until(m.now + 1000);
   }
 }
 
 namespace {
 
-struct desk {
-  loop runs;
+struct AdminServerFixture {
+  EventLoop event_loop;
   std::ostringstream log_text;
-  logger lines{log_text, level::debug};
-  counters counts;
-  std::vector<order> asked;
-  admin staff{runs, counts, lines, [this](const order& o, const admin::answered& then) {
-                asked.push_back(o);
-                then(o.id == "nobody" ? 404 : 200, {});
-              }};
-  sockaddr_in where;
-  descriptor_budget budget{200};
-  std::vector<std::unique_ptr<side>> sides;
+  Logger log{log_text, LogLevel::debug};
+  Counters counts;
+  std::vector<AdminRequest> requests;
+  AdminServer admin_server{event_loop, counts, log,
+                           [this](const AdminRequest& o, const AdminServer::ResponseCallback& then) {
+                             requests.push_back(o);
+                             then(o.endpoint_id == "nobody" ? 404 : 200, {});
+                           }};
+  sockaddr_in address;
+  FileDescriptorBudget budget{200};
+  std::vector<std::unique_ptr<TestConnection>> clients;
 
-  desk() {
-    descriptor door = loopback();
-    where = address_of(door);
-    staff.adopt(std::move(door));
+  AdminServerFixture() {
+    FileDescriptor door = listen_on_loopback();
+    address = local_address(door);
+    admin_server.adopt_listener(std::move(door));
   }
-  side& caller() {
-    sides.push_back(std::make_unique<side>(runs, budget, connect_to(where), http::reader::kind::answer));
-    return *sides.back();
+  TestConnection& connect_client() {
+    clients.push_back(std::make_unique<TestConnection>(event_loop, budget, start_connect(address),
+                                                       http::HttpParser::MessageKind::response));
+    return *clients.back();
   }
 };
 
@@ -190,90 +193,92 @@
     CAPTURE(std::string(t.text));
     const std::string text = t.text;
     for (std::size_t cut = 1; cut < text.size(); ++cut) {
-      desk d;
-      side& c = d.caller();
-      c.say(text.substr(0, cut));
-      for (int i = 0; i < 3; ++i) d.runs.round(0);
-      c.say(text.substr(cut));
-      REQUIRE(until(d.runs, [&] { return c.ended; }));
-      REQUIRE(c.came.size() == 1);
-      CHECK(c.came[0].status == t.status);
-      CHECK((t.status != 405 || c.came[0].find("Allow").has_value()));
-      CHECK(d.asked.size() == (t.id ? 1 : 0));
-      if (t.id && !d.asked.empty()) CHECK(d.asked[0].id == t.id);
+      AdminServerFixture d;
+      TestConnection& c = d.connect_client();
+      c.send(text.substr(0, cut));
+      for (int i = 0; i < 3; ++i) d.event_loop.run_once(0);
+      c.send(text.substr(cut));
+      REQUIRE(run_until(d.event_loop, [&] { return c.is_ended; }));
+      REQUIRE(c.received.size() == 1);
+      CHECK(c.received[0].status == t.status);
+      CHECK((t.status != 405 || c.received[0].find_header("Allow").has_value()));
+      CHECK(d.requests.size() == (t.id ? 1 : 0));
+      if (t.id && !d.requests.empty()) CHECK(d.requests[0].endpoint_id == t.id);
     }
   }
 }
 
 TEST_CASE("callers who hold connections without a whole call shut nobody out") {
-  desk d;
-  for (std::size_t i = 0; i < 4 * admin::own_descriptors; ++i) d.caller().say("GET /sta");
-  pass(d.runs, 20);
-  side& c = d.caller();
-  c.say("GET /status HTTP/1.1\r\n\r\n");
-  REQUIRE(until(d.runs, [&] { return c.ended; }));
-  CHECK(c.came.size() == 1);
+  AdminServerFixture d;
+  for (std::size_t i = 0; i < 4 * AdminServer::reserved_descriptors; ++i) d.connect_client().send("GET /sta");
+  run_for(d.event_loop, 20);
+  TestConnection& c = d.connect_client();
+  c.send("GET /status HTTP/1.1\r\n\r\n");
+  REQUIRE(run_until(d.event_loop, [&] { return c.is_ended; }));
+  CHECK(c.received.size() == 1);
   std::size_t open = 0;
-  for (const auto& s : d.sides) open += !s->ended;
-  CHECK(open < admin::own_descriptors);
+  for (const auto& s : d.clients) open += !s->is_ended;
+  CHECK(open < AdminServer::reserved_descriptors);
 }
 
 TEST_CASE("what has the first rank is served ahead of all others in a round") {
-  loop runs;
-  descriptor_budget budget{100};
+  EventLoop runs;
+  FileDescriptorBudget budget{100};
   std::vector<int> order;
-  std::vector<std::unique_ptr<stream>> ends;
-  std::vector<descriptor> others;
+  std::vector<std::unique_ptr<TcpStream>> ends;
+  std::vector<FileDescriptor> others;
   for (int i = 0; i < 20; ++i) {
     int pair[2];
     REQUIRE(::socketpair(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK, 0, pair) == 0);
     others.emplace_back(pair[1]);
-    ends.push_back(std::make_unique<stream>(
-        runs, budget, descriptor(pair[0]), [&order, i](std::uint32_t) { order.push_back(i); },
-        i == 19 ? loop::rank::first : loop::rank::usual));
+    ends.push_back(std::make_unique<TcpStream>(
+        runs, budget, FileDescriptor(pair[0]), [&order, i](std::uint32_t) { order.push_back(i); },
+        i == 19 ? EventLoop::WatchPriority::high : EventLoop::WatchPriority::normal));
   }
-  runs.round(0);
+  runs.run_once(0);
   CHECK(order.size() == 20);
   CHECK(order.front() == 19);
 }
 
 TEST_CASE("what is not yet written to an endpoint when it is taken out goes elsewhere, what is goes on") {
-  loop runs;
+  EventLoop runs;
   std::ostringstream log_text;
-  logger lines(log_text, level::debug);
-  counters counts;
-  descriptor_budget budget{50};
-  pool endpoints(runs, budget, counts, lines, {5000, 60}, [] { return false; });
-  relay rpcs(runs, endpoints, counts, lines, ground(repeatable::non_idempotent), 1);
-  stand_in a(runs, {"silent"}), b(runs, {answer_text(200, "served")});
-  endpoints.listed("a", text_of(a.where));
-  rpcs.listed(true, false, {at("a")});
+  Logger lines(log_text, LogLevel::debug);
+  Counters counts;
+  FileDescriptorBudget budget{50};
+  UpstreamPool endpoints(runs, budget, counts, lines, {5000, 60}, [] { return false; });
+  RequestDispatcher rpcs(runs, endpoints, counts, lines, test_config(RetrySafety::non_idempotent), 1);
+  FakeServer a(runs, {"silent"}), b(runs, {response_text(200, "served")});
+  endpoints.update_endpoint("a", address_text(a.address));
+  rpcs.update_endpoints(true, false, {make_endpoint("a")});
   const auto ask = [&](int id, int& status) {
-    rpcs.take(parsed(http::reader::kind::request,
-                     "GET /read HTTP/1.1\r\nX-Call-Id: " + std::to_string(id) + "\r\nX-Budget: 300m\r\n\r\n"),
-              runs.now(), {[&status](verdict v) { status = v.how == verdict::what::ok ? 200 : 503; }});
+    rpcs.dispatch(parse_message(http::HttpParser::MessageKind::request,
+                                "GET /read HTTP/1.1\r\nX-Call-Id: " + std::to_string(id) +
+                                    "\r\nX-Budget: 300m\r\n\r\n"),
+                  runs.now(),
+                  {[&status](RpcResult v) { status = v.outcome == RpcResult::Outcome::ok ? 200 : 503; }});
   };
   int first = 0, second = 0;
   ask(1, first);
-  REQUIRE(until(runs, [&] { return a.asked.size() == 1; }));
+  REQUIRE(run_until(runs, [&] { return a.request_targets.size() == 1; }));
   ask(2, second);  // still connecting
-  endpoints.listed("b", text_of(b.where));
-  rpcs.listed(true, false, {at("a"), at("b")});
-  rpcs.withheld("a", true, runs.now());
-  REQUIRE(until(runs, [&] { return second != 0; }));
+  endpoints.update_endpoint("b", address_text(b.address));
+  rpcs.update_endpoints(true, false, {make_endpoint("a"), make_endpoint("b")});
+  rpcs.set_ejected_manually("a", true, runs.now());
+  REQUIRE(run_until(runs, [&] { return second != 0; }));
   CHECK(second == 200);
-  CHECK(b.asked.size() == 1);
-  CHECK(a.asked.size() == 1);
-  CHECK(counts.picks[static_cast<std::size_t>(ending::withdrawn)] == 1);
+  CHECK(b.request_targets.size() == 1);
+  CHECK(a.request_targets.size() == 1);
+  CHECK(counts.attempts[static_cast<std::size_t>(AttemptOutcome::withdrawn)] == 1);
   CHECK(first == 0);  // in hand there, and left to end
 }
 
 TEST_CASE("a listener that is inherited is adopted, anything else is refused") {
-  const descriptor door = loopback();
-  const descriptor adopted = adopt_listener(::dup(door.get()));
+  const FileDescriptor door = listen_on_loopback();
+  const FileDescriptor adopted = adopt_listener_fd(::dup(door.get()));
   CHECK(adopted.get() >= 0);
-  const descriptor plain(::socket(AF_INET, SOCK_STREAM, 0)), datagrams(::socket(AF_INET, SOCK_DGRAM, 0));
-  CHECK_THROWS_AS(adopt_listener(plain.get()), malformed);
-  CHECK_THROWS_AS(adopt_listener(datagrams.get()), malformed);
-  CHECK_THROWS_AS(adopt_listener(999), malformed);
+  const FileDescriptor plain(::socket(AF_INET, SOCK_STREAM, 0)), datagrams(::socket(AF_INET, SOCK_DGRAM, 0));
+  CHECK_THROWS_AS(adopt_listener_fd(plain.get()), ParseError);
+  CHECK_THROWS_AS(adopt_listener_fd(datagrams.get()), ParseError);
+  CHECK_THROWS_AS(adopt_listener_fd(999), ParseError);
 }
--- a/tests/options_test.cpp
+++ b/tests/options_test.cpp
@@ -15,26 +15,26 @@
 
 namespace {
 
-struct file {
+struct File {
   std::string path;
-  explicit file(const std::string& text) {
+  explicit File(const std::string& text) {
     path = "/tmp/indigorill-options-XXXXXX";
     const int fd = ::mkstemp(path.data());
     REQUIRE(fd >= 0);
     ::close(fd);
     std::ofstream(path) << text;
   }
-  ~file() { std::remove(path.c_str()); }
+  ~File() { std::remove(path.c_str()); }
 };
 
-struct called {
+struct Called {
   int status;
   std::string out, err;
 };
-called call(std::vector<const char*> words, std::map<std::string, std::string> variables = {}) {
+Called call(std::vector<const char*> words, std::map<std::string, std::string> variables = {}) {
   words.insert(words.begin(), "indigorill");
   std::ostringstream out, err;
-  const int status = command(
+  const int status = run_command_line(
       static_cast<int>(words.size()), words.data(),
       [&](const char* name) -> const char* {
         const auto it = variables.find(name);
@@ -59,7 +59,7 @@
   CHECK(call({"--version"}).out.find("indigorill 0.") == 0);
   for (const char* words : {"--loud", "start", "--config"}) {
     CAPTURE(words);
-    const called c = call({words});
+    const Called c = call({words});
     CHECK(c.status == 2);
     CHECK(c.out.empty());
     CHECK_FALSE(c.err.empty());
@@ -70,35 +70,35 @@
   CHECK(call({}).err == "indigorill: LB_CONFIG names no config file\n");
   CHECK(call({}).status == 1);
   CHECK(call({}, {{"LB_CONFIG", "/nowhere"}}).err == "indigorill: config file /nowhere can't be read\n");
-  const file broken("{");
+  const File broken("{");
   CHECK(call({"--config", broken.path.c_str()}, {{"LB_CONFIG", "/nowhere"}}).err ==
         "indigorill: config file " + broken.path + " is not JSON\n");
-  const file options("[log]\nlevel = \"loud\"\nform = \"xml\"\n");
-  const called c = call({"--options", options.path.c_str()}, {{"LB_CONFIG", "/nowhere"}});
+  const File options("[log]\nlevel = \"loud\"\nform = \"xml\"\n");
+  const Called c = call({"--options", options.path.c_str()}, {{"LB_CONFIG", "/nowhere"}});
   CHECK(c.status == 1);
   CHECK(c.err.find("log.level is none of debug, error, info, warning") != std::string::npos);
 }
 
 TEST_CASE("a check names every fault of both files, a line each") {
-  const file good(sound);
+  const File good(sound);
   CHECK(call({"--check-config", "--config", good.path.c_str()}).status == 0);
   CHECK(call({"--check-config"}, {{"LB_CONFIG", good.path}}).out == "sound\n");
-  const called led = call({"--check-config"}, {{"LB_CONFIG", good.path}, {"LB_LISTEN", "nowhere"}});
+  const Called led = call({"--check-config"}, {{"LB_CONFIG", good.path}, {"LB_LISTEN", "nowhere"}});
   CHECK(led.status == 1);
   CHECK(led.err == "config: field listen is not an address and a port\n");
-  const called second = call(
+  const Called second = call(
       {"--check-config"}, {{"LB_CONFIG", good.path}, {"LB_ADMIN_ADDR", "x"}, {"LB_INHERITED_FD", "three"}});
   CHECK(second.status == 1);
   CHECK(second.err ==
         "config: field admin_addr is not an address and a port\n"
         "config: LB_INHERITED_FD is not the number of a descriptor\n");
-  const called closed = call({}, {{"LB_CONFIG", good.path}, {"LB_INHERITED_FD", "999"}});
+  const Called closed = call({}, {{"LB_CONFIG", good.path}, {"LB_INHERITED_FD", "999"}});
   CHECK(closed.status == 1);
   CHECK(closed.err == "indigorill: LB_INHERITED_FD names no listening TCP socket: 999\n");
-  const file bad(R"({"name":3,"listen":"127.0.0.1:1","discovery":"x","seed":"zz","limits":{"sockets":0},
+  const File bad(R"({"name":3,"listen":"127.0.0.1:1","discovery":"x","seed":"zz","limits":{"sockets":0},
     "known":{"generation":-1},"settings":{"methods":[]}})");
-  const file options("[log]\nform = \"xml\"\n[limits]\nsockets = 4\nmoon = 1\n");
-  const called all =
+  const File options("[log]\nform = \"xml\"\n[limits]\nsockets = 4\nmoon = 1\n");
+  const Called all =
       call({"--check-config", "--config", bad.path.c_str(), "--options", options.path.c_str()});
   CHECK(all.status == 1);
   CHECK(lines_in(all.err) == 9);
@@ -108,37 +108,37 @@
     CAPTURE(part);
     CHECK(all.err.find(part) != std::string::npos);
   }
-  const file list("[1]");
+  const File list("[1]");
   CHECK(call({"--check-config", "--config", list.path.c_str()}).err == "config: is not an object\n");
 }
 
 TEST_CASE("the options' file is read as a whole; what is absent stays as it was") {
-  const options none = decode_options(toml::table{});
-  CHECK(none.shown == level::info);
-  CHECK(none.form == log_form::text);
-  CHECK(none.counters_every == 0);
-  CHECK(none.descriptors > (std::size_t{1} << 40));
-  const options all =
+  const Options none = decode_options(toml::table{});
+  CHECK(none.log_level == LogLevel::info);
+  CHECK(none.log_format == LogFormat::text);
+  CHECK(none.counters_interval_ms == 0);
+  CHECK(none.max_descriptors > (std::size_t{1} << 40));
+  const Options all =
       decode_options(toml::parse("[log]\nlevel = \"debug\"\nform = \"json\"\ncounters_every_s = "
                                  "2.5\n[limits]\nmemory_mb = 64\nsockets = 100\n"));
-  CHECK(all.shown == level::debug);
-  CHECK(all.form == log_form::json);
-  CHECK(all.counters_every == 2500);
-  CHECK(all.memory == 64 * 1024 * 1024);
-  CHECK(all.descriptors == 100);
+  CHECK(all.log_level == LogLevel::debug);
+  CHECK(all.log_format == LogFormat::json);
+  CHECK(all.counters_interval_ms == 2500);
+  CHECK(all.max_memory_bytes == 64 * 1024 * 1024);
+  CHECK(all.max_descriptors == 100);
   for (const char* text :
        {"log = 3", "[log]\nlevel = 3", "[log]\ncounters_every_s = 0.1", "[log]\ncounters_every_s = -1",
         "[limits]\nsockets = 1.5", "[limits]\nmemory_mb = \"all\"", "[other]"}) {
     CAPTURE(text);
-    CHECK_THROWS_AS(decode_options(toml::parse(text)), faulty);
+    CHECK_THROWS_AS(decode_options(toml::parse(text)), ConfigError);
   }
 }
 
 TEST_CASE("log lines keep their words as text, and are whole JSON objects where that is asked for") {
   std::ostringstream text, json;
   {
-    const logger plain(text, level::info), objects(json, level::info, log_form::json);
-    for (const logger* l : {&plain, &objects}) {
+    const Logger plain(text, LogLevel::info), objects(json, LogLevel::info, LogFormat::json);
+    for (const Logger* l : {&plain, &objects}) {
       l->debug() << "unseen";
       (l->info() << "list version " << 7 << ", whole").field("version", 7);
       l->error() << "a \"quoted\" line\nand {} %v \xff";
@@ -163,9 +163,9 @@
 }
 
 TEST_CASE("options of members are checked as a whole, a line a fault") {
-  const file config(sound);
+  const File config(sound);
   const auto check = [&](const std::string& text) {
-    const file options(text);
+    const File options(text);
     return call({"--check-config", "--config", config.path.c_str(), "--options", options.path.c_str()});
   };
   const std::string whole = "[members]\nfleet = \"maps\"\nlisten = \"127.0.0.1:7900\"\n";
@@ -195,7 +195,7 @@
   };
   for (const auto& row : rows) {
     CAPTURE(std::string(row.text));
-    const called c = check(row.text);
+    const Called c = check(row.text);
     CHECK(c.status == 1);
     CAPTURE(c.err);
     CHECK(lines_in(c.err) == row.faults);
@@ -203,15 +203,15 @@
   }
   std::string odd = sound;
   odd.replace(odd.find("\"n\""), 3, "\"n m\"");
-  const file strange(odd), options(whole);
-  const called c =
+  const File strange(odd), options(whole);
+  const Called c =
       call({"--check-config", "--config", strange.path.c_str(), "--options", options.path.c_str()});
   CHECK(c.status == 1);
   CHECK(c.err.find("field name is no name among members") != std::string::npos);
 }
 
 TEST_CASE("options of budgets are checked as a whole, a line a fault") {
-  const file config(sound);
+  const File config(sound);
   const std::string members =
       "[members]\nfleet = \"a\"\nlisten = \"127.0.0.1:1\"\nvoters = [\"n\"]\nlease_ms = 6000\n";
   const std::string budgets = "[budgets]\nmost = 10\n", picks = "[budgets.further_picks]\na_second = 20\n";
@@ -234,8 +234,8 @@
   };
   for (const auto& row : rows) {
     CAPTURE(row.text);
-    const file options(row.text);
-    const called c =
+    const File options(row.text);
+    const Called c =
         call({"--check-config", "--config", config.path.c_str(), "--options", options.path.c_str()});
     CAPTURE(c.err);
     CHECK(c.status == (row.faults ? 1 : 0));
--- a/tests/pipe_test.cpp
+++ b/tests/pipe_test.cpp
@@ -9,52 +9,53 @@
 
 namespace {
 
-using state = http::reader::state;
+using State = http::HttpParser::ParseState;
 
 // What a reader gives out, fed like this, at once or a byte at a time.
-struct given {
-  http::message head;
+struct ParsedMessage {
+  http::Message head;
   std::string body;
-  bool begun = false, over = false, broken = false;
+  bool has_head = false, complete = false, broken = false;
 };
-void take_from(http::reader& r, given& g) {
-  if (r.now() == state::begun) {
-    g.head = r.take();
+void take_parsed(http::HttpParser& r, ParsedMessage& g) {
+  if (r.state() == State::head_ready) {
+    g.head = r.take_message();
     g.body = g.head.body();
-    g.begun = true;
+    g.has_head = true;
   }
-  while (r.now() == state::passing && !r.piece().empty()) {
-    g.body += r.piece();
-    r.drop_piece();
+  while (r.state() == State::streaming_body && !r.body_chunk().empty()) {
+    g.body += r.body_chunk();
+    r.consume_body_chunk();
   }
-  if (r.now() == state::over && !g.over) {
-    g.body += r.piece();
-    g.over = true;
-    r.take_over();
+  if (r.state() == State::body_complete && !g.complete) {
+    g.body += r.body_chunk();
+    g.complete = true;
+    r.start_next_message();
   }
-  g.broken |= r.now() == state::broken;
+  g.broken |= r.state() == State::error;
 }
-void feed(http::reader& r, std::string_view bytes, given& g) {
+void feed_parser(http::HttpParser& r, std::string_view bytes, ParsedMessage& g) {
   while (!bytes.empty()) {
-    const auto room = r.room();
+    const auto room = r.writable_buffer();
     const std::size_t n = std::min(room.size(), bytes.size());
     std::copy_n(bytes.begin(), n, room.begin());
-    r.fed(n);
+    r.commit(n);
     bytes.remove_prefix(n);
-    take_from(r, g);
+    take_parsed(r, g);
   }
 }
 
 }  // namespace
 
 TEST_CASE("long bodies come out the same however their bytes are split") {
-  constexpr auto request = http::reader::kind::request, answer = http::reader::kind::answer;
+  constexpr auto request = http::HttpParser::MessageKind::request,
+                 answer = http::HttpParser::MessageKind::response;
   const std::string post = "POST /a HTTP/1.1\r\n", ok = "HTTP/1.1 200 OK\r\n",
                     next = "GET /b HTTP/1.1\r\n\r\n";
   const std::string body = "0123456789abcdefghijklmnop";
   struct {
     const char* what;
-    http::reader::kind kind;
+    http::HttpParser::MessageKind kind;
     std::string bytes;
     bool ends, over;
     std::optional<std::uint64_t> length;
@@ -90,237 +91,252 @@
     CAPTURE(std::string(t.what));
     for (std::size_t cut = 0; cut <= t.bytes.size() + 1; ++cut) {
       CAPTURE(cut);
-      http::reader r(t.kind, 10);
-      r.in_pieces();
-      given g;
+      http::HttpParser r(t.kind, 10);
+      r.allow_streaming();
+      ParsedMessage g;
       if (cut > t.bytes.size()) {
-        for (const char c : t.bytes) feed(r, std::string_view(&c, 1), g);
+        for (const char c : t.bytes) feed_parser(r, std::string_view(&c, 1), g);
       } else {
-        feed(r, std::string_view(t.bytes).substr(0, cut), g);
-        feed(r, std::string_view(t.bytes).substr(cut), g);
+        feed_parser(r, std::string_view(t.bytes).substr(0, cut), g);
+        feed_parser(r, std::string_view(t.bytes).substr(cut), g);
       }
-      if (t.ends) r.ended();
-      take_from(r, g);
-      REQUIRE(g.begun);
-      CHECK(g.over == t.over);
+      if (t.ends) r.on_end_of_stream();
+      take_parsed(r, g);
+      REQUIRE(g.has_head);
+      CHECK(g.complete == t.over);
       CHECK(g.broken == !t.over);
-      CHECK(g.head.length == t.length);
+      CHECK(g.head.content_length == t.length);
       CHECK(body.starts_with(g.body));
       CHECK((g.body == body || !t.over));
       if (t.kind == request) {
-        REQUIRE(r.now() == state::whole);  // what was pipelined behind
-        const http::message m = r.take();
-        CHECK(m.text(m.target) == "/b");
+        REQUIRE(r.state() == State::complete);  // what was pipelined behind
+        const http::Message m = r.take_message();
+        CHECK(m.slice(m.target) == "/b");
       }
     }
   }
-  http::reader huge(answer);
-  huge.in_pieces();
-  given g;
-  feed(huge, ok + "Content-Length: 3000000000\r\n\r\n", g);
+  http::HttpParser huge(answer);
+  huge.allow_streaming();
+  ParsedMessage g;
+  feed_parser(huge, ok + "Content-Length: 3000000000\r\n\r\n", g);
   CHECK(g.broken);
 }
 
 namespace {
 
 // One end of a connection as plain bytes; it reads only while it is told to.
-struct plain_end {
-  loop& runs;
-  std::unique_ptr<stream> wire;
-  std::string came;
-  outgoing out;
-  bool reads = true, ended = false;
+struct RawConnection {
+  EventLoop& event_loop;
+  std::unique_ptr<TcpStream> socket;
+  std::string received;
+  WriteBuffer output;
+  bool reading = true, ended = false;
 
-  plain_end(loop& in, descriptor_budget& count, descriptor fd) : runs(in) {
-    wire = std::make_unique<stream>(in, count, std::move(fd), [this](std::uint32_t) { go_on(); });
+  RawConnection(EventLoop& in, FileDescriptorBudget& count, FileDescriptor fd) : event_loop(in) {
+    socket = std::make_unique<TcpStream>(in, count, std::move(fd), [this](std::uint32_t) { transfer(); });
   }
-  void go_on() {
-    wire->write(out);
+  void transfer() {
+    socket->write(output);
     std::array<char, 16384> some;
     std::size_t n = 0;
-    while (reads && !ended) {
-      const auto got = wire->read(some, n);
-      if (got == stream::got::nothing) return;
-      if (got != stream::got::some) ended = true;
-      if (got == stream::got::some) came.append(some.data(), n);
+    while (reading && !ended) {
+      const auto got = socket->read(some, n);
+      if (got == TcpStream::ReadStatus::would_block) return;
+      if (got != TcpStream::ReadStatus::data) ended = true;
+      if (got == TcpStream::ReadStatus::data) received.append(some.data(), n);
     }
   }
-  void say(std::string bytes) {
-    if (out.done()) out = {};
-    out.own(std::move(bytes));
-    wire->write(out);
+  void send(std::string bytes) {
+    if (output.is_complete()) output = {};
+    output.append_owned(std::move(bytes));
+    socket->write(output);
   }
 };
 
-struct between {
-  loop runs;
+struct LongMessageFixture {
+  EventLoop event_loop;
   std::ostringstream log_text;
-  logger lines{log_text, level::debug};
-  counters counts;
-  descriptor_budget budget{100}, of_others{100};
-  pool endpoints;
-  relay rpcs;
-  front clients;
-  descriptor door = loopback();
-  sockaddr_in where = address_of(door), of_clients;
-  std::vector<std::unique_ptr<plain_end>> served;
-  loop::watch at_door;
+  Logger test_logger{log_text, LogLevel::debug};
+  Counters counts;
+  FileDescriptorBudget budget{100}, peer_budget{100};
+  UpstreamPool upstream_pool;
+  RequestDispatcher dispatcher;
+  HttpServer http_server;
+  FileDescriptor upstream_listener = listen_on_loopback();
+  sockaddr_in upstream_address = local_address(upstream_listener), client_address;
+  std::vector<std::unique_ptr<RawConnection>> upstream_connections;
+  EventLoop::Watch listener_watch;
 
-  explicit between(repeatable repeats = repeatable::non_idempotent)
-      : endpoints(runs, budget, counts, lines, {5000, 60}, [] { return false; }),
-        rpcs(runs, endpoints, counts, lines, ground(repeats), 1),
-        clients(runs, budget, counts, lines, rpcs, {80, 40, 64 << 20}, [] { return false; }) {
-    at_door = runs.on(door.get(), [this](std::uint32_t) {
+  explicit LongMessageFixture(RetrySafety repeats = RetrySafety::non_idempotent)
+      : upstream_pool(event_loop, budget, counts, test_logger, {5000, 60}, [] { return false; }),
+        dispatcher(event_loop, upstream_pool, counts, test_logger, test_config(repeats), 1),
+        http_server(event_loop, budget, counts, test_logger, dispatcher, {80, 40, 64 << 20},
+                    [] { return false; }) {
+    listener_watch = event_loop.watch_fd(upstream_listener.get(), [this](std::uint32_t) {
       for (;;) {
-        descriptor fd(::accept4(door.get(), nullptr, nullptr, SOCK_NONBLOCK));
+        FileDescriptor fd(::accept4(upstream_listener.get(), nullptr, nullptr, SOCK_NONBLOCK));
         if (!fd) return;
-        served.push_back(std::make_unique<plain_end>(runs, of_others, std::move(fd)));
+        upstream_connections.push_back(
+            std::make_unique<RawConnection>(event_loop, peer_budget, std::move(fd)));
       }
     });
-    descriptor front_door = loopback();
-    of_clients = address_of(front_door);
-    clients.adopt(std::move(front_door));
-    endpoints.listed("a", text_of(where));
-    rpcs.listed(true, false, {at("a")});
+    FileDescriptor front_door = listen_on_loopback();
+    client_address = local_address(front_door);
+    http_server.use_listener(std::move(front_door));
+    upstream_pool.update_endpoint("a", address_text(upstream_address));
+    dispatcher.update_endpoints(true, false, {make_endpoint("a")});
   }
-  std::unique_ptr<plain_end> client() {
-    return std::make_unique<plain_end>(runs, of_others, connect_to(of_clients));
+  std::unique_ptr<RawConnection> connect_client() {
+    return std::make_unique<RawConnection>(event_loop, peer_budget, start_connect(client_address));
+  }
+  std::size_t attempts_ended(AttemptOutcome how) const {
+    return counts.attempts[static_cast<std::size_t>(how)];
   }
-  std::size_t picks(ending how) const { return counts.picks[static_cast<std::size_t>(how)]; }
 };
 
-std::string head(const std::string& verb, const std::string& more, const std::string& version = "1.1") {
+std::string request_head(const std::string& verb, const std::string& more,
+                         const std::string& version = "1.1") {
   static int ids = 0;
   return verb + " /read HTTP/" + version + "\r\nX-Call-Id: pipe" + std::to_string(++ids) +
          "\r\nX-Budget: 300m\r\n" + more + "\r\n";
 }
 
-std::string many(std::size_t n) {
+std::string patterned_bytes(std::size_t n) {
   std::string s(n, 0);
   for (std::size_t i = 0; i < n; ++i) s[i] = static_cast<char>('a' + i % 23 + i / 4096 % 3);
   return s;
 }
 
-std::string unchunked(const std::string& all) {
-  http::reader r(http::reader::kind::answer);
-  r.in_pieces();
-  given g;
-  feed(r, all, g);
-  return g.over ? g.body : "not whole";
+std::string decoded_body(const std::string& all) {
+  http::HttpParser r(http::HttpParser::MessageKind::response);
+  r.allow_streaming();
+  ParsedMessage g;
+  feed_parser(r, all, g);
+  return g.complete ? g.body : "not whole";
 }
 
-constexpr std::size_t big = 3 << 20;
+constexpr std::size_t long_body_size = 3 << 20;
 
 }  // namespace
 
 TEST_CASE("a long request reaches the endpoint as it was sent, and its answer the client") {
   for (const bool chunked : {false, true}) {
-    between b;
-    const auto c = b.client();
-    const std::string body = many(big);
+    LongMessageFixture b;
+    const auto c = b.connect_client();
+    const std::string body = patterned_bytes(long_body_size);
     if (chunked) {
-      std::string all = head("POST", "Transfer-Encoding: chunked\r\n");
-      for (std::size_t at = 0; at < big; at += 50000)
-        all += piece_of(std::string_view(body).substr(at, 50000), true, false);
-      c->say(all + piece_of("", true, true));
+      std::string all = request_head("POST", "Transfer-Encoding: chunked\r\n");
+      for (std::size_t at = 0; at < long_body_size; at += 50000)
+        all += encode_body_chunk(std::string_view(body).substr(at, 50000), true, false);
+      c->send(all + encode_body_chunk("", true, true));
     } else {
-      c->say(head("POST", "Content-Length: " + std::to_string(big) + "\r\n") + body);
+      c->send(request_head("POST", "Content-Length: " + std::to_string(long_body_size) + "\r\n") + body);
     }
-    http::reader r(http::reader::kind::request);
-    r.in_pieces();
-    given g;
+    http::HttpParser r(http::HttpParser::MessageKind::request);
+    r.allow_streaming();
+    ParsedMessage g;
     std::size_t fed = 0;
-    REQUIRE(until(b.runs, [&] {
-      if (b.served.empty()) return false;
-      feed(r, std::string_view(b.served[0]->came).substr(fed), g);
-      fed = b.served[0]->came.size();
-      return g.over;
+    REQUIRE(run_until(b.event_loop, [&] {
+      if (b.upstream_connections.empty()) return false;
+      feed_parser(r, std::string_view(b.upstream_connections[0]->received).substr(fed), g);
+      fed = b.upstream_connections[0]->received.size();
+      return g.complete;
     }));
     CHECK(g.body == body);
-    CHECK(g.head.length.has_value() == !chunked);
-    b.served[0]->say(answer_text(200, "done"));
-    REQUIRE(until(b.runs, [&] { return c->came.find("done") != std::string::npos; }));
-    CHECK(b.counts.long_requests == 1);
-    CHECK(b.counts.ok == 1);
-    c->say(head("GET", ""));  // the connection goes on
-    REQUIRE(until(b.runs, [&] { return b.served[0]->came.size() > fed; }));
+    CHECK(g.head.content_length.has_value() == !chunked);
+    b.upstream_connections[0]->send(response_text(200, "done"));
+    REQUIRE(run_until(b.event_loop, [&] { return c->received.find("done") != std::string::npos; }));
+    CHECK(b.counts.streamed_requests == 1);
+    CHECK(b.counts.rpcs_ok == 1);
+    c->send(request_head("GET", ""));  // the connection goes on
+    REQUIRE(run_until(b.event_loop, [&] { return b.upstream_connections[0]->received.size() > fed; }));
   }
 }
 
 TEST_CASE("a slow upload is not the server's slowness") {
-  between b;
-  const auto c = b.client();
-  c->say(head("POST", "Content-Length: 200001\r\n") + many(200000));
-  pass(b.runs, 200);  // the latency target is half of that
-  c->say("!");
-  REQUIRE(until(b.runs, [&] { return !b.served.empty() && b.served[0]->came.ends_with("!"); }));
-  b.served[0]->say(answer_text(200, "done"));
-  REQUIRE(until(b.runs, [&] { return b.counts.ok == 1; }));
+  LongMessageFixture b;
+  const auto c = b.connect_client();
+  c->send(request_head("POST", "Content-Length: 200001\r\n") + patterned_bytes(200000));
+  run_for(b.event_loop, 200);  // the latency target is half of that
+  c->send("!");
+  REQUIRE(run_until(b.event_loop, [&] {
+    return !b.upstream_connections.empty() && b.upstream_connections[0]->received.ends_with("!");
+  }));
+  b.upstream_connections[0]->send(response_text(200, "done"));
+  REQUIRE(run_until(b.event_loop, [&] { return b.counts.rpcs_ok == 1; }));
   const std::string log = b.log_text.str(), said = ": ok after ";
   REQUIRE(log.find(said) != std::string::npos);
   CHECK(std::stod(log.substr(log.find(said) + said.size())) < 100);
 }
 
 TEST_CASE("a long answer comes through by every framing, to old clients and new") {
-  const std::string body = many(big);
+  const std::string body = patterned_bytes(long_body_size);
   for (const bool chunked : {false, true})
     for (const char* version : {"1.0", "1.1"}) {
       CAPTURE(chunked);
       CAPTURE(std::string(version));
-      between b;
-      const auto c = b.client();
-      c->say(head("GET", "", version));
-      REQUIRE(until(b.runs, [&] { return !b.served.empty() && b.served[0]->came.size() > 0; }));
-      b.served[0]->say(chunked ? "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" +
-                                     piece_of(body, true, true)
-                               : answer_text(200, body));
+      LongMessageFixture b;
+      const auto c = b.connect_client();
+      c->send(request_head("GET", "", version));
+      REQUIRE(run_until(b.event_loop, [&] {
+        return !b.upstream_connections.empty() && b.upstream_connections[0]->received.size() > 0;
+      }));
+      b.upstream_connections[0]->send(chunked ? "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" +
+                                                    encode_body_chunk(body, true, true)
+                                              : response_text(200, body));
       const bool closes = version[2] == '0';
-      REQUIRE(until(b.runs, [&] { return closes ? c->ended : unchunked(c->came) == body; }));
-      if (closes) CHECK(c->came.substr(c->came.size() - big) == body);
-      CHECK((c->came.find("chunked") != std::string::npos) == (chunked && !closes));
-      CHECK(b.rpcs.held() == 0);
-      CHECK(b.counts.long_answers == 1);
+      REQUIRE(run_until(b.event_loop, [&] { return closes ? c->ended : decoded_body(c->received) == body; }));
+      if (closes) CHECK(c->received.substr(c->received.size() - long_body_size) == body);
+      CHECK((c->received.find("chunked") != std::string::npos) == (chunked && !closes));
+      CHECK(b.dispatcher.in_flight() == 0);
+      CHECK(b.counts.streamed_responses == 1);
     }
 }
 
 TEST_CASE(
     "the first part of a long answer goes on at once, and little is held for a client that reads slowly") {
-  between b;
-  const auto c = b.client();
-  c->say(head("GET", ""));
-  REQUIRE(until(b.runs, [&] { return !b.served.empty() && b.served[0]->came.size() > 0; }));
+  LongMessageFixture b;
+  const auto c = b.connect_client();
+  c->send(request_head("GET", ""));
+  REQUIRE(run_until(b.event_loop, [&] {
+    return !b.upstream_connections.empty() && b.upstream_connections[0]->received.size() > 0;
+  }));
   constexpr std::size_t all = 24 << 20;
-  b.served[0]->say("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(all) + "\r\n\r\nfirst");
-  REQUIRE(until(b.runs, [&] { return c->came.find("first") != std::string::npos; }));
-  c->reads = false;
-  b.served[0]->say(std::string(all - 5, 'x'));
+  b.upstream_connections[0]->send("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(all) +
+                                  "\r\n\r\nfirst");
+  REQUIRE(run_until(b.event_loop, [&] { return c->received.find("first") != std::string::npos; }));
+  c->reading = false;
+  b.upstream_connections[0]->send(std::string(all - 5, 'x'));
   const std::size_t before = ::mallinfo2().uordblks;
-  pass(b.runs, 200);
+  run_for(b.event_loop, 200);
   CHECK(::mallinfo2().uordblks < before + (1 << 20));
-  c->reads = true;
-  c->came.reserve(all + 1000);
-  c->go_on();
-  REQUIRE(until(b.runs, [&] { return c->came.size() > all; }));
-  CHECK(b.counts.cut == 0);
+  c->reading = true;
+  c->received.reserve(all + 1000);
+  c->transfer();
+  REQUIRE(run_until(b.event_loop, [&] { return c->received.size() > all; }));
+  CHECK(b.counts.truncated_responses == 0);
 }
 
 TEST_CASE("what breaks off is cut so that the client can tell, and is not tried again") {
   for (const bool chunked : {false, true}) {
-    between b(repeatable::idempotent);
-    const auto c = b.client();
-    c->say(head("GET", ""));
-    REQUIRE(until(b.runs, [&] { return !b.served.empty() && b.served[0]->came.size() > 0; }));
-    b.served[0]->say(chunked ? "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" +
-                                   piece_of(many(100000), true, false)
-                             : "HTTP/1.1 200 OK\r\nContent-Length: 200000\r\n\r\n" + many(100000));
-    REQUIRE(until(b.runs, [&] { return c->came.size() > 90000; }));
-    b.served[0]->wire.reset();
-    REQUIRE(until(b.runs, [&] { return c->ended; }));
-    CHECK(c->came.find("\r\n0\r\n") == std::string::npos);
-    CHECK(b.served.size() == 1);
-    CHECK(b.counts.cut == 1);
-    CHECK(b.picks(ending::reset) == 1);
-    CHECK(b.rpcs.held() == 0);
+    LongMessageFixture b(RetrySafety::idempotent);
+    const auto c = b.connect_client();
+    c->send(request_head("GET", ""));
+    REQUIRE(run_until(b.event_loop, [&] {
+      return !b.upstream_connections.empty() && b.upstream_connections[0]->received.size() > 0;
+    }));
+    b.upstream_connections[0]->send(chunked ? "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" +
+                                                  encode_body_chunk(patterned_bytes(100000), true, false)
+                                            : "HTTP/1.1 200 OK\r\nContent-Length: 200000\r\n\r\n" +
+                                                  patterned_bytes(100000));
+    REQUIRE(run_until(b.event_loop, [&] { return c->received.size() > 90000; }));
+    b.upstream_connections[0]->socket.reset();
+    REQUIRE(run_until(b.event_loop, [&] { return c->ended; }));
+    CHECK(c->received.find("\r\n0\r\n") == std::string::npos);
+    CHECK(b.upstream_connections.size() == 1);
+    CHECK(b.counts.truncated_responses == 1);
+    CHECK(b.attempts_ended(AttemptOutcome::reset) == 1);
+    CHECK(b.dispatcher.in_flight() == 0);
   }
 }
 
@@ -331,62 +347,73 @@
     int status;
   } table[] = {
       {"never whole there: it can't have run", "close", 503},
-      {"turned away: never ran", answer_text(503, "", "X-Rejected: 1\r\n"), 503},
-      {"an error may have run", answer_text(500, ""), 502},
-      {"served early", answer_text(200, "fine"), 200},
+      {"turned away: never ran", response_text(503, "", "X-Rejected: 1\r\n"), 503},
+      {"an error may have run", response_text(500, ""), 502},
+      {"served early", response_text(200, "fine"), 200},
   };
   for (const auto& t : table) {
     CAPTURE(std::string(t.what));
-    between b;
-    const auto c = b.client();
-    c->say(head("POST", "Content-Length: 3000000\r\n") + many(200000));
-    REQUIRE(until(b.runs, [&] { return !b.served.empty() && b.served[0]->came.size() > 150000; }));
+    LongMessageFixture b;
+    const auto c = b.connect_client();
+    c->send(request_head("POST", "Content-Length: 3000000\r\n") + patterned_bytes(200000));
+    REQUIRE(run_until(b.event_loop, [&] {
+      return !b.upstream_connections.empty() && b.upstream_connections[0]->received.size() > 150000;
+    }));
     if (t.answer == "close")
-      b.served[0]->wire.reset();
+      b.upstream_connections[0]->socket.reset();
     else
-      b.served[0]->say(t.answer);
-    REQUIRE(until(b.runs, [&] { return c->ended; }));
-    CHECK(c->came.substr(0, 12) == "HTTP/1.1 " + std::to_string(t.status));
-    CHECK(b.served.size() == 1);
-    CHECK(b.rpcs.held() == 0);
+      b.upstream_connections[0]->send(t.answer);
+    REQUIRE(run_until(b.event_loop, [&] { return c->ended; }));
+    CHECK(c->received.substr(0, 12) == "HTTP/1.1 " + std::to_string(t.status));
+    CHECK(b.upstream_connections.size() == 1);
+    CHECK(b.dispatcher.in_flight() == 0);
   }
 }
 
 TEST_CASE("a client that leaves, or sends what is no body, ends its long request everywhere") {
   for (const bool leaves : {true, false}) {
-    between b;
-    const auto c = b.client();
-    c->say(head("POST", "Transfer-Encoding: chunked\r\n") + piece_of(many(200000), true, false));
-    REQUIRE(until(b.runs, [&] { return !b.served.empty() && b.served[0]->came.size() > 150000; }));
+    LongMessageFixture b;
+    const auto c = b.connect_client();
+    c->send(request_head("POST", "Transfer-Encoding: chunked\r\n") +
+            encode_body_chunk(patterned_bytes(200000), true, false));
+    REQUIRE(run_until(b.event_loop, [&] {
+      return !b.upstream_connections.empty() && b.upstream_connections[0]->received.size() > 150000;
+    }));
     if (leaves)
-      c->wire.reset();
+      c->socket.reset();
     else
-      c->say("what\r\n");
-    REQUIRE(until(b.runs, [&] { return b.served[0]->ended; }));
-    CHECK(b.rpcs.held() == 0);
-    CHECK(b.counts.left == 1);
-    if (!leaves) CHECK(until(b.runs, [&] { return c->came.find(" 400 ") != std::string::npos; }));
+      c->send("what\r\n");
+    REQUIRE(run_until(b.event_loop, [&] { return b.upstream_connections[0]->ended; }));
+    CHECK(b.dispatcher.in_flight() == 0);
+    CHECK(b.counts.rpcs_abandoned == 1);
+    if (!leaves)
+      CHECK(run_until(b.event_loop, [&] { return c->received.find(" 400 ") != std::string::npos; }));
   }
 }
 
 TEST_CASE("HEAD, Expect, OPTIONS of all, pipelined requests") {
-  between b;
-  const auto c = b.client();
-  c->say(head("HEAD", ""));
-  REQUIRE(until(b.runs, [&] { return !b.served.empty() && b.served[0]->came.size() > 0; }));
-  b.served[0]->say("HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\n");
-  REQUIRE(until(b.runs, [&] { return c->came.find("Content-Length: 7\r\n\r\n") != std::string::npos; }));
-  c->came.clear();
-  c->say(head("POST", "Expect: 100-continue\r\nContent-Length: 4\r\n"));
-  REQUIRE(until(b.runs, [&] { return c->came == "HTTP/1.1 100 Continue\r\n\r\n"; }));
-  b.served[0]->came.clear();
-  c->say("body" + head("GET", "") + "OPTIONS * HTTP/1.1\r\n\r\n");
-  REQUIRE(until(b.runs, [&] { return b.served[0]->came.find("body") != std::string::npos; }));
-  CHECK(b.served[0]->came.find("Expect") == std::string::npos);
-  b.served[0]->say(answer_text(200, "one"));
-  REQUIRE(until(b.runs, [&] { return b.served[0]->came.find("GET") != std::string::npos; }));
-  b.served[0]->say(answer_text(200, "two"));
-  REQUIRE(until(b.runs, [&] { return c->came.find("Allow: ") != std::string::npos; }));
-  CHECK(c->came.find("one") < c->came.find("two"));
-  CHECK(c->came.find("two") < c->came.find("Allow: "));
+  LongMessageFixture b;
+  const auto c = b.connect_client();
+  c->send(request_head("HEAD", ""));
+  REQUIRE(run_until(b.event_loop, [&] {
+    return !b.upstream_connections.empty() && b.upstream_connections[0]->received.size() > 0;
+  }));
+  b.upstream_connections[0]->send("HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\n");
+  REQUIRE(run_until(b.event_loop,
+                    [&] { return c->received.find("Content-Length: 7\r\n\r\n") != std::string::npos; }));
+  c->received.clear();
+  c->send(request_head("POST", "Expect: 100-continue\r\nContent-Length: 4\r\n"));
+  REQUIRE(run_until(b.event_loop, [&] { return c->received == "HTTP/1.1 100 Continue\r\n\r\n"; }));
+  b.upstream_connections[0]->received.clear();
+  c->send("body" + request_head("GET", "") + "OPTIONS * HTTP/1.1\r\n\r\n");
+  REQUIRE(run_until(b.event_loop,
+                    [&] { return b.upstream_connections[0]->received.find("body") != std::string::npos; }));
+  CHECK(b.upstream_connections[0]->received.find("Expect") == std::string::npos);
+  b.upstream_connections[0]->send(response_text(200, "one"));
+  REQUIRE(run_until(b.event_loop,
+                    [&] { return b.upstream_connections[0]->received.find("GET") != std::string::npos; }));
+  b.upstream_connections[0]->send(response_text(200, "two"));
+  REQUIRE(run_until(b.event_loop, [&] { return c->received.find("Allow: ") != std::string::npos; }));
+  CHECK(c->received.find("one") < c->received.find("two"));
+  CHECK(c->received.find("two") < c->received.find("Allow: "));
 }
--- a/tests/process_test.cpp
+++ b/tests/process_test.cpp
@@ -21,99 +21,101 @@
 
 namespace {
 
-struct settings_of {
-  const char* what;
-  int target, deadline, connect, grace;  // ms
-  bool allows;                           // cancels, probes, push-back with advice, further picks
+struct SettingsVariant {
+  const char* description;
+  int latency_target_ms, deadline_ms, connect_timeout_ms, drain_grace_ms;  // ms
+  bool allows_all;  // cancels, probes, push-back with advice, further picks
 };
-constexpr settings_of customers[] = {{"short times, nothing allowed", 120, 150, 1200, 300, false},
-                                     {"long times, all allowed", 1500, 3000, 250, 1000, true}};
+constexpr SettingsVariant settings_variants[] = {{"short times, nothing allowed", 120, 150, 1200, 300, false},
+                                                 {"long times, all allowed", 1500, 3000, 250, 1000, true}};
 
-class sidecar {
+class SidecarProcess {
  public:
-  sockaddr_in where;
-  std::string config = "sidecar-" + std::to_string(::getpid()) + "-" + std::to_string(++made) + ".json",
-              log = config + ".log";
-  rlim_t most_descriptors = 0;  // as the kernel has it; 0: as here
+  sockaddr_in address;
+  std::string config_path =
+                  "sidecar-" + std::to_string(::getpid()) + "-" + std::to_string(++instance_count) + ".json",
+              log_path = config_path + ".log";
+  rlim_t descriptor_limit = 0;  // as the kernel has it; 0: as here
 
-  explicit sidecar(const sockaddr_in& agent, const settings_of& s, const std::string& known = "") {
-    held = loopback_unheard();
-    where = address_of(held);
+  explicit SidecarProcess(const sockaddr_in& agent, const SettingsVariant& s, const std::string& known = "") {
+    reserved_port_ = bind_on_loopback();
+    address = local_address(reserved_port_);
     const auto us = [](int ms) { return std::to_string(ms * 1000); };
-    const std::string allows = s.allows ? "true" : "false";
-    text = R"({"name":"n","listen":")" + text_of(where) + R"(","discovery":")" + text_of(agent) +
-           R"(","seed":"1","limits":{"sockets":300},)" + known +
-           R"("settings":{"methods":[{"name":"pay-9","effect":"fragile","deadline":)" + us(s.deadline) +
-           R"(,"latencyTarget":)" + us(s.target) + R"(}],"bounds":{"maxPicks":)" + (s.allows ? "4" : "1") +
-           R"(,"cancelling":)" + allows + R"(,"probes":)" + allows + R"(,"retryAfter":)" + allows +
-           R"(,"maxRetryAfter":500000,"keepalive":5000000,"connectTimeout":)" + us(s.connect) +
-           R"(},"rules":{"drainGrace":)" + us(s.grace) + "}}}";
+    const std::string allows = s.allows_all ? "true" : "false";
+    config_text = R"({"name":"n","listen":")" + address_text(address) + R"(","discovery":")" +
+                  address_text(agent) + R"(","seed":"1","limits":{"sockets":300},)" + known +
+                  R"("settings":{"methods":[{"name":"pay-9","effect":"fragile","deadline":)" +
+                  us(s.deadline_ms) + R"(,"latencyTarget":)" + us(s.latency_target_ms) +
+                  R"(}],"bounds":{"maxPicks":)" + (s.allows_all ? "4" : "1") + R"(,"cancelling":)" + allows +
+                  R"(,"probes":)" + allows + R"(,"retryAfter":)" + allows +
+                  R"(,"maxRetryAfter":500000,"keepalive":5000000,"connectTimeout":)" +
+                  us(s.connect_timeout_ms) + R"(},"rules":{"drainGrace":)" + us(s.drain_grace_ms) + "}}}";
   }
-  ~sidecar() {
-    kill_it();
-    std::remove(config.c_str());
-    std::remove(log.c_str());
+  ~SidecarProcess() {
+    kill_process();
+    std::remove(config_path.c_str());
+    std::remove(log_path.c_str());
   }
   void start(bool write_config = true) {
-    if (write_config) std::ofstream(config) << text;
-    held = {};
-    pid = ::fork();
-    if (pid != 0) return;
+    if (write_config) std::ofstream(config_path) << config_text;
+    reserved_port_ = {};
+    pid_ = ::fork();
+    if (pid_ != 0) return;
     ::prctl(PR_SET_PDEATHSIG, SIGKILL);
-    if (most_descriptors > 0) {
-      const rlimit most{most_descriptors, most_descriptors};
+    if (descriptor_limit > 0) {
+      const rlimit most{descriptor_limit, descriptor_limit};
       ::setrlimit(RLIMIT_NOFILE, &most);
     }
-    ::setenv("LB_CONFIG", config.c_str(), 1);
-    if (!std::freopen(log.c_str(), "w", stderr)) ::_exit(126);
+    ::setenv("LB_CONFIG", config_path.c_str(), 1);
+    if (!std::freopen(log_path.c_str(), "w", stderr)) ::_exit(126);
     ::execl(INDIGORILL_SIDECAR, INDIGORILL_SIDECAR, static_cast<char*>(nullptr));
     ::_exit(127);
   }
-  void kill_it() {
-    if (pid > 0) ::kill(pid, SIGKILL), ::waitpid(pid, nullptr, 0);
-    pid = 0;
+  void kill_process() {
+    if (pid_ > 0) ::kill(pid_, SIGKILL), ::waitpid(pid_, nullptr, 0);
+    pid_ = 0;
   }
-  void say(int word) { ::kill(pid, word); }
-  bool ended() {
-    if (pid > 0 && ::waitpid(pid, &status, WNOHANG) == pid) pid = 0;
-    return pid == 0;
+  void send_signal(int word) { ::kill(pid_, word); }
+  bool has_exited() {
+    if (pid_ > 0 && ::waitpid(pid_, &wait_status_, WNOHANG) == pid_) pid_ = 0;
+    return pid_ == 0;
   }
-  bool well() const { return WIFEXITED(status) && WEXITSTATUS(status) == 0; }
-  bool ready(loop& runs) {
-    for (const double end = runs.now() + 20000; runs.now() < end && !ended();) {
-      descriptor_budget one{1};
-      side asks(runs, one, connect_to(where), answer);
-      asks.say("GET /-/ready HTTP/1.1\r\n\r\n");
-      for (int i = 0; i < 20 && asks.came.empty() && !asks.ended; ++i) runs.round(5);
-      if (!asks.came.empty() && asks.came[0].status == 200) return true;
-      pass(runs, 5);
+  bool exited_cleanly() const { return WIFEXITED(wait_status_) && WEXITSTATUS(wait_status_) == 0; }
+  bool ready(EventLoop& runs) {
+    for (const double end = runs.now() + 20000; runs.now() < end && !has_exited();) {
+      FileDescriptorBudget one{1};
+      TestConnection asks(runs, one, start_connect(address), response);
+      asks.send("GET /-/ready HTTP/1.1\r\n\r\n");
+      for (int i = 0; i < 20 && asks.received.empty() && !asks.is_ended; ++i) runs.run_once(5);
+      if (!asks.received.empty() && asks.received[0].status == 200) return true;
+      run_for(runs, 5);
     }
     return false;
   }
-  std::string text;
+  std::string config_text;
 
  private:
-  static inline int made = 0;
-  descriptor held;
-  pid_t pid = 0;
-  int status = -1;
+  static inline int instance_count = 0;
+  FileDescriptor reserved_port_;
+  pid_t pid_ = 0;
+  int wait_status_ = -1;
 };
 
 // The list from before the start: one endpoint.
-std::string knows(const sockaddr_in& endpoint) {
+std::string known_endpoint_json(const sockaddr_in& endpoint) {
   return R"("known":{"generation":1,"reset":true,"instances":[{"instanceId":"a","hostPort":")" +
-         text_of(endpoint) + R"(","lifecycle":"up"}]},)";
+         address_text(endpoint) + R"(","lifecycle":"up"}]},)";
 }
 
-bool wait_for(loop& runs, double longest, const std::function<bool()>& so) {
+bool wait_for(EventLoop& runs, double longest, const std::function<bool()>& so) {
   for (const double end = runs.now() + longest; !so();) {
     if (runs.now() > end) return false;
-    runs.round(2);
+    runs.run_once(2);
   }
   return true;
 }
 
-std::string pay(int id, int budget) {
+std::string payment_request(int id, int budget) {
   return "POST /pay-9 HTTP/1.1\r\nX-Call-Id: pay" + std::to_string(id) +
          "\r\nX-Call-Class: pay-9\r\nX-Budget: " + std::to_string(budget) +
          "m\r\nContent-Length: 4\r\n\r\nbody";
@@ -121,64 +123,65 @@
 
 // Clients that send one request after the other, also after the word to stop, on all that stays open; a
 // request that crosses a closing is sent once more over a new connection.
-struct crowd {
-  struct one {
-    std::unique_ptr<side> over;
-    int asked = 0;  // the id that is out
-    bool again = false;
+struct ClientCrowd {
+  struct Client {
+    std::unique_ptr<TestConnection> connection;
+    int request_id = 0;  // the id that is out
+    bool resent = false;
     bool fresh = true;  // nothing was answered on this connection
   };
-  loop& runs;
-  sockaddr_in where;
-  int budget;
-  descriptor_budget room{200};
-  std::vector<one> all;
-  int ids = 0, answered = 0, refused = 0, lost = 0, served_ones = 0;
-  bool opens = true;  // new connections still go on coming
+  EventLoop& event_loop;
+  sockaddr_in address;
+  int budget_ms;
+  FileDescriptorBudget client_budget{200};
+  std::vector<Client> clients;
+  int last_id = 0, answered = 0, refused = 0, lost = 0, succeeded = 0;
+  bool may_reconnect = true;  // new connections still go on coming
 
-  crowd(loop& in, const sockaddr_in& at, int within, std::size_t n)
-      : runs(in), where(at), budget(within), all(n) {
-    for (one& c : all) connect(c);
+  ClientCrowd(EventLoop& in, const sockaddr_in& at, int within, std::size_t n)
+      : event_loop(in), address(at), budget_ms(within), clients(n) {
+    for (Client& c : clients) connect(c);
   }
-  void connect(one& c) {
-    c.over = std::make_unique<side>(runs, room, connect_to(where), answer);
+  void connect(Client& c) {
+    c.connection =
+        std::make_unique<TestConnection>(event_loop, client_budget, start_connect(address), response);
     c.fresh = true;
   }
-  void turn(bool sends) {
-    for (one& c : all) {
-      if (!c.over) continue;
-      if (c.asked && !c.over->came.empty()) {
-        const http::message& m = c.over->came.back();
+  void step(bool sends) {
+    for (Client& c : clients) {
+      if (!c.connection) continue;
+      if (c.request_id && !c.connection->received.empty()) {
+        const http::Message& m = c.connection->received.back();
         ++answered;
-        (m.status == 200 ? served_ones : refused) += 1;
-        const bool keeps = m.keeps;
-        c.over->came.clear();
-        c.asked = 0;
-        c.again = c.fresh = false;
-        if (!keeps) c.over->ended = true;
+        (m.status == 200 ? succeeded : refused) += 1;
+        const bool keeps = m.keep_alive;
+        c.connection->received.clear();
+        c.request_id = 0;
+        c.resent = c.fresh = false;
+        if (!keeps) c.connection->is_ended = true;
       }
-      if (c.over->ended) {
-        const int out = c.asked;
-        c.over.reset();
-        if (out && (c.again || !opens)) {
+      if (c.connection->is_ended) {
+        const int out = c.request_id;
+        c.connection.reset();
+        if (out && (c.resent || !may_reconnect)) {
           ++lost;
-          c.asked = 0;
+          c.request_id = 0;
           continue;
         }
-        if (!opens) continue;
+        if (!may_reconnect) continue;
         connect(c);
         if (out) {
-          c.again = true;
-          c.over->say(pay(out, budget));
+          c.resent = true;
+          c.connection->send(payment_request(out, budget_ms));
         }
       }
-      if (c.over && sends && !c.asked) {
-        c.over->say(pay(c.asked = ++ids, budget));
+      if (c.connection && sends && !c.request_id) {
+        c.connection->send(payment_request(c.request_id = ++last_id, budget_ms));
       }
     }
   }
-  bool all_quiet() const {
-    return std::all_of(all.begin(), all.end(), [](const one& c) { return c.asked == 0; });
+  bool none_waiting() const {
+    return std::all_of(clients.begin(), clients.end(), [](const Client& c) { return c.request_id == 0; });
   }
 };
 
@@ -186,108 +189,110 @@
 
 TEST_CASE("processes: SIGTERM while the config is still read ends it with status 0, SIGHUP doesn't end it") {
   for (const int word : {SIGTERM, SIGHUP}) {
-    loop runs;
-    stand_in agent(runs, {});
-    sidecar s(agent.where, customers[0]);
-    REQUIRE(::mkfifo(s.config.c_str(), 0600) == 0);
+    EventLoop runs;
+    FakeServer agent(runs, {});
+    SidecarProcess s(agent.address, settings_variants[0]);
+    REQUIRE(::mkfifo(s.config_path.c_str(), 0600) == 0);
     s.start(false);
     // It can be opened for writing once the process has it open for reading, and reads until that is closed.
-    descriptor to;
+    FileDescriptor to;
     REQUIRE(wait_for(runs, 20000, [&] {
-      to = descriptor(::open(s.config.c_str(), O_WRONLY | O_NONBLOCK));
+      to = FileDescriptor(::open(s.config_path.c_str(), O_WRONLY | O_NONBLOCK));
       return static_cast<bool>(to);
     }));
-    s.say(word);
-    pass(runs, 30);
-    REQUIRE(::write(to.get(), s.text.data(), s.text.size()) == static_cast<ssize_t>(s.text.size()));
+    s.send_signal(word);
+    run_for(runs, 30);
+    REQUIRE(::write(to.get(), s.config_text.data(), s.config_text.size()) ==
+            static_cast<ssize_t>(s.config_text.size()));
     to = {};
     if (word == SIGHUP) {
-      std::remove(s.config.c_str());
-      std::ofstream(s.config) << s.text;
+      std::remove(s.config_path.c_str());
+      std::ofstream(s.config_path) << s.config_text;
       CHECK(s.ready(runs));
-      s.say(SIGTERM);
+      s.send_signal(SIGTERM);
     }
-    REQUIRE(wait_for(runs, 20000, [&] { return s.ended(); }));
-    CHECK(s.well());
+    REQUIRE(wait_for(runs, 20000, [&] { return s.has_exited(); }));
+    CHECK(s.exited_cleanly());
   }
 }
 
 TEST_CASE(
     "processes: told to stop under load, every request that was taken has its one answer, none runs twice") {
-  for (const settings_of& settings : customers) {
-    CAPTURE(std::string(settings.what));
-    loop runs;
-    stand_in agent(runs, {});
-    stand_in endpoint(runs, std::vector<std::string>(100000, answer_text(200, "paid")));
-    endpoint.budget.most = 1000;
-    sidecar s(agent.where, settings, knows(endpoint.where));
+  for (const SettingsVariant& settings : settings_variants) {
+    CAPTURE(std::string(settings.description));
+    EventLoop runs;
+    FakeServer agent(runs, {});
+    FakeServer endpoint(runs, std::vector<std::string>(100000, response_text(200, "paid")));
+    endpoint.budget.limit = 1000;
+    SidecarProcess s(agent.address, settings, known_endpoint_json(endpoint.address));
     s.start();
     REQUIRE(s.ready(runs));
-    crowd clients(runs, s.where, settings.deadline, 24);
+    ClientCrowd clients(runs, s.address, settings.deadline_ms, 24);
     const auto play = [&](double ms, bool sends) {
       for (const double end = runs.now() + ms; runs.now() < end;) {
-        runs.round(1);
-        clients.turn(sends);
+        runs.run_once(1);
+        clients.step(sends);
       }
     };
     play(300, true);
-    CHECK(clients.served_ones > 100);
+    CHECK(clients.succeeded > 100);
     const double told = runs.now();
-    s.say(SIGTERM);
+    s.send_signal(SIGTERM);
     play(40, true);
-    s.say(SIGHUP);
-    s.say(SIGTERM);
+    s.send_signal(SIGHUP);
+    s.send_signal(SIGTERM);
     play(300, true);
-    clients.opens = false;
+    clients.may_reconnect = false;
     double gone = 0;
     for (const double end = told + 20000; gone == 0 && runs.now() < end;) {
-      runs.round(1);
-      clients.turn(true);  // on what is still open
-      if (s.ended()) gone = runs.now();
+      runs.run_once(1);
+      clients.step(true);  // on what is still open
+      if (s.has_exited()) gone = runs.now();
     }
     CHECK(gone > 0);
-    CHECK(s.well());
-    CHECK(gone - told < std::min(settings.deadline, 3000) + 700);
+    CHECK(s.exited_cleanly());
+    CHECK(gone - told < std::min(settings.deadline_ms, 3000) + 700);
     play(20, false);
     CHECK(clients.lost == 0);
-    CHECK(clients.all_quiet());
-    CHECK(clients.answered == clients.ids);
+    CHECK(clients.none_waiting());
+    CHECK(clients.answered == clients.last_id);
     std::map<std::string, int> runs_of;
-    for (const auto& side : endpoint.sides)
-      for (const http::message& m : side->came) ++runs_of[std::string(m.find("X-Call-Id").value_or("none"))];
+    for (const auto& side : endpoint.connections)
+      for (const http::Message& m : side->received)
+        ++runs_of[std::string(m.find_header("X-Call-Id").value_or("none"))];
     CHECK(std::all_of(runs_of.begin(), runs_of.end(), [](const auto& r) { return r.second == 1; }));
-    CHECK(static_cast<int>(runs_of.size()) >= clients.served_ones);
+    CHECK(static_cast<int>(runs_of.size()) >= clients.succeeded);
   }
 }
 
 TEST_CASE(
     "processes: told to stop with endpoints that hang and clients that say nothing more, it is gone in "
     "time") {
-  for (const settings_of& settings : customers) {
-    CAPTURE(std::string(settings.what));
-    loop runs;
-    stand_in agent(runs, {}), endpoint(runs, {});
-    sidecar s(agent.where, settings, knows(endpoint.where));
+  for (const SettingsVariant& settings : settings_variants) {
+    CAPTURE(std::string(settings.description));
+    EventLoop runs;
+    FakeServer agent(runs, {}), endpoint(runs, {});
+    SidecarProcess s(agent.address, settings, known_endpoint_json(endpoint.address));
     s.start();
     REQUIRE(s.ready(runs));
-    descriptor_budget room{100};
-    std::vector<std::unique_ptr<side>> clients;
+    FileDescriptorBudget room{100};
+    std::vector<std::unique_ptr<TestConnection>> clients;
     for (int i = 0; i < 8; ++i)
-      clients.push_back(std::make_unique<side>(runs, room, connect_to(s.where), answer));
-    for (int i = 0; i < 4; ++i) clients[i]->say(pay(i + 1, settings.deadline));
-    clients[4]->say(pay(5, settings.deadline).substr(0, 40));
-    REQUIRE(wait_for(runs, 2000, [&] { return endpoint.asked.size() == 4; }));
+      clients.push_back(std::make_unique<TestConnection>(runs, room, start_connect(s.address), response));
+    for (int i = 0; i < 4; ++i) clients[i]->send(payment_request(i + 1, settings.deadline_ms));
+    clients[4]->send(payment_request(5, settings.deadline_ms).substr(0, 40));
+    REQUIRE(wait_for(runs, 2000, [&] { return endpoint.request_targets.size() == 4; }));
     const double told = runs.now();
-    s.say(SIGTERM);
-    REQUIRE(wait_for(runs, 20000, [&] { return s.ended(); }));
-    CHECK(runs.now() - told < std::min(settings.deadline, 3000) + 700);
-    CHECK(s.well());
-    pass(runs, 10);
+    s.send_signal(SIGTERM);
+    REQUIRE(wait_for(runs, 20000, [&] { return s.has_exited(); }));
+    CHECK(runs.now() - told < std::min(settings.deadline_ms, 3000) + 700);
+    CHECK(s.exited_cleanly());
+    run_for(runs, 10);
     for (int i = 0; i < 4; ++i) {
-      REQUIRE(clients[i]->came.size() == 1);
-      CHECK(clients[i]->came[0].status == 502);  // it may have run: no word that a retry is harmless
+      REQUIRE(clients[i]->received.size() == 1);
+      CHECK(clients[i]->received[0].status == 502);  // it may have run: no word that a retry is harmless
     }
-    for (const auto& c : clients) CHECK(c->ended);
+    for (const auto& c : clients) CHECK(c->is_ended);
   }
 }
 
@@ -307,16 +312,16 @@
   };
   for (const auto& t : table) {
     CAPTURE(std::string(t.to));
-    loop runs;
-    stand_in agent(runs, {});
-    sidecar s(agent.where, customers[0]);
-    const std::size_t at = s.text.find(t.from);
+    EventLoop runs;
+    FakeServer agent(runs, {});
+    SidecarProcess s(agent.address, settings_variants[0]);
+    const std::size_t at = s.config_text.find(t.from);
     REQUIRE(at != std::string::npos);
-    s.text.replace(at, std::string(t.from).size(), t.to);
+    s.config_text.replace(at, std::string(t.from).size(), t.to);
     s.start();
-    REQUIRE(wait_for(runs, 20000, [&] { return s.ended(); }));
-    CHECK_FALSE(s.well());
-    std::ifstream in(s.log);
+    REQUIRE(wait_for(runs, 20000, [&] { return s.has_exited(); }));
+    CHECK_FALSE(s.exited_cleanly());
+    std::ifstream in(s.log_path);
     std::vector<std::string> lines;
     for (std::string line; std::getline(in, line);) lines.push_back(line);
     REQUIRE(lines.size() == 1);
@@ -328,32 +333,34 @@
     "processes: stopped while a client leaves and its pick's connect comes up, it sends nothing on "
     "afterwards") {
   for (const bool leaves : {false, true}) {
-    loop runs;
-    stand_in agent(runs, {});
-    late_door late;
-    const settings_of patient{"a connect may take its second", 8000, 8000, 3000, 1000, false};
-    sidecar s(agent.where, patient, knows(late.where));
+    EventLoop runs;
+    FakeServer agent(runs, {});
+    StalledListener late;
+    const SettingsVariant patient{"a connect may take its second", 8000, 8000, 3000, 1000, false};
+    SidecarProcess s(agent.address, patient, known_endpoint_json(late.address));
     s.start();
     REQUIRE(s.ready(runs));
-    descriptor_budget room{10};
-    side client(runs, room, connect_to(s.where), answer), second(runs, room, connect_to(s.where), answer);
-    client.say(pay(1, 8000));
+    FileDescriptorBudget room{10};
+    TestConnection client(runs, room, start_connect(s.address), response),
+        second(runs, room, start_connect(s.address), response);
+    client.send(payment_request(1, 8000));
     // Its pick connects by the time that another client has an answer to what came behind it.
-    REQUIRE(wait_for(runs, 2000, [&] { return client.wire->unread() == 0; }));
+    REQUIRE(wait_for(runs, 2000, [&] { return client.stream->unacknowledged_bytes() == 0; }));
     for (int i = 0; i < 3; ++i) {
-      second.say("GET /-/ready HTTP/1.1\r\n\r\n");
-      REQUIRE(wait_for(runs, 2000, [&] { return second.came.size() == static_cast<std::size_t>(i + 1); }));
+      second.send("GET /-/ready HTTP/1.1\r\n\r\n");
+      REQUIRE(
+          wait_for(runs, 2000, [&] { return second.received.size() == static_cast<std::size_t>(i + 1); }));
     }
-    s.say(SIGSTOP);
-    late.let_up();
-    for (const double end = runs.now() + 1500; runs.now() < end; late.hear()) runs.round(5);
-    CHECK_FALSE(late.taken.empty());  // it came up
-    CHECK(late.requests() == 0);
-    if (leaves) client.hang_up();  // behind the connect, so that it comes second in the order of events
-    pass(runs, 20);
-    s.say(SIGCONT);
-    for (const double end = runs.now() + 300; runs.now() < end; late.hear()) runs.round(5);
-    CHECK(late.requests() == (leaves ? 0 : 1));
+    s.send_signal(SIGSTOP);
+    late.release();
+    for (const double end = runs.now() + 1500; runs.now() < end; late.receive()) runs.run_once(5);
+    CHECK_FALSE(late.accepted.empty());  // it came up
+    CHECK(late.request_count() == 0);
+    if (leaves) client.close();  // behind the connect, so that it comes second in the order of events
+    run_for(runs, 20);
+    s.send_signal(SIGCONT);
+    for (const double end = runs.now() + 300; runs.now() < end; late.receive()) runs.run_once(5);
+    CHECK(late.request_count() == (leaves ? 0 : 1));
   }
 }
 
@@ -371,49 +378,50 @@
   constexpr std::size_t n = 30;
   for (const auto& t : table) {
     CAPTURE(std::string(t.what));
-    loop runs;
-    stand_in endpoint(runs, {});
-    stand_in agent(runs,
-                   std::vector<std::string>(100000, answer_text(200, R"({"generation":1,"reset":true,)"
-                                                                     R"("instances":[]})")),
-                   t.slow < 0 ? loopback_unheard() : loopback());
-    agent.budget.most = 100000;
-    agent.slow = std::max(t.slow, 0.0);
-    std::vector<std::unique_ptr<sidecar>> all;
+    EventLoop runs;
+    FakeServer endpoint(runs, {});
+    FakeServer agent(runs,
+                     std::vector<std::string>(100000, response_text(200, R"({"generation":1,"reset":true,)"
+                                                                         R"("instances":[]})")),
+                     t.slow < 0 ? bind_on_loopback() : listen_on_loopback());
+    agent.budget.limit = 100000;
+    agent.response_delay_ms = std::max(t.slow, 0.0);
+    std::vector<std::unique_ptr<SidecarProcess>> all;
     for (std::size_t i = 0; i < n; ++i) {
-      all.push_back(std::make_unique<sidecar>(agent.where, customers[1], knows(endpoint.where)));
-      std::string& text = all.back()->text;
+      all.push_back(std::make_unique<SidecarProcess>(agent.address, settings_variants[1],
+                                                     known_endpoint_json(endpoint.address)));
+      std::string& text = all.back()->config_text;
       if (t.asked) text.replace(text.find(R"("settings":{)"), 12, R"("settings":{"discovery":"subscribe",)");
     }
     // How many are ready after so long; all are asked side by side.
     const auto ready_within = [&](double longest) {
-      descriptor_budget room{2 * n};
-      std::vector<std::unique_ptr<side>> asks(n);
+      FileDescriptorBudget room{2 * n};
+      std::vector<std::unique_ptr<TestConnection>> asks(n);
       std::vector<double> since(n, 0);
       std::vector<bool> ready(n, false);
       for (const double end = runs.now() + longest;
            runs.now() < end && std::count(ready.begin(), ready.end(), true) < 30;) {
         for (std::size_t i = 0; i < n; ++i) {
           if (ready[i]) continue;
-          if (asks[i] && !asks[i]->came.empty() && asks[i]->came[0].status == 200) {
+          if (asks[i] && !asks[i]->received.empty() && asks[i]->received[0].status == 200) {
             ready[i] = true;
             asks[i].reset();
-          } else if (!asks[i] || asks[i]->ended || runs.now() > since[i] + 500) {
-            asks[i] = std::make_unique<side>(runs, room, connect_to(all[i]->where), answer);
-            asks[i]->say("GET /-/ready HTTP/1.1\r\n\r\n");
+          } else if (!asks[i] || asks[i]->is_ended || runs.now() > since[i] + 500) {
+            asks[i] = std::make_unique<TestConnection>(runs, room, start_connect(all[i]->address), response);
+            asks[i]->send("GET /-/ready HTTP/1.1\r\n\r\n");
             since[i] = runs.now();
           }
         }
-        runs.round(5);
+        runs.run_once(5);
       }
       return std::count(ready.begin(), ready.end(), true);
     };
     for (auto& s : all) s->start();
     REQUIRE(ready_within(30000) == n);
-    for (auto& s : all) s->kill_it();
+    for (auto& s : all) s->kill_process();
     for (auto& s : all) s->start();
     CHECK(ready_within(10000) >= 27);
-    CHECK(std::none_of(all.begin(), all.end(), [](auto& s) { return s->ended(); }));
+    CHECK(std::none_of(all.begin(), all.end(), [](auto& s) { return s->has_exited(); }));
   }
 }
 
@@ -422,49 +430,49 @@
     "return") {
   for (const bool refused : {false, true}) {
     CAPTURE(refused);
-    loop runs;
-    stand_in agent(runs, {}, refused ? loopback_unheard() : loopback());
-    std::vector<descriptor> filling;
+    EventLoop runs;
+    FakeServer agent(runs, {}, refused ? bind_on_loopback() : listen_on_loopback());
+    std::vector<FileDescriptor> filling;
     if (!refused) {
-      agent.at_door.drop();
-      filling = fill(agent.door);
+      agent.listener_watch.cancel();
+      filling = fill_backlog(agent.listener);
     }
-    stand_in before(runs, {}), after(runs, std::vector<std::string>(10, answer_text(200, "paid")));
-    sidecar s(agent.where, customers[1], knows(before.where));
+    FakeServer before(runs, {}), after(runs, std::vector<std::string>(10, response_text(200, "paid")));
+    SidecarProcess s(agent.address, settings_variants[1], known_endpoint_json(before.address));
     const std::string limit = R"("sockets":300)";
-    s.text.replace(s.text.find(limit), limit.size(), R"("sockets":64)");
-    s.most_descriptors = 64;
+    s.config_text.replace(s.config_text.find(limit), limit.size(), R"("sockets":64)");
+    s.descriptor_limit = 64;
     s.start();
     REQUIRE(s.ready(runs));
-    descriptor_budget room{400};
-    std::vector<std::unique_ptr<side>> idle;
+    FileDescriptorBudget room{400};
+    std::vector<std::unique_ptr<TestConnection>> idle;
     for (int i = 0; i < 150; ++i) {
-      idle.push_back(std::make_unique<side>(runs, room, connect_to(s.where), answer));
-      if (i % 10 == 0) pass(runs, 10);
+      idle.push_back(std::make_unique<TestConnection>(runs, room, start_connect(s.address), response));
+      if (i % 10 == 0) run_for(runs, 10);
     }
     // Who is closed for room comes again.
     const auto stay = [&] {
       for (auto& c : idle)
-        if (c->ended) c = std::make_unique<side>(runs, room, connect_to(s.where), answer);
+        if (c->is_ended) c = std::make_unique<TestConnection>(runs, room, start_connect(s.address), response);
     };
-    for (const double end = runs.now() + 1000; runs.now() < end; stay()) runs.round(5);
-    CHECK(before.asked.empty());
+    for (const double end = runs.now() + 1000; runs.now() < end; stay()) runs.run_once(5);
+    CHECK(before.request_targets.empty());
     filling.clear();
     const std::string told =
-        answer_text(200, R"({"generation":2,"reset":true,"instances":[{"instanceId":"b","hostPort":")" +
-                             text_of(after.where) + R"(","lifecycle":"up"}]})");
-    agent.script = {told};
-    ::listen(agent.door.get(), 100);
-    agent.open();
-    REQUIRE(wait_for(runs, 3000, [&] { return stay(), !agent.asked.empty(); }));
-    for (const double end = runs.now() + 300; runs.now() < end; stay()) runs.round(5);
+        response_text(200, R"({"generation":2,"reset":true,"instances":[{"instanceId":"b","hostPort":")" +
+                               address_text(after.address) + R"(","lifecycle":"up"}]})");
+    agent.responses = {told};
+    ::listen(agent.listener.get(), 100);
+    agent.start_accepting();
+    REQUIRE(wait_for(runs, 3000, [&] { return stay(), !agent.request_targets.empty(); }));
+    for (const double end = runs.now() + 300; runs.now() < end; stay()) runs.run_once(5);
     idle.clear();
-    side client(runs, room, connect_to(s.where), answer);
-    client.say(pay(1, 3000));
-    REQUIRE(wait_for(runs, 4000, [&] { return !client.came.empty() || client.ended; }));
-    REQUIRE(client.came.size() == 1);
-    CHECK(client.came[0].status == 200);
-    CHECK(after.asked.size() == 1);
-    CHECK(before.asked.empty());
+    TestConnection client(runs, room, start_connect(s.address), response);
+    client.send(payment_request(1, 3000));
+    REQUIRE(wait_for(runs, 4000, [&] { return !client.received.empty() || client.is_ended; }));
+    REQUIRE(client.received.size() == 1);
+    CHECK(client.received[0].status == 200);
+    CHECK(after.request_targets.size() == 1);
+    CHECK(before.request_targets.empty());
   }
 }
--- a/tests/scale_test.cpp
+++ b/tests/scale_test.cpp
@@ -13,30 +13,30 @@
 namespace {
 
 // A fleet's sharers and their divider, without a network: all ask in turn, three times a share.
-struct budget_office {
-  shares_traits with;
-  divider d;
-  std::vector<purse> all;
+struct BudgetOffice {
+  QuotaConfig with;
+  QuotaAllocator d;
+  std::vector<QuotaClient> all;
   double now = 1e6;
 
-  budget_office(std::size_t n, double whole, double floor)
+  BudgetOffice(std::size_t n, double whole, double floor)
       : with{{{"picks", whole, floor, 1000}}, static_cast<int>(n), 2000, 60000, 0.01}, d(with) {
     for (std::size_t i = 0; i < n; ++i) all.emplace_back(with, 1 + i);
-    d.begin(now, now);
+    d.start_term(now, now);
   }
   // Uneven: one in a hundred wants a hundred times as much.
   void round() {
-    const double pause = with.share / 3 / static_cast<double>(all.size());
+    const double pause = with.grant_duration_ms / 3 / static_cast<double>(all.size());
     for (std::size_t i = 0; i < all.size(); ++i, now += pause) {
       const std::size_t wants = i % 100 == 0 ? 100 : i % 3;
-      for (std::size_t w = 0; w < wants; ++w) all[i].wanted(now, 0);
-      const share_ask a = all[i].ask(now);
-      all[i].heard(now, d.answer(now, 1e18, a));
+      for (std::size_t w = 0; w < wants; ++w) all[i].record_demand(now, 0);
+      const QuotaRequest a = all[i].make_request(now);
+      all[i].on_grant(now, d.handle_request(now, 1e18, a));
     }
   }
   double allowed() const {
     double sum = 0;
-    for (const purse& p : all) sum += p.allowed(now, 0);
+    for (const QuotaClient& p : all) sum += p.allowance(now, 0);
     return sum;
   }
 };
@@ -48,11 +48,11 @@
   // anew for its own answer and one for each grant that ended. Going over all would be n.
   for (const std::size_t n : {50U, 200U, 800U, 3200U, 12800U}) {
     CAPTURE(n);
-    budget_office o(n, 4.0 * static_cast<double>(n), 0);
+    BudgetOffice o(n, 4.0 * static_cast<double>(n), 0);
     for (int r = 0; r < 6; ++r) o.round();
-    const std::uint64_t before = o.d.steps();
+    const std::uint64_t before = o.d.step_count();
     for (int r = 0; r < 4; ++r) o.round();
-    const double an_answer = static_cast<double>(o.d.steps() - before) / (4.0 * static_cast<double>(n));
+    const double an_answer = static_cast<double>(o.d.step_count() - before) / (4.0 * static_cast<double>(n));
     MESSAGE(n << " sharers: " << an_answer << " steps an answer");
     CHECK(an_answer < 2 * 2 * std::log2(static_cast<double>(n) + 1) + 4);
     CHECK(o.allowed() <= 4.0 * static_cast<double>(n));
@@ -64,31 +64,31 @@
     "scale: what the divider stores for each sharer does not grow with the fleet, nor with its questions") {
   for (const std::size_t n : {50U, 200U, 800U, 3200U}) {
     CAPTURE(n);
-    budget_office o(n, 2.0 * static_cast<double>(n), 0);
+    BudgetOffice o(n, 2.0 * static_cast<double>(n), 0);
     for (int r = 0; r < 12; ++r) o.round();
-    CHECK(static_cast<double>(o.d.stored()) / static_cast<double>(n) < 8);
+    CHECK(static_cast<double>(o.d.stored_grant_count()) / static_cast<double>(n) < 8);
   }
   // One that asks without a pause and goes by no answer.
-  budget_office o(2, 100, 0);
+  BudgetOffice o(2, 100, 0);
   o.now += 5000;  // past what earlier dividers may have given
-  for (std::uint64_t i = 1; i <= 100000; ++i) o.d.answer(o.now, 1e18, {1, i, 0, 0, {5}});
-  CHECK(o.d.stored() <= 32);
-  CHECK(o.d.given(o.now, 0) >= 5);
-  CHECK(o.d.given(o.now, 0) <= 100);
+  for (std::uint64_t i = 1; i <= 100000; ++i) o.d.handle_request(o.now, 1e18, {1, i, 0, 0, {5}});
+  CHECK(o.d.stored_grant_count() <= 32);
+  CHECK(o.d.max_in_use(o.now, 0) >= 5);
+  CHECK(o.d.max_in_use(o.now, 0) <= 100);
 }
 
 TEST_CASE("scale: the part that the sums give is the one that going over all gives") {
   std::mt19937_64 chance(3);
   for (int trial = 0; trial < 300; ++trial) {
     CAPTURE(trial);
-    demand d;
+    DemandIndex d;
     const std::size_t n = 1 + chance() % 40;
-    std::vector<demand::wish> all;
+    std::vector<DemandIndex::Demand> all;
     for (std::size_t i = 0; i < n; ++i) {
       const double most = trial % 3 ? 6 : 60;
       all.emplace_back(std::floor(most * static_cast<double>(chance() % 1000) / 1000), i + 1);
       d.add({999, i + 1});  // and changed, as wishes are
-      d.take_out({999, i + 1});
+      d.remove({999, i + 1});
       d.add(all.back());
     }
     std::sort(all.begin(), all.end());
@@ -109,7 +109,7 @@
     for (std::size_t turn = 0; turn < n; ++turn) {
       double sum = 0;
       for (std::size_t i = 0; i < n; ++i) {
-        const double part = d.part(all[i], whole, turn);
+        const double part = d.fair_share(all[i], whole, turn);
         CHECK(part >= has[i]);
         CHECK(part <= has[i] + 1);
         odd[i] += part - has[i];
