--- a/bench/decision.cpp
+++ b/bench/decision.cpp
@@ -4,7 +4,7 @@
 
 #include <string>
 
-#include "indigorill/balance.h"
+#include "indigorill/load_balancer.h"
 
 namespace {
 
--- a/bench/scale.cpp
+++ b/bench/scale.cpp
@@ -5,10 +5,10 @@
 
 #include <string>
 
-#include "../src/members/envelope.h"
-#include "../src/net/discovery.h"
-#include "../src/shares/shares.h"
-#include "indigorill/balance.h"
+#include "cluster/envelope.h"
+#include "discovery/discovery_client.h"
+#include "indigorill/load_balancer.h"
+#include "quota/quota.h"
 
 namespace {
 
--- a/src/net/admin.cpp
+++ b/src/admin/admin_server.cpp
@@ -1,4 +1,4 @@
-#include "admin.h"
+#include "admin/admin_server.h"
 
 #include <sys/socket.h>
 
--- a/src/net/admin.h
+++ b/src/admin/admin_server.h
@@ -6,11 +6,11 @@
 #include <set>
 #include <unordered_map>
 
-#include "counters.h"
-#include "http.h"
-#include "log.h"
-#include "socket.h"
-#include "words.h"
+#include "event/socket.h"
+#include "http/header_codec.h"
+#include "http/http_parser.h"
+#include "logging/logger.h"
+#include "metrics/counters.h"
 
 namespace indigorill {
 
--- a/src/net/company.cpp
+++ b/src/cluster/cluster_node.cpp
@@ -1,4 +1,4 @@
-#include "company.h"
+#include "cluster/cluster_node.h"
 
 #include <algorithm>
 #include <chrono>
--- a/src/net/company.h
+++ b/src/cluster/cluster_node.h
@@ -5,9 +5,9 @@
 #include <memory>
 #include <nlohmann/json.hpp>
 
-#include "../members/envelope.h"
-#include "datagrams.h"
-#include "log.h"
+#include "cluster/datagram_socket.h"
+#include "cluster/envelope.h"
+#include "logging/logger.h"
 
 namespace indigorill {
 
--- a/src/net/datagrams.cpp
+++ b/src/cluster/datagram_socket.cpp
@@ -1,4 +1,4 @@
-#include "datagrams.h"
+#include "cluster/datagram_socket.h"
 
 #include <sys/socket.h>
 
--- a/src/net/datagrams.h
+++ b/src/cluster/datagram_socket.h
@@ -4,7 +4,7 @@
 
 #include <string_view>
 
-#include "socket.h"
+#include "event/socket.h"
 
 namespace indigorill {
 
--- a/src/members/envelope.cpp
+++ b/src/cluster/envelope.cpp
@@ -1,4 +1,4 @@
-#include "envelope.h"
+#include "cluster/envelope.h"
 
 #include <algorithm>
 #include <array>
--- a/src/members/envelope.h
+++ b/src/cluster/envelope.h
@@ -9,9 +9,9 @@
 #include <string_view>
 #include <variant>
 
-#include "../lease/lease.h"
-#include "../shares/shares.h"
-#include "members.h"
+#include "lease/leader_lease.h"
+#include "membership/membership.h"
+#include "quota/quota.h"
 
 namespace indigorill {
 
--- a/src/options/command.cpp
+++ b/src/config/command_line.cpp
@@ -1,9 +1,9 @@
-#include "command.h"
+#include "config/command_line.h"
 
 #include <CLI/CLI.hpp>
 
-#include "../net/sidecar.h"
-#include "options.h"
+#include "config/options.h"
+#include "proxy/sidecar.h"
 
 namespace indigorill {
 namespace {
--- a/src/decode/fields.cpp
+++ b/src/config/json_fields.cpp
@@ -1,4 +1,4 @@
-#include "fields.h"
+#include "config/json_fields.h"
 
 namespace indigorill {
 
--- a/src/decode/settings.cpp
+++ b/src/config/load_balancer_config.cpp
@@ -1,4 +1,4 @@
-#include "settings.h"
+#include "config/load_balancer_config.h"
 
 namespace indigorill {
 
--- a/src/decode/settings.h
+++ b/src/config/load_balancer_config.h
@@ -1,8 +1,8 @@
 // The settings that a balancer is started with, the same on the simulator's wire and in a sidecar's config.
 #pragma once
 
-#include "fields.h"
-#include "indigorill/balance.h"
+#include "config/json_fields.h"
+#include "indigorill/load_balancer.h"
 
 namespace indigorill {
 
--- a/src/options/options.cpp
+++ b/src/config/options.cpp
@@ -1,4 +1,4 @@
-#include "options.h"
+#include "config/options.h"
 
 #include <cmath>
 #include <fstream>
--- a/src/options/options.h
+++ b/src/config/options.h
@@ -4,10 +4,10 @@
 
 #include <limits>
 
-#include "../decode/section.h"
-#include "../net/company.h"
-#include "../net/config.h"
-#include "../net/log.h"
+#include "cluster/cluster_node.h"
+#include "config/sidecar_config.h"
+#include "config/toml_section.h"
+#include "logging/logger.h"
 
 namespace indigorill {
 
--- a/src/net/config.cpp
+++ b/src/config/sidecar_config.cpp
@@ -1,4 +1,4 @@
-#include "config.h"
+#include "config/sidecar_config.h"
 
 #include <algorithm>
 #include <charconv>
--- a/src/net/config.h
+++ b/src/config/sidecar_config.h
@@ -5,9 +5,9 @@
 #include <optional>
 #include <string>
 
-#include "../decode/settings.h"
-#include "company.h"
-#include "discovery.h"
+#include "cluster/cluster_node.h"
+#include "config/load_balancer_config.h"
+#include "discovery/discovery_client.h"
 
 namespace indigorill {
 
--- a/src/decode/section.cpp
+++ b/src/config/toml_section.cpp
@@ -1,4 +1,4 @@
-#include "section.h"
+#include "config/toml_section.h"
 
 #include <cmath>
 #include <sstream>
--- a/src/net/discovery.cpp
+++ b/src/discovery/discovery_client.cpp
@@ -1,4 +1,4 @@
-#include "discovery.h"
+#include "discovery/discovery_client.h"
 
 #include <algorithm>
 #include <utility>
--- a/src/net/discovery.h
+++ b/src/discovery/discovery_client.h
@@ -9,12 +9,12 @@
 #include <string_view>
 #include <vector>
 
-#include "../decode/fields.h"
-#include "counters.h"
-#include "http.h"
-#include "indigorill/balance.h"
-#include "log.h"
-#include "socket.h"
+#include "config/json_fields.h"
+#include "event/socket.h"
+#include "http/http_parser.h"
+#include "indigorill/load_balancer.h"
+#include "logging/logger.h"
+#include "metrics/counters.h"
 
 namespace indigorill {
 
--- a/src/maintenance/maintenance.cpp
+++ b/src/ejection/manual_ejection.cpp
@@ -1,4 +1,4 @@
-#include "maintenance.h"
+#include "ejection/manual_ejection.h"
 
 #include <algorithm>
 #include <iterator>
--- a/src/lab/audit.cpp
+++ b/src/emulator/audit.cpp
@@ -1,4 +1,4 @@
-#include "audit.h"
+#include "emulator/audit.h"
 
 #include <algorithm>
 #include <sstream>
--- a/src/lab/audit.h
+++ b/src/emulator/audit.h
@@ -11,7 +11,7 @@
 #include <utility>
 #include <vector>
 
-#include "record.h"
+#include "emulator/record.h"
 
 namespace indigorill::lab {
 
--- a/src/lab/brain.cpp
+++ b/src/emulator/brain.cpp
@@ -1,4 +1,4 @@
-#include "brain.h"
+#include "emulator/brain.h"
 
 #include <algorithm>
 #include <array>
@@ -8,7 +8,7 @@
 #include <set>
 #include <utility>
 
-#include "chance.h"
+#include "emulator/chance.h"
 
 namespace indigorill::lab {
 namespace {
--- a/src/lab/brain.h
+++ b/src/emulator/brain.h
@@ -8,7 +8,7 @@
 #include <string>
 #include <vector>
 
-#include "indigorill/balance.h"
+#include "indigorill/load_balancer.h"
 
 namespace indigorill::lab {
 
--- a/src/lab/cli.cpp
+++ b/src/emulator/cli.cpp
@@ -1,11 +1,11 @@
-#include "cli.h"
+#include "emulator/cli.h"
 
 #include <CLI/CLI.hpp>
 #include <fstream>
 #include <thread>
 
-#include "gathering.h"
-#include "report.h"
+#include "emulator/gathering.h"
+#include "emulator/report.h"
 
 namespace indigorill::lab {
 namespace {
--- a/src/lab/experiment.cpp
+++ b/src/emulator/experiment.cpp
@@ -1,4 +1,4 @@
-#include "experiment.h"
+#include "emulator/experiment.h"
 
 #include <algorithm>
 #include <atomic>
--- a/src/lab/experiment.h
+++ b/src/emulator/experiment.h
@@ -7,7 +7,7 @@
 #include <string>
 #include <vector>
 
-#include "world.h"
+#include "emulator/world.h"
 
 namespace indigorill::lab {
 
--- a/src/lab/figures.cpp
+++ b/src/emulator/figures.cpp
@@ -1,4 +1,4 @@
-#include "figures.h"
+#include "emulator/figures.h"
 
 #include <boost/math/distributions/students_t.hpp>
 #include <cmath>
--- a/src/lab/figures.h
+++ b/src/emulator/figures.h
@@ -6,7 +6,7 @@
 #include <string>
 #include <vector>
 
-#include "audit.h"
+#include "emulator/audit.h"
 
 namespace indigorill::lab {
 
--- a/src/lab/gathering.cpp
+++ b/src/emulator/gathering.cpp
@@ -1,4 +1,4 @@
-#include "gathering.h"
+#include "emulator/gathering.h"
 
 #include <algorithm>
 #include <functional>
@@ -6,9 +6,9 @@
 #include <map>
 #include <memory>
 
-#include "../members/envelope.h"
-#include "agenda.h"
-#include "chance.h"
+#include "cluster/envelope.h"
+#include "emulator/agenda.h"
+#include "emulator/chance.h"
 
 namespace indigorill::lab {
 namespace {
--- a/src/lab/record.h
+++ b/src/emulator/record.h
@@ -4,7 +4,7 @@
 
 #include <cstdint>
 
-#include "indigorill/balance.h"
+#include "indigorill/load_balancer.h"
 
 namespace indigorill::lab {
 
--- a/src/lab/report.cpp
+++ b/src/emulator/report.cpp
@@ -1,4 +1,4 @@
-#include "report.h"
+#include "emulator/report.h"
 
 #include <algorithm>
 #include <iomanip>
--- a/src/lab/report.h
+++ b/src/emulator/report.h
@@ -6,7 +6,7 @@
 #include <ostream>
 #include <vector>
 
-#include "experiment.h"
+#include "emulator/experiment.h"
 
 namespace indigorill::lab {
 
--- a/src/lab/scenario.cpp
+++ b/src/emulator/scenario.cpp
@@ -1,4 +1,4 @@
-#include "scenario.h"
+#include "emulator/scenario.h"
 
 #include <algorithm>
 #include <cmath>
--- a/src/lab/scenario.h
+++ b/src/emulator/scenario.h
@@ -9,10 +9,10 @@
 #include <string_view>
 #include <vector>
 
-#include "../decode/section.h"
-#include "../limits/limits.h"
-#include "chance.h"
-#include "indigorill/balance.h"
+#include "config/toml_section.h"
+#include "emulator/chance.h"
+#include "indigorill/load_balancer.h"
+#include "limits/limits.h"
 
 namespace indigorill::lab {
 
--- a/src/lab/station.cpp
+++ b/src/emulator/station.cpp
@@ -1,4 +1,4 @@
-#include "station.h"
+#include "emulator/station.h"
 
 #include <algorithm>
 
--- a/src/lab/station.h
+++ b/src/emulator/station.h
@@ -7,8 +7,8 @@
 #include <functional>
 #include <vector>
 
-#include "agenda.h"
-#include "chance.h"
+#include "emulator/agenda.h"
+#include "emulator/chance.h"
 
 namespace indigorill::lab {
 
--- a/src/lab/world.cpp
+++ b/src/emulator/world.cpp
@@ -1,4 +1,4 @@
-#include "world.h"
+#include "emulator/world.h"
 
 #include <algorithm>
 #include <charconv>
--- a/src/lab/world.h
+++ b/src/emulator/world.h
@@ -8,13 +8,13 @@
 #include <unordered_map>
 #include <vector>
 
-#include "../net/patience.h"
-#include "agenda.h"
-#include "brain.h"
-#include "figures.h"
-#include "record.h"
-#include "scenario.h"
-#include "station.h"
+#include "emulator/agenda.h"
+#include "emulator/brain.h"
+#include "emulator/figures.h"
+#include "emulator/record.h"
+#include "emulator/scenario.h"
+#include "emulator/station.h"
+#include "proxy/connect_timeout_estimator.h"
 
 namespace indigorill::lab {
 
--- a/src/net/loop.cpp
+++ b/src/event/event_loop.cpp
@@ -1,4 +1,4 @@
-#include "loop.h"
+#include "event/event_loop.h"
 
 #include <unistd.h>
 
--- a/src/net/socket.cpp
+++ b/src/event/socket.cpp
@@ -1,4 +1,4 @@
-#include "socket.h"
+#include "event/socket.h"
 
 #include <arpa/inet.h>
 #include <fcntl.h>
--- a/src/net/socket.h
+++ b/src/event/socket.h
@@ -10,8 +10,8 @@
 #include <string_view>
 #include <vector>
 
-#include "../decode/fields.h"
-#include "loop.h"
+#include "config/json_fields.h"
+#include "event/event_loop.h"
 
 namespace indigorill {
 
--- a/src/net/twin.cpp
+++ b/src/hot_restart/hot_restart.cpp
@@ -1,4 +1,4 @@
-#include "twin.h"
+#include "hot_restart/hot_restart.h"
 
 #include <fcntl.h>
 #include <sys/stat.h>
--- a/src/net/twin.h
+++ b/src/hot_restart/hot_restart.h
@@ -10,9 +10,9 @@
 #include <optional>
 #include <string>
 
-#include "../handover/handover.h"
-#include "log.h"
-#include "loop.h"
+#include "event/event_loop.h"
+#include "hot_restart/hot_restart_policy.h"
+#include "logging/logger.h"
 
 namespace indigorill {
 
--- a/src/handover/handover.cpp
+++ b/src/hot_restart/hot_restart_policy.cpp
@@ -1,4 +1,4 @@
-#include "handover.h"
+#include "hot_restart/hot_restart_policy.h"
 
 #include <nlohmann/json.hpp>
 
--- a/src/net/words.cpp
+++ b/src/http/header_codec.cpp
@@ -1,4 +1,4 @@
-#include "words.h"
+#include "http/header_codec.h"
 
 #include <algorithm>
 #include <array>
--- a/src/net/words.h
+++ b/src/http/header_codec.h
@@ -6,9 +6,9 @@
 #include <string>
 #include <string_view>
 
-#include "../decode/settings.h"
-#include "http.h"
-#include "indigorill/balance.h"
+#include "config/load_balancer_config.h"
+#include "http/http_parser.h"
+#include "indigorill/load_balancer.h"
 
 namespace indigorill {
 
--- a/src/net/http.cpp
+++ b/src/http/http_parser.cpp
@@ -1,4 +1,4 @@
-#include "http.h"
+#include "http/http_parser.h"
 
 #include <algorithm>
 #include <charconv>
--- a/src/net/http.h
+++ b/src/http/http_parser.h
@@ -9,7 +9,7 @@
 #include <string_view>
 #include <vector>
 
-#include "socket.h"
+#include "event/socket.h"
 
 namespace indigorill::http {
 
--- a/src/lease/lease.cpp
+++ b/src/lease/leader_lease.cpp
@@ -1,4 +1,4 @@
-#include "lease.h"
+#include "lease/leader_lease.h"
 
 #include <algorithm>
 #include <array>
--- a/src/limits/limits.cpp
+++ b/src/limits/limits.cpp
@@ -1,4 +1,4 @@
-#include "limits.h"
+#include "limits/limits.h"
 
 #include <algorithm>
 #include <boost/math/special_functions/gamma.hpp>
--- a/src/load/clients.cpp
+++ b/src/load/clients.cpp
@@ -1,4 +1,4 @@
-#include "clients.h"
+#include "load/clients.h"
 
 #include <algorithm>
 #include <charconv>
--- a/src/load/clients.h
+++ b/src/load/clients.h
@@ -9,11 +9,11 @@
 #include <unordered_map>
 #include <vector>
 
-#include "../lab/figures.h"
-#include "../lab/scenario.h"
-#include "../net/http.h"
-#include "../net/socket.h"
-#include "clockwork.h"
+#include "emulator/figures.h"
+#include "emulator/scenario.h"
+#include "event/socket.h"
+#include "http/http_parser.h"
+#include "load/clockwork.h"
 
 namespace indigorill::loading {
 
--- a/src/load/clockwork.h
+++ b/src/load/clockwork.h
@@ -4,8 +4,8 @@
 #include <cmath>
 #include <utility>
 
-#include "../lab/agenda.h"
-#include "../net/loop.h"
+#include "emulator/agenda.h"
+#include "event/event_loop.h"
 
 namespace indigorill::loading {
 
--- a/src/load/crew.cpp
+++ b/src/load/crew.cpp
@@ -1,4 +1,4 @@
-#include "crew.h"
+#include "load/crew.h"
 
 #include <algorithm>
 #include <fstream>
--- a/src/load/crew.h
+++ b/src/load/crew.h
@@ -4,8 +4,8 @@
 
 #include <nlohmann/json.hpp>
 
-#include "process.h"
-#include "wire.h"
+#include "load/process.h"
+#include "load/wire.h"
 
 namespace indigorill::loading {
 
--- a/src/load/fleet.cpp
+++ b/src/load/fleet.cpp
@@ -1,4 +1,4 @@
-#include "fleet.h"
+#include "load/fleet.h"
 
 #include <algorithm>
 #include <charconv>
--- a/src/load/fleet.h
+++ b/src/load/fleet.h
@@ -8,10 +8,10 @@
 #include <unordered_map>
 #include <vector>
 
-#include "../lab/scenario.h"
-#include "../lab/station.h"
-#include "clockwork.h"
-#include "listener.h"
+#include "emulator/scenario.h"
+#include "emulator/station.h"
+#include "load/clockwork.h"
+#include "load/listener.h"
 
 namespace indigorill::loading {
 
--- a/src/load/listener.cpp
+++ b/src/load/listener.cpp
@@ -1,4 +1,4 @@
-#include "listener.h"
+#include "load/listener.h"
 
 #include <arpa/inet.h>
 #include <sys/socket.h>
--- a/src/load/listener.h
+++ b/src/load/listener.h
@@ -6,8 +6,8 @@
 #include <string>
 #include <unordered_map>
 
-#include "../net/http.h"
-#include "../net/socket.h"
+#include "event/socket.h"
+#include "http/http_parser.h"
 
 namespace indigorill::loading {
 
--- a/src/load/main.cpp
+++ b/src/load/main.cpp
@@ -1,5 +1,5 @@
 #include <iostream>
 
-#include "play.h"
+#include "load/play.h"
 
 int main(int argc, char** argv) { return indigorill::loading::run_command(argc, argv, std::cout, std::cerr); }
--- a/src/load/play.cpp
+++ b/src/load/play.cpp
@@ -1,4 +1,4 @@
-#include "play.h"
+#include "load/play.h"
 
 #include <sys/resource.h>
 #include <sys/socket.h>
@@ -13,9 +13,9 @@
 #include <iomanip>
 #include <set>
 
-#include "../decode/settings.h"
-#include "../lab/experiment.h"
-#include "crew.h"
+#include "config/load_balancer_config.h"
+#include "emulator/experiment.h"
+#include "load/crew.h"
 
 namespace indigorill::loading {
 namespace {
--- a/src/load/play.h
+++ b/src/load/play.h
@@ -6,8 +6,8 @@
 #include <string>
 #include <vector>
 
-#include "clients.h"
-#include "fleet.h"
+#include "load/clients.h"
+#include "load/fleet.h"
 
 namespace indigorill::loading {
 
--- a/src/load/process.cpp
+++ b/src/load/process.cpp
@@ -1,4 +1,4 @@
-#include "process.h"
+#include "load/process.h"
 
 #include <arpa/inet.h>
 #include <fcntl.h>
@@ -13,7 +13,7 @@
 #include <fstream>
 #include <memory>
 
-#include "../net/http.h"
+#include "http/http_parser.h"
 
 namespace indigorill::loading {
 
--- a/src/load/process.h
+++ b/src/load/process.h
@@ -11,7 +11,7 @@
 #include <utility>
 #include <vector>
 
-#include "../net/socket.h"
+#include "event/socket.h"
 
 namespace indigorill::loading {
 
--- a/src/load/wire.cpp
+++ b/src/load/wire.cpp
@@ -1,8 +1,8 @@
-#include "wire.h"
+#include "load/wire.h"
 
 #include <algorithm>
 
-#include "process.h"
+#include "load/process.h"
 
 namespace indigorill::loading {
 
--- a/src/load/wire.h
+++ b/src/load/wire.h
@@ -7,10 +7,10 @@
 #include <string>
 #include <vector>
 
-#include "../lab/chance.h"
-#include "../net/datagrams.h"
-#include "clockwork.h"
-#include "listener.h"
+#include "cluster/datagram_socket.h"
+#include "emulator/chance.h"
+#include "load/clockwork.h"
+#include "load/listener.h"
 
 namespace indigorill::loading {
 
--- a/src/balance.cpp
+++ b/src/load_balancer/load_balancer.cpp
@@ -1,7 +1,7 @@
 // All decisions of indigorill. A host (include/indigorill/balance.h) tells one balancer what happened, then
 // calls next() until it has no more to decide. The ordinary path is the design's weighted draw: see draw().
 // Beside it: load, lateness, cold servers, further picks, push-back and place (docs/design.md).
-#include "indigorill/balance.h"
+#include "indigorill/load_balancer.h"
 
 #include <algorithm>
 #include <cmath>
@@ -13,7 +13,7 @@
 #include <unordered_map>
 #include <utility>
 
-#include "peers/hearsay.h"
+#include "load_gossip/peer_load_table.h"
 
 namespace indigorill {
 namespace {
--- a/src/peers/peers.cpp
+++ b/src/load_gossip/load_gossip_codec.cpp
@@ -1,4 +1,4 @@
-#include "peers.h"
+#include "load_gossip/load_gossip_codec.h"
 
 #include <algorithm>
 #include <cmath>
--- a/src/peers/peers.h
+++ b/src/load_gossip/load_gossip_codec.h
@@ -6,7 +6,7 @@
 #include <string>
 #include <string_view>
 
-#include "indigorill/balance.h"
+#include "indigorill/load_balancer.h"
 
 namespace indigorill {
 
--- a/src/peers/hearsay.cpp
+++ b/src/load_gossip/peer_load_table.cpp
@@ -1,4 +1,4 @@
-#include "hearsay.h"
+#include "load_gossip/peer_load_table.h"
 
 #include <algorithm>
 #include <cmath>
--- a/src/peers/hearsay.h
+++ b/src/load_gossip/peer_load_table.h
@@ -7,7 +7,7 @@
 #include <map>
 #include <vector>
 
-#include "indigorill/balance.h"
+#include "indigorill/load_balancer.h"
 
 namespace indigorill {
 
--- a/src/net/log.cpp
+++ b/src/logging/logger.cpp
@@ -1,4 +1,4 @@
-#include "log.h"
+#include "logging/logger.h"
 
 #include <spdlog/logger.h>
 #include <spdlog/sinks/ostream_sink.h>
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -1,8 +1,8 @@
 #include <cstdlib>
 #include <iostream>
 
-#include "net/sidecar.h"
-#include "options/command.h"
+#include "config/command_line.h"
+#include "proxy/sidecar.h"
 
 int main(int argc, char** argv) {
   indigorill::block_signals();
--- a/src/members/members.cpp
+++ b/src/membership/membership.cpp
@@ -1,4 +1,4 @@
-#include "members.h"
+#include "membership/membership.h"
 
 #include <algorithm>
 #include <array>
--- a/src/net/counters.cpp
+++ b/src/metrics/counters.cpp
@@ -1,4 +1,4 @@
-#include "counters.h"
+#include "metrics/counters.h"
 
 namespace indigorill {
 namespace {
--- a/src/net/front.cpp
+++ b/src/proxy/http_server.cpp
@@ -1,4 +1,4 @@
-#include "front.h"
+#include "proxy/http_server.h"
 
 #include <netinet/tcp.h>
 #include <sys/socket.h>
--- a/src/net/front.h
+++ b/src/proxy/http_server.h
@@ -6,11 +6,11 @@
 #include <unordered_map>
 #include <vector>
 
-#include "counters.h"
-#include "http.h"
-#include "log.h"
-#include "relay.h"
-#include "socket.h"
+#include "event/socket.h"
+#include "http/http_parser.h"
+#include "logging/logger.h"
+#include "metrics/counters.h"
+#include "proxy/request_dispatcher.h"
 
 namespace indigorill {
 
--- a/src/net/relay.cpp
+++ b/src/proxy/request_dispatcher.cpp
@@ -1,4 +1,4 @@
-#include "relay.h"
+#include "proxy/request_dispatcher.h"
 
 #include <algorithm>
 #include <utility>
--- a/src/net/relay.h
+++ b/src/proxy/request_dispatcher.h
@@ -8,13 +8,13 @@
 #include <unordered_map>
 #include <vector>
 
-#include "counters.h"
-#include "http.h"
-#include "indigorill/balance.h"
-#include "log.h"
-#include "loop.h"
-#include "pool.h"
-#include "words.h"
+#include "event/event_loop.h"
+#include "http/header_codec.h"
+#include "http/http_parser.h"
+#include "indigorill/load_balancer.h"
+#include "logging/logger.h"
+#include "metrics/counters.h"
+#include "proxy/upstream_pool.h"
 
 namespace indigorill {
 
--- a/src/net/sidecar.cpp
+++ b/src/proxy/sidecar.cpp
@@ -1,4 +1,4 @@
-#include "sidecar.h"
+#include "proxy/sidecar.h"
 
 #include <malloc.h>
 #include <sys/signalfd.h>
@@ -12,10 +12,10 @@
 #include <system_error>
 #include <utility>
 
-#include "../maintenance/maintenance.h"
-#include "admin.h"
-#include "front.h"
-#include "twin.h"
+#include "admin/admin_server.h"
+#include "ejection/manual_ejection.h"
+#include "hot_restart/hot_restart.h"
+#include "proxy/http_server.h"
 
 namespace indigorill {
 namespace {
--- a/src/net/sidecar.h
+++ b/src/proxy/sidecar.h
@@ -1,8 +1,8 @@
 // One sidecar: its parts, put together and run until it is told to stop.
 #pragma once
 
-#include "config.h"
-#include "log.h"
+#include "config/sidecar_config.h"
+#include "logging/logger.h"
 
 namespace indigorill {
 
--- a/src/net/pool.cpp
+++ b/src/proxy/upstream_pool.cpp
@@ -1,9 +1,9 @@
-#include "pool.h"
+#include "proxy/upstream_pool.h"
 
 #include <algorithm>
 #include <cerrno>
 
-#include "words.h"
+#include "http/header_codec.h"
 
 namespace indigorill {
 namespace {
--- a/src/net/pool.h
+++ b/src/proxy/upstream_pool.h
@@ -9,12 +9,12 @@
 #include <unordered_map>
 #include <vector>
 
-#include "../decode/settings.h"
-#include "counters.h"
-#include "http.h"
-#include "log.h"
-#include "patience.h"
-#include "socket.h"
+#include "config/load_balancer_config.h"
+#include "event/socket.h"
+#include "http/http_parser.h"
+#include "logging/logger.h"
+#include "metrics/counters.h"
+#include "proxy/connect_timeout_estimator.h"
 
 namespace indigorill {
 
--- a/src/shares/demand.cpp
+++ b/src/quota/demand_index.cpp
@@ -1,4 +1,4 @@
-#include "demand.h"
+#include "quota/demand_index.h"
 
 #include <cmath>
 
--- a/src/shares/shares.cpp
+++ b/src/quota/quota.cpp
@@ -1,4 +1,4 @@
-#include "shares.h"
+#include "quota/quota.h"
 
 #include <algorithm>
 #include <array>
--- a/src/shares/shares.h
+++ b/src/quota/quota.h
@@ -15,7 +15,7 @@
 #include <string>
 #include <vector>
 
-#include "demand.h"
+#include "quota/demand_index.h"
 
 namespace indigorill {
 
--- a/src/adapter/main.cpp
+++ b/src/sim_adapter/main.cpp
@@ -1,6 +1,6 @@
 #include <iostream>
 
-#include "wire.h"
+#include "sim_adapter/sim_protocol.h"
 
 int main() {
   std::ios::sync_with_stdio(false);
--- a/src/adapter/wire.cpp
+++ b/src/sim_adapter/sim_protocol.cpp
@@ -1,4 +1,4 @@
-#include "wire.h"
+#include "sim_adapter/sim_protocol.h"
 
 #include <cmath>
 #include <istream>
@@ -8,9 +8,9 @@
 #include <set>
 #include <string>
 
-#include "../decode/settings.h"
-#include "../peers/peers.h"
-#include "indigorill/balance.h"
+#include "config/load_balancer_config.h"
+#include "indigorill/load_balancer.h"
+#include "load_gossip/load_gossip_codec.h"
 
 namespace indigorill {
 namespace {
--- a/tests/lab_test.cpp
+++ b/tests/emulator_test.cpp
@@ -7,9 +7,9 @@
 #include <nlohmann/json.hpp>
 #include <sstream>
 
-#include "../src/lab/cli.h"
-#include "../src/lab/experiment.h"
-#include "../src/lab/report.h"
+#include "emulator/cli.h"
+#include "emulator/experiment.h"
+#include "emulator/report.h"
 
 using namespace indigorill;
 using namespace indigorill::lab;
--- a/tests/endings_test.cpp
+++ b/tests/endings_test.cpp
@@ -9,8 +9,8 @@
 #include <map>
 #include <random>
 
-#include "../src/net/discovery.h"
-#include "parts.h"
+#include "discovery/discovery_client.h"
+#include "support/parts.h"
 
 using namespace host;
 
--- a/tests/fixtures_test.cpp
+++ b/tests/fixtures_test.cpp
@@ -16,17 +16,17 @@
 #include <variant>
 #include <vector>
 
-#include "../src/handover/handover.h"
-#include "../src/members/envelope.h"
-#include "../src/net/admin.h"
-#include "../src/net/company.h"
-#include "../src/net/config.h"
-#include "../src/net/counters.h"
-#include "../src/net/discovery.h"
-#include "../src/net/twin.h"
-#include "../src/options/options.h"
-#include "../src/peers/peers.h"
-#include "host.h"
+#include "admin/admin_server.h"
+#include "cluster/cluster_node.h"
+#include "cluster/envelope.h"
+#include "config/options.h"
+#include "config/sidecar_config.h"
+#include "discovery/discovery_client.h"
+#include "hot_restart/hot_restart.h"
+#include "hot_restart/hot_restart_policy.h"
+#include "load_gossip/load_gossip_codec.h"
+#include "metrics/counters.h"
+#include "support/host.h"
 
 using namespace host;
 
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -3,9 +3,9 @@
 
 #include <csignal>
 
-#include "../src/load/crew.h"
-#include "../src/load/play.h"
-#include "../src/members/envelope.h"
+#include "cluster/envelope.h"
+#include "load/crew.h"
+#include "load/play.h"
 
 using namespace indigorill;
 using namespace indigorill::loading;
--- a/tests/handover_test.cpp
+++ b/tests/hot_restart_test.cpp
@@ -1,5 +1,5 @@
 // Two processes of one sidecar: what each makes of the other, and the files and locks between them.
-#include "../src/handover/handover.h"
+#include "hot_restart/hot_restart.h"
 
 #include <doctest/doctest.h>
 #include <sys/prctl.h>
@@ -11,9 +11,9 @@
 #include <filesystem>
 #include <fstream>
 
-#include "../src/net/sidecar.h"
-#include "../src/net/twin.h"
-#include "host.h"
+#include "hot_restart/hot_restart_policy.h"
+#include "proxy/sidecar.h"
+#include "support/host.h"
 
 using namespace host;
 
--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -1,6 +1,6 @@
 #include <doctest/doctest.h>
 
-#include "host.h"
+#include "support/host.h"
 
 using namespace host;
 using http::HttpParser;
--- a/tests/lease_test.cpp
+++ b/tests/leader_lease_test.cpp
@@ -1,6 +1,6 @@
 // The lease: on an emulated network with chance, and explored exhaustively within bounds. Both drive the real
 // code.
-#include "../src/lease/lease.h"
+#include "lease/leader_lease.h"
 
 #include <doctest/doctest.h>
 
--- a/tests/limits_test.cpp
+++ b/tests/limits_test.cpp
@@ -1,5 +1,5 @@
 // Limits of one among many: the sum of what all are granted, over random histories and hard starts.
-#include "../src/limits/limits.h"
+#include "limits/limits.h"
 
 #include <doctest/doctest.h>
 
--- a/tests/balance_test.cpp
+++ b/tests/load_balancer_test.cpp
@@ -1,4 +1,3 @@
-#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
 #include <doctest/doctest.h>
 #include <malloc.h>
 
@@ -7,7 +6,7 @@
 #include <limits>
 #include <map>
 
-#include "host.h"
+#include "support/host.h"
 
 using namespace host;
 
--- a/tests/peers_test.cpp
+++ b/tests/load_gossip_test.cpp
@@ -1,11 +1,10 @@
-#include "../src/peers/peers.h"
-
 #include <doctest/doctest.h>
 
-#include "../src/decode/settings.h"
-#include "../src/net/discovery.h"
-#include "../src/peers/hearsay.h"
-#include "host.h"
+#include "config/load_balancer_config.h"
+#include "discovery/discovery_client.h"
+#include "load_gossip/load_gossip_codec.h"
+#include "load_gossip/peer_load_table.h"
+#include "support/host.h"
 
 using namespace host;
 
--- a/tests/load_test.cpp
+++ b/tests/load_test.cpp
@@ -12,8 +12,8 @@
 #include <sstream>
 #include <thread>
 
-#include "../src/load/play.h"
-#include "../src/net/config.h"
+#include "config/sidecar_config.h"
+#include "load/play.h"
 
 using namespace indigorill;
 using namespace indigorill::loading;
--- a/tests/maintenance_test.cpp
+++ b/tests/manual_ejection_test.cpp
@@ -1,14 +1,14 @@
 // Endpoints out by hand: the set, what the balancer and the pool make of it, and the second address.
-#include "../src/maintenance/maintenance.h"
+#include "ejection/manual_ejection.h"
 
 #include <doctest/doctest.h>
 
 #include <random>
 
-#include "../src/handover/handover.h"
-#include "../src/net/admin.h"
-#include "../src/net/relay.h"
-#include "host.h"
+#include "admin/admin_server.h"
+#include "hot_restart/hot_restart_policy.h"
+#include "proxy/request_dispatcher.h"
+#include "support/host.h"
 
 using namespace host;
 
--- a/tests/members_test.cpp
+++ b/tests/membership_test.cpp
@@ -1,5 +1,5 @@
 // Membership on an emulated network: many members on one clock, with loss, delay, doubling and cuts.
-#include "../src/members/members.h"
+#include "membership/membership.h"
 
 #include <doctest/doctest.h>
 
@@ -7,7 +7,7 @@
 #include <memory>
 #include <queue>
 
-#include "../src/members/envelope.h"
+#include "cluster/envelope.h"
 
 using namespace indigorill;
 
--- a/tests/options_test.cpp
+++ b/tests/options_test.cpp
@@ -1,5 +1,5 @@
 // The command line, the options' file, the check of both files, and the two forms of log lines.
-#include "../src/options/options.h"
+#include "config/options.h"
 
 #include <doctest/doctest.h>
 
@@ -9,7 +9,7 @@
 #include <nlohmann/json.hpp>
 #include <sstream>
 
-#include "../src/options/command.h"
+#include "config/command_line.h"
 
 using namespace indigorill;
 
--- a/tests/pipe_test.cpp
+++ b/tests/pipe_test.cpp
@@ -2,8 +2,8 @@
 #include <doctest/doctest.h>
 #include <malloc.h>
 
-#include "../src/net/front.h"
-#include "host.h"
+#include "proxy/http_server.h"
+#include "support/host.h"
 
 using namespace host;
 
--- a/tests/process_test.cpp
+++ b/tests/process_test.cpp
@@ -15,7 +15,7 @@
 #include <map>
 #include <set>
 
-#include "parts.h"
+#include "support/parts.h"
 
 using namespace host;
 
--- a/tests/net_test.cpp
+++ b/tests/proxy_test.cpp
@@ -10,10 +10,10 @@
 #include <iostream>
 #include <sstream>
 
-#include "../src/net/front.h"
-#include "../src/net/sidecar.h"
-#include "host.h"
-#include "parts.h"
+#include "proxy/http_server.h"
+#include "proxy/sidecar.h"
+#include "support/host.h"
+#include "support/parts.h"
 
 using namespace host;
 
--- a/tests/shares_test.cpp
+++ b/tests/quota_test.cpp
@@ -1,6 +1,6 @@
 // Shares of a budget: fairness by table, never more than the whole by an exhaustive search and by chance. All
 // of it drives the real code.
-#include "../src/shares/shares.h"
+#include "quota/quota.h"
 
 #include <doctest/doctest.h>
 
--- a/tests/scale_test.cpp
+++ b/tests/scale_test.cpp
@@ -6,7 +6,7 @@
 #include <map>
 #include <random>
 
-#include "../src/shares/shares.h"
+#include "quota/quota.h"
 
 using namespace indigorill;
 
--- a/tests/adapter_test.cpp
+++ b/tests/sim_adapter_test.cpp
@@ -2,8 +2,8 @@
 
 #include <sstream>
 
-#include "../src/adapter/wire.h"
-#include "../src/decode/fields.h"
+#include "config/json_fields.h"
+#include "sim_adapter/sim_protocol.h"
 
 namespace {
 
--- a/tests/standing_test.cpp
+++ b/tests/standing_test.cpp
@@ -8,7 +8,7 @@
 #include <map>
 #include <random>
 
-#include "parts.h"
+#include "support/parts.h"
 
 using namespace host;
 
@@ -472,8 +472,8 @@
     const double mean = t.sidecars * t.a_second / 1000 / (warm + cold) * land.slow_start_burst_ms;
     std::size_t all = 0;
     for (const auto& sends : sent) {
-        const auto& id = sends.first;
-        const auto& times = sends.second;
+      const auto& id = sends.first;
+      const auto& times = sends.second;
       all += times.size();
       double worst = 0;
       for (std::size_t i = 0, from = 0; i < times.size(); ++i) {
--- a/tests/host.h
+++ b/tests/support/host.h
@@ -12,9 +12,9 @@
 #include <string>
 #include <vector>
 
-#include "../src/net/socket.h"
-#include "../src/net/words.h"
-#include "indigorill/balance.h"
+#include "event/socket.h"
+#include "http/header_codec.h"
+#include "indigorill/load_balancer.h"
 
 namespace host {
 
--- a/tests/parts.h
+++ b/tests/support/parts.h
@@ -4,9 +4,9 @@
 #include <array>
 #include <sstream>
 
-#include "../src/net/discovery.h"
-#include "../src/net/front.h"
-#include "host.h"
+#include "discovery/discovery_client.h"
+#include "proxy/http_server.h"
+#include "support/host.h"
 
 namespace host {
 
