Leader lease: voter, messages and settings in files of their own

One class was voter, candidate and holder at once, with replies handled in one function of 40 lines.

LeaseVoter keeps what a voter promised and accepted; LeaderLease is candidate and holder, one function for each kind of reply. The clock-drift margin and the digest of states for exhaustive exploration are headers of their own, for the quota to use as well. Doc comments state on what safety rests.

--- a/src/lease/leader_lease.h
+++ b/src/lease/leader_lease.h
@@ -1,147 +1,114 @@
-// The right to divide: one holder at a time, by majority of a few named voters, none of which has a disk. A
-// lease in the manner of PaxosLease (Trencseni, Gazso, Reinhardt, "PaxosLease: Diskless Paxos for Leases",
-// 2012). No I/O; clock and chance are given.
-//
-// What its safety rests on: majorities meet; rates of clocks stay within `drift` of true time; what is asked
-// of `holds` is asked with the present time. Not on clocks that agree, on messages that come in time or once,
-// on a timer that fires, on a view of the members.
+/// Leader election by a lease: at most one process holds it at a time, granted by a majority of a few named
+/// voters, none of which has a disk. After PaxosLease (Trencseni, Gazso, Reinhardt, "PaxosLease: Diskless
+/// Paxos for Leases", 2012). No I/O; clock and random seed are given.
+///
+/// Safety (never two holders) rests on three things alone: any two majorities share a voter; the rate of each
+/// clock stays within LeaseConfig::max_clock_drift of true time; is_holder() is called with the present time.
+/// It does not rest on synchronised clocks, on messages that arrive in time, in order or once, on timers that
+/// fire, nor on a view of the membership.
 #pragma once
 
-#include <compare>
 #include <cstdint>
-#include <map>
 #include <optional>
 #include <random>
 #include <set>
 #include <string>
 #include <vector>
 
-namespace indigorill {
-
-// A later one leads. session: of one process, never used twice.
-struct BallotNumber {
-  std::uint64_t round = 0, session = 0;
-  auto operator<=>(const BallotNumber&) const = default;
-};
+#include "clock/clock_drift.h"
+#include "lease/lease_config.h"
+#include "lease/lease_message.h"
+#include "lease/lease_voter.h"
+#include "verification/state_digest.h"
 
-struct LeaseMessage {
-  enum class Type : std::uint8_t {
-    prepare,
-    promise,
-    propose,
-    accepted,
-    rejected,
-    released
-  } type = Type::prepare;
-  BallotNumber ballot;
-  std::string holder;                // promise, refused: whose lease the voter knows of, if it has not ended
-  std::uint64_t holder_session = 0;  // of that holder
-  double remaining_ms = 0;           // ms, of that lease
-  double previous_leases_remaining_ms =
-      0;  // ms, until all that was given under any lease known to the voter has ended
-  bool operator==(const LeaseMessage&) const = default;
-};
+namespace indigorill {
 
+/// One process' part in the election: candidate and holder, and voter if it is named as one. Only voters are
+/// candidates. All points in time are by this process' clock.
 class LeaderLease {
  public:
-  struct Config {
-    std::string name;
-    std::vector<std::string> voters;   // an odd number of names
-    double lease_duration_ms = 10000;  // ms, of a lease by its holder's clock
-    double max_clock_drift = 0.01;     // by how much any clock's rate may be off
-  };
+  using Config = LeaseConfig;
+  using Safeguards = LeaseSafeguards;
+
   struct OutgoingMessage {
-    std::string recipient;  // a voter's name
+    std::string recipient;  ///< a voter's name
     LeaseMessage message;
   };
-  // Which guards stand; all of them, but in a test that shows what each one is for.
-  struct Safeguards {
-    bool abstain_after_start = true;  // a voter that comes back knows nothing of what it promised
-    bool expire_from_round_start =
-        true;                           // the holder counts from its first question, not from the last answer
-    bool yield_to_known_holder = true;  // who hears of another's lease doesn't propose
-    bool reject_lower_ballots = true;   // a voter that promised a later ballot refuses an earlier one
-    bool allow_clock_drift = true;      // voters wait for as long as the slowest holder's clock takes
-    bool identify_holder_by_session = true;  // a process is not the holder that it was before its restart
-    bool check_expiry = true;
-  };
 
-  LeaderLease(Config with, std::uint64_t session, std::uint64_t seed, double now, Safeguards stand);
-  LeaderLease(Config with, std::uint64_t session, std::uint64_t seed, double now)
-      : LeaderLease(std::move(with), session, seed, now, Safeguards{}) {}
+  /// `session` identifies this run of the process and must never be used twice.
+  LeaderLease(Config config, std::uint64_t session, std::uint64_t seed, Milliseconds now,
+              Safeguards safeguards = {});
 
-  void on_message(double now, const std::string& from, const LeaseMessage& w);
-  void on_timer(double now);
-  void start_round(double now);  // asks for it at once; due() does so in its time
-  double next_timer_at() const;
+  /// Takes in a message; one whose sender is no voter is dropped.
+  void on_message(Milliseconds now, const std::string& sender, const LeaseMessage& message);
+  /// Starts a round if one is due; to be called at next_timer_at() or later.
+  void on_timer(Milliseconds now);
+  /// Asks for the lease, or for its renewal, at once.
+  void start_round(Milliseconds now);
+  /// Infinite for a process that is no candidate.
+  Milliseconds next_timer_at() const;
+  /// The next message to be sent, if any; to be called until there is none.
   std::optional<OutgoingMessage> next_message();
 
-  // Holds it at this very time; and for how long what is given now may last.
-  bool is_holder(double now) const {
-    return !has_resigned_ && is_held_ && (!safeguards_.check_expiry || now < expires_at_);
-  }
-  double expires_at() const { return expires_at_; }
+  /// Whether this process is the leader at this very moment.
+  bool is_holder(Milliseconds now) const;
+  /// The end of the lease; what the leader grants must not outlive it. Means something for the holder alone.
+  Milliseconds expires_at() const { return expires_at_; }
   const BallotNumber& held_ballot() const { return held_ballot_; }
-  // From when on nothing that was given under an earlier lease can still be in use.
-  double previous_leases_expired_at() const { return previous_leases_expired_at_; }
-  // Gives it up for good: nothing may be given after it.
-  void resign(double now);
+  /// From when on nothing that was granted under an earlier lease can still be in use.
+  Milliseconds previous_leases_expired_at() const { return previous_leases_expired_at_; }
+  /// Gives up the lease and the candidacy for good; nothing may be granted afterwards.
+  void resign(Milliseconds now);
 
   bool is_voter() const { return is_voter_; }
-  bool is_abstaining(double now) const { return now < may_vote_from_; }
-  // Whom this voter knows to hold it, "" if none: a hint.
-  std::string known_holder(double now) const;
-  std::uint64_t session() const { return session_; }
-  // Whether an answer of this kind to this ballot can still count.
-  bool is_awaiting(const BallotNumber& of, LeaseMessage::Type answer) const {
-    return of == round_ballot_ &&
-           phase_ == (answer == LeaseMessage::Type::promise ? Phase::preparing : Phase::proposing);
-  }
-  // All that decides what it does from now on, but chance: two with the same text act alike.
-  std::string state_digest(double now) const;
-  // How long a time of `ms` by any clock can take by another one.
-  double with_drift_margin(double ms) const {
-    return safeguards_.allow_clock_drift ? ms * (1 + config_.max_clock_drift) / (1 - config_.max_clock_drift)
-                                         : ms;
-  }
+  bool is_abstaining(Milliseconds now) const { return voter_.is_abstaining(now); }
+  /// Whom this process believes to be the holder, empty if nobody: a hint.
+  std::string known_holder(Milliseconds now) const;
+  /// Whether a reply of this type to this ballot can still count.
+  bool is_awaiting(const BallotNumber& ballot, LeaseMessage::Type reply) const;
+  /// All that decides its behaviour from now on, randomness aside.
+  std::string state_digest(Milliseconds now) const;
 
  private:
-  struct AcceptedLease {
-    BallotNumber ballot;
-    std::string holder;
-    std::uint64_t holder_session = 0;
-    double expires_at = 0;
-    bool is_released = false;
-  };
+  enum class Phase { idle, preparing, proposing };
+
+  void on_reply(Milliseconds now, const std::string& sender, const LeaseMessage& reply);
+  void on_rejection(Milliseconds now, const LeaseMessage& reply);
+  void on_promise(Milliseconds now, const std::string& sender, const LeaseMessage& reply);
+  void on_accepted(Milliseconds now, const std::string& sender);
+  void hold_lease(Milliseconds now);
+  bool is_own_lease(const LeaseMessage& reply) const;
 
-  std::optional<LeaseMessage> answer_as_voter(double now, const LeaseMessage& w);
-  void on_reply(double now, const std::string& from, const LeaseMessage& w);
-  void broadcast(double now, LeaseMessage w);
-  void schedule_round(double now, double least);
-  bool is_current(const AcceptedLease& r, double now) const { return !r.is_released && now < r.expires_at; }
+  void request_votes(Milliseconds now, LeaseMessage::Type type);
+  void send_to_others(const LeaseMessage& message);
+  LeaseMessage make_message(LeaseMessage::Type type, const BallotNumber& ballot) const;
+  void schedule_round(Milliseconds now, Milliseconds delay);
+  bool is_candidate() const { return is_voter_ && !has_resigned_; }
   std::size_t majority() const { return config_.voters.size() / 2 + 1; }
 
   Config config_;
   Safeguards safeguards_;
   std::uint64_t session_;
   std::knuth_b random_;
-  bool is_voter_, has_resigned_ = false;
+  bool is_voter_;
+  bool has_resigned_ = false;
+  LeaseVoter voter_;
 
-  // As a voter.
-  double may_vote_from_, accepted_leases_end_at_ = 0;
-  BallotNumber promised_ballot_;
-  std::optional<AcceptedLease> accepted_lease_;
-
-  // As one that wants it.
-  enum class Phase { idle, preparing, proposing } phase_ = Phase::idle;
+  // The present round.
+  Phase phase_ = Phase::idle;
   BallotNumber round_ballot_;
-  std::uint64_t highest_round_ = 0;
-  double round_started_at_ = 0, next_round_at_;
-  std::set<std::string> supporters_;
-  double reported_expiry_at_ = 0;
+  std::uint64_t highest_round_ = 0;  // of all that it heard of
+  Milliseconds round_started_at_ = 0;
+  Milliseconds next_round_at_;
+  std::set<std::string> supporters_;     // voters that agreed in this phase
+  Milliseconds reported_expiry_at_ = 0;  // of all earlier leases, by the promises of this round
+
+  // The lease that it holds or held.
   bool is_held_ = false;
-  double expires_at_ = 0, previous_leases_expired_at_ = 0;
+  Milliseconds expires_at_ = 0;
+  Milliseconds previous_leases_expired_at_ = 0;
   BallotNumber held_ballot_;
+
   std::vector<OutgoingMessage> outbox_;
 };
 
