--- a/src/quota/demand_index.cpp
+++ b/src/quota/demand_index.cpp
@@ -4,43 +4,48 @@
 
 namespace indigorill {
 
-template <class Holds>
-DemandIndex::Below DemandIndex::front(Holds goes_on) const {
-  Below before;
-  auto at = tree_.node_begin();
+template <class Predicate>
+DemandIndex::PrefixSum DemandIndex::longest_prefix(Predicate includes) const {
+  PrefixSum prefix;
+  auto node = tree_.node_begin();
   const auto end = tree_.node_end();
-  while (at != end) {
+  while (node != end) {
     ++visited_nodes_;
-    Below here = before;
-    if (const auto l = at.get_l_child(); l != end) here += l.get_metadata();
-    if (goes_on(**at, here)) {
-      before = here;
-      before += Below{1, (**at).first};
-      at = at.get_r_child();
+    PrefixSum before_node = prefix;
+    if (const auto left = node.get_l_child(); left != end) before_node += left.get_metadata();
+    if (includes(**node, before_node)) {
+      prefix = before_node;
+      prefix += PrefixSum{.count = 1, .sum = (**node).units};
+      node = node.get_r_child();
     } else {
-      at = at.get_l_child();
+      node = node.get_l_child();
     }
   }
-  return before;
+  return prefix;
 }
 
-double DemandIndex::fair_share(const Demand& of, double whole, std::size_t turn) const {
-  const std::size_t n = size();
-  if (n == 0) return 0;
-  // In order of their wishes, those that an equal part of what those before them leave is enough for.
-  const Below served = front([&](const Demand& w, const Below& before) {
-    return w.first * static_cast<double>(n - before.count) <= whole - before.sum;
+double DemandIndex::fair_share(const Demand& demand, double total, std::size_t turn) const {
+  const std::size_t holders = size();
+  if (holders == 0) return 0;
+  // Satisfied are, in order, those whose demand fits into an equal part of what those before them leave.
+  const PrefixSum satisfied = longest_prefix([&](const Demand& other, const PrefixSum& before) {
+    return other.units * static_cast<double>(holders - before.count) <= total - before.sum;
   });
-  const std::size_t rank = front([&](const Demand& w, const Below&) { return w < of; }).count;
-  const double left = whole - served.sum;
-  if (rank < served.count && served.count < n) return of.first;
-  // The rest have the same part each; where all are served, what is left goes to all.
-  const bool enough = served.count == n;
-  const std::size_t among = enough ? n : n - served.count, place = enough ? rank : rank - served.count;
-  const double alike = std::floor(left / static_cast<double>(among));
-  const double odd = left - alike * static_cast<double>(among);
-  const std::size_t my_turn = (place + among - turn % among) % among;
-  return (enough ? of.first : 0) + alike + (static_cast<double>(my_turn) < odd ? 1 : 0);
+  const std::size_t rank =
+      longest_prefix([&](const Demand& other, const PrefixSum&) { return other < demand; }).count;
+  const bool all_satisfied = satisfied.count == holders;
+  if (!all_satisfied && rank < satisfied.count) return demand.units;
+
+  // What is left goes in equal parts to those that are not satisfied; if all are, to all of them.
+  const std::size_t sharers = all_satisfied ? holders : holders - satisfied.count;
+  const std::size_t position = all_satisfied ? rank : rank - satisfied.count;
+  const double left = total - satisfied.sum;
+  const double equal_part = std::floor(left / static_cast<double>(sharers));
+  const double odd_units = left - equal_part * static_cast<double>(sharers);
+  const std::size_t turns_until_own = (position + sharers - turn % sharers) % sharers;
+  const double odd_unit = static_cast<double>(turns_until_own) < odd_units ? 1 : 0;
+  const double base = all_satisfied ? demand.units : 0;
+  return base + equal_part + odd_unit;
 }
 
 }  // namespace indigorill
--- a/src/quota/demand_index.h
+++ b/src/quota/demand_index.h
@@ -1,58 +1,73 @@
-// What the sharers of one budget want, in order and with sums, so that one's max-min fair part is found
-// without going over all: an order-statistic tree (Cormen and others, "Introduction to Algorithms", 14.1)
-// whose nodes also keep the sum below them. No I/O, no clock.
+/// What the holders of one budget demand, in order and with prefix sums, so that the max-min fair share of
+/// one is found in logarithmic time: an order-statistic tree (Cormen and others, "Introduction to
+/// Algorithms", 14.1) whose nodes also keep the sum of their subtrees. No I/O, no clock.
 #pragma once
 
+#include <compare>
 #include <cstddef>
 #include <cstdint>
 #include <ext/pb_ds/assoc_container.hpp>
 #include <ext/pb_ds/tree_policy.hpp>
-#include <utility>
+#include <functional>
 
 namespace indigorill {
 
 class DemandIndex {
  public:
-  // What one wants, in whole units; ordered by the amount, then by who it is.
-  using Demand = std::pair<double, std::uint64_t>;
+  /// Ordered by the units, then by the session.
+  struct Demand {
+    double units = 0;           ///< a whole number
+    std::uint64_t session = 0;  ///< of the holder
+    // NOLINTNEXTLINE(modernize-use-nullptr): LLVM 14 misreads a defaulted <=>
+    auto operator<=>(const Demand&) const = default;
+  };
 
-  void add(const Demand& w) { tree_.insert(w); }
-  void remove(const Demand& w) { tree_.erase(w); }
+  void add(const Demand& demand) { tree_.insert(demand); }
+  void remove(const Demand& demand) { tree_.erase(demand); }
   std::size_t size() const { return tree_.size(); }
 
-  // The max-min fair part (Bertsekas, Gallager, "Data Networks", 6.5) of one whose wish is among these, of a
-  // whole of so many units: nobody has more while another one wants and has less; what nobody wants goes to
-  // all alike, for who wants more a moment later. Whole units; the odd ones by turns.
-  double fair_share(const Demand& of, double whole, std::size_t turn) const;
+  /// The max-min fair share (Bertsekas, Gallager, "Data Networks", 6.5) of `total` units for `demand`, which
+  /// must be in the index: nobody has more while another one demands more and has less. What nobody demands
+  /// goes to all alike, for who demands more a moment later. In whole units; those left over by the division
+  /// go to one after the other as `turn` advances.
+  double fair_share(const Demand& demand, double total, std::size_t turn) const;
 
-  // Nodes looked at so far: what the answers cost, without a clock.
+  /// Nodes looked at so far: the cost of the calls, without a clock.
   std::uint64_t step_count() const { return visited_nodes_; }
 
  private:
-  struct Below {
+  /// Of a run of demands in order.
+  struct PrefixSum {
     std::size_t count = 0;
     double sum = 0;
-    Below& operator+=(const Below& b) { return count += b.count, sum += b.sum, *this; }
+    PrefixSum& operator+=(const PrefixSum& other) {
+      count += other.count;
+      sum += other.sum;
+      return *this;
+    }
   };
-  template <class Node_CItr, class Node_Itr, class Cmp_Fn, class Alloc>
-  struct KeepSums {
-    using metadata_type = Below;  // the name that the tree policy asks for
-    void operator()(Node_Itr at, Node_CItr end) const {
-      Below b{1, (**at).first};
-      if (const auto l = at.get_l_child(); l != end) b += l.get_metadata();
-      if (const auto r = at.get_r_child(); r != end) b += r.get_metadata();
-      const_cast<Below&>(at.get_metadata()) = b;
+  /// Keeps the sum of each subtree in its root, as the tree's update policy.
+  template <class ConstNodeIterator, class NodeIterator, class Compare, class Allocator>
+  struct SubtreeSums {
+    // The library looks for this name.
+    using metadata_type = PrefixSum;  // NOLINT(readability-identifier-naming)
+    void operator()(NodeIterator node, ConstNodeIterator end) const {
+      PrefixSum subtree{.count = 1, .sum = (**node).units};
+      if (const auto left = node.get_l_child(); left != end) subtree += left.get_metadata();
+      if (const auto right = node.get_r_child(); right != end) subtree += right.get_metadata();
+      // The library gives read access alone, and expects this write (its own policies do the same).
+      const_cast<PrefixSum&>(node.get_metadata()) = subtree;
     }
   };
-  using Wishes =
-      __gnu_pbds::tree<Demand, __gnu_pbds::null_type, std::less<Demand>, __gnu_pbds::rb_tree_tag, KeepSums>;
+  using Tree = __gnu_pbds::tree<Demand, __gnu_pbds::null_type, std::less<Demand>, __gnu_pbds::rb_tree_tag,
+                                SubtreeSums>;
 
-  // Those at the front for whom `goes_on`, given the wish and what is before it, holds; it must hold for none
-  // after the first for whom it doesn't.
-  template <class Holds>
-  Below front(Holds goes_on) const;
+  /// The longest prefix of demands for which `includes(demand, sum of those before it)` holds; it must not
+  /// hold for any demand after one for which it does not.
+  template <class Predicate>
+  PrefixSum longest_prefix(Predicate includes) const;
 
-  Wishes tree_;
+  Tree tree_;
   mutable std::uint64_t visited_nodes_ = 0;
 };
 
--- a/tests/scale_test.cpp
+++ b/tests/scale_test.cpp
@@ -86,7 +86,7 @@
     std::vector<DemandIndex::Demand> all;
     for (std::size_t i = 0; i < n; ++i) {
       const double most = trial % 3 ? 6 : 60;
-      all.emplace_back(std::floor(most * static_cast<double>(chance() % 1000) / 1000), i + 1);
+      all.push_back({std::floor(most * static_cast<double>(chance() % 1000) / 1000), i + 1});
       d.add({999, i + 1});  // and changed, as wishes are
       d.remove({999, i + 1});
       d.add(all.back());
@@ -98,7 +98,7 @@
     double left = whole;
     std::size_t open = 0;  // all before it have what they want
     while (true) {
-      while (open < n && has[open] == all[open].first) ++open;
+      while (open < n && has[open] == all[open].units) ++open;
       if (open == n || left < static_cast<double>(n - open)) break;
       for (std::size_t i = open; i < n; ++i) ++has[i], --left;
     }
@@ -119,7 +119,7 @@
     }
     // Those that share the odd units have each of them as often as the others, within one.
     for (std::size_t i = 0; i + 1 < n; ++i)
-      if (has[i] >= all[i].first && open < n)
+      if (has[i] >= all[i].units && open < n)
         CHECK(odd[i] == 0);
       else
         CHECK(std::abs(odd[i] - odd[i + 1]) <= left);
