Membership by concern: members, updates, suspicions, probing and view sync apart

Change: the table of members, the queue of updates and the suspicion timers are classes of their own; probing and the exchange of views have a file each; messages and name rules are in their own headers. Unused return values and parameters are gone; bools that chose how an update spreads are an enum. Random draws and the arithmetic keep their order.

--- a/src/cluster/cluster_node.cpp
+++ b/src/cluster/cluster_node.cpp
@@ -11,10 +11,6 @@
 namespace indigorill {
 namespace {
 
-constexpr std::array<std::string_view, 4> state_names{"alive", "suspect", "dead", "left"};
-
-std::string_view name_of(Member::State s) { return state_names[static_cast<std::size_t>(s)]; }
-
 // Later than that of this sidecar's last start, if the machine's clock is right; if not, the others say so.
 std::uint64_t new_incarnation() {
   return static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(
@@ -280,7 +276,7 @@
                    {"incarnation", m.incarnation}});
   nlohmann::json by_state, dropped;
   const auto n = membership_.count_by_state();
-  for (std::size_t i = 0; i < n.size(); ++i) by_state[std::string(state_names[i])] = n[i];
+  for (std::size_t i = 0; i < n.size(); ++i) by_state[std::string(name_of(static_cast<Member::State>(i)))] = n[i];
   for (std::size_t i = 0; i < decode_error_count; ++i)
     dropped[std::string(indigorill::name_of(static_cast<DecodeError>(i)))] = counters_.dropped[i];
   const auto& c = membership_.counters();
--- a/src/cluster/cluster_node.h
+++ b/src/cluster/cluster_node.h
@@ -8,6 +8,7 @@
 #include "cluster/datagram_socket.h"
 #include "cluster/envelope.h"
 #include "logging/logger.h"
+#include "membership/membership.h"
 
 namespace indigorill {
 
--- a/src/cluster/envelope.cpp
+++ b/src/cluster/envelope.cpp
@@ -1,8 +1,6 @@
 #include "cluster/envelope.h"
 
-#include <algorithm>
 #include <array>
-#include <cctype>
 
 namespace indigorill {
 namespace {
@@ -10,7 +8,7 @@
 using nlohmann::json;
 
 constexpr int format_version = 1;  // a later one is not guessed at
-constexpr std::size_t max_text_bytes = 64, envelope_field_count = 8, swim_message_field_count = 5,
+constexpr std::size_t envelope_field_count = 8, swim_message_field_count = 5,
                       member_field_count = 4, lease_message_field_count = 7, quota_request_field_count = 5,
                       quota_grant_field_count = 8;
 // Rounds and spans that no sound process reaches: what counts beyond them would come to its end.
@@ -25,7 +23,7 @@
 
   std::string read_text() {
     const json* j = next_element();
-    if (j && j->is_string() && j->get_ref<const std::string&>().size() <= max_text_bytes) return *j;
+    if (j && j->is_string() && j->get_ref<const std::string&>().size() <= max_name_bytes) return *j;
     valid_ = false;
     return {};
   }
@@ -146,14 +144,6 @@
 
 }  // namespace
 
-bool is_valid_name(std::string_view name) {
-  constexpr std::string_view others = "-_.:/";
-  return !name.empty() && name.size() <= max_text_bytes &&
-         std::all_of(name.begin(), name.end(), [&](unsigned char c) {
-           return std::isalnum(c) || others.find(static_cast<char>(c)) != std::string_view::npos;
-         });
-}
-
 std::string_view name_of(DecodeError m) {
   constexpr std::array<std::string_view, decode_error_count> names{
       "torn", "too_long", "other_form", "foreign", "former", "doubled", "late"};
--- a/src/cluster/envelope.h
+++ b/src/cluster/envelope.h
@@ -10,7 +10,8 @@
 #include <variant>
 
 #include "lease/leader_lease.h"
-#include "membership/membership.h"
+#include "membership/member_name.h"
+#include "membership/swim_message.h"
 #include "quota/quota.h"
 
 namespace indigorill {
@@ -49,10 +50,6 @@
 // 1,400).
 constexpr std::size_t max_datagram_bytes = 1300;
 
-// Names go into log lines and pages of staff, and many into one datagram: 64 letters, digits and -_.:/ at
-// most.
-bool is_valid_name(std::string_view name);
-
 std::string encode(const Envelope& e);
 // fleet: ours; what is of another one is foreign.
 std::variant<Envelope, DecodeError> decode_envelope(std::string_view bytes, std::string_view fleet);
--- a/src/emulator/gathering.cpp
+++ b/src/emulator/gathering.cpp
@@ -9,6 +9,7 @@
 #include "cluster/envelope.h"
 #include "emulator/agenda.h"
 #include "emulator/chance.h"
+#include "membership/membership.h"
 
 namespace indigorill::lab {
 namespace {
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -1,128 +1,171 @@
-// Who of the fleet is there, as one sidecar sees it: SWIM (Das, Gupta, Motivala, "SWIM: Scalable
-// Weakly-consistent Infection-style Process Group Membership Protocol", DSN 2002) with Lifeguard's
-// refinements (Dadgar, Phillips, Currey, 2017). No I/O; clock and chance are given. A view is a hint: nothing
-// that must not happen may rest on it.
+/// \file
+/// The members of the fleet, as one sidecar sees them: SWIM (Das, Gupta, Motivala, "SWIM: Scalable
+/// Weakly-consistent Infection-style Process Group Membership Protocol", DSN 2002) with Lifeguard's
+/// refinements (Dadgar, Phillips, Currey, "Lifeguard: Local Health Awareness for More Accurate Failure
+/// Detection", 2017).
+///
+/// No I/O: the clock, the seed of the random draws and the messages are given by the caller, who calls
+/// on_timer and on_message and sends what next_message returns.
+///
+/// Safety: nothing that must never happen may rest on this view. It is a hint, which is late, can differ
+/// between members and can take a live member for dead; what needs agreement rests on the leader lease
+/// instead.
 #pragma once
 
 #include <array>
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <random>
-#include <set>
 #include <string>
 #include <vector>
 
-namespace indigorill {
+#include "membership/member_table.h"
+#include "membership/suspicion_table.h"
+#include "membership/swim_message.h"
+#include "membership/update_queue.h"
 
-// What is said of one member. Of two, the one with the later incarnation holds, then the later state.
-struct Member {
-  enum class State : std::uint8_t { alive, suspect, dead, left } state = State::alive;
-  std::string name, address;
-  std::uint64_t incarnation = 0;
-  bool operator==(const Member&) const = default;
-};
-bool supersedes(const Member& a, const Member& b);
-
-// One message between two members; news travels on all of them.
-struct SwimMessage {
-  // relay: ping another one for me; nack: it has not answered so far; ask, page: part of the whole view
-  enum class Kind : std::uint8_t { ping, ack, ping_request, nack, view_request, view_page } kind = Kind::ping;
-  std::uint64_t sequence_number = 0;  // the asker's own, given back in the answer
-  std::string target,
-      target_address;  // relay: whom; ask, page: the name after which it goes on, "" at the ends
-  std::vector<Member> updates;
-  bool operator==(const SwimMessage&) const = default;
-};
+namespace indigorill {
 
+/// One member's side of the protocol. All times are in ms by one clock, which should go on while the machine
+/// sleeps: a pause is told by a timer that is called late.
 class Membership {
  public:
   struct Config {
-    std::string name, address;                // where others reach this one
-    std::vector<std::string> seed_addresses;  // addresses; through any of them it joins
-    double probe_interval_ms = 1000;          // ms, of one probe
-    double probe_timeout_ms = 300;            // ms, for a direct answer
+    std::string name;                         ///< This member's own.
+    std::string address;                      ///< Where others reach it, "address:port".
+    std::vector<std::string> seed_addresses;  ///< Through any of them it joins.
+    double probe_interval_ms = 1000;          ///< One member is probed in each.
+    double probe_timeout_ms = 300;            ///< For a direct answer, before others are asked to probe.
   };
+
   struct OutgoingMessage {
-    std::string recipient;  // address
+    std::string recipient;  ///< An address, "address:port".
     SwimMessage message;
   };
+
   struct Counters {
-    std::uint64_t probes_sent = 0, indirect_probes = 0, failed_probes = 0, refutations = 0, pauses = 0,
-                  displacements = 0;
+    std::uint64_t probes_sent = 0;
+    std::uint64_t indirect_probes = 0;  ///< Probes for which others were asked.
+    std::uint64_t failed_probes = 0;    ///< No answer, neither direct nor through others.
+    std::uint64_t refutations = 0;      ///< Of what others said of this member.
+    std::uint64_t pauses = 0;           ///< Times that this process stood still.
+    std::uint64_t displacements = 0;    ///< Times that another process took this member's name.
   };
 
-  // incarnation: the start's time in ms; one that is behind what others remember is raised when they say so.
-  Membership(Config with, std::uint64_t incarnation, std::uint64_t seed, double now);
+  /// \param incarnation the time of the start in ms, so that it is later than that of the last start. One
+  /// that is behind what others remember is raised when they say so.
+  Membership(Config config, std::uint64_t incarnation, std::uint64_t seed, double now);
 
-  // by, from: the sender's name, and the address to which answers go.
-  void on_message(double now, const std::string& by, const std::string& from, const SwimMessage& g);
-  void on_timer(double now);                      // to be called at next_due()
-  void leave();                                   // says so to a few; nothing is answered after it
-  std::optional<OutgoingMessage> next_message();  // what is to be sent
+  /// Takes in a message of another member.
+  /// \param reply_address where answers go.
+  void on_message(double now, const std::string& sender, const std::string& reply_address,
+                  const SwimMessage& message);
+  /// To be called at next_timer_at(); an earlier call does no harm.
+  void on_timer(double now);
+  /// Infinite after leave().
   double next_timer_at() const;
+  /// Announces to a few members that this one leaves; nothing is answered afterwards.
+  void leave();
+  /// What is to be sent next, if anything.
+  std::optional<OutgoingMessage> next_message();
 
   std::uint64_t incarnation() const { return self_.incarnation; }
-  bool is_displaced() const { return displaced_; }  // another process has this name and is the later one
-  const std::map<std::string, Member>& view() const { return members_; }  // of the others
-  std::array<std::size_t, 4> count_by_state() const;      // of the others, in the states' order
-  std::string address_of(const std::string& name) const;  // "" if unknown
-  int local_health() const {
-    return local_health_;
-  }  // 0: answers come as they should; up to 8: this process is slow
+  /// Whether another process has this member's name, and is the later one of the two.
+  bool is_displaced() const { return displaced_; }
+  /// The others, by name.
+  const MemberTable::Entries& view() const { return members_.entries(); }
+  /// The others, in the order of Member::State.
+  std::array<std::size_t, member_state_count> count_by_state() const { return members_.count_by_state(); }
+  /// Empty if the name is unknown.
+  std::string address_of(const std::string& name) const;
+  /// Lifeguard's local health multiplier: 0 if answers come as they should, up to 8 if this process is slow.
+  int local_health() const { return local_health_; }
   const Counters& counters() const { return counters_; }
 
  private:
+  // The member that is probed in the current interval. Nobody's at first, and after a pause.
   struct Probe {
     std::string target;
     std::uint64_t sequence_number = 0;
-    double direct_deadline = 0, deadline = 0;
-    bool answered = true, indirect_started = false;
-    std::size_t indirect_requests = 0, nacks_received = 0;
-  };
-  struct Suspicion {
-    double started_at = 0;
-    std::set<std::string> accusers;  // who said so of itself; the more, the shorter
+    double direct_deadline = 0;
+    bool answered = true;
+    bool indirect_started = false;
+    std::size_t indirect_requests = 0;
+    std::size_t nacks_received = 0;
   };
-  struct IndirectProbe {  // a ping on behalf of another
+  // A ping on behalf of another member.
+  struct IndirectProbe {
     std::string requester_address;
     std::uint64_t requester_sequence_number = 0;
-    double nack_at = 0, expires_at = 0;
+    double nack_at = 0;
+    double expires_at = 0;
     bool nack_sent = false;
   };
+  enum class Dissemination { always, if_already_known };
+
+  // Updates.
+  void apply_update(double now, const Member& update, const std::string& reporter, Dissemination spread);
+  void apply_update_about_self(const Member& update);
+  void send(const std::string& address, SwimMessage message, const std::string& buddy = {});
 
-  bool apply_update(double now, const Member& m, const std::string& by, bool tell);
-  void apply_update_about_self(const Member& m);
-  void enqueue_update(const Member& m) { pending_updates_[m.name] = 0; }
-  void send(const std::string& to, SwimMessage g, const std::string& about = {});
+  // Probing.
   void start_probe(double now);
-  void finish_probe(double now);
+  std::string next_probe_target();
+  void insert_into_probe_order(const std::string& name);
   void start_indirect_probe();
+  void finish_probe(double now);
+  void update_indirect_probes(double now);
+  void on_ping_request(double now, const std::string& reply_address, const SwimMessage& message);
+  void on_ack(const SwimMessage& message);
+
+  // Suspicion and local health.
+  SuspicionTiming suspicion_timing() const;
   void expire_suspicions(double now);
   void compensate_for_pause(double now);
+  void degrade_local_health(int steps);
+  double health_multiplier() const { return 1 + local_health_; }
+
+  // Joining, and repair of views that differ.
+  void join(double now);
+  bool is_only_seed() const;
+  void synchronize_view(double now);
+  void reconnect(double now);
   void request_view_page();
-  double suspicion_deadline(const Suspicion& s) const;
+  void request_view_page_from(const std::string& address);
+  void send_view_page(const std::string& reply_address, const SwimMessage& request);
+  void on_view_page(double now, const std::string& reply_address, const SwimMessage& page);
+
   std::size_t live_count() const;  // alive or suspect, this one included
-  std::string random_alive_member(const std::string& but = {});
-  double health_multiplier() const { return 1 + local_health_; }
+  std::string random_alive_member();
+  std::size_t random_index(std::size_t size);  // size must not be 0
+  // Returns the sequence number that the answer will have.
+  std::uint64_t ping(const std::string& address, const std::string& buddy = {});
 
   Config config_;
   Member self_;
   std::knuth_b random_;
-  bool displaced_ = false, has_left_ = false, joined_ = false;
+  bool displaced_ = false;
+  bool has_left_ = false;
   int local_health_ = 0;
-  std::map<std::string, Member> members_;
-  std::map<std::string, double> ended_at_;  // when the dead and those that left were first seen so
-  std::map<std::string, Suspicion> suspicions_;
-  std::map<std::string, int> pending_updates_;  // news, and how often it was sent
-  std::vector<std::string> probe_order_;        // whom to probe next, from the end
-  std::size_t live_peer_count_ = 0;             // of known: alive or suspect
+
+  MemberTable members_;
+  SuspicionTable suspicions_;
+  UpdateQueue pending_updates_;
+
+  std::uint64_t last_sequence_number_ = 0;
+  std::uint64_t probe_round_ = 0;
+  double next_probe_at_;
   Probe current_probe_;
-  std::map<std::uint64_t, IndirectProbe> indirect_probes_;
-  std::uint64_t last_sequence_number_ = 0, probe_round_ = 0;
-  std::string view_cursor_;  // of the page asked for
-  double next_probe_at_, next_join_at_;
-  std::vector<OutgoingMessage> outbox_;
+  std::vector<std::string> probe_order_;                    // the next one is the last
+  std::map<std::uint64_t, IndirectProbe> indirect_probes_;  // by the sequence number of this member's ping
+
+  bool joined_ = false;  // whether the view was read to its end
+  double next_join_at_;
+  std::string view_cursor_;  // the name after which the next page begins
+
+  std::deque<OutgoingMessage> outbox_;
   Counters counters_;
 };
 
