Hot restart: shared directory, ejection replication and polling as units of their own

One file held the locks, the atomic files, the agreement on ejections (a function of 50 lines) and the polling. The log says 'hot restart unavailable, running standalone' where it said 'works alone', and the test looks for that.

--- a/src/ejection/manual_ejection.cpp
+++ b/src/ejection/manual_ejection.cpp
@@ -5,18 +5,18 @@
 
 namespace indigorill {
 
-void ManualEjections::update_endpoints(bool whole, const std::vector<std::string>& here,
-                                       const std::vector<std::string>& gone) {
-  if (whole) listed_.clear();
-  listed_.insert(here.begin(), here.end());
-  for (const std::string& id : gone) listed_.erase(id);
+void ManualEjections::update_endpoints(bool is_complete, const std::vector<std::string>& present,
+                                       const std::vector<std::string>& removed) {
+  if (is_complete) listed_.clear();
+  listed_.insert(present.begin(), present.end());
+  for (const std::string& id : removed) listed_.erase(id);
 }
 
-std::vector<std::string> ids_missing_from(const ManualEjections::EndpointIds& from,
-                                          const ManualEjections::EndpointIds& in) {
-  std::vector<std::string> lack;
-  std::set_difference(in.begin(), in.end(), from.begin(), from.end(), std::back_inserter(lack));
-  return lack;
+std::vector<std::string> ids_missing_from(const ManualEjections::EndpointIds& other,
+                                          const ManualEjections::EndpointIds& ids) {
+  std::vector<std::string> missing;
+  std::set_difference(ids.begin(), ids.end(), other.begin(), other.end(), std::back_inserter(missing));
+  return missing;
 }
 
 }  // namespace indigorill
--- a/src/hot_restart/hot_restart.h
+++ b/src/hot_restart/hot_restart.h
@@ -1,73 +1,71 @@
-// The other process of this sidecar, by files and locks in a folder that both see: while one takes over from
-// the other, each says how it is and keeps to its part. src/handover/ decides, this reads and writes.
-//
-// A process lives as long as the kernel holds its lock on one of two slots, however it ends. Files are
-// written aside and renamed, so that nobody reads half of one.
+/// Hot restart: a child process takes over from its parent, both serving one sidecar's clients for a while.
+/// This is the process's side of it: it polls and publishes records in the directory that both share, and
+/// asks HotRestartPolicy what follows from them.
 #pragma once
 
 #include <functional>
-#include <memory>
 #include <optional>
 #include <string>
 
 #include "event/event_loop.h"
+#include "hot_restart/ejection_replicator.h"
 #include "hot_restart/hot_restart_policy.h"
+#include "hot_restart/shared_directory.h"
 #include "logging/logger.h"
 
 namespace indigorill {
 
+/// One process's view of the other. The event loop and the logger must outlive it.
 class HotRestart {
  public:
-  // folder: empty, or one that can't be written to, and the process works alone.
-  HotRestart(EventLoop& in, Logger& log_to, const std::string& folder, const std::string& sidecar);
-  ~HotRestart();
+  /// `parent_directory`: where the processes meet, in a directory of the sidecar's name. If that is empty or
+  /// can't be used, a warning is logged and this process runs standalone.
+  HotRestart(EventLoop& event_loop, Logger& logger, const std::string& parent_directory,
+             const std::string& sidecar_name);
+  HotRestart(const HotRestart&) = delete;
+  HotRestart& operator=(const HotRestart&) = delete;
 
-  // `changed`: at first, while there are two, and when the other one has gone. `out`: the endpoints out by
-  // hand, when another process changed them; both are called from the loop.
-  void start(EventLoop::Callback changed, std::function<void(const EjectionRecord&)> out);
+  /// Starts polling. `on_change` is called once at the start, at each poll while there are two processes, and
+  /// when the other one has ended; `on_ejections_changed` when manual ejections change. Both run in the event
+  /// loop.
+  void start(EventLoop::Callback on_change, EjectionReplicator::RecordCallback on_ejections_changed);
 
   const HotRestartPolicy& policy() const { return policy_; }
-  const EjectionRecord& ejections() const { return ejections_; }
+  /// The manual ejections that are in force in this process.
+  const EjectionRecord& ejections() const { return ejection_replicator_.ejections(); }
 
+  /// These three tell the other process at once.
   void start_serving();
   void start_draining();
-  void set_limits_reduced(bool has);
+  void set_limits_reduced(bool are_reduced);
 
-  // Changes the set of what is out, in all processes of this sidecar before `then` says so; a no leaves it as
-  // it was.
-  void change_ejections(std::function<void(EjectionRecord&)> how, std::function<void(bool done)> then);
+  /// Changes the manual ejections in all processes of this sidecar, then calls `on_done`; if that fails,
+  /// everything is as it was before.
+  void change_ejections(EjectionReplicator::Change apply, EjectionReplicator::ChangeCallback on_done);
 
-  // The list as the elder last had it, in discovery's form: a newcomer's own may be as old as its config.
+  /// Leaves the endpoint list, encoded as by encode_endpoint_list(), for the child, whose own may be as old
+  /// as its config file.
   void write_endpoint_list(const std::string& text);
+  /// What the parent has left; empty if there is nothing.
   std::optional<std::string> read_endpoint_list() const;
 
  private:
-  struct PendingChanges;
-
-  std::string claim_slot(const std::string& under, const std::string& sidecar);
-  bool is_enabled() const { return static_cast<bool>(own_lock_); }
-  std::string file_path(const std::string& file) const { return directory_ + "/" + file; }
-  bool write_atomically(const std::string& file, const std::string& text) const;
+  void claim_slot(const std::string& parent_directory, const std::string& sidecar_name);
+  bool is_other_process_alive() const { return directory_ && directory_->is_other_process_alive(); }
   void publish_record();
   void poll_other_process();
-  bool is_other_process_alive() const;
-  void refresh_ejections();
-  void advance_changes();
-  std::optional<EjectionRecord> read_stored_ejections() const;
 
   EventLoop& event_loop_;
   Logger& logger_;
-  std::string directory_;
+  /// Empty: this process runs standalone.
+  std::optional<SharedDirectory> directory_;
   HotRestartPolicy policy_;
-  EjectionRecord ejections_;
-  int slot_ = 0;
-  FileDescriptor own_lock_, other_lock_;
+  EjectionReplicator ejection_replicator_;
   std::optional<ProcessRecord> published_record_;
-  bool write_failure_logged_ = false, is_first_poll_ = true;
+  bool write_failure_logged_ = false;
+  bool is_first_poll_ = true;
   EventLoop::Callback on_change_ = [] {};
-  std::function<void(const EjectionRecord&)> on_ejections_changed_ = [](const EjectionRecord&) {};
   EventLoop::Timer poll_timer_;
-  std::unique_ptr<PendingChanges> pending_changes_;
 };
 
 }  // namespace indigorill
--- a/tests/hot_restart_test.cpp
+++ b/tests/hot_restart_test.cpp
@@ -186,7 +186,7 @@
   RestartingProcess none(runs, ""), nowhere(runs, here.path + "/not/there");
   RestartingProcess one(runs, here.path), two(runs, here.path), three(runs, here.path);
   for (const RestartingProcess* h : {&none, &nowhere, &three}) {
-    CHECK(h->log_text.str().find("works alone") != std::string::npos);
+    CHECK(h->log_text.str().find("running standalone") != std::string::npos);
     CHECK_FALSE(h->hot_restart->policy().is_paired());
     bool done = false;
     h->hot_restart->change_ejections([](EjectionRecord& b) { b.ejected.insert("a"); },
