Discovery: the endpoint list's codec apart from the client, polls in short functions, failures as an enum

The codec and the client shared a file; the client's functions held a poll's timeouts, the connect, the reads and the choice of the next poll in one piece, with unnamed constants and failures as strings. Log lines begin with 'endpoint list:' now, the figures and the times of polls stay.

--- a/src/discovery/discovery_client.cpp
+++ b/src/discovery/discovery_client.cpp
@@ -6,207 +6,275 @@
 namespace indigorill {
 namespace {
 
-constexpr std::size_t max_endpoint_list_bytes = 4 * 1024 * 1024;  // some 20,000 entries
+// Some 20,000 entries.
+constexpr std::size_t max_endpoint_list_bytes = 4 * 1024 * 1024;
+
+// What the agent holds counts as known to this sidecar, so two of these timeouts, a poll in vain and the
+// pause behind it, have to pass well within the drain grace. The lower bound is what a process may wait for
+// its core.
+constexpr double prompt_timeout_per_drain_grace = 0.25;
+constexpr double min_prompt_timeout_ms = 20;
+constexpr double max_prompt_timeout_ms = 250;
+
+double prompt_timeout_ms(double drain_grace_ms) {
+  return std::clamp(drain_grace_ms * prompt_timeout_per_drain_grace, min_prompt_timeout_ms,
+                    max_prompt_timeout_ms);
+}
+
+// A watch that fell silent is broken, and what it misses counts as known 6 s after that, or 2 s after the
+// wait where that is later: with this wait, silence is found within 3 s of its first moment. Once broken, the
+// next poll is one that needs no wait, and its answer is due at once.
+constexpr int long_poll_wait_ms = 2000;
+constexpr double long_poll_transfer_ms = 1000;
+constexpr int prompt_poll_wait_ms = 1;
+
+// Where the load balancer decides on polls, the one service behind the agents may take its time.
+constexpr double requested_poll_timeout_ms = 1500;
+
+// One connection must not keep the event loop from the others.
+constexpr int max_reads_per_event = 16;
 
 }  // namespace
 
-EndpointListUpdate decode_endpoint_list(const JsonFields& f) {
-  EndpointListUpdate r;
-  r.version = f.unsigned_integer("generation");
-  r.complete = f.boolean("reset");
-  f.require("instances");
-  for (const auto& j : f.array("instances")) {
-    const JsonFields e = f.element("instances", j);
-    EndpointListUpdate::Entry to;
-    to.endpoint.id = e.string("instanceId");
-    to.endpoint.state = e.enum_value<EndpointState>("lifecycle", {{"up", EndpointState::ready},
-                                                                  {"draining", EndpointState::draining},
-                                                                  {"removed", EndpointState::gone}});
-    to.address = to.endpoint.state == EndpointState::gone ? e.string("hostPort", "") : e.string("hostPort");
-    to.endpoint.zone = e.string("zone", "");
-    to.endpoint.cell = e.integer("cell", 0);
-    to.endpoint.started_at_ms = e.number("startedAtMs", 0);
-    to.endpoint.machine_type = e.string("machineType", "");
-    r.entries.push_back(std::move(to));
-  }
-  return r;
-}
-
-EndpointListUpdate parse_endpoint_list(std::string_view text) {
-  const auto j = nlohmann::json::parse(text, nullptr, false);
-  if (j.is_discarded()) throw ParseError("list: is not JSON");
-  return decode_endpoint_list(JsonFields("list", j));
-}
-
-std::string encode_endpoint_list(const EndpointListUpdate& r) {
-  nlohmann::json all = nlohmann::json::array();
-  for (const EndpointListUpdate::Entry& e : r.entries)
-    all.push_back({{"instanceId", e.endpoint.id},
-                   {"hostPort", e.address},
-                   {"zone", e.endpoint.zone},
-                   {"cell", e.endpoint.cell},
-                   {"machineType", e.endpoint.machine_type},
-                   {"lifecycle", e.endpoint.state == EndpointState::ready      ? "up"
-                                 : e.endpoint.state == EndpointState::draining ? "draining"
-                                                                               : "removed"},
-                   {"startedAtMs", e.endpoint.started_at_ms}});
-  return nlohmann::json{{"generation", r.version}, {"reset", r.complete}, {"instances", all}}.dump();
-}
-
-DiscoveryClient::DiscoveryClient(EventLoop& in, FileDescriptorBudget& budget, Counters& counts,
-                                 Logger& log_to, const sockaddr_in& where, std::string name,
-                                 std::uint64_t seed, double grace, UpdateHandler then,
-                                 EventLoop::Callback on_failure)
-    : event_loop_(in),
-      descriptor_budget_(budget),
-      counters_(counts),
-      logger_(log_to),
-      agent_address_(where),
-      agent_host_(std::move(name)),
+DiscoveryClient::DiscoveryClient(EventLoop& event_loop, FileDescriptorBudget& descriptor_budget,
+                                 Counters& counters, Logger& logger, const sockaddr_in& agent_address,
+                                 std::string agent_host, std::uint64_t seed, double drain_grace_ms,
+                                 UpdateHandler on_update, EventLoop::Callback on_poll_failed)
+    : event_loop_(event_loop),
+      descriptor_budget_(descriptor_budget),
+      counters_(counters),
+      logger_(logger),
+      agent_address_(agent_address),
+      agent_host_(std::move(agent_host)),
       random_engine_(static_cast<std::knuth_b::result_type>(seed | 1)),
-      on_update_(std::move(then)),
-      on_failure_(std::move(on_failure)),
-      // What the agent holds counts as told, so two of these, a try in vain and the pause behind it, have to
-      // pass well within the grace. At least what a process may wait for its core.
-      prompt_timeout_ms_(std::clamp(grace / 4, 20.0, 250.0)),
+      on_update_(std::move(on_update)),
+      on_poll_failed_(std::move(on_poll_failed)),
+      prompt_timeout_ms_(prompt_timeout_ms(drain_grace_ms)),
       parser_(http::HttpParser::MessageKind::response, max_endpoint_list_bytes) {}
 
-DiscoveryClient::~DiscoveryClient() = default;
-
-void DiscoveryClient::poll() { send_poll_request(); }
+void DiscoveryClient::set_known_version(std::uint64_t version) {
+  version_ = version;
+  needs_complete_list_ = false;
+}
 
-void DiscoveryClient::switch_agent(const sockaddr_in& where, std::string name) {
-  agent_address_ = where;
-  agent_host_ = std::move(name);
+void DiscoveryClient::switch_agent(const sockaddr_in& agent_address, std::string agent_host) {
+  agent_address_ = agent_address;
+  agent_host_ = std::move(agent_host);
   connection_.reset();
   needs_complete_list_ = true;
   last_poll_succeeded_ = false;
   poll();
 }
 
-void DiscoveryClient::send_poll_request() {
-  // A watch that fell silent is broken, and what it misses counts as told 6 s after that, or 2 s after the
-  // wait where that is later: with this wait, silence is found within 3 s of its first moment. Once broken,
-  // the next call is one that needs no wait, and its answer is due at once.
-  constexpr double wait = 2000, travel = 1000, at_once = 1, asked_for = 1500;
-  // A second call on a connection whose answer is still to come would be taken for an answer to the first.
+// The agent may hold its answer back until something changes.
+bool DiscoveryClient::is_long_poll() const {
+  return !needs_complete_list_ && (last_poll_succeeded_ || !polls_continuously_);
+}
+
+std::string DiscoveryClient::poll_target() const {
+  const std::string path = "/api/targets";
+  if (needs_complete_list_) return path;
+  const int wait_ms = is_long_poll() ? long_poll_wait_ms : prompt_poll_wait_ms;
+  return path + "?index=" + std::to_string(version_) + "&wait=" + std::to_string(wait_ms);
+}
+
+double DiscoveryClient::prompt_response_timeout_ms() const {
+  return polls_continuously_ ? prompt_timeout_ms_ : requested_poll_timeout_ms;
+}
+
+void DiscoveryClient::schedule_poll(double delay_ms) {
+  poll_timer_ = event_loop_.schedule_at(event_loop_.now() + delay_ms, [this] { poll(); });
+}
+
+void DiscoveryClient::poll() {
+  // A second request on a connection whose response is still to come would get the response to the first.
   if (response_timer_.is_set()) connection_.reset();
   poll_timer_.cancel();
   connect_timer_.cancel();
-  const bool watches = last_poll_succeeded_ && !needs_complete_list_;
-  // Where the balancer asks, the list's one service may take its time.
-  const double prompt = polls_continuously_ ? prompt_timeout_ms_ : asked_for;
-  std::string target = "/api/targets";
-  if (!needs_complete_list_)
-    target += "?index=" + std::to_string(version_) + "&wait=" +
-              std::to_string(static_cast<long long>(watches || !polls_continuously_ ? wait : at_once));
   poll_started_at_ms_ = event_loop_.now();
-  logger_.debug() << "list: calls " << target;
+  const std::string target = poll_target();
+  logger_.debug() << "endpoint list: polls " << target;
   request_ = {};
   request_.append_owned("GET " + target + " HTTP/1.1\r\nHost: " + agent_host_ + "\r\n\r\n");
-  response_timer_ = event_loop_.schedule_at(
-      poll_started_at_ms_ +
-          (watches || (!polls_continuously_ && !needs_complete_list_) ? wait + travel : prompt),
-      [this] { handle_failure("no answer in time"); });
-  if (!connection_) {
-    FileDescriptor fd = start_connect(agent_address_);
-    if (!fd) return handle_failure("no connection");
-    connected_ = false;
-    // One that doesn't come up must not pass for a watch that waits.
-    connect_timer_ = event_loop_.schedule_at(poll_started_at_ms_ + prompt,
-                                             [this] { handle_failure("no connection in time"); });
-    parser_ = http::HttpParser(http::HttpParser::MessageKind::response, max_endpoint_list_bytes);
-    connection_ = std::make_unique<TcpStream>(event_loop_, descriptor_budget_, std::move(fd),
-                                              [this](std::uint32_t e) { handle_events(e); });
+  const double timeout_ms =
+      is_long_poll() ? long_poll_wait_ms + long_poll_transfer_ms : prompt_response_timeout_ms();
+  response_timer_ = event_loop_.schedule_at(poll_started_at_ms_ + timeout_ms,
+                                            [this] { handle_failure(PollFailure::response_timed_out); });
+  if (connection_)
+    handle_events(EPOLLOUT);
+  else
+    open_connection();
+}
+
+void DiscoveryClient::open_connection() {
+  FileDescriptor fd = start_connect(agent_address_);
+  if (!fd) {
+    handle_failure(PollFailure::connect_failed);
     return;
   }
-  handle_events(EPOLLOUT);
+  is_connected_ = false;
+  // A connection that doesn't come up must not pass for a watch that waits.
+  connect_timer_ = event_loop_.schedule_at(poll_started_at_ms_ + prompt_response_timeout_ms(),
+                                           [this] { handle_failure(PollFailure::connect_timed_out); });
+  parser_ = http::HttpParser(http::HttpParser::MessageKind::response, max_endpoint_list_bytes);
+  connection_ = std::make_unique<TcpStream>(event_loop_, descriptor_budget_, std::move(fd),
+                                            [this](std::uint32_t events) { handle_events(events); });
 }
 
 void DiscoveryClient::handle_events(std::uint32_t events) {
-  if (!connected_) {
-    if (events & (EPOLLERR | EPOLLHUP) || connection_->pending_error() != 0)
-      return handle_failure("no connection");
-    if (!(events & EPOLLOUT)) return;
-    connected_ = true;
-    connect_timer_.cancel();
-  }
-  if (!connection_->write(request_)) return handle_failure("connection broke");
-  constexpr int turns = 16;
-  for (int i = 0; i < turns; ++i) {
-    std::size_t n = 0;
-    const TcpStream::ReadStatus got = connection_->read(parser_.writable_buffer(), n);
-    if (got == TcpStream::ReadStatus::would_block) return;
-    if (got == TcpStream::ReadStatus::data) parser_.commit(n);
-    if (got == TcpStream::ReadStatus::end_of_stream) parser_.on_end_of_stream();
-    const bool over = got == TcpStream::ReadStatus::end_of_stream || got == TcpStream::ReadStatus::error;
-    if (parser_.state() == http::HttpParser::ParseState::complete) {
-      const http::Message m = parser_.take_message();
-      if (over || !m.keep_alive) connection_.reset();
-      return handle_response(m);
-    }
-    if (over && !response_timer_.is_set())
-      return connection_.reset();  // between two calls: the next one opens another
-    if (over) return handle_failure("connection broke");
-    if (parser_.state() == http::HttpParser::ParseState::error) return handle_failure("malformed answer");
+  if (!is_connected_ && !finish_connect(events)) return;
+  if (!connection_->write(request_)) {
+    handle_failure(PollFailure::connection_lost);
+    return;
   }
+  for (int i = 0; i < max_reads_per_event; ++i)
+    if (!read_response()) return;
   connection_->requeue();
 }
 
-void DiscoveryClient::handle_response(const http::Message& m) {
+// True once the connection is up.
+bool DiscoveryClient::finish_connect(std::uint32_t events) {
+  const bool has_failed = (events & (EPOLLERR | EPOLLHUP)) != 0 || connection_->pending_error() != 0;
+  if (has_failed) {
+    handle_failure(PollFailure::connect_failed);
+    return false;
+  }
+  if ((events & EPOLLOUT) == 0) return false;
+  is_connected_ = true;
+  connect_timer_.cancel();
+  return true;
+}
+
+// Reads once; true if there may be more to read. The connection may be gone afterwards if not.
+bool DiscoveryClient::read_response() {
+  using ReadStatus = TcpStream::ReadStatus;
+  using ParseState = http::HttpParser::ParseState;
+  std::size_t count = 0;
+  const ReadStatus status = connection_->read(parser_.writable_buffer(), count);
+  if (status == ReadStatus::would_block) return false;
+  if (status == ReadStatus::data) parser_.commit(count);
+  if (status == ReadStatus::end_of_stream) parser_.on_end_of_stream();
+  const bool is_closed = status == ReadStatus::end_of_stream || status == ReadStatus::error;
+  if (parser_.state() == ParseState::complete) {
+    const http::Message response = parser_.take_message();
+    if (is_closed || !response.keep_alive) connection_.reset();
+    handle_response(response);
+    return false;
+  }
+  if (is_closed) {
+    handle_connection_closed();
+    return false;
+  }
+  if (parser_.state() == ParseState::error) {
+    handle_failure(PollFailure::malformed_response);
+    return false;
+  }
+  return true;
+}
+
+void DiscoveryClient::handle_connection_closed() {
+  if (response_timer_.is_set())
+    handle_failure(PollFailure::connection_lost);
+  else
+    connection_.reset();  // between two polls: the next one opens another
+}
+
+void DiscoveryClient::handle_response(const http::Message& response) {
+  constexpr int http_ok = 200;
   response_timer_.cancel();
-  if (m.status != 200) return handle_failure("status " + std::to_string(m.status));
-  EndpointListUpdate r;
+  if (response.status != http_ok) {
+    handle_failure(PollFailure::unexpected_status, std::to_string(response.status));
+    return;
+  }
+  EndpointListUpdate update;
   try {
-    r = parse_endpoint_list(m.body());
-    // Changes to what we don't have say nothing; an agent that begins anew tells its whole list.
-    if (!r.complete && (needs_complete_list_ || r.version < version_))
-      throw ParseError("list: changes of an older list");
-  } catch (const ParseError& e) {
-    // The old list stays: one bad answer must not leave us without endpoints.
+    update = parse_update(response.body());
+  } catch (const ParseError& error) {
+    // The known endpoints stay: one bad answer must not leave this sidecar without any.
     ++counters_.malformed_endpoint_lists;
     needs_complete_list_ = true;
-    return handle_failure(e.what());
+    handle_failure(PollFailure::invalid_list, error.what());
+    return;
   }
-  logger_.debug() << "list: version " << r.version << " after " << event_loop_.now() - poll_started_at_ms_
-                  << " ms";
-  if (is_failing_) logger_.info() << "list is back, version " << r.version;
+  accept_update(update);
+}
+
+// Throws ParseError also where changes don't apply to the list that is known. An agent that starts over sends
+// its complete list.
+EndpointListUpdate DiscoveryClient::parse_update(std::string_view body) const {
+  EndpointListUpdate update = parse_endpoint_list(body);
+  if (!update.complete && (needs_complete_list_ || update.version < version_))
+    throw ParseError("list: changes of an older list");
+  return update;
+}
+
+void DiscoveryClient::accept_update(const EndpointListUpdate& update) {
+  logger_.debug() << "endpoint list: version " << update.version << " after "
+                  << event_loop_.now() - poll_started_at_ms_ << " ms";
+  if (is_failing_) logger_.info() << "endpoint list: polls succeed again, version " << update.version;
   is_failing_ = false;
   ++counters_.endpoint_list_updates;
-  version_ = r.version;
+  version_ = update.version;
   needs_complete_list_ = false;
-  on_update_(r);
-  // At once, since what changes in between counts as told; but an agent that doesn't wait must not make us
-  // spin.
-  constexpr double too_soon = 20, breath = 100;  // ms; a watch goes on for 200
-  const bool hasty =
-      last_poll_succeeded_ && r.entries.empty() && event_loop_.now() - poll_started_at_ms_ < too_soon;
+  on_update_(update);
+  schedule_next_watch(update);
+}
+
+void DiscoveryClient::schedule_next_watch(const EndpointListUpdate& update) {
+  // At once, since what changes in between counts as known; but an agent that doesn't wait must not keep this
+  // process busy. A watch without changes normally takes at least 200 ms.
+  constexpr double hasty_response_ms = 20;
+  constexpr double pause_after_hasty_response_ms = 100;
+  const bool is_hasty = last_poll_succeeded_ && update.entries.empty() &&
+                        event_loop_.now() - poll_started_at_ms_ < hasty_response_ms;
   last_poll_succeeded_ = true;
-  poll_timer_ =
-      event_loop_.schedule_at(event_loop_.now() + (hasty ? breath : 0), [this] { send_poll_request(); });
+  schedule_poll(is_hasty ? pause_after_hasty_response_ms : 0);
 }
 
-void DiscoveryClient::handle_failure(const std::string& why) {
-  logger_.debug() << "list: " << why << " after " << event_loop_.now() - poll_started_at_ms_ << " ms";
+std::string_view DiscoveryClient::describe(PollFailure failure) {
+  switch (failure) {
+    case PollFailure::connect_failed:
+      return "no connection";
+    case PollFailure::connect_timed_out:
+      return "connect timed out";
+    case PollFailure::connection_lost:
+      return "connection lost";
+    case PollFailure::response_timed_out:
+      return "response timed out";
+    case PollFailure::malformed_response:
+      return "malformed response";
+    case PollFailure::unexpected_status:
+      return "status ";
+    case PollFailure::invalid_list:
+      return "";
+  }
+  return "";
+}
+
+void DiscoveryClient::handle_failure(PollFailure failure, const std::string& detail) {
+  const std::string reason = std::string(describe(failure)) + detail;
+  logger_.debug() << "endpoint list: poll failed after " << event_loop_.now() - poll_started_at_ms_
+                  << " ms: " << reason;
   ++counters_.endpoint_poll_failures;
-  if (!is_failing_) logger_.warning() << "list: " << why << "; the old one stays in force";
+  if (!is_failing_) logger_.warning() << "endpoint list: poll failed, the known endpoints stay: " << reason;
   is_failing_ = true;
   response_timer_.cancel();
   connect_timer_.cancel();
   connection_.reset();
-  const bool was_proven = std::exchange(last_poll_succeeded_, false);
+  schedule_retry(std::exchange(last_poll_succeeded_, false));
+}
+
+void DiscoveryClient::schedule_retry(bool was_watching) {
   if (polls_continuously_) {
-    // Spread by chance: what is behind the agents serves all of them.
-    poll_timer_ = event_loop_.schedule_at(
-        event_loop_.now() +
-            prompt_timeout_ms_ * std::uniform_real_distribution<double>(0.5, 1)(random_engine_),
-        [this] { send_poll_request(); });
-  } else if (was_proven) {
-    // A watch that broke is opened anew at once: what it misses counts as told soon, and the balancer's word
-    // on when to ask is meant for a service that can't answer.
-    poll_timer_ = event_loop_.schedule_at(event_loop_.now(), [this] { send_poll_request(); });
+    // Jitter: the service behind the agents serves all sidecars.
+    std::uniform_real_distribution<double> jitter(0.5, 1);
+    schedule_poll(prompt_timeout_ms_ * jitter(random_engine_));
+  } else if (was_watching) {
+    // A watch that broke is opened anew at once: what it misses soon counts as known, and the load balancer's
+    // backoff is meant for a service that can't answer.
+    schedule_poll(0);
   } else {
-    on_failure_();
+    on_poll_failed_();
   }
 }
 
