Admin server: one function a step, states and eviction order typed

Reading, dispatching, lingering and eviction stood in two long functions, the order of eviction was a tuple. Responses and descriptors stay as they are.

--- a/src/admin/admin_server.cpp
+++ b/src/admin/admin_server.cpp
@@ -3,12 +3,22 @@
 #include <sys/socket.h>
 
 #include <cerrno>
-#include <tuple>
+#include <utility>
 
 namespace indigorill {
 namespace {
 
-constexpr std::size_t max_request_bytes = 4096;  // what comes with an order is of no use; a little may come
+// The body of a request is of no use; a little may come.
+constexpr std::size_t max_request_bytes = 4096;
+
+// For a client that doesn't read its response, or doesn't close the connection after it.
+constexpr double response_timeout_ms = 1000;
+
+// The listener's watch is edge-triggered: after its event a backlog that is left is looked at again by a
+// timer.
+constexpr double accept_retry_interval_ms = 5;
+
+constexpr int first_error_status = 300;
 
 std::string_view default_body(int status) {
   switch (status) {
@@ -28,20 +38,29 @@
 }  // namespace
 
 struct AdminServer::Connection {
-  enum class ConnectionState { reading, handling, writing, lingering } state = ConnectionState::reading;
-  std::uint64_t id;
-  std::unique_ptr<TcpStream> socket_stream;
+  enum class ConnectionState { reading, handling, writing, lingering };
+
+  ConnectionState state = ConnectionState::reading;
+  std::uint64_t id = 0;
+  std::unique_ptr<TcpStream> stream;
   http::HttpParser parser{http::HttpParser::MessageKind::request, max_request_bytes};
   WriteBuffer response;
-  double last_received_ms = 0;  // the last bytes
-  EventLoop::Timer close_timer;
-  std::tuple<bool, double, std::uint64_t> eviction_key() const {
-    return {state != ConnectionState::lingering, last_received_ms, id};
+  double last_received_ms = 0;
+  EventLoop::Timer response_timer;
+
+  EvictionKey eviction_key() const {
+    return {.is_unanswered = state != ConnectionState::lingering,
+            .last_received_ms = last_received_ms,
+            .connection_id = id};
   }
 };
 
-AdminServer::AdminServer(EventLoop& in, Counters& counts, Logger& log_to, RequestHandler carries)
-    : event_loop_(in), counters_(counts), logger_(log_to), handle_request_(std::move(carries)) {}
+AdminServer::AdminServer(EventLoop& event_loop, Counters& counters, Logger& logger,
+                         RequestHandler handle_request)
+    : event_loop_(event_loop),
+      counters_(counters),
+      logger_(logger),
+      handle_request_(std::move(handle_request)) {}
 
 AdminServer::~AdminServer() = default;
 
@@ -52,108 +71,129 @@
 }
 
 void AdminServer::handle_listener_ready() {
-  constexpr double soon = 5;  // ms; the edge is spent
-  if (!accept_connections())
-    accept_timer_ = event_loop_.schedule_at(event_loop_.now() + soon, [this] { handle_listener_ready(); });
+  if (accept_connections() == AcceptStatus::backlog_empty) return;
+  accept_timer_ = event_loop_.schedule_at(event_loop_.now() + accept_retry_interval_ms,
+                                          [this] { handle_listener_ready(); });
+}
+
+AdminServer::AcceptStatus AdminServer::accept_connections() {
+  for (;;) {
+    if (descriptor_budget_.available() == 0 && !evict_idle_connection()) return AcceptStatus::backlog_left;
+    FileDescriptor fd(::accept4(listener_.get(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC));
+    if (fd) {
+      add_connection(std::move(fd));
+    } else if (errno == EAGAIN || errno == EWOULDBLOCK) {
+      return AcceptStatus::backlog_empty;
+    } else if (errno != EINTR && errno != ECONNABORTED) {
+      return AcceptStatus::backlog_left;
+    }
+  }
 }
 
-// Who holds a connection without a whole call must not shut out who makes one: past the number set aside the
-// one silent for longest goes, the answered ones first.
+void AdminServer::add_connection(FileDescriptor fd) {
+  const std::uint64_t id = ++last_connection_id_;
+  auto connection = std::make_unique<Connection>();
+  connection->id = id;
+  connection->last_received_ms = event_loop_.now();
+  connection->stream = std::make_unique<TcpStream>(
+      event_loop_, descriptor_budget_, std::move(fd), [this, id](std::uint32_t) { handle_events(id); },
+      EventLoop::WatchPriority::high);
+  evictable_.insert(connection->eviction_key());
+  connections_[id] = std::move(connection);
+  handle_events(id);
+}
+
+// A client that holds a connection without a complete request must not shut out one that sends a request.
 bool AdminServer::evict_idle_connection() {
   if (evictable_.empty()) return false;
-  const std::uint64_t name = std::get<2>(*evictable_.begin());
-  evictable_.erase(evictable_.begin());
-  connections_.erase(name);
+  close(*connections_.at(evictable_.begin()->connection_id));
   return true;
 }
 
-bool AdminServer::accept_connections() {
-  for (;;) {
-    if (descriptor_budget_.available() == 0 && !evict_idle_connection()) return false;
-    FileDescriptor fd(::accept4(listener_.get(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC));
-    if (!fd) {
-      if (errno == EINTR || errno == ECONNABORTED) continue;
-      return errno == EAGAIN || errno == EWOULDBLOCK;
-    }
-    const std::uint64_t name = ++last_connection_id_;
-    Connection& c = *(connections_[name] = std::make_unique<Connection>());
-    c.id = name;
-    c.last_received_ms = event_loop_.now();
-    evictable_.insert(c.eviction_key());
-    c.socket_stream = std::make_unique<TcpStream>(
-        event_loop_, descriptor_budget_, std::move(fd), [this, name](std::uint32_t) { handle_events(name); },
-        EventLoop::WatchPriority::high);
-    handle_events(name);
+void AdminServer::close(const Connection& connection) {
+  const std::uint64_t id = connection.id;
+  evictable_.erase(connection.eviction_key());
+  connections_.erase(id);
+}
+
+void AdminServer::handle_events(std::uint64_t connection_id) {
+  const auto found = connections_.find(connection_id);
+  if (found == connections_.end()) return;
+  Connection& connection = *found->second;
+  switch (connection.state) {
+    case Connection::ConnectionState::reading:
+      return read_request(connection);
+    case Connection::ConnectionState::writing:
+      return flush_response(connection);
+    case Connection::ConnectionState::handling:
+    case Connection::ConnectionState::lingering:
+      return discard_input(connection);
   }
 }
 
-void AdminServer::handle_events(std::uint64_t which) {
-  const auto it = connections_.find(which);
-  if (it == connections_.end()) return;
-  Connection& c = *it->second;
-  using Stage = Connection::ConnectionState;
-  if (c.state == Stage::writing) return flush_response(c);
+void AdminServer::read_request(Connection& connection) {
+  using ReadStatus = TcpStream::ReadStatus;
+  using ParseState = http::HttpParser::ParseState;
   for (;;) {
-    std::size_t n = 0;
-    const TcpStream::ReadStatus got = c.state == Stage::reading
-                                          ? c.socket_stream->read(c.parser.writable_buffer(), n)
-                                          : c.socket_stream->discard();
-    if (got == TcpStream::ReadStatus::would_block) return;
-    if (got != TcpStream::ReadStatus::data) {
-      // Who closes is gone; an order that is being carried out goes on, its answer finds nobody.
-      evictable_.erase(c.eviction_key());
-      connections_.erase(which);
-      return;
-    }
-    if (c.state != Stage::reading) {
-      c.socket_stream->requeue();
-      return;
-    }
-    evictable_.erase(c.eviction_key());
-    c.last_received_ms = event_loop_.now();
-    c.parser.commit(n);
-    if (c.parser.state() == http::HttpParser::ParseState::error)
-      return send_response(c, c.parser.error_status());
-    if (c.parser.state() == http::HttpParser::ParseState::complete) {
-      const AdminRequest asked = decode_admin_request(c.parser.take_message());
-      if (asked.error_status) return send_response(c, asked.error_status);
-      c.state = Stage::handling;
-      return handle_request_(asked, [this, which](int status, const std::string& text) {
-        const auto still = connections_.find(which);
-        if (still != connections_.end()) send_response(*still->second, status, text);
-      });
-    }
-    evictable_.insert(c.eviction_key());
+    std::size_t count = 0;
+    const ReadStatus status = connection.stream->read(connection.parser.writable_buffer(), count);
+    if (status == ReadStatus::would_block) return;
+    if (status != ReadStatus::data) return close(connection);
+    evictable_.erase(connection.eviction_key());
+    connection.last_received_ms = event_loop_.now();
+    connection.parser.commit(count);
+    if (connection.parser.state() == ParseState::error)
+      return send_response(connection, connection.parser.error_status());
+    if (connection.parser.state() == ParseState::complete) return dispatch_request(connection);
+    evictable_.insert(connection.eviction_key());
   }
 }
 
-void AdminServer::send_response(Connection& c, int status, const std::string& text) {
+// The client has sent its request. If it closes the connection while that is carried out, the request goes on
+// and its response is dropped.
+void AdminServer::discard_input(Connection& connection) {
+  using ReadStatus = TcpStream::ReadStatus;
+  const ReadStatus status = connection.stream->discard();
+  if (status == ReadStatus::would_block) return;
+  if (status == ReadStatus::data)
+    connection.stream->requeue();
+  else
+    close(connection);
+}
+
+void AdminServer::dispatch_request(Connection& connection) {
+  const AdminRequest request = decode_admin_request(connection.parser.take_message());
+  if (request.error_status != 0) return send_response(connection, request.error_status);
+  connection.state = Connection::ConnectionState::handling;
+  handle_request_(request, [this, id = connection.id](int status, const std::string& json) {
+    const auto found = connections_.find(id);
+    if (found != connections_.end()) send_response(*found->second, status, json);
+  });
+}
+
+void AdminServer::send_response(Connection& connection, int status, std::string_view json) {
   ++counters_.admin_requests;
-  if (status >= 300) ++counters_.rejected_admin_requests;
-  c.state = Connection::ConnectionState::writing;
-  c.response = text.empty() ? encode_admin_response(status, default_body(status))
-                            : encode_admin_response(status, text, true);
-  flush_response(c);
+  if (status >= first_error_status) ++counters_.rejected_admin_requests;
+  connection.state = Connection::ConnectionState::writing;
+  connection.response = json.empty() ? encode_admin_response(status, default_body(status))
+                                     : encode_admin_response(status, json, true);
+  flush_response(connection);
 }
 
-void AdminServer::flush_response(Connection& c) {
-  const std::uint64_t name = c.id;
-  if (!c.socket_stream->write(c.response)) {
-    connections_.erase(name);
-    return;
-  }
-  constexpr double longest = 1000;  // for who doesn't read it, or doesn't close
-  if (!c.close_timer.is_set())
-    c.close_timer = event_loop_.schedule_at(event_loop_.now() + longest, [this, name] {
-      evictable_.erase(connections_.at(name)->eviction_key());
-      connections_.erase(name);
-    });
-  if (!c.response.is_complete()) return;
-  // Closing over bytes that we did not read would reset the connection and take the answer with it.
-  c.state = Connection::ConnectionState::lingering;
-  c.socket_stream->shutdown_write();
-  evictable_.insert(c.eviction_key());
-  c.socket_stream->requeue();
+void AdminServer::flush_response(Connection& connection) {
+  if (!connection.stream->write(connection.response)) return close(connection);
+  if (!connection.response_timer.is_set())
+    connection.response_timer = event_loop_.schedule_at(
+        event_loop_.now() + response_timeout_ms, [this, id = connection.id] { close(*connections_.at(id)); });
+  if (connection.response.is_complete()) linger(connection);
+}
+
+// Closing a connection with unread input would reset it, and the client would lose the response.
+void AdminServer::linger(Connection& connection) {
+  connection.state = Connection::ConnectionState::lingering;
+  connection.stream->shutdown_write();
+  evictable_.insert(connection.eviction_key());
+  connection.stream->requeue();
 }
 
 }  // namespace indigorill
--- a/src/admin/admin_server.h
+++ b/src/admin/admin_server.h
@@ -1,9 +1,15 @@
-// The second address: staff ask there how this process is and take endpoints out by hand. A front of its own,
-// with descriptors of its own, so that no crowd of clients shuts staff out; no RPCs come over it.
+/// The HTTP server on the admin address, where operators ask for this process's state and eject endpoints by
+/// hand. It has a listener and file descriptors of its own, so that no number of clients shuts operators out;
+/// no RPCs pass through it.
 #pragma once
 
+#include <compare>
+#include <cstdint>
+#include <functional>
 #include <memory>
 #include <set>
+#include <string>
+#include <string_view>
 #include <unordered_map>
 
 #include "event/socket.h"
@@ -14,31 +20,52 @@
 
 namespace indigorill {
 
+/// Serves one request on each connection, then closes it.
 class AdminServer {
  public:
-  // text: JSON for the calls that read; else the status says all.
-  using ResponseCallback = std::function<void(int status, std::string text)>;
-  // Carries out an order and says how it went, at once or later.
+  /// `json`: the body where the request is a query; empty where the status says all.
+  using ResponseCallback = std::function<void(int status, std::string json)>;
+  /// Carries out a well-formed request and calls back with the result, at once or later.
   using RequestHandler = std::function<void(const AdminRequest&, ResponseCallback)>;
 
-  // Of the listener and the connections: what a config has to leave them.
+  /// For the listener and the connections: what the process has to set aside for them.
   static constexpr std::size_t reserved_descriptors = 13;
 
-  AdminServer(EventLoop& in, Counters& counts, Logger& log_to, RequestHandler carries);
+  /// The event loop, the counters and the logger must outlive the server.
+  AdminServer(EventLoop& event_loop, Counters& counters, Logger& logger, RequestHandler handle_request);
   ~AdminServer();
+  AdminServer(const AdminServer&) = delete;
+  AdminServer& operator=(const AdminServer&) = delete;
 
-  void listen(const sockaddr_in& where) { adopt_listener(open_listener(where)); }
+  /// Throws std::system_error if the address can't be listened on.
+  void listen(const sockaddr_in& address) { adopt_listener(open_listener(address)); }
+  /// `listener`: one that listens already.
   void adopt_listener(FileDescriptor listener);
 
  private:
   struct Connection;
+  /// Connections are evicted in this order: the answered ones first, then the one silent for longest.
+  struct EvictionKey {
+    bool is_unanswered;
+    double last_received_ms;
+    std::uint64_t connection_id;
+    auto operator<=>(const EvictionKey&) const = default;
+  };
+  enum class AcceptStatus { backlog_empty, backlog_left };
 
   void handle_listener_ready();
-  bool accept_connections();  // false: some are left in the backlog
-  void handle_events(std::uint64_t which);
-  void send_response(Connection& c, int status, const std::string& text = {});
-  void flush_response(Connection& c);
+  AcceptStatus accept_connections();
+  void add_connection(FileDescriptor fd);
   bool evict_idle_connection();
+  void close(const Connection& connection);
+
+  void handle_events(std::uint64_t connection_id);
+  void read_request(Connection& connection);
+  void discard_input(Connection& connection);
+  void dispatch_request(Connection& connection);
+  void send_response(Connection& connection, int status, std::string_view json = {});
+  void flush_response(Connection& connection);
+  void linger(Connection& connection);
 
   EventLoop& event_loop_;
   Counters& counters_;
@@ -50,7 +77,7 @@
   EventLoop::Timer accept_timer_;
   std::uint64_t last_connection_id_ = 0;
   std::unordered_map<std::uint64_t, std::unique_ptr<Connection>> connections_;
-  std::set<std::tuple<bool, double, std::uint64_t>> evictable_;  // unanswered, silent since, name
+  std::set<EvictionKey> evictable_;
 };
 
 }  // namespace indigorill
