--- a/src/admin/admin_server.h
+++ b/src/admin/admin_server.h
@@ -3,13 +3,13 @@
 /// no RPCs pass through it.
 #pragma once
 
-#include <compare>
 #include <cstdint>
 #include <functional>
 #include <memory>
 #include <set>
 #include <string>
 #include <string_view>
+#include <tuple>
 #include <unordered_map>
 
 #include "event/socket.h"
@@ -49,7 +49,10 @@
     bool is_unanswered;
     double last_received_ms;
     std::uint64_t connection_id;
-    auto operator<=>(const EvictionKey&) const = default;
+    bool operator<(const EvictionKey& other) const {
+      return std::tie(is_unanswered, last_received_ms, connection_id) <
+             std::tie(other.is_unanswered, other.last_received_ms, other.connection_id);
+    }
   };
   enum class AcceptStatus { backlog_empty, backlog_left };
 
--- a/src/discovery/discovery_client.cpp
+++ b/src/discovery/discovery_client.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 // Some 20,000 entries.
-constexpr std::size_t max_endpoint_list_bytes = 4 * 1024 * 1024;
+constexpr std::size_t max_endpoint_list_bytes = std::size_t{4} * 1024 * 1024;
 
 // What the agent holds counts as known to this sidecar, so two of these timeouts, a poll in vain and the
 // pause behind it, have to pass well within the drain grace. The lower bound is what a process may wait for
@@ -72,10 +72,12 @@
 }
 
 std::string DiscoveryClient::poll_target() const {
-  const std::string path = "/api/targets";
-  if (needs_complete_list_) return path;
+  std::string target = "/api/targets";
+  if (needs_complete_list_) return target;
   const int wait_ms = is_long_poll() ? long_poll_wait_ms : prompt_poll_wait_ms;
-  return path + "?index=" + std::to_string(version_) + "&wait=" + std::to_string(wait_ms);
+  target += "?index=" + std::to_string(version_);
+  target += "&wait=" + std::to_string(wait_ms);
+  return target;
 }
 
 double DiscoveryClient::prompt_response_timeout_ms() const {
--- a/tests/hot_restart_test.cpp
+++ b/tests/hot_restart_test.cpp
@@ -1,4 +1,5 @@
-// Two processes of one sidecar: what each makes of the other, and the files and locks between them.
+/// Hot restart: the policy, the records, and the files and locks that the two processes of one sidecar share;
+/// last, two real processes through an upgrade.
 #include "hot_restart/hot_restart.h"
 
 #include <doctest/doctest.h>
@@ -6,6 +7,7 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <array>
 #include <csignal>
 #include <cstdio>
 #include <filesystem>
@@ -19,90 +21,114 @@
 
 namespace {
 
-ProcessRecord of(double born, ProcessRecord::ProcessState at, bool made_room = false) {
-  return {at, born, 0, made_room};
+using ProcessState = ProcessRecord::ProcessState;
+
+constexpr auto starting = ProcessState::starting;
+constexpr auto serving = ProcessState::serving;
+constexpr auto draining = ProcessState::draining;
+
+ProcessRecord make_record(double started_at_ms, ProcessState state, bool limits_reduced = false) {
+  return {state, started_at_ms, 0, limits_reduced};
 }
 
-constexpr auto starting = ProcessRecord::ProcessState::starting,
-               serving = ProcessRecord::ProcessState::serving,
-               leaving = ProcessRecord::ProcessState::draining;
+void enter_state(HotRestartPolicy& policy, ProcessState state) {
+  if (state == serving) policy.start_serving();
+  if (state == draining) policy.start_draining();
+}
 
-struct Folder {
-  std::string path = "/tmp/indigorill-handover-XXXXXX";
-  Folder() { REQUIRE(::mkdtemp(path.data())); }
-  ~Folder() { std::filesystem::remove_all(path); }
+struct TemporaryDirectory {
+  std::string path = "/tmp/indigorill-hot-restart-XXXXXX";
+  TemporaryDirectory() { REQUIRE(::mkdtemp(path.data())); }
+  ~TemporaryDirectory() { std::filesystem::remove_all(path); }
+  TemporaryDirectory(const TemporaryDirectory&) = delete;
+  TemporaryDirectory& operator=(const TemporaryDirectory&) = delete;
 };
 
 }  // namespace
 
-TEST_CASE("what an elder and a newcomer do, by what the other one says") {
+TEST_CASE("hot restart policy: what a parent and a child do, by the other process's record") {
   struct {
-    const char* what;
+    const char* name;
     ProcessRecord own;
     std::optional<ProcessRecord> other;
-    bool lives, accepts, hurries, has_room;
-    double share;
+    bool other_is_alive;
+    bool is_accepting;
+    bool is_force_closing;
+    bool can_start_serving;
+    double limit_fraction;
   } table[] = {
-      {"alone", of(1, serving), {}, false, true, false, true, 1},
-      {"alone, not yet told to serve", of(1, starting), {}, false, false, false, true, 1},
-      {"elder beside a newcomer that starts", of(1, serving), of(2, starting), true, true, false, true, 0.5},
-      {"elder beside one whose record can't be read yet", of(1, serving), {}, true, true, false, true, 0.5},
-      {"elder beside one that serves", of(1, serving), of(2, serving), true, false, true, true, 0.5},
-      {"elder told to stop", of(1, leaving), of(2, serving), true, false, true, true, 0.5},
-      {"elder told to stop too soon", of(1, leaving), of(2, starting), true, true, false, true, 0.5},
-      {"elder whose newcomer died", of(1, serving), of(2, serving), false, true, false, true, 1},
-      {"newcomer, no room yet", of(2, starting), of(1, serving), true, false, false, false, 0.1},
-      {"newcomer, elder unread", of(2, starting), {}, true, false, false, false, 0.1},
-      {"newcomer, room made", of(2, starting), of(1, serving, true), true, false, false, true, 0.5},
-      {"newcomer that serves", of(2, serving), of(1, serving, true), true, true, false, true, 0.5},
-      {"newcomer whose elder is gone", of(2, serving), {}, false, true, false, true, 1},
+      {"alone", make_record(1, serving), {}, false, true, false, true, 1},
+      {"alone, not yet told to serve", make_record(1, starting), {}, false, false, false, true, 1},
+      {"parent of a child that starts", make_record(1, serving), make_record(2, starting), true, true, false,
+       true, 0.5},
+      {"parent of a child whose record can't be read yet",
+       make_record(1, serving),
+       {},
+       true,
+       true,
+       false,
+       true,
+       0.5},
+      {"parent of a child that serves", make_record(1, serving), make_record(2, serving), true, false, true,
+       true, 0.5},
+      {"draining parent", make_record(1, draining), make_record(2, serving), true, false, true, true, 0.5},
+      {"parent that drains too soon", make_record(1, draining), make_record(2, starting), true, true, false,
+       true, 0.5},
+      {"parent whose child died", make_record(1, serving), make_record(2, serving), false, true, false, true,
+       1},
+      {"child, limits not yet reduced", make_record(2, starting), make_record(1, serving), true, false, false,
+       false, 0.1},
+      {"child, parent's record can't be read", make_record(2, starting), {}, true, false, false, false, 0.1},
+      {"child, limits reduced", make_record(2, starting), make_record(1, serving, true), true, false, false,
+       true, 0.5},
+      {"child that serves", make_record(2, serving), make_record(1, serving, true), true, true, false, true,
+       0.5},
+      {"child whose parent is gone", make_record(2, serving), {}, false, true, false, true, 1},
   };
-  for (const auto& t : table) {
-    CAPTURE(std::string(t.what));
-    HotRestartPolicy h(t.own.started_at_ms);
-    if (t.own.state != starting) h.start_serving();
-    if (t.own.state == leaving) h.start_draining();
-    h.update_other_process(t.other, t.lives);
-    CHECK(h.is_accepting() == t.accepts);
-    CHECK(h.is_force_closing() == t.hurries);
-    CHECK(h.can_start_serving() == t.has_room);
-    CHECK(h.limit_fraction() == t.share);
+  for (const auto& row : table) {
+    CAPTURE(std::string(row.name));
+    HotRestartPolicy policy(row.own.started_at_ms);
+    enter_state(policy, row.own.state);
+    policy.update_other_process(row.other, row.other_is_alive);
+    CHECK(policy.is_accepting() == row.is_accepting);
+    CHECK(policy.is_force_closing() == row.is_force_closing);
+    CHECK(policy.can_start_serving() == row.can_start_serving);
+    CHECK(policy.limit_fraction() == row.limit_fraction);
   }
 }
 
-TEST_CASE("two processes never share out more than there is, and one of them always takes connections") {
-  for (const auto a : {starting, serving, leaving})
-    for (const auto b : {starting, serving, leaving})
-      for (const bool room : {false, true}) {
-        HotRestartPolicy elder(1), newcomer(2);
-        const auto set = [](HotRestartPolicy& h, ProcessRecord::ProcessState at) {
-          if (at == serving) h.start_serving();
-          if (at == leaving) h.start_draining();
-        };
-        set(elder, a), set(newcomer, b);
-        elder.set_limits_reduced(room);
-        elder.update_other_process(newcomer.own_record(), true);
-        newcomer.update_other_process(elder.own_record(), true);
-        CHECK(elder.limit_fraction() + newcomer.limit_fraction() <= 1);
-        if (a != starting && b == serving) CHECK(elder.is_accepting() + newcomer.is_accepting() == 1);
-        if (a != starting && b == starting) CHECK(elder.is_accepting());
+TEST_CASE("hot restart policy: two processes never exceed the limits, and one of them always accepts") {
+  for (const auto parent_state : {starting, serving, draining})
+    for (const auto child_state : {starting, serving, draining})
+      for (const bool limits_reduced : {false, true}) {
+        HotRestartPolicy parent(1);
+        HotRestartPolicy child(2);
+        enter_state(parent, parent_state);
+        enter_state(child, child_state);
+        parent.set_limits_reduced(limits_reduced);
+        parent.update_other_process(child.own_record(), true);
+        child.update_other_process(parent.own_record(), true);
+        CHECK(parent.limit_fraction() + child.limit_fraction() <= 1);
+        if (parent_state != starting && child_state == serving)
+          CHECK(parent.is_accepting() + child.is_accepting() == 1);
+        if (parent_state != starting && child_state == starting) CHECK(parent.is_accepting());
       }
 }
 
-TEST_CASE("records and bans come back as written; cut anywhere or foreign they are nothing") {
-  ProcessRecord r = of(1234.5, serving, true);
-  r.ejection_revision = 7;
-  const EjectionRecord b{9, {"a", "b c\"", "\xc3\xa9"}, {{"d", 1234.5}}};
-  CHECK(decode_process_record(encode(r)) == r);
-  CHECK(decode_ejection_record(encode(b)) == b);
-  const std::string texts[] = {encode(r), encode(b)};
+TEST_CASE("hot restart records are decoded as encoded; truncated or foreign ones are rejected") {
+  ProcessRecord process_record = make_record(1234.5, serving, true);
+  process_record.ejection_revision = 7;
+  const EjectionRecord ejection_record{9, {"a", "b c\"", "\xc3\xa9"}, {{"d", 1234.5}}};
+  CHECK(decode_process_record(encode(process_record)) == process_record);
+  CHECK(decode_ejection_record(encode(ejection_record)) == ejection_record);
+  const std::string texts[] = {encode(process_record), encode(ejection_record)};
   for (const std::string& text : texts)
-    for (std::size_t n = 0; n < text.size(); ++n) {
-      CHECK_FALSE(decode_process_record(text.substr(0, n)));
-      CHECK_FALSE(decode_ejection_record(text.substr(0, n)));
+    for (std::size_t length = 0; length < text.size(); ++length) {
+      CHECK_FALSE(decode_process_record(text.substr(0, length)));
+      CHECK_FALSE(decode_ejection_record(text.substr(0, length)));
     }
-  CHECK_FALSE(decode_process_record(encode(b)));
-  CHECK_FALSE(decode_ejection_record(encode(r)));
+  CHECK_FALSE(decode_process_record(encode(ejection_record)));
+  CHECK_FALSE(decode_ejection_record(encode(process_record)));
   for (const char* foreign :
        {"", "[]", "{}",
         "{\"format\":\"indigorill-handover-0\",\"kind\":\"bans\",\"revision\":1,\"out\":[],\"back\":{}}",
@@ -113,266 +139,325 @@
 
 namespace {
 
-// A process's side of the folder; both turn in one loop, and locks are of open files, so that two in one
-// process exclude each other as two processes do.
+/// One process's view of the shared directory. Locks belong to open files, so two of these in one process
+/// exclude each other as two processes do.
 struct RestartingProcess {
   std::ostringstream log_text;
   Logger log{log_text, LogLevel::debug};
   std::unique_ptr<HotRestart> hot_restart;
   std::vector<EjectionRecord> ejection_updates;
-  RestartingProcess(EventLoop& runs, const std::string& path)
-      : hot_restart(std::make_unique<HotRestart>(runs, log, path, "n:0/x")) {
-    hot_restart->start([] {}, [this](const EjectionRecord& b) { ejection_updates.push_back(b); });
+
+  RestartingProcess(EventLoop& event_loop, const std::string& directory)
+      : hot_restart(std::make_unique<HotRestart>(event_loop, log, directory, "n:0/x")) {
+    hot_restart->start([] {}, [this](const EjectionRecord& record) { ejection_updates.push_back(record); });
+  }
+
+  bool has_heard_of_ejection(const std::string& endpoint_id) const {
+    return !ejection_updates.empty() && ejection_updates.back().ejected.contains(endpoint_id);
   }
 };
 
 }  // namespace
 
-TEST_CASE("a ban made in one process is in force in both before the yes, and outlives either") {
-  EventLoop runs;
-  Folder here;
-  RestartingProcess elder(runs, here.path);
-  elder.hot_restart->start_serving();
-  RestartingProcess newcomer(runs, here.path);
-  REQUIRE(run_until(runs, [&] {
-    return elder.hot_restart->policy().is_parent() && newcomer.hot_restart->policy().is_child();
+TEST_CASE("an ejection is in force in both processes before it is confirmed, and outlives either") {
+  EventLoop event_loop;
+  TemporaryDirectory directory;
+  RestartingProcess parent(event_loop, directory.path);
+  parent.hot_restart->start_serving();
+  RestartingProcess child(event_loop, directory.path);
+  REQUIRE(run_until(event_loop, [&] {
+    return parent.hot_restart->policy().is_parent() && child.hot_restart->policy().is_child();
   }));
-  bool done = false;
-  newcomer.hot_restart->change_ejections(
-      [](EjectionRecord& b) { b.ejected.insert("a"); },
-      [&](bool yes) {
-        done = yes;
-        CHECK((!elder.ejection_updates.empty() && elder.ejection_updates.back().ejected.count("a")));
-        CHECK((!newcomer.ejection_updates.empty() && newcomer.ejection_updates.back().ejected.count("a")));
-      });
-  REQUIRE(run_until(runs, [&] { return done; }));
-  done = false;  // both asked at once
-  bool other = false;
-  elder.hot_restart->change_ejections([](EjectionRecord& b) { b.ejected.insert("b"); },
-                                      [&](bool yes) { done = yes; });
-  newcomer.hot_restart->change_ejections([](EjectionRecord& b) { restore_endpoint(b, "a", 77); },
-                                         [&](bool yes) { other = yes; });
-  REQUIRE(run_until(runs, [&] { return done && other; }));
-  CHECK(elder.hot_restart->ejections().ejected == std::set<std::string, std::less<>>{"b"});
-  CHECK(newcomer.hot_restart->ejections() == elder.hot_restart->ejections());
-  elder.hot_restart.reset();
-  REQUIRE(run_until(runs, [&] { return !newcomer.hot_restart->policy().is_paired(); }));
-  newcomer.hot_restart.reset();
-  RestartingProcess next(runs, here.path);
+  bool child_done = false;
+  child.hot_restart->change_ejections([](EjectionRecord& record) { record.ejected.insert("a"); },
+                                      [&](bool is_in_force) {
+                                        child_done = is_in_force;
+                                        CHECK(parent.has_heard_of_ejection("a"));
+                                        CHECK(child.has_heard_of_ejection("a"));
+                                      });
+  REQUIRE(run_until(event_loop, [&] { return child_done; }));
+  // Both are asked at once.
+  bool parent_done = false;
+  child_done = false;
+  parent.hot_restart->change_ejections([](EjectionRecord& record) { record.ejected.insert("b"); },
+                                       [&](bool is_in_force) { parent_done = is_in_force; });
+  child.hot_restart->change_ejections([](EjectionRecord& record) { restore_endpoint(record, "a", 77); },
+                                      [&](bool is_in_force) { child_done = is_in_force; });
+  REQUIRE(run_until(event_loop, [&] { return parent_done && child_done; }));
+  CHECK(parent.hot_restart->ejections().ejected == std::set<std::string, std::less<>>{"b"});
+  CHECK(child.hot_restart->ejections() == parent.hot_restart->ejections());
+  parent.hot_restart.reset();
+  REQUIRE(run_until(event_loop, [&] { return !child.hot_restart->policy().is_paired(); }));
+  child.hot_restart.reset();
+  RestartingProcess next(event_loop, directory.path);
   CHECK(next.hot_restart->ejections().ejected.count("b") == 1);
   CHECK(next.hot_restart->ejections().restored_at_ms.at("a") == 77);
   CHECK_FALSE(next.hot_restart->policy().is_paired());
 }
 
-TEST_CASE("one that doesn't hear of a change in time makes it a no, and all is as it was") {
-  EventLoop runs, still;
-  Folder here;
-  RestartingProcess elder(still, here.path);  // its loop stands still
-  RestartingProcess newcomer(runs, here.path);
-  REQUIRE(newcomer.hot_restart->policy().is_paired());
-  std::optional<bool> yes;
-  newcomer.hot_restart->change_ejections([](EjectionRecord& b) { b.ejected.insert("a"); },
-                                         [&](bool done) { yes = done; });
-  REQUIRE(run_until(runs, [&] { return yes.has_value(); }));
-  CHECK_FALSE(*yes);
-  CHECK(newcomer.hot_restart->ejections().ejected.empty());
-  still.run_once(30);
-  CHECK(elder.hot_restart->ejections().ejected.empty());
+TEST_CASE("an ejection that the other process doesn't take over in time fails and is rolled back") {
+  EventLoop event_loop;
+  EventLoop stalled_loop;
+  TemporaryDirectory directory;
+  RestartingProcess parent(stalled_loop, directory.path);
+  RestartingProcess child(event_loop, directory.path);
+  REQUIRE(child.hot_restart->policy().is_paired());
+  std::optional<bool> result;
+  child.hot_restart->change_ejections([](EjectionRecord& record) { record.ejected.insert("a"); },
+                                      [&](bool is_in_force) { result = is_in_force; });
+  REQUIRE(run_until(event_loop, [&] { return result.has_value(); }));
+  CHECK_FALSE(*result);
+  CHECK(child.hot_restart->ejections().ejected.empty());
+  stalled_loop.run_once(30);
+  CHECK(parent.hot_restart->ejections().ejected.empty());
 }
 
-TEST_CASE("without a folder, or beside two others, a process works alone and says so") {
-  EventLoop runs;
-  Folder here;
-  RestartingProcess none(runs, ""), nowhere(runs, here.path + "/not/there");
-  RestartingProcess one(runs, here.path), two(runs, here.path), three(runs, here.path);
-  for (const RestartingProcess* h : {&none, &nowhere, &three}) {
-    CHECK(h->log_text.str().find("running standalone") != std::string::npos);
-    CHECK_FALSE(h->hot_restart->policy().is_paired());
+TEST_CASE("without a shared directory, or beside two others, a process runs standalone and logs it") {
+  EventLoop event_loop;
+  TemporaryDirectory directory;
+  RestartingProcess without_directory(event_loop, "");
+  RestartingProcess in_missing_directory(event_loop, directory.path + "/not/there");
+  RestartingProcess first(event_loop, directory.path);
+  RestartingProcess second(event_loop, directory.path);
+  RestartingProcess third(event_loop, directory.path);
+  for (const RestartingProcess* process : {&without_directory, &in_missing_directory, &third}) {
+    CHECK(process->log_text.str().find("running standalone") != std::string::npos);
+    CHECK_FALSE(process->hot_restart->policy().is_paired());
     bool done = false;
-    h->hot_restart->change_ejections([](EjectionRecord& b) { b.ejected.insert("a"); },
-                                     [&](bool yes) { done = yes; });
+    process->hot_restart->change_ejections([](EjectionRecord& record) { record.ejected.insert("a"); },
+                                           [&](bool is_in_force) { done = is_in_force; });
     CHECK(done);
   }
-  CHECK(two.hot_restart->policy().is_paired());
+  CHECK(second.hot_restart->policy().is_paired());
 }
 
 namespace {
 
-// A sidecar as a process of its own, on a listener that the test holds, and what the test asks of it.
+/// A sidecar in a process of its own, on a listener that the test holds.
 struct SidecarProcess {
   pid_t pid = -1;
   sockaddr_in admin_address = local_address(listen_on_loopback());
 
-  SidecarProcess(const std::string& folder, const FileDescriptor& door, const sockaddr_in& agent,
-                 int descriptors) {
-    const std::string path = folder + "/config-" + address_text(admin_address);
-    std::ofstream(path)
-        << R"({"name":"n","listen":")" << address_text(local_address(door)) << R"(","discovery":")"
-        << address_text(agent) << R"(","admin_addr":")" << address_text(admin_address)
-        << R"(","seed":"1","limits":{"sockets":)" << descriptors
+  SidecarProcess(const std::string& directory, const FileDescriptor& listener,
+                 const sockaddr_in& agent_address, int max_descriptors) {
+    const std::string config_path = directory + "/config-" + address_text(admin_address);
+    std::ofstream(config_path)
+        << R"({"name":"n","listen":")" << address_text(local_address(listener)) << R"(","discovery":")"
+        << address_text(agent_address) << R"(","admin_addr":")" << address_text(admin_address)
+        << R"(","seed":"1","limits":{"sockets":)" << max_descriptors
         << R"(},"settings":{"methods":[{"name":"read","effect":"retryable","deadline":500000}],)"
         << R"("bounds":{"maxPicks":3}}})";
-    const std::string fd = std::to_string(door.get());
     pid = ::fork();
-    if (pid != 0) return;
+    if (pid == 0) run(config_path, directory, std::to_string(listener.get()));
+  }
+  ~SidecarProcess() {
+    if (pid <= 0) return;
+    ::kill(pid, SIGKILL);
+    ::waitpid(pid, nullptr, 0);
+  }
+  SidecarProcess(const SidecarProcess&) = delete;
+  SidecarProcess& operator=(const SidecarProcess&) = delete;
+
+  /// True if it exited by itself and without error. `step` keeps the test's side going meanwhile, as requests
+  /// in flight would not end otherwise.
+  bool stop_with_signal(int signal, EventLoop& event_loop, const std::function<void()>& step) {
+    ::kill(pid, signal);
+    int status = -1;
+    const bool has_ended = run_until(event_loop, [&] {
+      step();
+      return ::waitpid(pid, &status, WNOHANG) == pid;
+    });
+    if (has_ended) pid = -1;
+    return has_ended && WIFEXITED(status) && WEXITSTATUS(status) == 0;
+  }
+
+  std::size_t open_descriptor_count() const {
+    const std::string directory = "/proc/" + std::to_string(pid) + "/fd";
+    std::error_code error;
+    std::filesystem::directory_iterator entry(directory, error);
+    std::size_t count = 0;
+    while (!error && entry != std::filesystem::directory_iterator()) {
+      ++count;
+      entry.increment(error);
+    }
+    return count;
+  }
+
+ private:
+  [[noreturn]] static void run(const std::string& config_path, const std::string& directory,
+                               const std::string& listener_fd) {
     ::prctl(PR_SET_PDEATHSIG, SIGKILL);
-    const auto variable = [&](const char* name) -> const char* {
-      const std::string n = name;
-      return n == "LB_CONFIG"         ? path.c_str()
-             : n == "TMPDIR"          ? folder.c_str()
-             : n == "LB_INHERITED_FD" ? fd.c_str()
-                                      : nullptr;
+    const std::map<std::string, std::string> environment = {
+        {"LB_CONFIG", config_path}, {"TMPDIR", directory}, {"LB_INHERITED_FD", listener_fd}};
+    const auto variable = [&](const char* name) {
+      const auto found = environment.find(name);
+      return found == environment.end() ? nullptr : found->second.c_str();
     };
     try {
-      std::ostringstream text;
-      Logger lines(text, LogLevel::error);
+      std::ostringstream log_text;
+      Logger logger(log_text, LogLevel::error);
       run_sidecar(
-          load_sidecar_config(variable), [&] { return reload_sidecar_config(variable); }, lines);
+          load_sidecar_config(variable), [&] { return reload_sidecar_config(variable); }, logger);
     } catch (const std::exception&) {
       ::_exit(1);
     }
     ::_exit(0);
   }
-  ~SidecarProcess() {
-    if (pid > 0) ::kill(pid, SIGKILL), ::waitpid(pid, nullptr, 0);
-  }
-  // True if it ended by itself. The world goes on meanwhile, or nothing in hand there would end.
-  bool stop_with_signal(int signal, EventLoop& runs, const std::function<void()>& step) {
-    ::kill(pid, signal);
-    int status = -1;
-    const bool gone = run_until(runs, [&] { return step(), ::waitpid(pid, &status, WNOHANG) == pid; });
-    if (gone) pid = -1;
-    return gone && WIFEXITED(status) && WEXITSTATUS(status) == 0;
-  }
-  std::size_t open_descriptor_count() const {
-    std::error_code none;
-    std::size_t n = 0;
-    for (std::filesystem::directory_iterator at("/proc/" + std::to_string(pid) + "/fd", none), last;
-         !none && at != last; at.increment(none))
-      ++n;
-    return n;
-  }
 };
 
-// An application that asks on and on, and what it met.
+/// A client that sends one request after the other, and what it got.
 struct ClientApplication {
   EventLoop& event_loop;
   FileDescriptorBudget& budget;
   sockaddr_in sidecar_address;
-  std::unique_ptr<TestConnection> connection;
+  std::unique_ptr<TestConnection> connection = nullptr;
   bool is_waiting = false;
-  int ok = 0, unanswered = 0, rejected = 0;
+  int ok = 0;
+  int unanswered = 0;
+  int rejected = 0;
   double next_request_ms = 0;
 
   void step() {
-    constexpr double pause = 4;  // ms: endpoints with a script must not run out of it
-    if (connection && !connection->is_ended) {
-      if (!is_waiting && event_loop.now() > next_request_ms) send_request();
-      return;
-    }
-    unanswered += is_waiting;
+    if (!connection || connection->is_ended)
+      reconnect();
+    else if (!is_waiting && event_loop.now() > next_request_ms)
+      send_request();
+  }
+
+  void reconnect() {
+    constexpr double pause_ms = 4;  // the scripts of the fake servers must not run out
+    unanswered += is_waiting ? 1 : 0;
     is_waiting = false;
     connection = std::make_unique<TestConnection>(event_loop, budget, start_connect(sidecar_address),
                                                   http::HttpParser::MessageKind::response);
-    connection->on_message = [this](TestConnection& s) {
+    connection->on_message = [this](TestConnection& sender) {
       is_waiting = false;
-      (s.received.back().status == 200 ? ok : rejected) += 1;
-      next_request_ms = event_loop.now() + pause;
+      (sender.received.back().status == 200 ? ok : rejected) += 1;
+      next_request_ms = event_loop.now() + pause_ms;
     };
   }
+
   void send_request() {
-    static int ids = 0;
+    static int last_id = 0;
     is_waiting = true;
-    connection->send("GET /read HTTP/1.1\r\nX-Call-Id: two" + std::to_string(++ids) +
+    connection->send("GET /read HTTP/1.1\r\nX-Call-Id: two" + std::to_string(++last_id) +
                      "\r\nX-Budget: 500m\r\n\r\n");
   }
 };
 
+/// Clients, endpoints "a" and "b", a discovery agent, and a parent and a child process between them.
+struct UpgradeScenario {
+  static constexpr int max_descriptors = 160;
+
+  EventLoop event_loop;
+  TemporaryDirectory directory;
+  FileDescriptorBudget budget{400};
+  const std::vector<std::string> responses = std::vector<std::string>(20000, response_text(200, "served"));
+  FakeServer endpoint_a{event_loop, responses};
+  FakeServer endpoint_b{event_loop, responses};
+  // Silent after its first response: a child process needs no endpoint list from it.
+  FakeServer agent{event_loop, {response_text(200, endpoint_list())}};
+  const FileDescriptor listener = listen_on_loopback();
+  std::vector<std::unique_ptr<ClientApplication>> clients;
+  std::size_t peak_descriptors = 0;
+  SidecarProcess parent{directory.path, listener, agent.address, max_descriptors};
+  std::unique_ptr<SidecarProcess> child;
+
+  std::string endpoint_list() const {
+    return R"({"generation":9,"reset":true,"instances":[{"instanceId":"a","hostPort":")" +
+           address_text(endpoint_a.address) + R"(","lifecycle":"up"},{"instanceId":"b","hostPort":")" +
+           address_text(endpoint_b.address) + R"(","lifecycle":"up"}]})";
+  }
+
+  void start_clients(int count) {
+    for (int i = 0; i < count; ++i)
+      clients.push_back(std::make_unique<ClientApplication>(
+          ClientApplication{event_loop, budget, local_address(listener)}));
+  }
+
+  void start_child() {
+    child = std::make_unique<SidecarProcess>(directory.path, listener, agent.address, max_descriptors);
+  }
+
+  void step() {
+    for (const auto& client : clients) client->step();
+    const std::size_t child_descriptors = child ? child->open_descriptor_count() : 0;
+    peak_descriptors = std::max(peak_descriptors, parent.open_descriptor_count() + child_descriptors);
+  }
+
+  bool run_steps_until(const std::function<bool()>& condition) {
+    return run_until(event_loop, [&] {
+      step();
+      return condition();
+    });
+  }
+
+  /// The status of the admin server's response; asks again while that is 503.
+  int admin_request(const SidecarProcess& process, const std::string& request_line) {
+    int status = 0;
+    run_until(event_loop, [&] {
+      TestConnection connection(event_loop, budget, start_connect(process.admin_address),
+                                http::HttpParser::MessageKind::response);
+      connection.send(request_line + " HTTP/1.1\r\n\r\n");
+      run_steps_until([&] { return connection.is_ended || !connection.received.empty(); });
+      if (!connection.received.empty()) status = connection.received[0].status;
+      return status != 0 && status != 503;
+    });
+    return status;
+  }
+
+  int served_count() const {
+    int count = 0;
+    for (const auto& client : clients) count += client->ok;
+    return count;
+  }
+  int unanswered_count() const {
+    int count = 0;
+    for (const auto& client : clients) count += client->unanswered;
+    return count;
+  }
+  bool serve_requests(int count) {
+    const int target = served_count() + count;
+    return run_steps_until([&] { return served_count() >= target; });
+  }
+};
+
 }  // namespace
 
-TEST_CASE("two real processes are one sidecar through an upgrade, whichever dies and however") {
+TEST_CASE("two real processes serve as one sidecar through an upgrade, whichever ends and however") {
   struct {
-    const char* what;
-    bool elder_dies;
+    const char* name;
+    bool parent_ends;
     int signal;
-  } table[] = {{"the elder is told to stop", true, SIGTERM},
-               {"the elder is killed", true, SIGKILL},
-               {"the newcomer is killed", false, SIGKILL}};
-  for (const auto& t : table) {
-    CAPTURE(std::string(t.what));
-    constexpr int descriptors = 160;
-    EventLoop runs;
-    Folder here;
-    FileDescriptorBudget budget{400};
-    const std::string entries =
-        R"({"instanceId":"a","hostPort":"%a","lifecycle":"up"},{"instanceId":"b","hostPort":"%b","lifecycle":"up"})";
-    const std::vector<std::string> answers(20000, response_text(200, "served"));
-    FakeServer a(runs, answers), b(runs, answers);
-    std::string list = R"({"generation":9,"reset":true,"instances":[)" + entries + "]}";
-    list.replace(list.find("%a"), 2, address_text(a.address));
-    list.replace(list.find("%b"), 2, address_text(b.address));
-    FakeServer agent(runs,
-                     {response_text(200, list)});  // and silent from then on: a newcomer needs no list of it
-    const FileDescriptor door = listen_on_loopback();
-    std::vector<std::unique_ptr<ClientApplication>> apps;
-    std::size_t most_descriptors = 0;
-    SidecarProcess elder(here.path, door, agent.address, descriptors);
-    std::unique_ptr<SidecarProcess> newcomer;
-    const auto step = [&] {
-      for (const auto& app : apps) app->step();
-      most_descriptors = std::max(most_descriptors, elder.open_descriptor_count() +
-                                                        (newcomer ? newcomer->open_descriptor_count() : 0));
-    };
-    const auto call = [&](const SidecarProcess& p, const std::string& text) {
-      int status = 0;
-      run_until(runs, [&] {
-        TestConnection s(runs, budget, start_connect(p.admin_address),
-                         http::HttpParser::MessageKind::response);
-        s.send(text + " HTTP/1.1\r\n\r\n");
-        run_until(runs, [&] { return step(), s.is_ended || !s.received.empty(); });
-        if (!s.received.empty()) status = s.received[0].status;
-        return status != 0 && status != 503;
-      });
-      return status;
-    };
-    const auto served = [&](int more) {
-      int before = 0;
-      for (const auto& app : apps) before += app->ok;
-      return run_until(runs, [&] {
-        step();
-        int now = 0;
-        for (const auto& app : apps) now += app->ok;
-        return now >= before + more;
-      });
-    };
-    REQUIRE(call(elder, "GET /status") == 200);
-    for (int i = 0; i < 8; ++i)
-      apps.push_back(std::make_unique<ClientApplication>(
-          ClientApplication{runs, budget, local_address(door), nullptr, false, 0, 0, 0, 0}));
-    REQUIRE(served(100));
-    CHECK(call(elder, "PUT /maintenance/enter?host=nobody") == 404);
-    newcomer = std::make_unique<SidecarProcess>(here.path, door, agent.address, descriptors);
-    REQUIRE(call(*newcomer, "GET /status") == 200);
-    REQUIRE(served(100));
-    REQUIRE(call(t.elder_dies ? elder : *newcomer, "PUT /maintenance/enter?host=a") == 200);
-    const std::size_t sent_there = a.request_targets.size();
-    REQUIRE(served(200));
-    int unheard = 0;
-    for (const auto& app : apps) unheard += app->unanswered;
-    CHECK(unheard == 0);  // until somebody was killed
-    SidecarProcess& dies = t.elder_dies ? elder : *newcomer;
-    SidecarProcess& stays = t.elder_dies ? *newcomer : elder;
-    CHECK(dies.stop_with_signal(t.signal, runs, step) == (t.signal == SIGTERM));
-    REQUIRE(served(200));
-    CHECK(a.request_targets.size() == sent_there);  // the ban outlives who was asked
-    REQUIRE(call(stays, "PUT /maintenance/exit?host=a") == 200);
-    REQUIRE(run_until(runs, [&] { return step(), a.request_targets.size() > sent_there; }));
-    CHECK(most_descriptors <= descriptors);
-    if (t.signal == SIGTERM) {
-      unheard = 0;
-      for (const auto& app : apps) unheard += app->unanswered;
-      CHECK(unheard <= 2);
-    }
-    CHECK(stays.stop_with_signal(SIGTERM, runs, step));
+  } table[] = {{"the parent is told to stop", true, SIGTERM},
+               {"the parent is killed", true, SIGKILL},
+               {"the child is killed", false, SIGKILL}};
+  for (const auto& row : table) {
+    CAPTURE(std::string(row.name));
+    UpgradeScenario scenario;
+    const auto step = [&] { scenario.step(); };
+    REQUIRE(scenario.admin_request(scenario.parent, "GET /status") == 200);
+    scenario.start_clients(8);
+    REQUIRE(scenario.serve_requests(100));
+    CHECK(scenario.admin_request(scenario.parent, "PUT /maintenance/enter?host=nobody") == 404);
+    scenario.start_child();
+    REQUIRE(scenario.admin_request(*scenario.child, "GET /status") == 200);
+    REQUIRE(scenario.serve_requests(100));
+    SidecarProcess& ending = row.parent_ends ? scenario.parent : *scenario.child;
+    SidecarProcess& remaining = row.parent_ends ? *scenario.child : scenario.parent;
+    REQUIRE(scenario.admin_request(ending, "PUT /maintenance/enter?host=a") == 200);
+    const auto& requests_to_a = scenario.endpoint_a.request_targets;
+    const std::size_t requests_before_ejection = requests_to_a.size();
+    REQUIRE(scenario.serve_requests(200));
+    CHECK(scenario.unanswered_count() == 0);  // until a process is killed
+    CHECK(ending.stop_with_signal(row.signal, scenario.event_loop, step) == (row.signal == SIGTERM));
+    REQUIRE(scenario.serve_requests(200));
+    CHECK(requests_to_a.size() ==
+          requests_before_ejection);  // the ejection outlives the process asked for it
+    REQUIRE(scenario.admin_request(remaining, "PUT /maintenance/exit?host=a") == 200);
+    REQUIRE(scenario.run_steps_until([&] { return requests_to_a.size() > requests_before_ejection; }));
+    CHECK(scenario.peak_descriptors <= UpgradeScenario::max_descriptors);
+    if (row.signal == SIGTERM) CHECK(scenario.unanswered_count() <= 2);
+    CHECK(remaining.stop_with_signal(SIGTERM, scenario.event_loop, step));
   }
 }
