Load balancer split by concern into src/load_balancer and plain state

Now each concern is a file of its own: candidate scoring, weighted draw, retry policy, slow start, probing, load estimates, gossip, arrival, attempts, endpoint list, queue of decisions.

--- /dev/null
+++ b/src/load_balancer/endpoint_updates.cpp
@@ -0,0 +1,58 @@
+#include "load_balancer/endpoint_updates.h"
+
+#include <algorithm>
+#include <cmath>
+
+#include "load_balancer/load_estimates.h"
+#include "load_balancer/slow_start.h"
+
+namespace indigorill {
+namespace {
+
+// Over how long the polls of all sidecars are spread: one service answers them all.
+double poll_spread_ms(const BalancerState& state) {
+  constexpr double per_sidecar_ms = 50;  // 20 polls a second
+  return std::min(per_sidecar_ms * (state.config.sidecar_count - 1), state.config.max_poll_silence_ms / 2);
+}
+
+}  // namespace
+
+void refresh_ready_endpoints(BalancerState& state) {
+  state.endpoints.refresh_ready();
+  state.total_slow_start_weight = 0;
+  for (const TrackedEndpoint* endpoint : state.endpoints.ready())
+    state.total_slow_start_weight += slow_start_weight(state, *endpoint);
+}
+
+void evict_departed_endpoints(BalancerState& state) {
+  const std::set<const TrackedEndpoint*> referenced = state.rpcs.referenced_endpoints();
+  const double retention_ms = outcome_retention_ms(state);
+  state.endpoints.erase_if([&](const TrackedEndpoint& endpoint) {
+    return !endpoint.is_ready && !endpoint.ejected_manually &&
+           state.now_ms - endpoint.last_sent_at_ms > retention_ms && !referenced.count(&endpoint);
+  });
+}
+
+void schedule_first_poll(BalancerState& state, std::uint64_t seed) {
+  state.poll.next_at_ms = state.now_ms + unit_fraction(splitmix64_finalize(seed)) * poll_spread_ms(state);
+}
+
+// What the list's one service gave up on still fills its queue: polls of all at once would keep it down.
+void schedule_poll_after_failure(BalancerState& state) {
+  constexpr double min_backoff_ms = 250;
+  EndpointPollState& poll = state.poll;
+  poll.is_in_flight = false;
+  poll.is_subscribed = false;
+  const double backoff_ms =
+      std::min(std::max(poll_spread_ms(state), min_backoff_ms) * std::exp2(poll.failed_count),
+               std::max(state.config.max_poll_silence_ms, min_backoff_ms));
+  const double jitter = 0.5 + state.random_fraction();
+  poll.next_at_ms = state.now_ms + backoff_ms * jitter;
+  ++poll.failed_count;
+}
+
+bool needs_endpoint_poll(const BalancerState& state) {
+  return state.config.must_poll_endpoints && !state.poll.is_subscribed && !state.poll.is_in_flight;
+}
+
+}  // namespace indigorill
--- /dev/null
+++ b/src/load_balancer_state/attempt_outcomes.h
@@ -0,0 +1,20 @@
+/// What the outcome of an attempt says by its definition.
+#pragma once
+
+#include "indigorill/load_balancer.h"
+
+namespace indigorill {
+
+/// True if the endpoint can't have run the RPC.
+constexpr bool is_certainly_not_executed(AttemptOutcome outcome) {
+  return outcome == AttemptOutcome::rejected || outcome == AttemptOutcome::connect_failed ||
+         outcome == AttemptOutcome::client_error || outcome == AttemptOutcome::withdrawn;
+}
+
+/// True if the outcome says anything of the endpoint.
+constexpr bool concerns_endpoint(AttemptOutcome outcome) {
+  return outcome != AttemptOutcome::cancelled && outcome != AttemptOutcome::client_error &&
+         outcome != AttemptOutcome::withdrawn;
+}
+
+}  // namespace indigorill
