Event loop: descriptors, streams and write buffers in files of their own

src/event held timers, descriptors, socket creation, connections and output buffers in two files, with comments in private words and one-letter locals.

--- a/src/admin/admin_server.h
+++ b/src/admin/admin_server.h
@@ -7,6 +7,7 @@
 #include <unordered_map>
 
 #include "event/socket.h"
+#include "event/tcp_stream.h"
 #include "http/header_codec.h"
 #include "http/http_parser.h"
 #include "logging/logger.h"
--- a/src/cluster/datagram_socket.h
+++ b/src/cluster/datagram_socket.h
@@ -4,6 +4,7 @@
 
 #include <string_view>
 
+#include "event/event_loop.h"
 #include "event/socket.h"
 
 namespace indigorill {
--- a/src/discovery/discovery_client.h
+++ b/src/discovery/discovery_client.h
@@ -11,6 +11,7 @@
 
 #include "config/json_fields.h"
 #include "event/socket.h"
+#include "event/tcp_stream.h"
 #include "http/http_parser.h"
 #include "indigorill/load_balancer.h"
 #include "logging/logger.h"
--- a/src/event/event_loop.cpp
+++ b/src/event/event_loop.cpp
@@ -1,38 +1,32 @@
 #include "event/event_loop.h"
 
-#include <unistd.h>
-
 #include <algorithm>
 #include <array>
 #include <cerrno>
 #include <chrono>
 #include <cmath>
 #include <system_error>
-#include <utility>
 
 namespace indigorill {
 namespace {
 
-double steady_now_ms() {
-  return std::chrono::duration<double, std::milli>(std::chrono::steady_clock::now().time_since_epoch())
-      .count();
-}
+// As many as the process may hold descriptors: one iteration sees all that are ready, so that those with
+// priority can go ahead of the rest.
+constexpr std::size_t max_events_per_iteration = 1024;
+
+// Nothing depends on it: each timer shortens the wait.
+constexpr double max_epoll_wait_ms = 60000;
 
-double unix_now_ms() {
-  return std::chrono::duration<double, std::milli>(std::chrono::system_clock::now().time_since_epoch())
-      .count();
+template <class Clock>
+double clock_ms() {
+  return std::chrono::duration<double, std::milli>(Clock::now().time_since_epoch()).count();
 }
 
-}  // namespace
+double steady_now_ms() { return clock_ms<std::chrono::steady_clock>(); }
 
-FileDescriptor& FileDescriptor::operator=(FileDescriptor&& other) noexcept {
-  std::swap(fd_, other.fd_);
-  return *this;
-}
+double unix_now_ms() { return clock_ms<std::chrono::system_clock>(); }
 
-FileDescriptor::~FileDescriptor() {
-  if (fd_ >= 0) ::close(fd_);
-}
+}  // namespace
 
 EventLoop::Timer::Timer(Timer&& other) noexcept
     : loop_(std::exchange(other.loop_, nullptr)), key_(other.key_) {}
@@ -47,7 +41,7 @@
 }
 
 void EventLoop::Timer::cancel() {
-  if (EventLoop* l = std::exchange(loop_, nullptr)) l->timers_.erase(key_);
+  if (EventLoop* loop = std::exchange(loop_, nullptr)) loop->timers_.erase(key_);
 }
 
 EventLoop::Watch::Watch(Watch&& other) noexcept
@@ -64,9 +58,9 @@
 }
 
 void EventLoop::Watch::cancel() {
-  if (EventLoop* l = std::exchange(loop_, nullptr)) {
-    l->watches_.erase(id_);
-    ::epoll_ctl(l->epoll_.get(), EPOLL_CTL_DEL, fd_, nullptr);
+  if (EventLoop* loop = std::exchange(loop_, nullptr)) {
+    loop->watches_.erase(id_);
+    ::epoll_ctl(loop->epoll_.get(), EPOLL_CTL_DEL, fd_, nullptr);
   }
 }
 
@@ -77,78 +71,89 @@
 
 double EventLoop::now() const { return steady_now_ms() + unix_offset_ms_; }
 
-EventLoop::Timer EventLoop::schedule_at(double when, Callback what) {
-  Timer t;
-  t.loop_ = this;
-  t.key_ = {when, ++last_id_};
-  timers_.emplace(t.key_, std::move(what));
-  return t;
+EventLoop::Timer EventLoop::schedule_at(double due_ms, Callback callback) {
+  Timer timer;
+  timer.loop_ = this;
+  timer.key_ = {.due_ms = due_ms, .id = ++last_id_};
+  timers_.emplace(timer.key_, std::move(callback));
+  return timer;
 }
 
-EventLoop::Watch EventLoop::watch_fd(int fd, EventCallback what, WatchPriority as) {
-  epoll_event e{};
-  e.events = EPOLLIN | EPOLLOUT | EPOLLRDHUP | EPOLLET;
-  e.data.u64 = ++last_id_;
-  if (::epoll_ctl(epoll_.get(), EPOLL_CTL_ADD, fd, &e) < 0)
+EventLoop::Watch EventLoop::watch_fd(int fd, EventCallback callback, WatchPriority priority) {
+  const std::uint64_t id = ++last_id_;
+  epoll_event registration{};
+  registration.events = EPOLLIN | EPOLLOUT | EPOLLRDHUP | EPOLLET;
+  registration.data.u64 = id;
+  if (::epoll_ctl(epoll_.get(), EPOLL_CTL_ADD, fd, &registration) < 0)
     throw std::system_error(errno, std::generic_category(), "epoll_ctl");
-  watches_.emplace(last_id_, WatchEntry{std::make_shared<EventCallback>(std::move(what)), as});
-  Watch w;
-  w.loop_ = this;
-  w.id_ = last_id_;
-  w.fd_ = fd;
-  return w;
+  watches_.emplace(
+      id, WatchEntry{.callback = std::make_shared<EventCallback>(std::move(callback)), .priority = priority});
+  Watch watch;
+  watch.loop_ = this;
+  watch.id_ = id;
+  watch.fd_ = fd;
+  return watch;
+}
+
+void EventLoop::requeue(const Watch& watch) {
+  if (watch.loop_) requeued_.push_back(watch.id_);
 }
 
-void EventLoop::requeue(const Watch& which) {
-  if (which.loop_) requeued_.push_back(which.id_);
+void EventLoop::run() {
+  while (!is_stopping_) run_once(max_epoll_wait_ms);
+}
+
+void EventLoop::run_once(double max_wait_ms) {
+  std::array<epoll_event, max_events_per_iteration> buffer;
+  const int count = std::max(wait_for_events(buffer, max_wait_ms), 0);
+  const std::span<epoll_event> events(buffer.data(), static_cast<std::size_t>(count));
+  std::stable_partition(events.begin(), events.end(), [this](const epoll_event& event) {
+    return is_prioritized(event.data.u64, event.events);
+  });
+  for (const epoll_event& event : events) dispatch(event.data.u64, event.events);
+  dispatch_requeued();
+  run_due_timers();
+}
+
+int EventLoop::wait_for_events(std::span<epoll_event> events, double max_wait_ms) {
+  double wait_ms = requeued_.empty() ? max_wait_ms : 0;
+  if (!timers_.empty()) wait_ms = std::min(wait_ms, timers_.begin()->first.due_ms - now());
+  const int timeout_ms = static_cast<int>(std::ceil(std::clamp(wait_ms, 0.0, max_epoll_wait_ms)));
+  return ::epoll_wait(epoll_.get(), events.data(), static_cast<int>(events.size()), timeout_ms);
 }
 
 void EventLoop::dispatch(std::uint64_t id, std::uint32_t events) {
-  // An earlier event of the batch may have closed this one: a name that is gone is looked up in vain, where a
-  // pointer would lead to freed memory. The task is held, since it may drop its own watch.
-  const auto it = watches_.find(id);
-  if (it == watches_.end()) return;
-  const std::shared_ptr<EventCallback> held = it->second.callback;
-  (*held)(events);
+  // An earlier event of the iteration may have cancelled this watch, so it is looked up by id: a pointer
+  // could dangle. The callback is kept alive here because it may cancel its own watch.
+  const auto entry = watches_.find(id);
+  if (entry == watches_.end()) return;
+  const std::shared_ptr<EventCallback> callback = entry->second.callback;
+  (*callback)(events);
 }
 
-bool EventLoop::is_prioritized(std::uint64_t id, std::uint32_t events) const {
-  const auto it = watches_.find(id);
-  if (it == watches_.end()) return false;
-  const bool ends = (events & (EPOLLRDHUP | EPOLLHUP | EPOLLERR)) != 0;
-  return it->second.priority == WatchPriority::high ||
-         (ends && it->second.priority == WatchPriority::high_on_hangup);
+void EventLoop::dispatch_requeued() {
+  // Callbacks that requeue themselves wait for the next iteration.
+  std::deque<std::uint64_t> ids;
+  ids.swap(requeued_);
+  for (const std::uint64_t id : ids) dispatch(id, EPOLLIN | EPOLLOUT);
 }
 
 void EventLoop::run_due_timers() {
-  // Only what is due by now: tasks that set new due times at once must not keep the sockets waiting.
-  const double until = now();
-  while (!timers_.empty() && timers_.begin()->first.first <= until) {
-    const Callback held = std::move(timers_.begin()->second);
+  // Only those due by now: callbacks that schedule new timers at once must not starve the descriptors.
+  const double until_ms = now();
+  while (!timers_.empty() && timers_.begin()->first.due_ms <= until_ms) {
+    const Callback callback = std::move(timers_.begin()->second);
     timers_.erase(timers_.begin());
-    held();
+    callback();
   }
 }
 
-void EventLoop::run_once(double longest) {
-  double wait = requeued_.empty() ? longest : 0;
-  if (!timers_.empty()) wait = std::min(wait, timers_.begin()->first.first - now());
-  // As many as a process may hold: one round sees all that is ready, so that the first can go ahead of it.
-  std::array<epoll_event, 1024> events;
-  const int n = ::epoll_wait(epoll_.get(), events.data(), events.size(),
-                             static_cast<int>(std::ceil(std::clamp(wait, 0.0, 60000.0))));
-  std::stable_partition(events.begin(), events.begin() + std::max(n, 0),
-                        [this](const epoll_event& e) { return is_prioritized(e.data.u64, e.events); });
-  for (int i = 0; i < n; ++i) dispatch(events[i].data.u64, events[i].events);
-  std::deque<std::uint64_t> once;
-  once.swap(requeued_);
-  for (const std::uint64_t id : once) dispatch(id, EPOLLIN | EPOLLOUT);
-  run_due_timers();
-}
-
-void EventLoop::run() {
-  constexpr double longest = 60000;  // nothing hangs on it: each due time shortens the wait
-  while (!is_stopping_) run_once(longest);
+bool EventLoop::is_prioritized(std::uint64_t id, std::uint32_t events) const {
+  const auto entry = watches_.find(id);
+  if (entry == watches_.end()) return false;
+  const bool is_hangup = (events & (EPOLLRDHUP | EPOLLHUP | EPOLLERR)) != 0;
+  const WatchPriority priority = entry->second.priority;
+  return priority == WatchPriority::high || (is_hangup && priority == WatchPriority::high_on_hangup);
 }
 
 }  // namespace indigorill
--- a/src/http/header_codec.h
+++ b/src/http/header_codec.h
@@ -7,6 +7,7 @@
 #include <string_view>
 
 #include "config/load_balancer_config.h"
+#include "event/write_buffer.h"
 #include "http/http_parser.h"
 #include "indigorill/load_balancer.h"
 
--- a/src/http/http_parser.h
+++ b/src/http/http_parser.h
@@ -9,7 +9,6 @@
 #include <string_view>
 #include <vector>
 
-#include "event/socket.h"
 
 namespace indigorill::http {
 
--- a/src/load/clients.h
+++ b/src/load/clients.h
@@ -12,6 +12,7 @@
 #include "emulator/figures.h"
 #include "emulator/scenario.h"
 #include "event/socket.h"
+#include "event/tcp_stream.h"
 #include "http/http_parser.h"
 #include "load/clockwork.h"
 
--- a/src/load/listener.h
+++ b/src/load/listener.h
@@ -7,6 +7,7 @@
 #include <unordered_map>
 
 #include "event/socket.h"
+#include "event/tcp_stream.h"
 #include "http/http_parser.h"
 
 namespace indigorill::loading {
--- a/src/load/process.h
+++ b/src/load/process.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "event/socket.h"
+#include "event/tcp_stream.h"
 
 namespace indigorill::loading {
 
--- a/src/proxy/http_server.h
+++ b/src/proxy/http_server.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "event/socket.h"
+#include "event/tcp_stream.h"
 #include "http/http_parser.h"
 #include "logging/logger.h"
 #include "metrics/counters.h"
--- a/src/proxy/upstream_pool.h
+++ b/src/proxy/upstream_pool.h
@@ -11,6 +11,7 @@
 
 #include "config/load_balancer_config.h"
 #include "event/socket.h"
+#include "event/tcp_stream.h"
 #include "http/http_parser.h"
 #include "logging/logger.h"
 #include "metrics/counters.h"
--- a/tests/support/host.h
+++ b/tests/support/host.h
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "event/socket.h"
+#include "event/tcp_stream.h"
 #include "http/header_codec.h"
 #include "indigorill/load_balancer.h"
 
