--- a/src/discovery/discovery_client.h
+++ b/src/discovery/discovery_client.h
@@ -11,6 +11,7 @@
 
 #include "discovery/endpoint_list.h"
 #include "event/socket.h"
+#include "event/tcp_stream.h"
 #include "http/http_parser.h"
 #include "logging/logger.h"
 #include "metrics/counters.h"
