Sidecar is a class whose members are built in order; signals and the endpoint list apart

Cause: run_sidecar was one function of 236 lines, whose parts were locals and lambdas that captured all of them.

Change: class Sidecar with a member for each part, in the order in which the parts depend on each other, and a function for each step; SignalWatcher reads the blocked signals, EndpointRegistry applies endpoint lists and keeps the one in force for a child process. Log lines say shutdown, parent and child process, ejected and restored by an operator.

--- a/src/proxy/sidecar.cpp
+++ b/src/proxy/sidecar.cpp
@@ -1,311 +1,345 @@
 #include "proxy/sidecar.h"
 
 #include <malloc.h>
-#include <sys/signalfd.h>
-#include <unistd.h>
 
 #include <algorithm>
-#include <cerrno>
 #include <csignal>
-#include <map>
 #include <sstream>
-#include <system_error>
 #include <utility>
 
-#include "admin/admin_server.h"
-#include "ejection/manual_ejection.h"
-#include "hot_restart/hot_restart.h"
-#include "proxy/http_server.h"
-
 namespace indigorill {
 namespace {
 
-sigset_t handled_signals() {
-  sigset_t set;
-  sigemptyset(&set);
-  for (const int s : {SIGTERM, SIGINT, SIGUSR1, SIGHUP}) sigaddset(&set, s);
-  return set;
+// The quota of retries that all sidecars of a fleet share, by its name in the config of the cluster.
+constexpr const char* retry_quota_name = "further_picks";
+
+// Descriptors that are in nobody's budget. Throws where they would take half of what is allowed.
+std::size_t checked_reserved_descriptors(const SidecarConfig& config) {
+  // Standard input, output and error, epoll, signals, the listener, and some to spare.
+  constexpr std::size_t own_descriptors = 16;
+  constexpr std::size_t cluster_descriptors = 1;
+  const std::size_t reserved = own_descriptors +
+                               (config.admin_address ? AdminServer::reserved_descriptors : 0) +
+                               (config.cluster ? cluster_descriptors : 0);
+  if (config.max_descriptors <= 2 * reserved) throw ParseError("config: limits allow too few sockets");
+  return reserved;
 }
 
-FileDescriptor open_signal_descriptor() {
-  block_signals();
-  const sigset_t set = handled_signals();
-  FileDescriptor fd(::signalfd(-1, &set, SFD_NONBLOCK | SFD_CLOEXEC));
-  if (!fd) throw std::system_error(errno, std::generic_category(), "signalfd");
-  return fd;
+std::unique_ptr<HotRestart> make_hot_restart(const SidecarConfig& config, EventLoop& event_loop,
+                                             Logger& logger) {
+  if (!config.admin_address && !config.inherited_listener_fd) return nullptr;
+  return std::make_unique<HotRestart>(event_loop, logger, config.shared_directory, config.name);
 }
 
-void write_counters_to_log(Logger& lines, const Counters& counts) {
-  std::stringstream text;
-  text << counts;
-  std::string flat = text.str();
-  for (char& c : flat)
-    if (c == '\n') c = ' ';
-  Logger::Line line = lines.info();
-  line << "counters: " << flat;
-  std::string name;
-  for (std::int64_t value; text >> name >> value;) line.field(name, value);
+double limit_fraction(const HotRestart* hot_restart) {
+  return hot_restart ? hot_restart->policy().limit_fraction() : 1;
+}
+
+// For how long a client waits at most, as far as the config tells.
+double longest_client_wait_ms(const LoadBalancerConfig& config) {
+  double longest_ms = 0;
+  for (const MethodConfig& method : config.methods)
+    longest_ms = std::max({longest_ms, method.deadline_ms, method.latency_objective_ms});
+  return longest_ms > 0 ? longest_ms : HttpServer::Limits{}.max_client_wait_ms;
 }
 
 }  // namespace
 
-void block_signals() {
-  const sigset_t set = handled_signals();
-  if (::sigprocmask(SIG_BLOCK, &set, nullptr) < 0)
-    throw std::system_error(errno, std::generic_category(), "sigprocmask");
+Sidecar::Sidecar(const SidecarConfig& config, ReloadConfig reload_config, Logger& logger)
+    : config_(config),
+      reload_config_(std::move(reload_config)),
+      logger_(logger),
+      reserved_descriptors_(checked_reserved_descriptors(config_)),
+      inherited_listener_(config_.inherited_listener_fd ? adopt_listener_fd(*config_.inherited_listener_fd)
+                                                        : FileDescriptor()),
+      hot_restart_(make_hot_restart(config_, event_loop_, logger_)),
+      descriptor_budget_{descriptor_limit()},
+      upstream_pool_(event_loop_, descriptor_budget_, counters_, logger_, config_.upstream,
+                     [this] { return http_server_.close_idle_connection(); }),
+      dispatcher_(event_loop_, upstream_pool_, counters_, logger_, config_.load_balancer, config_.seed),
+      http_server_(event_loop_, descriptor_budget_, counters_, logger_, dispatcher_, http_server_limits(),
+                   [this] { return upstream_pool_.close_idle_connection(); }),
+      endpoints_(upstream_pool_, dispatcher_, ejections_, logger_),
+      discovery_(
+          event_loop_, descriptor_budget_, counters_, logger_, config_.discovery_address,
+          config_.discovery_host, config_.seed + 1, config_.upstream.drain_grace_ms,
+          [this](const EndpointListUpdate& update) {
+            endpoints_.apply(update, EndpointRegistry::Source::poll_response);
+          },
+          [this] { dispatcher_.endpoint_poll_failed(); }),
+      admin_server_(event_loop_, counters_, logger_,
+                    [this](const AdminRequest& request, const AdminServer::ResponseCallback& respond) {
+                      handle_admin_request(request, respond);
+                    }) {
+  EndpointListUpdate initial = config_.initial_endpoints;
+  initial.complete = true;
+  endpoints_.apply(initial, EndpointRegistry::Source::restored);
+  if (config_.cluster && config_.cluster->quota) use_fleet_retry_quota();
+  signal_watch_ = signal_watcher_.watch(event_loop_, [this](int signal_number) { on_signal(signal_number); });
+  schedule_counters_log();
 }
 
-void run_sidecar(const SidecarConfig& with, const std::function<SidecarConfig()>& read_again, Logger& lines) {
-  // Standard input, output and error, epoll, signals, the listener, and some to spare.
-  const std::size_t own_descriptors =
-      16 + (with.admin_address ? AdminServer::reserved_descriptors : 0) + (with.cluster ? 1 : 0);
-  if (with.max_descriptors <= 2 * own_descriptors) throw ParseError("config: limits allow too few sockets");
-  ::signal(SIGPIPE, SIG_IGN);
-  const FileDescriptor signal =
-      open_signal_descriptor();  // before all else: a SIGHUP that isn't held ends the process
-  FileDescriptor inherited =
-      with.inherited_listener_fd ? adopt_listener_fd(*with.inherited_listener_fd) : FileDescriptor();
-  EventLoop runs;
-  Counters counts;
-  FileDescriptorBudget budget{with.max_descriptors - own_descriptors};
-  std::unique_ptr<HotRestart> other;
-  if (with.admin_address || with.inherited_listener_fd)
-    other = std::make_unique<HotRestart>(runs, lines, with.shared_directory, with.name);
-  const auto part = [&] { return other ? other->policy().limit_fraction() : 1; };
-
-  HttpServer* door = nullptr;
-  UpstreamPool endpoints(runs, budget, counts, lines, with.upstream,
-                         [&] { return door && door->close_idle_connection(); });
-  RequestDispatcher rpcs(runs, endpoints, counts, lines, with.load_balancer, with.seed);
-  // Clients hold a third of the descriptors at most for requests, so a third is enough for their picks, and
-  // half of what they may hold may rest. A third of the memory for requests leaves as much for answers and as
-  // much for what the allocator wastes.
-  double told = 0;  // for how long a client waits, at most
-  for (const MethodConfig& m : with.load_balancer.methods)
-    told = std::max({told, m.deadline_ms, m.latency_objective_ms});
-  const double waited = told > 0 ? told : HttpServer::Limits{}.max_client_wait_ms;
-  const auto within = [&] {
-    // Of two processes each keeps to its part, what it holds for itself included.
-    constexpr std::size_t least = 4;  // the list's connection and a few others
-    const auto most = static_cast<std::size_t>(part() * static_cast<double>(with.max_descriptors));
-    budget.limit = most > own_descriptors + least ? most - own_descriptors : least;
-    return HttpServer::Limits{
-        budget.limit - budget.limit / 3, budget.limit / 6,
-        static_cast<std::size_t>(part() * static_cast<double>(with.max_memory_bytes) / 3), waited};
-  };
-  HttpServer clients(runs, budget, counts, lines, rpcs, within(),
-                     [&] { return endpoints.close_idle_connection(); });
-  door = &clients;
-
-  ManualEjections by_hand;
-  std::map<std::string, EndpointListUpdate::Entry> listed;  // for a newcomer
-  std::uint64_t version = with.initial_endpoints.version;
-  const auto learn = [&](const EndpointListUpdate& list, bool asked) {
-    if (list.complete || !list.entries.empty())
-      (lines.info() << "list version " << list.version << (list.complete ? ", whole, " : ", changes, ")
-                    << list.entries.size() << " entries")
-          .field("version", static_cast<std::int64_t>(list.version))
-          .field("entries", static_cast<std::int64_t>(list.entries.size()));
-    if (list.complete) listed.clear();
-    version = list.version;
-    std::vector<Endpoint> entries;
-    std::vector<std::string> here, gone;
-    for (const EndpointListUpdate::Entry& e : list.entries) {
-      if (e.endpoint.state == EndpointState::gone) {
-        endpoints.remove_endpoint(e.endpoint.id);
-        listed.erase(e.endpoint.id);
-      } else {
-        endpoints.update_endpoint(e.endpoint.id, e.address, e.endpoint.state, e.endpoint.started_at_ms);
-        listed[e.endpoint.id] = e;
-      }
-      (e.endpoint.state == EndpointState::gone ? gone : here).push_back(e.endpoint.id);
-      entries.push_back(e.endpoint);
-    }
-    by_hand.update_endpoints(list.complete, here, gone);
-    for (const std::string& id : here)
-      if (by_hand.is_ejected(id)) endpoints.set_ejected_manually(id, true);  // met anew, it is out still
-    if (list.complete) endpoints.retain_endpoints(entries);
-    rpcs.update_endpoints(list.complete, asked, entries);
-  };
-  EndpointListUpdate known = with.initial_endpoints;
-  known.complete = true;
-  learn(known, false);
-
-  DiscoveryClient lists(
-      runs, budget, counts, lines, with.discovery_address, with.discovery_host, with.seed + 1,
-      with.upstream.drain_grace_ms, [&](const EndpointListUpdate& list) { learn(list, true); },
-      [&] { rpcs.endpoint_poll_failed(); });
-  // Many that start at once and ask for the whole list each keep its service busy for longer than it lasts.
-  const auto watch_list = [&] {
-    if (!listed.empty()) lists.set_known_version(version);
-    if (with.load_balancer.must_poll_endpoints) {
-      rpcs.on_endpoint_poll([&] { lists.poll(); });
-    } else {
-      lists.enable_continuous_polling();
-      lists.poll();
-    }
-  };
-
-  // One of two processes talks at a time: the older one until the newer one serves.
-  std::unique_ptr<ClusterNode> others;
-  const auto meet = [&] {
-    if (with.cluster && !others)
-      others = std::make_unique<ClusterNode>(runs, lines, *with.cluster, with.seed + 2);
-  };
-  // Without the others for a moment, between two processes of this sidecar, nothing is spent of what is
-  // shared.
-  if (with.cluster && with.cluster->quota)
-    rpcs.use_fleet_retry_quota({[&] { return others ? others->available("further_picks") : 0; },
-                                [&] { return others && others->try_acquire("further_picks"); },
-                                [&] {
-                                  if (others) others->record_demand("further_picks");
-                                }});
-  const auto part_from_others = [&] {
-    if (others) others->leave();
-    others.reset();
-  };
-
-  bool stopping = false;
-  std::string agent = with.discovery_host;
-  const auto reload = [&] {
-    try {
-      const SidecarConfig now = read_again();
-      if (now.discovery_host != agent) lists.switch_agent(now.discovery_address, now.discovery_host);
-      agent = now.discovery_host;
-      lines.info() << "config read again, discovery at " << agent;
-    } catch (const ParseError& e) {
-      lines.warning() << e.what() << "; the old config stays in force";
-    }
-  };
-  const EventLoop::Watch on_signal = runs.watch_fd(signal.get(), [&](std::uint32_t) {
-    signalfd_siginfo s;
-    while (::read(signal.get(), &s, sizeof s) == sizeof s) {
-      if (s.ssi_signo == SIGUSR1) {
-        write_counters_to_log(lines, counts);
-      } else if (s.ssi_signo == SIGHUP) {
-        reload();
-      } else {
-        stopping = true;
-        if (other) other->start_draining();
-        part_from_others();
-        lines.info() << "told to stop, " << rpcs.in_flight() << " RPCs held";
-        clients.drain([&] { runs.stop(); });
-      }
-    }
-  });
-  EventLoop::Timer next_counters;
-  const EventLoop::Callback log_counters = [&] {
-    write_counters_to_log(lines, counts);
-    next_counters = runs.schedule_at(runs.now() + with.counters_interval_ms, log_counters);
-  };
-  if (with.counters_interval_ms > 0)
-    next_counters = runs.schedule_at(runs.now() + with.counters_interval_ms, log_counters);
-  const auto put_out = [&](const EjectionRecord& now) {
-    const auto out = ids_missing_from(by_hand.ejected(), now.ejected),
-               back = ids_missing_from(now.ejected, by_hand.ejected());
-    by_hand.replace_ejected(now.ejected);
-    counts.manually_ejected_endpoints = by_hand.ejected().size();
-    for (const std::string& id : out) rpcs.set_ejected_manually(id, true, runs.now());
-    for (const std::string& id : back) {
-      const auto when = now.restored_at_ms.find(id);
-      rpcs.set_ejected_manually(id, false, when == now.restored_at_ms.end() ? runs.now() : when->second);
-    }
-    for (const std::string& id : out) lines.info() << "endpoint " << id << " is out by hand";
-    for (const std::string& id : back) lines.info() << "endpoint " << id << " is back, taken for cold";
-  };
-  bool serving = false;
-  AdminServer staff(
-      runs, counts, lines, [&](const AdminRequest& asked, const AdminServer::ResponseCallback& then) {
-        if (asked.command == AdminRequest::Command::status) return then(serving && !stopping ? 200 : 503, {});
-        if (asked.command == AdminRequest::Command::membership ||
-            asked.command == AdminRequest::Command::quotas) {
-          const bool whole = asked.command == AdminRequest::Command::quotas;
-          if (!others) return then(with.cluster ? 503 : 404, {});
-          return then(200, (whole ? others->budgets_as_json() : others->as_json()).dump(1) + "\n");
-        }
-        if (!by_hand.is_known(asked.endpoint_id)) return then(404, {});
-        const bool out = asked.command == AdminRequest::Command::eject;
-        other->change_ejections(
-            [&runs, id = asked.endpoint_id, out](EjectionRecord& b) {
-              if (out)
-                eject_endpoint(b, id);
-              else
-                restore_endpoint(b, id, runs.now());
-            },
-            [then](bool done) { then(done ? 200 : 503, {}); });
-      });
-  const auto take_over_list = [&] {
-    const auto text = other->read_endpoint_list();
-    if (!text) return;
-    try {
-      learn(parse_endpoint_list(*text), false);
-    } catch (const ParseError& e) {
-      lines.warning() << "the older process left what is no list, ours stays in force: " << e.what();
-    }
-  };
-  const auto serve = [&] {
-    serving = true;
-    meet();
-    watch_list();
-    if (other) other->start_serving();
-    clients.set_accepting(true);
-    lines.info() << with.name << " serves, " << listed.size() << " endpoints known";
-  };
-  // An upgrade: what the newer of two processes waits for, and what the older one gives up.
-  const double started = runs.now();
-  bool beside = false, hurrying = false;
-  const auto side_by_side = [&] {
-    constexpr double longest = 500;  // ms; an elder that stands still must not keep the newcomer from serving
-    const HotRestartPolicy& is = other->policy();
-    clients.set_limits(within());
-    while (budget.open_count > budget.limit &&
-           (clients.close_idle_connection() || endpoints.close_idle_connection()))
-      continue;
-    const bool room = is.is_parent() && budget.open_count <= budget.limit;
-    if (room && !is.own_record().limits_reduced) {
-      EndpointListUpdate now;
-      now.version = version;
-      now.complete = true;
-      for (const auto& [id, e] : listed) now.entries.push_back(e);
-      other->write_endpoint_list(encode_endpoint_list(now));
-      ::malloc_trim(0);  // what is free here is room for the newcomer only once the kernel has it back
-    }
-    other->set_limits_reduced(room);
-    if (!serving && (is.can_start_serving() || runs.now() > started + longest)) {
-      if (is.is_child() && is.can_start_serving()) take_over_list();
-      serve();
-    }
-    clients.set_force_closing(is.is_force_closing());
-    if (is.is_force_closing())
-      part_from_others();
-    else if (serving && !stopping)
-      meet();
-    clients.set_accepting(is.is_accepting());
-    if (std::exchange(beside, is.is_paired()) != is.is_paired())
-      lines.info() << (is.is_parent()  ? "a newer process of this sidecar starts, half of the limits are its"
-                       : is.is_child() ? "an older process of this sidecar runs, half of the limits are ours"
-                                       : "the other process has ended, all of the limits are ours");
-    if (std::exchange(hurrying, is.is_force_closing()) != is.is_force_closing())
-      lines.info() << (is.is_force_closing() ? "the newer process serves, clients move over to it"
-                                             : "the newer process has gone, clients are taken on again");
-  };
-  if (with.admin_address) staff.listen(*with.admin_address);
-  clients.set_accepting(false);
-  if (inherited)
-    clients.use_listener(std::move(inherited));
+void Sidecar::run() {
+  started_at_ms_ = event_loop_.now();
+  open_listeners();
+  if (hot_restart_)
+    start_hot_restart();
+  else
+    start_serving();
+  event_loop_.run();
+  log_counters();
+}
+
+std::size_t Sidecar::descriptor_limit() const {
+  // The reserved ones count as part of the fraction.
+  constexpr std::size_t least = 4;  // the connection to discovery and a few others
+  const auto allowed = static_cast<std::size_t>(limit_fraction(hot_restart_.get()) *
+                                                static_cast<double>(config_.max_descriptors));
+  return allowed > reserved_descriptors_ + least ? allowed - reserved_descriptors_ : least;
+}
+
+HttpServer::Limits Sidecar::http_server_limits() const {
+  // Clients hold a third of the descriptors at most for requests, so a third is enough for their attempts,
+  // and half of what they may hold may be idle. A third of the memory for requests leaves as much for
+  // responses and as much for what the allocator wastes.
+  const std::size_t descriptors = descriptor_budget_.limit;
+  const double memory_bytes =
+      limit_fraction(hot_restart_.get()) * static_cast<double>(config_.max_memory_bytes);
+  return {.max_connections = descriptors - descriptors / 3,
+          .max_idle_connections = descriptors / 6,
+          .max_buffered_bytes = static_cast<std::size_t>(memory_bytes / 3),
+          .max_client_wait_ms = longest_client_wait_ms(config_.load_balancer)};
+}
+
+void Sidecar::reduce_to_limits() {
+  descriptor_budget_.limit = descriptor_limit();
+  http_server_.set_limits(http_server_limits());
+  while (descriptor_budget_.open_count > descriptor_budget_.limit)
+    if (!http_server_.close_idle_connection() && !upstream_pool_.close_idle_connection()) return;
+}
+
+void Sidecar::open_listeners() {
+  if (config_.admin_address) admin_server_.listen(*config_.admin_address);
+  http_server_.set_accepting(false);
+  if (inherited_listener_)
+    http_server_.use_listener(std::move(inherited_listener_));
   else
-    clients.listen(with.listen_address);
-  if (other) {
-    const EjectionRecord& left = other->ejections();
-    put_out(left);
-    for (const auto& [id, when] : left.restored_at_ms)
-      rpcs.set_ejected_manually(id, false, when);  // put back before our time
-    other->start(side_by_side, put_out);
+    http_server_.listen(config_.listen_address);
+}
+
+void Sidecar::start_hot_restart() {
+  const EjectionRecord& record = hot_restart_->ejections();
+  apply_ejections(record);
+  // These were restored before this process started.
+  for (const auto& [id, restored_at_ms] : record.restored_at_ms)
+    dispatcher_.set_ejected_manually(id, false, restored_at_ms);
+  hot_restart_->start([this] { on_hot_restart_change(); },
+                      [this](const EjectionRecord& changed) { apply_ejections(changed); });
+}
+
+void Sidecar::start_serving() {
+  serving_ = true;
+  join_cluster();
+  start_polling_endpoints();
+  if (hot_restart_) hot_restart_->start_serving();
+  http_server_.set_accepting(true);
+  logger_.info() << config_.name << " serves, " << endpoints_.size() << " endpoints known";
+}
+
+void Sidecar::start_polling_endpoints() {
+  // Many that start at once and ask for the complete list each keep its service busy for longer than it
+  // lasts.
+  if (endpoints_.size() > 0) discovery_.set_known_version(endpoints_.version());
+  if (config_.load_balancer.must_poll_endpoints) {
+    dispatcher_.on_endpoint_poll([this] { discovery_.poll(); });
   } else {
-    serve();
+    discovery_.enable_continuous_polling();
+    discovery_.poll();
   }
-  runs.run();
-  write_counters_to_log(lines, counts);
+}
+
+void Sidecar::use_fleet_retry_quota() {
+  // Without the cluster for a moment, between two processes of this sidecar, no shared quota is spent.
+  dispatcher_.use_fleet_retry_quota({
+      .remaining = [this] { return cluster_node_ ? cluster_node_->available(retry_quota_name) : 0; },
+      .try_consume = [this] { return cluster_node_ && cluster_node_->try_acquire(retry_quota_name); },
+      .on_shortage =
+          [this] {
+            if (cluster_node_) cluster_node_->record_demand(retry_quota_name);
+          },
+  });
+}
+
+// Of two processes of a sidecar one at a time takes part: the parent until the child serves.
+void Sidecar::join_cluster() {
+  if (!config_.cluster || cluster_node_) return;
+  cluster_node_ = std::make_unique<ClusterNode>(event_loop_, logger_, *config_.cluster, config_.seed + 2);
+}
+
+void Sidecar::leave_cluster() {
+  if (cluster_node_) cluster_node_->leave();
+  cluster_node_.reset();
+}
+
+void Sidecar::on_signal(int signal_number) {
+  switch (signal_number) {
+    case SIGUSR1:
+      return log_counters();
+    case SIGHUP:
+      return reload_discovery();
+    default:
+      return stop();
+  }
+}
+
+// Only the address of discovery can change while the process runs.
+void Sidecar::reload_discovery() {
+  try {
+    const SidecarConfig reloaded = reload_config_();
+    if (reloaded.discovery_host != config_.discovery_host)
+      discovery_.switch_agent(reloaded.discovery_address, reloaded.discovery_host);
+    config_.discovery_host = reloaded.discovery_host;
+    logger_.info() << "config reloaded, discovery at " << config_.discovery_host;
+  } catch (const ParseError& error) {
+    logger_.warning() << error.what() << "; the old config stays in force";
+  }
+}
+
+void Sidecar::stop() {
+  stopping_ = true;
+  if (hot_restart_) hot_restart_->start_draining();
+  leave_cluster();
+  logger_.info() << "shutdown requested, " << dispatcher_.in_flight() << " RPCs in flight";
+  http_server_.drain([this] { event_loop_.stop(); });
+}
+
+void Sidecar::log_counters() {
+  std::stringstream text;
+  text << counters_;
+  std::string one_line = text.str();
+  std::replace(one_line.begin(), one_line.end(), '\n', ' ');
+  Logger::Line line = logger_.info();
+  line << "counters: " << one_line;
+  std::string name;
+  for (std::int64_t value = 0; text >> name >> value;) line.field(name, value);
+}
+
+void Sidecar::schedule_counters_log() {
+  if (config_.counters_interval_ms <= 0) return;
+  counters_timer_ = event_loop_.schedule_at(event_loop_.now() + config_.counters_interval_ms, [this] {
+    log_counters();
+    schedule_counters_log();
+  });
+}
+
+void Sidecar::handle_admin_request(const AdminRequest& request,
+                                   const AdminServer::ResponseCallback& respond) {
+  switch (request.command) {
+    case AdminRequest::Command::status:
+      return respond(serving_ && !stopping_ ? 200 : 503, {});
+    case AdminRequest::Command::membership:
+    case AdminRequest::Command::quotas:
+      return respond_with_cluster_state(request, respond);
+    case AdminRequest::Command::eject:
+    case AdminRequest::Command::restore:
+      return change_ejection(request, respond);
+  }
+}
+
+void Sidecar::respond_with_cluster_state(const AdminRequest& request,
+                                         const AdminServer::ResponseCallback& respond) {
+  if (!cluster_node_) return respond(config_.cluster ? 503 : 404, {});
+  const nlohmann::json state = request.command == AdminRequest::Command::quotas
+                                   ? cluster_node_->budgets_as_json()
+                                   : cluster_node_->as_json();
+  respond(200, state.dump(1) + "\n");
+}
+
+void Sidecar::change_ejection(const AdminRequest& request, const AdminServer::ResponseCallback& respond) {
+  if (!ejections_.is_known(request.endpoint_id)) return respond(404, {});
+  const bool ejects = request.command == AdminRequest::Command::eject;
+  hot_restart_->change_ejections(
+      [this, id = request.endpoint_id, ejects](EjectionRecord& record) {
+        if (ejects)
+          eject_endpoint(record, id);
+        else
+          restore_endpoint(record, id, event_loop_.now());
+      },
+      [respond](bool changed) { respond(changed ? 200 : 503, {}); });
+}
+
+void Sidecar::apply_ejections(const EjectionRecord& record) {
+  const std::vector<std::string> restored = ids_missing_from(record.ejected, ejections_.ejected());
+  const std::vector<std::string> ejected = ids_missing_from(ejections_.ejected(), record.ejected);
+  ejections_.replace_ejected(record.ejected);
+  counters_.manually_ejected_endpoints = ejections_.ejected().size();
+  for (const std::string& id : ejected) dispatcher_.set_ejected_manually(id, true, event_loop_.now());
+  for (const std::string& id : restored) {
+    const auto restored_at = record.restored_at_ms.find(id);
+    const bool has_time = restored_at != record.restored_at_ms.end();
+    dispatcher_.set_ejected_manually(id, false, has_time ? restored_at->second : event_loop_.now());
+  }
+  for (const std::string& id : ejected) logger_.info() << "endpoint " << id << " ejected by an operator";
+  for (const std::string& id : restored)
+    logger_.info() << "endpoint " << id << " restored by an operator, slow start begins";
+}
+
+void Sidecar::on_hot_restart_change() {
+  // ms; a parent process that stands still must not keep the child from serving.
+  constexpr double longest_wait_ms = 500;
+  const HotRestartPolicy& policy = hot_restart_->policy();
+  reduce_to_limits();
+  const bool limits_reduced = policy.is_parent() && descriptor_budget_.open_count <= descriptor_budget_.limit;
+  if (limits_reduced && !policy.own_record().limits_reduced) {
+    hot_restart_->write_endpoint_list(encode_endpoint_list(endpoints_.snapshot()));
+    ::malloc_trim(0);  // what is free here is room for the child only once the kernel has it back
+  }
+  hot_restart_->set_limits_reduced(limits_reduced);
+  if (!serving_ && (policy.can_start_serving() || event_loop_.now() > started_at_ms_ + longest_wait_ms)) {
+    if (policy.is_child() && policy.can_start_serving()) restore_parent_endpoint_list();
+    start_serving();
+  }
+  http_server_.set_force_closing(policy.is_force_closing());
+  if (policy.is_force_closing())
+    leave_cluster();
+  else if (serving_ && !stopping_)
+    join_cluster();
+  http_server_.set_accepting(policy.is_accepting());
+  log_hot_restart_change();
+}
+
+void Sidecar::restore_parent_endpoint_list() {
+  const auto text = hot_restart_->read_endpoint_list();
+  if (!text) return;
+  try {
+    endpoints_.apply(parse_endpoint_list(*text), EndpointRegistry::Source::restored);
+  } catch (const ParseError& error) {
+    logger_.warning() << "the parent process left no valid endpoint list, ours stays in force: "
+                      << error.what();
+  }
+}
+
+void Sidecar::log_hot_restart_change() {
+  const HotRestartPolicy& policy = hot_restart_->policy();
+  if (std::exchange(was_paired_, policy.is_paired()) != policy.is_paired()) {
+    if (policy.is_parent())
+      logger_.info() << "a child process of this sidecar starts, half of the limits are its";
+    else if (policy.is_child())
+      logger_.info() << "a parent process of this sidecar runs, half of the limits are ours";
+    else
+      logger_.info() << "the other process has ended, all of the limits are ours";
+  }
+  if (std::exchange(was_force_closing_, policy.is_force_closing()) != policy.is_force_closing()) {
+    if (policy.is_force_closing())
+      logger_.info() << "the child process serves, client connections move over to it";
+    else
+      logger_.info() << "the child process has gone, client connections are accepted again";
+  }
+}
+
+void run_sidecar(const SidecarConfig& config, const Sidecar::ReloadConfig& reload_config, Logger& logger) {
+  Sidecar sidecar(config, reload_config, logger);
+  sidecar.run();
 }
 
 }  // namespace indigorill
