HTTP server by concern: connection, listener, eviction queue, limits, drain

Change: ClientConnection keeps one connection's state and counts its bytes, ClientListener accepts, EvictionQueue holds the order in which connections are closed for room; the server's limits and its drain have a file each. handle_request is split into what is answered here and what is dispatched; locals and parameters have whole names; each constant has its own line and unit.

--- /dev/null
+++ b/src/proxy/client_listener.cpp
@@ -0,0 +1,76 @@
+#include "proxy/client_listener.h"
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <cerrno>
+#include <utility>
+
+namespace indigorill {
+
+ClientListener::ClientListener(EventLoop& event_loop, Logger& logger, MakeRoom make_room,
+                               AcceptHandler on_accepted)
+    : event_loop_(event_loop),
+      logger_(logger),
+      make_room_(std::move(make_room)),
+      on_accepted_(std::move(on_accepted)) {}
+
+void ClientListener::open(FileDescriptor socket) {
+  socket_ = std::move(socket);
+  if (accepting_) start_watch();
+}
+
+void ClientListener::close() {
+  retry_timer_.cancel();
+  watch_.cancel();
+  socket_ = {};
+}
+
+void ClientListener::set_accepting(bool accepting) {
+  if (std::exchange(accepting_, accepting) == accepting || !socket_) return;
+  retry_timer_.cancel();
+  watch_.cancel();
+  // The watch is new, so that it reports also what waits already.
+  if (accepting_) start_watch();
+}
+
+void ClientListener::start_watch() {
+  watch_ = event_loop_.watch_fd(socket_.get(), [this](std::uint32_t) { on_ready(); });
+}
+
+void ClientListener::on_ready() {
+  constexpr double retry_interval_ms = 5;  // the edge is spent, so nobody else tells us of the backlog
+  const AcceptResult result = accept_batch();
+  if (result == AcceptResult::backlog_remaining) event_loop_.requeue(watch_);
+  if (result == AcceptResult::blocked)
+    retry_timer_ = event_loop_.schedule_at(event_loop_.now() + retry_interval_ms, [this] { on_ready(); });
+}
+
+ClientListener::AcceptResult ClientListener::accept_batch() {
+  constexpr int batch_size = 64;  // then those accepted are served
+  for (int i = 0; i < batch_size; ++i) {
+    if (!make_room_()) return AcceptResult::blocked;
+    FileDescriptor client(::accept4(socket_.get(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC));
+    if (!client) {
+      if (errno == EAGAIN || errno == EWOULDBLOCK) return AcceptResult::backlog_empty;
+      if (errno == EINTR || errno == ECONNABORTED) continue;
+      // EMFILE and its like: the edge must not be lost with the failure.
+      log_accept_failure(errno);
+      return AcceptResult::blocked;
+    }
+    const int enabled = 1;
+    ::setsockopt(client.get(), IPPROTO_TCP, TCP_NODELAY, &enabled, sizeof enabled);
+    on_accepted_(std::move(client));
+  }
+  return AcceptResult::backlog_remaining;
+}
+
+void ClientListener::log_accept_failure(int error) {
+  constexpr double log_interval_ms = 1000;  // the log must not be flooded
+  if (event_loop_.now() <= last_failure_logged_at_ms_ + log_interval_ms) return;
+  last_failure_logged_at_ms_ = event_loop_.now();
+  logger_.warning() << "accept failed with error " << error << ", trying again";
+}
+
+}  // namespace indigorill
--- a/src/proxy/http_server.h
+++ b/src/proxy/http_server.h
@@ -1,102 +1,127 @@
-// The listener and the application's connections.
+/// @file
+/// The HTTP server for the application's clients: their connections, from the accept to the close.
 #pragma once
 
+#include <cstdint>
+#include <functional>
 #include <memory>
-#include <set>
+#include <string_view>
 #include <unordered_map>
-#include <vector>
 
+#include "event/event_loop.h"
 #include "event/socket.h"
+#include "http/header_codec.h"
 #include "http/http_parser.h"
 #include "logging/logger.h"
 #include "metrics/counters.h"
+#include "proxy/client_connection.h"
+#include "proxy/client_listener.h"
+#include "proxy/eviction_queue.h"
 #include "proxy/request_dispatcher.h"
 
 namespace indigorill {
 
+/// Reads requests, gives RPCs to the dispatcher and writes each one's response; answers by itself what is no
+/// RPC. Never holds more than its limits allow: idle connections are closed first, then RPCs are rejected.
 class HttpServer {
  public:
   struct Limits {
-    std::size_t max_connections =
-        0;  // connections, beyond which room is made at the cost of those that hold no RPC
-    std::size_t max_idle_connections =
-        0;  // connections that hold no RPC, beyond which they are given back to the clients
-    std::size_t max_buffered_bytes = 0;  // in messages of clients
-    double max_client_wait_ms = 3000;    // ms; no client waits for longer, as far as the settings tell
+    std::size_t max_connections = 0;       ///< beyond it, connections without an RPC are closed for new ones
+    std::size_t max_idle_connections = 0;  ///< without an RPC; beyond it, they are closed
+    std::size_t max_buffered_bytes = 0;    ///< in messages of clients
+    double max_client_wait_ms = 3000;      ///< no client waits for longer, as far as the config tells
   };
 
-  HttpServer(EventLoop& in, FileDescriptorBudget& budget, Counters& counts, Logger& log_to,
-             RequestDispatcher& to, Limits within, std::function<bool()> closes_idle);
-  ~HttpServer();
+  /// All references must outlive the server. `close_idle_upstream` closes an idle connection to some
+  /// endpoint, and returns false if there is none.
+  HttpServer(EventLoop& event_loop, FileDescriptorBudget& descriptor_budget, Counters& counters,
+             Logger& logger, RequestDispatcher& dispatcher, Limits limits,
+             std::function<bool()> close_idle_upstream);
 
-  void listen(const sockaddr_in& where);
-  void use_listener(FileDescriptor listener);  // one that listens already
-  // While it doesn't, whoever else holds the listener takes what waits there.
-  void set_accepting(bool does);
-  // Each answer ends its connection, so that clients move over to another process.
-  void set_force_closing(bool does) { force_closing_ = does; }
-  void set_limits(Limits now);
+  /// Throws std::system_error if the address can't be listened on.
+  void listen(const sockaddr_in& address);
+  /// Takes a socket that listens already.
+  void use_listener(FileDescriptor listener);
+  /// While it doesn't accept, whoever else holds the listener takes what waits there.
+  void set_accepting(bool accepting) { listener_.set_accepting(accepting); }
+  /// Whether each response ends its connection, so that clients move over to another process.
+  void set_force_closing(bool force_closing) { force_closing_ = force_closing; }
+  void set_limits(Limits limits);
 
-  // Closes the connection that is of least use: answered for good, then silent, half sent or idle,
-  // the oldest first. False if there is none.
+  /// Closes the connection that is of least use, by its eviction class and age. False if there is none.
   bool close_idle_connection();
 
-  // Takes on what still comes for a while, answers all that is held, then calls `then`: before it would be
-  // killed, whatever endpoints and clients do.
-  void drain(EventLoop::Callback then);
+  /// Graceful shutdown: accepts what still comes for a while, answers all RPCs, then calls `on_drained`, at
+  /// the latest when the process would else be killed. A second call does nothing.
+  void drain(EventLoop::Callback on_drained);
 
  private:
-  struct Connection;
-
-  // Connections that hold no RPC, the first to be closed for room in front.
-  enum class EvictionClass { lingering, silent, partial_request, idle, not_evictable };
-
-  enum class AcceptResult { backlog_empty, backlog_remaining, blocked };
-  void on_listener_ready();
-  AcceptResult accept_connections();
-  void on_socket_event(std::uint64_t which, std::uint32_t events = 0);
-  bool read_request(Connection& c);
-  void process_input(Connection& c);
-  void set_request_timeout(Connection& c, double until);
-  void reject_bad_request(Connection& c, int status);
-  void set_eviction_class(Connection& c, EvictionClass now);
-  void handle_request(Connection& c, http::Message m);
-  void on_rpc_result(Connection& c, RpcResult v);
-  void forward_request_body(Connection& c);
-  bool forward_response_body(Connection& c, std::string_view piece, bool last);
-  void set_slow_reader_timeout(Connection& c, std::size_t unread);
-  void set_body_timeout(Connection& c);
-  void send_continue(Connection& c);
-  void send_response(Connection& c, WriteBuffer what, bool close);
-  void flush_output(Connection& c);
-  void close_connection(std::uint64_t which);
-  void close_listener();
-  void reread_connections(const std::function<void(Connection&)>& then);
+  using Stage = ClientConnection::Stage;
+
+  // Accepting.
+  bool make_room_for_client();
+  void add_connection(FileDescriptor socket);
+
+  // Reading.
+  void on_socket_event(std::uint64_t id, std::uint32_t events);
+  bool read_request(ClientConnection& connection);
+  bool discard_input(ClientConnection& connection);
+  void process_input(ClientConnection& connection);
+  void await_more_input(ClientConnection& connection);
+  void forward_request_body(ClientConnection& connection);
+  void send_continue(ClientConnection& connection);
+  void set_request_timeout(ClientConnection& connection, double deadline_ms);
+  void set_body_timeout(ClientConnection& connection);
+
+  // Requests.
+  void handle_request(ClientConnection& connection, http::Message request);
+  void handle_rpc(ClientConnection& connection, http::Message request, bool close_after);
+  void dispatch_rpc(ClientConnection& connection, http::Message request, bool close_after);
+  RequestDispatcher::ResponseHandler make_response_handler(std::uint64_t id);
+  int rpc_error_status(const http::Message& request) const;
+  void reject_bad_request(ClientConnection& connection, int status);
+
+  // Responses.
+  void on_rpc_result(ClientConnection& connection, RpcResult result);
+  void start_streaming_response(ClientConnection& connection, bool close_after);
+  bool forward_response_body(ClientConnection& connection, std::string_view piece, bool last);
+  void send_response(ClientConnection& connection, WriteBuffer response, bool close_after);
+  void flush_output(ClientConnection& connection);
+  void on_response_written(ClientConnection& connection);
+  void set_slow_reader_timeout(ClientConnection& connection, std::size_t unacknowledged_bytes);
+  void linger_until_read(ClientConnection& connection, double interval_ms);
+
+  // Limits.
+  void set_eviction_class(ClientConnection& connection, EvictionClass eviction_class);
+  bool close_oldest_of(EvictionClass eviction_class, double min_age_ms);
+  bool over_idle_limit();
+  bool over_memory_limit(ClientConnection& connection);
+  void update_buffered_bytes(ClientConnection& connection);
+
+  // Closing.
+  void close_connection(std::uint64_t id);
+  void reread_connections(const std::function<void(ClientConnection&)>& on_read);
   void close_idle_for_drain();
-  void linger_until_read(Connection& c, double patience);
+  void close_listener();
   void abort_remaining();
   void notify_if_drained();
-  bool close_oldest_of(EvictionClass is, double least);
-  bool over_idle_limit();
-  bool over_memory_limit(Connection& c);
-  void update_buffered_bytes(Connection& c);
 
   EventLoop& event_loop_;
   FileDescriptorBudget& descriptor_budget_;
   Counters& counters_;
-  Logger& logger_;
   RequestDispatcher& dispatcher_;
   Limits limits_;
   std::function<bool()> close_idle_upstream_;
-  FileDescriptor listener_;
-  EventLoop::Watch listener_watch_;
-  EventLoop::Timer accept_retry_timer_, listener_close_timer_, abort_timer_;
+  ClientListener listener_;
+  EventLoop::Timer listener_close_timer_;
+  EventLoop::Timer abort_timer_;
   EventLoop::Callback on_drained_;
-  bool draining_ = false, accepting_ = true, force_closing_ = false;
-  double drain_started_at_ = 0, last_warning_at_ = 0;  // told: to stop
+  bool draining_ = false;
+  bool force_closing_ = false;
+  double drain_started_at_ms_ = 0;
   std::uint64_t last_connection_id_ = 0;
-  std::unordered_map<std::uint64_t, std::unique_ptr<Connection>> connections_;
-  std::set<std::tuple<EvictionClass, double, std::uint64_t>> evictable_connections_;  // use, since when, name
+  std::unordered_map<std::uint64_t, std::unique_ptr<ClientConnection>> connections_;
+  EvictionQueue eviction_queue_;
   std::size_t buffered_bytes_ = 0;  // in messages of all connections
 };
 
--- /dev/null
+++ b/src/proxy/http_server_limits.cpp
@@ -0,0 +1,77 @@
+// What the HTTP server does to stay within its limits.
+#include <array>
+#include <utility>
+
+#include "proxy/http_server.h"
+
+namespace indigorill {
+
+void HttpServer::set_limits(Limits limits) {
+  limits_ = limits;
+  while (connections_.size() > limits_.max_connections && close_idle_connection()) continue;
+}
+
+void HttpServer::set_eviction_class(ClientConnection& connection, EvictionClass eviction_class) {
+  // Of partial requests, who made progress last is the last to be closed for room: slow is not idle.
+  if (connection.eviction_class == eviction_class && eviction_class != EvictionClass::partial_request) return;
+  eviction_queue_.erase(connection.eviction_entry());
+  connection.eviction_class = eviction_class;
+  connection.eviction_class_since_ms = event_loop_.now();
+  eviction_queue_.insert(connection.eviction_entry());
+}
+
+bool HttpServer::close_idle_connection() {
+  // How long each must have been of its class. Who connects to ask has asked by then, and the rest of a
+  // request follows its first bytes as quickly. Idle ones are closed at any age, the oldest first: spared for
+  // 2 s, clients that ask once and stay fill all the room, and every RPC that comes is rejected.
+  struct Candidate {
+    EvictionClass eviction_class;
+    double min_age_ms;
+  };
+  constexpr std::array<Candidate, 4> candidates{{{EvictionClass::lingering, 0},
+                                                 {EvictionClass::silent, 20},
+                                                 {EvictionClass::partial_request, 500},
+                                                 {EvictionClass::idle, 0}}};
+  for (const Candidate& candidate : candidates)
+    if (close_oldest_of(candidate.eviction_class, candidate.min_age_ms)) return true;
+  return false;
+}
+
+bool HttpServer::close_oldest_of(EvictionClass eviction_class, double min_age_ms) {
+  // A request that is here but was not read yet would be lost with its connection.
+  const bool may_have_unread_request =
+      eviction_class == EvictionClass::idle || eviction_class == EvictionClass::silent;
+  const auto id = eviction_queue_.find_oldest(
+      eviction_class, event_loop_.now(), min_age_ms, [&](std::uint64_t candidate) {
+        return !may_have_unread_request || !connections_.at(candidate)->socket->has_unread_input();
+      });
+  if (!id) return false;
+  ++counters_.connections_evicted;
+  ++counters_.evictions_by_state[static_cast<std::size_t>(eviction_class)];
+  close_connection(*id);
+  return true;
+}
+
+// Clients that ask once and stay may hold no more connections some day, and then can't ask: idle ones are
+// closed, oldest first. True if there are too many and all are young: then a response ends its connection.
+bool HttpServer::over_idle_limit() {
+  constexpr double min_silent_age_ms = 500;
+  constexpr double min_idle_age_ms = 2000;
+  const auto is_over = [&] { return eviction_queue_.size() >= limits_.max_idle_connections; };
+  while (is_over() && close_oldest_of(EvictionClass::silent, min_silent_age_ms)) continue;
+  while (is_over() && close_oldest_of(EvictionClass::idle, min_idle_age_ms)) continue;
+  return is_over();
+}
+
+bool HttpServer::over_memory_limit(ClientConnection& connection) {
+  update_buffered_bytes(connection);
+  return buffered_bytes_ > limits_.max_buffered_bytes;
+}
+
+void HttpServer::update_buffered_bytes(ClientConnection& connection) {
+  const std::size_t bytes = connection.buffered_bytes();
+  buffered_bytes_ += bytes - connection.accounted_bytes;
+  connection.accounted_bytes = bytes;
+}
+
+}  // namespace indigorill
