Dispatcher and connection pool: short functions, whole names, an exchange and a connection apart

Cause: one-letter locals, comma operators and functions of up to 47 lines that did several things; the removal of an idle connection stood twice.

Change: UpstreamExchange (what the pool's user sees) and UpstreamConnection (one connection's state) have a header each; the pool and the dispatcher have a function for each step, constants with units, and doc comments on what they call and when.

--- a/src/proxy/request_dispatcher.h
+++ b/src/proxy/request_dispatcher.h
@@ -1,10 +1,15 @@
-// RPCs and their picks: the only caller of the balancer. Tells it what happened, carries out what it decides.
+/// @file
+/// RPCs and their attempts, between the HTTP server and the connection pool. The only caller of the load
+/// balancer: reports to it what happened, and carries out its decisions.
 #pragma once
 
+#include <cstdint>
+#include <functional>
 #include <map>
-#include <memory>
+#include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <vector>
 
@@ -18,98 +23,123 @@
 
 namespace indigorill {
 
-// The final answer to an RPC.
+/// The final result of an RPC.
 struct RpcResult {
   enum class Outcome { ok, rejected, failed } outcome;
-  http::Message response;     // of the endpoint, if ok or if it finds fault with the RPC
-  double retry_after_ms = 0;  // advice of a push-back
+  http::Message response = {};  ///< the endpoint's, if ok or if it finds fault with the request
+  double retry_after_ms = 0;    ///< advice of a rejection
 };
 
 class RequestDispatcher {
  public:
-  // Who asked: the one answer, and what long messages need. Of a long answer the verdict brings the first
-  // part; `piece` gets the rest and says whether it wants more at once, else it asks by resume(); `cut`:
-  // there will be no rest. `wants`: the next piece of a long request may be given.
+  /// What the dispatcher calls for one RPC. `on_result` is called once; of a long response it brings the
+  /// first part, and the other functions serve long messages alone.
   struct ResponseHandler {
     std::function<void(RpcResult)> on_result;
-    std::function<bool(std::string_view, bool last)> on_body_piece = [](std::string_view, bool) {
+    /// The next piece of a long response. Returns whether more is wanted at once; else resume_response() asks
+    /// for it.
+    std::function<bool(std::string_view piece, bool last)> on_body_piece = [](std::string_view, bool) {
       return true;
     };
+    /// The rest of a long response will not come.
     EventLoop::Callback on_aborted = [] {};
+    /// The next piece of a long request may be given by send_request_body().
     EventLoop::Callback on_ready_for_body = [] {};
   };
 
-  RequestDispatcher(EventLoop& in, UpstreamPool& to, Counters& counts, Logger& log_to,
-                    const LoadBalancerConfig& where, std::uint64_t seed);
+  /// All references must outlive the dispatcher.
+  RequestDispatcher(EventLoop& event_loop, UpstreamPool& upstream_pool, Counters& counters, Logger& logger,
+                    const LoadBalancerConfig& config, std::uint64_t seed);
 
-  bool is_call_id_open(std::string_view client_id) const { return open_call_ids_.count(client_id) > 0; }
-  double longest_retry_after_ms() const {
-    return longest_retry_after_ms_;
-  }  // when to return, ms; 0 where clients take none
+  /// Whether an RPC with this id of the client's is in flight.
+  bool is_call_id_open(std::string_view call_id) const { return open_call_ids_.count(call_id) > 0; }
   bool is_known_method(std::string_view method) const { return known_methods_.count(method) > 0; }
+  /// Retry-After for who can't be served at all; 0 where clients take no advice.
+  double longest_retry_after_ms() const { return longest_retry_after_ms_; }
 
-  // Takes an RPC that came at this time; `then` is called once, unless the client leaves before.
-  std::string dispatch(http::Message call, double came, ResponseHandler who);
-  void on_client_left(const std::string& rpc);
-  // The process ends: all that is held has its final answer now, a long one that is not whole is cut.
+  /// Takes an RPC whose bytes reached this machine at `received_at_ms`, and returns its id. The handler's
+  /// result is called once, perhaps before this returns, unless the client leaves before.
+  std::string dispatch(http::Message request, double received_at_ms, ResponseHandler handler);
+  void on_client_left(const std::string& rpc_id);
+  /// The process ends: each RPC in flight has its final result now, a long response that is not complete is
+  /// aborted.
   void abort_all();
-  void resume_response(const std::string& rpc);
-  // The next piece of a long request, the last one with when it came; true if more may be given at once.
-  bool send_request_body(const std::string& rpc, std::string_view bytes, bool last, double came);
+  void resume_response(const std::string& rpc_id);
+  /// The next piece of a long request; `received_at_ms` counts for the last one. True if more may be given at
+  /// once.
+  bool send_request_body(const std::string& rpc_id, std::string_view bytes, bool last, double received_at_ms);
 
-  void update_endpoints(bool whole, bool asked, const std::vector<Endpoint>& entries);
+  /// `complete`: endpoints that are not among the entries are gone. `answers_poll`: the list may answer a
+  /// poll of the load balancer's; false for one that is restored at the start.
+  void update_endpoints(bool complete, bool answers_poll, const std::vector<Endpoint>& entries);
   void endpoint_poll_failed();
-  // Out by hand, or back: picks of which nothing is written there yet are drawn again.
-  void set_ejected_manually(const std::string& server, bool is, double since);
-  // Further picks are spent out of a budget of all sidecars: what is left now, a try to spend one at this
-  // very moment, and that one was wanted and there was none.
+  /// Called when the load balancer asks for the endpoint list; at once if it has asked before.
+  void on_endpoint_poll(EventLoop::Callback poll);
+  /// Ejected by an operator, or restored at `since_ms`: attempts of which nothing is written there yet are
+  /// decided anew.
+  void set_ejected_manually(const std::string& endpoint_id, bool ejected, double since_ms);
+
+  /// The quota of retries that all sidecars of a fleet share.
   struct RetryQuota {
-    std::function<double()> remaining;
-    std::function<bool()> try_consume;
-    EventLoop::Callback on_shortage;
+    std::function<double()> remaining;  ///< retries left to this sidecar now
+    std::function<bool()> try_consume;  ///< takes one at this very moment, if there is one
+    EventLoop::Callback on_shortage;    ///< one was wanted and there was none
   };
-  void use_fleet_retry_quota(RetryQuota of) { fleet_retry_quota_ = std::move(of); }
-  // The balancer may have asked before: with the first list that it is told.
-  void on_endpoint_poll(EventLoop::Callback what);
+  /// Without it, retries are bounded by the load balancer alone.
+  void use_fleet_retry_quota(RetryQuota quota) { fleet_retry_quota_ = std::move(quota); }
 
+  /// RPCs that are not concluded, or have an attempt in flight.
   std::size_t in_flight() const { return rpcs_.size(); }
 
  private:
   struct Attempt {
     UpstreamPool::ExchangeId exchange_id;
-    std::string server;
-    double sent_at;
+    std::string endpoint_id;
+    double sent_at_ms;
     bool in_flight;
   };
   struct Rpc {
     http::Message request;
-    std::string_view call_id;  // in the call
-    double deadline;
-    double budget;
+    std::string_view call_id;  // the client's; leads into the request
+    double deadline_ms;
+    double budget_ms;  // from the request's last byte to the deadline
     ResponseHandler handler;
     std::vector<Attempt> attempts;
-    bool concluded = false;
+    bool concluded = false;               // it has its result, or its client has left
     bool request_body_discarded = false;  // part of a long request is no longer here: it can't be sent again
-    bool streaming_response = false;      // a long answer is on its way
+    bool streaming_response = false;      // a long response is on its way
     LoadReport load_report;               // that came with it
     bool has_no_attempt_in_flight() const;
   };
 
+  // Decisions of the load balancer.
   void carry_out_decisions();
-  void carry_out(const Decision& d);
-  void note_retry_shortage(const std::string& id);
-  void send_attempt(const Decision& d);
-  void on_attempt_ended(const std::string& id, int number, UpstreamPool::ExchangeResult r);
-  void cancel_attempt(const Decision& d);
-  void abandon_attempt(const std::string& id, int number, AttemptOutcome how = AttemptOutcome::cancelled);
-  void abandon_all_attempts(const std::string& id);
-  void withdraw_unsent_attempts(const std::string& id);
-  bool on_response_started(const std::string& id, int number, const http::Message& answer);
-  void on_ready_for_body(const std::string& id, int number);
-  Attempt* find_attempt_in_flight(const std::string& id);
-  void send_health_check(const std::string& server);
-  void conclude_rpc(const std::string& id, RpcResult v);
-  void erase_if_concluded(const std::string& id);
+  void carry_out(const Decision& decision);
+  void conclude_by_decision(const Decision& decision, RpcResult result);
+  void send_attempt(const Decision& decision);
+  void cancel_attempt(const Decision& decision);
+  void send_health_check(const std::string& endpoint_id);
+  void poll_endpoints();
+  void start_balancer_timer(const Decision& decision);
+  void note_retry_shortage(const std::string& rpc_id);
+
+  // Attempts.
+  UpstreamPool::Exchange make_exchange(const Decision& decision);
+  void on_attempt_ended(const std::string& rpc_id, int attempt_index, UpstreamPool::ExchangeResult result);
+  void conclude_by_attempt(const std::string& rpc_id, UpstreamPool::ExchangeResult& result);
+  bool on_response_started(const std::string& rpc_id, int attempt_index, const http::Message& response);
+  void on_ready_for_body(const std::string& rpc_id, int attempt_index);
+  Attempt* find_attempt_in_flight(const std::string& rpc_id);
+  void abandon_attempt(const std::string& rpc_id, int attempt_index,
+                       AttemptOutcome outcome = AttemptOutcome::cancelled);
+  void abandon_all_attempts(const std::string& rpc_id);
+  void withdraw_unsent_attempts(const std::string& rpc_id);
+
+  // The end of an RPC.
+  void abort_rpc(const std::string& rpc_id);
+  void conclude_rpc(const std::string& rpc_id, RpcResult result);
+  void count_result(RpcResult::Outcome outcome);
+  void erase_if_concluded(const std::string& rpc_id);
 
   EventLoop& event_loop_;
   UpstreamPool& upstream_pool_;
@@ -121,10 +151,11 @@
   LoadBalancer load_balancer_;
   EventLoop::Callback poll_endpoints_;
   std::optional<RetryQuota> fleet_retry_quota_;
-  bool carrying_out_decisions_ = false, endpoint_poll_pending_ = false;
+  bool carrying_out_decisions_ = false;
+  bool endpoint_poll_pending_ = false;
   std::uint64_t last_id_ = 0;
   std::unordered_map<std::string, Rpc> rpcs_;
-  std::set<std::string_view> open_call_ids_;  // of the clients', in the calls of rpcs
+  std::set<std::string_view> open_call_ids_;  // lead into the requests of rpcs_
   std::map<std::uint64_t, EventLoop::Timer> balancer_timers_;
 };
 
--- a/src/proxy/upstream_pool.cpp
+++ b/src/proxy/upstream_pool.cpp
@@ -6,6 +6,10 @@
 #include "http/header_codec.h"
 
 namespace indigorill {
+
+using ParseState = http::HttpParser::ParseState;
+using ReadStatus = TcpStream::ReadStatus;
+
 namespace {
 
 bool is_same_address(const sockaddr_in& a, const sockaddr_in& b) {
@@ -14,421 +18,460 @@
 
 }  // namespace
 
-// A connection's name is the ticket of its exchange; it gets a new one with each.
-struct UpstreamPool::Connection {
-  enum class Stage { connecting, writing_request, awaiting_response, idle } stage = Stage::connecting;
-  bool is_unsent() const { return stage == Stage::connecting || stage == Stage::writing_request; }
-  ExchangeId id;
-  std::string server;
-  std::unique_ptr<TcpStream> socket;
-  http::HttpParser parser{http::HttpParser::MessageKind::response};
-  WriteBuffer output;
-  Exchange exchange;
-  std::uint64_t process_generation = 0;                            // that it leads to, by the pool's count
-  double started_at = 0, idle_since = 0, response_started_at = 0;  // answered: when a long answer began
-  double expires_at = 0;                                           // the time for the exchange is over
-  bool streaming_response = false, reading_paused = false, has_more_body = false;
-  EventLoop::Timer timeout_timer, connect_timer, retirement_timer, send_deadline_timer;
-};
-
-UpstreamPool::UpstreamPool(EventLoop& in, FileDescriptorBudget& budget, Counters& counts, Logger& log_to,
-                           ConnectionConfig with, std::function<bool()> closes_idle)
-    : event_loop_(in),
-      descriptor_budget_(budget),
-      counters_(counts),
-      logger_(log_to),
-      config_(std::move(with)),
+UpstreamPool::UpstreamPool(EventLoop& event_loop, FileDescriptorBudget& descriptor_budget, Counters& counters,
+                           Logger& logger, ConnectionConfig config, std::function<bool()> close_idle_client)
+    : event_loop_(event_loop),
+      descriptor_budget_(descriptor_budget),
+      counters_(counters),
+      logger_(logger),
+      config_(config),
       connect_timeout_(config_.connect_timeout_ms),
-      close_idle_client_(std::move(closes_idle)) {}
-
-UpstreamPool::~UpstreamPool() = default;
+      close_idle_client_(std::move(close_idle_client)) {}
 
-void UpstreamPool::update_endpoint(const std::string& server, const std::string& address, EndpointState state,
-                                   double started) {
+void UpstreamPool::update_endpoint(const std::string& endpoint_id, const std::string& address,
+                                   EndpointState state, double started_at_ms) {
   const auto parsed = parse_socket_address(address);
   if (!parsed) {
     // Its old address may be another's by now.
-    logger_.warning() << "list names an address that is none: " << address;
-    return remove_endpoint(server);
+    logger_.warning() << "endpoint list has an invalid address: " << address;
+    return remove_endpoint(endpoint_id);
   }
-  EndpointEntry& p = endpoints_[server];
+  EndpointEntry& entry = endpoints_[endpoint_id];
   // Long ago is no new start, it is how an old one is told some day.
-  if (p.process_generation == 0 || !is_same_address(p.address, *parsed) || started > p.started_at) {
-    close_idle_connections_to(p);  // what is idle there leads to the old address, or to the process before
-    p.process_generation = ++last_process_generation_;
+  if (entry.process_generation == 0 || !is_same_address(entry.address, *parsed) ||
+      started_at_ms > entry.started_at_ms) {
+    close_idle_connections_to(entry);  // they lead to the old address, or to the process before
+    entry.process_generation = ++last_process_generation_;
   }
-  p.address = *parsed;
-  p.started_at = started;
-  p.is_ready = state == EndpointState::ready;
-  if (!p.is_ready) close_idle_connections_to(p);
+  entry.address = *parsed;
+  entry.started_at_ms = started_at_ms;
+  entry.is_ready = state == EndpointState::ready;
+  if (!entry.is_ready) close_idle_connections_to(entry);
 }
 
-void UpstreamPool::remove_endpoint(const std::string& server) {
-  const auto it = endpoints_.find(server);
+void UpstreamPool::remove_endpoint(const std::string& endpoint_id) {
+  const auto it = endpoints_.find(endpoint_id);
   if (it == endpoints_.end()) return;
   close_idle_connections_to(it->second);
   endpoints_.erase(it);  // ids are ever new: those that are gone would pile up
 }
 
-void UpstreamPool::set_ejected_manually(const std::string& server, bool is) {
-  const auto it = endpoints_.find(server);
+void UpstreamPool::set_ejected_manually(const std::string& endpoint_id, bool ejected) {
+  const auto it = endpoints_.find(endpoint_id);
   if (it == endpoints_.end()) return;
-  it->second.ejected_manually = is;
-  if (is) close_idle_connections_to(it->second);
+  it->second.ejected_manually = ejected;
+  if (ejected) close_idle_connections_to(it->second);
 }
 
-// Where it leads to is still to be had.
-bool UpstreamPool::is_endpoint_current(const Connection& c) const {
-  const auto at = endpoints_.find(c.server);
-  return at != endpoints_.end() && at->second.accepts_generation(c.process_generation);
+void UpstreamPool::retain_endpoints(const std::vector<Endpoint>& endpoints) {
+  std::set<std::string_view> retained;
+  for (const Endpoint& endpoint : endpoints) retained.insert(endpoint.id);
+  std::vector<std::string> removed;
+  for (const auto& [endpoint_id, entry] : endpoints_)
+    if (!retained.count(endpoint_id)) removed.push_back(endpoint_id);
+  for (const std::string& endpoint_id : removed) remove_endpoint(endpoint_id);
 }
 
 void UpstreamPool::withdraw_unsent_exchanges() {
-  std::vector<ExchangeId> unbegun;
-  for (const auto& [name, c] : connections_)
-    if (c->is_unsent() && !c->output.has_started() && !is_endpoint_current(*c)) unbegun.push_back(name);
-  for (const ExchangeId name : unbegun)
-    if (const auto c = connections_.find(name); c != connections_.end()) withdraw_exchange(*c->second);
-}
-
-void UpstreamPool::close_idle_connections_to(EndpointEntry& at) {
-  while (!at.idle_connections.empty()) close_connection(at.idle_connections.back());
-}
-
-void UpstreamPool::retain_endpoints(const std::vector<Endpoint>& whole_list) {
-  std::set<std::string_view> named;
-  for (const Endpoint& e : whole_list) named.insert(e.id);
-  std::vector<std::string> left;
-  for (const auto& [server, at] : endpoints_)
-    if (!named.count(server)) left.push_back(server);
-  for (const std::string& server : left) remove_endpoint(server);
-}
-
-UpstreamPool::ExchangeId UpstreamPool::start_exchange(const std::string& server, WriteBuffer what,
-                                                      double patience, Exchange with) {
-  const auto at = endpoints_.find(server);
-  const ExchangeId name = ++last_exchange_id_;
-  const Connection* again = at != endpoints_.end() ? reuse_idle_connection(at->second) : nullptr;
-  if (again) {
-    const ExchangeId before = again->id;
-    auto node = connections_.extract(before);
-    std::erase(at->second.idle_connections, before);
-    on_idle_count_changed_(server, at->second.idle_connections.size());
-    idle_by_last_use_.erase({node.mapped()->idle_since, before});
-    node.key() = name;
-    connections_.insert(std::move(node));
-    ++counters_.connections_reused;
-  } else {
-    connections_.emplace(name, std::make_unique<Connection>());
+  std::vector<ExchangeId> unsent;
+  for (const auto& [id, connection] : connections_)
+    if (connection->is_unsent() && !connection->output.has_started() && !is_endpoint_current(*connection))
+      unsent.push_back(id);
+  for (const ExchangeId id : unsent) {
+    const auto it = connections_.find(id);
+    if (it != connections_.end()) withdraw_exchange(*it->second);
   }
-  Connection& c = *connections_[name];
-  c.id = name;
-  c.server = server;
-  c.output = std::move(what);
-  c.exchange = std::move(with);
-  c.started_at = event_loop_.now();
-  c.response_started_at = 0;
-  c.process_generation = at != endpoints_.end() ? at->second.process_generation : 0;
-  c.streaming_response = c.reading_paused = false;
-  c.has_more_body = c.exchange.has_more_body;
-  if (c.exchange.is_head_request) c.parser.expect_no_body();
-  c.parser.allow_streaming(static_cast<bool>(c.exchange.on_response_started));
-  c.retirement_timer.cancel();
-  set_exchange_timeout(c, patience);
-  if (c.exchange.must_be_sent_by < c.expires_at)
-    c.send_deadline_timer = event_loop_.schedule_at(
-        c.exchange.must_be_sent_by, [this, name] { withdraw_exchange(*connections_.at(name)); });
-  if (c.stage == Connection::Stage::idle) {
-    // Only written to: an answer, however quick, is read from the loop, since `then` must not be called
-    // before the caller has the ticket.
-    c.stage = Connection::Stage::writing_request;
-    if (!c.socket->write(c.output))
-      schedule_failure(c, c.started_at);
-    else if (c.output.is_complete())
-      c.has_more_body ? c.socket->requeue() : on_output_written(c);
-  } else {
-    open_connection(c, at != endpoints_.end() ? &at->second.address : nullptr);
-  }
-  return name;
 }
 
-UpstreamPool::Connection* UpstreamPool::reuse_idle_connection(EndpointEntry& at) {
+ExchangeId UpstreamPool::start_exchange(const std::string& endpoint_id, WriteBuffer request,
+                                        double timeout_ms, Exchange exchange) {
+  const auto it = endpoints_.find(endpoint_id);
+  EndpointEntry* const entry = it != endpoints_.end() ? &it->second : nullptr;
+  const ExchangeId id = ++last_exchange_id_;
+  Connection& connection = take_connection(entry, id);
+  connection.endpoint_id = endpoint_id;
+  connection.process_generation = entry ? entry->process_generation : 0;
+  connection.begin(id, std::move(exchange), std::move(request), event_loop_.now());
+  set_exchange_timeout(connection, timeout_ms);
+  const double must_be_sent_by_ms = connection.exchange.must_be_sent_by_ms;
+  if (must_be_sent_by_ms < connection.expires_at_ms)
+    connection.send_deadline_timer =
+        event_loop_.schedule_at(must_be_sent_by_ms, [this, id] { withdraw_exchange(*connections_.at(id)); });
+  if (connection.stage == Stage::idle)
+    write_on_reused_connection(connection);
+  else
+    open_connection(connection, entry ? &entry->address : nullptr);
+  return id;
+}
+
+// An idle connection to the endpoint, or a new one that is not open yet.
+UpstreamConnection& UpstreamPool::take_connection(EndpointEntry* entry, ExchangeId id) {
+  const Connection* idle = entry ? find_reusable_connection(*entry) : nullptr;
+  if (!idle) return *connections_.emplace(id, std::make_unique<Connection>()).first->second;
+  remove_from_idle(*idle);
+  auto node = connections_.extract(idle->id);
+  node.key() = id;
+  ++counters_.connections_reused;
+  return *connections_.insert(std::move(node)).position->second;
+}
+
+UpstreamConnection* UpstreamPool::find_reusable_connection(EndpointEntry& entry) {
   // Some endpoints answer twice, the second time some milliseconds late: on a connection used again at once
-  // that passes for the answer to the next request. Once rested for so long, what comes unasked closes it.
+  // that passes for the response to the next request. Once idle for so long, what comes unasked closes it.
   // Only for a while after one was seen: for good it costs a third more connections, at endpoints that hold
   // few (0.04 of the standing test). Where requests follow one another faster, or descriptors are scarce, the
-  // one that rested longest has to do: each would else be given up for a new one.
-  constexpr double rests = 25, believed = 60000;
-  constexpr std::size_t spared = 2;
-  const double rested = event_loop_.now() < last_extra_response_at_ + believed ? rests : 0;
-  const auto usable = [&](Connection& c) {
-    // A request on a connection that the endpoint has closed is a reset, and one that must not run twice is
-    // lost by it: look once more, the event may be still to come.
-    if (!c.socket->is_stale()) return true;
-    if (c.socket->has_unread_input()) last_extra_response_at_ = event_loop_.now();
-    close_connection(c.id);
-    return false;
-  };
-  for (std::size_t i = at.idle_connections.size();
-       i-- > 0;) {  // the last used: its idle time is the shortest
-    Connection& c = *connections_.at(at.idle_connections[i]);
-    if (event_loop_.now() >= c.idle_since + rested && usable(c)) return &c;
+  // one that was idle for longest has to do: each would else be given up for a new one.
+  constexpr double min_idle_after_extra_ms = 25;
+  constexpr double extra_remembered_ms = 60000;
+  constexpr std::size_t max_spared_connections = 2;
+  const bool saw_extra_response = event_loop_.now() < last_extra_response_at_ms_ + extra_remembered_ms;
+  const double min_idle_ms = saw_extra_response ? min_idle_after_extra_ms : 0;
+  const std::vector<ExchangeId>& idle = entry.idle_connections;
+  for (std::size_t i = idle.size(); i-- > 0;) {  // the last used first: its idle time is the shortest
+    Connection& connection = *connections_.at(idle[i]);
+    if (event_loop_.now() >= connection.idle_since_ms + min_idle_ms && is_reusable(connection))
+      return &connection;
   }
-  while (rested > 0 && !at.idle_connections.empty() &&
-         (at.idle_connections.size() >= spared ||
-          descriptor_budget_.available() <= descriptor_budget_.limit / 2)) {
-    Connection& c = *connections_.at(at.idle_connections.front());
-    if (usable(c)) return &c;
+  if (!saw_extra_response) return nullptr;
+  while (!idle.empty() && (idle.size() >= max_spared_connections ||
+                           descriptor_budget_.available() <= descriptor_budget_.limit / 2)) {
+    Connection& connection = *connections_.at(idle.front());
+    if (is_reusable(connection)) return &connection;
   }
   return nullptr;
 }
 
-void UpstreamPool::open_connection(Connection& c, const sockaddr_in* address) {
+// A request on a connection that the endpoint has closed is a reset, and one that must not run twice is lost
+// by it: looks once more, as the event may be still to come. Closes a connection that is not reusable.
+bool UpstreamPool::is_reusable(Connection& connection) {
+  if (!connection.socket->is_stale()) return true;
+  if (connection.socket->has_unread_input()) last_extra_response_at_ms_ = event_loop_.now();
+  close_connection(connection.id);
+  return false;
+}
+
+void UpstreamPool::keep_idle(Connection& connection) {
+  // Well before the endpoint closes it: what crosses its closing is a reset. Nine tenths leave too little
+  // where a process waits for its core.
+  constexpr double used_part_of_idle_timeout = 0.75;
+  const ExchangeId id = connection.id;
+  connection.stage = Stage::idle;
+  connection.output = {};
+  connection.timeout_timer.cancel();
+  connection.send_deadline_timer.cancel();
+  connection.idle_since_ms = event_loop_.now();
+  connection.retirement_timer = event_loop_.schedule_at(
+      connection.idle_since_ms + used_part_of_idle_timeout * config_.idle_timeout_ms, [this, id] {
+        ++counters_.connections_retired;
+        close_connection(id);
+      });
+  std::vector<ExchangeId>& idle = endpoints_.at(connection.endpoint_id).idle_connections;
+  idle.push_back(id);
+  on_idle_count_changed_(connection.endpoint_id, idle.size());
+  idle_by_last_use_.insert({connection.idle_since_ms, id});
+}
+
+void UpstreamPool::remove_from_idle(const Connection& connection) {
+  std::vector<ExchangeId>& idle = endpoints_.at(connection.endpoint_id).idle_connections;
+  std::erase(idle, connection.id);
+  on_idle_count_changed_(connection.endpoint_id, idle.size());
+  idle_by_last_use_.erase({connection.idle_since_ms, connection.id});
+}
+
+void UpstreamPool::close_idle_connections_to(EndpointEntry& entry) {
+  while (!entry.idle_connections.empty()) close_connection(entry.idle_connections.back());
+}
+
+// Without an address it fails as a connect does.
+void UpstreamPool::open_connection(Connection& connection, const sockaddr_in* address) {
   FileDescriptor fd;
-  const bool affordable =
+  const bool is_affordable =
       !address || descriptor_budget_.available() > 0 || close_idle_connection() || close_idle_client_();
-  if (address && affordable) fd = start_connect(*address);
+  if (address && is_affordable) fd = start_connect(*address);
   if (!fd) {
     // What we can't afford is no fault of the endpoint's: its reputation must not pay for our descriptors.
-    const bool ours = !affordable || (address && (errno == EMFILE || errno == ENFILE || errno == ENOBUFS));
-    c.connect_timer = event_loop_.schedule_at(c.started_at, [this, ours, name = c.id] {
-      complete_exchange(*connections_.at(name),
-                        ours ? AttemptOutcome::client_error : AttemptOutcome::connect_failed, {}, false);
-    });
+    const bool is_our_fault =
+        !is_affordable || (address && (errno == EMFILE || errno == ENFILE || errno == ENOBUFS));
+    const AttemptOutcome outcome =
+        is_our_fault ? AttemptOutcome::client_error : AttemptOutcome::connect_failed;
+    connection.connect_timer = event_loop_.schedule_at(
+        connection.started_at_ms,
+        [this, outcome, id = connection.id] { complete_exchange(*connections_.at(id), outcome, {}, false); });
     return;
   }
   ++counters_.connections_opened;
+  set_connect_timeout(connection);
+  // The connection outlives its socket, and has another id with each exchange.
+  connection.socket = std::make_unique<TcpStream>(
+      event_loop_, descriptor_budget_, std::move(fd),
+      [this, owner = &connection](std::uint32_t events) { on_socket_event(owner->id, events); });
+}
+
+void UpstreamPool::set_connect_timeout(Connection& connection) {
   // A connect that hangs is no reason to let the time of its RPC pass: while less than half of that is over,
-  // another server may have it, or the client hear that it is to return.
-  constexpr double part = 0.4, least = 20;
-  const double usual = connect_timeout_.timeout_ms(),
-               most = std::max(part * (c.expires_at - c.started_at), least);
-  c.connect_timer = event_loop_.schedule_at(
-      c.started_at + std::min(usual, most), [this, name = c.id, slow = usual <= most] {
-        if (slow) connect_timeout_.on_connect_timed_out();  // else it says less of connects than of the RPC
-        fail_exchange(*connections_.at(name), AttemptOutcome::reset);
-      });
-  c.socket =
-      std::make_unique<TcpStream>(event_loop_, descriptor_budget_, std::move(fd),
-                                  [this, at_name = &c](std::uint32_t e) { on_socket_event(at_name->id, e); });
+  // another endpoint may have it, or the client hear that it is to return.
+  constexpr double max_part_of_exchange = 0.4;
+  constexpr double min_bound_ms = 20;
+  const double estimate_ms = connect_timeout_.timeout_ms();
+  const double exchange_ms = connection.expires_at_ms - connection.started_at_ms;
+  const double bound_ms = std::max(max_part_of_exchange * exchange_ms, min_bound_ms);
+  const bool is_slow_connect = estimate_ms <= bound_ms;  // else it says less of connects than of the RPC
+  connection.connect_timer =
+      event_loop_.schedule_at(connection.started_at_ms + std::min(estimate_ms, bound_ms),
+                              [this, id = connection.id, is_slow_connect] {
+                                if (is_slow_connect) connect_timeout_.on_connect_timed_out();
+                                fail_exchange(*connections_.at(id), AttemptOutcome::reset);
+                              });
 }
 
-void UpstreamPool::on_socket_event(ExchangeId which, std::uint32_t events) {
-  Connection& c = *connections_.at(which);
-  if (c.stage == Connection::Stage::idle) {
-    if (c.socket->has_unread_input()) last_extra_response_at_ = event_loop_.now();
-    close_connection(which);  // the endpoint closed it, or wrote what nobody asked for
-    return;
+void UpstreamPool::on_socket_event(ExchangeId id, std::uint32_t events) {
+  Connection& connection = *connections_.at(id);
+  if (connection.stage == Stage::idle) {
+    if (connection.socket->has_unread_input()) last_extra_response_at_ms_ = event_loop_.now();
+    return close_connection(id);  // the endpoint closed it, or wrote what nobody asked for
   }
-  if (c.stage == Connection::Stage::connecting) {
-    if (events & (EPOLLERR | EPOLLHUP) || c.socket->pending_error() != 0)
-      return fail_exchange(c, AttemptOutcome::reset);
-    if (!(events & EPOLLOUT)) return;
-    c.connect_timer.cancel();
-    connect_timeout_.on_connected(event_loop_.now() - c.started_at);
-    // The loop may come to this late: what is over by now must not be sent any more.
-    if (event_loop_.now() >= c.expires_at) return fail_exchange(c, AttemptOutcome::reset);
-    if (event_loop_.now() >= c.exchange.must_be_sent_by) return withdraw_exchange(c);
-    if (c.exchange.rebuild_request) c.output = c.exchange.rebuild_request(c.expires_at - event_loop_.now());
-    c.stage = Connection::Stage::writing_request;
+  if (connection.stage == Stage::connecting && !finish_connect(connection, events)) return;
+  if (connection.stage == Stage::writing_request) {
+    if (!connection.socket->write(connection.output)) return fail_exchange(connection, AttemptOutcome::reset);
+    if (connection.output.is_complete()) on_output_written(connection);
+    if (!connections_.count(id)) return;  // who gives more may have abandoned it
   }
-  if (c.stage == Connection::Stage::writing_request) {
-    if (!c.socket->write(c.output)) return fail_exchange(c, AttemptOutcome::reset);
-    if (c.output.is_complete()) on_output_written(c);
-    if (!connections_.count(which)) return;  // who gives more may have given it up
-  }
-  if (!c.reading_paused) read_response(c);
+  if (!connection.reading_paused) read_response(connection);
 }
 
-// All that was given is out: the answer is next, or more of the request.
-void UpstreamPool::on_output_written(Connection& c) {
-  if (!c.has_more_body) {
-    c.stage = Connection::Stage::awaiting_response;
-    c.send_deadline_timer.cancel();
-  } else {
-    set_progress_timeout(c);
-    c.exchange.on_ready_for_body();
+// False if the connection is not up, or its exchange is over.
+bool UpstreamPool::finish_connect(Connection& connection, std::uint32_t events) {
+  if (events & (EPOLLERR | EPOLLHUP) || connection.socket->pending_error() != 0) {
+    fail_exchange(connection, AttemptOutcome::reset);
+    return false;
   }
+  if (!(events & EPOLLOUT)) return false;
+  connection.connect_timer.cancel();
+  connect_timeout_.on_connected(event_loop_.now() - connection.started_at_ms);
+  // The loop may come to this late: what is over by now must not be sent any more.
+  if (event_loop_.now() >= connection.expires_at_ms) {
+    fail_exchange(connection, AttemptOutcome::reset);
+    return false;
+  }
+  if (event_loop_.now() >= connection.exchange.must_be_sent_by_ms) {
+    withdraw_exchange(connection);
+    return false;
+  }
+  if (connection.exchange.rebuild_request)
+    connection.output = connection.exchange.rebuild_request(connection.expires_at_ms - event_loop_.now());
+  connection.stage = Stage::writing_request;
+  return true;
 }
 
-void UpstreamPool::withdraw_exchange(Connection& c) {
-  complete_exchange(c, AttemptOutcome::withdrawn, {}, false);
-}
-
-// A transfer that goes on may take its time; one that stands still is over.
-void UpstreamPool::set_progress_timeout(Connection& c) {
-  constexpr double longest = 5000;  // ms; honest ends pause for less than 2 s
-  set_exchange_timeout(c, longest);
+// Only writes: a response, however quick, is read from the loop, since `on_complete` must not be called
+// before the caller has the exchange's id.
+void UpstreamPool::write_on_reused_connection(Connection& connection) {
+  connection.stage = Stage::writing_request;
+  if (!connection.socket->write(connection.output))
+    return schedule_failure(connection, connection.started_at_ms);
+  if (!connection.output.is_complete()) return;
+  if (connection.has_more_body)
+    connection.socket->requeue();
+  else
+    on_output_written(connection);
 }
 
-void UpstreamPool::set_exchange_timeout(Connection& c, double longest) {
-  c.expires_at = event_loop_.now() + longest;
-  c.timeout_timer = event_loop_.schedule_at(c.expires_at, [this, name = c.id] {
-    fail_exchange(*connections_.at(name), AttemptOutcome::timed_out);
-  });
+// All that was given is out: the response is next, or more of the request.
+void UpstreamPool::on_output_written(Connection& connection) {
+  if (connection.has_more_body) {
+    set_progress_timeout(connection);
+    return connection.exchange.on_ready_for_body();
+  }
+  connection.stage = Stage::awaiting_response;
+  connection.send_deadline_timer.cancel();
 }
 
-bool UpstreamPool::send_request_body(ExchangeId which, std::string bytes, bool last, double patience) {
-  const auto it = connections_.find(which);
+bool UpstreamPool::send_request_body(ExchangeId id, std::string bytes, bool last, double timeout_ms) {
+  const auto it = connections_.find(id);
   if (it == connections_.end()) return false;
-  Connection& c = *it->second;
-  c.output = {};
-  c.output.append_owned(std::move(bytes));
-  c.has_more_body = !last;
+  Connection& connection = *it->second;
+  connection.output = {};
+  connection.output.append_owned(std::move(bytes));
+  connection.has_more_body = !last;
   if (last) {
-    // The endpoint begins with the last byte: a slow client's upload must not pass for a slow server.
-    c.started_at = event_loop_.now();
-    set_exchange_timeout(c, patience);
+    // The endpoint begins with the last byte: a slow client's upload must not pass for a slow endpoint.
+    connection.started_at_ms = event_loop_.now();
+    set_exchange_timeout(connection, timeout_ms);
   } else {
-    set_progress_timeout(c);
+    set_progress_timeout(connection);
   }
-  if (!c.socket->write(c.output)) {
-    schedule_failure(c, event_loop_.now());
+  if (!connection.socket->write(connection.output)) {
+    schedule_failure(connection, event_loop_.now());
     return false;
   }
-  if (!c.output.is_complete()) return false;
-  if (last) on_output_written(c);
+  if (!connection.output.is_complete()) return false;
+  if (last) on_output_written(connection);
   return !last;
 }
 
-void UpstreamPool::resume_response(ExchangeId which) {
-  const auto it = connections_.find(which);
+void UpstreamPool::resume_response(ExchangeId id) {
+  const auto it = connections_.find(id);
   if (it == connections_.end() || !std::exchange(it->second->reading_paused, false)) return;
   set_progress_timeout(*it->second);
   it->second->socket->requeue();
 }
 
-void UpstreamPool::read_response(Connection& c) {
-  constexpr int turns = 16;  // then others get theirs: one long answer must not hold up all
-  if (c.streaming_response && !forward_response_body(c, AttemptOutcome::error))
-    return;  // what came before it was asked to go on
-  for (int i = 0; i < turns; ++i) {
-    std::size_t n = 0;
-    const TcpStream::ReadStatus got = c.socket->read(c.parser.writable_buffer(), n);
-    if (got == TcpStream::ReadStatus::would_block) return;
-    if (got == TcpStream::ReadStatus::data) c.parser.commit(n);
-    if (got == TcpStream::ReadStatus::end_of_stream) c.parser.on_end_of_stream();
-    const bool ended = got == TcpStream::ReadStatus::end_of_stream || got == TcpStream::ReadStatus::error;
-    if (c.parser.state() == http::HttpParser::ParseState::head_ready) {
-      const http::Message answer = c.parser.take_message();
-      c.response_started_at = event_loop_.now();
-      if (!c.exchange.on_response_started(answer)) {
-        http::Message head = answer;
-        head.body_range.length = 0;
-        head.is_partial = false;
-        return complete_exchange(c, AttemptOutcome::ok, std::move(head), false);
-      }
-      c.streaming_response = c.reading_paused = true;
-      c.timeout_timer.cancel();
-      if (ended) c.socket->requeue();  // seen once more
-      return;
-    }
-    if (c.streaming_response) {
-      if (!forward_response_body(c, ended ? AttemptOutcome::reset : AttemptOutcome::error)) return;
-      if (ended) return fail_exchange(c, AttemptOutcome::reset);
-      continue;
-    }
-    if (c.parser.state() == http::HttpParser::ParseState::complete) {
-      http::Message answer = c.parser.take_message();
-      if (c.parser.has_partial_input()) last_extra_response_at_ = event_loop_.now();
-      // More behind, or a report that can't be read: this answer is good, the next one here might not be.
-      const bool keep = !ended && answer.keep_alive && c.stage == Connection::Stage::awaiting_response &&
-                        !c.parser.has_partial_input() && has_valid_load_report(answer);
-      return complete_exchange(c, AttemptOutcome::ok, std::move(answer), keep);
-    }
-    if (ended) return fail_exchange(c, AttemptOutcome::reset);
-    if (c.parser.state() == http::HttpParser::ParseState::error)
-      return fail_exchange(c, AttemptOutcome::error);
+void UpstreamPool::read_response(Connection& connection) {
+  constexpr int max_reads = 16;  // then others have their turn: one long response must not hold up all
+  // What came before reading was resumed.
+  if (connection.streaming_response && !forward_response_body(connection, AttemptOutcome::error)) return;
+  for (int i = 0; i < max_reads; ++i) {
+    std::size_t count = 0;
+    const ReadStatus status = connection.socket->read(connection.parser.writable_buffer(), count);
+    if (status == ReadStatus::would_block) return;
+    if (status == ReadStatus::data) connection.parser.commit(count);
+    if (status == ReadStatus::end_of_stream) connection.parser.on_end_of_stream();
+    if (!process_response(connection, status != ReadStatus::data)) return;
+  }
+  connection.socket->requeue();
+}
+
+// False if nothing more is to be read for now, or the exchange is over.
+bool UpstreamPool::process_response(Connection& connection, bool stream_ended) {
+  if (connection.parser.state() == ParseState::head_ready) {
+    start_streaming_response(connection, stream_ended);
+    return false;
+  }
+  if (connection.streaming_response) {
+    const AttemptOutcome outcome_if_broken = stream_ended ? AttemptOutcome::reset : AttemptOutcome::error;
+    if (!forward_response_body(connection, outcome_if_broken)) return false;
+    if (stream_ended) fail_exchange(connection, AttemptOutcome::reset);
+    return !stream_ended;
+  }
+  if (connection.parser.state() == ParseState::complete) {
+    finish_response(connection, stream_ended);
+    return false;
+  }
+  const bool is_malformed = connection.parser.state() == ParseState::error;
+  if (stream_ended)
+    fail_exchange(connection, AttemptOutcome::reset);
+  else if (is_malformed)
+    fail_exchange(connection, AttemptOutcome::error);
+  return !stream_ended && !is_malformed;
+}
+
+void UpstreamPool::start_streaming_response(Connection& connection, bool stream_ended) {
+  const http::Message response = connection.parser.take_message();
+  connection.response_started_at_ms = event_loop_.now();
+  if (!connection.exchange.on_response_started(response)) {
+    http::Message head = response;
+    head.body_range.length = 0;
+    head.is_partial = false;
+    return complete_exchange(connection, AttemptOutcome::ok, std::move(head), false);
   }
-  c.socket->requeue();
+  connection.streaming_response = true;
+  connection.reading_paused = true;
+  connection.timeout_timer.cancel();
+  if (stream_ended) connection.socket->requeue();  // the end is seen once more
 }
 
-// False if the connection is to be left alone for now, or the answer is over.
-bool UpstreamPool::forward_response_body(Connection& c, AttemptOutcome if_broken) {
+// False if the connection is to be left alone for now, or the response is over.
+bool UpstreamPool::forward_response_body(Connection& connection, AttemptOutcome outcome_if_broken) {
+  http::HttpParser& parser = connection.parser;
   for (;;) {
-    const bool last = c.parser.state() == http::HttpParser::ParseState::body_complete;
-    if (c.parser.state() == http::HttpParser::ParseState::error) return fail_exchange(c, if_broken), false;
-    if (c.parser.body_chunk().empty() && !last) return true;
-    set_progress_timeout(c);
-    const ExchangeId name = c.id;
-    const bool goes_on = c.exchange.on_body_piece(c.parser.body_chunk(), last);
-    if (!connections_.count(name)) return false;  // who takes it may have given it up
+    if (parser.state() == ParseState::error) {
+      fail_exchange(connection, outcome_if_broken);
+      return false;
+    }
+    const bool last = parser.state() == ParseState::body_complete;
+    if (parser.body_chunk().empty() && !last) return true;
+    set_progress_timeout(connection);
+    const ExchangeId id = connection.id;
+    const bool wants_more = connection.exchange.on_body_piece(parser.body_chunk(), last);
+    if (!connections_.count(id)) return false;  // who takes it may have abandoned it
     if (last) {
-      const bool keep = c.stage == Connection::Stage::awaiting_response && c.parser.keep_alive();
-      c.parser.start_next_message();
-      return complete_exchange(c, AttemptOutcome::ok, {}, keep && !c.parser.has_partial_input()), false;
+      const bool may_reuse = connection.stage == Stage::awaiting_response && parser.keep_alive();
+      parser.start_next_message();
+      complete_exchange(connection, AttemptOutcome::ok, {}, may_reuse && !parser.has_partial_input());
+      return false;
     }
-    c.parser.consume_body_chunk();
-    if (goes_on) continue;
-    c.reading_paused = true;
-    c.timeout_timer.cancel();
+    parser.consume_body_chunk();
+    if (wants_more) continue;
+    connection.reading_paused = true;
+    connection.timeout_timer.cancel();
     return false;
   }
 }
 
+void UpstreamPool::finish_response(Connection& connection, bool stream_ended) {
+  http::Message response = connection.parser.take_message();
+  const bool has_extra_input = connection.parser.has_partial_input();
+  if (has_extra_input) last_extra_response_at_ms_ = event_loop_.now();
+  // More behind, or a load report that can't be read: this response is good, the next one here might not be.
+  const bool may_reuse = !stream_ended && response.keep_alive &&
+                         connection.stage == Stage::awaiting_response && !has_extra_input &&
+                         has_valid_load_report(response);
+  complete_exchange(connection, AttemptOutcome::ok, std::move(response), may_reuse);
+}
+
+void UpstreamPool::set_exchange_timeout(Connection& connection, double timeout_ms) {
+  connection.expires_at_ms = event_loop_.now() + timeout_ms;
+  connection.timeout_timer = event_loop_.schedule_at(connection.expires_at_ms, [this, id = connection.id] {
+    fail_exchange(*connections_.at(id), AttemptOutcome::timed_out);
+  });
+}
+
+// A transfer that goes on may take its time; one that stands still is over.
+void UpstreamPool::set_progress_timeout(Connection& connection) {
+  constexpr double longest_pause_ms = 5000;  // honest ends pause for less than 2 s
+  set_exchange_timeout(connection, longest_pause_ms);
+}
+
+void UpstreamPool::schedule_failure(Connection& connection, double when_ms) {
+  connection.connect_timer = event_loop_.schedule_at(
+      when_ms, [this, id = connection.id] { fail_exchange(*connections_.at(id), AttemptOutcome::reset); });
+}
+
 // Before its last byte was written a request never ran; after that it may have.
-void UpstreamPool::fail_exchange(Connection& c, AttemptOutcome once_written) {
-  complete_exchange(
-      c, c.stage == Connection::Stage::awaiting_response ? once_written : AttemptOutcome::connect_failed, {},
-      false);
+void UpstreamPool::fail_exchange(Connection& connection, AttemptOutcome outcome_if_sent) {
+  const bool is_sent = connection.stage == Stage::awaiting_response;
+  complete_exchange(connection, is_sent ? outcome_if_sent : AttemptOutcome::connect_failed, {}, false);
 }
 
-void UpstreamPool::schedule_failure(Connection& c, double when) {
-  c.connect_timer = event_loop_.schedule_at(
-      when, [this, name = c.id] { fail_exchange(*connections_.at(name), AttemptOutcome::reset); });
+void UpstreamPool::withdraw_exchange(Connection& connection) {
+  complete_exchange(connection, AttemptOutcome::withdrawn, {}, false);
 }
 
-void UpstreamPool::complete_exchange(Connection& c, AttemptOutcome how, http::Message answer, bool keep) {
-  const double took = (c.response_started_at > 0 ? c.response_started_at : event_loop_.now()) - c.started_at;
-  const CompletionHandler then = std::move(c.exchange.on_complete);
-  c.exchange = {};
-  // An endpoint that has gone, moved or was started anew meanwhile: its id, or the next one's at its address,
-  // must not get this.
-  if (keep && is_endpoint_current(c))
-    keep_idle(c);
+void UpstreamPool::complete_exchange(Connection& connection, AttemptOutcome outcome, http::Message response,
+                                     bool may_reuse) {
+  const double ended_at_ms =
+      connection.response_started_at_ms > 0 ? connection.response_started_at_ms : event_loop_.now();
+  const double duration_ms = ended_at_ms - connection.started_at_ms;
+  const auto on_complete = std::move(connection.exchange.on_complete);
+  connection.exchange = {};
+  // An endpoint that has gone, moved or restarted meanwhile: its id, or the next one's at its address, must
+  // not get this connection.
+  if (may_reuse && is_endpoint_current(connection))
+    keep_idle(connection);
   else
-    close_connection(c.id);
-  then({how, took, std::move(answer)});
-}
-
-void UpstreamPool::keep_idle(Connection& c) {
-  // Well before the endpoint does: what crosses its closing is a reset. Nine tenths leave too little where a
-  // process waits for its core.
-  constexpr double part = 0.75;
-  const ExchangeId name = c.id;
-  c.stage = Connection::Stage::idle;
-  c.output = {};
-  c.timeout_timer.cancel();
-  c.send_deadline_timer.cancel();
-  c.idle_since = event_loop_.now();
-  c.retirement_timer = event_loop_.schedule_at(c.idle_since + part * config_.idle_timeout_ms, [this, name] {
-    ++counters_.connections_retired;
-    close_connection(name);
-  });
-  std::vector<ExchangeId>& here = endpoints_.at(c.server).idle_connections;
-  here.push_back(name);
-  on_idle_count_changed_(c.server, here.size());
-  idle_by_last_use_.insert({c.idle_since, name});
-}
-
-void UpstreamPool::close_connection(ExchangeId which) {
-  const auto it = connections_.find(which);
-  Connection& c = *it->second;
-  if (c.stage == Connection::Stage::idle) {
-    std::vector<ExchangeId>& here = endpoints_.at(c.server).idle_connections;
-    std::erase(here, which);
-    on_idle_count_changed_(c.server, here.size());
-    idle_by_last_use_.erase({c.idle_since, which});
-  }
+    close_connection(connection.id);
+  on_complete({.outcome = outcome, .duration_ms = duration_ms, .response = std::move(response)});
+}
+
+// Whether the process that the connection leads to may still be used.
+bool UpstreamPool::is_endpoint_current(const Connection& connection) const {
+  const auto it = endpoints_.find(connection.endpoint_id);
+  return it != endpoints_.end() && it->second.accepts_generation(connection.process_generation);
+}
+
+void UpstreamPool::close_connection(ExchangeId id) {
+  const auto it = connections_.find(id);
+  const Connection& connection = *it->second;
+  if (connection.stage == Stage::idle) remove_from_idle(connection);
   connections_.erase(it);
 }
 
-void UpstreamPool::abandon_exchange(ExchangeId which) {
-  if (connections_.count(which)) close_connection(which);
+void UpstreamPool::abandon_exchange(ExchangeId id) {
+  if (connections_.count(id)) close_connection(id);
 }
 
-bool UpstreamPool::is_unsent(ExchangeId which) const {
-  const auto it = connections_.find(which);
+bool UpstreamPool::is_unsent(ExchangeId id) const {
+  const auto it = connections_.find(id);
   return it != connections_.end() && it->second->is_unsent();
 }
 
