Emulator: files, namespace and tests bear the names of what they hold

The files still had the names of the former types (agenda, brain, world), and the namespace was lab. They are now event_queue, balancing_policy, simulation and so on, the namespace is emulator, limits is fleet_limiter.

--- a/src/emulator/brain.cpp
+++ b/src/emulator/balancing_policy.cpp
@@ -1,4 +1,4 @@
-#include "emulator/brain.h"
+#include "emulator/balancing_policy.h"
 
 #include <algorithm>
 #include <array>
@@ -8,9 +8,9 @@
 #include <set>
 #include <utility>
 
-#include "emulator/chance.h"
+#include "emulator/random_stream.h"
 
-namespace indigorill::lab {
+namespace indigorill::emulator {
 namespace {
 
 class LoadBalancerPolicy : public BalancingPolicy {
@@ -246,4 +246,4 @@
   return std::make_unique<BaselinePolicy>(p, where, seed, now, std::move(truth));
 }
 
-}  // namespace indigorill::lab
+}  // namespace indigorill::emulator
--- a/src/emulator/brain.h
+++ b/src/emulator/balancing_policy.h
@@ -10,7 +10,7 @@
 
 #include "indigorill/load_balancer.h"
 
-namespace indigorill::lab {
+namespace indigorill::emulator {
 
 class BalancingPolicy {
  public:
@@ -40,4 +40,4 @@
 std::unique_ptr<BalancingPolicy> make_policy(PolicyKind p, const LoadBalancerConfig& where,
                                              std::uint64_t seed, double now, ResponseTimeOracle truth);
 
-}  // namespace indigorill::lab
+}  // namespace indigorill::emulator
--- a/src/emulator/cli.cpp
+++ b/src/emulator/command_line.cpp
@@ -1,13 +1,13 @@
-#include "emulator/cli.h"
+#include "emulator/command_line.h"
 
 #include <CLI/CLI.hpp>
 #include <fstream>
 #include <thread>
 
-#include "emulator/gathering.h"
+#include "emulator/membership_experiment.h"
 #include "emulator/report.h"
 
-namespace indigorill::lab {
+namespace indigorill::emulator {
 namespace {
 
 struct CommandOptions {
@@ -105,7 +105,7 @@
 }  // namespace
 
 int run_command(int argc, const char* const* argv, std::ostream& out, std::ostream& err) {
-  CLI::App app("Plays scenarios against the balancer in an emulated fleet.", "indigorill-lab");
+  CLI::App app("Plays scenarios against the balancer in an emulated fleet.", "indigorill-emulator");
   app.require_subcommand(1);
   CommandOptions w;
   const auto common = [&](CLI::App* c) {
@@ -178,9 +178,9 @@
     err << e.what() << '\n';
     return 2;
   } catch (const std::exception& e) {
-    err << "indigorill-lab: " << e.what() << '\n';
+    err << "indigorill-emulator: " << e.what() << '\n';
     return 1;
   }
 }
 
-}  // namespace indigorill::lab
+}  // namespace indigorill::emulator
--- a/src/emulator/station.cpp
+++ b/src/emulator/emulated_server.cpp
@@ -1,8 +1,8 @@
-#include "emulator/station.h"
+#include "emulator/emulated_server.h"
 
 #include <algorithm>
 
-namespace indigorill::lab {
+namespace indigorill::emulator {
 
 EmulatedServer::EmulatedServer(EventQueue& in, Config is, std::uint64_t seed, Callbacks to_tell)
     : events_(in), config_(is), random_(seed), callbacks_(std::move(to_tell)), error_rate_(is.error_rate) {}
@@ -115,4 +115,4 @@
   }
 }
 
-}  // namespace indigorill::lab
+}  // namespace indigorill::emulator
--- a/src/emulator/station.h
+++ b/src/emulator/emulated_server.h
@@ -7,10 +7,10 @@
 #include <functional>
 #include <vector>
 
-#include "emulator/agenda.h"
-#include "emulator/chance.h"
+#include "emulator/event_queue.h"
+#include "emulator/random_stream.h"
 
-namespace indigorill::lab {
+namespace indigorill::emulator {
 
 class EmulatedServer {
  public:
@@ -74,4 +74,4 @@
   double recent_work_sum_ = 0;
 };
 
-}  // namespace indigorill::lab
+}  // namespace indigorill::emulator
--- a/src/emulator/agenda.h
+++ b/src/emulator/event_queue.h
@@ -8,7 +8,7 @@
 #include <functional>
 #include <vector>
 
-namespace indigorill::lab {
+namespace indigorill::emulator {
 
 enum class EventPriority : std::uint8_t { fault, server, network, discovery, timer, client };
 
@@ -58,4 +58,4 @@
   std::vector<Event> heap_;
 };
 
-}  // namespace indigorill::lab
+}  // namespace indigorill::emulator
--- a/src/emulator/experiment.cpp
+++ b/src/emulator/experiment.cpp
@@ -9,7 +9,7 @@
 #include <optional>
 #include <thread>
 
-namespace indigorill::lab {
+namespace indigorill::emulator {
 
 std::vector<RunMetrics> run_all(const std::vector<RunRequest>& plan, unsigned threads) {
   std::vector<RunMetrics> all(plan.size());
@@ -348,4 +348,4 @@
 
 WorstCase find_worst_case(const WorstCaseSearch& h) { return WorstCaseFinder(h).run(); }
 
-}  // namespace indigorill::lab
+}  // namespace indigorill::emulator
--- a/src/emulator/experiment.h
+++ b/src/emulator/experiment.h
@@ -7,9 +7,9 @@
 #include <string>
 #include <vector>
 
-#include "emulator/world.h"
+#include "emulator/simulation.h"
 
-namespace indigorill::lab {
+namespace indigorill::emulator {
 
 struct RunRequest {
   Scenario scenario;
@@ -72,4 +72,4 @@
 };
 WorstCase find_worst_case(const WorstCaseSearch& h);
 
-}  // namespace indigorill::lab
+}  // namespace indigorill::emulator
--- a/src/emulator/main.cpp
+++ b/src/emulator/main.cpp
@@ -1,5 +1,7 @@
 #include <iostream>
 
-#include "emulator/cli.h"
+#include "emulator/command_line.h"
 
-int main(int argc, char** argv) { return indigorill::lab::run_command(argc, argv, std::cout, std::cerr); }
+int main(int argc, char** argv) {
+  return indigorill::emulator::run_command(argc, argv, std::cout, std::cerr);
+}
--- a/src/emulator/gathering.cpp
+++ b/src/emulator/membership_experiment.cpp
@@ -1,4 +1,4 @@
-#include "emulator/gathering.h"
+#include "emulator/membership_experiment.h"
 
 #include <algorithm>
 #include <functional>
@@ -7,10 +7,10 @@
 #include <memory>
 
 #include "cluster/envelope.h"
-#include "emulator/agenda.h"
-#include "emulator/chance.h"
+#include "emulator/event_queue.h"
+#include "emulator/random_stream.h"
 
-namespace indigorill::lab {
+namespace indigorill::emulator {
 namespace {
 
 class MembershipSimulation {
@@ -206,4 +206,4 @@
   out << "times in seconds, -1: not within the patience; datagrams and bytes a second, sent by each\n";
 }
 
-}  // namespace indigorill::lab
+}  // namespace indigorill::emulator
--- a/src/emulator/gathering.h
+++ b/src/emulator/membership_experiment.h
@@ -7,7 +7,7 @@
 #include <string>
 #include <vector>
 
-namespace indigorill::lab {
+namespace indigorill::emulator {
 
 struct MembershipExperiment {
   int sidecars = 10, seeds = 3;
@@ -37,4 +37,4 @@
 void print_membership_results(std::ostream& out,
                               const std::vector<std::pair<MembershipExperiment, MembershipResult>>& all);
 
-}  // namespace indigorill::lab
+}  // namespace indigorill::emulator
--- a/src/emulator/chance.h
+++ b/src/emulator/random_stream.h
@@ -6,7 +6,7 @@
 #include <cstdint>
 #include <random>
 
-namespace indigorill::lab {
+namespace indigorill::emulator {
 
 enum class RandomPurpose : std::uint64_t {
   arrivals,
@@ -71,4 +71,4 @@
   std::mt19937_64 engine_;
 };
 
-}  // namespace indigorill::lab
+}  // namespace indigorill::emulator
--- a/src/emulator/report.cpp
+++ b/src/emulator/report.cpp
@@ -6,7 +6,7 @@
 #include <set>
 #include <sstream>
 
-namespace indigorill::lab {
+namespace indigorill::emulator {
 namespace {
 
 using Json = nlohmann::ordered_json;
@@ -244,4 +244,4 @@
   output_ << line.dump() << '\n';
 }
 
-}  // namespace indigorill::lab
+}  // namespace indigorill::emulator
--- a/src/emulator/report.h
+++ b/src/emulator/report.h
@@ -8,7 +8,7 @@
 
 #include "emulator/experiment.h"
 
-namespace indigorill::lab {
+namespace indigorill::emulator {
 
 void print_table(std::ostream& out, const std::vector<ExperimentPoint>& points);
 // Each policy beside the first, seed by seed.
@@ -31,4 +31,4 @@
   std::ostream& output_;
 };
 
-}  // namespace indigorill::lab
+}  // namespace indigorill::emulator
--- a/src/emulator/audit.cpp
+++ b/src/emulator/rule_checker.cpp
@@ -1,9 +1,9 @@
-#include "emulator/audit.h"
+#include "emulator/rule_checker.h"
 
 #include <algorithm>
 #include <sstream>
 
-namespace indigorill::lab {
+namespace indigorill::emulator {
 
 std::string describe(const RuleViolation& b) {
   std::ostringstream s;
@@ -250,4 +250,4 @@
   }
 }
 
-}  // namespace indigorill::lab
+}  // namespace indigorill::emulator
--- a/src/emulator/audit.h
+++ b/src/emulator/rule_checker.h
@@ -11,9 +11,9 @@
 #include <utility>
 #include <vector>
 
-#include "emulator/record.h"
+#include "emulator/trace.h"
 
-namespace indigorill::lab {
+namespace indigorill::emulator {
 
 struct RuleViolation {
   int rule;  // 1 to 4
@@ -96,4 +96,4 @@
   double peak_slow_start_overload_ = 0;
 };
 
-}  // namespace indigorill::lab
+}  // namespace indigorill::emulator
--- a/src/emulator/figures.cpp
+++ b/src/emulator/run_metrics.cpp
@@ -1,10 +1,10 @@
-#include "emulator/figures.h"
+#include "emulator/run_metrics.h"
 
 #include <boost/math/distributions/students_t.hpp>
 #include <cmath>
 #include <numeric>
 
-namespace indigorill::lab {
+namespace indigorill::emulator {
 namespace {
 
 constexpr double shortest_bin_ms = 0.01, longest_bin_ms = 100000;  // ms
@@ -57,4 +57,4 @@
   return s;
 }
 
-}  // namespace indigorill::lab
+}  // namespace indigorill::emulator
--- a/src/emulator/figures.h
+++ b/src/emulator/run_metrics.h
@@ -6,9 +6,9 @@
 #include <string>
 #include <vector>
 
-#include "emulator/audit.h"
+#include "emulator/rule_checker.h"
 
-namespace indigorill::lab {
+namespace indigorill::emulator {
 
 // Times in ms, in bins that are 0.7 % wide.
 class LatencyHistogram {
@@ -69,4 +69,4 @@
 };
 ConfidenceInterval confidence_interval(const std::vector<double>& values);
 
-}  // namespace indigorill::lab
+}  // namespace indigorill::emulator
--- a/src/emulator/scenario.cpp
+++ b/src/emulator/scenario.cpp
@@ -8,7 +8,7 @@
 #include <set>
 #include <sstream>
 
-namespace indigorill::lab {
+namespace indigorill::emulator {
 namespace {
 
 constexpr double max_value = 1e9;
@@ -372,4 +372,4 @@
   return all;
 }
 
-}  // namespace indigorill::lab
+}  // namespace indigorill::emulator
--- a/src/emulator/scenario.h
+++ b/src/emulator/scenario.h
@@ -10,11 +10,11 @@
 #include <vector>
 
 #include "config/toml_section.h"
-#include "emulator/chance.h"
+#include "emulator/random_stream.h"
 #include "indigorill/load_balancer.h"
-#include "limits/limits.h"
+#include "limits/fleet_limiter.h"
 
-namespace indigorill::lab {
+namespace indigorill::emulator {
 
 struct ServerGroup {
   std::string name;
@@ -149,4 +149,4 @@
 };
 std::vector<SearchRange> decode_search_ranges(const toml::table& from);
 
-}  // namespace indigorill::lab
+}  // namespace indigorill::emulator
--- a/src/emulator/world.cpp
+++ b/src/emulator/simulation.cpp
@@ -1,10 +1,10 @@
-#include "emulator/world.h"
+#include "emulator/simulation.h"
 
 #include <algorithm>
 #include <charconv>
 #include <cmath>
 
-namespace indigorill::lab {
+namespace indigorill::emulator {
 namespace {
 
 constexpr double ms_per_s = 1000;
@@ -1139,4 +1139,4 @@
   return f;
 }
 
-}  // namespace indigorill::lab
+}  // namespace indigorill::emulator
--- a/src/emulator/world.h
+++ b/src/emulator/simulation.h
@@ -8,15 +8,15 @@
 #include <unordered_map>
 #include <vector>
 
-#include "emulator/agenda.h"
-#include "emulator/brain.h"
-#include "emulator/figures.h"
-#include "emulator/record.h"
+#include "emulator/balancing_policy.h"
+#include "emulator/emulated_server.h"
+#include "emulator/event_queue.h"
+#include "emulator/run_metrics.h"
 #include "emulator/scenario.h"
-#include "emulator/station.h"
+#include "emulator/trace.h"
 #include "proxy/connect_timeout_estimator.h"
 
-namespace indigorill::lab {
+namespace indigorill::emulator {
 
 class Simulation {
  public:
@@ -181,4 +181,4 @@
 RunMetrics run_simulation(const Scenario& s, PolicyKind by, std::uint64_t seed,
                           TraceListener* more = nullptr);
 
-}  // namespace indigorill::lab
+}  // namespace indigorill::emulator
--- a/src/emulator/record.h
+++ b/src/emulator/trace.h
@@ -6,7 +6,7 @@
 
 #include "indigorill/load_balancer.h"
 
-namespace indigorill::lab {
+namespace indigorill::emulator {
 
 enum class RpcAnswer : std::uint8_t { ok, rejected, failed };
 
@@ -48,4 +48,4 @@
   virtual void on_event(const TraceEvent& e) = 0;
 };
 
-}  // namespace indigorill::lab
+}  // namespace indigorill::emulator
--- a/src/limits/limits.cpp
+++ b/src/limits/fleet_limiter.cpp
@@ -1,4 +1,4 @@
-#include "limits/limits.h"
+#include "limits/fleet_limiter.h"
 
 #include <algorithm>
 #include <boost/math/special_functions/gamma.hpp>
--- a/src/load/clients.cpp
+++ b/src/load/clients.cpp
@@ -7,7 +7,7 @@
 namespace indigorill::loading {
 namespace {
 
-using lab::EventPriority;
+using emulator::EventPriority;
 constexpr double ms_per_s = 1000;
 
 }  // namespace
@@ -26,7 +26,7 @@
 };
 
 LoadClients::LoadClients(EventLoop& in, FileDescriptorBudget& budget, WallClockScheduler& with,
-                         const lab::Scenario& s, std::uint64_t number, std::uint64_t bound,
+                         const emulator::Scenario& s, std::uint64_t number, std::uint64_t bound,
                          std::vector<sockaddr_in> where)
     : loop_(in),
       descriptors_(budget),
@@ -34,20 +34,21 @@
       scenario_(s),
       seed_(number),
       max_requests_(bound),
-      client_random_(lab::derive_seed(number, lab::RandomPurpose::clients)) {
+      client_random_(emulator::derive_seed(number, emulator::RandomPurpose::clients)) {
   double all = 0;
   for (std::size_t i = 0; i < where.size(); ++i) {
     const double weight = std::pow(static_cast<double>(i) + 1, -scenario_.load.zipf_exponent);
-    sidecars_.push_back({where[i],
-                         weight,
-                         lab::RandomStream(lab::derive_seed(seed_, lab::RandomPurpose::arrivals, i)),
-                         true,
-                         {}});
+    sidecars_.push_back(
+        {where[i],
+         weight,
+         emulator::RandomStream(emulator::derive_seed(seed_, emulator::RandomPurpose::arrivals, i)),
+         true,
+         {}});
     all += weight;
   }
   for (Sidecar& c : sidecars_) c.arrival_share /= all;
-  lab::RandomStream shares(lab::derive_seed(seed_, lab::RandomPurpose::arrival_pattern));
-  arrival_pattern_ = lab::make_arrival_pattern(scenario_, shares);
+  emulator::RandomStream shares(emulator::derive_seed(seed_, emulator::RandomPurpose::arrival_pattern));
+  arrival_pattern_ = emulator::make_arrival_pattern(scenario_, shares);
 }
 
 LoadClients::~LoadClients() = default;
@@ -63,7 +64,7 @@
   if (when >= scenario_.duration_ms) return;
   // The agenda's clock stands at the intended time, however late the process gets to it.
   clock_.schedule(when, EventPriority::client, [this, s, when] {
-    if (sidecars_[s].arrival_random.bernoulli(lab::arrival_rate(scenario_, arrival_pattern_, when) *
+    if (sidecars_[s].arrival_random.bernoulli(emulator::arrival_rate(scenario_, arrival_pattern_, when) *
                                               rate_factor_ / arrival_pattern_.peak_rate))
       on_arrival(s, when);
     schedule_next_arrival(s);
@@ -72,7 +73,7 @@
 
 void LoadClients::on_arrival(std::size_t s, double meant) {
   Sidecar& c = sidecars_[s];
-  const auto [method, work] = lab::sample_rpc(scenario_, c.arrival_random);
+  const auto [method, work] = emulator::sample_rpc(scenario_, c.arrival_random);
   if (!c.running) return;
   if (metrics_.requests >= max_requests_) {
     ++metrics_.skipped;
--- a/src/load/clients.h
+++ b/src/load/clients.h
@@ -9,7 +9,7 @@
 #include <unordered_map>
 #include <vector>
 
-#include "emulator/figures.h"
+#include "emulator/run_metrics.h"
 #include "emulator/scenario.h"
 #include "event/socket.h"
 #include "http/http_parser.h"
@@ -21,8 +21,8 @@
   std::uint64_t requests = 0, sent = 0, ok = 0, late = 0, rejected = 0, failed = 0, unanswered = 0, lost = 0;
   std::uint64_t skipped = 0;  // more than were allowed, or no descriptor was to be had
   double offered_utility = 0, gained_utility = 0;
-  lab::LatencyHistogram latency;                  // from the intended sending
-  lab::LatencyHistogram send_delay;               // from the intended to the true sending
+  emulator::LatencyHistogram latency;             // from the intended sending
+  emulator::LatencyHistogram send_delay;          // from the intended to the true sending
   std::set<std::string> rejected_non_idempotent;  // non-idempotent ones that were pushed back
   std::uint64_t open() const { return requests - ok - late - rejected - failed - unanswered - lost; }
   double utility() const { return offered_utility > 0 ? gained_utility / offered_utility : 0; }
@@ -31,7 +31,7 @@
 class LoadClients {
  public:
   LoadClients(EventLoop& in, FileDescriptorBudget& budget, WallClockScheduler& clock,
-              const lab::Scenario& plays, std::uint64_t seed, std::uint64_t most,
+              const emulator::Scenario& plays, std::uint64_t seed, std::uint64_t most,
               std::vector<sockaddr_in> sidecars);
   ~LoadClients();
 
@@ -68,18 +68,18 @@
   EventLoop& loop_;
   FileDescriptorBudget& descriptors_;
   WallClockScheduler& clock_;
-  const lab::Scenario scenario_;
+  const emulator::Scenario scenario_;
   std::uint64_t seed_, max_requests_;
-  lab::RandomStream client_random_;
+  emulator::RandomStream client_random_;
   struct Sidecar {
     sockaddr_in address;
     double arrival_share;
-    lab::RandomStream arrival_random;
+    emulator::RandomStream arrival_random;
     bool running = true;
     std::vector<std::uint64_t> idle_connections;
   };
   std::vector<Sidecar> sidecars_;
-  lab::ArrivalPattern arrival_pattern_;
+  emulator::ArrivalPattern arrival_pattern_;
   double rate_factor_ = 1;
   std::uint64_t last_connection_id_ = 0, last_request_id_ = 0, last_rpc_id_ = 0;
   std::unordered_map<std::uint64_t, std::unique_ptr<Connection>> connections_;
--- a/src/load/clockwork.h
+++ b/src/load/clockwork.h
@@ -4,7 +4,7 @@
 #include <cmath>
 #include <utility>
 
-#include "emulator/agenda.h"
+#include "emulator/event_queue.h"
 #include "event/event_loop.h"
 
 namespace indigorill::loading {
@@ -30,8 +30,8 @@
     running_events_ = false;
     arm_timer();
   }
-  lab::EventQueue& queue() { return events_; }
-  void schedule(double when, lab::EventPriority of, lab::EventQueue::Callback what) {
+  emulator::EventQueue& queue() { return events_; }
+  void schedule(double when, emulator::EventPriority of, emulator::EventQueue::Callback what) {
     events_.schedule(when, of, std::move(what));
     if (started_ && !running_events_) arm_timer();
   }
@@ -43,7 +43,7 @@
   }
 
   EventLoop& loop_;
-  lab::EventQueue events_;
+  emulator::EventQueue events_;
   double started_at_ms_ = 0;
   bool started_ = false, running_events_ = false;
   EventLoop::Timer timer_;
--- a/src/load/fleet.cpp
+++ b/src/load/fleet.cpp
@@ -8,9 +8,9 @@
 namespace indigorill::loading {
 namespace {
 
-using lab::EmulatedServer;
-using lab::EventPriority;
-using lab::Fault;
+using emulator::EmulatedServer;
+using emulator::EventPriority;
+using emulator::Fault;
 
 std::string server_name(std::size_t server) { return std::string("s").append(std::to_string(server)); }
 
@@ -42,7 +42,7 @@
   return base == 0 ? 0 : static_cast<std::uint16_t>(base + which);
 }
 
-std::vector<std::string> find_unsupported_features(const lab::Scenario& s) {
+std::vector<std::string> find_unsupported_features(const emulator::Scenario& s) {
   std::vector<std::string> all;
   if (s.network.loss > 0) all.push_back("net.loss can't be played on loopback");
   for (const Fault& t : s.faults)
@@ -51,19 +51,19 @@
 }
 
 FakeFleet::FakeFleet(EventLoop& in, FileDescriptorBudget& count, WallClockScheduler& with,
-                     const lab::Scenario& s, std::uint64_t number, std::uint16_t first_port)
+                     const emulator::Scenario& s, std::uint64_t number, std::uint16_t first_port)
     : loop_(in),
       budget_(count),
       clock_(with),
       scenario_(s),
       seed_(number),
       base_port_(first_port),
-      discovery_random_(lab::derive_seed(number, lab::RandomPurpose::discovery)) {
-  lab::RandomStream speeds(lab::derive_seed(seed_, lab::RandomPurpose::servers));
-  for (const lab::ServerGroup& k : scenario_.servers)
+      discovery_random_(emulator::derive_seed(number, emulator::RandomPurpose::discovery)) {
+  emulator::RandomStream speeds(emulator::derive_seed(seed_, emulator::RandomPurpose::servers));
+  for (const emulator::ServerGroup& k : scenario_.servers)
     for (int i = 0; i < k.count; ++i)
       add_server(k, i % k.zones, i % k.cells,
-                 speeds.sample({lab::DistributionShape::lognormal, k.speed, k.speed_spread}));
+                 speeds.sample({emulator::DistributionShape::lognormal, k.speed, k.speed_spread}));
   for (std::size_t i = 0; i < static_cast<std::size_t>(scenario_.sidecars); ++i) {
     agents_.push_back(std::make_unique<FakeAgent>(
         loop_, budget_, [this, i](std::uint64_t c, const http::Message& m) { on_discovery_poll(i, c, m); },
@@ -75,7 +75,7 @@
   }
 }
 
-std::size_t FakeFleet::add_server(const lab::ServerGroup& k, int zone, int cell, double speed) {
+std::size_t FakeFleet::add_server(const emulator::ServerGroup& k, int zone, int cell, double speed) {
   const std::size_t index = servers_.size();
   servers_.push_back(std::make_unique<ServerState>());
   ServerState& at = *servers_.back();
@@ -88,7 +88,7 @@
       EmulatedServer::Config{k.cores, k.queue_capacity, speed, k.slow_start_initial_capacity,
                              k.slow_start_duration_ms, k.error_rate, scenario_.rules.multiple,
                              scenario_.rules.span},
-      lab::derive_seed(seed_, lab::RandomPurpose::server_errors, index),
+      emulator::derive_seed(seed_, emulator::RandomPurpose::server_errors, index),
       EmulatedServer::Callbacks{[this, index](std::uint64_t of) {
                                   const auto it = servers_[index]->jobs.find(of);
                                   if (it != servers_[index]->jobs.end())
@@ -218,11 +218,12 @@
 
 void FakeFleet::schedule_fault(const Fault& t, std::size_t which) {
   using Kind = Fault::Kind;
-  lab::RandomStream draw(lab::derive_seed(seed_, lab::RandomPurpose::fault_schedule, which + 1));
-  const auto at = [this](double when, lab::EventQueue::Callback what) {
+  emulator::RandomStream draw(
+      emulator::derive_seed(seed_, emulator::RandomPurpose::fault_schedule, which + 1));
+  const auto at = [this](double when, emulator::EventQueue::Callback what) {
     clock_.schedule(when, EventPriority::fault, std::move(what));
   };
-  const std::vector<std::uint32_t> all = lab::sample_indices(servers_.size(), t.share, draw);
+  const std::vector<std::uint32_t> all = emulator::sample_indices(servers_.size(), t.share, draw);
   const double until = t.start_ms + t.duration_ms;
   switch (t.kind) {
     case Kind::discovery_overload:
@@ -294,7 +295,7 @@
   nlohmann::json e{
       {"instanceId", server_name(server)},
       {"hostPort", format_address(at.listener->address())},
-      {"zone", lab::zone_name(at.zone)},
+      {"zone", emulator::zone_name(at.zone)},
       {"cell", at.cell},
       {"lifecycle", words[static_cast<std::size_t>(how)]},
       {"startedAtMs", at.server->started_at_ms() > 0 ? clock_.to_unix_ms(at.server->started_at_ms()) : 0}};
--- a/src/load/fleet.h
+++ b/src/load/fleet.h
@@ -8,8 +8,8 @@
 #include <unordered_map>
 #include <vector>
 
+#include "emulator/emulated_server.h"
 #include "emulator/scenario.h"
-#include "emulator/station.h"
 #include "load/clockwork.h"
 #include "load/listener.h"
 
@@ -27,14 +27,14 @@
 class FakeFleet {
  public:
   FakeFleet(EventLoop& in, FileDescriptorBudget& budget, WallClockScheduler& clock,
-            const lab::Scenario& plays, std::uint64_t seed, std::uint16_t base_port);
+            const emulator::Scenario& plays, std::uint64_t seed, std::uint16_t base_port);
 
   // One agent for each sidecar.
   std::string agent_address(std::size_t sidecar) const {
     return format_address(agents_[sidecar]->listener.address());
   }
   std::string endpoint_list() const;  // the whole, as an agent would tell it at the start
-  void schedule_fault(const lab::Fault& t, std::size_t which);
+  void schedule_fault(const emulator::Fault& t, std::size_t which);
 
   const std::unordered_map<std::string, RpcObservation>& rpcs() const { return observations_; }
   // The most further picks that began here within so many ms.
@@ -48,9 +48,9 @@
     std::uint64_t connection;
   };
   struct ServerState {
-    std::unique_ptr<lab::EmulatedServer> server;
+    std::unique_ptr<emulator::EmulatedServer> server;
     std::unique_ptr<HttpListener> listener;
-    const lab::ServerGroup* group = nullptr;
+    const emulator::ServerGroup* group = nullptr;
     int zone = 0, cell = 0;
     double speed = 1;
     bool draining = false, advertised = true, unreachable = false;
@@ -72,9 +72,9 @@
     std::vector<Watch> watches;
   };
 
-  std::size_t add_server(const lab::ServerGroup& k, int zone, int cell, double speed);
+  std::size_t add_server(const emulator::ServerGroup& k, int zone, int cell, double speed);
   void on_request(std::size_t server, std::uint64_t connection, const http::Message& m);
-  void on_job_finished(std::size_t server, std::uint64_t job, lab::EmulatedServer::JobOutcome how,
+  void on_job_finished(std::size_t server, std::uint64_t job, emulator::EmulatedServer::JobOutcome how,
                        double held);
   void on_connection_closed(std::size_t server, std::uint64_t connection);
   void stop_server(std::size_t server, bool machine);
@@ -88,10 +88,10 @@
   EventLoop& loop_;
   FileDescriptorBudget& budget_;
   WallClockScheduler& clock_;
-  const lab::Scenario scenario_;
+  const emulator::Scenario scenario_;
   std::uint64_t seed_;
   std::uint16_t base_port_;
-  lab::RandomStream discovery_random_;
+  emulator::RandomStream discovery_random_;
   std::vector<std::unique_ptr<ServerState>> servers_;
   std::vector<std::unique_ptr<FakeAgent>> agents_;
   std::vector<std::string> endpoint_changes_;
@@ -104,6 +104,6 @@
 };
 
 // The words of a scenario that can't be played on loopback, a line each.
-std::vector<std::string> find_unsupported_features(const lab::Scenario& s);
+std::vector<std::string> find_unsupported_features(const emulator::Scenario& s);
 
 }  // namespace indigorill::loading
--- a/src/load/play.cpp
+++ b/src/load/play.cpp
@@ -20,7 +20,7 @@
 namespace indigorill::loading {
 namespace {
 
-using lab::Fault;
+using emulator::Fault;
 
 std::string format_hex(std::uint64_t v) {
   std::ostringstream s;
@@ -67,9 +67,9 @@
 
 }  // namespace
 
-nlohmann::json make_sidecar_config(const lab::Scenario& s, std::size_t sidecar, const std::string& listen,
-                                   const std::string& discovery, const std::string& known,
-                                   std::uint64_t seed) {
+nlohmann::json make_sidecar_config(const emulator::Scenario& s, std::size_t sidecar,
+                                   const std::string& listen, const std::string& discovery,
+                                   const std::string& known, std::uint64_t seed) {
   using nlohmann::json;
   const auto us = [](double ms) { return static_cast<std::uint64_t>(std::llround(ms * 1000)); };
   const LoadBalancerConfig t = s.load_balancer_config(static_cast<int>(sidecar) % s.zones);
@@ -114,7 +114,7 @@
   return {{"name", "n" + std::to_string(sidecar)},
           {"listen", listen},
           {"discovery", discovery},
-          {"seed", format_hex(lab::derive_seed(seed, lab::RandomPurpose::policy, sidecar))},
+          {"seed", format_hex(emulator::derive_seed(seed, emulator::RandomPurpose::policy, sidecar))},
           {"known", json::parse(known)},
           {"settings", settings}};
 }
@@ -148,7 +148,7 @@
                              on.fleet->agent_address(i), on.fleet->endpoint_list(), with.seed);
 }
 
-std::optional<GossipOptions> gossip_options(const lab::Scenario& s) {
+std::optional<GossipOptions> gossip_options(const emulator::Scenario& s) {
   if (!s.gossip.on) return {};
   const auto& t = s.gossip;
   return GossipOptions{
@@ -165,8 +165,8 @@
 
 void schedule_fault(const Fault& t, std::size_t which, LoadTestBed& on, LoadClients& apps, std::uint64_t seed,
                     SidecarProcesses* sidecars) {
-  const auto at = [&](double when, lab::EventQueue::Callback what) {
-    on.clock.schedule(when, lab::EventPriority::fault, std::move(what));
+  const auto at = [&](double when, emulator::EventQueue::Callback what) {
+    on.clock.schedule(when, emulator::EventPriority::fault, std::move(what));
   };
   if (t.kind == Fault::Kind::load_surge) {
     at(t.start_ms, [&apps, much = t.factor] { apps.multiply_rate(much); });
@@ -174,8 +174,9 @@
   }
   using Kind = Fault::Kind;
   if (!is_sidecar_fault(t.kind)) return on.fleet->schedule_fault(t, which);
-  lab::RandomStream draw(lab::derive_seed(seed, lab::RandomPurpose::fault_schedule, which + 1));
-  const std::vector<std::uint32_t> some = lab::sample_indices(sidecars->size(), t.share, draw);
+  emulator::RandomStream draw(
+      emulator::derive_seed(seed, emulator::RandomPurpose::fault_schedule, which + 1));
+  const std::vector<std::uint32_t> some = emulator::sample_indices(sidecars->size(), t.share, draw);
   if (t.kind == Kind::gossip_partition) {
     const std::set<std::size_t> apart(some.begin(), some.end());
     for (const bool is : {true, false})
@@ -214,7 +215,7 @@
       sidecars->process(s).kill_and_wait();  // one that was told to end and hangs
       sidecars->start(s);
       // Its application waits until it is ready, without holding up the others.
-      const auto again = std::make_shared<lab::EventQueue::Callback>();
+      const auto again = std::make_shared<emulator::EventQueue::Callback>();
       *again = [&on, &apps, s, again = std::weak_ptr(again)] {
         const FileDescriptor fd(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
         const auto* where = reinterpret_cast<const sockaddr*>(&on.sidecar_addresses[s]);
@@ -222,7 +223,7 @@
         if (fd && ::connect(fd.get(), where, sizeof on.sidecar_addresses[s]) == 0)
           return apps.on_sidecar_started(s);
         if (const auto self = again.lock())
-          on.clock.schedule(on.clock.now() + pause, lab::EventPriority::client, [self] { (*self)(); });
+          on.clock.schedule(on.clock.now() + pause, emulator::EventPriority::client, [self] { (*self)(); });
       };
       (*again)();
     });
@@ -242,7 +243,7 @@
 namespace {
 
 // Judged by what came to the stand-ins: picks that were sent within a window come within a little more.
-void check_retry_budget(const lab::Scenario& s, const FakeFleet& stand_ins, LoadRunResult& o) {
+void check_retry_budget(const emulator::Scenario& s, const FakeFleet& stand_ins, LoadRunResult& o) {
   constexpr double window = 1000, on_the_way = 50;  // ms
   o.retries = stand_ins.retry_times().size();
   o.retries_by_second.resize(static_cast<std::size_t>(std::ceil(s.duration_ms / window)));
@@ -394,12 +395,12 @@
   }
   try {
     toml::table t = read_toml_file(file);
-    with.scenario = lab::decode_scenario(t);
+    with.scenario = emulator::decode_scenario(t);
     for (const std::string& text : settings) {
-      const auto [path, value] = lab::parse_setting(text);
-      lab::set_value(t, path, value);
+      const auto [path, value] = emulator::parse_setting(text);
+      emulator::set_value(t, path, value);
     }
-    with.scenario = lab::decode_scenario(t);
+    with.scenario = emulator::decode_scenario(t);
     if (app.count("--seed") == 0) with.seed = with.scenario.seed;
     std::string wrong;
     for (const std::string& fault : find_unsupported_features(with.scenario))
--- a/src/load/play.h
+++ b/src/load/play.h
@@ -12,7 +12,7 @@
 namespace indigorill::loading {
 
 struct LoadRunConfig {
-  lab::Scenario scenario;
+  emulator::Scenario scenario;
   std::uint64_t seed = 1;
   std::string sidecar_command;          // starts one sidecar; empty: they run already
   std::uint16_t base_port = 0;          // has to be told where they run already
@@ -32,9 +32,9 @@
 };
 
 // The config of one sidecar: what the platform would tell it.
-nlohmann::json make_sidecar_config(const lab::Scenario& s, std::size_t sidecar, const std::string& listen,
-                                   const std::string& discovery, const std::string& known,
-                                   std::uint64_t seed);
+nlohmann::json make_sidecar_config(const emulator::Scenario& s, std::size_t sidecar,
+                                   const std::string& listen, const std::string& discovery,
+                                   const std::string& known, std::uint64_t seed);
 
 void write_configs(const LoadRunConfig& with, const std::string& folder);
 
--- a/src/load/wire.h
+++ b/src/load/wire.h
@@ -8,7 +8,7 @@
 #include <vector>
 
 #include "cluster/datagram_socket.h"
-#include "emulator/chance.h"
+#include "emulator/random_stream.h"
 #include "load/clockwork.h"
 #include "load/listener.h"
 
@@ -49,7 +49,7 @@
   EventLoop& loop_;
   std::vector<sockaddr_in> sidecar_addresses_;
   NetworkConditions conditions_;
-  lab::RandomStream random_;
+  emulator::RandomStream random_;
   std::vector<std::unique_ptr<DatagramSocket>> sockets_;
   std::set<std::pair<std::size_t, std::size_t>> partitioned_;
   std::vector<std::vector<std::string>> recent_datagrams_;
--- a/tests/emulator_test.cpp
+++ b/tests/emulator_test.cpp
@@ -7,12 +7,12 @@
 #include <nlohmann/json.hpp>
 #include <sstream>
 
-#include "emulator/cli.h"
+#include "emulator/command_line.h"
 #include "emulator/experiment.h"
 #include "emulator/report.h"
 
 using namespace indigorill;
-using namespace indigorill::lab;
+using namespace indigorill::emulator;
 
 namespace {
 
@@ -243,7 +243,7 @@
 struct Folder {
   std::filesystem::path path;
   Folder() {
-    std::string name = (std::filesystem::temp_directory_path() / "indigorill-lab-XXXXXX").string();
+    std::string name = (std::filesystem::temp_directory_path() / "indigorill-emulator-XXXXXX").string();
     REQUIRE(::mkdtemp(name.data()));
     path = name;
   }
@@ -255,7 +255,7 @@
 };
 
 int call(std::vector<const char*> words, std::string* out = nullptr, std::string* err = nullptr) {
-  words.insert(words.begin(), "indigorill-lab");
+  words.insert(words.begin(), "indigorill-emulator");
   std::ostringstream o, e;
   const int status = run_command(static_cast<int>(words.size()), words.data(), o, e);
   if (out) *out = o.str();
@@ -265,7 +265,8 @@
 
 }  // namespace
 
-TEST_CASE("lab: one queue waits as M/M/1, M/M/c and M/D/1 do, and another law of service is told apart") {
+TEST_CASE(
+    "emulator: one queue waits as M/M/1, M/M/c and M/D/1 do, and another law of service is told apart") {
   const auto waits = [](int cores, Distribution service, double rho) {
     return over_seeds(10, [=](std::uint64_t seed) { return mean_wait(cores, service, rho, seed); });
   };
@@ -295,7 +296,7 @@
   CHECK_FALSE(holds(waits(1, {DistributionShape::lognormal, 1, 1.6}, 0.8), 4.0));
 }
 
-TEST_CASE("lab: the better of two choices gains what theory says (Mitzenmacher 2001)") {
+TEST_CASE("emulator: the better of two choices gains what theory says (Mitzenmacher 2001)") {
   constexpr double rho = 0.9;
   double theory = 0;
   for (int i = 1; i < 8; ++i) theory += std::pow(rho, std::pow(2, i) - 2);
@@ -310,7 +311,7 @@
   CHECK(one.mean > 2.5 * two.mean);
 }
 
-TEST_CASE("lab: laws have the means that they state") {
+TEST_CASE("emulator: laws have the means that they state") {
   for (const Distribution l :
        {Distribution{DistributionShape::fixed, 7, 0}, Distribution{DistributionShape::exponential, 7, 0},
         Distribution{DistributionShape::lognormal, 7, 0.8}, Distribution{DistributionShape::pareto, 7, 3}}) {
@@ -325,7 +326,7 @@
   }
 }
 
-TEST_CASE("lab: what falls together happens in the stated order") {
+TEST_CASE("emulator: what falls together happens in the stated order") {
   EventQueue due;
   std::string order;
   due.schedule(5, EventPriority::client, [&] { order += "c"; });
@@ -345,7 +346,7 @@
   CHECK(due.now() == 9);
 }
 
-TEST_CASE("lab: a server stalls, slows, warms up, sheds, dies and falls") {
+TEST_CASE("emulator: a server stalls, slows, warms up, sheds, dies and falls") {
   EventQueue due;
   std::vector<std::pair<std::uint64_t, EmulatedServer::JobOutcome>> ended;
   std::vector<double> when;
@@ -430,7 +431,7 @@
 }
 
 TEST_CASE(
-    "lab: arrived is answered and open, at every event of a rough day, and no connection is left over") {
+    "emulator: arrived is answered and open, at every event of a rough day, and no connection is left over") {
   for (const PolicyKind by : {PolicyKind::load_balancer, PolicyKind::two_choices}) {
     // The last second is silent, longer than any RPC lasts and any connection rests.
     Simulation w(decode_scenario(toml::parse(
@@ -454,7 +455,7 @@
   }
 }
 
-TEST_CASE("lab: overload with a queue that never drains ends by the stated time") {
+TEST_CASE("emulator: overload with a queue that never drains ends by the stated time") {
   toml::table t = rough_table();
   set_value(t, "load.rate", 3000);
   set_value(t, "server[0].queue", 1000000);
@@ -465,7 +466,8 @@
   CHECK(w.is_conserved());
 }
 
-TEST_CASE("lab: the module keeps the rules on a rough day, and the auditor would have seen it break them") {
+TEST_CASE(
+    "emulator: the module keeps the rules on a rough day, and the auditor would have seen it break them") {
   toml::table t = rough_table();
   for (std::uint64_t seed = 1; seed <= 3; ++seed) {
     const RunMetrics f = run_simulation(decode_scenario(t), PolicyKind::load_balancer, seed);
@@ -484,7 +486,7 @@
   CHECK(f.violations[0].rule == 4);
 }
 
-TEST_CASE("lab: the same seed gives the same bytes at any number of threads, another seed others") {
+TEST_CASE("emulator: the same seed gives the same bytes at any number of threads, another seed others") {
   Experiment e;
   e.base_scenario = rough_table();
   set_value(e.base_scenario, "seconds", 11);
@@ -507,7 +509,7 @@
   CHECK(one != bytes(4, 8));
 }
 
-TEST_CASE("lab: two policies on one seed are asked for the same") {
+TEST_CASE("emulator: two policies on one seed are asked for the same") {
   const Scenario s = decode_scenario([] {
     toml::table t = rough_table();
     t.erase("trouble");
@@ -517,7 +519,7 @@
         run_simulation(s, PolicyKind::load_balancer, 5).arrived);
 }
 
-TEST_CASE("lab: quantiles, and which of them rest on too few samples") {
+TEST_CASE("emulator: quantiles, and which of them rest on too few samples") {
   LatencyHistogram t;
   CHECK(t.quantile(0.5) == 0);
   for (int i = 1; i <= 1000; ++i) t.add(i);
@@ -598,7 +600,7 @@
 
 }  // namespace
 
-TEST_CASE("lab: the auditor names what broken records break, and nothing in sound ones") {
+TEST_CASE("emulator: the auditor names what broken records break, and nothing in sound ones") {
   const auto idem = RetrySafety::idempotent, once = RetrySafety::non_idempotent,
              dedup = RetrySafety::idempotency_key;
   const auto decided = What::attempt_decided, written = What::attempt_sent, began = What::attempt_started;
@@ -816,7 +818,7 @@
 
 // ---- scenarios, experiments, the command line ---------------------------------------------------------
 
-TEST_CASE("lab: scenarios at fault are refused with line and reason") {
+TEST_CASE("emulator: scenarios at fault are refused with line and reason") {
   struct {
     std::string what, in_place, reason;
     int line;
@@ -871,7 +873,7 @@
   CHECK(err.find("/nowhere/s.toml") == 0);
 }
 
-TEST_CASE("lab: variables are named by their paths") {
+TEST_CASE("emulator: variables are named by their paths") {
   toml::table t = rough_table();
   set_value(t, "trouble[1].for_s", 2.5);
   CHECK(value_at(t, "trouble[1].for_s") == 2.5);
@@ -909,7 +911,7 @@
   CHECK_THROWS_AS(decode_scenario(with_ranges), ConfigError);
 }
 
-TEST_CASE("lab: the search finds the day that hurts and cuts it down") {
+TEST_CASE("emulator: the search finds the day that hurts and cuts it down") {
   // Of two troubles only one hurts, and only if many servers have it.
   const char* text = R"(seconds = 8
 sidecars = 4
@@ -958,7 +960,7 @@
   CHECK(find_worst_case(h).worst_loss == d.worst_loss);
 }
 
-TEST_CASE("lab: the command line plays, compares, sweeps, searches and says what is wrong") {
+TEST_CASE("emulator: the command line plays, compares, sweeps, searches and says what is wrong") {
   const Folder f;
   const std::string file = f.put("s.toml", std::string(rough) + "[ranges]\n\"load.rate\" = [100, 300]\n");
   const std::string to = (f.path / "out").string(), log = (f.path / "log.jsonl").string();
--- a/tests/limits_test.cpp
+++ b/tests/fleet_limiter_test.cpp
@@ -1,5 +1,5 @@
 // Limits of one among many: the sum of what all are granted, over random histories and hard starts.
-#include "limits/limits.h"
+#include "limits/fleet_limiter.h"
 
 #include <doctest/doctest.h>
 
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -30,7 +30,7 @@
 
 struct ProcessCluster {
   EventLoop event_loop;
-  lab::Scenario scenario = lab::decode_scenario(toml::parse(minimal_scenario));
+  emulator::Scenario scenario = emulator::decode_scenario(toml::parse(minimal_scenario));
   std::vector<sockaddr_in> datagram_addresses;
   std::unique_ptr<SidecarProcesses> processes;
 
@@ -274,7 +274,7 @@
 
 TEST_CASE(
     "processes: a budget of further picks holds while processes are stopped, killed, ended and cut off") {
-  lab::Scenario s = lab::decode_scenario(toml::parse(R"(seconds = 12
+  emulator::Scenario s = emulator::decode_scenario(toml::parse(R"(seconds = 12
 sidecars = 6
 [[server]]
 count = 6
--- a/tests/load_test.cpp
+++ b/tests/load_test.cpp
@@ -102,7 +102,9 @@
 share = 0.34
 )";
 
-lab::Scenario scene(const std::string& more = "") { return lab::decode_scenario(toml::parse(small + more)); }
+emulator::Scenario scene(const std::string& more = "") {
+  return emulator::decode_scenario(toml::parse(small + more));
+}
 
 // Ports below those that the kernel gives out, apart from those of another run of these tests.
 std::uint16_t base_port() {
@@ -211,7 +213,7 @@
 }  // namespace
 
 TEST_CASE("load: a sidecar's config says what the scenario says") {
-  const lab::Scenario s = scene(R"(
+  const emulator::Scenario s = scene(R"(
 [[method]]
 name = "put"
 work_ms = 3
@@ -297,12 +299,12 @@
     CAPTURE(row.broken);
     LoadRunConfig with;
     toml::table t = toml::parse(small);
-    lab::set_value(t, "sidecars", 1);
-    lab::set_value(t, "server[0].count", 1);
-    lab::set_value(t, "server[0].cores", 64);
-    lab::set_value(t, "seconds", 0.4);
-    lab::set_value(t, "load.rate", 40);
-    with.scenario = lab::decode_scenario(t);
+    emulator::set_value(t, "sidecars", 1);
+    emulator::set_value(t, "server[0].count", 1);
+    emulator::set_value(t, "server[0].cores", 64);
+    emulator::set_value(t, "seconds", 0.4);
+    emulator::set_value(t, "load.rate", 40);
+    with.scenario = emulator::decode_scenario(t);
     with.base_port = base_port();
     BadSidecar s(port_of(with.base_port, sidecar_port_offset), port_of(with.base_port, server_port_offset),
                  row.does);
@@ -317,8 +319,8 @@
 TEST_CASE("load: time counts from when an RPC was meant to be sent, and a late sender says so") {
   LoadRunConfig with;
   toml::table t = toml::parse(small);
-  lab::set_value(t, "sidecars", 1);
-  const lab::Scenario plays = lab::decode_scenario(t);
+  emulator::set_value(t, "sidecars", 1);
+  const emulator::Scenario plays = emulator::decode_scenario(t);
   EventLoop runs;
   FileDescriptorBudget room{200};
   WallClockScheduler clock(runs);
