--- a/src/emulator/balancing_policy.h
+++ b/src/emulator/balancing_policy.h
@@ -1,7 +1,10 @@
-// What decides at an emulated sidecar: the real module, or a baseline to compare it with. Baselines are here
-// for measuring only; the sidecar never runs one.
+/// \file
+/// What decides at an emulated sidecar: the real load balancer, or a baseline to compare it with. Baselines
+/// exist for measurements only; a real sidecar never runs one.
 #pragma once
 
+#include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -12,32 +15,39 @@
 
 namespace indigorill::emulator {
 
+/// The interface of LoadBalancer, which documents each function. Times are milliseconds on the emulator's
+/// clock.
 class BalancingPolicy {
  public:
   virtual ~BalancingPolicy() = default;
-  virtual void update_endpoints(double now, bool whole, bool asked, const std::vector<Endpoint>& entries) = 0;
-  virtual void endpoint_poll_failed(double now) = 0;
-  virtual void on_rpc_arrived(double now, const RpcArrival& what) = 0;
-  virtual void on_attempt_finished(double now, const std::string& rpc, int pick, AttemptOutcome how,
-                                   double took, bool concluded, const LoadReport& report) = 0;
-  virtual void on_probe_finished(double now, const std::string& server, AttemptOutcome how,
+  /// `is_complete`: the whole list, otherwise changes; `is_response`: it may answer a poll.
+  virtual void update_endpoints(double now_ms, bool is_complete, bool is_response,
+                                const std::vector<Endpoint>& endpoints) = 0;
+  virtual void endpoint_poll_failed(double now_ms) = 0;
+  virtual void on_rpc_arrived(double now_ms, const RpcArrival& arrival) = 0;
+  /// `concluded`: the RPC has its final answer.
+  virtual void on_attempt_finished(double now_ms, const std::string& rpc, int attempt, AttemptOutcome outcome,
+                                   double duration_ms, bool concluded, const LoadReport& report) = 0;
+  virtual void on_probe_finished(double now_ms, const std::string& endpoint, AttemptOutcome outcome,
                                  const LoadReport& report) = 0;
-  virtual void on_client_disconnected(double now, const std::string& rpc) = 0;
-  virtual void set_idle_connections(const std::string& server, std::size_t connections) = 0;
-  virtual void set_connection_limited(const std::string& server, bool is) = 0;
-  virtual void on_timer(double now, std::uint64_t wake) = 0;
+  virtual void on_client_disconnected(double now_ms, const std::string& rpc) = 0;
+  virtual void set_idle_connections(const std::string& endpoint, std::size_t connections) = 0;
+  virtual void set_connection_limited(const std::string& endpoint, bool is_limited) = 0;
+  virtual void on_timer(double now_ms, std::uint64_t timer_id) = 0;
   virtual std::optional<Decision> next_decision() = 0;
 };
 
 enum class PolicyKind { load_balancer, random, round_robin, two_choices, true_state };
 
-std::optional<PolicyKind> parse_policy_kind(const std::string& word);
-std::string policy_name(PolicyKind p);
+/// The kind with this name on the command line; none where there is none.
+std::optional<PolicyKind> parse_policy_kind(const std::string& name);
+std::string policy_name(PolicyKind kind);
 
-// How long an RPC sent to this server now would truly take there, for the policy that sees the true state.
-using ResponseTimeOracle = std::function<double(const std::string& server)>;
+/// How long an RPC sent to this endpoint now would truly take, in milliseconds; for PolicyKind::true_state.
+using ResponseTimeOracle = std::function<double(const std::string& endpoint)>;
 
-std::unique_ptr<BalancingPolicy> make_policy(PolicyKind p, const LoadBalancerConfig& where,
-                                             std::uint64_t seed, double now, ResponseTimeOracle truth);
+std::unique_ptr<BalancingPolicy> make_policy(PolicyKind kind, const LoadBalancerConfig& config,
+                                             std::uint64_t seed, double now_ms,
+                                             ResponseTimeOracle response_time);
 
 }  // namespace indigorill::emulator
--- a/src/emulator/command_line.cpp
+++ b/src/emulator/command_line.cpp
@@ -160,12 +160,12 @@
   }
   try {
     if (*gathers) {
-      std::vector<std::pair<MembershipExperiment, MembershipResult>> all;
+      std::vector<MembershipMeasurement> all;
       for (const int n : sizes)
         for (const double loss : losses) {
           g.sidecars = n;
           g.loss = loss;
-          all.emplace_back(g, run_membership_experiment(g));
+          all.push_back({g, run_membership_experiment(g)});
         }
       print_membership_results(out, all);
       return 0;
--- a/src/emulator/emulated_server.h
+++ b/src/emulator/emulated_server.h
@@ -1,5 +1,6 @@
-// A server of the emulator: cores that serve one queue in order, a bound on the queue, a cold start, stalls,
-// slow spells, errors, and a fall if it is overdriven while cold. Knows no network and no sidecar.
+/// \file
+/// A server of the emulator: cores that serve one bounded FIFO queue, a slow start, stalls, slow spells,
+/// errors, and a crash where it is overloaded while it is warming up. It knows neither network nor sidecars.
 #pragma once
 
 #include <cstdint>
@@ -12,65 +13,97 @@
 
 namespace indigorill::emulator {
 
+/// Times are milliseconds; work is milliseconds on a core of speed 1.
 class EmulatedServer {
  public:
   struct Config {
-    int cores = 1, queue_capacity = 10;
-    double speed = 1, slow_start_initial_capacity = 1, slow_start_duration_ms = 0, error_rate = 0;
-    double crash_overload_factor = 0, crash_window_ms = 0;  // 0: never falls
+    int cores = 1;
+    int queue_capacity = 10;
+    double speed = 1;
+    double slow_start_initial_capacity = 1;  ///< fraction of the capacity right after a start
+    double slow_start_duration_ms = 0;       ///< until the full capacity is reached, linearly
+    double error_rate = 0;
+    double crash_overload_factor = 0;  ///< multiple of its slow-start capacity at which it crashes; 0: never
+    double crash_window_ms = 0;        ///< over which the received work is summed for that
   };
-  enum class JobOutcome { served, error, queue_full, lost };  // lost: the process is gone
+
+  enum class JobOutcome {
+    served,
+    error,
+    queue_full,
+    lost  ///< the process is gone
+  };
+
   struct Callbacks {
-    std::function<void(std::uint64_t job)> on_started;
-    std::function<void(std::uint64_t job, JobOutcome how, double held)>
-        on_finished;  // held: in hand, this one too
-    std::function<void()> on_crashed;
+    std::function<void(std::uint64_t job)> on_started;  ///< may be empty
+    /// jobs_in_flight: the finished one is included
+    std::function<void(std::uint64_t job, JobOutcome outcome, double jobs_in_flight)> on_finished;
+    std::function<void()> on_crashed;  ///< may be empty
   };
 
-  EmulatedServer(EventQueue& in, Config is, std::uint64_t seed, Callbacks tell);
+  /// `events` must outlive the server.
+  EmulatedServer(EventQueue& events, const Config& config, std::uint64_t seed, Callbacks callbacks);
   EmulatedServer(const EmulatedServer&) = delete;
   EmulatedServer& operator=(const EmulatedServer&) = delete;
 
-  void submit(std::uint64_t job, double work);  // ms on a standard core
-  void cancel_queued(std::uint64_t job);        // if it still waits
-  void restart();                               // a new process, from now on
-  void terminate();                             // all in hand is lost; comes back by start_cold
-  void stall(double until);
+  void submit(std::uint64_t job, double work_ms);
+  /// Removes a job that has not been started; no callback follows.
+  void cancel_queued(std::uint64_t job);
+  /// Starts a new process, which begins its slow start now.
+  void restart();
+  /// Ends the process; all jobs are lost until restart().
+  void terminate();
+  /// Suspends all work until then.
+  void stall(double until_ms);
   void set_slowdown(double factor) { slowdown_ = factor; }
-  void set_error_rate(double error_share) { error_rate_ = error_share; }
+  void set_error_rate(double error_rate) { error_rate_ = error_rate; }
 
   bool is_running() const { return running_; }
   double stalled_until_ms() const { return stalled_until_ms_; }
   double jobs_in_flight() const { return static_cast<double>(queue_.size() + running_jobs_.size()); }
-  double started_at_ms() const { return started_at_ms_; }  // 0: long ago
+  /// 0: long ago.
+  double started_at_ms() const { return started_at_ms_; }
+  /// The fraction of the full capacity that slow start allows now; 1 when warmed up.
   double capacity_fraction() const;
-  double queueing_delay_ms() const;  // ms until a core is free for one that comes now, as it truly is
-  double service_rate() const;       // ms of standard work that one core does in a ms now
+  /// How long a job submitted now would truly wait until a core is free.
+  double queueing_delay_ms() const;
+  /// Work that one core does in a millisecond now.
+  double service_rate() const;
   const Config& config() const { return config_; }
-  double peak_overload() const { return peak_overload_; }  // while cold: work in a span over what it can do
+  /// The highest work received in a window during slow start, over the capacity in it.
+  double peak_overload() const { return peak_overload_; }
 
  private:
   struct Job {
     std::uint64_t id;
-    double work_ms, ends_at_ms;
-    std::uint64_t schedule_id;
+    double work_ms;
+    double ends_at_ms;
+    std::uint64_t schedule_id;  // of the last scheduled completion: earlier ones are void
+  };
+  struct ReceivedWork {
+    double time_ms;
+    double work_ms;
   };
 
   void start_queued_jobs();
-  void schedule_completion(const Job& j);
-  void complete_job(std::uint64_t id, std::uint64_t turn);
-  void record_slow_start_work(double work);
+  void schedule_completion(const Job& job);
+  void complete_job(std::uint64_t id, std::uint64_t schedule_id);
+  void record_slow_start_work(double work_ms);
 
   EventQueue& events_;
   Config config_;
   RandomStream random_;
   Callbacks callbacks_;
   bool running_ = true;
-  double started_at_ms_ = 0, stalled_until_ms_ = 0, slowdown_ = 1, error_rate_ = 0, peak_overload_ = 0;
+  double started_at_ms_ = 0;
+  double stalled_until_ms_ = 0;
+  double slowdown_ = 1;
+  double error_rate_ = 0;
+  double peak_overload_ = 0;
   std::deque<Job> queue_;
   std::vector<Job> running_jobs_;
   std::uint64_t last_schedule_id_ = 0;
-  std::deque<std::pair<double, double>> recent_work_;  // while cold: when, and how much work
+  std::deque<ReceivedWork> recent_work_;  // during slow start, of the last window
   double recent_work_sum_ = 0;
 };
 
--- a/src/emulator/event_queue.h
+++ b/src/emulator/event_queue.h
@@ -1,42 +1,49 @@
-// The emulator's clock: what is due, in one stated order. Equal times fall by rank (troubles change the world
-// first, then servers end work, then the network delivers, then the list, timers and clients), equal ranks in
-// the order in which they were put down.
+/// \file
+/// The emulator's clock and its pending events, in a stated and reproducible order.
+///
+/// Events run by time; equal times by priority (faults change the world first, then servers complete work,
+/// then the network delivers, then discovery, timers and clients); equal priorities in the order of
+/// scheduling.
 #pragma once
 
 #include <algorithm>
 #include <cstdint>
 #include <functional>
+#include <utility>
 #include <vector>
 
 namespace indigorill::emulator {
 
+/// Which of several events at the same time runs first: the lowest enumerator.
 enum class EventPriority : std::uint8_t { fault, server, network, discovery, timer, client };
 
+/// Runs callbacks on a virtual clock. Times are milliseconds since the start of the run.
 class EventQueue {
  public:
   using Callback = std::function<void()>;
 
   double now() const { return now_ms_; }
   bool empty() const { return heap_.empty(); }
+  /// Time of the next event; the queue must not be empty.
   double next_time_ms() const { return heap_.front().time_ms; }
 
-  // What is put down for the past is due now: the clock never goes back.
-  void schedule(double when, EventPriority of, Callback what) {
-    heap_.push_back({std::max(when, now_ms_), of, ++last_sequence_, std::move(what)});
+  /// Schedules `callback`; one for the past runs now, as the clock never goes back.
+  void schedule(double time_ms, EventPriority priority, Callback callback) {
+    heap_.push_back({std::max(time_ms, now_ms_), priority, ++last_sequence_, std::move(callback)});
     std::push_heap(heap_.begin(), heap_.end(), runs_later);
   }
 
-  // The next one, unless it is due after `end`; then the clock stands at `end`.
-  bool run_next(double end) {
-    if (heap_.empty() || heap_.front().time_ms > end) {
-      now_ms_ = std::max(now_ms_, end);
+  /// Runs the next event and returns true, unless it lies after `end_ms`: then the clock is set to `end_ms`.
+  bool run_next(double end_ms) {
+    if (heap_.empty() || heap_.front().time_ms > end_ms) {
+      now_ms_ = std::max(now_ms_, end_ms);
       return false;
     }
     std::pop_heap(heap_.begin(), heap_.end(), runs_later);
-    const Event due = std::move(heap_.back());
+    const Event event = std::move(heap_.back());
     heap_.pop_back();
-    now_ms_ = due.time_ms;
-    due.callback();
+    now_ms_ = event.time_ms;
+    event.callback();
     return true;
   }
 
@@ -47,10 +54,11 @@
     std::uint64_t sequence;
     Callback callback;
   };
-  static bool runs_later(const Event& a, const Event& b) {
-    if (a.time_ms != b.time_ms) return a.time_ms > b.time_ms;
-    if (a.priority != b.priority) return a.priority > b.priority;
-    return a.sequence > b.sequence;
+
+  static bool runs_later(const Event& left, const Event& right) {
+    if (left.time_ms != right.time_ms) return left.time_ms > right.time_ms;
+    if (left.priority != right.priority) return left.priority > right.priority;
+    return left.sequence > right.sequence;
   }
 
   double now_ms_ = 0;
--- a/src/emulator/experiment.h
+++ b/src/emulator/experiment.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "emulator/scenario_table.h"
 #include "emulator/simulation.h"
 
 namespace indigorill::emulator {
--- a/src/emulator/random_stream.h
+++ b/src/emulator/random_stream.h
@@ -1,5 +1,6 @@
-// Random numbers of the emulator: one stream for each use, so that what clients ask for is the same whatever
-// the policy draws, and runs of two policies on one seed can be paired.
+/// \file
+/// Random numbers of the emulator: one stream for each purpose, so that what clients request is the same
+/// whatever the policy draws, and runs of two policies on one seed can be compared in pairs.
 #pragma once
 
 #include <cmath>
@@ -8,6 +9,7 @@
 
 namespace indigorill::emulator {
 
+/// What a stream is drawn for. The values enter the seeds: append, never reorder.
 enum class RandomPurpose : std::uint64_t {
   arrivals,
   arrival_pattern,
@@ -20,51 +22,64 @@
   server_errors
 };
 
-inline std::uint64_t mix_seed(std::uint64_t a, std::uint64_t b) {  // splitmix64's finaliser
-  std::uint64_t h = a + 0x9e3779b97f4a7c15ULL * (b + 1);
-  h = (h ^ (h >> 30)) * 0xbf58476d1ce4e5b9ULL;
-  h = (h ^ (h >> 27)) * 0x94d049bb133111ebULL;
-  return h ^ (h >> 31);
+/// Mixes a value into a seed (splitmix64's finaliser).
+inline std::uint64_t mix_seed(std::uint64_t seed, std::uint64_t value) {
+  std::uint64_t hash = seed + 0x9e3779b97f4a7c15ULL * (value + 1);
+  hash = (hash ^ (hash >> 30)) * 0xbf58476d1ce4e5b9ULL;
+  hash = (hash ^ (hash >> 27)) * 0x94d049bb133111ebULL;
+  return hash ^ (hash >> 31);
 }
 
-inline std::uint64_t derive_seed(std::uint64_t seed, RandomPurpose what, std::uint64_t which = 0) {
-  return mix_seed(mix_seed(seed, static_cast<std::uint64_t>(what)), which);
+/// The seed of one stream: of a purpose, and of one sidecar, server or fault where each has its own.
+inline std::uint64_t derive_seed(std::uint64_t seed, RandomPurpose purpose, std::uint64_t index = 0) {
+  return mix_seed(mix_seed(seed, static_cast<std::uint64_t>(purpose)), index);
 }
 
 enum class DistributionShape { fixed, exponential, lognormal, pareto };
 
-// How long something takes: its mean, and for lognormal the spread (standard deviation over mean), for pareto
-// the tail's exponent.
+/// A distribution of durations.
 struct Distribution {
   DistributionShape shape = DistributionShape::exponential;
-  double mean = 1, spread = 1;
+  double mean = 1;
+  /// lognormal: standard deviation over mean; pareto: the tail's exponent; unused otherwise.
+  double spread = 1;
 };
 
+/// A seeded generator with the draws that the emulator needs.
 class RandomStream {
  public:
   explicit RandomStream(std::uint64_t seed) : engine_(seed) {}
 
+  /// Uniform in [0, 1).
   double uniform() { return std::uniform_real_distribution<double>(0, 1)(engine_); }
-  bool bernoulli(double chance) { return chance > 0 && uniform() < chance; }
+
+  /// True with this probability; draws nothing where it is 0.
+  bool bernoulli(double probability) { return probability > 0 && uniform() < probability; }
+
   double exponential(double mean) { return mean > 0 ? -mean * std::log1p(-uniform()) : 0; }
-  std::size_t uniform_index(std::size_t n) {
-    return std::uniform_int_distribution<std::size_t>(0, n - 1)(engine_);
+
+  /// Uniform in 0 .. count - 1.
+  std::size_t uniform_index(std::size_t count) {
+    return std::uniform_int_distribution<std::size_t>(0, count - 1)(engine_);
   }
 
-  double sample(const Distribution& l) {
-    switch (l.shape) {
+  double sample(const Distribution& distribution) {
+    const double mean = distribution.mean;
+    const double spread = distribution.spread;
+    switch (distribution.shape) {
       case DistributionShape::fixed:
-        return l.mean;
+        return mean;
       case DistributionShape::exponential:
-        return exponential(l.mean);
+        return exponential(mean);
       case DistributionShape::lognormal: {
-        const double s2 = std::log1p(l.spread * l.spread);
-        return l.mean * std::exp(std::normal_distribution<double>(-s2 / 2, std::sqrt(s2))(engine_));
+        const double log_variance = std::log1p(spread * spread);
+        std::normal_distribution<double> log_normal(-log_variance / 2, std::sqrt(log_variance));
+        return mean * std::exp(log_normal(engine_));
       }
       case DistributionShape::pareto:
-        return l.mean * (l.spread - 1) / l.spread * std::pow(1 - uniform(), -1 / l.spread);
+        return mean * (spread - 1) / spread * std::pow(1 - uniform(), -1 / spread);
     }
-    return l.mean;
+    return mean;
   }
 
  private:
--- a/src/emulator/report.cpp
+++ b/src/emulator/report.cpp
@@ -6,6 +6,8 @@
 #include <set>
 #include <sstream>
 
+#include "emulator/statistics.h"
+
 namespace indigorill::emulator {
 namespace {
 
--- a/src/emulator/rule_checker.cpp
+++ b/src/emulator/rule_checker.cpp
@@ -1,252 +1,307 @@
 #include "emulator/rule_checker.h"
 
 #include <algorithm>
+#include <numeric>
 #include <sstream>
+#include <utility>
 
 namespace indigorill::emulator {
+namespace {
 
-std::string describe(const RuleViolation& b) {
-  std::ostringstream s;
-  s << "rule " << b.rule << " at " << b.time_ms << " ms: ";
-  if (b.rpc) s << "RPC " << b.rpc << ", ";
-  s << "server s" << b.server << ", sidecar " << b.sidecar << ": " << b.description;
-  return s.str();
+constexpr std::size_t max_kept_violations = 1000;  // more of them tell no more
+
+// Whether a server may have executed an attempt that ended like this.
+bool may_have_executed(AttemptOutcome outcome) {
+  return outcome != AttemptOutcome::connect_failed && outcome != AttemptOutcome::rejected &&
+         outcome != AttemptOutcome::client_error;
+}
+
+}  // namespace
+
+std::string describe(const RuleViolation& violation) {
+  std::ostringstream text;
+  text << "rule " << violation.rule << " at " << violation.time_ms << " ms: ";
+  if (violation.rpc != 0) text << "RPC " << violation.rpc << ", ";
+  text << "server s" << violation.server << ", sidecar " << violation.sidecar << ": "
+       << violation.description;
+  return text.str();
 }
 
-void RuleChecker::add_violation(int rule, const TraceEvent& e, std::string text) {
+std::uint64_t RuleChecker::count() const {
+  return std::accumulate(violation_counts_.begin(), violation_counts_.end(), std::uint64_t{0});
+}
+
+void RuleChecker::add_violation(int rule, const TraceEvent& event, std::string description) {
   ++violation_counts_[static_cast<std::size_t>(rule) - 1];
-  constexpr std::size_t kept = 1000;  // more of them tell no more
-  if (violations_.size() < kept)
-    violations_.push_back({rule, e.time_ms, e.rpc, e.server, e.sidecar, std::move(text)});
-}
-
-void RuleChecker::on_event(const TraceEvent& e) {
-  using What = TraceEvent::Kind;
-  switch (e.kind) {
-    case What::server_state: {
-      Server& s = servers_[e.server];
-      s = {e.capacity,
-           e.started_at_ms,
-           e.slow_start_initial_capacity,
-           e.slow_start_duration_ms,
-           e.zone,
-           e.cell,
-           {},
-           0,
-           false};
-      return;
-    }
-    case What::endpoint_notified: {
-      const auto both = std::pair(e.sidecar, e.server);
-      if (e.state == EndpointState::ready)
-        stop_notified_at_.erase(both);
-      else
-        stop_notified_at_.emplace(both, e.time_ms);  // the first word counts
-      if (e.started_at_ms > 0) start_notified_[both] = e.started_at_ms;
-      return;
-    }
-    case What::rpc_received:
-      return on_rpc_received(e);
-    case What::attempt_decided:
-      return on_attempt_decided(e);
-    case What::attempt_sent:
-    case What::health_check_sent:
-      return on_attempt_sent(e);
-    case What::attempt_received:
-      return on_attempt_received(e);
-    case What::attempt_started:
-      return on_attempt_started(e);
-    case What::attempt_finished:
-      return on_attempt_finished(e);
-    case What::answered:
-      return on_answered(e);
-    case What::client_disconnected:
-      if (Rpc* r = find_open_rpc(e, "its client left")) {
-        r->concluded = true;
-        forget_if_finished(e.rpc);
-      }
-      return;
-    case What::sidecar_died:
-      return on_sidecar_died(e);
-    case What::run_ended:
-      return on_run_ended(e);
+  if (violations_.size() >= max_kept_violations) return;
+  violations_.push_back(
+      {rule, event.time_ms, event.rpc, event.server, event.sidecar, std::move(description)});
+}
+
+void RuleChecker::on_event(const TraceEvent& event) {
+  using Kind = TraceEvent::Kind;
+  switch (event.kind) {
+    case Kind::server_state:
+      return on_server_state(event);
+    case Kind::endpoint_notified:
+      return on_endpoint_notified(event);
+    case Kind::rpc_received:
+      return on_rpc_received(event);
+    case Kind::attempt_decided:
+      return on_attempt_decided(event);
+    case Kind::attempt_sent:
+      return on_attempt_sent(event);
+    case Kind::health_check_sent:
+      return check_drain_grace(event);
+    case Kind::attempt_received:
+      return on_attempt_received(event);
+    case Kind::attempt_started:
+      return on_attempt_started(event);
+    case Kind::attempt_finished:
+      return on_attempt_finished(event);
+    case Kind::answered:
+      return on_answered(event);
+    case Kind::client_disconnected:
+      return on_client_disconnected(event);
+    case Kind::sidecar_died:
+      return on_sidecar_died(event);
+    case Kind::run_ended:
+      return on_run_ended(event);
   }
 }
 
-RuleChecker::Rpc* RuleChecker::find_open_rpc(const TraceEvent& e, const char* doing) {
-  const auto it = rpcs_.find(e.rpc);
-  if (it != rpcs_.end()) return &it->second;
-  add_violation(1, e,
-                std::string(doing) +
-                    (finished_rpcs_.count(e.rpc) ? " after it was over" : ", though nobody took this RPC"));
-  return nullptr;
+void RuleChecker::on_server_state(const TraceEvent& event) {
+  Server server;
+  server.capacity = event.capacity;
+  server.started_at_ms = event.started_at_ms;
+  server.slow_start_initial_capacity = event.slow_start_initial_capacity;
+  server.slow_start_duration_ms = event.slow_start_duration_ms;
+  server.zone = event.zone;
+  server.cell = event.cell;
+  servers_[event.server] = std::move(server);
 }
 
-void RuleChecker::on_rpc_received(const TraceEvent& e) {
-  if (rpcs_.count(e.rpc) || finished_rpcs_.count(e.rpc)) return add_violation(1, e, "was taken twice");
-  rpcs_.emplace(e.rpc, Rpc{e.sidecar,
-                           e.retry_safety,
-                           e.deduplication_scope,
-                           e.deduplication_window_ms,
-                           e.deadline_ms,
-                           false,
-                           false,
-                           0,
-                           {}});
+void RuleChecker::on_endpoint_notified(const TraceEvent& event) {
+  const SidecarAndServer key{event.sidecar, event.server};
+  if (event.state == EndpointState::ready)
+    stop_notified_at_.erase(key);
+  else
+    stop_notified_at_.emplace(key, event.time_ms);  // the first notification counts
+  if (event.started_at_ms > 0) notified_start_[key] = event.started_at_ms;
 }
 
-const RuleChecker::Attempt* RuleChecker::first_attempt_possibly_executed(const Rpc& r, int before) {
-  for (const auto& [number, p] : r.attempts)
-    if (number < before && (p.in_flight || p.possibly_executed)) return &p;
+RuleChecker::Rpc* RuleChecker::find_open_rpc(const TraceEvent& event, const char* action) {
+  const auto found = rpcs_.find(event.rpc);
+  if (found != rpcs_.end()) return &found->second;
+  const bool finished = finished_rpcs_.count(event.rpc) > 0;
+  const char* reason = finished ? " after it was over" : ", though nobody took this RPC";
+  add_violation(1, event, std::string(action) + reason);
   return nullptr;
 }
 
-void RuleChecker::on_attempt_decided(const TraceEvent& e) {
-  Rpc* r = find_open_rpc(e, "a pick was made");
-  if (!r) return;
-  if (r->concluded) add_violation(1, e, "a pick was made after its final answer");
-  const Attempt* first = first_attempt_possibly_executed(*r, e.attempt);
-  if (first && r->retry_safety == RetrySafety::non_idempotent)
-    add_violation(2, e, "a non-idempotent RPC got another pick, though one may have run");
-  if (first && r->retry_safety == RetrySafety::idempotency_key) {
-    const Server &a = servers_[first->server], &b = servers_[e.server];
-    if ((r->deduplication_scope == DeduplicationScope::zone && a.zone != b.zone) ||
-        (r->deduplication_scope == DeduplicationScope::cell && a.cell != b.cell))
-      add_violation(2, e, "a deduplicated RPC got another pick outside its group");
-    if (e.time_ms > first->decided_at_ms + r->deduplication_window_ms)
-      add_violation(2, e, "a deduplicated RPC got another pick after its window");
+void RuleChecker::on_rpc_received(const TraceEvent& event) {
+  if (rpcs_.count(event.rpc) > 0 || finished_rpcs_.count(event.rpc) > 0)
+    return add_violation(1, event, "was taken twice");
+  Rpc rpc{};
+  rpc.sidecar = event.sidecar;
+  rpc.retry_safety = event.retry_safety;
+  rpc.deduplication_scope = event.deduplication_scope;
+  rpc.deduplication_window_ms = event.deduplication_window_ms;
+  rpc.deadline_ms = event.deadline_ms;
+  rpcs_.emplace(event.rpc, std::move(rpc));
+}
+
+const RuleChecker::Attempt* RuleChecker::first_attempt_possibly_executed(const Rpc& rpc, int before) {
+  for (const auto& [number, attempt] : rpc.attempts) {
+    if (number < before && (attempt.in_flight || attempt.possibly_executed)) return &attempt;
   }
-  if (!r->attempts.emplace(e.attempt, Attempt{e.server, e.time_ms}).second)
-    add_violation(1, e, "a pick was made twice");
-}
-
-void RuleChecker::on_attempt_sent(const TraceEvent& e) {
-  const auto told = stop_notified_at_.find({e.sidecar, e.server});
-  if (told != stop_notified_at_.end() && e.time_ms > told->second + bounds_.drain_grace_ms)
-    add_violation(3, e,
-                  "something new was sent " + std::to_string(static_cast<int>(e.time_ms - told->second)) +
-                      " ms after it was told that the server drains or is gone");
-  if (e.kind == TraceEvent::Kind::health_check_sent) return;
-  Rpc* r = find_open_rpc(e, "a pick was sent");
-  if (!r) return;
-  if (r->concluded) add_violation(1, e, "a pick was sent after its final answer");
-  if (e.time_ms > r->deadline_ms) add_violation(1, e, "a pick was sent after its deadline");
-}
-
-void RuleChecker::on_attempt_received(const TraceEvent& e) {
-  const auto it = servers_.find(e.server);
-  if (it == servers_.end()) return;
-  Server& s = it->second;
-  if (s.started_at_ms <= 0 || s.slow_start_duration_ms <= 0 ||
-      e.time_ms >= s.started_at_ms + s.slow_start_duration_ms)
-    return;
-  const auto told = start_notified_.find({e.sidecar, e.server});
-  if (told == start_notified_.end() || told->second != s.started_at_ms) return;
-  s.recent_work.push_back({e.time_ms, e.work_ms});
-  s.recent_work_sum += e.work_ms;
-  while (s.recent_work.front().time_ms <= e.time_ms - bounds_.slow_start_window_ms) {
-    s.recent_work_sum -= s.recent_work.front().work_ms;
-    s.recent_work.pop_front();
+  return nullptr;
+}
+
+void RuleChecker::check_retry(const TraceEvent& event, const Rpc& rpc, const Attempt& previous) {
+  if (rpc.retry_safety == RetrySafety::non_idempotent)
+    add_violation(2, event, "a non-idempotent RPC got another pick, though one may have run");
+  if (rpc.retry_safety != RetrySafety::idempotency_key) return;
+  const Server& previous_server = servers_[previous.server];
+  const Server& server = servers_[event.server];
+  const bool leaves_zone =
+      rpc.deduplication_scope == DeduplicationScope::zone && previous_server.zone != server.zone;
+  const bool leaves_cell =
+      rpc.deduplication_scope == DeduplicationScope::cell && previous_server.cell != server.cell;
+  if (leaves_zone || leaves_cell)
+    add_violation(2, event, "a deduplicated RPC got another pick outside its group");
+  if (event.time_ms > previous.decided_at_ms + rpc.deduplication_window_ms)
+    add_violation(2, event, "a deduplicated RPC got another pick after its window");
+}
+
+void RuleChecker::on_attempt_decided(const TraceEvent& event) {
+  Rpc* rpc = find_open_rpc(event, "a pick was made");
+  if (!rpc) return;
+  if (rpc->concluded) add_violation(1, event, "a pick was made after its final answer");
+  const Attempt* previous = first_attempt_possibly_executed(*rpc, event.attempt);
+  if (previous) check_retry(event, *rpc, *previous);
+  const bool is_new =
+      rpc->attempts.emplace(event.attempt, Attempt{.server = event.server, .decided_at_ms = event.time_ms})
+          .second;
+  if (!is_new) add_violation(1, event, "a pick was made twice");
+}
+
+void RuleChecker::check_drain_grace(const TraceEvent& event) {
+  const auto stop = stop_notified_at_.find({event.sidecar, event.server});
+  if (stop == stop_notified_at_.end() || event.time_ms <= stop->second + bounds_.drain_grace_ms) return;
+  const auto late_by_ms = static_cast<int>(event.time_ms - stop->second);
+  add_violation(3, event,
+                "something new was sent " + std::to_string(late_by_ms) +
+                    " ms after it was told that the server drains or is gone");
+}
+
+void RuleChecker::on_attempt_sent(const TraceEvent& event) {
+  check_drain_grace(event);
+  const Rpc* rpc = find_open_rpc(event, "a pick was sent");
+  if (!rpc) return;
+  if (rpc->concluded) add_violation(1, event, "a pick was sent after its final answer");
+  if (event.time_ms > rpc->deadline_ms) add_violation(1, event, "a pick was sent after its deadline");
+}
+
+bool RuleChecker::Server::in_slow_start(double time_ms) const {
+  return started_at_ms > 0 && slow_start_duration_ms > 0 && time_ms < started_at_ms + slow_start_duration_ms;
+}
+
+double RuleChecker::Server::slow_start_capacity(double time_ms) const {
+  const double initial = slow_start_initial_capacity;
+  const double fraction = initial + (1 - initial) * (time_ms - started_at_ms) / slow_start_duration_ms;
+  return capacity * fraction;
+}
+
+void RuleChecker::on_attempt_received(const TraceEvent& event) {
+  const auto found = servers_.find(event.server);
+  if (found == servers_.end() || !found->second.in_slow_start(event.time_ms)) return;
+  const auto notified = notified_start_.find({event.sidecar, event.server});
+  if (notified == notified_start_.end() || notified->second != found->second.started_at_ms) return;
+  check_slow_start(event, found->second);
+}
+
+void RuleChecker::check_slow_start(const TraceEvent& event, Server& server) {
+  server.recent_work.push_back({event.time_ms, event.work_ms});
+  server.recent_work_sum += event.work_ms;
+  while (server.recent_work.front().time_ms <= event.time_ms - bounds_.slow_start_window_ms) {
+    server.recent_work_sum -= server.recent_work.front().work_ms;
+    server.recent_work.pop_front();
   }
-  const double warmth = s.slow_start_initial_capacity + (1 - s.slow_start_initial_capacity) *
-                                                            (e.time_ms - s.started_at_ms) /
-                                                            s.slow_start_duration_ms;
-  const double can = s.capacity * warmth * bounds_.slow_start_window_ms;
-  const double share = s.recent_work_sum / can;
-  peak_slow_start_overload_ = std::max(peak_slow_start_overload_, share / bounds_.slow_start_overload_limit);
-  if (share <= bounds_.slow_start_overload_limit || s.violation_reported) return;
-  s.violation_reported = true;
+  const double window_capacity = server.slow_start_capacity(event.time_ms) * bounds_.slow_start_window_ms;
+  const double overload = server.recent_work_sum / window_capacity;
+  peak_slow_start_overload_ =
+      std::max(peak_slow_start_overload_, overload / bounds_.slow_start_overload_limit);
+  if (overload <= bounds_.slow_start_overload_limit || server.violation_reported) return;
+  server.violation_reported = true;
   std::ostringstream text;
-  text << "a cold server got " << share << " times what it can do, over " << bounds_.slow_start_window_ms
+  text << "a cold server got " << overload << " times what it can do, over " << bounds_.slow_start_window_ms
        << " ms";
-  add_violation(4, e, text.str());
-}
-
-void RuleChecker::on_attempt_started(const TraceEvent& e) {
-  const auto it = rpcs_.find(e.rpc);
-  if (it == rpcs_.end()) return;  // its sidecar died, or gave it up and forgot: the server may still work
-  Rpc& r = it->second;
-  const auto p = r.attempts.find(e.attempt);
-  if (p == r.attempts.end()) return add_violation(1, e, "a server works on a pick that nobody made");
-  if (!p->second.in_flight && !p->second.possibly_executed)
-    add_violation(2, e, "a server works on a pick that was held never to run");
-  p->second.started = true;
-  if (++r.executions > 1 && r.retry_safety == RetrySafety::non_idempotent)
-    add_violation(2, e, "a non-idempotent RPC ran twice");
-}
-
-void RuleChecker::on_attempt_finished(const TraceEvent& e) {
-  const auto it = rpcs_.find(e.rpc);
-  if (it == rpcs_.end()) return;
-  const auto p = it->second.attempts.find(e.attempt);
-  if (p == it->second.attempts.end()) return add_violation(1, e, "a pick ended that nobody made");
-  p->second.in_flight = false;
-  p->second.succeeded = e.outcome == AttemptOutcome::ok;
-  p->second.possibly_executed = e.outcome != AttemptOutcome::connect_failed &&
-                                e.outcome != AttemptOutcome::rejected &&
-                                e.outcome != AttemptOutcome::client_error;
-  if (p->second.started && !p->second.possibly_executed)
-    add_violation(2, e, "a pick that ran is held never to have run");
-  forget_if_finished(e.rpc);
-}
-
-void RuleChecker::on_answered(const TraceEvent& e) {
-  Rpc* r = find_open_rpc(e, "a final answer was given");
-  if (!r) return;
-  if (r->answered) return add_violation(1, e, "a second final answer was given");
-  if (r->concluded) add_violation(1, e, "a final answer was given after its client left");
-  if (e.time_ms > r->deadline_ms) add_violation(1, e, "the final answer came after the deadline");
-  r->concluded = r->answered = true;
-  const auto served = [](const auto& p) { return p.second.succeeded; };
-  if (e.answer == RpcAnswer::ok && std::none_of(r->attempts.begin(), r->attempts.end(), served))
-    add_violation(1, e, "was answered ok, though no pick was");
-  const Attempt* ran = first_attempt_possibly_executed(*r, static_cast<int>(r->attempts.size()));
-  if (e.answer == RpcAnswer::rejected && ran) {
-    if (r->retry_safety == RetrySafety::non_idempotent)
-      add_violation(2, e, "a non-idempotent RPC was pushed back, though a pick may have run");
-    if (r->retry_safety == RetrySafety::idempotency_key &&
-        r->deduplication_scope != DeduplicationScope::global)
-      add_violation(2, e, "a deduplicated RPC was pushed back, though its repeat may leave the group");
+  add_violation(4, event, text.str());
+}
+
+void RuleChecker::on_attempt_started(const TraceEvent& event) {
+  const auto found = rpcs_.find(event.rpc);
+  if (found == rpcs_.end()) return;  // its sidecar died or has forgotten it: the server may still work
+  Rpc& rpc = found->second;
+  const auto attempt = rpc.attempts.find(event.attempt);
+  if (attempt == rpc.attempts.end())
+    return add_violation(1, event, "a server works on a pick that nobody made");
+  if (!attempt->second.in_flight && !attempt->second.possibly_executed)
+    add_violation(2, event, "a server works on a pick that was held never to run");
+  attempt->second.started = true;
+  ++rpc.executions;
+  if (rpc.executions > 1 && rpc.retry_safety == RetrySafety::non_idempotent)
+    add_violation(2, event, "a non-idempotent RPC ran twice");
+}
+
+void RuleChecker::on_attempt_finished(const TraceEvent& event) {
+  const auto found = rpcs_.find(event.rpc);
+  if (found == rpcs_.end()) return;
+  const auto number_and_attempt = found->second.attempts.find(event.attempt);
+  if (number_and_attempt == found->second.attempts.end())
+    return add_violation(1, event, "a pick ended that nobody made");
+  Attempt& attempt = number_and_attempt->second;
+  attempt.in_flight = false;
+  attempt.succeeded = event.outcome == AttemptOutcome::ok;
+  attempt.possibly_executed = may_have_executed(event.outcome);
+  if (attempt.started && !attempt.possibly_executed)
+    add_violation(2, event, "a pick that ran is held never to have run");
+  forget_if_finished(event.rpc);
+}
+
+void RuleChecker::on_answered(const TraceEvent& event) {
+  Rpc* rpc = find_open_rpc(event, "a final answer was given");
+  if (!rpc) return;
+  if (rpc->answered) return add_violation(1, event, "a second final answer was given");
+  if (rpc->concluded) add_violation(1, event, "a final answer was given after its client left");
+  if (event.time_ms > rpc->deadline_ms) add_violation(1, event, "the final answer came after the deadline");
+  rpc->concluded = true;
+  rpc->answered = true;
+  const bool any_succeeded =
+      std::any_of(rpc->attempts.begin(), rpc->attempts.end(),
+                  [](const auto& number_and_attempt) { return number_and_attempt.second.succeeded; });
+  if (event.answer == RpcAnswer::ok && !any_succeeded)
+    add_violation(1, event, "was answered ok, though no pick was");
+  const Attempt* executed = first_attempt_possibly_executed(*rpc, static_cast<int>(rpc->attempts.size()));
+  if (event.answer == RpcAnswer::rejected && executed) {
+    if (rpc->retry_safety == RetrySafety::non_idempotent)
+      add_violation(2, event, "a non-idempotent RPC was pushed back, though a pick may have run");
+    if (rpc->retry_safety == RetrySafety::idempotency_key &&
+        rpc->deduplication_scope != DeduplicationScope::global)
+      add_violation(2, event, "a deduplicated RPC was pushed back, though its repeat may leave the group");
   }
-  forget_if_finished(e.rpc);
+  forget_if_finished(event.rpc);
 }
 
-// What is answered and has no pick out is kept by its id alone.
+void RuleChecker::on_client_disconnected(const TraceEvent& event) {
+  Rpc* rpc = find_open_rpc(event, "its client left");
+  if (!rpc) return;
+  rpc->concluded = true;
+  forget_if_finished(event.rpc);
+}
+
+// Of an RPC that is concluded and has no attempt in flight only the id is kept.
 void RuleChecker::forget_if_finished(std::uint64_t id) {
-  const auto it = rpcs_.find(id);
-  const auto out = [](const auto& p) { return p.second.in_flight; };
-  if (it == rpcs_.end() || !it->second.concluded) return;
-  if (std::any_of(it->second.attempts.begin(), it->second.attempts.end(), out)) return;
-  // What must not run twice is watched until the end: a cancelled pick may begin late.
-  if (it->second.retry_safety == RetrySafety::non_idempotent && it->second.attempts.size() > 1) return;
+  const auto found = rpcs_.find(id);
+  if (found == rpcs_.end() || !found->second.concluded) return;
+  const Rpc& rpc = found->second;
+  const bool any_in_flight =
+      std::any_of(rpc.attempts.begin(), rpc.attempts.end(),
+                  [](const auto& number_and_attempt) { return number_and_attempt.second.in_flight; });
+  if (any_in_flight) return;
+  // What must not run twice is watched until the end: a cancelled attempt may start late.
+  if (rpc.retry_safety == RetrySafety::non_idempotent && rpc.attempts.size() > 1) return;
   finished_rpcs_.insert(id);
-  rpcs_.erase(it);
+  rpcs_.erase(found);
+}
+
+void RuleChecker::on_sidecar_died(const TraceEvent& event) {
+  std::erase_if(rpcs_, [&](const auto& id_and_rpc) {
+    if (id_and_rpc.second.sidecar != event.sidecar) return false;
+    finished_rpcs_.insert(id_and_rpc.first);
+    return true;
+  });
+  const auto of_this_sidecar = [&](const auto& key_and_time) {
+    return key_and_time.first.sidecar == event.sidecar;
+  };
+  std::erase_if(stop_notified_at_, of_this_sidecar);
+  std::erase_if(notified_start_, of_this_sidecar);
 }
 
-void RuleChecker::on_sidecar_died(const TraceEvent& e) {
-  for (auto it = rpcs_.begin(); it != rpcs_.end();) {
-    if (it->second.sidecar != e.sidecar) {
-      ++it;
-      continue;
-    }
-    finished_rpcs_.insert(it->first);
-    it = rpcs_.erase(it);
+void RuleChecker::on_run_ended(const TraceEvent& event) {
+  std::vector<std::uint64_t> unanswered;
+  for (const auto& [id, rpc] : rpcs_) {
+    if (!rpc.concluded && rpc.deadline_ms < event.time_ms) unanswered.push_back(id);
   }
-  std::erase_if(stop_notified_at_, [&](const auto& t) { return t.first.first == e.sidecar; });
-  std::erase_if(start_notified_, [&](const auto& t) { return t.first.first == e.sidecar; });
-}
-
-void RuleChecker::on_run_ended(const TraceEvent& e) {
-  std::vector<std::pair<std::uint64_t, const Rpc*>> left;
-  for (const auto& [id, r] : rpcs_)
-    if (!r.concluded && r.deadline_ms < e.time_ms) left.emplace_back(id, &r);
-  std::sort(left.begin(), left.end());
-  for (const auto& [id, r] : left) {
-    TraceEvent of = e;
-    of.rpc = id;
-    of.sidecar = r->sidecar;
-    of.server = r->attempts.empty() ? 0 : r->attempts.rbegin()->second.server;
-    add_violation(1, of, "got no final answer before its deadline");
+  std::sort(unanswered.begin(), unanswered.end());
+  for (const std::uint64_t id : unanswered) {
+    const Rpc& rpc = rpcs_.at(id);
+    TraceEvent missing_answer = event;
+    missing_answer.rpc = id;
+    missing_answer.sidecar = rpc.sidecar;
+    missing_answer.server = rpc.attempts.empty() ? 0 : rpc.attempts.rbegin()->second.server;
+    add_violation(1, missing_answer, "got no final answer before its deadline");
   }
 }
 
--- a/src/emulator/rule_checker.h
+++ b/src/emulator/rule_checker.h
@@ -1,14 +1,23 @@
-// Checks the four rules on what happened, from the record alone: it knows neither the model nor the module.
+/// \file
+/// Checks the four operating rules on the trace of a run alone: it knows neither the emulator's model nor the
+/// load balancer.
+///
+/// 1. Each RPC gets exactly one final answer, in time, and no attempt without it or after it.
+/// 2. What may have been executed is repeated only as far as its retry safety allows.
+/// 3. A server that drains or is gone gets nothing new once the grace period is over.
+/// 4. A server in slow start gets no more than a multiple of its capacity from sidecars that know of its
+/// start.
 #pragma once
 
 #include <array>
+#include <compare>
+#include <cstddef>
 #include <cstdint>
 #include <deque>
 #include <map>
 #include <string>
 #include <unordered_map>
 #include <unordered_set>
-#include <utility>
 #include <vector>
 
 #include "emulator/trace.h"
@@ -16,74 +25,99 @@
 namespace indigorill::emulator {
 
 struct RuleViolation {
-  int rule;  // 1 to 4
+  int rule;  ///< 1 to 4
   double time_ms;
-  std::uint64_t rpc;  // 0: concerns none
-  std::uint32_t server, sidecar;
+  std::uint64_t rpc;  ///< 0: concerns no RPC
+  std::uint32_t server;
+  std::uint32_t sidecar;
   std::string description;
 };
 
-// One line, as people read it.
-std::string describe(const RuleViolation& b);
+/// The violation as one line for people.
+std::string describe(const RuleViolation& violation);
 
 class RuleChecker : public TraceListener {
  public:
   struct Bounds {
-    double drain_grace_ms = 500, slow_start_overload_limit = 3, slow_start_window_ms = 1500;
+    double drain_grace_ms = 500;
+    double slow_start_overload_limit = 3;
+    double slow_start_window_ms = 1500;
   };
 
-  explicit RuleChecker(Bounds b) : bounds_(b) {}
+  explicit RuleChecker(const Bounds& bounds) : bounds_(bounds) {}
 
-  void on_event(const TraceEvent& e) override;
+  void on_event(const TraceEvent& event) override;
 
-  const std::vector<RuleViolation>& violations() const { return violations_; }  // the first of them
+  /// The first violations; count() counts all.
+  const std::vector<RuleViolation>& violations() const { return violations_; }
   std::uint64_t count(int rule) const { return violation_counts_.at(static_cast<std::size_t>(rule) - 1); }
-  std::uint64_t count() const {
-    return violation_counts_[0] + violation_counts_[1] + violation_counts_[2] + violation_counts_[3];
-  }
-  double peak_slow_start_overload() const {
-    return peak_slow_start_overload_;
-  }  // of the stated multiple, over all cold servers and spans
+  std::uint64_t count() const;
+  /// The highest work in a slow-start window over the limit for it, over all servers.
+  double peak_slow_start_overload() const { return peak_slow_start_overload_; }
 
  private:
   struct Attempt {
     std::uint32_t server;
     double decided_at_ms;
-    bool in_flight = true, possibly_executed = true, started = false, succeeded = false;
+    bool in_flight = true;
+    bool possibly_executed = true;  // as the sidecar sees it
+    bool started = false;           // as the server sees it
+    bool succeeded = false;
   };
   struct Rpc {
     std::uint32_t sidecar;
     RetrySafety retry_safety;
     DeduplicationScope deduplication_scope;
-    double deduplication_window_ms, deadline_ms;
-    bool concluded = false, answered = false;
+    double deduplication_window_ms;
+    double deadline_ms;
+    bool concluded = false;  // answered, or its client is gone
+    bool answered = false;
     int executions = 0;
     std::map<int, Attempt> attempts;
   };
+  struct WorkSample {
+    double time_ms;
+    double work_ms;
+  };
   struct Server {
-    double capacity = 0, started_at_ms = 0, slow_start_initial_capacity = 1, slow_start_duration_ms = 0;
-    int zone = 0, cell = 0;
-    struct WorkSample {
-      double time_ms, work_ms;
-    };
-    std::deque<WorkSample> recent_work;  // work of sidecars that were told of this start
+    double capacity = 0;
+    double started_at_ms = 0;
+    double slow_start_initial_capacity = 1;
+    double slow_start_duration_ms = 0;
+    int zone = 0;
+    int cell = 0;
+    std::deque<WorkSample> recent_work;  // from sidecars that were notified of this start
     double recent_work_sum = 0;
-    bool violation_reported = false;  // said once for each start
+    bool violation_reported = false;  // once for each start
+
+    bool in_slow_start(double time_ms) const;
+    double slow_start_capacity(double time_ms) const;
+  };
+  struct SidecarAndServer {
+    std::uint32_t sidecar;
+    std::uint32_t server;
+    auto operator<=>(const SidecarAndServer&) const = default;
   };
 
-  void add_violation(int rule, const TraceEvent& e, std::string text);
-  Rpc* find_open_rpc(const TraceEvent& e, const char* doing);
-  void on_rpc_received(const TraceEvent& e);
-  void on_attempt_decided(const TraceEvent& e);
-  void on_attempt_sent(const TraceEvent& e);
-  void on_attempt_received(const TraceEvent& e);
-  void on_attempt_started(const TraceEvent& e);
-  void on_attempt_finished(const TraceEvent& e);
-  void on_answered(const TraceEvent& e);
-  void on_sidecar_died(const TraceEvent& e);
-  void on_run_ended(const TraceEvent& e);
+  void add_violation(int rule, const TraceEvent& event, std::string description);
+  Rpc* find_open_rpc(const TraceEvent& event, const char* action);
+  void on_server_state(const TraceEvent& event);
+  void on_endpoint_notified(const TraceEvent& event);
+  void on_rpc_received(const TraceEvent& event);
+  void on_attempt_decided(const TraceEvent& event);
+  void check_retry(const TraceEvent& event, const Rpc& rpc, const Attempt& previous);
+  void check_drain_grace(const TraceEvent& event);
+  void on_attempt_sent(const TraceEvent& event);
+  void on_attempt_received(const TraceEvent& event);
+  void check_slow_start(const TraceEvent& event, Server& server);
+  void on_attempt_started(const TraceEvent& event);
+  void on_attempt_finished(const TraceEvent& event);
+  void on_answered(const TraceEvent& event);
+  void on_client_disconnected(const TraceEvent& event);
+  void on_sidecar_died(const TraceEvent& event);
+  void on_run_ended(const TraceEvent& event);
   void forget_if_finished(std::uint64_t id);
-  static const Attempt* first_attempt_possibly_executed(const Rpc& r, int before);
+  static const Attempt* first_attempt_possibly_executed(const Rpc& rpc, int before);
 
   Bounds bounds_;
   std::vector<RuleViolation> violations_;
@@ -91,8 +125,8 @@
   std::unordered_map<std::uint64_t, Rpc> rpcs_;
   std::unordered_set<std::uint64_t> finished_rpcs_;
   std::unordered_map<std::uint32_t, Server> servers_;
-  std::map<std::pair<std::uint32_t, std::uint32_t>, double> stop_notified_at_;  // sidecar, server: when
-  std::map<std::pair<std::uint32_t, std::uint32_t>, double> start_notified_;
+  std::map<SidecarAndServer, double> stop_notified_at_;  // when the sidecar learned that the server drains
+  std::map<SidecarAndServer, double> notified_start_;    // the server's start that the sidecar knows of
   double peak_slow_start_overload_ = 0;
 };
 
--- a/src/emulator/scenario.h
+++ b/src/emulator/scenario.h
@@ -1,12 +1,16 @@
-// What the emulator is to play, from a TOML file that is checked as a whole before anything runs.
+/// \file
+/// A scenario: the fleet, its load and its faults, as the emulator and the load generator play it. It comes
+/// from a TOML file, which is checked as a whole before anything runs.
+///
+/// Durations are milliseconds, rates are per second over all sidecars, work is milliseconds on a core of
+/// speed 1.
 #pragma once
 
 #include <toml++/toml.h>
 
+#include <cstdint>
 #include <optional>
-#include <stdexcept>
 #include <string>
-#include <string_view>
 #include <vector>
 
 #include "config/toml_section.h"
@@ -16,15 +20,23 @@
 
 namespace indigorill::emulator {
 
+/// Servers of one kind.
 struct ServerGroup {
   std::string name;
-  int count = 0, cores = 1, queue_capacity = 10, zones = 1, cells = 1, max_connections = 1000;
-  double speed = 1, speed_spread = 0;  // standard deviation over mean, of one server from the next
-  double slow_start_initial_capacity = 1,
-         slow_start_duration_ms = 0;  // what a fresh one can do, and when it is warm; linear in between
+  int count = 0;
+  int cores = 1;
+  int queue_capacity = 10;
+  int zones = 1;
+  int cells = 1;
+  int max_connections = 1000;
+  double speed = 1;
+  double speed_spread = 0;  ///< standard deviation over mean, between servers
+  double slow_start_initial_capacity = 1;
+  double slow_start_duration_ms = 0;
   double error_rate = 0;
 };
 
+/// A method, its share of all RPCs and what they cost a server.
 struct MethodWorkload {
   MethodConfig method;
   double share = 1;
@@ -34,12 +46,13 @@
 enum class ArrivalProcess { poisson, bursts, ramp };
 
 struct LoadProfile {
-  double rate_per_second = 0;  // RPCs a second, over all sidecars
+  double rate_per_second = 0;
   ArrivalProcess process = ArrivalProcess::poisson;
-  double burst_factor = 1, mean_burst_ms = 0,
-         mean_calm_ms = 0;  // bursts: the rate in one, and their mean lengths
-  double final_rate_per_second = 0;
-  double zipf_exponent = 0;  // Zipf's exponent over the sidecars
+  double burst_factor = 1;  ///< bursts: the rate in a burst, over that outside of one
+  double mean_burst_ms = 0;
+  double mean_calm_ms = 0;
+  double final_rate_per_second = 0;  ///< ramp: reached at the end of the run
+  double zipf_exponent = 0;          ///< of the sidecars' shares
 };
 
 struct Fault {
@@ -60,59 +73,108 @@
     terminate_sidecars,
     gossip_partition
   } kind;
-  double start_ms = 0, duration_ms = 0, spread_ms = 0;  // over: how far it is spread
-  double share = 1, factor = 1;
+  double start_ms = 0;
+  double duration_ms = 0;
+  double spread_ms = 0;  ///< the starts of the affected ones are spread over this time
+  double share = 1;      ///< of the sidecars or servers that it affects
+  double factor = 1;     ///< of the slowdown, surge or overload; the rate of errors or losses
   int zone = 0;
-  bool one_way = false;  // cut_talk: the others hear them, they don't hear the others
+  bool one_way = false;  ///< gossip_partition: the others still hear those that are cut off
+};
+
+struct NetworkConfig {
+  double delay_ms = 0.2;  ///< one way
+  double jitter_ms = 0.05;
+  double cross_zone_ms = 0;
+  double loss_rate = 0;
+  double retransmit_ms = 200;
+  double handshake_ms = 0;
+  double handshake_work_ms = 0;
+  double connect_timeout_ms = 250;
+  double idle_timeout_ms = 5000;
+};
+
+struct ClientConfig {
+  int retries = 0;
+  double retry_delay_ms = 100;
+  bool exponential_backoff = false;
+  double retry_after_compliance = 1;  ///< the share of clients that wait as long as a Retry-After says
+};
+
+struct DiscoveryConfig {
+  bool is_polled = false;  ///< sidecars poll for the endpoint list; otherwise it is sent to them
+  double delay_ms = 100;
+  double spread_ms = 100;
+  double detection_ms = 1000;    ///< until a server that ended is taken off the list
+  double full_list_work_ms = 0;  ///< of the discovery service, for the whole list
+  double changes_work_ms = 0;    ///< the same, for a watch event
+  int queue_capacity = 100;
+};
+
+/// What the load balancer may do, and what the operating rules demand of it.
+struct OperatingRules {
+  double drain_grace_ms = 500;
+  double slow_start_overload_factor = 3;
+  double slow_start_window_ms = 1500;
+  double max_retry_after_ms = 0;
+  int max_attempts = 4;
+  bool cancellation_enabled = true;
+  bool probing_enabled = false;
+  bool load_reports_enabled = false;
+  double probe_cost = 0;
+  double handshake_cost = 0;
+  double cross_zone_cost = 0;
+};
+
+/// The limits that all sidecars keep together.
+struct LimitConfig {
+  FleetLimits fleet;
+  bool by_index = false;       ///< each sidecar knows which one it is
+  double instance_factor = 1;  ///< the number of instances that they are told of, over the true one
+  bool is_limited() const {
+    return fleet.connections + fleet.handshakes_per_second + fleet.health_checks_per_second +
+               fleet.discovery_polls_per_second >
+           0;
+  }
+};
+
+/// Membership, leases and quotas between sidecars; only where they are real processes.
+struct GossipConfig {
+  bool enabled = false;
+  int voters = 3;
+  int seeds = 2;
+  int max_quota_holders = 100;
+  double probe_interval_ms = 1000;
+  double probe_timeout_ms = 300;
+  double lease_ms = 10000;
+  double quota_refresh_ms = 2000;
+  double registration_lease_ms = 60000;
+  double retries_per_second = 0;  ///< over all sidecars; 0: no retry quota
+  double guaranteed_minimum = 0;
+  double loss_rate = 0;
+  double duplicate_rate = 0;
+  double delay_ms = 0;
+  double jitter_ms = 0;
+  double late_rate = 0;  ///< the share of datagrams that come `late_by_ms` later
+  double late_by_ms = 0;
 };
 
 struct Scenario {
   std::string name;
   std::uint64_t seed = 1;
-  double duration_ms = 0, warmup_ms = 0;
-  int sidecars = 1, zones = 1;
+  double duration_ms = 0;
+  double warmup_ms = 0;  ///< until then nothing is measured
+  int sidecars = 1;
+  int zones = 1;
   std::vector<ServerGroup> servers;
   std::vector<MethodWorkload> methods;
   LoadProfile load;
-  struct {
-    double delay = 0.2, jitter = 0.05, cross_zone = 0, loss = 0, retransmit = 200;
-    double handshake = 0, handshake_work = 0, connect_timeout = 250, idle = 5000;
-  } network;
-  struct {
-    int retries = 0;
-    double wait = 100;
-    bool doubles = false;
-    double heeds = 1;  // the share of clients that wait as long as a push-back advises
-  } clients;
-  struct {
-    bool asked = false;
-    double delay = 100, spread = 100, notice = 1000, whole = 0, changes = 0;
-    int queue = 100;
-  } discovery;
-  struct {
-    double grace = 500, multiple = 3, span = 1500, advice = 0;
-    int most_picks = 4;
-    bool cancelling = true, probes = false, reports = false;
-    double probe_price = 0, handshake_price = 0, cross_zone_price = 0;
-  } rules;
-  struct {
-    FleetLimits all;
-    bool by_turns = false;
-    double told = 1;  // the number of instances that they are told, over the true one
-    bool any() const {
-      return all.connections + all.handshakes_per_second + all.health_checks_per_second +
-                 all.discovery_polls_per_second >
-             0;
-    }
-  } limits;
-  // How sidecars talk, and what they share; on real processes alone.
-  struct {
-    bool on = false;
-    int voters = 3, seeds = 2, most = 100;
-    double period = 1000, timeout = 300, lease = 10000, share = 2000, seat = 60000;
-    double further_picks = 0, floor = 0;  // a second, over all; 0: no budget
-    double loss = 0, doubled = 0, delay = 0, jitter = 0, late = 0, late_by = 0;
-  } gossip;
+  NetworkConfig network;
+  ClientConfig clients;
+  DiscoveryConfig discovery;
+  OperatingRules rules;
+  LimitConfig limits;
+  GossipConfig gossip;
   std::vector<Fault> faults;
 
   int initial_server_count() const;
@@ -122,31 +184,10 @@
 
 std::string zone_name(int zone);
 
-// How the load comes and goes: what holds whatever decides.
-struct ArrivalPattern {
-  std::vector<std::pair<double, bool>> bursts;  // from when on, and whether it is one
-  double calm_rate = 0, peak_rate = 0;          // RPCs a second; most: never more, in surges either
-};
-ArrivalPattern make_arrival_pattern(const Scenario& s, RandomStream& chance);
-double arrival_rate(const Scenario& s, const ArrivalPattern& p, double when);  // without surges
-// The share of n, by a shuffle: whom a trouble befalls.
-std::vector<std::uint32_t> sample_indices(std::size_t n, double share, RandomStream& chance);
-std::pair<std::size_t, double> sample_rpc(const Scenario& s, RandomStream& chance);  // its method and work
-
-// What of it the emulator can't play, in a line; none where it can play all.
-std::optional<std::string> find_unsupported_feature(const Scenario& s);
-
-Scenario decode_scenario(const toml::table& from);  // throws faulty
+/// What in the scenario the emulator can't play, in a line; none where it can play all of it.
+std::optional<std::string> find_unsupported_feature(const Scenario& scenario);
 
-// Sets what a dotted path names ("load.rate", "trouble[0].share"); throws faulty where there is none.
-void set_value(toml::table& in, const std::string& path, double value);
-double value_at(const toml::table& in, const std::string& path);
-
-// The variables that `search` may move, from the table `ranges`.
-struct SearchRange {
-  std::string path;
-  double minimum, maximum;
-};
-std::vector<SearchRange> decode_search_ranges(const toml::table& from);
+/// Throws ConfigError, with a line for each error.
+Scenario decode_scenario(const toml::table& table);
 
 }  // namespace indigorill::emulator
--- a/src/emulator/simulation.cpp
+++ b/src/emulator/simulation.cpp
@@ -42,7 +42,7 @@
       network_random_(derive_seed(seed_, RandomPurpose::network)),
       discovery_random_(derive_seed(seed_, RandomPurpose::discovery)),
       client_random_(derive_seed(seed_, RandomPurpose::clients)),
-      packet_loss_(s.network.loss) {
+      packet_loss_(s.network.loss_rate) {
   RandomStream speeds(derive_seed(seed_, RandomPurpose::servers));
   for (const ServerGroup& k : scenario_.servers)
     for (int i = 0; i < k.count; ++i)
@@ -81,8 +81,8 @@
                             k.slow_start_initial_capacity,
                             k.slow_start_duration_ms,
                             k.error_rate,
-                            scenario_.rules.multiple,
-                            scenario_.rules.span};
+                            scenario_.rules.slow_start_overload_factor,
+                            scenario_.rules.slow_start_window_ms};
   at.server = std::make_unique<EmulatedServer>(
       events_, is, derive_seed(seed_, RandomPurpose::server_errors, index),
       EmulatedServer::Callbacks{[this, index](std::uint64_t of) {
@@ -128,13 +128,14 @@
   c.subscribed = c.update_scheduled = c.full_list_next = false;
   c.pending_poll = 0;
   c.idle_connections.assign(servers_.size(), {});
-  c.connect_timeout = ConnectTimeoutEstimator(scenario_.network.connect_timeout);
+  c.connect_timeout = ConnectTimeoutEstimator(scenario_.network.connect_timeout_ms);
   c.limiter.reset();
   c.connection_limited.clear();
-  if (scenario_.limits.any() && policy_ == PolicyKind::load_balancer) {
-    InstancePosition where{std::max(1.0, std::round(scenario_.sidecars * scenario_.limits.told)), 1, {}};
-    if (scenario_.limits.by_turns) where.index = s;
-    c.limiter = std::make_unique<FleetLimiter>(scenario_.limits.all, where,
+  if (scenario_.limits.is_limited() && policy_ == PolicyKind::load_balancer) {
+    InstancePosition where{
+        std::max(1.0, std::round(scenario_.sidecars * scenario_.limits.instance_factor)), 1, {}};
+    if (scenario_.limits.by_index) where.index = s;
+    c.limiter = std::make_unique<FleetLimiter>(scenario_.limits.fleet, where,
                                                derive_seed(seed_, RandomPurpose::policy, s));
   }
   c.policy = make_policy(
@@ -146,7 +147,7 @@
   if (lags && !c.stale) ++stale_sidecar_count_;
   c.stale = lags;
   deliver_endpoints(s, true, false);
-  if (!scenario_.discovery.asked && c.stale) schedule_endpoint_update(s);
+  if (!scenario_.discovery.is_polled && c.stale) schedule_endpoint_update(s);
 }
 
 void Simulation::schedule_fault(const Fault& t, std::size_t which) {
@@ -227,7 +228,7 @@
       return;
     case Kind::packet_loss:
       at(from, [this, much = t.factor] { packet_loss_ = much; });
-      at(until, [this] { packet_loss_ = scenario_.network.loss; });
+      at(until, [this] { packet_loss_ = scenario_.network.loss_rate; });
       return;
     case Kind::load_surge:
       at(from, [this, much = t.factor] { surge_factor_ *= much; });
@@ -253,7 +254,7 @@
         discovery_silent_ = false;
         for (std::uint32_t s = 0; s < sidecars_.size(); ++s)
           if (sidecars_[s].running && sidecars_[s].stale &&
-              (!scenario_.discovery.asked || sidecars_[s].subscribed))
+              (!scenario_.discovery.is_polled || sidecars_[s].subscribed))
             schedule_endpoint_update(s);
       });
       return;
@@ -283,8 +284,8 @@
   if (!c.running) return;  // an application stops and starts with its sidecar
   const std::uint64_t id = ++last_request_id_;
   const bool counted = events_.now() >= scenario_.warmup_ms;
-  requests_[id] = {s,      method, events_.now(), work, scenario_.clients.retries, scenario_.clients.wait,
-                   counted};
+  requests_[id] = {
+      s, method, events_.now(), work, scenario_.clients.retries, scenario_.clients.retry_delay_ms, counted};
   ++metrics_.arrived;
   ++current_second().arrived;
   send_request(id);
@@ -366,12 +367,12 @@
   ClientRequest& t = requests_.at(of);
   const MethodConfig& how = scenario_.methods[t.method].method;
   const bool harmless = f == RequestOutcome::rejected || how.retry_safety == RetrySafety::idempotent;
-  const double waits =
-      std::max(t.retry_delay_ms, client_random_.bernoulli(scenario_.clients.heeds) ? advice : 0);
+  const double waits = std::max(
+      t.retry_delay_ms, client_random_.bernoulli(scenario_.clients.retry_after_compliance) ? advice : 0);
   if (!harmless || t.retries_left <= 0 || events_.now() + waits >= t.arrived_at_ms + how.deadline_ms)
     return conclude_request(of, f);
   --t.retries_left;
-  if (scenario_.clients.doubles) t.retry_delay_ms *= 2;
+  if (scenario_.clients.exponential_backoff) t.retry_delay_ms *= 2;
   events_.schedule(events_.now() + waits, EventPriority::client, [this, of] {
     if (requests_.count(of)) send_request(of);
   });
@@ -551,7 +552,7 @@
                        });
                        return;
                      }
-                     events_.schedule(events_.now() + back + scenario_.network.handshake,
+                     events_.schedule(events_.now() + back + scenario_.network.handshake_ms,
                                       EventPriority::network,
                                       [this, id, n, server, began, life = at.incarnation] {
                                         on_connected(id, n, server, life, began);
@@ -574,7 +575,7 @@
   p.phase = AttemptPhase::sent;
   p.job = ++last_job_id_;
   const double work = requests_.count(r.request) ? requests_.at(r.request).work_ms : 0;
-  const double all = work + (p.new_connection ? scenario_.network.handshake_work : 0);
+  const double all = work + (p.new_connection ? scenario_.network.handshake_work_ms : 0);
   TraceEvent e{TraceEvent::Kind::attempt_sent};
   e.rpc = id;
   e.attempt = n;
@@ -621,7 +622,7 @@
   jobs_.erase(it);
   if (was.rpc == 0 || servers_[server].unreachable) return;
   LoadReport report;
-  if (scenario_.rules.reports) report.in_flight = held;
+  if (scenario_.rules.load_reports_enabled) report.in_flight = held;
   using Outcome = EmulatedServer::JobOutcome;
   const AttemptOutcome means = how == Outcome::served       ? AttemptOutcome::ok
                                : how == Outcome::error      ? AttemptOutcome::error
@@ -724,11 +725,11 @@
   report_idle_connections(s, server);
   // Retired before the server would close it: a pick written to it then would be a reset.
   constexpr double part = 0.75;
-  events_.schedule(events_.now() + part * scenario_.network.idle, EventPriority::timer,
+  events_.schedule(events_.now() + part * scenario_.network.idle_timeout_ms, EventPriority::timer,
                    [this, s, server, of = sidecars_[s].incarnation] {
                      if (sidecars_[s].incarnation != of || !sidecars_[s].running) return;
                      std::vector<IdleConnection>& rested = sidecars_[s].idle_connections[server];
-                     const double since = events_.now() - part * scenario_.network.idle;
+                     const double since = events_.now() - part * scenario_.network.idle_timeout_ms;
                      const std::size_t before = rested.size();
                      while (!rested.empty() && rested.front().idle_since_ms <= since) {
                        close_connection(server, rested.front().incarnation);
@@ -793,7 +794,7 @@
     const double when = std::max(events_.now(), at.server->stalled_until_ms());
     events_.schedule(when, EventPriority::server, [this, s, server, end, life, back] {
       LoadReport report;
-      if (scenario_.rules.reports) report.in_flight = servers_[server].server->jobs_in_flight();
+      if (scenario_.rules.load_reports_enabled) report.in_flight = servers_[server].server->jobs_in_flight();
       const AttemptOutcome how = servers_[server].draining ? AttemptOutcome::error : AttemptOutcome::ok;
       events_.schedule(events_.now() + back, EventPriority::network,
                        [this, s, server, end, life, how, report] {
@@ -823,14 +824,14 @@
     TraceEvent work{TraceEvent::Kind::attempt_received};
     work.server = server;
     work.sidecar = s;
-    work.work_ms = scenario_.network.handshake_work;
+    work.work_ms = scenario_.network.handshake_work_ms;
     trace(work);
     const std::uint64_t of = ++last_job_id_;
     const std::uint32_t life = at.incarnation;
     jobs_[of] = {0, 0, s};
-    at.server->submit(of, scenario_.network.handshake_work);
+    at.server->submit(of, scenario_.network.handshake_work_ms);
     const double forth = one_way_delay(sidecars_[s].zone, at.zone);
-    events_.schedule(events_.now() + back + scenario_.network.handshake + forth, EventPriority::network,
+    events_.schedule(events_.now() + back + scenario_.network.handshake_ms + forth, EventPriority::network,
                      [answered, life] { answered(life); });
   });
 }
@@ -886,7 +887,7 @@
     SidecarState& c = sidecars_[s];
     if (!c.running) continue;
     if (!c.stale) c.stale = true, ++stale_sidecar_count_;
-    if (!scenario_.discovery.asked || c.subscribed) schedule_endpoint_update(s);
+    if (!scenario_.discovery.is_polled || c.subscribed) schedule_endpoint_update(s);
   }
 }
 
@@ -894,7 +895,8 @@
   SidecarState& c = sidecars_[s];
   if (c.update_scheduled || discovery_silent_) return;
   c.update_scheduled = true;
-  const double after = scenario_.discovery.delay + scenario_.discovery.spread * discovery_random_.uniform();
+  const double after =
+      scenario_.discovery.delay_ms + scenario_.discovery.spread_ms * discovery_random_.uniform();
   events_.schedule(events_.now() + after, EventPriority::discovery, [this, s, life = c.incarnation] {
     if (!sidecars_[s].running || sidecars_[s].incarnation != life) return;
     sidecars_[s].update_scheduled = false;
@@ -980,7 +982,7 @@
                    [this, s, call] { on_poll_failed(s, call); });
   events_.schedule(events_.now() + one_way_delay(c.zone, 0), EventPriority::network, [this, s, call, whole] {
     if (discovery_silent_) return;
-    if (discovery_queue_length_ >= static_cast<std::size_t>(scenario_.discovery.queue) + 1) {
+    if (discovery_queue_length_ >= static_cast<std::size_t>(scenario_.discovery.queue_capacity) + 1) {
       ++metrics_.discovery_rejections;
       events_.schedule(events_.now() + one_way_delay(0, sidecars_[s].zone), EventPriority::network,
                        [this, s, call] { on_poll_failed(s, call); });
@@ -989,7 +991,8 @@
     ++discovery_queue_length_;
     discovery_free_at_ms_ =
         std::max(discovery_free_at_ms_, events_.now()) +
-        (whole ? scenario_.discovery.whole : scenario_.discovery.changes) * discovery_slowdown_;
+        (whole ? scenario_.discovery.full_list_work_ms : scenario_.discovery.changes_work_ms) *
+            discovery_slowdown_;
     events_.schedule(discovery_free_at_ms_, EventPriority::discovery, [this, s, call, whole] {
       --discovery_queue_length_;
       events_.schedule(events_.now() + one_way_delay(0, sidecars_[s].zone), EventPriority::network,
@@ -1026,7 +1029,7 @@
   if (!machine) {
     ++at.incarnation;
     // Who holds a connection there sees it end a trip later.
-    events_.schedule(events_.now() + scenario_.network.delay, EventPriority::network, [this, server] {
+    events_.schedule(events_.now() + scenario_.network.delay_ms, EventPriority::network, [this, server] {
       for (std::uint32_t s = 0; s < sidecars_.size(); ++s) {
         std::vector<IdleConnection>& rested = sidecars_[s].idle_connections[server];
         const auto ended_ones = std::erase_if(
@@ -1038,7 +1041,7 @@
   }
   if (!noticed) return;
   events_.schedule(
-      events_.now() + scenario_.discovery.notice, EventPriority::discovery,
+      events_.now() + scenario_.discovery.detection_ms, EventPriority::discovery,
       [this, server, life = at.incarnation] {
         ServerState& then = servers_[server];
         if (then.incarnation != life || (then.server->is_running() && !then.unreachable) || !then.advertised)
@@ -1069,10 +1072,10 @@
   const double on_the_way =
       static_cast<double>(at.incoming_attempts) * mean / (rate * at.server->config().cores);
   const double there =
-      scenario_.network.delay + (at.zone == sidecars_[s].zone ? 0 : scenario_.network.cross_zone);
+      scenario_.network.delay_ms + (at.zone == sidecars_[s].zone ? 0 : scenario_.network.cross_zone_ms);
   const bool fresh = sidecars_[s].idle_connections[server].empty();
   const double joining =
-      fresh ? scenario_.network.handshake + scenario_.network.handshake_work / rate + 2 * there : 0;
+      fresh ? scenario_.network.handshake_ms + scenario_.network.handshake_work_ms / rate + 2 * there : 0;
   return at.server->queueing_delay_ms() + on_the_way + mean / rate + 2 * there + joining;
 }
 
@@ -1080,10 +1083,10 @@
 
 // One way. What is lost comes after the retransmission's time, doubled each time, as TCP sends it again.
 double Simulation::one_way_delay(int from_zone, int to_zone) {
-  double takes = scenario_.network.delay + network_random_.exponential(scenario_.network.jitter) +
-                 (from_zone == to_zone ? 0 : scenario_.network.cross_zone);
+  double takes = scenario_.network.delay_ms + network_random_.exponential(scenario_.network.jitter_ms) +
+                 (from_zone == to_zone ? 0 : scenario_.network.cross_zone_ms);
   constexpr double longest_wait = 10000;
-  for (double again = scenario_.network.retransmit;
+  for (double again = scenario_.network.retransmit_ms;
        again < longest_wait && network_random_.bernoulli(packet_loss_); again *= 2)
     takes += again;
   return takes;
@@ -1128,7 +1131,8 @@
 }
 
 RunMetrics run_simulation(const Scenario& s, PolicyKind by, std::uint64_t seed, TraceListener* more) {
-  RuleChecker checks({s.rules.grace, s.rules.multiple, s.rules.span});
+  RuleChecker checks(
+      {s.rules.drain_grace_ms, s.rules.slow_start_overload_factor, s.rules.slow_start_window_ms});
   std::vector<TraceListener*> listeners{&checks};
   if (more) listeners.push_back(more);
   Simulation w(s, by, seed, listeners);
--- a/src/emulator/simulation.h
+++ b/src/emulator/simulation.h
@@ -14,6 +14,7 @@
 #include "emulator/run_metrics.h"
 #include "emulator/scenario.h"
 #include "emulator/trace.h"
+#include "emulator/workload.h"
 #include "proxy/connect_timeout_estimator.h"
 
 namespace indigorill::emulator {
--- a/src/load/clients.cpp
+++ b/src/load/clients.cpp
@@ -81,7 +81,7 @@
   }
   ++metrics_.requests;
   const std::uint64_t id = ++last_request_id_;
-  requests_[id] = {s, method, meant, work, scenario_.clients.wait, scenario_.clients.retries};
+  requests_[id] = {s, method, meant, work, scenario_.clients.retry_delay_ms, scenario_.clients.retries};
   send_request(id, meant);
 }
 
@@ -246,12 +246,12 @@
   const MethodConfig& how = scenario_.methods[t.method].method;
   const bool harmless = f == RequestOutcome::rejected || how.retry_safety == RetrySafety::idempotent;
   const double waits =
-      std::max(t.retry_delay_ms, client_random_.bernoulli(scenario_.clients.heeds) ? advice : 0);
+      std::max(t.retry_delay_ms, client_random_.bernoulli(scenario_.clients.retry_after_compliance) ? advice : 0);
   const double when = clock_.now() + waits;
   if (!harmless || t.retries_left <= 0 || when >= t.intended_at_ms + how.deadline_ms)
     return conclude_request(of, f);
   --t.retries_left;
-  if (scenario_.clients.doubles) t.retry_delay_ms *= 2;
+  if (scenario_.clients.exponential_backoff) t.retry_delay_ms *= 2;
   clock_.schedule(when, EventPriority::client, [this, of, when] {
     if (requests_.count(of)) send_request(of, when);
   });
--- a/src/load/clients.h
+++ b/src/load/clients.h
@@ -11,6 +11,7 @@
 
 #include "emulator/run_metrics.h"
 #include "emulator/scenario.h"
+#include "emulator/workload.h"
 #include "event/socket.h"
 #include "http/http_parser.h"
 #include "load/clockwork.h"
--- a/src/load/fleet.cpp
+++ b/src/load/fleet.cpp
@@ -5,6 +5,8 @@
 #include <cmath>
 #include <nlohmann/json.hpp>
 
+#include "emulator/workload.h"
+
 namespace indigorill::loading {
 namespace {
 
@@ -44,7 +46,7 @@
 
 std::vector<std::string> find_unsupported_features(const emulator::Scenario& s) {
   std::vector<std::string> all;
-  if (s.network.loss > 0) all.push_back("net.loss can't be played on loopback");
+  if (s.network.loss_rate > 0) all.push_back("net.loss can't be played on loopback");
   for (const Fault& t : s.faults)
     if (t.kind == Fault::Kind::packet_loss) all.push_back("trouble loss can't be played on loopback");
   return all;
@@ -86,8 +88,8 @@
   at.server = std::make_unique<EmulatedServer>(
       clock_.queue(),
       EmulatedServer::Config{k.cores, k.queue_capacity, speed, k.slow_start_initial_capacity,
-                             k.slow_start_duration_ms, k.error_rate, scenario_.rules.multiple,
-                             scenario_.rules.span},
+                             k.slow_start_duration_ms, k.error_rate, scenario_.rules.slow_start_overload_factor,
+                             scenario_.rules.slow_start_window_ms},
       emulator::derive_seed(seed_, emulator::RandomPurpose::server_errors, index),
       EmulatedServer::Callbacks{[this, index](std::uint64_t of) {
                                   const auto it = servers_[index]->jobs.find(of);
@@ -116,7 +118,7 @@
   const bool first = at.new_connections.emplace(connection, true).second;
   connections += first;
   const std::string report =
-      scenario_.rules.reports ? "outstanding=" + std::to_string(static_cast<int>(at.server->jobs_in_flight()))
+      scenario_.rules.load_reports_enabled ? "outstanding=" + std::to_string(static_cast<int>(at.server->jobs_in_flight()))
                               : "";
   if (target.starts_with("/-/")) {
     ++health_checks;
@@ -137,7 +139,7 @@
   if (at.draining) return at.listener->send_answer(connection, format_response(503, "", "X-Rejected: 1\r\n"));
   const std::uint64_t of = ++last_job_id_;
   at.jobs[of] = {std::string(*id), connection};
-  at.server->submit(of, work + (first ? scenario_.network.handshake_work : 0));
+  at.server->submit(of, work + (first ? scenario_.network.handshake_work_ms : 0));
   clock_.run_due_events();
 }
 
@@ -158,7 +160,7 @@
   const ServerJob was = it->second;
   at.jobs.erase(it);
   std::string headers;
-  if (scenario_.rules.reports)
+  if (scenario_.rules.load_reports_enabled)
     headers = "X-Load-Report: outstanding=" + std::to_string(static_cast<int>(held)) + "\r\n";
   switch (how) {
     case EmulatedServer::JobOutcome::served:
@@ -196,7 +198,7 @@
     at.listener->freeze();
   else
     at.listener->close_all();
-  clock_.schedule(clock_.queue().now() + scenario_.discovery.notice, EventPriority::discovery,
+  clock_.schedule(clock_.queue().now() + scenario_.discovery.detection_ms, EventPriority::discovery,
                   [this, server] {
                     ServerState& then = *servers_[server];
                     if ((then.server->is_running() && !then.unreachable) || !then.advertised) return;
@@ -319,8 +321,8 @@
   FakeAgent& a = *agents_[which];
   if (a.update_scheduled || discovery_silent_ || a.known_changes == endpoint_changes_.size()) return;
   a.update_scheduled = true;
-  clock_.schedule(clock_.queue().now() + scenario_.discovery.delay +
-                      scenario_.discovery.spread * discovery_random_.uniform(),
+  clock_.schedule(clock_.queue().now() + scenario_.discovery.delay_ms +
+                      scenario_.discovery.spread_ms * discovery_random_.uniform(),
                   EventPriority::discovery, [this, which] {
                     FakeAgent& to = *agents_[which];
                     to.update_scheduled = false;
@@ -350,7 +352,7 @@
     return;
   }
   const double works =
-      (whole ? scenario_.discovery.whole : scenario_.discovery.changes) * discovery_slowdown_;
+      (whole ? scenario_.discovery.full_list_work_ms : scenario_.discovery.changes_work_ms) * discovery_slowdown_;
   clock_.schedule(clock_.now() + works, EventPriority::discovery, [this, which, connection, from, whole] {
     if (!discovery_silent_) answer_poll(which, connection, from, whole);
   });
--- a/src/load/play.cpp
+++ b/src/load/play.cpp
@@ -15,6 +15,7 @@
 
 #include "config/load_balancer_config.h"
 #include "emulator/experiment.h"
+#include "emulator/scenario_table.h"
 #include "load/crew.h"
 
 namespace indigorill::loading {
@@ -98,8 +99,8 @@
         {"probes", t.probing_enabled},
         {"retryAfter", t.max_retry_after_ms > 0},
         {"maxRetryAfter", us(t.max_retry_after_ms)},
-        {"keepalive", us(s.network.idle)},
-        {"connectTimeout", us(s.network.connect_timeout)}}},
+        {"keepalive", us(s.network.idle_timeout_ms)},
+        {"connectTimeout", us(s.network.connect_timeout_ms)}}},
       {"reporting",
        {{"how", t.probes_report_load ? "answers" : "none"}, {"fields", json::array({in_flight_key})}}},
       {"charges",
@@ -110,7 +111,7 @@
         {"cold", us(t.slow_start_duration_ms)},
         {"overloadFactor", t.slow_start_overload_factor},
         {"fall", us(t.slow_start_burst_ms)},
-        {"drainGrace", us(s.rules.grace)}}}};
+        {"drainGrace", us(s.rules.drain_grace_ms)}}}};
   return {{"name", "n" + std::to_string(sidecar)},
           {"listen", listen},
           {"discovery", discovery},
@@ -149,12 +150,25 @@
 }
 
 std::optional<GossipOptions> gossip_options(const emulator::Scenario& s) {
-  if (!s.gossip.on) return {};
-  const auto& t = s.gossip;
-  return GossipOptions{
-      "load",   t.period, t.timeout, t.seeds, {t.loss, t.doubled, t.delay, t.jitter, t.late, t.late_by},
-      t.voters, t.lease,  t.share,   t.seat,  t.further_picks,
-      t.floor,  t.most};
+  if (!s.gossip.enabled) return {};
+  const emulator::GossipConfig& gossip = s.gossip;
+  return GossipOptions{.cluster_name = "load",
+                       .probe_interval_ms = gossip.probe_interval_ms,
+                       .probe_timeout_ms = gossip.probe_timeout_ms,
+                       .seed_count = gossip.seeds,
+                       .conditions = {.loss = gossip.loss_rate,
+                                      .duplicated = gossip.duplicate_rate,
+                                      .delay_ms = gossip.delay_ms,
+                                      .jitter_ms = gossip.jitter_ms,
+                                      .late = gossip.late_rate,
+                                      .late_by_ms = gossip.late_by_ms},
+                       .voter_count = gossip.voters,
+                       .lease_ms = gossip.lease_ms,
+                       .quota_refresh_ms = gossip.quota_refresh_ms,
+                       .registration_lease_ms = gossip.registration_lease_ms,
+                       .retries_per_second = gossip.retries_per_second,
+                       .guaranteed_minimum = gossip.guaranteed_minimum,
+                       .max_quota_holders = gossip.max_quota_holders};
 }
 
 bool is_sidecar_fault(Fault::Kind what) {
@@ -251,14 +265,15 @@
     if (const auto second = static_cast<std::size_t>(std::max(at, 0.0) / window);
         second < o.retries_by_second.size())
       ++o.retries_by_second[second];
-  if (!s.gossip.on || s.gossip.further_picks <= 0) return;
+  if (!s.gossip.enabled || s.gossip.retries_per_second <= 0) return;
   o.max_retries_per_second = stand_ins.max_retries_within(window - on_the_way);
-  o.budget_used_fraction = static_cast<double>(o.retries) / (s.gossip.further_picks * s.duration_ms / window);
-  if (static_cast<double>(o.max_retries_per_second) <= s.gossip.further_picks) return;
+  o.budget_used_fraction =
+      static_cast<double>(o.retries) / (s.gossip.retries_per_second * s.duration_ms / window);
+  if (static_cast<double>(o.max_retries_per_second) <= s.gossip.retries_per_second) return;
   ++o.budget_violations;
   std::ostringstream text;
   text << "budget: " << o.max_retries_per_second << " further picks in a second, of "
-       << s.gossip.further_picks;
+       << s.gossip.retries_per_second;
   o.violations.push_back(text.str());
 }
 
@@ -406,7 +421,7 @@
     for (const std::string& fault : find_unsupported_features(with.scenario))
       wrong += (wrong.empty() ? "" : "\n") + fault;
     for (const Fault& is : with.scenario.faults)
-      if (is.kind == Fault::Kind::gossip_partition && !with.scenario.gossip.on)
+      if (is.kind == Fault::Kind::gossip_partition && !with.scenario.gossip.enabled)
         wrong = "trouble cut_talk wants a section talk";
     if (with.sidecar_command.empty() && with.base_port == 0)
       wrong = "neither --start nor --base-port: where are the sidecars?";
--- a/tests/emulator_test.cpp
+++ b/tests/emulator_test.cpp
@@ -10,6 +10,8 @@
 #include "emulator/command_line.h"
 #include "emulator/experiment.h"
 #include "emulator/report.h"
+#include "emulator/scenario_table.h"
+#include "emulator/statistics.h"
 
 using namespace indigorill;
 using namespace indigorill::emulator;
--- a/tests/load_test.cpp
+++ b/tests/load_test.cpp
@@ -13,6 +13,7 @@
 #include <thread>
 
 #include "config/sidecar_config.h"
+#include "emulator/scenario_table.h"
 #include "load/play.h"
 
 using namespace indigorill;
@@ -232,8 +233,8 @@
   const LoadBalancerConfig is = c.load_balancer, should = s.load_balancer_config(1);
   CHECK(c.name == "n1");
   CHECK(c.initial_endpoints.version == 4);
-  CHECK(c.upstream.idle_timeout_ms == s.network.idle);
-  CHECK(c.upstream.connect_timeout_ms == s.network.connect_timeout);
+  CHECK(c.upstream.idle_timeout_ms == s.network.idle_timeout_ms);
+  CHECK(c.upstream.connect_timeout_ms == s.network.connect_timeout_ms);
   REQUIRE(is.methods.size() == should.methods.size());
   for (std::size_t i = 0; i < is.methods.size(); ++i) {
     const MethodConfig &a = is.methods[i], &b = should.methods[i];
