--- a/src/emulator/simulation.h
+++ b/src/emulator/simulation.h
@@ -1,11 +1,17 @@
-// The emulated world: applications, their sidecars with the real module (or a baseline), the network,
-// connections, servers, the list's service and troubles, as events in one agenda. No sockets, no wall clock.
+/// \file
+/// The emulated world: applications, their sidecars with the real load balancer (or a baseline), the network,
+/// connections, servers, the discovery service and faults, as events in one queue. No sockets, no wall clock.
+///
+/// The implementation is split by concern over the files simulation_*.cpp.
 #pragma once
 
+#include <cstddef>
+#include <cstdint>
 #include <map>
 #include <memory>
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 #include "emulator/balancing_policy.h"
@@ -15,63 +21,94 @@
 #include "emulator/scenario.h"
 #include "emulator/trace.h"
 #include "emulator/workload.h"
+#include "limits/fleet_limiter.h"
 #include "proxy/connect_timeout_estimator.h"
 
 namespace indigorill::emulator {
 
+/// Times are milliseconds since the start of the run. Servers and sidecars are numbered from 0.
 class Simulation {
  public:
-  Simulation(const Scenario& plays, PolicyKind by, std::uint64_t seed, std::vector<TraceListener*> told = {});
+  /// The listeners must outlive the simulation.
+  Simulation(const Scenario& scenario, PolicyKind policy, std::uint64_t seed,
+             std::vector<TraceListener*> listeners = {});
   Simulation(const Simulation&) = delete;
   Simulation& operator=(const Simulation&) = delete;
 
-  bool run_next_event();      // one event; false once the stated end is reached
-  RunMetrics run_to_end();    // plays to the end
-  bool is_conserved() const;  // arrived = answered, given up or lost, and open
+  /// Runs one event; false once the end of the run is reached.
+  bool run_next_event();
+  RunMetrics run_to_end();
+  /// Whether each request that arrived is concluded, lost or still open.
+  bool is_conserved() const;
 
   double now() const { return events_.now(); }
   std::uint64_t connections_at(std::uint32_t server) const { return servers_.at(server).connections; }
   std::size_t server_count() const { return servers_.size(); }
 
  private:
-  struct ServerState {  // a server and what is round it
+  /// A server with its place in the fleet.
+  struct ServerState {
     std::unique_ptr<EmulatedServer> server;
-    int zone = 0, cell = 0;
+    int zone = 0;
+    int cell = 0;
     double speed = 1;
     const ServerGroup* group = nullptr;
-    bool unreachable = false, draining = false, advertised = true;
-    std::uint32_t incarnation = 0;  // of its process: connections end with it
-    std::uint64_t connections = 0, incoming_attempts = 0;
-    std::int64_t counted_second = -1;
-    std::uint64_t handshakes_in_second = 0, health_checks_in_second = 0;  // in that second
+    bool unreachable = false;  // its machine is gone: nothing is answered, not even refused
+    bool draining = false;
+    bool advertised = true;         // on the endpoint list
+    std::uint32_t incarnation = 0;  // of its process; connections end with it
+    std::uint64_t connections = 0;
+    std::uint64_t incoming_attempts = 0;  // started and not received yet
+    std::int64_t counted_second = -1;     // to which the two counts belong
+    std::uint64_t handshakes_in_second = 0;
+    std::uint64_t health_checks_in_second = 0;
   };
   struct IdleConnection {
     double idle_since_ms;
-    std::uint32_t incarnation;
+    std::uint32_t server_incarnation;
   };
   struct SidecarState {
     std::unique_ptr<BalancingPolicy> policy;
-    bool running = false, executing_decisions = false, stale = false, update_scheduled = false,
-         subscribed = false, full_list_next = false;
-    std::uint32_t incarnation = 0;
+    bool running = false;
+    bool executing_decisions = false;
+    bool stale = false;  // some changes of the endpoint list are unknown to it
+    bool update_scheduled = false;
+    bool subscribed = false;
+    bool full_list_next = false;    // its next poll asks for the whole list
+    std::uint32_t incarnation = 0;  // of its process
     int zone = 0;
-    double arrival_share = 0;
-    std::size_t known_changes = 0;                              // changes of the list
-    std::uint64_t pending_poll = 0;                             // for the list, that is out; 0: none
+    double arrival_share = 0;        // of all arrivals
+    std::size_t known_changes = 0;   // how many changes of the endpoint list it knows
+    std::uint64_t pending_poll = 0;  // 0: none
     std::vector<std::vector<IdleConnection>> idle_connections;  // by server, the last used last
     ConnectTimeoutEstimator connect_timeout{0};
     std::unique_ptr<FleetLimiter> limiter;  // none: without limits
-    std::vector<char> connection_limited;   // by server, as the brain was told
+    std::vector<char> connection_limited;   // by server, as its policy was told
     RandomStream arrival_random{0};
   };
   enum class AttemptPhase { connecting, sent, finished };
   struct Attempt {
-    std::uint32_t server, server_incarnation;
+    std::uint32_t server;
+    std::uint32_t server_incarnation;
     AttemptPhase phase;
-    bool new_connection, counted_as_incoming;
+    bool new_connection;
+    bool counted_as_incoming;
     double started_at_ms;
     std::uint64_t job;
   };
+  struct AttemptId {
+    std::uint64_t rpc;
+    int index;
+  };
+  /// An attempt on its way to the server, which may be over for the sidecar meanwhile.
+  struct AttemptInTransit {
+    AttemptId id;
+    std::uint32_t sidecar;
+    std::uint32_t server;
+    std::uint32_t server_incarnation;
+    std::uint64_t job;
+    double work_ms;
+  };
   struct OpenRpc {
     std::uint32_t sidecar;
     std::uint64_t request;
@@ -79,81 +116,150 @@
     std::vector<Attempt> attempts;
     bool has_no_open_attempt() const;
   };
-  struct ClientRequest {  // what an application wants, over all its tries
+  /// What an application wants, over all retries of its client.
+  struct ClientRequest {
     std::uint32_t sidecar;
     std::size_t method;
-    double arrived_at_ms, work_ms;
+    double arrived_at_ms;
+    double work_ms;
     int retries_left;
     double retry_delay_ms;
-    bool measured;
+    bool measured;  // it arrived after the warm-up
   };
+  enum class RequestOutcome { ok, late, rejected, failed, unanswered, lost };
   struct ServerJob {
-    std::uint64_t rpc;
-    int attempt;
+    AttemptId attempt;  // rpc 0: a handshake of a health check
+    std::uint32_t sidecar;
+  };
+  struct HealthCheck {
+    std::uint64_t id;
     std::uint32_t sidecar;
+    std::uint32_t sidecar_incarnation;
+    std::uint32_t server;
   };
+  enum class ListOrigin { restored, discovery_response };
 
-  // Set up.
-  std::uint32_t add_server(const ServerGroup& k, int zone, int cell, double speed);
-  void start_sidecar(std::uint32_t s);
-  void schedule_fault(const Fault& t, std::size_t which);
+  // simulation.cpp: set-up, and what all parts use.
+  void add_initial_servers();
+  void add_sidecars();
+  std::unique_ptr<FleetLimiter> make_limiter(std::uint32_t sidecar) const;
+  void start_sidecar(std::uint32_t sidecar);
+  void kill_sidecar(std::uint32_t sidecar);
+  void drop_rpcs_of(std::uint32_t sidecar);
+  void abandon_attempt(Attempt& attempt);
+  void drop_requests_of(std::uint32_t sidecar);
+  bool is_same_process(std::uint32_t sidecar, std::uint32_t incarnation) const;
+  double one_way_delay(int from_zone, int to_zone);
+  void trace(TraceEvent event);
+  void trace_attempt(TraceEvent::Kind kind, AttemptId id, std::uint32_t server, std::uint32_t sidecar);
+  SecondMetrics& second_metrics(std::size_t second);
+  SecondMetrics& current_second();
 
-  // Applications.
-  void schedule_next_arrival(std::uint32_t s);
-  void on_arrival(std::uint32_t s);
-  void send_request(std::uint64_t of);
-  enum class RequestOutcome { ok, late, rejected, failed, unanswered, lost };
-  void conclude_request(std::uint64_t of, RequestOutcome f);
-  void retry_or_conclude(std::uint64_t of, RequestOutcome f, double advice);
-
-  // Sidecars.
-  void execute_decisions(std::uint32_t s);
-  void execute(std::uint32_t s, const Decision& d);
-  void start_attempt(std::uint32_t s, const Decision& d);
-  void connect(std::uint64_t id, int n);
-  void on_connected(std::uint64_t id, int n, std::uint32_t server, std::uint32_t life, double began);
-  void send_attempt_bytes(std::uint64_t id, int n);
-  void on_attempt_received(std::uint64_t id, int n, std::uint32_t s, std::uint32_t server, std::uint32_t life,
-                           std::uint64_t job, double work);
-  void on_job_finished(std::uint32_t server, std::uint64_t job, EmulatedServer::JobOutcome how, double held);
-  void finish_attempt(std::uint64_t id, int n, AttemptOutcome how, const LoadReport& report);
-  void release_attempt(OpenRpc& r, Attempt& p, AttemptOutcome how);
-  void on_attempt_timeout(std::uint64_t id, int n);
-  void cancel_attempt(std::uint32_t s, const Decision& d);
-  void start_health_check(std::uint32_t s, std::uint32_t server);
-  void answer_rpc(std::uint64_t id, RpcAnswer a, double advice);
-  void erase_if_finished(std::uint64_t id);
-  void keep_idle_connection(std::uint32_t s, std::uint32_t server, std::uint32_t life);
-  bool take_idle_connection(std::uint32_t s, std::uint32_t server, IdleConnection& got);
-  bool accept_connection(ServerState& at);  // a connection, if the table has room
-  void close_connection(std::uint32_t server, std::uint32_t life);
-  void report_idle_connections(std::uint32_t s, std::uint32_t server);
-  void apply_limits(std::uint32_t s);
-  void release_connection_slot(std::uint32_t s,
-                               std::uint32_t server);  // a connection of a sidecar's own, or a try at one
-  void update_limiter_endpoints(std::uint32_t s);
-  void roll_second_counters(ServerState& at);
-  void kill_sidecar(std::uint32_t s);
-  Attempt* find_open_attempt(std::uint64_t id, int n);
-
-  // The list.
-  Endpoint make_endpoint(std::uint32_t server, EndpointState how) const;
-  void publish_change(std::uint32_t server, EndpointState how);
-  void schedule_endpoint_update(std::uint32_t s);
-  void deliver_endpoints(std::uint32_t s, bool whole, bool asked);
-  void poll_discovery(std::uint32_t s);
-  void on_poll_failed(std::uint32_t s, std::uint64_t call);
-  void mark_up_to_date(std::uint32_t s);
-
-  // Servers.
-  void stop_server(std::uint32_t server, bool machine, bool noticed);
+  // simulation_requests.cpp: applications.
+  void schedule_next_arrival(std::uint32_t sidecar);
+  void on_arrival(std::uint32_t sidecar);
+  void send_request(std::uint64_t request);
+  void on_request_deadline(std::uint64_t rpc);
+  void conclude_request(std::uint64_t request, RequestOutcome outcome);
+  void count_outcome(RequestOutcome outcome, SecondMetrics& second);
+  void retry_or_conclude(std::uint64_t request, RequestOutcome outcome, double retry_after_ms);
+  const MethodConfig& method_of(const ClientRequest& request) const;
+
+  // simulation_attempts.cpp: decisions of sidecars, attempts.
+  void execute_decisions(std::uint32_t sidecar);
+  void execute(std::uint32_t sidecar, const Decision& decision);
+  void start_timer(std::uint32_t sidecar, const Decision& decision);
+  void start_attempt(std::uint32_t sidecar, const Decision& decision);
+  void connect(AttemptId id);
+  void on_connect_received(AttemptId id, std::uint32_t sidecar, std::uint32_t server, double started_at_ms);
+  void on_connect_timeout(AttemptId id, std::uint32_t sidecar);
+  void on_connected(AttemptId id, std::uint32_t server, std::uint32_t incarnation, double started_at_ms);
+  void send_attempt(AttemptId id);
+  void on_attempt_received(const AttemptInTransit& attempt);
+  void respond(const AttemptInTransit& attempt, AttemptOutcome outcome);
+  void on_job_started(std::uint32_t server, std::uint64_t job);
+  void on_job_finished(std::uint32_t server, std::uint64_t job, EmulatedServer::JobOutcome outcome,
+                       double jobs_in_flight);
+  void finish_attempt(AttemptId id, AttemptOutcome outcome, const LoadReport& report);
+  void release_attempt(const OpenRpc& rpc, Attempt& attempt, AttemptOutcome outcome);
+  void stop_counting_as_incoming(Attempt& attempt);
+  void count_attempt_outcome(AttemptOutcome outcome);
+  void on_attempt_timeout(AttemptId id);
+  void cancel_attempt(const Decision& decision);
+  void answer_rpc(std::uint64_t rpc, RpcAnswer answer, double retry_after_ms);
+  void erase_if_finished(std::uint64_t rpc);
+  Attempt& attempt(AttemptId id);
+  Attempt* find_open_attempt(AttemptId id);
+
+  // simulation_connections.cpp: idle connections and limits.
+  bool take_idle_connection(std::uint32_t sidecar, std::uint32_t server, IdleConnection& taken);
+  void keep_idle_connection(std::uint32_t sidecar, std::uint32_t server, std::uint32_t server_incarnation);
+  void close_expired_connections(std::uint32_t sidecar, std::uint32_t server, double idle_since_ms);
+  void report_idle_connections(std::uint32_t sidecar, std::uint32_t server);
+  bool accept_connection(ServerState& server);
+  void close_connection(std::uint32_t server, std::uint32_t incarnation);
+  void release_connection_slot(std::uint32_t sidecar, std::uint32_t server);
+  void apply_limits(std::uint32_t sidecar);
+  void close_connections_over_limit(std::uint32_t sidecar, std::uint32_t server);
+  void update_limiter_endpoints(std::uint32_t sidecar);
+  void roll_second_counters(ServerState& server);
+
+  // simulation_health_checks.cpp
+  void start_health_check(std::uint32_t sidecar, std::uint32_t server);
+  bool acquire_health_check(std::uint32_t sidecar, std::uint32_t server);
+  void connect_health_check(const HealthCheck& check);
+  void on_health_check_received(const HealthCheck& check, std::uint32_t server_incarnation);
+  void answer_health_check(const HealthCheck& check, std::uint32_t server_incarnation,
+                           double return_delay_ms);
+  void finish_health_check_after(double delay_ms, const HealthCheck& check, AttemptOutcome outcome);
+  bool finish_health_check(const HealthCheck& check, AttemptOutcome outcome, const LoadReport& report);
+
+  // simulation_discovery.cpp: the endpoint list.
+  Endpoint make_endpoint(std::uint32_t server, EndpointState state) const;
+  void publish_change(std::uint32_t server, EndpointState state);
+  bool receives_updates(const SidecarState& sidecar) const;
+  void schedule_endpoint_update(std::uint32_t sidecar);
+  void deliver_changes(std::uint32_t sidecar);
+  void deliver_full_list(std::uint32_t sidecar, ListOrigin origin);
+  void close_connections_to_gone_server(std::uint32_t sidecar, std::uint32_t server);
+  std::map<std::uint32_t, Endpoint> endpoints_after(std::size_t change_count) const;
+  void trace_notification(std::uint32_t sidecar, std::uint32_t server, const Endpoint& endpoint);
+  void poll_discovery(std::uint32_t sidecar);
+  void on_poll_received(std::uint32_t sidecar, std::uint64_t poll, bool full_list);
+  void on_poll_response(std::uint32_t sidecar, std::uint64_t poll, bool full_list);
+  void on_poll_failed(std::uint32_t sidecar, std::uint64_t poll);
+  void mark_up_to_date(std::uint32_t sidecar);
+  void stop_discovery();
+  void resume_discovery();
+
+  // simulation_servers.cpp
+  enum class StopCause { process_ended, machine_lost };
+  std::uint32_t add_server(const ServerGroup& group, int zone, int cell, double speed);
+  void stop_server(std::uint32_t server, StopCause cause);
+  void crash_server(std::uint32_t server, StopCause cause);
+  void on_connections_reset(std::uint32_t server);
+  void on_crash_detected(std::uint32_t server, std::uint32_t incarnation);
   void restart_server(std::uint32_t server);
   void trace_server_state(std::uint32_t server);
-  double true_response_time(std::uint32_t s, std::uint32_t server) const;
+  double true_response_time(std::uint32_t sidecar, std::uint32_t server) const;
+  double mean_work_ms() const;
 
-  double one_way_delay(int from_zone, int to_zone);
-  void trace(TraceEvent e);
-  SecondMetrics& current_second();
+  // simulation_faults.cpp
+  void schedule_fault(const Fault& fault, std::size_t index);
+  void schedule_fault_event(double time_ms, EventQueue::Callback callback);
+  void schedule_sidecar_restarts(const Fault& fault, RandomStream& random);
+  void schedule_zone_loss(const Fault& fault);
+  void schedule_server_kills(const Fault& fault, RandomStream& random);
+  void schedule_server_drains(const Fault& fault, RandomStream& random);
+  void start_draining(std::uint32_t server, Fault::Kind kind);
+  void finish_draining(std::uint32_t server, Fault::Kind kind);
+  void schedule_server_stalls(const Fault& fault, RandomStream& random);
+  void schedule_server_slowdowns(const Fault& fault, RandomStream& random);
+  void schedule_server_errors(const Fault& fault, RandomStream& random);
+  void schedule_packet_loss(const Fault& fault);
+  void schedule_load_surge(const Fault& fault);
+  void schedule_discovery_overload(const Fault& fault);
+  void schedule_discovery_outage(const Fault& fault);
 
   const Scenario scenario_;
   PolicyKind policy_;
@@ -161,25 +267,45 @@
   std::vector<TraceListener*> listeners_;
   EventQueue events_;
   double end_at_ms_;
-  RandomStream network_random_, discovery_random_, client_random_;
+  RandomStream network_random_;
+  RandomStream discovery_random_;
+  RandomStream client_random_;
+
   std::vector<ServerState> servers_;
   std::vector<SidecarState> sidecars_;
   std::map<std::uint64_t, OpenRpc> rpcs_;
   std::map<std::uint64_t, ClientRequest> requests_;
   std::unordered_map<std::uint64_t, ServerJob> jobs_;
+  std::unordered_set<std::uint64_t> open_health_checks_;
+  std::uint64_t last_rpc_id_ = 0;
+  std::uint64_t last_request_id_ = 0;
+  std::uint64_t last_job_id_ = 0;
+  std::uint64_t last_health_check_id_ = 0;
+
   ArrivalPattern arrival_pattern_;
-  double surge_factor_ = 1, packet_loss_ = 0;
-  std::uint64_t last_rpc_id_ = 0, last_request_id_ = 0, last_job_id_ = 0, last_poll_id_ = 0;
-  std::vector<Endpoint> initial_endpoints_, endpoint_changes_;
-  std::vector<std::uint32_t> changed_servers_;  // which server each of the changes concerns
-  double first_change_at_ms_ = -1, discovery_free_at_ms_ = 0, discovery_slowdown_ = 1;
-  std::size_t discovery_queue_length_ = 0, stale_sidecar_count_ = 0;
+  double surge_factor_ = 1;
+  double packet_loss_ = 0;
+
+  std::vector<Endpoint> initial_endpoints_;
+  std::vector<Endpoint> endpoint_changes_;
+  std::vector<std::uint32_t> changed_servers_;  // of each of the changes
+  double first_change_at_ms_ = -1;
+  double discovery_free_at_ms_ = 0;  // when the discovery service has worked off its queue
+  double discovery_slowdown_ = 1;
+  std::size_t discovery_queue_length_ = 0;
+  std::size_t stale_sidecar_count_ = 0;
   bool discovery_silent_ = false;
+  std::uint64_t last_poll_id_ = 0;
+
   RunMetrics metrics_;
 };
 
-// One run under the auditor's eyes; `more` listens too.
-RunMetrics run_simulation(const Scenario& s, PolicyKind by, std::uint64_t seed,
-                          TraceListener* more = nullptr);
+/// Names of servers and RPCs, as the policies get them.
+std::string server_name(std::uint32_t server);
+std::uint32_t parse_server_index(const std::string& name);
+
+/// One run under the eyes of a RuleChecker; `listener`, if any, gets the trace as well.
+RunMetrics run_simulation(const Scenario& scenario, PolicyKind policy, std::uint64_t seed,
+                          TraceListener* listener = nullptr);
 
 }  // namespace indigorill::emulator
