--- a/tests/fixtures_test.cpp
+++ b/tests/fixtures_test.cpp
@@ -28,8 +28,7 @@
 #include "metrics/counters.h"
 #include "support/host.h"
 
-using namespace host;
-
+namespace indigorill {
 namespace {
 
 std::string fixture(const std::string& name) {
@@ -41,7 +40,7 @@
   return bytes.str();
 }
 
-std::string hex_of(const std::string& bytes) {
+std::string to_hex(const std::string& bytes) {
   constexpr std::string_view digits = "0123456789abcdef";
   std::string text;
   for (const char c : bytes) {
@@ -55,7 +54,7 @@
 // Compared as hexadecimal digits: a failure then shows which byte differs.
 void check_bytes(const std::string& name, const std::string& bytes) {
   CAPTURE(name);
-  CHECK(hex_of(bytes) == hex_of(fixture(name)));
+  CHECK(to_hex(bytes) == to_hex(fixture(name)));
 }
 
 struct DatagramCase {
@@ -63,18 +62,18 @@
   Envelope content;
 };
 
-Envelope datagram_of(Envelope::Kind kind) {
-  Envelope e;
-  e.fleet = "maps";
-  e.name = "tiles-1.a";
-  e.address = "127.0.0.1:7001";
-  e.incarnation = 1764633600123;
-  e.sequence_number = 70000;
-  e.kind = kind;
-  return e;
+Envelope make_datagram(Envelope::Kind kind) {
+  Envelope envelope;
+  envelope.fleet = "maps";
+  envelope.name = "tiles-1.a";
+  envelope.address = "127.0.0.1:7001";
+  envelope.incarnation = 1764633600123;
+  envelope.sequence_number = 70000;
+  envelope.kind = kind;
+  return envelope;
 }
 
-std::vector<DatagramCase> gossip_cases() {
+std::vector<DatagramCase> membership_cases() {
   const std::vector<Member> updates = {{Member::State::alive, "tiles-2", "127.0.0.1:7002", 5},
                                        {Member::State::suspect, "tiles-3", "127.0.0.1:7003", 300},
                                        {Member::State::dead, "tiles-4", "127.0.0.1:7004", 70000},
@@ -88,9 +87,9 @@
       {"page", {SwimMessage::Kind::view_page, 70000, "tiles-5", "", updates}}};
   std::vector<DatagramCase> cases;
   for (const auto& [name, message] : messages) {
-    Envelope e = datagram_of(Envelope::Kind::membership);
-    e.swim_message = message;
-    cases.push_back({"datagram-membership-" + name + ".bin", e});
+    Envelope envelope = make_datagram(Envelope::Kind::membership);
+    envelope.swim_message = message;
+    cases.push_back({"datagram-membership-" + name + ".bin", envelope});
   }
   return cases;
 }
@@ -105,15 +104,15 @@
       {"released", {LeaseMessage::Type::released, {8, 12}, "", 0, 0, 0}}};
   std::vector<DatagramCase> cases;
   for (const auto& [name, message] : messages) {
-    Envelope e = datagram_of(Envelope::Kind::lease);
-    e.lease_message = message;
-    cases.push_back({"datagram-lease-" + name + ".bin", e});
+    Envelope envelope = make_datagram(Envelope::Kind::lease);
+    envelope.lease_message = message;
+    cases.push_back({"datagram-lease-" + name + ".bin", envelope});
   }
   return cases;
 }
 
 std::vector<DatagramCase> quota_cases() {
-  Envelope request = datagram_of(Envelope::Kind::quota_request);
+  Envelope request = make_datagram(Envelope::Kind::quota_request);
   request.quota_request = {17, 42, 41, 59999.5, {3, 0.1, 1000000}};
   std::vector<DatagramCase> cases = {{"datagram-quota-request.bin", request}};
   const std::vector<std::pair<std::string, QuotaGrant>> grants = {
@@ -122,42 +121,43 @@
       {"full", {QuotaGrant::Status::at_capacity, 17, 44, 0, 0, {}, {}, ""}},
       {"not-mine", {QuotaGrant::Status::not_leader, 17, 45, 0, 0, {}, {}, "tiles-2"}}};
   for (const auto& [name, grant] : grants) {
-    Envelope e = datagram_of(Envelope::Kind::quota_grant);
-    e.quota_grant = grant;
-    cases.push_back({"datagram-quota-grant-" + name + ".bin", e});
+    Envelope envelope = make_datagram(Envelope::Kind::quota_grant);
+    envelope.quota_grant = grant;
+    cases.push_back({"datagram-quota-grant-" + name + ".bin", envelope});
   }
   return cases;
 }
 
 void check_datagrams(const std::vector<DatagramCase>& cases) {
-  for (const DatagramCase& c : cases) {
-    CAPTURE(c.name);
-    check_bytes(c.name, encode(c.content));
-    const auto decoded = decode_envelope(fixture(c.name), c.content.fleet);
+  for (const DatagramCase& datagram : cases) {
+    CAPTURE(datagram.name);
+    const Envelope& expected = datagram.content;
+    check_bytes(datagram.name, encode(expected));
+    const auto decoded = decode_envelope(fixture(datagram.name), expected.fleet);
     REQUIRE(std::holds_alternative<Envelope>(decoded));
-    const Envelope& e = std::get<Envelope>(decoded);
-    CHECK(e.fleet == c.content.fleet);
-    CHECK(e.name == c.content.name);
-    CHECK(e.address == c.content.address);
-    CHECK(e.incarnation == c.content.incarnation);
-    CHECK(e.sequence_number == c.content.sequence_number);
-    CHECK(e.kind == c.content.kind);
-    CHECK(e.swim_message == c.content.swim_message);
-    CHECK(e.lease_message == c.content.lease_message);
-    CHECK(e.quota_request == c.content.quota_request);
-    CHECK(e.quota_grant == c.content.quota_grant);
-    CHECK(e.load_gossip == c.content.load_gossip);
+    const Envelope& envelope = std::get<Envelope>(decoded);
+    CHECK(envelope.fleet == expected.fleet);
+    CHECK(envelope.name == expected.name);
+    CHECK(envelope.address == expected.address);
+    CHECK(envelope.incarnation == expected.incarnation);
+    CHECK(envelope.sequence_number == expected.sequence_number);
+    CHECK(envelope.kind == expected.kind);
+    CHECK(envelope.swim_message == expected.swim_message);
+    CHECK(envelope.lease_message == expected.lease_message);
+    CHECK(envelope.quota_request == expected.quota_request);
+    CHECK(envelope.quota_grant == expected.quota_grant);
+    CHECK(envelope.load_gossip == expected.load_gossip);
   }
 }
 
 // The digits of the text's numbers reach from the first to the last that one place holds.
-LoadGossip load_news(bool whole) {
-  LoadGossip n;
-  n.sequence = whole ? 8099 : 91;
-  n.is_complete = whole;
-  n.arrivals_per_s = {0, 1, 45, 89};
-  n.endpoint_loads = {{0, 0, 0}, {1, 17, 4}, {8099, 3, 1}};
-  return n;
+LoadGossip make_load_gossip(bool complete) {
+  LoadGossip gossip;
+  gossip.sequence = complete ? 8099 : 91;
+  gossip.is_complete = complete;
+  gossip.arrivals_per_s = {0, 1, 45, 89};
+  gossip.endpoint_loads = {{0, 0, 0}, {1, 17, 4}, {8099, 3, 1}};
+  return gossip;
 }
 
 std::string socket_address_text(const sockaddr_in& address) {
@@ -166,13 +166,13 @@
   return std::string(host_text.data()) + ":" + std::to_string(ntohs(address.sin_port));
 }
 
-struct TemporaryFolder {
+struct TemporaryDirectory {
   std::string path = "/tmp/indigorill-fixtures-XXXXXX";
-  TemporaryFolder() { REQUIRE(::mkdtemp(path.data())); }
-  ~TemporaryFolder() { std::filesystem::remove_all(path); }
+  TemporaryDirectory() { REQUIRE(::mkdtemp(path.data())); }
+  ~TemporaryDirectory() { std::filesystem::remove_all(path); }
 };
 
-std::string contents_of(const std::string& path) {
+std::string read_file(const std::string& path) {
   std::ifstream in(path, std::ios::binary);
   std::ostringstream bytes;
   bytes << in.rdbuf();
@@ -181,75 +181,75 @@
 
 // A UDP port that nobody has now.
 sockaddr_in free_datagram_address() {
-  sockaddr_in address = loopback_address();
+  sockaddr_in address = host::loopback_address();
   const FileDescriptor fd(::socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0));
   REQUIRE(::bind(fd.get(), reinterpret_cast<const sockaddr*>(&address), sizeof address) == 0);
-  return local_address(fd);
+  return host::local_address(fd);
 }
 
 // Times and incarnations of this run; all else in the JSON is the same in each run.
-void mask_run(nlohmann::json& status) {
+void mask_values_of_run(nlohmann::json& status) {
   REQUIRE(status.at("incarnation").is_number_unsigned());
   status["incarnation"] = 0;
 }
 
-std::string answer_of_second_address(const std::string& request_text, int status, const std::string& text) {
-  EventLoop runs;
+std::string response_of_admin_server(const std::string& request_text, int status, const std::string& text) {
+  EventLoop event_loop;
   std::ostringstream log_text;
-  Logger lines{log_text, LogLevel::error};
-  Counters counts;
-  AdminServer staff{runs, counts, lines, [&](const AdminRequest&, const AdminServer::ResponseCallback& then) {
-                      then(status, text);
-                    }};
-  FileDescriptor listener = listen_on_loopback();
-  const sockaddr_in where = local_address(listener);
-  staff.adopt_listener(std::move(listener));
-  const FileDescriptor client = start_connect(where);
-  std::string bytes;
+  Logger logger{log_text, LogLevel::error};
+  Counters counters;
+  AdminServer admin_server{
+      event_loop, counters, logger,
+      [&](const AdminRequest&, const AdminServer::ResponseCallback& respond) { respond(status, text); }};
+  FileDescriptor listener = host::listen_on_loopback();
+  const sockaddr_in address = host::local_address(listener);
+  admin_server.adopt_listener(std::move(listener));
+  const FileDescriptor client = start_connect(address);
+  std::string response;
   bool sent = false;
   bool closed = false;
-  run_until(runs, [&] {
+  host::run_until(event_loop, [&] {
     if (!sent)
       sent = ::send(client.get(), request_text.data(), request_text.size(), MSG_NOSIGNAL) ==
              static_cast<ssize_t>(request_text.size());
     std::array<char, 4096> part;
-    const ssize_t got = sent ? ::recv(client.get(), part.data(), part.size(), MSG_DONTWAIT) : -1;
-    if (got > 0) bytes.append(part.data(), static_cast<std::size_t>(got));
-    closed = got == 0;
+    const ssize_t received = sent ? ::recv(client.get(), part.data(), part.size(), MSG_DONTWAIT) : -1;
+    if (received > 0) response.append(part.data(), static_cast<std::size_t>(received));
+    closed = received == 0;
     return closed;
   });
   CHECK(closed);
-  return bytes;
+  return response;
 }
 
 }  // namespace
 
-TEST_CASE("fixtures: datagrams of membership") { check_datagrams(gossip_cases()); }
+TEST_CASE("fixtures: datagrams of membership") { check_datagrams(membership_cases()); }
 
 TEST_CASE("fixtures: datagrams of the leader lease") { check_datagrams(lease_cases()); }
 
 TEST_CASE("fixtures: datagrams of quotas") { check_datagrams(quota_cases()); }
 
 TEST_CASE("fixtures: load gossip, alone and in its datagram") {
-  for (const bool whole : {true, false}) {
-    const std::string name = whole ? "load-gossip-full" : "load-gossip-changes";
+  for (const bool complete : {true, false}) {
+    const std::string name = complete ? "load-gossip-full" : "load-gossip-changes";
     CAPTURE(name);
-    const LoadGossip n = load_news(whole);
-    check_bytes(name + ".txt", encode_load_gossip(n));
+    const LoadGossip gossip = make_load_gossip(complete);
+    check_bytes(name + ".txt", encode_load_gossip(gossip));
     const auto decoded = decode_load_gossip(fixture(name + ".txt"));
     REQUIRE(decoded);
-    CHECK(decoded->sequence == n.sequence);
-    CHECK(decoded->is_complete == n.is_complete);
-    CHECK(decoded->arrivals_per_s == n.arrivals_per_s);
-    REQUIRE(decoded->endpoint_loads.size() == n.endpoint_loads.size());
-    for (std::size_t i = 0; i < n.endpoint_loads.size(); ++i) {
-      CHECK(decoded->endpoint_loads[i].endpoint_tag == n.endpoint_loads[i].endpoint_tag);
-      CHECK(decoded->endpoint_loads[i].in_flight == n.endpoint_loads[i].in_flight);
-      CHECK(decoded->endpoint_loads[i].failures == n.endpoint_loads[i].failures);
+    CHECK(decoded->sequence == gossip.sequence);
+    CHECK(decoded->is_complete == gossip.is_complete);
+    CHECK(decoded->arrivals_per_s == gossip.arrivals_per_s);
+    REQUIRE(decoded->endpoint_loads.size() == gossip.endpoint_loads.size());
+    for (std::size_t i = 0; i < gossip.endpoint_loads.size(); ++i) {
+      CHECK(decoded->endpoint_loads[i].endpoint_tag == gossip.endpoint_loads[i].endpoint_tag);
+      CHECK(decoded->endpoint_loads[i].in_flight == gossip.endpoint_loads[i].in_flight);
+      CHECK(decoded->endpoint_loads[i].failures == gossip.endpoint_loads[i].failures);
     }
-    Envelope e = datagram_of(Envelope::Kind::load_gossip);
-    e.load_gossip = encode_load_gossip(n);
-    check_datagrams({{"datagram-" + name + ".bin", e}});
+    Envelope envelope = make_datagram(Envelope::Kind::load_gossip);
+    envelope.load_gossip = encode_load_gossip(gossip);
+    check_datagrams({{"datagram-" + name + ".bin", envelope}});
   }
 }
 
@@ -258,10 +258,10 @@
       {"starting", {ProcessRecord::ProcessState::starting, 1764633600123.25, 0, false}},
       {"serving", {ProcessRecord::ProcessState::serving, 1764633600000, 7, true}},
       {"leaving", {ProcessRecord::ProcessState::draining, 1, 18446744073709551615u, false}}};
-  for (const auto& [name, r] : records) {
+  for (const auto& [name, record] : records) {
     const std::string file = "hot-restart-record-" + name + ".json";
-    check_bytes(file, encode(r));
-    CHECK(decode_process_record(fixture(file)) == r);
+    check_bytes(file, encode(record));
+    CHECK(decode_process_record(fixture(file)) == record);
   }
 }
 
@@ -274,29 +274,30 @@
 }
 
 TEST_CASE("fixtures: a process finds the ejections and the endpoint list that a former version left") {
-  TemporaryFolder shared;
-  const std::string folder = shared.path + "/indigorill-n_0_x";
-  std::filesystem::create_directory(folder);
-  std::ofstream(folder + "/bans.json", std::ios::binary) << fixture("ejections.json");
-  std::ofstream(folder + "/list.json", std::ios::binary) << fixture("endpoint-list.json");
-  EventLoop runs;
+  TemporaryDirectory shared;
+  const std::string directory = shared.path + "/indigorill-n_0_x";
+  std::filesystem::create_directory(directory);
+  std::ofstream(directory + "/bans.json", std::ios::binary) << fixture("ejections.json");
+  std::ofstream(directory + "/list.json", std::ios::binary) << fixture("endpoint-list.json");
+  EventLoop event_loop;
   std::ostringstream log_text;
-  Logger lines{log_text, LogLevel::debug};
-  HotRestart process(runs, lines, shared.path, "n:0/x");
-  CHECK(process.ejections() == decode_ejection_record(fixture("ejections.json")));
-  CHECK(process.read_endpoint_list() == fixture("endpoint-list.json"));
-  process.start([] {}, [](const EjectionRecord&) {});
+  Logger logger{log_text, LogLevel::debug};
+  HotRestart hot_restart(event_loop, logger, shared.path, "n:0/x");
+  CHECK(hot_restart.ejections() == decode_ejection_record(fixture("ejections.json")));
+  CHECK(hot_restart.read_endpoint_list() == fixture("endpoint-list.json"));
+  hot_restart.start([] {}, [](const EjectionRecord&) {});
   // Its own record stands where the other process of a former version looks for it.
-  const auto own = decode_process_record(contents_of(folder + "/slot-0.json"));
+  const auto own = decode_process_record(read_file(directory + "/slot-0.json"));
   REQUIRE(own);
   CHECK(own->state == ProcessRecord::ProcessState::starting);
   CHECK(own->ejection_revision == 9);
-  process.write_endpoint_list("[]");
-  CHECK(contents_of(folder + "/list.json") == "[]");
+  hot_restart.write_endpoint_list("[]");
+  CHECK(read_file(directory + "/list.json") == "[]");
   bool changed = false;
-  process.change_ejections([](EjectionRecord& b) { b.ejected = {"z"}; }, [&](bool done) { changed = done; });
+  hot_restart.change_ejections([](EjectionRecord& record) { record.ejected = {"z"}; },
+                               [&](bool done) { changed = done; });
   CHECK(changed);
-  CHECK(decode_ejection_record(contents_of(folder + "/bans.json")) ==
+  CHECK(decode_ejection_record(read_file(directory + "/bans.json")) ==
         EjectionRecord{10, {"z"}, {{"d", 1764633600123.25}, {"e", 1}}});
 }
 
@@ -326,153 +327,154 @@
 }
 
 TEST_CASE("fixtures: the text of /-/counters") {
-  Counters c;
+  Counters counters;
   std::ostringstream zeros;
-  zeros << c;
+  zeros << counters;
   check_bytes("counters-zero.txt", zeros.str());
   Counters::Count next = 1;
-  for (Counters::Count* value : {&c.rpcs_received,           &c.rpcs_ok,
-                                 &c.rpcs_rejected,           &c.rpcs_failed,
-                                 &c.rpcs_abandoned,          &c.malformed_requests,
-                                 &c.timed_out_clients,       &c.resource_rejections,
-                                 &c.streamed_requests,       &c.streamed_responses,
-                                 &c.truncated_responses,     &c.undelivered_responses,
-                                 &c.connections_accepted,    &c.connections_opened,
-                                 &c.connections_reused,      &c.connections_retired,
-                                 &c.connections_evicted,     &c.manually_ejected_endpoints,
-                                 &c.admin_requests,          &c.rejected_admin_requests,
-                                 &c.endpoint_list_updates,   &c.endpoint_poll_failures,
-                                 &c.malformed_endpoint_lists})
+  for (Counters::Count* value : {&counters.rpcs_received,           &counters.rpcs_ok,
+                                 &counters.rpcs_rejected,           &counters.rpcs_failed,
+                                 &counters.rpcs_abandoned,          &counters.malformed_requests,
+                                 &counters.timed_out_clients,       &counters.resource_rejections,
+                                 &counters.streamed_requests,       &counters.streamed_responses,
+                                 &counters.truncated_responses,     &counters.undelivered_responses,
+                                 &counters.connections_accepted,    &counters.connections_opened,
+                                 &counters.connections_reused,      &counters.connections_retired,
+                                 &counters.connections_evicted,     &counters.manually_ejected_endpoints,
+                                 &counters.admin_requests,          &counters.rejected_admin_requests,
+                                 &counters.endpoint_list_updates,   &counters.endpoint_poll_failures,
+                                 &counters.malformed_endpoint_lists})
     *value = next++;
-  for (Counters::Count& value : c.attempts) value = next++;
-  for (Counters::Count& value : c.health_checks) value = next++;
-  for (Counters::Count& value : c.evictions_by_state) value = next++;
+  for (Counters::Count& value : counters.attempts) value = next++;
+  for (Counters::Count& value : counters.health_checks) value = next++;
+  for (Counters::Count& value : counters.evictions_by_state) value = next++;
   std::ostringstream text;
-  text << c;
+  text << counters;
   check_bytes("counters.txt", text.str());
 }
 
-TEST_CASE("fixtures: the JSON of /-/members and /-/budgets, without and with a share of quotas") {
-  for (const bool divides : {false, true}) {
-    ClusterNode::Config with;
-    with.fleet = "maps";
-    with.name = "tiles-1";
-    with.listen_address = free_datagram_address();
-    with.advertised_address = "127.0.0.1:7900";
-    with.probe_interval_ms = 60000;  // no probe of its own within the test
-    if (divides) {
-      with.voters = {"tiles-1"};
-      QuotaConfig budgets;
-      budgets.budgets = {{"further_picks", 20, 2, 1000}, {"connections", 100, 0, 0}};
-      budgets.max_holders = 10;
-      with.quota = budgets;
+TEST_CASE("fixtures: the JSON of /-/members and /-/budgets, without and with quotas") {
+  for (const bool with_quota : {false, true}) {
+    ClusterNode::Config config;
+    config.fleet = "maps";
+    config.name = "tiles-1";
+    config.listen_address = free_datagram_address();
+    config.advertised_address = "127.0.0.1:7900";
+    config.probe_interval_ms = 60000;  // no probe of its own within the test
+    if (with_quota) {
+      config.voters = {"tiles-1"};
+      QuotaConfig quota;
+      quota.budgets = {{"further_picks", 20, 2, 1000}, {"connections", 100, 0, 0}};
+      quota.max_holders = 10;
+      config.quota = quota;
     }
-    EventLoop runs;
+    EventLoop event_loop;
     std::ostringstream log_text;
-    Logger lines{log_text, LogLevel::info};
-    ClusterNode node(runs, lines, with, 1);
-    Envelope e = datagram_of(Envelope::Kind::membership);
-    e.name = "tiles-2";
-    e.address = "127.0.0.1:9";
-    e.swim_message = gossip_cases().front().content.swim_message;
-    const std::string bytes = encode(e);
+    Logger logger{log_text, LogLevel::info};
+    ClusterNode node(event_loop, logger, config, 1);
+    Envelope envelope = make_datagram(Envelope::Kind::membership);
+    envelope.name = "tiles-2";
+    envelope.address = "127.0.0.1:9";
+    envelope.swim_message = membership_cases().front().content.swim_message;
+    const std::string bytes = encode(envelope);
     const FileDescriptor sender(::socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0));
     const auto send = [&](const std::string& datagram) {
-      const auto heard = node.counters().received;
+      const auto received_before = node.counters().received;
       ::sendto(sender.get(), datagram.data(), datagram.size(), 0,
-               reinterpret_cast<const sockaddr*>(&with.listen_address), sizeof with.listen_address);
-      REQUIRE(run_until(runs, [&] { return node.counters().received > heard; }));
+               reinterpret_cast<const sockaddr*>(&config.listen_address), sizeof config.listen_address);
+      REQUIRE(host::run_until(event_loop, [&] { return node.counters().received > received_before; }));
     };
     send(bytes);
     send(bytes);     // a replay
-    send("no msg");  // torn
+    send("no msg");  // malformed
     nlohmann::json members_status = node.as_json();
-    mask_run(members_status);
-    const std::string kind = divides ? "-with-quota" : "";
+    mask_values_of_run(members_status);
+    const std::string kind = with_quota ? "-with-quota" : "";
     check_bytes("members" + kind + ".json", members_status.dump(1) + "\n");
     check_bytes("budgets" + kind + ".json", node.budgets_as_json().dump(1) + "\n");
   }
 }
 
-TEST_CASE("fixtures: answers of the second address, head and body") {
+TEST_CASE("fixtures: answers of the admin address, head and body") {
   const std::string get_status = "GET /status HTTP/1.1\r\nHost: a\r\n\r\n";
   for (const int status : {200, 400, 404, 405, 503})
     check_bytes("admin-status-" + std::to_string(status) + ".http",
-                answer_of_second_address(get_status, status, {}));
+                response_of_admin_server(get_status, status, {}));
   check_bytes("admin-json.http",
-              answer_of_second_address("GET /-/members HTTP/1.1\r\nHost: a\r\n\r\n", 200, "{}\n"));
-  const std::vector<std::pair<std::string, std::string>> faults = {
+              response_of_admin_server("GET /-/members HTTP/1.1\r\nHost: a\r\n\r\n", 200, "{}\n"));
+  const std::vector<std::pair<std::string, std::string>> malformed_requests = {
       {"unknown-call", "GET /other HTTP/1.1\r\nHost: a\r\n\r\n"},
       {"wrong-method", "GET /maintenance/enter?host=a HTTP/1.1\r\nHost: a\r\n\r\n"},
       {"missing-host", "PUT /maintenance/exit HTTP/1.1\r\nHost: a\r\n\r\n"}};
-  for (const auto& [name, text] : faults)
-    check_bytes("admin-" + name + ".http", answer_of_second_address(text, 200, {}));
+  for (const auto& [name, text] : malformed_requests)
+    check_bytes("admin-" + name + ".http", response_of_admin_server(text, 200, {}));
 }
 
-TEST_CASE("fixtures: an options' file with every key") {
-  const Options o = decode_options(toml::parse(fixture("options.toml")));
-  CHECK(o.log_level == LogLevel::debug);
-  CHECK(o.log_format == LogFormat::json);
-  CHECK(o.counters_interval_ms == 2500);
-  CHECK(o.max_memory_bytes == 64 * 1024 * 1024);
-  CHECK(o.max_descriptors == 100);
-  REQUIRE(o.cluster);
-  const ClusterNode::Config& m = *o.cluster;
-  CHECK(m.fleet == "maps");
-  CHECK(socket_address_text(m.listen_address) == "127.0.0.1:7900");
-  CHECK(m.advertised_address == "127.0.0.1:7999");
-  CHECK(m.seed_addresses == std::vector<std::string>{"127.0.0.1:7901", "127.0.0.1:7902"});
-  CHECK(m.probe_interval_ms == 500);
-  CHECK(m.probe_timeout_ms == 200);
-  CHECK(m.voters == std::vector<std::string>{"tiles-1", "tiles-2", "tiles-3"});
-  CHECK(m.lease_ms == 6000);
-  CHECK(m.max_clock_drift == 0.02);
-  REQUIRE(m.quota);
-  CHECK(m.quota->max_holders == 10);
-  CHECK(m.quota->grant_duration_ms == 1500);
-  CHECK(m.quota->registration_duration_ms == 30000);
-  CHECK(m.quota->max_clock_drift == 0.02);
-  REQUIRE(m.quota->budgets.size() == 1);
-  const FleetBudget& b = m.quota->budgets.front();
-  CHECK(b.name == "further_picks");
-  CHECK(b.total == 20);
-  CHECK(b.guaranteed_minimum == 2);
-  CHECK(b.window_ms == 1000);
+TEST_CASE("fixtures: an options file with every key") {
+  const Options options = decode_options(toml::parse(fixture("options.toml")));
+  CHECK(options.log_level == LogLevel::debug);
+  CHECK(options.log_format == LogFormat::json);
+  CHECK(options.counters_interval_ms == 2500);
+  CHECK(options.max_memory_bytes == 64 * 1024 * 1024);
+  CHECK(options.max_descriptors == 100);
+  REQUIRE(options.cluster);
+  const ClusterNode::Config& cluster = *options.cluster;
+  CHECK(cluster.fleet == "maps");
+  CHECK(socket_address_text(cluster.listen_address) == "127.0.0.1:7900");
+  CHECK(cluster.advertised_address == "127.0.0.1:7999");
+  CHECK(cluster.seed_addresses == std::vector<std::string>{"127.0.0.1:7901", "127.0.0.1:7902"});
+  CHECK(cluster.probe_interval_ms == 500);
+  CHECK(cluster.probe_timeout_ms == 200);
+  CHECK(cluster.voters == std::vector<std::string>{"tiles-1", "tiles-2", "tiles-3"});
+  CHECK(cluster.lease_ms == 6000);
+  CHECK(cluster.max_clock_drift == 0.02);
+  REQUIRE(cluster.quota);
+  CHECK(cluster.quota->max_holders == 10);
+  CHECK(cluster.quota->grant_duration_ms == 1500);
+  CHECK(cluster.quota->registration_duration_ms == 30000);
+  CHECK(cluster.quota->max_clock_drift == 0.02);
+  REQUIRE(cluster.quota->budgets.size() == 1);
+  const FleetBudget& budget = cluster.quota->budgets.front();
+  CHECK(budget.name == "further_picks");
+  CHECK(budget.total == 20);
+  CHECK(budget.guaranteed_minimum == 2);
+  CHECK(budget.window_ms == 1000);
 }
 
 TEST_CASE("fixtures: a config file with every key") {
   const std::string path = std::string(INDIGORILL_FIXTURES) + "/config.json";
-  const SidecarConfig s = load_sidecar_config(
+  const SidecarConfig config = load_sidecar_config(
       [&](const char* name) { return std::string_view(name) == "LB_CONFIG" ? path.c_str() : nullptr; });
-  CHECK(s.name == "tiles-1");
-  CHECK(socket_address_text(s.listen_address) == "127.0.0.1:7100");
-  REQUIRE(s.admin_address);
-  CHECK(socket_address_text(*s.admin_address) == "127.0.0.1:7101");
-  CHECK(socket_address_text(s.discovery_address) == "127.0.0.1:7102");
-  CHECK(s.discovery_host == "127.0.0.1:7102");
-  CHECK(s.seed == 0x1f);
-  CHECK(s.max_memory_bytes == 100 * 1024 * 1024);
-  CHECK(s.max_descriptors == 500);
-  CHECK(s.initial_endpoints.version == 7);
-  CHECK(s.initial_endpoints.complete);
-  REQUIRE(s.initial_endpoints.entries.size() == 1);
-  CHECK(s.initial_endpoints.entries[0].address == "127.0.0.1:8001");
-  CHECK(s.initial_endpoints.entries[0].endpoint.id == "a");
-  CHECK(s.initial_endpoints.entries[0].endpoint.zone == "z1");
-  CHECK(s.initial_endpoints.entries[0].endpoint.cell == 3);
-  CHECK(s.initial_endpoints.entries[0].endpoint.started_at_ms == 5.5);
-  CHECK(s.initial_endpoints.entries[0].endpoint.state == EndpointState::draining);
-  CHECK(s.initial_endpoints.entries[0].endpoint.machine_type == "large");
-  CHECK(s.upstream.idle_timeout_ms == 7000);
-  CHECK(s.upstream.connect_timeout_ms == 350);
-  CHECK(s.upstream.drain_grace_ms == 1500);
+  CHECK(config.name == "tiles-1");
+  CHECK(socket_address_text(config.listen_address) == "127.0.0.1:7100");
+  REQUIRE(config.admin_address);
+  CHECK(socket_address_text(*config.admin_address) == "127.0.0.1:7101");
+  CHECK(socket_address_text(config.discovery_address) == "127.0.0.1:7102");
+  CHECK(config.discovery_host == "127.0.0.1:7102");
+  CHECK(config.seed == 0x1f);
+  CHECK(config.max_memory_bytes == 100 * 1024 * 1024);
+  CHECK(config.max_descriptors == 500);
+  CHECK(config.initial_endpoints.version == 7);
+  CHECK(config.initial_endpoints.complete);
+  REQUIRE(config.initial_endpoints.entries.size() == 1);
+  const EndpointListUpdate::Entry& entry = config.initial_endpoints.entries.front();
+  CHECK(entry.address == "127.0.0.1:8001");
+  CHECK(entry.endpoint.id == "a");
+  CHECK(entry.endpoint.zone == "z1");
+  CHECK(entry.endpoint.cell == 3);
+  CHECK(entry.endpoint.started_at_ms == 5.5);
+  CHECK(entry.endpoint.state == EndpointState::draining);
+  CHECK(entry.endpoint.machine_type == "large");
+  CHECK(config.upstream.idle_timeout_ms == 7000);
+  CHECK(config.upstream.connect_timeout_ms == 350);
+  CHECK(config.upstream.drain_grace_ms == 1500);
 }
 
-TEST_CASE("fixtures: the settings of a balancer with every key") {
-  const nlohmann::json config = nlohmann::json::parse(fixture("config.json"));
-  const LoadBalancerConfig t = decode_load_balancer_config(JsonFields("settings", config.at("settings")));
-  REQUIRE(t.methods.size() == 4);
-  const MethodConfig& read = t.methods[0];
+TEST_CASE("fixtures: the settings of a load balancer with every key") {
+  const nlohmann::json file = nlohmann::json::parse(fixture("config.json"));
+  const LoadBalancerConfig config = decode_load_balancer_config(JsonFields("settings", file.at("settings")));
+  REQUIRE(config.methods.size() == 4);
+  const MethodConfig& read = config.methods[0];
   CHECK(read.name == "read");
   CHECK(read.priority_weight == 2.5);
   CHECK(read.late_weight == 0.25);
@@ -481,7 +483,7 @@
   CHECK(read.latency_objective_ms == 100);
   CHECK(read.deduplication_scope == DeduplicationScope::global);
   CHECK(read.deduplication_window_ms == 0);
-  const MethodConfig& write = t.methods[1];
+  const MethodConfig& write = config.methods[1];
   CHECK(write.name == "write");
   CHECK(write.priority_weight == 3);
   CHECK(write.deadline_ms == 400);
@@ -490,40 +492,42 @@
   CHECK(write.retry_safety == RetrySafety::idempotency_key);
   CHECK(write.deduplication_scope == DeduplicationScope::cell);
   CHECK(write.deduplication_window_ms == 60000);
-  const MethodConfig& send = t.methods[2];
+  const MethodConfig& send = config.methods[2];
   CHECK(send.name == "send");
   CHECK(send.priority_weight == 1);
   CHECK(send.retry_safety == RetrySafety::non_idempotent);
   CHECK(send.latency_objective_ms == 500);
   CHECK(send.deduplication_scope == DeduplicationScope::zone);
-  CHECK(t.methods[3].name == "plain");
-  CHECK(t.methods[3].deadline_ms == 600);
-  CHECK(t.methods[3].deduplication_scope == DeduplicationScope::global);
-  CHECK(t.zone == "z1");
-  CHECK(t.tick_ms == 2);
-  CHECK(t.sidecar_count == 12);
-  CHECK(t.must_poll_endpoints);
-  CHECK(t.key_affinity);
-  CHECK(t.max_attempts == 3);
-  CHECK(t.cancellation_enabled);
-  CHECK(t.probing_enabled);
-  CHECK(t.probes_report_load);
-  CHECK(t.max_retry_after_ms == 2000);
-  CHECK(t.cross_zone_cost == 0.01);
-  CHECK(t.probe_cost == 0.02);
-  CHECK(t.handshake_cost == 0.03);
-  CHECK(t.gossip_message_cost == 0.04);
-  CHECK(t.max_poll_silence_ms == 8000);
-  CHECK(t.slow_start_initial_weight == 0.2);
-  CHECK(t.slow_start_duration_ms == 20000);
-  CHECK(t.slow_start_overload_factor == 3);
-  CHECK(t.slow_start_burst_ms == 1000);
-  REQUIRE(t.tenants.size() == 2);
-  CHECK(t.tenants[0].name == "north");
-  CHECK(t.tenants[0].allowance_per_ms == 0.05);
-  CHECK(t.tenants[1].name == "south");
-  CHECK(t.tenants[1].allowance_per_ms == 0);
-  CHECK(t.over_quota_weight == 0.5);
-  CHECK(t.clients_mark_retries);
-  CHECK(t.gossip_enabled);
+  CHECK(config.methods[3].name == "plain");
+  CHECK(config.methods[3].deadline_ms == 600);
+  CHECK(config.methods[3].deduplication_scope == DeduplicationScope::global);
+  CHECK(config.zone == "z1");
+  CHECK(config.tick_ms == 2);
+  CHECK(config.sidecar_count == 12);
+  CHECK(config.must_poll_endpoints);
+  CHECK(config.key_affinity);
+  CHECK(config.max_attempts == 3);
+  CHECK(config.cancellation_enabled);
+  CHECK(config.probing_enabled);
+  CHECK(config.probes_report_load);
+  CHECK(config.max_retry_after_ms == 2000);
+  CHECK(config.cross_zone_cost == 0.01);
+  CHECK(config.probe_cost == 0.02);
+  CHECK(config.handshake_cost == 0.03);
+  CHECK(config.gossip_message_cost == 0.04);
+  CHECK(config.max_poll_silence_ms == 8000);
+  CHECK(config.slow_start_initial_weight == 0.2);
+  CHECK(config.slow_start_duration_ms == 20000);
+  CHECK(config.slow_start_overload_factor == 3);
+  CHECK(config.slow_start_burst_ms == 1000);
+  REQUIRE(config.tenants.size() == 2);
+  CHECK(config.tenants[0].name == "north");
+  CHECK(config.tenants[0].allowance_per_ms == 0.05);
+  CHECK(config.tenants[1].name == "south");
+  CHECK(config.tenants[1].allowance_per_ms == 0);
+  CHECK(config.over_quota_weight == 0.5);
+  CHECK(config.clients_mark_retries);
+  CHECK(config.gossip_enabled);
 }
+
+}  // namespace indigorill
