--- a/bench/scale.cpp
+++ b/bench/scale.cpp
@@ -8,6 +8,7 @@
 #include "cluster/envelope.h"
 #include "discovery/discovery_client.h"
 #include "indigorill/load_balancer.h"
+#include "membership/membership.h"
 #include "quota/quota.h"
 
 namespace {
--- a/src/proxy/http_server.h
+++ b/src/proxy/http_server.h
@@ -10,11 +10,8 @@
 
 #include "event/event_loop.h"
 #include "event/socket.h"
-<<<<<<< HEAD
 #include "event/tcp_stream.h"
-=======
 #include "http/header_codec.h"
->>>>>>> part-proxy
 #include "http/http_parser.h"
 #include "logging/logger.h"
 #include "metrics/counters.h"
--- a/src/proxy/upstream_connection.h
+++ b/src/proxy/upstream_connection.h
@@ -7,7 +7,7 @@
 #include <string>
 
 #include "event/event_loop.h"
-#include "event/socket.h"
+#include "event/tcp_stream.h"
 #include "http/http_parser.h"
 #include "proxy/upstream_exchange.h"
 
--- a/src/proxy/upstream_exchange.h
+++ b/src/proxy/upstream_exchange.h
@@ -6,7 +6,7 @@
 #include <functional>
 #include <string_view>
 
-#include "event/socket.h"
+#include "event/write_buffer.h"
 #include "http/http_parser.h"
 #include "indigorill/load_balancer.h"
 
