Scale tests and benchmark of the quota: a fleet class, progressive filling by itself

The checks were interleaved with one-letter names, and tests opened the namespace by a using-directive.

--- a/bench/scale.cpp
+++ b/bench/scale.cpp
@@ -1,6 +1,6 @@
 // What parts of the control cost by the size of the fleet, with the complexity fitted: one answer of the
-// divider, one datagram into and out of the membership, one list of endpoints taken in whole and by change. A
-// decision is in decision.cpp. Run with --benchmark_repetitions=5 for the spread.
+// quota's allocator, one datagram into and out of the membership, one list of endpoints taken in whole and by
+// change. A decision is in decision.cpp. Run with --benchmark_repetitions=5 for the spread.
 #include <benchmark/benchmark.h>
 
 #include <string>
@@ -8,12 +8,12 @@
 #include "cluster/envelope.h"
 #include "discovery/discovery_client.h"
 #include "indigorill/load_balancer.h"
-#include "quota/quota.h"
+#include "quota/quota_allocator.h"
+#include "quota/quota_client.h"
 
+namespace indigorill {
 namespace {
 
-using namespace indigorill;
-
 std::string named(const char* what, std::size_t i) { return std::string(what).append(std::to_string(i)); }
 std::string place(std::size_t i) {
   std::string s("10.");
@@ -21,32 +21,53 @@
   return s.append(std::to_string(i % 250)).append(":7900");
 }
 
-void divider_answer(benchmark::State& state) {
-  const auto n = static_cast<std::size_t>(state.range(0));
-  const QuotaConfig with{
-      {{"picks", 4.0 * static_cast<double>(n), 0, 1000}}, static_cast<int>(n), 2000, 60000, 0.01};
-  QuotaAllocator d(with);
-  std::vector<QuotaClient> all;
-  for (std::size_t i = 0; i < n; ++i) all.emplace_back(with, 1 + i);
-  double now = 1e6;
-  d.start_term(now, now);
-  std::size_t i = 0;
-  const auto ask = [&](QuotaClient& p, std::size_t wants) {
-    for (std::size_t w = 0; w < wants; ++w) p.record_demand(now, 0);
-    return p.make_request(now);
-  };
-  const auto one = [&] {
-    QuotaClient& p = all[i];
-    p.on_grant(now, d.handle_request(now, 1e18, ask(p, i % 100 == 0 ? 50 : i % 3)));
-    now += with.grant_duration_ms / 3 / static_cast<double>(n);
-    i = (i + 1) % n;
-  };
-  for (std::size_t k = 0; k < 6 * n; ++k) one();  // settled
-  for (auto _ : state) one();
+constexpr Milliseconds endless_lease = 1e18;
+
+/// An allocator and its clients without a network: all ask in turn, three times in a grant's duration.
+class DirectFleet {
+ public:
+  explicit DirectFleet(std::size_t size)
+      : config_{.budgets = {{.name = "attempts",
+                             .total = 4.0 * static_cast<double>(size),
+                             .window_ms = 1000}},
+                .max_holders = static_cast<int>(size),
+                .grant_duration_ms = 2000,
+                .registration_duration_ms = 60000,
+                .max_clock_drift = 0.01},
+        allocator_(config_) {
+    for (std::size_t client = 0; client < size; ++client) clients_.emplace_back(config_, 1 + client);
+    allocator_.start_term(now_, now_);
+  }
+
+  /// One request of the next client. Uneven: one in a hundred demands many times as much.
+  void run_next_request() {
+    QuotaClient& client = clients_[next_client_];
+    const std::size_t demand = next_client_ % 100 == 0 ? 50 : next_client_ % 3;
+    for (std::size_t unit = 0; unit < demand; ++unit) client.record_demand(now_, 0);
+    const QuotaRequest request = client.make_request(now_);
+    client.on_grant(now_, allocator_.handle_request(now_, endless_lease, request));
+    now_ += config_.grant_duration_ms / 3 / static_cast<double>(clients_.size());
+    next_client_ = (next_client_ + 1) % clients_.size();
+  }
+
+ private:
+  QuotaConfig config_;
+  QuotaAllocator allocator_;
+  std::vector<QuotaClient> clients_;
+  std::size_t next_client_ = 0;
+  Milliseconds now_ = 1e6;
+};
+
+void quota_request(benchmark::State& state) {
+  const auto size = static_cast<std::size_t>(state.range(0));
+  DirectFleet fleet(size);
+  constexpr std::size_t rounds_to_settle = 6;
+  for (std::size_t request = 0; request < rounds_to_settle * size; ++request) fleet.run_next_request();
+  for (auto _ : state) fleet.run_next_request();
   state.SetComplexityN(state.range(0));
 }
-// With the purse's own work for one question, which does not depend on the size.
-BENCHMARK(divider_answer)->RangeMultiplier(4)->Range(100, 25600)->Complexity();
+// With the client's own work for one request, which does not depend on the size.
+BENCHMARK(quota_request)->RangeMultiplier(4)->Range(100, 25600)->Complexity();
 
 // Two of a fleet in which each knows all.
 struct KnowsAll {
@@ -148,5 +169,6 @@
 BENCHMARK(list_change)->RangeMultiplier(10)->Range(10, 10000)->Complexity();
 
 }  // namespace
+}  // namespace indigorill
 
 BENCHMARK_MAIN();
--- a/tests/leader_lease_test.cpp
+++ b/tests/leader_lease_test.cpp
@@ -14,8 +14,7 @@
 
 #include "support/state_explorer.h"
 
-using namespace indigorill;  // NOLINT(google-build-using-namespace)
-
+namespace indigorill {
 namespace {
 
 // ---- Explored exhaustively --------------------------------------------------------------------------------
@@ -539,3 +538,5 @@
   }
   CHECK(stops > 100);
 }
+
+}  // namespace indigorill
--- a/tests/quota_test.cpp
+++ b/tests/quota_test.cpp
@@ -16,8 +16,7 @@
 #include "quota/quota_client.h"
 #include "support/state_explorer.h"
 
-using namespace indigorill;  // NOLINT(google-build-using-namespace)
-
+namespace indigorill {
 namespace {
 
 // ---- Explored exhaustively: up to three clients, two units, the lease passes from one allocator to another
@@ -533,3 +532,5 @@
   }
   CHECK(spent_in_all > 4000);
 }
+
+}  // namespace indigorill
--- a/tests/scale_test.cpp
+++ b/tests/scale_test.cpp
@@ -1,127 +1,185 @@
-// What must not grow with the fleet: work, memory and bytes of one instance, by counts and slopes on the real
-// code.
+/// What must not grow with the fleet: work, memory and bytes of one instance, by counts and slopes on the
+/// production code.
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <cmath>
-#include <map>
 #include <random>
 
-#include "quota/quota.h"
-
-using namespace indigorill;
+#include "quota/quota_allocator.h"
+#include "quota/quota_client.h"
 
+namespace indigorill {
 namespace {
 
-// A fleet's sharers and their divider, without a network: all ask in turn, three times a share.
-struct BudgetOffice {
-  QuotaConfig with;
-  QuotaAllocator d;
-  std::vector<QuotaClient> all;
-  double now = 1e6;
-
-  BudgetOffice(std::size_t n, double whole, double floor)
-      : with{{{"picks", whole, floor, 1000}}, static_cast<int>(n), 2000, 60000, 0.01}, d(with) {
-    for (std::size_t i = 0; i < n; ++i) all.emplace_back(with, 1 + i);
-    d.start_term(now, now);
+constexpr Milliseconds endless_lease = 1e18;
+
+/// An allocator and its clients without a network: all ask in turn, three times in a grant's duration.
+struct DirectFleet {
+  QuotaConfig config;
+  QuotaAllocator allocator;
+  std::vector<QuotaClient> clients;
+  Milliseconds now = 1e6;
+
+  DirectFleet(std::size_t size, double total)
+      : config{.budgets = {{.name = "attempts", .total = total, .window_ms = 1000}},
+               .max_holders = static_cast<int>(size),
+               .grant_duration_ms = 2000,
+               .registration_duration_ms = 60000,
+               .max_clock_drift = 0.01},
+        allocator(config) {
+    for (std::size_t client = 0; client < size; ++client) clients.emplace_back(config, 1 + client);
+    allocator.start_term(now, now);
   }
-  // Uneven: one in a hundred wants a hundred times as much.
-  void round() {
-    const double pause = with.grant_duration_ms / 3 / static_cast<double>(all.size());
-    for (std::size_t i = 0; i < all.size(); ++i, now += pause) {
-      const std::size_t wants = i % 100 == 0 ? 100 : i % 3;
-      for (std::size_t w = 0; w < wants; ++w) all[i].record_demand(now, 0);
-      const QuotaRequest a = all[i].make_request(now);
-      all[i].on_grant(now, d.handle_request(now, 1e18, a));
+
+  /// Uneven: one in a hundred demands a hundred times as much.
+  void run_rounds(int rounds) {
+    const Milliseconds pause = config.grant_duration_ms / 3 / static_cast<double>(clients.size());
+    for (int round = 0; round < rounds; ++round) {
+      for (std::size_t client = 0; client < clients.size(); ++client) {
+        run_client(clients[client], client % 100 == 0 ? 100 : client % 3);
+        now += pause;
+      }
     }
   }
-  double allowed() const {
+
+  double total_allowance() const {
     double sum = 0;
-    for (const QuotaClient& p : all) sum += p.allowance(now, 0);
+    for (const QuotaClient& client : clients) sum += client.allowance(now, 0);
     return sum;
   }
+
+ private:
+  void run_client(QuotaClient& client, std::size_t demand) {
+    for (std::size_t unit = 0; unit < demand; ++unit) client.record_demand(now, 0);
+    const QuotaRequest request = client.make_request(now);
+    client.on_grant(now, allocator.handle_request(now, endless_lease, request));
+  }
 };
 
 }  // namespace
 
-TEST_CASE("scale: the work of one answer of the divider grows by the logarithm of the sharers at most") {
-  // A balanced tree's search looks at 2 log2(n + 1) nodes at most; two searches an answer, an entry looked at
-  // anew for its own answer and one for each grant that ended. Going over all would be n.
-  for (const std::size_t n : {50U, 200U, 800U, 3200U, 12800U}) {
-    CAPTURE(n);
-    BudgetOffice o(n, 4.0 * static_cast<double>(n), 0);
-    for (int r = 0; r < 6; ++r) o.round();
-    const std::uint64_t before = o.d.step_count();
-    for (int r = 0; r < 4; ++r) o.round();
-    const double an_answer = static_cast<double>(o.d.step_count() - before) / (4.0 * static_cast<double>(n));
-    MESSAGE(n << " sharers: " << an_answer << " steps an answer");
-    CHECK(an_answer < 2 * 2 * std::log2(static_cast<double>(n) + 1) + 4);
-    CHECK(o.allowed() <= 4.0 * static_cast<double>(n));
-    CHECK(o.allowed() >= 0.9 * 4.0 * static_cast<double>(n));
+TEST_CASE("scale: the work of one answer of the allocator grows by the logarithm of the holders at most") {
+  // A balanced tree's search looks at 2 log2(n + 1) nodes at most; a request takes two searches, a review of
+  // its own holder and one for each grant that ended. Going over all would be n.
+  for (const std::size_t holders : {50U, 200U, 800U, 3200U, 12800U}) {
+    CAPTURE(holders);
+    const auto size = static_cast<double>(holders);
+    const double total = 4 * size;
+    DirectFleet fleet(holders, total);
+    fleet.run_rounds(6);
+    const std::uint64_t steps_before = fleet.allocator.step_count();
+    fleet.run_rounds(4);
+    const double steps_per_request =
+        static_cast<double>(fleet.allocator.step_count() - steps_before) / (4 * size);
+    MESSAGE(holders << " holders: " << steps_per_request << " steps an answer");
+    CHECK(steps_per_request < 2 * 2 * std::log2(size + 1) + 4);
+    CHECK(fleet.total_allowance() <= total);
+    CHECK(fleet.total_allowance() >= 0.9 * total);
   }
 }
 
 TEST_CASE(
-    "scale: what the divider stores for each sharer does not grow with the fleet, nor with its questions") {
-  for (const std::size_t n : {50U, 200U, 800U, 3200U}) {
-    CAPTURE(n);
-    BudgetOffice o(n, 2.0 * static_cast<double>(n), 0);
-    for (int r = 0; r < 12; ++r) o.round();
-    CHECK(static_cast<double>(o.d.stored_grant_count()) / static_cast<double>(n) < 8);
+    "scale: what the allocator stores for each holder grows neither with the fleet nor with its requests") {
+  for (const std::size_t holders : {50U, 200U, 800U, 3200U}) {
+    CAPTURE(holders);
+    const auto size = static_cast<double>(holders);
+    DirectFleet fleet(holders, 2 * size);
+    fleet.run_rounds(12);
+    CHECK(static_cast<double>(fleet.allocator.stored_grant_count()) / size < 8);
+  }
+  // A client that sends requests without a pause and uses no grant.
+  DirectFleet fleet(2, 100);
+  fleet.now += 5000;  // past what earlier allocators may have granted
+  for (std::uint64_t number = 1; number <= 100000; ++number) {
+    const QuotaRequest request{.session = 1, .request_number = number, .demands = {5}};
+    fleet.allocator.handle_request(fleet.now, endless_lease, request);
   }
-  // One that asks without a pause and goes by no answer.
-  BudgetOffice o(2, 100, 0);
-  o.now += 5000;  // past what earlier dividers may have given
-  for (std::uint64_t i = 1; i <= 100000; ++i) o.d.handle_request(o.now, 1e18, {1, i, 0, 0, {5}});
-  CHECK(o.d.stored_grant_count() <= 32);
-  CHECK(o.d.max_in_use(o.now, 0) >= 5);
-  CHECK(o.d.max_in_use(o.now, 0) <= 100);
+  CHECK(fleet.allocator.stored_grant_count() <= 32);
+  CHECK(fleet.allocator.max_in_use(fleet.now, 0) >= 5);
+  CHECK(fleet.allocator.max_in_use(fleet.now, 0) <= 100);
 }
 
-TEST_CASE("scale: the part that the sums give is the one that going over all gives") {
-  std::mt19937_64 chance(3);
+namespace {
+
+using Demand = DemandIndex::Demand;
+
+/// What each has after progressive filling, in the order of demands, and the units left over.
+struct FilledShares {
+  std::vector<double> shares;
+  double left_over = 0;
+  std::size_t satisfied = 0;  // the first so many have what they demand
+};
+
+/// A unit at a time to all that still demand one, as long as there is one for each; if all have what they
+/// demand, to all of them.
+FilledShares fill_progressively(const std::vector<Demand>& demands, double total) {
+  const std::size_t size = demands.size();
+  FilledShares filled{.shares = std::vector<double>(size), .left_over = total};
+  while (true) {
+    while (filled.satisfied < size && filled.shares[filled.satisfied] == demands[filled.satisfied].units)
+      ++filled.satisfied;
+    const std::size_t unsatisfied = size - filled.satisfied;
+    if (unsatisfied == 0 || filled.left_over < static_cast<double>(unsatisfied)) break;
+    for (std::size_t i = filled.satisfied; i < size; ++i) ++filled.shares[i];
+    filled.left_over -= static_cast<double>(unsatisfied);
+  }
+  if (filled.satisfied < size) return filled;
+  while (filled.left_over >= static_cast<double>(size)) {
+    for (double& share : filled.shares) ++share;
+    filled.left_over -= static_cast<double>(size);
+  }
+  return filled;
+}
+
+/// Adds each demand, the sessions ascending; each is changed once, as demands are.
+std::vector<Demand> add_random_demands(DemandIndex& index, std::size_t size, double max_units,
+                                       std::mt19937_64& random) {
+  std::vector<Demand> demands;
+  for (std::size_t i = 0; i < size; ++i) {
+    const double fraction = static_cast<double>(random() % 1000) / 1000;
+    demands.push_back({std::floor(max_units * fraction), i + 1});
+    index.add({999, i + 1});
+    index.remove({999, i + 1});
+    index.add(demands.back());
+  }
+  return demands;
+}
+
+}  // namespace
+
+TEST_CASE("scale: the share by prefix sums is the one by progressive filling") {
+  constexpr std::size_t max_total_per_holder = 60;
+  std::mt19937_64 random(3);
   for (int trial = 0; trial < 300; ++trial) {
     CAPTURE(trial);
-    DemandIndex d;
-    const std::size_t n = 1 + chance() % 40;
-    std::vector<DemandIndex::Demand> all;
-    for (std::size_t i = 0; i < n; ++i) {
-      const double most = trial % 3 ? 6 : 60;
-      all.push_back({std::floor(most * static_cast<double>(chance() % 1000) / 1000), i + 1});
-      d.add({999, i + 1});  // and changed, as wishes are
-      d.remove({999, i + 1});
-      d.add(all.back());
-    }
-    std::sort(all.begin(), all.end());
-    const double whole = static_cast<double>(chance() % (2 * 30 * n + 1));
-    // Progressive filling: a unit at a time to all that still want one, as long as there is one for each.
-    std::vector<double> has(n);
-    double left = whole;
-    std::size_t open = 0;  // all before it have what they want
-    while (true) {
-      while (open < n && has[open] == all[open].units) ++open;
-      if (open == n || left < static_cast<double>(n - open)) break;
-      for (std::size_t i = open; i < n; ++i) ++has[i], --left;
-    }
-    if (open == n)
-      for (; left >= static_cast<double>(n); left -= static_cast<double>(n))
-        for (double& h : has) ++h;
-    std::map<std::size_t, double> odd;  // by turn
-    for (std::size_t turn = 0; turn < n; ++turn) {
+    DemandIndex index;
+    const std::size_t size = 1 + random() % 40;
+    std::vector<Demand> demands = add_random_demands(index, size, trial % 3 ? 6 : 60, random);
+    std::sort(demands.begin(), demands.end());
+    const double total = static_cast<double>(random() % (max_total_per_holder * size + 1));
+    const FilledShares filled = fill_progressively(demands, total);
+    std::vector<double> odd_units(size);  // over all turns
+    for (std::size_t turn = 0; turn < size; ++turn) {
       double sum = 0;
-      for (std::size_t i = 0; i < n; ++i) {
-        const double part = d.fair_share(all[i], whole, turn);
-        CHECK(part >= has[i]);
-        CHECK(part <= has[i] + 1);
-        odd[i] += part - has[i];
-        sum += part;
+      for (std::size_t i = 0; i < size; ++i) {
+        const double share = index.fair_share(demands[i], total, turn);
+        CHECK(share >= filled.shares[i]);
+        CHECK(share <= filled.shares[i] + 1);
+        odd_units[i] += share - filled.shares[i];
+        sum += share;
       }
-      CHECK(sum == whole);
+      CHECK(sum == total);
     }
-    // Those that share the odd units have each of them as often as the others, within one.
-    for (std::size_t i = 0; i + 1 < n; ++i)
-      if (has[i] >= all[i].units && open < n)
-        CHECK(odd[i] == 0);
+    // Those among whom the odd units go round have each as many as the others, within one.
+    for (std::size_t i = 0; i + 1 < size; ++i) {
+      const bool is_satisfied = filled.shares[i] >= demands[i].units && filled.satisfied < size;
+      if (is_satisfied)
+        CHECK(odd_units[i] == 0);
       else
-        CHECK(std::abs(odd[i] - odd[i + 1]) <= left);
+        CHECK(std::abs(odd_units[i] - odd_units[i + 1]) <= filled.left_over);
+    }
   }
 }
+
+}  // namespace indigorill
