Cluster: codec by message kind, replay filter apart, status output in a file of its own

Cause: the envelope's file held the codec of five messages, a reader, name rules and the replay window; two kinds of errors were one enum; the node's file mixed datagrams, quotas, log lines and JSON. Change: DecodeError is what decode_envelope returns, ReplayError what ReplayFilter does; each message has an encoder and a decoder that returns an optional; ClusterNode dispatches by kind, and its log lines and JSON are in cluster_node_status.cpp. The JSON and the bytes stay.

--- a/src/cluster/cluster_node.h
+++ b/src/cluster/cluster_node.h
@@ -1,84 +1,144 @@
-// This sidecar among the others: its datagrams, and the membership that they carry. The only place that reads
-// the clock for them: one that goes on while the machine sleeps.
+/// \file
+/// This sidecar among the others of its fleet: membership, the leader lease and quotas on one datagram
+/// socket.
+///
+/// The only place that reads the clock for the three, CLOCK_BOOTTIME, which goes on while the machine sleeps.
+/// Safety: that no budget is exceeded rests on the lease and the quota alone, and on each of their questions
+/// being asked with the present time; membership only tells addresses, and a wrong one costs a datagram.
 #pragma once
 
+#include <netinet/in.h>
+
+#include <array>
+#include <cstdint>
+#include <map>
 #include <memory>
 #include <nlohmann/json.hpp>
+#include <optional>
+#include <random>
+#include <string>
+#include <string_view>
+#include <vector>
 
 #include "cluster/datagram_socket.h"
 #include "cluster/envelope.h"
+#include "cluster/replay_filter.h"
+#include "event/event_loop.h"
+#include "lease/leader_lease.h"
 #include "logging/logger.h"
+#include "membership/member_name.h"
 #include "membership/membership.h"
+#include "quota/quota.h"
 
 namespace indigorill {
 
+/// Must be used and destroyed on the event loop's thread. The loop and the logger must outlive it.
 class ClusterNode {
  public:
   struct Config {
-    std::string fleet;                                        // datagrams of any other are dropped
-    std::string name;                                         // the sidecar's own
-    sockaddr_in listen_address{};                             // for datagrams
-    std::string advertised_address;                           // where others reach it: address:port
-    std::vector<std::string> seed_addresses;                  // of those it joins through
-    double probe_interval_ms = 1000, probe_timeout_ms = 300;  // ms
-    // Who grants the right to divide; none: nobody divides.
-    std::vector<std::string> voters;
-    double lease_ms = 10000;  // ms
-    std::optional<QuotaConfig> quota;
-    double max_clock_drift = 0.01;  // by how much a clock's rate may be off
+    std::string fleet;                        ///< Datagrams of any other one are dropped.
+    std::string name;                         ///< The sidecar's own, unique in its fleet; see is_valid_name.
+    sockaddr_in listen_address{};             ///< For datagrams.
+    std::string advertised_address;           ///< Where others reach it, "address:port".
+    std::vector<std::string> seed_addresses;  ///< Of the members through which it joins.
+    double probe_interval_ms = 1000;
+    double probe_timeout_ms = 300;
+    std::vector<std::string> voters;   ///< Members that elect the leader; none: there is no leader.
+    double lease_ms = 10000;           ///< Of the leader.
+    std::optional<QuotaConfig> quota;  ///< Budgets that the leader allocates; needs voters.
+    double max_clock_drift = 0.01;     ///< By how much the rate of any clock may be off.
   };
+
   struct Counters {
-    std::uint64_t sent = 0, send_failures = 0, received = 0, bytes_sent = 0;
-    std::array<std::uint64_t, decode_error_count> dropped{};
+    std::uint64_t sent = 0;
+    std::uint64_t send_failures = 0;  ///< Also datagrams that were too long, or for an unknown address.
+    std::uint64_t received = 0;       ///< Those that were dropped included.
+    std::uint64_t bytes_sent = 0;
+    std::array<std::uint64_t, decode_error_count> undecodable{};  ///< Dropped, by DecodeError.
+    std::array<std::uint64_t, replay_error_count> replayed{};     ///< Dropped, by ReplayError.
   };
 
-  ClusterNode(EventLoop& in, Logger& log_to, Config with, std::uint64_t seed);
+  /// If the address is in use, for example by an older process of this sidecar, it is tried again later.
+  ClusterNode(EventLoop& event_loop, Logger& logger, Config config, std::uint64_t seed);
 
-  // What is left to spend of a budget now, and the spending itself, by the clock at that very moment; without
-  // that budget there is no bound.
+  /// Units of a budget that this sidecar may use now. A budget that is not configured is unlimited.
   double available(std::string_view budget);
+  /// Takes one unit, if there is one. A budget that is not configured is unlimited.
   bool try_acquire(std::string_view budget);
-  void record_demand(std::string_view budget);  // and not had
-  nlohmann::json budgets_as_json();             // for staff
+  /// Counts a unit that was wanted and not taken.
+  void record_demand(std::string_view budget);
 
-  void leave();                    // says so; nothing is said or heard after it
-  nlohmann::json as_json() const;  // for staff
+  /// Resigns and announces it. Nothing is sent or received afterwards, and the address is free.
+  void leave();
+
+  /// The status of membership, lease and datagrams, for GET /-/members.
+  nlohmann::json as_json() const;
+  /// The status of all budgets, for GET /-/budgets.
+  nlohmann::json budgets_as_json();
   const Counters& counters() const { return counters_; }
 
  private:
+  static double now_ms();
+
   void open_socket();
-  void on_datagram(std::string_view bytes);
   void run_due_work();
-  void send(const std::string& to, Envelope e);
+  double next_work_at() const;
+
+  // Datagrams.
+  void on_datagram(std::string_view bytes);
+  void dispatch(const Envelope& envelope);
+  void send(const std::string& address, Envelope envelope);
+  void log_drop(std::string_view bytes, std::string_view reason);
+
+  // Membership and the leader lease.
+  void send_membership_messages();
   void run_leader_lease();
+  bool is_leader() const;
+  std::string known_leader() const;
+
+  // Quotas.
   void request_quota();
-  QuotaGrant answer_quota_request(const QuotaRequest& a);
+  void send_quota_request(QuotaRequest request);
+  bool can_reach_allocator() const;
+  QuotaGrant answer_quota_request(const QuotaRequest& request);
+  void on_quota_grant(const QuotaGrant& grant);
   std::optional<std::size_t> budget_index(std::string_view budget) const;
+
+  // Log lines for what has changed since the last call.
   void log_changes();
-  double now_ms() const;  // ms since the machine's start, its sleep included
+  void log_leader();
+  void log_member_states();
+  void log_displacement();
+  void log_quota_rejection();
+
+  nlohmann::json members_as_json() const;
+  nlohmann::json lease_as_json() const;
+  nlohmann::json datagrams_as_json() const;
 
   EventLoop& event_loop_;
   Logger& logger_;
   Config config_;
-  Membership membership_;
   std::knuth_b random_;
-  std::optional<LeaderLease> leader_lease_;
-  std::optional<QuotaAllocator> quota_allocator_;  // while this one has the right
-  std::optional<QuotaClient> quota_client_;
-  double next_quota_request_at_ = 0;
-  std::string allocator_name_;         // to ask, "": any voter
-  int unanswered_quota_requests_ = 0;  // questions since the last answer
-  bool may_follow_redirect_ = false;
-  bool logged_quota_refused_ = false;
-  ReplayFilter replay_filter_;
-  std::unique_ptr<DatagramSocket> socket_;
+  std::unique_ptr<DatagramSocket> socket_;  // none while the address is not available
   EventLoop::Timer work_timer_;
+  ReplayFilter replay_filter_;
   std::uint64_t last_sequence_number_ = 0;
   bool has_left_ = false;
+  Counters counters_;
+
+  Membership membership_;
+  std::optional<LeaderLease> leader_lease_;        // with voters
+  std::optional<QuotaAllocator> quota_allocator_;  // while this node is the leader and was asked
+  std::optional<QuotaClient> quota_client_;        // with a quota
+  double next_quota_request_at_ = 0;
+  std::string allocator_name_;         // whom to ask; empty: any voter
+  int unanswered_quota_requests_ = 0;  // since the last answer
+  bool may_follow_redirect_ = false;
+
+  std::string logged_leader_;
   std::map<std::string, Member::State> logged_states_;
   bool logged_displaced_ = false;
-  std::string logged_leader_;
-  Counters counters_;
+  bool logged_quota_rejected_ = false;
 };
 
 }  // namespace indigorill
--- a/src/cluster/datagram_socket.cpp
+++ b/src/cluster/datagram_socket.cpp
@@ -5,41 +5,49 @@
 #include <array>
 #include <cerrno>
 #include <system_error>
+#include <utility>
 
 namespace indigorill {
+namespace {
 
-DatagramSocket::DatagramSocket(EventLoop& in, const sockaddr_in& where, ReceiveHandler then)
-    : event_loop_(in),
-      on_receive_(std::move(then)),
+// A flood must not keep the RPCs waiting: after so many datagrams it is the turn of other descriptors.
+constexpr int max_datagrams_per_round = 64;
+// Longer than any datagram that is meant for us, so that a truncated one is seen to be too long.
+constexpr std::size_t receive_buffer_bytes = 2048;
+
+}  // namespace
+
+DatagramSocket::DatagramSocket(EventLoop& event_loop, const sockaddr_in& address, ReceiveHandler on_receive)
+    : event_loop_(event_loop),
+      on_receive_(std::move(on_receive)),
       fd_(::socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0)) {
-  // No reuse of the address: two processes with one place would each hear half.
-  if (!fd_ || ::bind(fd_.get(), reinterpret_cast<const sockaddr*>(&where), sizeof where) < 0)
-    throw std::system_error(errno, std::generic_category(), "datagrams");
+  // No SO_REUSEADDR: two processes with one address would each receive a part of the datagrams.
+  if (!fd_ || ::bind(fd_.get(), reinterpret_cast<const sockaddr*>(&address), sizeof address) < 0) {
+    throw std::system_error(errno, std::generic_category(), "datagram socket");
+  }
   socklen_t size = sizeof local_address_;
   ::getsockname(fd_.get(), reinterpret_cast<sockaddr*>(&local_address_), &size);
   watch_ = event_loop_.watch_fd(fd_.get(), [this](std::uint32_t) { receive(); });
 }
 
 void DatagramSocket::receive() {
-  // A flood must not keep the RPCs waiting: so many, then the others' turn.
-  constexpr int at_once = 64;
-  // Longer than any that is meant for us, so that one cut short is seen to be too long.
-  std::array<char, 2048> room;
-  for (int i = 0; i < at_once; ++i) {
-    sockaddr_in from{};
-    socklen_t size = sizeof from;
-    const ssize_t n =
-        ::recvfrom(fd_.get(), room.data(), room.size(), 0, reinterpret_cast<sockaddr*>(&from), &size);
-    if (n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) return;
-    // Another's machine said that nobody listens there (ECONNREFUSED): the error is read, and that was all.
-    if (n >= 0) on_receive_({room.data(), static_cast<std::size_t>(n)}, from);
+  std::array<char, receive_buffer_bytes> buffer;
+  for (int i = 0; i < max_datagrams_per_round; ++i) {
+    sockaddr_in sender{};
+    socklen_t sender_size = sizeof sender;
+    const ssize_t size = ::recvfrom(fd_.get(), buffer.data(), buffer.size(), 0,
+                                    reinterpret_cast<sockaddr*>(&sender), &sender_size);
+    if (size < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) return;
+    // Any other error belongs to a datagram sent earlier (ECONNREFUSED: nobody listens there). It is cleared
+    // by reading it.
+    if (size >= 0) on_receive_({buffer.data(), static_cast<std::size_t>(size)}, sender);
   }
   event_loop_.requeue(watch_);
 }
 
-bool DatagramSocket::send(const sockaddr_in& to, std::string_view bytes) {
-  return ::sendto(fd_.get(), bytes.data(), bytes.size(), 0, reinterpret_cast<const sockaddr*>(&to),
-                  sizeof to) >= 0;
+bool DatagramSocket::send(const sockaddr_in& recipient, std::string_view bytes) {
+  return ::sendto(fd_.get(), bytes.data(), bytes.size(), 0, reinterpret_cast<const sockaddr*>(&recipient),
+                  sizeof recipient) >= 0;
 }
 
 }  // namespace indigorill
--- a/src/cluster/datagram_socket.h
+++ b/src/cluster/datagram_socket.h
@@ -1,22 +1,29 @@
-// One socket for datagrams in the loop. Nothing is kept for later: what the kernel doesn't take is lost, as
-// any datagram may be.
+/// \file
+/// A UDP socket in the event loop.
 #pragma once
 
+#include <netinet/in.h>
+
+#include <functional>
 #include <string_view>
 
-#include "event/socket.h"
+#include "event/event_loop.h"
 
 namespace indigorill {
 
+/// Nothing is buffered: what the kernel doesn't take is lost, as any datagram may be. The event loop must
+/// outlive the socket.
 class DatagramSocket {
  public:
-  using ReceiveHandler = std::function<void(std::string_view bytes, const sockaddr_in& from)>;
+  /// The bytes are valid during the call alone.
+  using ReceiveHandler = std::function<void(std::string_view bytes, const sockaddr_in& sender)>;
 
-  // Throws std::system_error where the address can't be had.
-  DatagramSocket(EventLoop& in, const sockaddr_in& where, ReceiveHandler then);
+  /// Binds the address; port 0 takes any free one. Throws std::system_error where it is not available.
+  DatagramSocket(EventLoop& event_loop, const sockaddr_in& address, ReceiveHandler on_receive);
 
   const sockaddr_in& local_address() const { return local_address_; }
-  bool send(const sockaddr_in& to, std::string_view bytes);  // false: not taken
+  /// Returns whether the kernel took the datagram.
+  bool send(const sockaddr_in& recipient, std::string_view bytes);
 
  private:
   void receive();
@@ -25,7 +32,7 @@
   ReceiveHandler on_receive_;
   FileDescriptor fd_;
   sockaddr_in local_address_{};
-  EventLoop::Watch watch_;
+  EventLoop::Watch watch_;  // goes before the descriptor
 };
 
 }  // namespace indigorill
--- a/src/membership/membership_probing.cpp
+++ b/src/membership/membership_probing.cpp
@@ -40,7 +40,7 @@
       if (probe_order_.empty()) return {};
       std::shuffle(probe_order_.begin(), probe_order_.end(), random_);
     }
-    const std::string target = probe_order_.back();
+    std::string target = probe_order_.back();
     probe_order_.pop_back();
     const Member* member = members_.find(target);
     if (member != nullptr && is_live(*member)) return target;
--- a/tests/membership_test.cpp
+++ b/tests/membership_test.cpp
@@ -8,6 +8,7 @@
 #include <queue>
 
 #include "cluster/envelope.h"
+#include "cluster/replay_filter.h"
 
 using namespace indigorill;
 
@@ -300,11 +301,11 @@
 TEST_CASE("envelope: what is doubled, late or of a former incarnation is not heard again") {
   struct {
     std::uint64_t incarnation, serial;
-    std::optional<DecodeError> is;
-  } rows[]{{5, 10, {}},  {5, 10, DecodeError::duplicate},       {5, 12, {}},
-           {5, 11, {}},  {5, 11, DecodeError::duplicate},       {5, 200, {}},
-           {5, 137, {}}, {5, 136, DecodeError::outside_window}, {4, 300, DecodeError::stale_incarnation},
-           {6, 1, {}},   {6, 1, DecodeError::duplicate},        {5, 201, DecodeError::stale_incarnation}};
+    std::optional<ReplayError> is;
+  } rows[]{{5, 10, {}},  {5, 10, ReplayError::duplicate},       {5, 12, {}},
+           {5, 11, {}},  {5, 11, ReplayError::duplicate},       {5, 200, {}},
+           {5, 137, {}}, {5, 136, ReplayError::outside_window}, {4, 300, ReplayError::stale_incarnation},
+           {6, 1, {}},   {6, 1, ReplayError::duplicate},        {5, 201, ReplayError::stale_incarnation}};
   ReplayFilter seen;
   for (const auto& row : rows) {
     CAPTURE(row.serial);
