--- a/tests/manual_ejection_test.cpp
+++ b/tests/manual_ejection_test.cpp
@@ -1,4 +1,5 @@
-// Endpoints out by hand: the set, what the balancer and the pool make of it, and the second address.
+/// Manual ejections: the set, what the load balancer and the upstream pool make of them, and the admin
+/// server.
 #include "ejection/manual_ejection.h"
 
 #include <doctest/doctest.h>
@@ -12,123 +13,176 @@
 
 using namespace host;
 
-TEST_CASE("the set of what is out, against a model over random calls, lists and restarts") {
-  std::knuth_b chance(7);
-  const auto draw = [&](int n) { return static_cast<int>(chance() % static_cast<unsigned>(n)); };
+namespace {
+
+/// A model of ManualEjections in plain sets, and random operations on both.
+struct EjectionModel {
+  std::knuth_b& random;
+  ManualEjections ejections;
+  std::set<std::string> listed;
+  std::set<std::string> ejected;
+
+  static constexpr char first_id = 'a';
+  static constexpr char end_id = 'g';
+
+  int draw(int count) { return static_cast<int>(random() % static_cast<unsigned>(count)); }
+
+  void change(const std::function<void(EjectionRecord&)>& apply) {
+    EjectionRecord record;
+    record.ejected = ejections.ejected();
+    apply(record);
+    ejections.replace_ejected(record.ejected);
+  }
+
+  void update_complete_list() {
+    std::vector<std::string> present;
+    for (char id = first_id; id < end_id; ++id)
+      if (draw(2) != 0) present.emplace_back(1, id);
+    ejections.update_endpoints(true, present, {});
+    listed = {present.begin(), present.end()};
+  }
+  void add(const std::string& id) {
+    ejections.update_endpoints(false, {id}, {});
+    listed.insert(id);
+  }
+  void remove(const std::string& id) {
+    ejections.update_endpoints(false, {}, {id});
+    listed.erase(id);
+  }
+  void eject(const std::string& id) {
+    if (!ejections.is_known(id)) return;
+    change([&](EjectionRecord& record) { eject_endpoint(record, id); });
+    ejected.insert(id);
+  }
+  void restore(const std::string& id) {
+    if (!ejections.is_known(id)) return;
+    change([&](EjectionRecord& record) { restore_endpoint(record, id, 0); });
+    ejected.erase(id);
+  }
+  /// Another process takes over the list and the ejections.
+  void restart() {
+    ManualEjections next;
+    next.replace_ejected(ejections.ejected());
+    next.update_endpoints(true, {listed.begin(), listed.end()}, {});
+    ejections = next;
+  }
+
+  void step() {
+    const std::string id(1, static_cast<char>(first_id + draw(6)));
+    switch (draw(5)) {
+      case 0:
+        update_complete_list();
+        break;
+      case 1:
+        remove(id);
+        break;
+      case 2:
+        add(id);
+        break;
+      case 3:
+        eject(id);
+        break;
+      default:
+        restore(id);
+    }
+    if (draw(40) == 0) restart();
+  }
+
+  void check() const {
+    for (char letter = first_id; letter < end_id; ++letter) {
+      const std::string id(1, letter);
+      REQUIRE(ejections.is_ejected(id) == ejected.contains(id));
+      REQUIRE(ejections.is_known(id) == (ejected.contains(id) || listed.contains(id)));
+    }
+  }
+};
+
+/// How many of so many RPCs, 20 ms apart, are sent to this endpoint.
+int count_attempts(LoadBalancerHarness& harness, const std::string& endpoint_id, int rpc_count) {
+  int count = 0;
+  for (int i = 0; i < rpc_count; ++i) {
+    harness.now += 20;
+    harness.load_balancer.on_timer(harness.now, 1);
+    const std::string rpc_id = harness.start_rpc();
+    for (const Decision& decision : harness.take_decisions()) {
+      if (decision.action != Action::send_attempt) continue;
+      count += decision.endpoint_id == endpoint_id ? 1 : 0;
+      harness.load_balancer.on_attempt_finished(harness.now, rpc_id, decision.attempt_index,
+                                                AttemptOutcome::ok, 25, true, {});
+    }
+  }
+  return count;
+}
+
+}  // namespace
+
+TEST_CASE("manual ejections agree with a model over random requests, endpoint lists and restarts") {
+  std::knuth_b random(7);
   for (int run = 0; run < 50; ++run) {
-    ManualEjections m;
-    std::set<std::string> listed, out;
-    const auto change = [&](const std::function<void(EjectionRecord&)>& how) {
-      EjectionRecord b;
-      b.ejected = m.ejected();
-      how(b);
-      m.replace_ejected(b.ejected);
-    };
+    EjectionModel model{random, {}, {}, {}};
     for (int step = 0; step < 200; ++step) {
-      const std::string id(1, static_cast<char>('a' + draw(6)));
-      switch (draw(5)) {
-        case 0: {  // a whole list
-          std::vector<std::string> here;
-          for (char c = 'a'; c < 'g'; ++c)
-            if (draw(2)) here.emplace_back(1, c);
-          m.update_endpoints(true, here, {});
-          listed = {here.begin(), here.end()};
-          break;
-        }
-        case 1:
-          m.update_endpoints(false, {}, {id});
-          listed.erase(id);
-          break;
-        case 2:
-          m.update_endpoints(false, {id}, {});
-          listed.insert(id);
-          break;
-        case 3:
-          if (m.is_known(id)) change([&](EjectionRecord& b) { eject_endpoint(b, id); }), out.insert(id);
-          break;
-        default:
-          if (m.is_known(id)) change([&](EjectionRecord& b) { restore_endpoint(b, id, 0); }), out.erase(id);
-      }
-      if (draw(40) == 0) {  // another process, told the list and what was out
-        ManualEjections next;
-        next.replace_ejected(m.ejected());
-        next.update_endpoints(true, {listed.begin(), listed.end()}, {});
-        m = next;
-      }
-      for (char c = 'a'; c < 'g'; ++c) {
-        const std::string one(1, c);
-        REQUIRE(m.is_ejected(one) == (out.count(one) > 0));
-        REQUIRE(m.is_known(one) == (out.count(one) + listed.count(one) > 0));
-      }
+      model.step();
+      model.check();
     }
   }
   CHECK(ids_missing_from({"a", "b"}, {"b", "c"}) == std::vector<std::string>{"c"});
 }
 
 TEST_CASE(
-    "the balancer sends nothing to what is out, whatever the list says, and something when it is back") {
-  LoadBalancerHarness m;
-  m.update_endpoints(make_endpoints('a', 'b'));
-  const auto picked = [&](const std::string& server, int tries) {
-    int n = 0;
-    for (int i = 0; i < tries; ++i) {
-      m.now += 20;
-      m.load_balancer.on_timer(m.now, 1);
-      const std::string id = m.start_rpc();
-      for (const Decision& d : m.take_decisions()) {
-        if (d.action != Action::send_attempt) continue;
-        n += d.endpoint_id == server;
-        m.load_balancer.on_attempt_finished(m.now, id, d.attempt_index, AttemptOutcome::ok, 25, true, {});
-      }
-    }
-    return n;
-  };
-  REQUIRE(picked("a", 100) > 0);
-  m.load_balancer.set_ejected_manually(m.now, "a", true, m.now);
-  CHECK(picked("a", 100) == 0);
-  m.update_endpoints(make_endpoints('a', 'b'));
-  CHECK(picked("a", 100) == 0);
-  m.update_endpoints({make_endpoint("b")});
-  m.run_maintenance_until(m.now + 60000);  // long enough to be forgotten
-  m.update_endpoints({make_endpoint("a", m.now), make_endpoint("b")});
-  CHECK(picked("a", 100) == 0);
-  m.load_balancer.set_ejected_manually(m.now, "a", false, m.now);
-  m.update_endpoints({make_endpoint("a", 1), make_endpoint("b")});  // the list knows of the start before
-  const int first = picked("a", 200);
-  CHECK(first > 0);  // within 5 s of the call back
-  m.now += 60000;
-  m.run_maintenance_until(m.now + 1000);
-  CHECK(picked("a", 200) > first + 30);  // it was taken for cold
+    "the load balancer sends nothing to an ejected endpoint, whatever the list says, until it is restored") {
+  LoadBalancerHarness harness;
+  LoadBalancer& load_balancer = harness.load_balancer;
+  harness.update_endpoints(make_endpoints('a', 'b'));
+  REQUIRE(count_attempts(harness, "a", 100) > 0);
+  load_balancer.set_ejected_manually(harness.now, "a", true, harness.now);
+  CHECK(count_attempts(harness, "a", 100) == 0);
+  harness.update_endpoints(make_endpoints('a', 'b'));
+  CHECK(count_attempts(harness, "a", 100) == 0);
+  harness.update_endpoints({make_endpoint("b")});
+  harness.run_maintenance_until(harness.now + 60000);  // long enough for its state to be dropped
+  harness.update_endpoints({make_endpoint("a", harness.now), make_endpoint("b")});
+  CHECK(count_attempts(harness, "a", 100) == 0);
+  load_balancer.set_ejected_manually(harness.now, "a", false, harness.now);
+  harness.update_endpoints(
+      {make_endpoint("a", 1), make_endpoint("b")});  // with the start before the ejection
+  const int attempts_in_slow_start = count_attempts(harness, "a", 200);
+  CHECK(attempts_in_slow_start > 0);  // within 5 s of the restoration
+  harness.now += 60000;
+  harness.run_maintenance_until(harness.now + 1000);
+  CHECK(count_attempts(harness, "a", 200) > attempts_in_slow_start + 30);  // it began with a slow start
 }
 
-TEST_CASE("with all servers out RPCs are pushed back at once, with advice") {
-  LoadBalancerHarness m;
-  m.update_endpoints(make_endpoints('a', 'b'));
-  for (const char* id : {"a", "b"}) m.load_balancer.set_ejected_manually(m.now, id, true, m.now);
-  m.start_rpc();
-  const Decision d = m.only_decision();
-  CHECK(d.action == Action::reject);
-  CHECK(d.delay_ms > 0);
+TEST_CASE("with all endpoints ejected RPCs are rejected at once, with a Retry-After") {
+  LoadBalancerHarness harness;
+  harness.update_endpoints(make_endpoints('a', 'b'));
+  for (const char* id : {"a", "b"})
+    harness.load_balancer.set_ejected_manually(harness.now, id, true, harness.now);
+  harness.start_rpc();
+  const Decision decision = harness.only_decision();
+  CHECK(decision.action == Action::reject);
+  CHECK(decision.delay_ms > 0);
 }
 
-TEST_CASE("a pick taken back unsent is drawn again at once, and neither it nor its server pays for it") {
-  LoadBalancerHarness m(test_config(RetrySafety::non_idempotent));
-  m.update_endpoints(make_endpoints('a', 'b'));
-  for (int i = 0; i < 40; ++i) {  // more than the account of further picks could pay
-    const std::string id = m.start_rpc();
-    const Decision first = m.only_decision();
+TEST_CASE("an attempt withdrawn unsent is sent elsewhere at once, at no cost to it or its endpoint") {
+  LoadBalancerHarness harness(test_config(RetrySafety::non_idempotent));
+  LoadBalancer& load_balancer = harness.load_balancer;
+  harness.update_endpoints(make_endpoints('a', 'b'));
+  for (int i = 0; i < 40; ++i) {  // more than the retry budget allows
+    const std::string id = harness.start_rpc();
+    const Decision first = harness.only_decision();
     REQUIRE(first.action == Action::send_attempt);
-    m.load_balancer.set_ejected_manually(m.now, first.endpoint_id, true, m.now);
-    m.load_balancer.on_attempt_finished(m.now, id, first.attempt_index, AttemptOutcome::withdrawn, 0, false,
-                                        {});
-    const Decision second = m.only_decision();
+    load_balancer.set_ejected_manually(harness.now, first.endpoint_id, true, harness.now);
+    load_balancer.on_attempt_finished(harness.now, id, first.attempt_index, AttemptOutcome::withdrawn, 0,
+                                      false, {});
+    const Decision second = harness.only_decision();
     REQUIRE(second.action == Action::send_attempt);
     CHECK(second.endpoint_id != first.endpoint_id);
-    m.load_balancer.on_attempt_finished(m.now, id, second.attempt_index, AttemptOutcome::ok, 25, true, {});
-    m.load_balancer.set_ejected_manually(m.now, first.endpoint_id, false, m.now);
-    m.take_decisions();
-    m.now += 30000;  // warm again
-    m.run_maintenance_until(m.now + 1000);
+    load_balancer.on_attempt_finished(harness.now, id, second.attempt_index, AttemptOutcome::ok, 25, true,
+                                      {});
+    load_balancer.set_ejected_manually(harness.now, first.endpoint_id, false, harness.now);
+    harness.take_decisions();
+    harness.now += 30000;  // the slow start is over
+    harness.run_maintenance_until(harness.now + 1000);
   }
 }
 
@@ -138,21 +192,21 @@
   EventLoop event_loop;
   std::ostringstream log_text;
   Logger log{log_text, LogLevel::debug};
-  Counters counts;
+  Counters counters;
   std::vector<AdminRequest> requests;
-  AdminServer admin_server{event_loop, counts, log,
-                           [this](const AdminRequest& o, const AdminServer::ResponseCallback& then) {
-                             requests.push_back(o);
-                             then(o.endpoint_id == "nobody" ? 404 : 200, {});
+  AdminServer admin_server{event_loop, counters, log,
+                           [this](const AdminRequest& request, const AdminServer::ResponseCallback& respond) {
+                             requests.push_back(request);
+                             respond(request.endpoint_id == "nobody" ? 404 : 200, {});
                            }};
   sockaddr_in address;
   FileDescriptorBudget budget{200};
   std::vector<std::unique_ptr<TestConnection>> clients;
 
   AdminServerFixture() {
-    FileDescriptor door = listen_on_loopback();
-    address = local_address(door);
-    admin_server.adopt_listener(std::move(door));
+    FileDescriptor listener = listen_on_loopback();
+    address = local_address(listener);
+    admin_server.adopt_listener(std::move(listener));
   }
   TestConnection& connect_client() {
     clients.push_back(std::make_unique<TestConnection>(event_loop, budget, start_connect(address),
@@ -163,11 +217,11 @@
 
 }  // namespace
 
-TEST_CASE("calls on the second address, split at every byte") {
+TEST_CASE("admin server: requests, split at every byte") {
   struct {
     const char* text;
     int status;
-    const char* id;
+    const char* endpoint_id;
   } table[] = {
       {"GET /status HTTP/1.1\r\n\r\n", 200, ""},
       {"PUT /maintenance/enter?host=a HTTP/1.1\r\n\r\n", 200, "a"},
@@ -189,96 +243,104 @@
       {"nonsense\r\n\r\n", 400, nullptr},
       {"PUT /maintenance/enter?host=a HTTP/1.1\r\nContent-Length: 9999\r\n\r\n", 413, nullptr},
   };
-  for (const auto& t : table) {
-    CAPTURE(std::string(t.text));
-    const std::string text = t.text;
+  for (const auto& row : table) {
+    CAPTURE(std::string(row.text));
+    const std::string text = row.text;
     for (std::size_t cut = 1; cut < text.size(); ++cut) {
-      AdminServerFixture d;
-      TestConnection& c = d.connect_client();
-      c.send(text.substr(0, cut));
-      for (int i = 0; i < 3; ++i) d.event_loop.run_once(0);
-      c.send(text.substr(cut));
-      REQUIRE(run_until(d.event_loop, [&] { return c.is_ended; }));
-      REQUIRE(c.received.size() == 1);
-      CHECK(c.received[0].status == t.status);
-      CHECK((t.status != 405 || c.received[0].find_header("Allow").has_value()));
-      CHECK(d.requests.size() == (t.id ? 1 : 0));
-      if (t.id && !d.requests.empty()) CHECK(d.requests[0].endpoint_id == t.id);
+      AdminServerFixture fixture;
+      TestConnection& client = fixture.connect_client();
+      client.send(text.substr(0, cut));
+      for (int i = 0; i < 3; ++i) fixture.event_loop.run_once(0);
+      client.send(text.substr(cut));
+      REQUIRE(run_until(fixture.event_loop, [&] { return client.is_ended; }));
+      REQUIRE(client.received.size() == 1);
+      CHECK(client.received[0].status == row.status);
+      CHECK((row.status != 405 || client.received[0].find_header("Allow").has_value()));
+      CHECK(fixture.requests.size() == (row.endpoint_id ? 1 : 0));
+      if (row.endpoint_id && !fixture.requests.empty())
+        CHECK(fixture.requests[0].endpoint_id == row.endpoint_id);
     }
   }
 }
 
-TEST_CASE("callers who hold connections without a whole call shut nobody out") {
-  AdminServerFixture d;
-  for (std::size_t i = 0; i < 4 * AdminServer::reserved_descriptors; ++i) d.connect_client().send("GET /sta");
-  run_for(d.event_loop, 20);
-  TestConnection& c = d.connect_client();
-  c.send("GET /status HTTP/1.1\r\n\r\n");
-  REQUIRE(run_until(d.event_loop, [&] { return c.is_ended; }));
-  CHECK(c.received.size() == 1);
-  std::size_t open = 0;
-  for (const auto& s : d.clients) open += !s->is_ended;
-  CHECK(open < AdminServer::reserved_descriptors);
+TEST_CASE("admin server: clients that hold connections without a complete request shut nobody out") {
+  AdminServerFixture fixture;
+  for (std::size_t i = 0; i < 4 * AdminServer::reserved_descriptors; ++i)
+    fixture.connect_client().send("GET /sta");
+  run_for(fixture.event_loop, 20);
+  TestConnection& client = fixture.connect_client();
+  client.send("GET /status HTTP/1.1\r\n\r\n");
+  REQUIRE(run_until(fixture.event_loop, [&] { return client.is_ended; }));
+  CHECK(client.received.size() == 1);
+  std::size_t open_count = 0;
+  for (const auto& other : fixture.clients) open_count += other->is_ended ? 0 : 1;
+  CHECK(open_count < AdminServer::reserved_descriptors);
 }
 
-TEST_CASE("what has the first rank is served ahead of all others in a round") {
-  EventLoop runs;
+TEST_CASE("event loop: a watch of high priority is served ahead of all others in a round") {
+  constexpr int stream_count = 20;
+  EventLoop event_loop;
   FileDescriptorBudget budget{100};
   std::vector<int> order;
-  std::vector<std::unique_ptr<TcpStream>> ends;
-  std::vector<FileDescriptor> others;
-  for (int i = 0; i < 20; ++i) {
+  std::vector<std::unique_ptr<TcpStream>> streams;
+  std::vector<FileDescriptor> peers;
+  for (int i = 0; i < stream_count; ++i) {
     int pair[2];
     REQUIRE(::socketpair(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK, 0, pair) == 0);
-    others.emplace_back(pair[1]);
-    ends.push_back(std::make_unique<TcpStream>(
-        runs, budget, FileDescriptor(pair[0]), [&order, i](std::uint32_t) { order.push_back(i); },
-        i == 19 ? EventLoop::WatchPriority::high : EventLoop::WatchPriority::normal));
+    peers.emplace_back(pair[1]);
+    const bool is_last = i == stream_count - 1;
+    streams.push_back(std::make_unique<TcpStream>(
+        event_loop, budget, FileDescriptor(pair[0]), [&order, i](std::uint32_t) { order.push_back(i); },
+        is_last ? EventLoop::WatchPriority::high : EventLoop::WatchPriority::normal));
   }
-  runs.run_once(0);
-  CHECK(order.size() == 20);
-  CHECK(order.front() == 19);
+  event_loop.run_once(0);
+  CHECK(order.size() == stream_count);
+  CHECK(order.front() == stream_count - 1);
 }
 
-TEST_CASE("what is not yet written to an endpoint when it is taken out goes elsewhere, what is goes on") {
-  EventLoop runs;
+TEST_CASE("requests not yet written to an endpoint when it is ejected go elsewhere, written ones go on") {
+  EventLoop event_loop;
   std::ostringstream log_text;
-  Logger lines(log_text, LogLevel::debug);
-  Counters counts;
+  Logger logger(log_text, LogLevel::debug);
+  Counters counters;
   FileDescriptorBudget budget{50};
-  UpstreamPool endpoints(runs, budget, counts, lines, {5000, 60}, [] { return false; });
-  RequestDispatcher rpcs(runs, endpoints, counts, lines, test_config(RetrySafety::non_idempotent), 1);
-  FakeServer a(runs, {"silent"}), b(runs, {response_text(200, "served")});
-  endpoints.update_endpoint("a", address_text(a.address));
-  rpcs.update_endpoints(true, false, {make_endpoint("a")});
-  const auto ask = [&](int id, int& status) {
-    rpcs.dispatch(parse_message(http::HttpParser::MessageKind::request,
-                                "GET /read HTTP/1.1\r\nX-Call-Id: " + std::to_string(id) +
-                                    "\r\nX-Budget: 300m\r\n\r\n"),
-                  runs.now(),
-                  {[&status](RpcResult v) { status = v.outcome == RpcResult::Outcome::ok ? 200 : 503; }});
+  UpstreamPool pool(event_loop, budget, counters, logger, {5000, 60}, [] { return false; });
+  RequestDispatcher dispatcher(event_loop, pool, counters, logger, test_config(RetrySafety::non_idempotent),
+                               1);
+  FakeServer endpoint_a(event_loop, {"silent"});
+  FakeServer endpoint_b(event_loop, {response_text(200, "served")});
+  pool.update_endpoint("a", address_text(endpoint_a.address));
+  dispatcher.update_endpoints(true, false, {make_endpoint("a")});
+  const auto send_request = [&](int id, int& status) {
+    const std::string text =
+        "GET /read HTTP/1.1\r\nX-Call-Id: " + std::to_string(id) + "\r\nX-Budget: 300m\r\n\r\n";
+    dispatcher.dispatch(
+        parse_message(http::HttpParser::MessageKind::request, text), event_loop.now(),
+        {[&status](RpcResult result) { status = result.outcome == RpcResult::Outcome::ok ? 200 : 503; }});
   };
-  int first = 0, second = 0;
-  ask(1, first);
-  REQUIRE(run_until(runs, [&] { return a.request_targets.size() == 1; }));
-  ask(2, second);  // still connecting
-  endpoints.update_endpoint("b", address_text(b.address));
-  rpcs.update_endpoints(true, false, {make_endpoint("a"), make_endpoint("b")});
-  rpcs.set_ejected_manually("a", true, runs.now());
-  REQUIRE(run_until(runs, [&] { return second != 0; }));
-  CHECK(second == 200);
-  CHECK(b.request_targets.size() == 1);
-  CHECK(a.request_targets.size() == 1);
-  CHECK(counts.attempts[static_cast<std::size_t>(AttemptOutcome::withdrawn)] == 1);
-  CHECK(first == 0);  // in hand there, and left to end
+  int first_status = 0;
+  int second_status = 0;
+  send_request(1, first_status);
+  REQUIRE(run_until(event_loop, [&] { return endpoint_a.request_targets.size() == 1; }));
+  send_request(2, second_status);  // still connecting
+  pool.update_endpoint("b", address_text(endpoint_b.address));
+  dispatcher.update_endpoints(true, false, {make_endpoint("a"), make_endpoint("b")});
+  dispatcher.set_ejected_manually("a", true, event_loop.now());
+  REQUIRE(run_until(event_loop, [&] { return second_status != 0; }));
+  CHECK(second_status == 200);
+  CHECK(endpoint_b.request_targets.size() == 1);
+  CHECK(endpoint_a.request_targets.size() == 1);
+  CHECK(counters.attempts[static_cast<std::size_t>(AttemptOutcome::withdrawn)] == 1);
+  CHECK(first_status == 0);  // in flight there, and left to end
 }
 
-TEST_CASE("a listener that is inherited is adopted, anything else is refused") {
-  const FileDescriptor door = listen_on_loopback();
-  const FileDescriptor adopted = adopt_listener_fd(::dup(door.get()));
+TEST_CASE("an inherited listener is adopted, any other descriptor is refused") {
+  const FileDescriptor listener = listen_on_loopback();
+  const FileDescriptor adopted = adopt_listener_fd(::dup(listener.get()));
   CHECK(adopted.get() >= 0);
-  const FileDescriptor plain(::socket(AF_INET, SOCK_STREAM, 0)), datagrams(::socket(AF_INET, SOCK_DGRAM, 0));
-  CHECK_THROWS_AS(adopt_listener_fd(plain.get()), ParseError);
-  CHECK_THROWS_AS(adopt_listener_fd(datagrams.get()), ParseError);
+  const FileDescriptor unconnected(::socket(AF_INET, SOCK_STREAM, 0));
+  const FileDescriptor datagram_socket(::socket(AF_INET, SOCK_DGRAM, 0));
+  CHECK_THROWS_AS(adopt_listener_fd(unconnected.get()), ParseError);
+  CHECK_THROWS_AS(adopt_listener_fd(datagram_socket.get()), ParseError);
   CHECK_THROWS_AS(adopt_listener_fd(999), ParseError);
 }
