--- a/src/admin/admin_server.cpp
+++ b/src/admin/admin_server.cpp
@@ -55,12 +55,8 @@
   }
 };
 
-AdminServer::AdminServer(EventLoop& event_loop, Counters& counters, Logger& logger,
-                         RequestHandler handle_request)
-    : event_loop_(event_loop),
-      counters_(counters),
-      logger_(logger),
-      handle_request_(std::move(handle_request)) {}
+AdminServer::AdminServer(EventLoop& event_loop, Counters& counters, RequestHandler handle_request)
+    : event_loop_(event_loop), counters_(counters), handle_request_(std::move(handle_request)) {}
 
 AdminServer::~AdminServer() = default;
 
--- a/src/admin/admin_server.h
+++ b/src/admin/admin_server.h
@@ -15,7 +15,6 @@
 #include "event/socket.h"
 #include "http/header_codec.h"
 #include "http/http_parser.h"
-#include "logging/logger.h"
 #include "metrics/counters.h"
 
 namespace indigorill {
@@ -31,8 +30,8 @@
   /// For the listener and the connections: what the process has to set aside for them.
   static constexpr std::size_t reserved_descriptors = 13;
 
-  /// The event loop, the counters and the logger must outlive the server.
-  AdminServer(EventLoop& event_loop, Counters& counters, Logger& logger, RequestHandler handle_request);
+  /// The event loop and the counters must outlive the server.
+  AdminServer(EventLoop& event_loop, Counters& counters, RequestHandler handle_request);
   ~AdminServer();
   AdminServer(const AdminServer&) = delete;
   AdminServer& operator=(const AdminServer&) = delete;
@@ -72,7 +71,6 @@
 
   EventLoop& event_loop_;
   Counters& counters_;
-  Logger& logger_;
   RequestHandler handle_request_;
   FileDescriptorBudget descriptor_budget_{reserved_descriptors - 1};
   FileDescriptor listener_;
--- a/src/proxy/sidecar.cpp
+++ b/src/proxy/sidecar.cpp
@@ -215,7 +215,7 @@
   };
   bool serving = false;
   AdminServer staff(
-      runs, counts, lines, [&](const AdminRequest& asked, const AdminServer::ResponseCallback& then) {
+      runs, counts, [&](const AdminRequest& asked, const AdminServer::ResponseCallback& then) {
         if (asked.command == AdminRequest::Command::status) return then(serving && !stopping ? 200 : 503, {});
         if (asked.command == AdminRequest::Command::membership ||
             asked.command == AdminRequest::Command::quotas) {
--- a/tests/fixtures_test.cpp
+++ b/tests/fixtures_test.cpp
@@ -195,10 +195,8 @@
 
 std::string answer_of_second_address(const std::string& request_text, int status, const std::string& text) {
   EventLoop runs;
-  std::ostringstream log_text;
-  Logger lines{log_text, LogLevel::error};
   Counters counts;
-  AdminServer staff{runs, counts, lines, [&](const AdminRequest&, const AdminServer::ResponseCallback& then) {
+  AdminServer staff{runs, counts, [&](const AdminRequest&, const AdminServer::ResponseCallback& then) {
                       then(status, text);
                     }};
   FileDescriptor listener = listen_on_loopback();
--- a/tests/manual_ejection_test.cpp
+++ b/tests/manual_ejection_test.cpp
@@ -190,11 +190,9 @@
 
 struct AdminServerFixture {
   EventLoop event_loop;
-  std::ostringstream log_text;
-  Logger log{log_text, LogLevel::debug};
   Counters counters;
   std::vector<AdminRequest> requests;
-  AdminServer admin_server{event_loop, counters, log,
+  AdminServer admin_server{event_loop, counters,
                            [this](const AdminRequest& request, const AdminServer::ResponseCallback& respond) {
                              requests.push_back(request);
                              respond(request.endpoint_id == "nobody" ? 404 : 200, {});
