--- a/tests/manual_ejection_test.cpp
+++ b/tests/manual_ejection_test.cpp
@@ -312,9 +312,10 @@
   const auto send_request = [&](int id, int& status) {
     const std::string text =
         "GET /read HTTP/1.1\r\nX-Call-Id: " + std::to_string(id) + "\r\nX-Budget: 300m\r\n\r\n";
-    dispatcher.dispatch(
-        parse_message(http::HttpParser::MessageKind::request, text), event_loop.now(),
-        {[&status](RpcResult result) { status = result.outcome == RpcResult::Outcome::ok ? 200 : 503; }});
+    dispatcher.dispatch(parse_message(http::HttpParser::MessageKind::request, text), event_loop.now(),
+                        {[&status](const RpcResult& result) {
+                          status = result.outcome == RpcResult::Outcome::ok ? 200 : 503;
+                        }});
   };
   int first_status = 0;
   int second_status = 0;
--- a/tests/standing_test.cpp
+++ b/tests/standing_test.cpp
@@ -1,6 +1,6 @@
-// What the standing fleet test newly binds (docs/standing.md): a list that waits for discovery's return, who
-// leaves in a burst, cold servers under a whole fleet, descriptors that idle clients fill. On real sockets
-// but for the fleet, whose clock is stepped.
+// What the standing fleet test newly binds (docs/standing.md): an endpoint list that waits for discovery's
+// return, clients that leave in a burst, slow starts under a whole fleet, file descriptors that idle clients
+// fill. On real sockets but for the fleet, whose clock is stepped.
 #include <doctest/doctest.h>
 
 #include <algorithm>
@@ -14,224 +14,241 @@
 
 namespace {
 
-enum class Outage { refused, hangs, silent, half, rubbish, error };
+enum class Outage { refused, connect_hangs, silent, half_response, malformed_response, error_status };
 constexpr std::pair<Outage, const char*> outages[] = {{Outage::refused, "refused"},
-                                                      {Outage::hangs, "a connect that hangs"},
-                                                      {Outage::silent, "given up without an answer"},
-                                                      {Outage::half, "half an answer"},
-                                                      {Outage::rubbish, "rubbish"},
-                                                      {Outage::error, "an error"}};
+                                                      {Outage::connect_hangs, "a connect that hangs"},
+                                                      {Outage::silent, "given up without a response"},
+                                                      {Outage::half_response, "half a response"},
+                                                      {Outage::malformed_response, "a malformed response"},
+                                                      {Outage::error_status, "an error status"}};
 
-std::string said_in(Outage how) {
-  return how == Outage::half      ? "HTTP/1.1 200 OK\r\nContent-Length: 500\r\n\r\n{\"generation\""
-         : how == Outage::rubbish ? "rubbish\r\n\r\n"
-         : how == Outage::error   ? response_text(500, "")
-                                  : "silent";
+std::string response_during(Outage outage) {
+  switch (outage) {
+    case Outage::half_response:
+      return "HTTP/1.1 200 OK\r\nContent-Length: 500\r\n\r\n{\"generation\"";
+    case Outage::malformed_response:
+      return "rubbish\r\n\r\n";
+    case Outage::error_status:
+      return response_text(500, "");
+    default:
+      return "silent";
+  }
 }
 
-// An agent that fails so until it is back, and then tells this, once.
+// A discovery agent that fails in one way until it recovers, and then answers one poll.
 struct FailingAgent {
-  FakeServer at;
-  std::vector<FileDescriptor> filling;
+  FakeServer server;
+  std::vector<FileDescriptor> backlog_fillers;
 
-  FailingAgent(EventLoop& runs, Outage how)
-      : at(runs, std::vector<std::string>(1000, said_in(how)),
-           how == Outage::refused ? bind_on_loopback() : listen_on_loopback()) {
-    if (how != Outage::hangs) return;
-    at.listener_watch.cancel();
-    filling = fill_backlog(at.listener);
+  FailingAgent(EventLoop& event_loop, Outage outage)
+      : server(event_loop, std::vector<std::string>(1000, response_during(outage)),
+               outage == Outage::refused ? bind_on_loopback() : listen_on_loopback()) {
+    if (outage != Outage::connect_hangs) return;
+    server.listener_watch.cancel();
+    backlog_fillers = fill_backlog(server.listener);
   }
-  void back(const std::string& tells) {
-    at.responses.resize(at.request_targets.size());
-    at.responses.push_back(tells);
-    filling.clear();
-    ::listen(at.listener.get(), 100);
-    at.start_accepting();
+  void recover(const std::string& response) {
+    server.responses.resize(server.request_targets.size());
+    server.responses.push_back(response);
+    backlog_fillers.clear();
+    ::listen(server.listener.get(), 100);
+    server.start_accepting();
   }
 };
 
-// A sidecar whose balancer asks for the list itself, with one that is known from before.
-struct Asking {
-  EventLoop runs;
+// A sidecar whose load balancer decides when to poll, with an endpoint list that is known from before.
+struct PollingSidecar {
+  EventLoop event_loop;
   std::ostringstream log_text;
-  Logger lines{log_text, LogLevel::error};
-  Counters counts;
+  Logger logger{log_text, LogLevel::error};
+  Counters counters;
   FileDescriptorBudget budget{10};
-  UpstreamPool endpoints{runs, budget, counts, lines, {}, [] { return false; }};
-  RequestDispatcher rpcs;
-  std::string heard;
-  DiscoveryClient lists;
+  UpstreamPool pool{event_loop, budget, counters, logger, {}, [] { return false; }};
+  RequestDispatcher dispatcher;
+  std::string updates;
+  DiscoveryClient discovery_client;
 
-  static LoadBalancerConfig asks(double sidecars) {
-    LoadBalancerConfig t = test_config();
-    t.must_poll_endpoints = true;
-    t.max_poll_silence_ms = 10000;  // as where the settings say nothing
-    t.sidecar_count = sidecars;
-    return t;
+  static LoadBalancerConfig polling_config(double sidecar_count) {
+    LoadBalancerConfig config = test_config();
+    config.must_poll_endpoints = true;
+    config.max_poll_silence_ms = 10000;  // the default of the settings
+    config.sidecar_count = sidecar_count;
+    return config;
+  }
+  PollingSidecar(const sockaddr_in& agent_address, double sidecar_count, std::uint64_t seed)
+      : dispatcher(event_loop, pool, counters, logger, polling_config(sidecar_count), seed),
+        discovery_client(
+            event_loop, budget, counters, logger, agent_address, "agent", seed + 1, 500,
+            [this](const EndpointListUpdate& update) { apply(update); },
+            [this] { dispatcher.endpoint_poll_failed(); }) {
+    dispatcher.update_endpoints(true, false, {make_endpoint("a"), make_endpoint("b")});
+    discovery_client.set_known_version(9);
+    dispatcher.on_endpoint_poll([this] { discovery_client.poll(); });
   }
-  Asking(const sockaddr_in& agent, double sidecars, std::uint64_t seed)
-      : rpcs(runs, endpoints, counts, lines, asks(sidecars), seed),
-        lists(
-            runs, budget, counts, lines, agent, "agent", seed + 1, 500,
-            [this](const EndpointListUpdate& r) {
-              heard += (r.complete ? "=" : "+") + std::to_string(r.version);
-              std::vector<Endpoint> entries;
-              for (const auto& e : r.entries) entries.push_back(e.endpoint);
-              rpcs.update_endpoints(r.complete, true, entries);
-            },
-            [this] { rpcs.endpoint_poll_failed(); }) {
-    rpcs.update_endpoints(true, false, {make_endpoint("a"), make_endpoint("b")});
-    lists.set_known_version(9);
-    rpcs.on_endpoint_poll([this] { lists.poll(); });
+  void apply(const EndpointListUpdate& update) {
+    updates += (update.complete ? "=" : "+") + std::to_string(update.version);
+    std::vector<Endpoint> endpoints;
+    for (const auto& entry : update.entries) endpoints.push_back(entry.endpoint);
+    dispatcher.update_endpoints(update.complete, true, endpoints);
   }
 };
 
-constexpr double told_after = 6000;  // ms, since discovery had it and could be reached
+// A change counts as known to the sidecar this long after discovery had it and could be reached.
+constexpr double update_deadline_ms = 6000;
 
 }  // namespace
 
 TEST_CASE(
     "a pushed change that waits at the agent is in force 3 s after its return, whatever failed before") {
   struct Row {
-    const char* what;
-    bool known, moves;
-    DiscoveryHarness f;
-    std::unique_ptr<FailingAgent> agent, before;
-    double ms = -1;
+    const char* outage_name = "";
+    bool knows_version = false;
+    bool switches_agent = false;
+    DiscoveryHarness harness;
+    std::unique_ptr<FailingAgent> agent;
+    std::unique_ptr<FailingAgent> previous_agent;
+    double update_after_ms = -1;
+
+    bool gets_changes() const { return knows_version && !switches_agent; }
   };
-  std::vector<std::unique_ptr<Row>> all;
-  for (const auto& [how, what] : outages)
-    for (const bool known : {false, true})
-      for (const bool moves : {false, true}) {
-        all.push_back(std::make_unique<Row>());
-        Row& r = *all.back();
-        r.what = what;
-        r.known = known;
-        r.moves = moves;
-        r.f.grace_ms = known ? 300 : 1000;
-        r.agent = std::make_unique<FailingAgent>(r.f.loop, how);
-        if (moves) r.before = std::make_unique<FailingAgent>(r.f.loop, how);
-        r.f.start(moves ? r.before->at.address : r.agent->at.address, true,
-                  known ? std::optional<std::uint64_t>(9) : std::nullopt);
+  std::vector<std::unique_ptr<Row>> rows;
+  for (const auto& [outage, outage_name] : outages)
+    for (const bool knows_version : {false, true})
+      for (const bool switches_agent : {false, true}) {
+        rows.push_back(std::make_unique<Row>());
+        Row& row = *rows.back();
+        row.outage_name = outage_name;
+        row.knows_version = knows_version;
+        row.switches_agent = switches_agent;
+        row.harness.grace_ms = knows_version ? 300 : 1000;
+        row.agent = std::make_unique<FailingAgent>(row.harness.loop, outage);
+        if (switches_agent) row.previous_agent = std::make_unique<FailingAgent>(row.harness.loop, outage);
+        const FailingAgent& first_agent = switches_agent ? *row.previous_agent : *row.agent;
+        row.harness.start(first_agent.server.address, true,
+                          knows_version ? std::optional<std::uint64_t>(9) : std::nullopt);
       }
-  const EventLoop& clock = all[0]->f.loop;
-  const double began = clock.now();
-  bool moved = false;
-  while (clock.now() < began + 2000) {
-    for (auto& r : all) r->f.loop.run_once(0);
-    // SIGHUP in the middle of it, to one that fails as well.
-    if (!moved && clock.now() > began + 1000) {
-      moved = true;
-      for (auto& r : all)
-        if (r->moves) r->f.client->switch_agent(r->agent->at.address, "after");
+  const EventLoop& clock = rows[0]->harness.loop;
+  const double started_at_ms = clock.now();
+  bool has_switched = false;
+  while (clock.now() < started_at_ms + 2000) {
+    for (auto& row : rows) row->harness.loop.run_once(0);
+    // SIGHUP in the middle of the outage, to an agent that fails as well.
+    if (!has_switched && clock.now() > started_at_ms + 1000) {
+      has_switched = true;
+      for (auto& row : rows)
+        if (row->switches_agent) row->harness.client->switch_agent(row->agent->server.address, "after");
     }
   }
-  for (auto& r : all) {
-    CHECK(r->f.updates.empty());
-    CHECK(r->f.counters.endpoint_poll_failures >= 3);
-    r->agent->back(r->known && !r->moves ? draining_version_10 : list_version_9);
+  for (auto& row : rows) {
+    CHECK(row->harness.updates.empty());
+    CHECK(row->harness.counters.endpoint_poll_failures >= 3);
+    row->agent->recover(row->gets_changes() ? draining_version_10 : list_version_9);
   }
-  const double back = clock.now();
-  while (clock.now() < back + 3000)
-    for (auto& r : all) {
-      r->f.loop.run_once(0);
-      if (r->ms < 0 && !r->f.updates.empty()) r->ms = clock.now() - back;
+  const double recovered_at_ms = clock.now();
+  while (clock.now() < recovered_at_ms + 3000)
+    for (auto& row : rows) {
+      row->harness.loop.run_once(0);
+      if (row->update_after_ms < 0 && !row->harness.updates.empty())
+        row->update_after_ms = clock.now() - recovered_at_ms;
     }
-  for (auto& r : all) {
-    CAPTURE(std::string(r->what));
-    CAPTURE(r->known);
-    CAPTURE(r->moves);
-    CHECK(r->ms >= 0);
-    CHECK(r->f.updates == (r->known && !r->moves ? "+10b" : "=9ab"));
-    CHECK(r->f.failure_count == 0);
+  for (auto& row : rows) {
+    CAPTURE(std::string(row->outage_name));
+    CAPTURE(row->knows_version);
+    CAPTURE(row->switches_agent);
+    CHECK(row->update_after_ms >= 0);
+    CHECK(row->harness.updates == (row->gets_changes() ? "+10b" : "=9ab"));
+    CHECK(row->harness.failure_count == 0);
   }
 }
 
 TEST_CASE("a change that is asked for is in force 6 s after discovery's return, however many ask for it") {
   struct Row {
-    const char* what;
-    int sidecars;
-    EventLoop runs;
+    const char* outage_name = "";
+    int sidecar_count = 0;
+    EventLoop event_loop;
     std::unique_ptr<FailingAgent> agent;
-    std::unique_ptr<Asking> with;
-    double ms = -1;
+    std::unique_ptr<PollingSidecar> sidecar;
+    double update_after_ms = -1;
   };
-  std::vector<std::unique_ptr<Row>> all;
-  for (const auto& [how, what] : outages)
-    for (const int sidecars : {1, 30, 300})
+  std::vector<std::unique_ptr<Row>> rows;
+  for (const auto& [outage, outage_name] : outages)
+    for (const int sidecar_count : {1, 30, 300})
       for (const std::uint64_t seed : {1, 2, 3}) {
-        all.push_back(std::make_unique<Row>());
-        Row& r = *all.back();
-        r.what = what;
-        r.sidecars = sidecars;
-        r.agent = std::make_unique<FailingAgent>(r.runs, how);
-        r.with = std::make_unique<Asking>(r.agent->at.address, sidecars, seed);
+        rows.push_back(std::make_unique<Row>());
+        Row& row = *rows.back();
+        row.outage_name = outage_name;
+        row.sidecar_count = sidecar_count;
+        row.agent = std::make_unique<FailingAgent>(row.event_loop, outage);
+        row.sidecar = std::make_unique<PollingSidecar>(row.agent->server.address, sidecar_count, seed);
       }
-  const EventLoop& clock = all[0]->runs;
-  const double began = clock.now();
-  const auto turn = [&] {
-    for (auto& r : all) {
-      r->runs.run_once(0);
-      r->with->runs.run_once(0);
+  const EventLoop& clock = rows[0]->event_loop;
+  const double started_at_ms = clock.now();
+  const auto run_once = [&] {
+    for (auto& row : rows) {
+      row->event_loop.run_once(0);
+      row->sidecar->event_loop.run_once(0);
     }
   };
-  while (clock.now() < began + 8000) turn();
-  for (auto& r : all) {
-    CHECK(r->with->heard.empty());
-    CHECK(r->with->counts.endpoint_poll_failures >= 1);
-    r->agent->back(draining_version_10);
+  while (clock.now() < started_at_ms + 8000) run_once();
+  for (auto& row : rows) {
+    CHECK(row->sidecar->updates.empty());
+    CHECK(row->sidecar->counters.endpoint_poll_failures >= 1);
+    row->agent->recover(draining_version_10);
   }
-  const double back = clock.now();
-  while (clock.now() < back + told_after) {
-    turn();
-    for (auto& r : all)
-      if (r->ms < 0 && !r->with->heard.empty()) r->ms = clock.now() - back;
+  const double recovered_at_ms = clock.now();
+  while (clock.now() < recovered_at_ms + update_deadline_ms) {
+    run_once();
+    for (auto& row : rows)
+      if (row->update_after_ms < 0 && !row->sidecar->updates.empty())
+        row->update_after_ms = clock.now() - recovered_at_ms;
   }
-  for (auto& r : all) {
-    CAPTURE(std::string(r->what));
-    CAPTURE(r->sidecars);
-    CHECK(r->ms >= 0);
+  for (auto& row : rows) {
+    CAPTURE(std::string(row->outage_name));
+    CAPTURE(row->sidecar_count);
+    CHECK(row->update_after_ms >= 0);
   }
 }
 
 TEST_CASE(
     "where the balancer asks, what SIGHUP leads to is in force 4 s after it, though a first call fails") {
   struct Row {
-    int sidecars;
-    EventLoop runs;
-    std::unique_ptr<FakeServer> before, after;
-    std::unique_ptr<Asking> with;
+    int sidecar_count = 0;
+    EventLoop event_loop;
+    std::unique_ptr<FakeServer> first_agent;
+    std::unique_ptr<FakeServer> second_agent;
+    std::unique_ptr<PollingSidecar> sidecar;
   };
-  std::vector<std::unique_ptr<Row>> all;
-  for (const int sidecars : {1, 30, 300})
+  std::vector<std::unique_ptr<Row>> rows;
+  for (const int sidecar_count : {1, 30, 300})
     for (const std::uint64_t seed : {1, 2, 3, 4}) {
-      all.push_back(std::make_unique<Row>());
-      Row& r = *all.back();
-      r.sidecars = sidecars;
-      r.before = std::make_unique<FakeServer>(r.runs,
-                                              std::vector<std::string>{endpoint_list_response(9, false, "")});
-      r.after = std::make_unique<FakeServer>(
-          r.runs, std::vector<std::string>{"close", endpoint_list_response(3, true, "")});
-      r.with = std::make_unique<Asking>(r.before->address, sidecars, seed);
+      rows.push_back(std::make_unique<Row>());
+      Row& row = *rows.back();
+      row.sidecar_count = sidecar_count;
+      row.first_agent = std::make_unique<FakeServer>(
+          row.event_loop, std::vector<std::string>{endpoint_list_response(9, false, "")});
+      row.second_agent = std::make_unique<FakeServer>(
+          row.event_loop, std::vector<std::string>{"close", endpoint_list_response(3, true, "")});
+      row.sidecar = std::make_unique<PollingSidecar>(row.first_agent->address, sidecar_count, seed);
     }
-  const EventLoop& clock = all[0]->runs;
-  const auto turn = [&](double ms, const std::function<bool()>& so) {
-    for (const double end = clock.now() + ms; !so() && clock.now() < end;)
-      for (auto& r : all) {
-        r->runs.run_once(0);
-        r->with->runs.run_once(0);
+  const EventLoop& clock = rows[0]->event_loop;
+  const auto run_rows_until = [&](double timeout_ms, const std::function<bool()>& condition) {
+    for (const double end_ms = clock.now() + timeout_ms; !condition() && clock.now() < end_ms;)
+      for (auto& row : rows) {
+        row->event_loop.run_once(0);
+        row->sidecar->event_loop.run_once(0);
       }
   };
-  const auto each_heard = [&](const std::string& what) {
-    return std::all_of(all.begin(), all.end(), [&](const auto& r) { return r->with->heard == what; });
+  const auto all_have_updates = [&](const std::string& updates) {
+    return std::all_of(rows.begin(), rows.end(),
+                       [&](const auto& row) { return row->sidecar->updates == updates; });
   };
-  turn(told_after, [&] { return each_heard("+9"); });
-  REQUIRE(each_heard("+9"));
-  for (auto& r : all) r->with->lists.switch_agent(r->after->address, "after");
-  turn(4000, [&] { return each_heard("+9=3"); });
-  for (auto& r : all) {
-    CAPTURE(r->sidecars);
-    CHECK(r->with->heard == "+9=3");
+  run_rows_until(update_deadline_ms, [&] { return all_have_updates("+9"); });
+  REQUIRE(all_have_updates("+9"));
+  for (auto& row : rows) row->sidecar->discovery_client.switch_agent(row->second_agent->address, "after");
+  run_rows_until(4000, [&] { return all_have_updates("+9=3"); });
+  for (auto& row : rows) {
+    CAPTURE(row->sidecar_count);
+    CHECK(row->sidecar->updates == "+9=3");
   }
 }
 
@@ -380,28 +397,27 @@
 }
 
 TEST_CASE("idle clients fill the descriptors while discovery is down: its list is reached when it is back") {
-  for (const auto& outage : outages) {
-    const auto& how = outage.first;
-    const auto& what = outage.second;
-    CAPTURE(std::string(what));
-    SidecarHarness h(customer_config(true, true, RetrySafety::idempotent), slow_upstream_config, 24);
-    FailingAgent agent(h.loop, how);
-    std::string heard;
-    DiscoveryClient lists(
-        h.loop, h.budget, h.counters, h.logger, agent.at.address, "agent", 1, 500,
-        [&](const EndpointListUpdate& r) { heard += std::to_string(r.version); }, [] {});
-    lists.enable_continuous_polling();
-    lists.poll();
-    std::vector<std::unique_ptr<TestConnection>> idle;
+  for (const auto& row : outages) {
+    const Outage outage = row.first;
+    CAPTURE(std::string(row.second));
+    SidecarHarness harness(customer_config(true, true, RetrySafety::idempotent), slow_upstream_config, 24);
+    FailingAgent agent(harness.loop, outage);
+    std::string updates;
+    DiscoveryClient discovery_client(
+        harness.loop, harness.budget, harness.counters, harness.logger, agent.server.address, "agent", 1, 500,
+        [&](const EndpointListUpdate& update) { updates += std::to_string(update.version); }, [] {});
+    discovery_client.enable_continuous_polling();
+    discovery_client.poll();
+    std::vector<std::unique_ptr<TestConnection>> idle_clients;
     for (int i = 0; i < 60; ++i) {
-      idle.push_back(
-          std::make_unique<TestConnection>(h.loop, h.client_budget, start_connect(h.address), response));
-      run_for(h.loop, 5);
+      idle_clients.push_back(std::make_unique<TestConnection>(harness.loop, harness.client_budget,
+                                                              start_connect(harness.address), response));
+      run_for(harness.loop, 5);
     }
-    REQUIRE(run_until(h.loop, [&] { return h.counters.endpoint_poll_failures >= 2; }));
-    h.budget.limit = h.budget.open_count;  // and whatever else holds the rest
-    agent.back(list_version_9);
-    CHECK(run_until(h.loop, [&] { return heard == "9"; }));
+    REQUIRE(run_until(harness.loop, [&] { return harness.counters.endpoint_poll_failures >= 2; }));
+    harness.budget.limit = harness.budget.open_count;  // and whatever else holds the rest
+    agent.recover(list_version_9);
+    CHECK(run_until(harness.loop, [&] { return updates == "9"; }));
   }
 }
 
