--- a/src/config/load_balancer_config.h
+++ b/src/config/load_balancer_config.h
@@ -1,4 +1,5 @@
-// The settings that a balancer is started with, the same on the simulator's wire and in a sidecar's config.
+/// The settings that a load balancer is started with: the same object in the simulator's protocol and in a
+/// sidecar's config file.
 #pragma once
 
 #include "config/json_fields.h"
@@ -6,18 +7,21 @@
 
 namespace indigorill {
 
-LoadBalancerConfig decode_load_balancer_config(const JsonFields& f);
+/// Throws ParseError where a value is not allowed.
+LoadBalancerConfig decode_load_balancer_config(const JsonFields& settings);
 
-// How settings and load reports name the RPCs in hand.
+/// How settings and load reports name the RPCs in flight.
 constexpr const char* in_flight_key = "outstanding";
 
-// What a host with connections of its own has to know of them.
+/// Settings of a host that has connections of its own.
 struct ConnectionConfig {
-  double idle_timeout_ms = 5000;    // an endpoint closes a connection idle for this long, at the latest
-  double connect_timeout_ms = 250;  // one not up within this time has failed
-  double drain_grace_ms = 1000;     // after the list's word on an endpoint, nothing new may begin there
+  double idle_timeout_ms =
+      5000;  ///< an endpoint closes a connection that is idle for this long, at the latest
+  double connect_timeout_ms = 250;  ///< a connection not established within this time has failed
+  double drain_grace_ms = 1000;     ///< time from an endpoint's drain until no request may begin there
 };
 
-ConnectionConfig decode_connection_config(const JsonFields& f);
+/// Throws ParseError where a value is not allowed.
+ConnectionConfig decode_connection_config(const JsonFields& settings);
 
 }  // namespace indigorill
--- a/src/load_gossip/load_gossip_codec.cpp
+++ b/src/load_gossip/load_gossip_codec.cpp
@@ -6,8 +6,9 @@
 namespace indigorill {
 namespace {
 
-// A form is told by its first byte, so that a later one is not guessed at.
-constexpr char complete_format = 'a', delta_format = 'b';
+// The format is the first byte, so that a later one is not guessed at.
+constexpr char complete_format = 'a';
+constexpr char delta_format = 'b';
 constexpr std::size_t max_message_bytes = 256;
 
 // Digits of base 90: printable, and none that JSON would write as two bytes.
@@ -17,73 +18,89 @@
 static_assert(digit_alphabet.size() == radix && LoadGossip::sequence_modulus <= radix * radix &&
               LoadGossip::endpoint_tag_count <= radix * radix);
 
-void append_digits(std::string& to, std::uint32_t value, int places) {
-  for (int i = 0; i < places; ++i, value /= radix) to += digit_alphabet[value % radix];
+constexpr int sequence_digits = 2;
+constexpr int tenant_count_digits = 1;
+constexpr int arrivals_digits = 1;
+constexpr int tag_digits = 2;
+constexpr int load_digits = 1;
+
+// Attempts in flight and failures share one digit: 18 by 5.
+constexpr std::uint32_t max_in_flight = 17;
+constexpr std::uint32_t max_failures = 4;
+static_assert((max_in_flight + 1) * (max_failures + 1) <= radix);
+
+void append_digits(std::string& text, std::uint32_t value, int count) {
+  for (int i = 0; i < count; ++i) {
+    text += digit_alphabet[value % radix];
+    value /= radix;
+  }
 }
 
-// Takes a number off the front; none where there is no such.
-std::optional<std::uint32_t> take(std::string_view& from, int places) {
-  if (from.size() < static_cast<std::size_t>(places)) return {};
-  std::uint32_t value = 0, unit = 1;
-  for (int i = 0; i < places; ++i, unit *= radix) {
-    const std::size_t digit = digit_alphabet.find(from[static_cast<std::size_t>(i)]);
+// Takes a number off the front; none if there is no such.
+std::optional<std::uint32_t> take_digits(std::string_view& bytes, int count) {
+  const auto size = static_cast<std::size_t>(count);
+  if (bytes.size() < size) return {};
+  std::uint32_t value = 0;
+  std::uint32_t unit = 1;
+  for (const char byte : bytes.substr(0, size)) {
+    const std::size_t digit = digit_alphabet.find(byte);
     if (digit == std::string_view::npos) return {};
     value += static_cast<std::uint32_t>(digit) * unit;
+    unit *= radix;
   }
-  from.remove_prefix(static_cast<std::size_t>(places));
+  bytes.remove_prefix(size);
   return value;
 }
 
-// RPCs in hand and failures share one digit: 18 by 5.
-constexpr std::uint32_t max_in_flight = 17, max_failures = 4;
-
-std::uint32_t round_and_clamp(double value, std::uint32_t most) {
-  return static_cast<std::uint32_t>(std::clamp(std::round(value), 0.0, static_cast<double>(most)));
+std::uint32_t round_and_clamp(double value, std::uint32_t max) {
+  return static_cast<std::uint32_t>(std::clamp(std::round(value), 0.0, static_cast<double>(max)));
 }
 
 }  // namespace
 
-std::string encode_load_gossip(const LoadGossip& n) {
-  constexpr std::uint32_t most = radix - 1;  // of tenants, and of a tenant's RPCs a second
-  const std::size_t tenants = std::min<std::size_t>(n.arrivals_per_s.size(), most);
-  std::string text(1, n.is_complete ? complete_format : delta_format);
-  append_digits(text, n.sequence % LoadGossip::sequence_modulus, 2);
-  append_digits(text, static_cast<std::uint32_t>(tenants), 1);
-  for (std::size_t i = 0; i < tenants; ++i)
-    append_digits(text, round_and_clamp(n.arrivals_per_s[i], most), 1);
-  for (const LoadGossip::EndpointLoad& s : n.endpoint_loads) {
-    if (text.size() + 3 > max_message_bytes) break;
-    append_digits(text, s.endpoint_tag % LoadGossip::endpoint_tag_count, 2);
-    append_digits(text,
-                  round_and_clamp(s.in_flight, max_in_flight) * (max_failures + 1) +
-                      round_and_clamp(s.failures, max_failures),
-                  1);
+std::string encode_load_gossip(const LoadGossip& gossip) {
+  constexpr std::uint32_t max_digit = radix - 1;  // of tenants, and of a tenant's arrivals a second
+  const std::size_t tenant_count = std::min<std::size_t>(gossip.arrivals_per_s.size(), max_digit);
+  std::string text(1, gossip.is_complete ? complete_format : delta_format);
+  append_digits(text, gossip.sequence % LoadGossip::sequence_modulus, sequence_digits);
+  append_digits(text, static_cast<std::uint32_t>(tenant_count), tenant_count_digits);
+  for (std::size_t i = 0; i < tenant_count; ++i)
+    append_digits(text, round_and_clamp(gossip.arrivals_per_s[i], max_digit), arrivals_digits);
+  for (const LoadGossip::EndpointLoad& load : gossip.endpoint_loads) {
+    if (text.size() + tag_digits + load_digits > max_message_bytes) break;
+    const std::uint32_t in_flight = round_and_clamp(load.in_flight, max_in_flight);
+    const std::uint32_t failures = round_and_clamp(load.failures, max_failures);
+    append_digits(text, load.endpoint_tag % LoadGossip::endpoint_tag_count, tag_digits);
+    append_digits(text, in_flight * (max_failures + 1) + failures, load_digits);
   }
   return text;
 }
 
 std::optional<LoadGossip> decode_load_gossip(std::string_view bytes) {
-  if (bytes.empty() || bytes.size() > max_message_bytes ||
-      (bytes.front() != complete_format && bytes.front() != delta_format))
-    return {};
-  LoadGossip n;
-  n.is_complete = bytes.front() == complete_format;
+  if (bytes.empty() || bytes.size() > max_message_bytes) return {};
+  const char format = bytes.front();
+  if (format != complete_format && format != delta_format) return {};
   bytes.remove_prefix(1);
-  const auto serial = take(bytes, 2), tenants = take(bytes, 1);
-  if (!serial || !tenants) return {};
-  n.sequence = *serial;
-  for (std::uint32_t i = 0; i < *tenants; ++i) {
-    const auto rate = take(bytes, 1);
-    if (!rate) return {};
-    n.arrivals_per_s.push_back(*rate);
+  LoadGossip gossip;
+  gossip.is_complete = format == complete_format;
+  const auto sequence = take_digits(bytes, sequence_digits);
+  const auto tenant_count = take_digits(bytes, tenant_count_digits);
+  if (!sequence || !tenant_count) return {};
+  gossip.sequence = *sequence;
+  for (std::uint32_t i = 0; i < *tenant_count; ++i) {
+    const auto arrivals = take_digits(bytes, arrivals_digits);
+    if (!arrivals) return {};
+    gossip.arrivals_per_s.push_back(*arrivals);
   }
   while (!bytes.empty()) {
-    const auto server = take(bytes, 2), known = take(bytes, 1);
-    if (!server || !known) return {};
-    n.endpoint_loads.push_back({*server, static_cast<double>(*known / (max_failures + 1)),
-                                static_cast<double>(*known % (max_failures + 1))});
+    const auto tag = take_digits(bytes, tag_digits);
+    const auto load = take_digits(bytes, load_digits);
+    if (!tag || !load) return {};
+    gossip.endpoint_loads.push_back({.endpoint_tag = *tag,
+                                     .in_flight = static_cast<double>(*load / (max_failures + 1)),
+                                     .failures = static_cast<double>(*load % (max_failures + 1))});
   }
-  return n;
+  return gossip;
 }
 
 }  // namespace indigorill
--- a/src/load_gossip/load_gossip_codec.h
+++ b/src/load_gossip/load_gossip_codec.h
@@ -1,5 +1,9 @@
-// The one message between sidecars: what one of them alone knows, as bytes that fit a datagram and a JSON
-// text alike. Bytes to facts and back; no I/O and no decisions.
+/// Encoding of the load gossip between sidecars, as bytes that fit a datagram and a JSON string alike. No I/O
+/// and no decisions.
+///
+/// Layout, in digits of base 90, least significant first: the format, two digits of the sequence number, one
+/// of the number of tenants, one for each tenant's arrivals a second, then three for each endpoint: two of
+/// its tag, one of attempts in flight and failures together.
 #pragma once
 
 #include <optional>
@@ -10,10 +14,10 @@
 
 namespace indigorill {
 
-// Printable ASCII alone, 256 bytes at most; what no longer fits is left out from the end.
-std::string encode_load_gossip(const LoadGossip& n);
+/// Printable ASCII alone, 256 bytes at most; endpoints that no longer fit are left out from the end.
+std::string encode_load_gossip(const LoadGossip& gossip);
 
-// None for what is torn, too long, foreign or of another form: it is taken for nothing.
+/// None for a message that is truncated, too long or of another format: it is ignored.
 std::optional<LoadGossip> decode_load_gossip(std::string_view bytes);
 
 }  // namespace indigorill
--- a/src/sim_adapter/sim_protocol.cpp
+++ b/src/sim_adapter/sim_protocol.cpp
@@ -1,124 +1,33 @@
 #include "sim_adapter/sim_protocol.h"
 
-#include <cmath>
 #include <istream>
 #include <map>
-#include <nlohmann/json.hpp>
+#include <memory>
 #include <ostream>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "config/load_balancer_config.h"
-#include "indigorill/load_balancer.h"
 #include "load_gossip/load_gossip_codec.h"
+#include "sim_adapter/sim_messages.h"
 
 namespace indigorill {
 namespace {
 
-using nlohmann::json;
-
-Endpoint decode_endpoint(const json& j) {
-  const JsonFields f("DIRECTORY.members", j);
-  Endpoint e;
-  e.id = f.string("endpoint");
-  e.zone = f.string("site", "");
-  e.cell = f.integer("stripe", 0);
-  e.started_at_ms = f.microseconds_as_ms("upSince");
-  e.state = f.enum_value<EndpointState>("state", {{"active", EndpointState::ready},
-                                                  {"leaving", EndpointState::draining},
-                                                  {"left", EndpointState::gone}});
-  e.machine_type = f.string("shape", "");
-  return e;
-}
-
-LoadReport decode_load_report(const JsonFields& f) {
-  LoadReport l;
-  const json* stats = f.find("serverStats");
-  if (!stats || !stats->is_object()) return l;
-  const auto it = stats->find(in_flight_key);
-  if (it != stats->end() && it->is_number()) l.in_flight = it->get<double>();
-  return l;
-}
-
-AttemptOutcome decode_attempt_outcome(const JsonFields& f) {
-  return f.enum_value<AttemptOutcome>("result", {{"GOOD", AttemptOutcome::ok},
-                                                 {"BAD", AttemptOutcome::error},
-                                                 {"FULL", AttemptOutcome::rejected},
-                                                 {"LATE", AttemptOutcome::timed_out},
-                                                 {"NOCONN", AttemptOutcome::connect_failed},
-                                                 {"RST", AttemptOutcome::reset},
-                                                 {"CXL", AttemptOutcome::cancelled},
-                                                 {"NOP", AttemptOutcome::client_error}});
-}
-
-std::int64_t to_microseconds(double ms) { return static_cast<std::int64_t>(std::ceil(ms * us_per_ms)); }
-
-// Text and number fields are written one by one: building a JSON object for each took a third of a reply.
-class MessageWriter {
- public:
-  MessageWriter(const char* name, int instance) : line_("{\"" + std::string(name) + "\":{") {
-    with("i", instance);
-  }
-  MessageWriter& with(const char* field, std::int64_t value) { return add(field, std::to_string(value)); }
-  MessageWriter& with(const char* field, const std::string& value) { return add(field, json(value).dump()); }
-  MessageWriter& on(const char* field) { return add(field, "true"); }
-  std::string str() const { return line_ + "}}\n"; }
-
- private:
-  MessageWriter& add(const char* field, const std::string& value) {
-    if (line_.back() != '{') line_ += ',';
-    line_.append("\"").append(field).append("\":").append(value);
-    return *this;
-  }
-  std::string line_;
-};
-
-std::string encode(int instance, const Decision& d) {
-  using Verb = Decision::Action;
-  switch (d.action) {
-    case Verb::send_attempt:
-      return MessageWriter("SEND", instance)
-          .with("ticket", d.rpc_id)
-          .with("endpoint", d.endpoint_id)
-          .with("cap", to_microseconds(d.delay_ms))
-          .str();
-    case Verb::reject: {
-      MessageWriter shed("SHED", instance);
-      shed.with("ticket", d.rpc_id);
-      if (d.delay_ms > 0) shed.with("retryIn", to_microseconds(d.delay_ms));
-      return shed.str();
-    }
-    case Verb::fail:
-      return MessageWriter("FAIL", instance).with("ticket", d.rpc_id).str();
-    case Verb::cancel_attempt:
-      return MessageWriter("RETRACT", instance).with("ticket", d.rpc_id).with("try", d.attempt_index).str();
-    case Verb::health_check:
-      return MessageWriter("PROBE", instance).with("endpoint", d.endpoint_id).str();
-    case Verb::send_gossip:
-      return MessageWriter("SHARE", instance)
-          .with("peer", -1)
-          .with("blob", encode_load_gossip(d.gossip))
-          .str();
-    case Verb::poll_endpoints:
-      return MessageWriter("STREAM_CHANGES", instance).on("want").str();
-    case Verb::set_timer:
-      return MessageWriter("WAKE_ME", instance)
-          .with("offset", std::max<std::int64_t>(to_microseconds(d.delay_ms), 0))
-          .with("token", static_cast<std::int64_t>(d.timer_id))
-          .str();
-  }
-  return {};
-}
+using Json = nlohmann::json;
 
+// Events come in batches: SYNC with the time, events, GO. GO is answered by the actions of all instances that
+// the batch concerned, and OK.
 class SimProtocol {
  public:
-  SimProtocol(std::istream& from, std::ostream& to) : input_(from), output_(to) {}
+  SimProtocol(std::istream& input, std::ostream& output) : input_(input), output_(output) {}
 
   void run() {
     std::string line;
     while (std::getline(input_, line)) {
       if (line.find_first_not_of(" \t\r") == std::string::npos) continue;
-      const json message = json::parse(line, nullptr, false);
+      const Json message = Json::parse(line, nullptr, false);
       if (message.is_discarded()) throw ParseError("line is not JSON");
       if (!message.is_object() || message.size() != 1) throw ParseError("line is not an object with one key");
       const std::string& name = message.begin().key();
@@ -128,15 +37,10 @@
   }
 
  private:
-  void dispatch(const std::string& name, const JsonFields& f) {
-    if (name == "SYNC") {
-      if (in_batch_) f.fail("batch within a batch");
-      now_ms_ = static_cast<double>(f.unsigned_integer("simTime")) / us_per_ms;
-      in_batch_ = true;
-      touched_instances_.clear();
-      return;
-    }
-    static const std::map<std::string, void (SimProtocol::*)(const JsonFields&)> known{
+  using Handler = void (SimProtocol::*)(const JsonFields&);
+
+  void dispatch(const std::string& name, const JsonFields& event) {
+    static const std::map<std::string, Handler> handlers{
         {"GO", &SimProtocol::on_go},
         {"DIRECTORY", &SimProtocol::on_directory},
         {"BEGIN", &SimProtocol::on_begin},
@@ -149,89 +53,121 @@
         {"TIMER", &SimProtocol::on_timer},
         {"STATUS_BACK", &SimProtocol::on_status_back},
         {"WHISPER", &SimProtocol::on_whisper}};
-    const auto it = known.find(name);
-    if (it == known.end()) throw ParseError("message of unknown name " + json(name).dump());
-    if (!in_batch_) f.fail("outside a batch");
-    (this->*it->second)(f);
-  }
-
-  LoadBalancer& find_instance(const JsonFields& f) {
-    const int i = f.integer("i");
-    const auto it = instances_.find(i);
-    if (it == instances_.end()) f.fail("unknown instance " + std::to_string(i));
-    touched_instances_.insert(i);
-    return *it->second;
-  }
-
-  void on_directory(const JsonFields& f) {
-    std::vector<Endpoint> entries;
-    f.require("members");
-    for (const json& j : f.array("members")) entries.push_back(decode_endpoint(j));
-    endpoint_lists_[f.integer("rosterId")] = std::move(entries);
-  }
-  void on_begin(const JsonFields& f) {
-    const int i = f.integer("i");
-    f.require("settings");
-    instances_[i] = std::make_unique<LoadBalancer>(decode_load_balancer_config(f.object("settings")),
-                                                   f.unsigned_integer("seed"), now_ms_);
-    touched_instances_.insert(i);
-  }
-  void on_killed(const JsonFields& f) {
-    find_instance(f);
-    const int i = f.integer("i");
-    instances_.erase(i);
-    touched_instances_.erase(i);
-  }
-  void on_backends_changed(const JsonFields& f) {
-    LoadBalancer& b = find_instance(f);
+    if (name == "SYNC") return on_sync(event);
+    const auto handler = handlers.find(name);
+    if (handler == handlers.end()) throw ParseError("message of unknown name " + Json(name).dump());
+    if (!in_batch_) event.fail("outside a batch");
+    (this->*handler->second)(event);
+  }
+
+  LoadBalancer& find_instance(const JsonFields& event) {
+    const int id = event.integer("i");
+    const auto instance = instances_.find(id);
+    if (instance == instances_.end()) event.fail("unknown instance " + std::to_string(id));
+    touched_instances_.insert(id);
+    return *instance->second;
+  }
+
+  void on_sync(const JsonFields& event) {
+    if (in_batch_) event.fail("batch within a batch");
+    now_ms_ = static_cast<double>(event.unsigned_integer("simTime")) / us_per_ms;
+    in_batch_ = true;
+    touched_instances_.clear();
+  }
+
+  void on_directory(const JsonFields& event) {
+    std::vector<Endpoint> endpoints;
+    event.require("members");
+    for (const Json& member : event.array("members"))
+      endpoints.push_back(decode_endpoint(JsonFields("DIRECTORY.members", member)));
+    endpoint_lists_[event.integer("rosterId")] = std::move(endpoints);
+  }
+
+  void on_begin(const JsonFields& event) {
+    const int id = event.integer("i");
+    event.require("settings");
+    instances_[id] = std::make_unique<LoadBalancer>(decode_load_balancer_config(event.object("settings")),
+                                                    event.unsigned_integer("seed"), now_ms_);
+    touched_instances_.insert(id);
+  }
+
+  void on_killed(const JsonFields& event) {
+    find_instance(event);
+    const int id = event.integer("i");
+    instances_.erase(id);
+    touched_instances_.erase(id);
+  }
+
+  void on_backends_changed(const JsonFields& event) {
     enum class Scope { update, replace, restored, unavailable };
-    const Scope s = f.enum_value<Scope>("scope", {{"update", Scope::update},
-                                                  {"replace", Scope::replace},
-                                                  {"restored", Scope::restored},
-                                                  {"unavailable", Scope::unavailable}});
-    if (s == Scope::unavailable) return b.endpoint_poll_failed(now_ms_);
-    const auto it = endpoint_lists_.find(f.integer("rosterId"));
-    if (it == endpoint_lists_.end()) f.fail("unknown list " + std::to_string(f.integer("rosterId")));
-    b.update_endpoints(now_ms_, s != Scope::update, s != Scope::restored, it->second);
-  }
-  void on_incoming(const JsonFields& f) {
-    LoadBalancer& b = find_instance(f);
-    const std::string id = f.string("ticket"), cls = f.string("cls");
-    const std::string tenant = f.string("tenant", "");
-    RpcArrival a{id, cls,    static_cast<double>(f.unsigned_integer("expires")) / us_per_ms,
-                 {}, tenant, f.boolean("repeat")};
-    if (f.find("routeKey")) a.routing_key = f.unsigned_integer("routeKey");
-    b.on_rpc_arrived(now_ms_, a);
-  }
-  void on_under_way(const JsonFields& f) {
-    find_instance(f).on_response_started(now_ms_, f.string("ticket"), f.integer("try"));
-  }
-  void on_outcome(const JsonFields& f) {
-    f.string("endpoint");
-    find_instance(f).on_attempt_finished(now_ms_, f.string("ticket"), f.integer("try"),
-                                         decode_attempt_outcome(f), f.number("elapsed") / us_per_ms,
-                                         f.boolean("finished"), decode_load_report(f));
-  }
-  void on_dropped(const JsonFields& f) {
-    find_instance(f).on_client_disconnected(now_ms_, f.string("ticket"));
-  }
-  void on_timer(const JsonFields& f) { find_instance(f).on_timer(now_ms_, f.unsigned_integer("token")); }
-  void on_status_back(const JsonFields& f) {
-    f.number("elapsed");
-    find_instance(f).on_probe_finished(now_ms_, f.string("endpoint"), decode_attempt_outcome(f),
-                                       decode_load_report(f));
-  }
-  void on_whisper(const JsonFields& f) {
-    LoadBalancer& b = find_instance(f);
-    const int sender = f.integer("sender");
-    if (const auto n = decode_load_gossip(f.string("blob"))) b.on_gossip(now_ms_, sender, *n);
+    LoadBalancer& load_balancer = find_instance(event);
+    const Scope scope = event.enum_value<Scope>("scope", {{"update", Scope::update},
+                                                          {"replace", Scope::replace},
+                                                          {"restored", Scope::restored},
+                                                          {"unavailable", Scope::unavailable}});
+    if (scope == Scope::unavailable) {
+      load_balancer.endpoint_poll_failed(now_ms_);
+      return;
+    }
+    const int list_id = event.integer("rosterId");
+    const auto list = endpoint_lists_.find(list_id);
+    if (list == endpoint_lists_.end()) event.fail("unknown list " + std::to_string(list_id));
+    load_balancer.update_endpoints(now_ms_, scope != Scope::update, scope != Scope::restored, list->second);
+  }
+
+  void on_incoming(const JsonFields& event) {
+    LoadBalancer& load_balancer = find_instance(event);
+    const std::string id = event.string("ticket");
+    const std::string method = event.string("cls");
+    const std::string tenant = event.string("tenant", "");
+    RpcArrival arrival{.id = id,
+                       .method = method,
+                       .deadline_ms = static_cast<double>(event.unsigned_integer("expires")) / us_per_ms,
+                       .routing_key = {},
+                       .tenant = tenant,
+                       .is_retry = event.boolean("repeat")};
+    if (event.find("routeKey")) arrival.routing_key = event.unsigned_integer("routeKey");
+    load_balancer.on_rpc_arrived(now_ms_, arrival);
+  }
+
+  void on_under_way(const JsonFields& event) {
+    find_instance(event).on_response_started(now_ms_, event.string("ticket"), event.integer("try"));
+  }
+
+  void on_outcome(const JsonFields& event) {
+    event.string("endpoint");  // has to be there, though the attempt tells it
+    find_instance(event).on_attempt_finished(
+        now_ms_, event.string("ticket"), event.integer("try"), decode_attempt_outcome(event),
+        event.number("elapsed") / us_per_ms, event.boolean("finished"), decode_load_report(event));
+  }
+
+  void on_dropped(const JsonFields& event) {
+    find_instance(event).on_client_disconnected(now_ms_, event.string("ticket"));
+  }
+
+  void on_timer(const JsonFields& event) {
+    find_instance(event).on_timer(now_ms_, event.unsigned_integer("token"));
+  }
+
+  void on_status_back(const JsonFields& event) {
+    event.number("elapsed");  // has to be there, though nothing follows from it
+    find_instance(event).on_probe_finished(now_ms_, event.string("endpoint"), decode_attempt_outcome(event),
+                                           decode_load_report(event));
+  }
+
+  void on_whisper(const JsonFields& event) {
+    LoadBalancer& load_balancer = find_instance(event);
+    const int sender = event.integer("sender");
+    const std::optional<LoadGossip> gossip = decode_load_gossip(event.string("blob"));
+    if (gossip) load_balancer.on_gossip(now_ms_, sender, *gossip);
   }
 
   void on_go(const JsonFields&) {
-    std::string text;
-    for (const int i : touched_instances_)
-      while (const auto d = instances_.at(i)->next_decision()) text += encode(i, *d);
-    output_ << text << "{\"OK\":{}}\n" << std::flush;
+    std::string reply;
+    for (const int id : touched_instances_)
+      while (const std::optional<Decision> decision = instances_.at(id)->next_decision())
+        reply += encode_decision(id, *decision);
+    output_ << reply << "{\"OK\":{}}\n" << std::flush;
     in_batch_ = false;
   }
 
@@ -246,6 +182,6 @@
 
 }  // namespace
 
-void run_sim_adapter(std::istream& in, std::ostream& out) { SimProtocol(in, out).run(); }
+void run_sim_adapter(std::istream& input, std::ostream& output) { SimProtocol(input, output).run(); }
 
 }  // namespace indigorill
