--- a/src/proxy/eviction_queue.cpp
+++ b/src/proxy/eviction_queue.cpp
@@ -1,7 +1,14 @@
 #include "proxy/eviction_queue.h"
 
+#include <tuple>
+
 namespace indigorill {
 
+bool EvictionQueue::Entry::operator<(const Entry& other) const {
+  return std::tie(eviction_class, since_ms, connection_id) <
+         std::tie(other.eviction_class, other.since_ms, other.connection_id);
+}
+
 void EvictionQueue::insert(const Entry& entry) {
   if (entry.eviction_class != EvictionClass::not_evictable) entries_.insert(entry);
 }
--- a/src/proxy/eviction_queue.h
+++ b/src/proxy/eviction_queue.h
@@ -2,7 +2,6 @@
 /// The order in which client connections are given up when room is needed. No I/O, no clock.
 #pragma once
 
-#include <compare>
 #include <cstdint>
 #include <functional>
 #include <optional>
@@ -26,7 +25,8 @@
     EvictionClass eviction_class;
     double since_ms;  ///< when it came into this class
     std::uint64_t connection_id;
-    auto operator<=>(const Entry&) const = default;
+    /// By class, then by age, the oldest first.
+    bool operator<(const Entry& other) const;
   };
 
   /// Entries that are not evictable are left out.
--- a/src/proxy/request_dispatcher.cpp
+++ b/src/proxy/request_dispatcher.cpp
@@ -46,7 +46,7 @@
                                         ResponseHandler handler) {
   // The response has still to be written and to reach the client; a timer may be a millisecond late.
   constexpr double response_allowance_ms = 3;
-  const std::string rpc_id = std::to_string(++last_id_);  // ids of the client's could come twice
+  std::string rpc_id = std::to_string(++last_id_);  // ids of the client's could come twice
   Rpc& rpc = rpcs_[rpc_id];
   rpc.request = std::move(request);
   rpc.handler = std::move(handler);
--- a/tests/pipe_test.cpp
+++ b/tests/pipe_test.cpp
@@ -17,41 +17,42 @@
   std::string body;
   bool has_head = false, complete = false, broken = false;
 };
-void take_parsed(http::HttpParser& r, ParsedMessage& g) {
-  if (r.state() == State::head_ready) {
-    g.head = r.take_message();
-    g.body = g.head.body();
-    g.has_head = true;
+void take_parsed(http::HttpParser& parser, ParsedMessage& message) {
+  if (parser.state() == State::head_ready) {
+    message.head = parser.take_message();
+    message.body = message.head.body();
+    message.has_head = true;
   }
-  while (r.state() == State::streaming_body && !r.body_chunk().empty()) {
-    g.body += r.body_chunk();
-    r.consume_body_chunk();
+  while (parser.state() == State::streaming_body && !parser.body_chunk().empty()) {
+    message.body += parser.body_chunk();
+    parser.consume_body_chunk();
   }
-  if (r.state() == State::body_complete && !g.complete) {
-    g.body += r.body_chunk();
-    g.complete = true;
-    r.start_next_message();
+  if (parser.state() == State::body_complete && !message.complete) {
+    message.body += parser.body_chunk();
+    message.complete = true;
+    parser.start_next_message();
   }
-  g.broken |= r.state() == State::error;
+  message.broken |= parser.state() == State::error;
 }
-void feed_parser(http::HttpParser& r, std::string_view bytes, ParsedMessage& g) {
+void feed_parser(http::HttpParser& parser, std::string_view bytes, ParsedMessage& message) {
   while (!bytes.empty()) {
-    const auto room = r.writable_buffer();
+    const auto room = parser.writable_buffer();
     const std::size_t n = std::min(room.size(), bytes.size());
     std::copy_n(bytes.begin(), n, room.begin());
-    r.commit(n);
+    parser.commit(n);
     bytes.remove_prefix(n);
-    take_parsed(r, g);
+    take_parsed(parser, message);
   }
 }
 
 }  // namespace
 
 TEST_CASE("long bodies come out the same however their bytes are split") {
-  constexpr auto request = http::HttpParser::MessageKind::request,
-                 answer = http::HttpParser::MessageKind::response;
-  const std::string post = "POST /a HTTP/1.1\r\n", ok = "HTTP/1.1 200 OK\r\n",
-                    next = "GET /b HTTP/1.1\r\n\r\n";
+  constexpr auto request = http::HttpParser::MessageKind::request;
+  constexpr auto answer = http::HttpParser::MessageKind::response;
+  const std::string post = "POST /a HTTP/1.1\r\n";
+  const std::string ok = "HTTP/1.1 200 OK\r\n";
+  const std::string next = "GET /b HTTP/1.1\r\n\r\n";
   const std::string body = "0123456789abcdefghijklmnop";
   struct {
     const char* what;
@@ -87,39 +88,39 @@
        false,
        {}},
   };
-  for (const auto& t : table) {
-    CAPTURE(std::string(t.what));
-    for (std::size_t cut = 0; cut <= t.bytes.size() + 1; ++cut) {
+  for (const auto& row : table) {
+    CAPTURE(std::string(row.what));
+    for (std::size_t cut = 0; cut <= row.bytes.size() + 1; ++cut) {
       CAPTURE(cut);
-      http::HttpParser r(t.kind, 10);
-      r.allow_streaming();
-      ParsedMessage g;
-      if (cut > t.bytes.size()) {
-        for (const char c : t.bytes) feed_parser(r, std::string_view(&c, 1), g);
+      http::HttpParser parser(row.kind, 10);
+      parser.allow_streaming();
+      ParsedMessage message;
+      if (cut > row.bytes.size()) {
+        for (const char byte : row.bytes) feed_parser(parser, std::string_view(&byte, 1), message);
       } else {
-        feed_parser(r, std::string_view(t.bytes).substr(0, cut), g);
-        feed_parser(r, std::string_view(t.bytes).substr(cut), g);
+        feed_parser(parser, std::string_view(row.bytes).substr(0, cut), message);
+        feed_parser(parser, std::string_view(row.bytes).substr(cut), message);
       }
-      if (t.ends) r.on_end_of_stream();
-      take_parsed(r, g);
-      REQUIRE(g.has_head);
-      CHECK(g.complete == t.over);
-      CHECK(g.broken == !t.over);
-      CHECK(g.head.content_length == t.length);
-      CHECK(body.starts_with(g.body));
-      CHECK((g.body == body || !t.over));
-      if (t.kind == request) {
-        REQUIRE(r.state() == State::complete);  // what was pipelined behind
-        const http::Message m = r.take_message();
+      if (row.ends) parser.on_end_of_stream();
+      take_parsed(parser, message);
+      REQUIRE(message.has_head);
+      CHECK(message.complete == row.over);
+      CHECK(message.broken == !row.over);
+      CHECK(message.head.content_length == row.length);
+      CHECK(body.starts_with(message.body));
+      CHECK((message.body == body || !row.over));
+      if (row.kind == request) {
+        REQUIRE(parser.state() == State::complete);  // what was pipelined behind
+        const http::Message m = parser.take_message();
         CHECK(m.slice(m.target) == "/b");
       }
     }
   }
   http::HttpParser huge(answer);
   huge.allow_streaming();
-  ParsedMessage g;
-  feed_parser(huge, ok + "Content-Length: 3000000000\r\n\r\n", g);
-  CHECK(g.broken);
+  ParsedMessage message;
+  feed_parser(huge, ok + "Content-Length: 3000000000\r\n\r\n", message);
+  CHECK(message.broken);
 }
 
 namespace {
@@ -208,11 +209,11 @@
 }
 
 std::string decoded_body(const std::string& all) {
-  http::HttpParser r(http::HttpParser::MessageKind::response);
-  r.allow_streaming();
-  ParsedMessage g;
-  feed_parser(r, all, g);
-  return g.complete ? g.body : "not whole";
+  http::HttpParser parser(http::HttpParser::MessageKind::response);
+  parser.allow_streaming();
+  ParsedMessage message;
+  feed_parser(parser, all, message);
+  return message.complete ? message.body : "not whole";
 }
 
 constexpr std::size_t long_body_size = 3 << 20;
@@ -221,50 +222,52 @@
 
 TEST_CASE("a long request reaches the endpoint as it was sent, and its answer the client") {
   for (const bool chunked : {false, true}) {
-    LongMessageFixture b;
-    const auto c = b.connect_client();
+    LongMessageFixture proxy;
+    const auto client = proxy.connect_client();
     const std::string body = patterned_bytes(long_body_size);
     if (chunked) {
       std::string all = request_head("POST", "Transfer-Encoding: chunked\r\n");
       for (std::size_t at = 0; at < long_body_size; at += 50000)
         all += encode_body_chunk(std::string_view(body).substr(at, 50000), true, false);
-      c->send(all + encode_body_chunk("", true, true));
+      client->send(all + encode_body_chunk("", true, true));
     } else {
-      c->send(request_head("POST", "Content-Length: " + std::to_string(long_body_size) + "\r\n") + body);
+      client->send(request_head("POST", "Content-Length: " + std::to_string(long_body_size) + "\r\n") + body);
     }
-    http::HttpParser r(http::HttpParser::MessageKind::request);
-    r.allow_streaming();
-    ParsedMessage g;
+    http::HttpParser parser(http::HttpParser::MessageKind::request);
+    parser.allow_streaming();
+    ParsedMessage message;
     std::size_t fed = 0;
-    REQUIRE(run_until(b.event_loop, [&] {
-      if (b.upstream_connections.empty()) return false;
-      feed_parser(r, std::string_view(b.upstream_connections[0]->received).substr(fed), g);
-      fed = b.upstream_connections[0]->received.size();
-      return g.complete;
+    REQUIRE(run_until(proxy.event_loop, [&] {
+      if (proxy.upstream_connections.empty()) return false;
+      feed_parser(parser, std::string_view(proxy.upstream_connections[0]->received).substr(fed), message);
+      fed = proxy.upstream_connections[0]->received.size();
+      return message.complete;
     }));
-    CHECK(g.body == body);
-    CHECK(g.head.content_length.has_value() == !chunked);
-    b.upstream_connections[0]->send(response_text(200, "done"));
-    REQUIRE(run_until(b.event_loop, [&] { return c->received.find("done") != std::string::npos; }));
-    CHECK(b.counts.streamed_requests == 1);
-    CHECK(b.counts.rpcs_ok == 1);
-    c->send(request_head("GET", ""));  // the connection goes on
-    REQUIRE(run_until(b.event_loop, [&] { return b.upstream_connections[0]->received.size() > fed; }));
+    CHECK(message.body == body);
+    CHECK(message.head.content_length.has_value() == !chunked);
+    proxy.upstream_connections[0]->send(response_text(200, "done"));
+    REQUIRE(run_until(proxy.event_loop, [&] { return client->received.find("done") != std::string::npos; }));
+    CHECK(proxy.counts.streamed_requests == 1);
+    CHECK(proxy.counts.rpcs_ok == 1);
+    client->send(request_head("GET", ""));  // the connection goes on
+    REQUIRE(
+        run_until(proxy.event_loop, [&] { return proxy.upstream_connections[0]->received.size() > fed; }));
   }
 }
 
 TEST_CASE("a slow upload is not the server's slowness") {
-  LongMessageFixture b;
-  const auto c = b.connect_client();
-  c->send(request_head("POST", "Content-Length: 200001\r\n") + patterned_bytes(200000));
-  run_for(b.event_loop, 200);  // the latency target is half of that
-  c->send("!");
-  REQUIRE(run_until(b.event_loop, [&] {
-    return !b.upstream_connections.empty() && b.upstream_connections[0]->received.ends_with("!");
+  LongMessageFixture proxy;
+  const auto client = proxy.connect_client();
+  client->send(request_head("POST", "Content-Length: 200001\r\n") + patterned_bytes(200000));
+  run_for(proxy.event_loop, 200);  // the latency target is half of that
+  client->send("!");
+  REQUIRE(run_until(proxy.event_loop, [&] {
+    return !proxy.upstream_connections.empty() && proxy.upstream_connections[0]->received.ends_with("!");
   }));
-  b.upstream_connections[0]->send(response_text(200, "done"));
-  REQUIRE(run_until(b.event_loop, [&] { return b.counts.rpcs_ok == 1; }));
-  const std::string log = b.log_text.str(), said = ": ok after ";
+  proxy.upstream_connections[0]->send(response_text(200, "done"));
+  REQUIRE(run_until(proxy.event_loop, [&] { return proxy.counts.rpcs_ok == 1; }));
+  const std::string log = proxy.log_text.str();
+  const std::string said = ": ok after ";
   REQUIRE(log.find(said) != std::string::npos);
   CHECK(std::stod(log.substr(log.find(said) + said.size())) < 100);
 }
@@ -275,68 +278,69 @@
     for (const char* version : {"1.0", "1.1"}) {
       CAPTURE(chunked);
       CAPTURE(std::string(version));
-      LongMessageFixture b;
-      const auto c = b.connect_client();
-      c->send(request_head("GET", "", version));
-      REQUIRE(run_until(b.event_loop, [&] {
-        return !b.upstream_connections.empty() && b.upstream_connections[0]->received.size() > 0;
+      LongMessageFixture proxy;
+      const auto client = proxy.connect_client();
+      client->send(request_head("GET", "", version));
+      REQUIRE(run_until(proxy.event_loop, [&] {
+        return !proxy.upstream_connections.empty() && proxy.upstream_connections[0]->received.size() > 0;
       }));
-      b.upstream_connections[0]->send(chunked ? "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" +
-                                                    encode_body_chunk(body, true, true)
-                                              : response_text(200, body));
+      proxy.upstream_connections[0]->send(chunked ? "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" +
+                                                        encode_body_chunk(body, true, true)
+                                                  : response_text(200, body));
       const bool closes = version[2] == '0';
-      REQUIRE(run_until(b.event_loop, [&] { return closes ? c->ended : decoded_body(c->received) == body; }));
-      if (closes) CHECK(c->received.substr(c->received.size() - long_body_size) == body);
-      CHECK((c->received.find("chunked") != std::string::npos) == (chunked && !closes));
-      CHECK(b.dispatcher.in_flight() == 0);
-      CHECK(b.counts.streamed_responses == 1);
+      REQUIRE(run_until(proxy.event_loop,
+                        [&] { return closes ? client->ended : decoded_body(client->received) == body; }));
+      if (closes) CHECK(client->received.substr(client->received.size() - long_body_size) == body);
+      CHECK((client->received.find("chunked") != std::string::npos) == (chunked && !closes));
+      CHECK(proxy.dispatcher.in_flight() == 0);
+      CHECK(proxy.counts.streamed_responses == 1);
     }
 }
 
 TEST_CASE(
     "the first part of a long answer goes on at once, and little is held for a client that reads slowly") {
-  LongMessageFixture b;
-  const auto c = b.connect_client();
-  c->send(request_head("GET", ""));
-  REQUIRE(run_until(b.event_loop, [&] {
-    return !b.upstream_connections.empty() && b.upstream_connections[0]->received.size() > 0;
+  LongMessageFixture proxy;
+  const auto client = proxy.connect_client();
+  client->send(request_head("GET", ""));
+  REQUIRE(run_until(proxy.event_loop, [&] {
+    return !proxy.upstream_connections.empty() && proxy.upstream_connections[0]->received.size() > 0;
   }));
   constexpr std::size_t all = 24 << 20;
-  b.upstream_connections[0]->send("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(all) +
-                                  "\r\n\r\nfirst");
-  REQUIRE(run_until(b.event_loop, [&] { return c->received.find("first") != std::string::npos; }));
-  c->reading = false;
-  b.upstream_connections[0]->send(std::string(all - 5, 'x'));
+  proxy.upstream_connections[0]->send("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(all) +
+                                      "\r\n\r\nfirst");
+  REQUIRE(run_until(proxy.event_loop, [&] { return client->received.find("first") != std::string::npos; }));
+  client->reading = false;
+  proxy.upstream_connections[0]->send(std::string(all - 5, 'x'));
   const std::size_t before = ::mallinfo2().uordblks;
-  run_for(b.event_loop, 200);
+  run_for(proxy.event_loop, 200);
   CHECK(::mallinfo2().uordblks < before + (1 << 20));
-  c->reading = true;
-  c->received.reserve(all + 1000);
-  c->transfer();
-  REQUIRE(run_until(b.event_loop, [&] { return c->received.size() > all; }));
-  CHECK(b.counts.truncated_responses == 0);
+  client->reading = true;
+  client->received.reserve(all + 1000);
+  client->transfer();
+  REQUIRE(run_until(proxy.event_loop, [&] { return client->received.size() > all; }));
+  CHECK(proxy.counts.truncated_responses == 0);
 }
 
 TEST_CASE("what breaks off is cut so that the client can tell, and is not tried again") {
   for (const bool chunked : {false, true}) {
-    LongMessageFixture b(RetrySafety::idempotent);
-    const auto c = b.connect_client();
-    c->send(request_head("GET", ""));
-    REQUIRE(run_until(b.event_loop, [&] {
-      return !b.upstream_connections.empty() && b.upstream_connections[0]->received.size() > 0;
+    LongMessageFixture proxy(RetrySafety::idempotent);
+    const auto client = proxy.connect_client();
+    client->send(request_head("GET", ""));
+    REQUIRE(run_until(proxy.event_loop, [&] {
+      return !proxy.upstream_connections.empty() && proxy.upstream_connections[0]->received.size() > 0;
     }));
-    b.upstream_connections[0]->send(chunked ? "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" +
-                                                  encode_body_chunk(patterned_bytes(100000), true, false)
-                                            : "HTTP/1.1 200 OK\r\nContent-Length: 200000\r\n\r\n" +
-                                                  patterned_bytes(100000));
-    REQUIRE(run_until(b.event_loop, [&] { return c->received.size() > 90000; }));
-    b.upstream_connections[0]->socket.reset();
-    REQUIRE(run_until(b.event_loop, [&] { return c->ended; }));
-    CHECK(c->received.find("\r\n0\r\n") == std::string::npos);
-    CHECK(b.upstream_connections.size() == 1);
-    CHECK(b.counts.truncated_responses == 1);
-    CHECK(b.attempts_ended(AttemptOutcome::reset) == 1);
-    CHECK(b.dispatcher.in_flight() == 0);
+    proxy.upstream_connections[0]->send(chunked ? "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" +
+                                                      encode_body_chunk(patterned_bytes(100000), true, false)
+                                                : "HTTP/1.1 200 OK\r\nContent-Length: 200000\r\n\r\n" +
+                                                      patterned_bytes(100000));
+    REQUIRE(run_until(proxy.event_loop, [&] { return client->received.size() > 90000; }));
+    proxy.upstream_connections[0]->socket.reset();
+    REQUIRE(run_until(proxy.event_loop, [&] { return client->ended; }));
+    CHECK(client->received.find("\r\n0\r\n") == std::string::npos);
+    CHECK(proxy.upstream_connections.size() == 1);
+    CHECK(proxy.counts.truncated_responses == 1);
+    CHECK(proxy.attempts_ended(AttemptOutcome::reset) == 1);
+    CHECK(proxy.dispatcher.in_flight() == 0);
   }
 }
 
@@ -351,69 +355,71 @@
       {"an error may have run", response_text(500, ""), 502},
       {"served early", response_text(200, "fine"), 200},
   };
-  for (const auto& t : table) {
-    CAPTURE(std::string(t.what));
-    LongMessageFixture b;
-    const auto c = b.connect_client();
-    c->send(request_head("POST", "Content-Length: 3000000\r\n") + patterned_bytes(200000));
-    REQUIRE(run_until(b.event_loop, [&] {
-      return !b.upstream_connections.empty() && b.upstream_connections[0]->received.size() > 150000;
+  for (const auto& row : table) {
+    CAPTURE(std::string(row.what));
+    LongMessageFixture proxy;
+    const auto client = proxy.connect_client();
+    client->send(request_head("POST", "Content-Length: 3000000\r\n") + patterned_bytes(200000));
+    REQUIRE(run_until(proxy.event_loop, [&] {
+      return !proxy.upstream_connections.empty() && proxy.upstream_connections[0]->received.size() > 150000;
     }));
-    if (t.answer == "close")
-      b.upstream_connections[0]->socket.reset();
+    if (row.answer == "close")
+      proxy.upstream_connections[0]->socket.reset();
     else
-      b.upstream_connections[0]->send(t.answer);
-    REQUIRE(run_until(b.event_loop, [&] { return c->ended; }));
-    CHECK(c->received.substr(0, 12) == "HTTP/1.1 " + std::to_string(t.status));
-    CHECK(b.upstream_connections.size() == 1);
-    CHECK(b.dispatcher.in_flight() == 0);
+      proxy.upstream_connections[0]->send(row.answer);
+    REQUIRE(run_until(proxy.event_loop, [&] { return client->ended; }));
+    CHECK(client->received.substr(0, 12) == "HTTP/1.1 " + std::to_string(row.status));
+    CHECK(proxy.upstream_connections.size() == 1);
+    CHECK(proxy.dispatcher.in_flight() == 0);
   }
 }
 
 TEST_CASE("a client that leaves, or sends what is no body, ends its long request everywhere") {
   for (const bool leaves : {true, false}) {
-    LongMessageFixture b;
-    const auto c = b.connect_client();
-    c->send(request_head("POST", "Transfer-Encoding: chunked\r\n") +
-            encode_body_chunk(patterned_bytes(200000), true, false));
-    REQUIRE(run_until(b.event_loop, [&] {
-      return !b.upstream_connections.empty() && b.upstream_connections[0]->received.size() > 150000;
+    LongMessageFixture proxy;
+    const auto client = proxy.connect_client();
+    client->send(request_head("POST", "Transfer-Encoding: chunked\r\n") +
+                 encode_body_chunk(patterned_bytes(200000), true, false));
+    REQUIRE(run_until(proxy.event_loop, [&] {
+      return !proxy.upstream_connections.empty() && proxy.upstream_connections[0]->received.size() > 150000;
     }));
     if (leaves)
-      c->socket.reset();
+      client->socket.reset();
     else
-      c->send("what\r\n");
-    REQUIRE(run_until(b.event_loop, [&] { return b.upstream_connections[0]->ended; }));
-    CHECK(b.dispatcher.in_flight() == 0);
-    CHECK(b.counts.rpcs_abandoned == 1);
+      client->send("what\r\n");
+    REQUIRE(run_until(proxy.event_loop, [&] { return proxy.upstream_connections[0]->ended; }));
+    CHECK(proxy.dispatcher.in_flight() == 0);
+    CHECK(proxy.counts.rpcs_abandoned == 1);
     if (!leaves)
-      CHECK(run_until(b.event_loop, [&] { return c->received.find(" 400 ") != std::string::npos; }));
+      CHECK(run_until(proxy.event_loop, [&] { return client->received.find(" 400 ") != std::string::npos; }));
   }
 }
 
 TEST_CASE("HEAD, Expect, OPTIONS of all, pipelined requests") {
-  LongMessageFixture b;
-  const auto c = b.connect_client();
-  c->send(request_head("HEAD", ""));
-  REQUIRE(run_until(b.event_loop, [&] {
-    return !b.upstream_connections.empty() && b.upstream_connections[0]->received.size() > 0;
+  LongMessageFixture proxy;
+  const auto client = proxy.connect_client();
+  client->send(request_head("HEAD", ""));
+  REQUIRE(run_until(proxy.event_loop, [&] {
+    return !proxy.upstream_connections.empty() && proxy.upstream_connections[0]->received.size() > 0;
   }));
-  b.upstream_connections[0]->send("HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\n");
-  REQUIRE(run_until(b.event_loop,
-                    [&] { return c->received.find("Content-Length: 7\r\n\r\n") != std::string::npos; }));
-  c->received.clear();
-  c->send(request_head("POST", "Expect: 100-continue\r\nContent-Length: 4\r\n"));
-  REQUIRE(run_until(b.event_loop, [&] { return c->received == "HTTP/1.1 100 Continue\r\n\r\n"; }));
-  b.upstream_connections[0]->received.clear();
-  c->send("body" + request_head("GET", "") + "OPTIONS * HTTP/1.1\r\n\r\n");
-  REQUIRE(run_until(b.event_loop,
-                    [&] { return b.upstream_connections[0]->received.find("body") != std::string::npos; }));
-  CHECK(b.upstream_connections[0]->received.find("Expect") == std::string::npos);
-  b.upstream_connections[0]->send(response_text(200, "one"));
-  REQUIRE(run_until(b.event_loop,
-                    [&] { return b.upstream_connections[0]->received.find("GET") != std::string::npos; }));
-  b.upstream_connections[0]->send(response_text(200, "two"));
-  REQUIRE(run_until(b.event_loop, [&] { return c->received.find("Allow: ") != std::string::npos; }));
-  CHECK(c->received.find("one") < c->received.find("two"));
-  CHECK(c->received.find("two") < c->received.find("Allow: "));
+  proxy.upstream_connections[0]->send("HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\n");
+  REQUIRE(run_until(proxy.event_loop,
+                    [&] { return client->received.find("Content-Length: 7\r\n\r\n") != std::string::npos; }));
+  client->received.clear();
+  client->send(request_head("POST", "Expect: 100-continue\r\nContent-Length: 4\r\n"));
+  REQUIRE(run_until(proxy.event_loop, [&] { return client->received == "HTTP/1.1 100 Continue\r\n\r\n"; }));
+  proxy.upstream_connections[0]->received.clear();
+  client->send("body" + request_head("GET", "") + "OPTIONS * HTTP/1.1\r\n\r\n");
+  REQUIRE(run_until(proxy.event_loop, [&] {
+    return proxy.upstream_connections[0]->received.find("body") != std::string::npos;
+  }));
+  CHECK(proxy.upstream_connections[0]->received.find("Expect") == std::string::npos);
+  proxy.upstream_connections[0]->send(response_text(200, "one"));
+  REQUIRE(run_until(proxy.event_loop, [&] {
+    return proxy.upstream_connections[0]->received.find("GET") != std::string::npos;
+  }));
+  proxy.upstream_connections[0]->send(response_text(200, "two"));
+  REQUIRE(run_until(proxy.event_loop, [&] { return client->received.find("Allow: ") != std::string::npos; }));
+  CHECK(client->received.find("one") < client->received.find("two"));
+  CHECK(client->received.find("two") < client->received.find("Allow: "));
 }
--- a/tests/process_test.cpp
+++ b/tests/process_test.cpp
@@ -37,19 +37,20 @@
               log_path = config_path + ".log";
   rlim_t descriptor_limit = 0;  // as the kernel has it; 0: as here
 
-  explicit SidecarProcess(const sockaddr_in& agent, const SettingsVariant& s, const std::string& known = "") {
+  explicit SidecarProcess(const sockaddr_in& agent, const SettingsVariant& sidecar,
+                          const std::string& known = "") {
     reserved_port_ = bind_on_loopback();
     address = local_address(reserved_port_);
     const auto us = [](int ms) { return std::to_string(ms * 1000); };
-    const std::string allows = s.allows_all ? "true" : "false";
-    config_text = R"({"name":"n","listen":")" + address_text(address) + R"(","discovery":")" +
-                  address_text(agent) + R"(","seed":"1","limits":{"sockets":300},)" + known +
-                  R"("settings":{"methods":[{"name":"pay-9","effect":"fragile","deadline":)" +
-                  us(s.deadline_ms) + R"(,"latencyTarget":)" + us(s.latency_target_ms) +
-                  R"(}],"bounds":{"maxPicks":)" + (s.allows_all ? "4" : "1") + R"(,"cancelling":)" + allows +
-                  R"(,"probes":)" + allows + R"(,"retryAfter":)" + allows +
-                  R"(,"maxRetryAfter":500000,"keepalive":5000000,"connectTimeout":)" +
-                  us(s.connect_timeout_ms) + R"(},"rules":{"drainGrace":)" + us(s.drain_grace_ms) + "}}}";
+    const std::string allows = sidecar.allows_all ? "true" : "false";
+    config_text =
+        R"({"name":"n","listen":")" + address_text(address) + R"(","discovery":")" + address_text(agent) +
+        R"(","seed":"1","limits":{"sockets":300},)" + known +
+        R"("settings":{"methods":[{"name":"pay-9","effect":"fragile","deadline":)" + us(sidecar.deadline_ms) +
+        R"(,"latencyTarget":)" + us(sidecar.latency_target_ms) + R"(}],"bounds":{"maxPicks":)" +
+        (sidecar.allows_all ? "4" : "1") + R"(,"cancelling":)" + allows + R"(,"probes":)" + allows +
+        R"(,"retryAfter":)" + allows + R"(,"maxRetryAfter":500000,"keepalive":5000000,"connectTimeout":)" +
+        us(sidecar.connect_timeout_ms) + R"(},"rules":{"drainGrace":)" + us(sidecar.drain_grace_ms) + "}}}";
   }
   ~SidecarProcess() {
     kill_process();
@@ -72,7 +73,10 @@
     ::_exit(127);
   }
   void kill_process() {
-    if (pid_ > 0) ::kill(pid_, SIGKILL), ::waitpid(pid_, nullptr, 0);
+    if (pid_ > 0) {
+      ::kill(pid_, SIGKILL);
+      ::waitpid(pid_, nullptr, 0);
+    }
     pid_ = 0;
   }
   void send_signal(int word) { ::kill(pid_, word); }
@@ -81,14 +85,14 @@
     return pid_ == 0;
   }
   bool exited_cleanly() const { return WIFEXITED(wait_status_) && WEXITSTATUS(wait_status_) == 0; }
-  bool ready(EventLoop& runs) {
-    for (const double end = runs.now() + 20000; runs.now() < end && !has_exited();) {
+  bool ready(EventLoop& loop) {
+    for (const double end = loop.now() + 20000; loop.now() < end && !has_exited();) {
       FileDescriptorBudget one{1};
-      TestConnection asks(runs, one, start_connect(address), response);
+      TestConnection asks(loop, one, start_connect(address), response);
       asks.send("GET /-/ready HTTP/1.1\r\n\r\n");
-      for (int i = 0; i < 20 && asks.received.empty() && !asks.is_ended; ++i) runs.run_once(5);
+      for (int i = 0; i < 20 && asks.received.empty() && !asks.is_ended; ++i) loop.run_once(5);
       if (!asks.received.empty() && asks.received[0].status == 200) return true;
-      run_for(runs, 5);
+      run_for(loop, 5);
     }
     return false;
   }
@@ -107,10 +111,10 @@
          address_text(endpoint) + R"(","lifecycle":"up"}]},)";
 }
 
-bool wait_for(EventLoop& runs, double longest, const std::function<bool()>& so) {
-  for (const double end = runs.now() + longest; !so();) {
-    if (runs.now() > end) return false;
-    runs.run_once(2);
+bool wait_for(EventLoop& loop, double longest, const std::function<bool()>& so) {
+  for (const double end = loop.now() + longest; !so();) {
+    if (loop.now() > end) return false;
+    loop.run_once(2);
   }
   return true;
 }
@@ -140,48 +144,49 @@
 
   ClientCrowd(EventLoop& in, const sockaddr_in& at, int within, std::size_t n)
       : event_loop(in), address(at), budget_ms(within), clients(n) {
-    for (Client& c : clients) connect(c);
+    for (Client& client : clients) connect(client);
   }
-  void connect(Client& c) {
-    c.connection =
+  void connect(Client& client) {
+    client.connection =
         std::make_unique<TestConnection>(event_loop, client_budget, start_connect(address), response);
-    c.fresh = true;
+    client.fresh = true;
   }
   void step(bool sends) {
-    for (Client& c : clients) {
-      if (!c.connection) continue;
-      if (c.request_id && !c.connection->received.empty()) {
-        const http::Message& m = c.connection->received.back();
+    for (Client& client : clients) {
+      if (!client.connection) continue;
+      if (client.request_id && !client.connection->received.empty()) {
+        const http::Message& m = client.connection->received.back();
         ++answered;
         (m.status == 200 ? succeeded : refused) += 1;
         const bool keeps = m.keep_alive;
-        c.connection->received.clear();
-        c.request_id = 0;
-        c.resent = c.fresh = false;
-        if (!keeps) c.connection->is_ended = true;
+        client.connection->received.clear();
+        client.request_id = 0;
+        client.resent = client.fresh = false;
+        if (!keeps) client.connection->is_ended = true;
       }
-      if (c.connection->is_ended) {
-        const int out = c.request_id;
-        c.connection.reset();
-        if (out && (c.resent || !may_reconnect)) {
+      if (client.connection->is_ended) {
+        const int out = client.request_id;
+        client.connection.reset();
+        if (out && (client.resent || !may_reconnect)) {
           ++lost;
-          c.request_id = 0;
+          client.request_id = 0;
           continue;
         }
         if (!may_reconnect) continue;
-        connect(c);
+        connect(client);
         if (out) {
-          c.resent = true;
-          c.connection->send(payment_request(out, budget_ms));
+          client.resent = true;
+          client.connection->send(payment_request(out, budget_ms));
         }
       }
-      if (c.connection && sends && !c.request_id) {
-        c.connection->send(payment_request(c.request_id = ++last_id, budget_ms));
+      if (client.connection && sends && !client.request_id) {
+        client.connection->send(payment_request(client.request_id = ++last_id, budget_ms));
       }
     }
   }
   bool none_waiting() const {
-    return std::all_of(clients.begin(), clients.end(), [](const Client& c) { return c.request_id == 0; });
+    return std::all_of(clients.begin(), clients.end(),
+                       [](const Client& client) { return client.request_id == 0; });
   }
 };
 
@@ -189,30 +194,30 @@
 
 TEST_CASE("processes: SIGTERM while the config is still read ends it with status 0, SIGHUP doesn't end it") {
   for (const int word : {SIGTERM, SIGHUP}) {
-    EventLoop runs;
-    FakeServer agent(runs, {});
-    SidecarProcess s(agent.address, settings_variants[0]);
-    REQUIRE(::mkfifo(s.config_path.c_str(), 0600) == 0);
-    s.start(false);
+    EventLoop loop;
+    FakeServer agent(loop, {});
+    SidecarProcess sidecar(agent.address, settings_variants[0]);
+    REQUIRE(::mkfifo(sidecar.config_path.c_str(), 0600) == 0);
+    sidecar.start(false);
     // It can be opened for writing once the process has it open for reading, and reads until that is closed.
     FileDescriptor to;
-    REQUIRE(wait_for(runs, 20000, [&] {
-      to = FileDescriptor(::open(s.config_path.c_str(), O_WRONLY | O_NONBLOCK));
+    REQUIRE(wait_for(loop, 20000, [&] {
+      to = FileDescriptor(::open(sidecar.config_path.c_str(), O_WRONLY | O_NONBLOCK));
       return static_cast<bool>(to);
     }));
-    s.send_signal(word);
-    run_for(runs, 30);
-    REQUIRE(::write(to.get(), s.config_text.data(), s.config_text.size()) ==
-            static_cast<ssize_t>(s.config_text.size()));
+    sidecar.send_signal(word);
+    run_for(loop, 30);
+    REQUIRE(::write(to.get(), sidecar.config_text.data(), sidecar.config_text.size()) ==
+            static_cast<ssize_t>(sidecar.config_text.size()));
     to = {};
     if (word == SIGHUP) {
-      std::remove(s.config_path.c_str());
-      std::ofstream(s.config_path) << s.config_text;
-      CHECK(s.ready(runs));
-      s.send_signal(SIGTERM);
+      std::remove(sidecar.config_path.c_str());
+      std::ofstream(sidecar.config_path) << sidecar.config_text;
+      CHECK(sidecar.ready(loop));
+      sidecar.send_signal(SIGTERM);
     }
-    REQUIRE(wait_for(runs, 20000, [&] { return s.has_exited(); }));
-    CHECK(s.exited_cleanly());
+    REQUIRE(wait_for(loop, 20000, [&] { return sidecar.has_exited(); }));
+    CHECK(sidecar.exited_cleanly());
   }
 }
 
@@ -220,37 +225,37 @@
     "processes: told to stop under load, every request that was taken has its one answer, none runs twice") {
   for (const SettingsVariant& settings : settings_variants) {
     CAPTURE(std::string(settings.description));
-    EventLoop runs;
-    FakeServer agent(runs, {});
-    FakeServer endpoint(runs, std::vector<std::string>(100000, response_text(200, "paid")));
+    EventLoop loop;
+    FakeServer agent(loop, {});
+    FakeServer endpoint(loop, std::vector<std::string>(100000, response_text(200, "paid")));
     endpoint.budget.limit = 1000;
-    SidecarProcess s(agent.address, settings, known_endpoint_json(endpoint.address));
-    s.start();
-    REQUIRE(s.ready(runs));
-    ClientCrowd clients(runs, s.address, settings.deadline_ms, 24);
+    SidecarProcess sidecar(agent.address, settings, known_endpoint_json(endpoint.address));
+    sidecar.start();
+    REQUIRE(sidecar.ready(loop));
+    ClientCrowd clients(loop, sidecar.address, settings.deadline_ms, 24);
     const auto play = [&](double ms, bool sends) {
-      for (const double end = runs.now() + ms; runs.now() < end;) {
-        runs.run_once(1);
+      for (const double end = loop.now() + ms; loop.now() < end;) {
+        loop.run_once(1);
         clients.step(sends);
       }
     };
     play(300, true);
     CHECK(clients.succeeded > 100);
-    const double told = runs.now();
-    s.send_signal(SIGTERM);
+    const double told = loop.now();
+    sidecar.send_signal(SIGTERM);
     play(40, true);
-    s.send_signal(SIGHUP);
-    s.send_signal(SIGTERM);
+    sidecar.send_signal(SIGHUP);
+    sidecar.send_signal(SIGTERM);
     play(300, true);
     clients.may_reconnect = false;
     double gone = 0;
-    for (const double end = told + 20000; gone == 0 && runs.now() < end;) {
-      runs.run_once(1);
+    for (const double end = told + 20000; gone == 0 && loop.now() < end;) {
+      loop.run_once(1);
       clients.step(true);  // on what is still open
-      if (s.has_exited()) gone = runs.now();
+      if (sidecar.has_exited()) gone = loop.now();
     }
     CHECK(gone > 0);
-    CHECK(s.exited_cleanly());
+    CHECK(sidecar.exited_cleanly());
     CHECK(gone - told < std::min(settings.deadline_ms, 3000) + 700);
     play(20, false);
     CHECK(clients.lost == 0);
@@ -270,29 +275,31 @@
     "time") {
   for (const SettingsVariant& settings : settings_variants) {
     CAPTURE(std::string(settings.description));
-    EventLoop runs;
-    FakeServer agent(runs, {}), endpoint(runs, {});
-    SidecarProcess s(agent.address, settings, known_endpoint_json(endpoint.address));
-    s.start();
-    REQUIRE(s.ready(runs));
+    EventLoop loop;
+    FakeServer agent(loop, {});
+    FakeServer endpoint(loop, {});
+    SidecarProcess sidecar(agent.address, settings, known_endpoint_json(endpoint.address));
+    sidecar.start();
+    REQUIRE(sidecar.ready(loop));
     FileDescriptorBudget room{100};
     std::vector<std::unique_ptr<TestConnection>> clients;
     for (int i = 0; i < 8; ++i)
-      clients.push_back(std::make_unique<TestConnection>(runs, room, start_connect(s.address), response));
+      clients.push_back(
+          std::make_unique<TestConnection>(loop, room, start_connect(sidecar.address), response));
     for (int i = 0; i < 4; ++i) clients[i]->send(payment_request(i + 1, settings.deadline_ms));
     clients[4]->send(payment_request(5, settings.deadline_ms).substr(0, 40));
-    REQUIRE(wait_for(runs, 2000, [&] { return endpoint.request_targets.size() == 4; }));
-    const double told = runs.now();
-    s.send_signal(SIGTERM);
-    REQUIRE(wait_for(runs, 20000, [&] { return s.has_exited(); }));
-    CHECK(runs.now() - told < std::min(settings.deadline_ms, 3000) + 700);
-    CHECK(s.exited_cleanly());
-    run_for(runs, 10);
+    REQUIRE(wait_for(loop, 2000, [&] { return endpoint.request_targets.size() == 4; }));
+    const double told = loop.now();
+    sidecar.send_signal(SIGTERM);
+    REQUIRE(wait_for(loop, 20000, [&] { return sidecar.has_exited(); }));
+    CHECK(loop.now() - told < std::min(settings.deadline_ms, 3000) + 700);
+    CHECK(sidecar.exited_cleanly());
+    run_for(loop, 10);
     for (int i = 0; i < 4; ++i) {
       REQUIRE(clients[i]->received.size() == 1);
       CHECK(clients[i]->received[0].status == 502);  // it may have run: no word that a retry is harmless
     }
-    for (const auto& c : clients) CHECK(c->is_ended);
+    for (const auto& client : clients) CHECK(client->is_ended);
   }
 }
 
@@ -310,22 +317,22 @@
       {R"("sockets":300)", R"("sockets":3)", "limits allow too few sockets"},
       {R"("cancelling":false)", R"("cancelling":1)", "field cancelling is not true or false"},
   };
-  for (const auto& t : table) {
-    CAPTURE(std::string(t.to));
-    EventLoop runs;
-    FakeServer agent(runs, {});
-    SidecarProcess s(agent.address, settings_variants[0]);
-    const std::size_t at = s.config_text.find(t.from);
+  for (const auto& row : table) {
+    CAPTURE(std::string(row.to));
+    EventLoop loop;
+    FakeServer agent(loop, {});
+    SidecarProcess sidecar(agent.address, settings_variants[0]);
+    const std::size_t at = sidecar.config_text.find(row.from);
     REQUIRE(at != std::string::npos);
-    s.config_text.replace(at, std::string(t.from).size(), t.to);
-    s.start();
-    REQUIRE(wait_for(runs, 20000, [&] { return s.has_exited(); }));
-    CHECK_FALSE(s.exited_cleanly());
-    std::ifstream in(s.log_path);
+    sidecar.config_text.replace(at, std::string(row.from).size(), row.to);
+    sidecar.start();
+    REQUIRE(wait_for(loop, 20000, [&] { return sidecar.has_exited(); }));
+    CHECK_FALSE(sidecar.exited_cleanly());
+    std::ifstream in(sidecar.log_path);
     std::vector<std::string> lines;
     for (std::string line; std::getline(in, line);) lines.push_back(line);
     REQUIRE(lines.size() == 1);
-    CHECK(lines[0].find(t.said) != std::string::npos);
+    CHECK(lines[0].find(row.said) != std::string::npos);
   }
 }
 
@@ -333,33 +340,33 @@
     "processes: stopped while a client leaves and its pick's connect comes up, it sends nothing on "
     "afterwards") {
   for (const bool leaves : {false, true}) {
-    EventLoop runs;
-    FakeServer agent(runs, {});
+    EventLoop loop;
+    FakeServer agent(loop, {});
     StalledListener late;
     const SettingsVariant patient{"a connect may take its second", 8000, 8000, 3000, 1000, false};
-    SidecarProcess s(agent.address, patient, known_endpoint_json(late.address));
-    s.start();
-    REQUIRE(s.ready(runs));
+    SidecarProcess sidecar(agent.address, patient, known_endpoint_json(late.address));
+    sidecar.start();
+    REQUIRE(sidecar.ready(loop));
     FileDescriptorBudget room{10};
-    TestConnection client(runs, room, start_connect(s.address), response),
-        second(runs, room, start_connect(s.address), response);
+    TestConnection client(loop, room, start_connect(sidecar.address), response);
+    TestConnection second(loop, room, start_connect(sidecar.address), response);
     client.send(payment_request(1, 8000));
     // Its pick connects by the time that another client has an answer to what came behind it.
-    REQUIRE(wait_for(runs, 2000, [&] { return client.stream->unacknowledged_bytes() == 0; }));
+    REQUIRE(wait_for(loop, 2000, [&] { return client.stream->unacknowledged_bytes() == 0; }));
     for (int i = 0; i < 3; ++i) {
       second.send("GET /-/ready HTTP/1.1\r\n\r\n");
       REQUIRE(
-          wait_for(runs, 2000, [&] { return second.received.size() == static_cast<std::size_t>(i + 1); }));
+          wait_for(loop, 2000, [&] { return second.received.size() == static_cast<std::size_t>(i + 1); }));
     }
-    s.send_signal(SIGSTOP);
+    sidecar.send_signal(SIGSTOP);
     late.release();
-    for (const double end = runs.now() + 1500; runs.now() < end; late.receive()) runs.run_once(5);
+    for (const double end = loop.now() + 1500; loop.now() < end; late.receive()) loop.run_once(5);
     CHECK_FALSE(late.accepted.empty());  // it came up
     CHECK(late.request_count() == 0);
     if (leaves) client.close();  // behind the connect, so that it comes second in the order of events
-    run_for(runs, 20);
-    s.send_signal(SIGCONT);
-    for (const double end = runs.now() + 300; runs.now() < end; late.receive()) runs.run_once(5);
+    run_for(loop, 20);
+    sidecar.send_signal(SIGCONT);
+    for (const double end = loop.now() + 300; loop.now() < end; late.receive()) loop.run_once(5);
     CHECK(late.request_count() == (leaves ? 0 : 1));
   }
 }
@@ -376,22 +383,23 @@
                {"discovery is down", -1, false},
                {"discovery is down, and is asked", -1, true}};
   constexpr std::size_t n = 30;
-  for (const auto& t : table) {
-    CAPTURE(std::string(t.what));
-    EventLoop runs;
-    FakeServer endpoint(runs, {});
-    FakeServer agent(runs,
+  for (const auto& row : table) {
+    CAPTURE(std::string(row.what));
+    EventLoop loop;
+    FakeServer endpoint(loop, {});
+    FakeServer agent(loop,
                      std::vector<std::string>(100000, response_text(200, R"({"generation":1,"reset":true,)"
                                                                          R"("instances":[]})")),
-                     t.slow < 0 ? bind_on_loopback() : listen_on_loopback());
+                     row.slow < 0 ? bind_on_loopback() : listen_on_loopback());
     agent.budget.limit = 100000;
-    agent.response_delay_ms = std::max(t.slow, 0.0);
+    agent.response_delay_ms = std::max(row.slow, 0.0);
     std::vector<std::unique_ptr<SidecarProcess>> all;
     for (std::size_t i = 0; i < n; ++i) {
       all.push_back(std::make_unique<SidecarProcess>(agent.address, settings_variants[1],
                                                      known_endpoint_json(endpoint.address)));
       std::string& text = all.back()->config_text;
-      if (t.asked) text.replace(text.find(R"("settings":{)"), 12, R"("settings":{"discovery":"subscribe",)");
+      if (row.asked)
+        text.replace(text.find(R"("settings":{)"), 12, R"("settings":{"discovery":"subscribe",)");
     }
     // How many are ready after so long; all are asked side by side.
     const auto ready_within = [&](double longest) {
@@ -399,29 +407,29 @@
       std::vector<std::unique_ptr<TestConnection>> asks(n);
       std::vector<double> since(n, 0);
       std::vector<bool> ready(n, false);
-      for (const double end = runs.now() + longest;
-           runs.now() < end && std::count(ready.begin(), ready.end(), true) < 30;) {
+      for (const double end = loop.now() + longest;
+           loop.now() < end && std::count(ready.begin(), ready.end(), true) < 30;) {
         for (std::size_t i = 0; i < n; ++i) {
           if (ready[i]) continue;
           if (asks[i] && !asks[i]->received.empty() && asks[i]->received[0].status == 200) {
             ready[i] = true;
             asks[i].reset();
-          } else if (!asks[i] || asks[i]->is_ended || runs.now() > since[i] + 500) {
-            asks[i] = std::make_unique<TestConnection>(runs, room, start_connect(all[i]->address), response);
+          } else if (!asks[i] || asks[i]->is_ended || loop.now() > since[i] + 500) {
+            asks[i] = std::make_unique<TestConnection>(loop, room, start_connect(all[i]->address), response);
             asks[i]->send("GET /-/ready HTTP/1.1\r\n\r\n");
-            since[i] = runs.now();
+            since[i] = loop.now();
           }
         }
-        runs.run_once(5);
+        loop.run_once(5);
       }
       return std::count(ready.begin(), ready.end(), true);
     };
-    for (auto& s : all) s->start();
+    for (auto& sidecar : all) sidecar->start();
     REQUIRE(ready_within(30000) == n);
-    for (auto& s : all) s->kill_process();
-    for (auto& s : all) s->start();
+    for (auto& sidecar : all) sidecar->kill_process();
+    for (auto& sidecar : all) sidecar->start();
     CHECK(ready_within(10000) >= 27);
-    CHECK(std::none_of(all.begin(), all.end(), [](auto& s) { return s->has_exited(); }));
+    CHECK(std::none_of(all.begin(), all.end(), [](auto& sidecar) { return sidecar->has_exited(); }));
   }
 }
 
@@ -430,32 +438,34 @@
     "return") {
   for (const bool refused : {false, true}) {
     CAPTURE(refused);
-    EventLoop runs;
-    FakeServer agent(runs, {}, refused ? bind_on_loopback() : listen_on_loopback());
+    EventLoop loop;
+    FakeServer agent(loop, {}, refused ? bind_on_loopback() : listen_on_loopback());
     std::vector<FileDescriptor> filling;
     if (!refused) {
       agent.listener_watch.cancel();
       filling = fill_backlog(agent.listener);
     }
-    FakeServer before(runs, {}), after(runs, std::vector<std::string>(10, response_text(200, "paid")));
-    SidecarProcess s(agent.address, settings_variants[1], known_endpoint_json(before.address));
+    FakeServer before(loop, {});
+    FakeServer after(loop, std::vector<std::string>(10, response_text(200, "paid")));
+    SidecarProcess sidecar(agent.address, settings_variants[1], known_endpoint_json(before.address));
     const std::string limit = R"("sockets":300)";
-    s.config_text.replace(s.config_text.find(limit), limit.size(), R"("sockets":64)");
-    s.descriptor_limit = 64;
-    s.start();
-    REQUIRE(s.ready(runs));
+    sidecar.config_text.replace(sidecar.config_text.find(limit), limit.size(), R"("sockets":64)");
+    sidecar.descriptor_limit = 64;
+    sidecar.start();
+    REQUIRE(sidecar.ready(loop));
     FileDescriptorBudget room{400};
     std::vector<std::unique_ptr<TestConnection>> idle;
     for (int i = 0; i < 150; ++i) {
-      idle.push_back(std::make_unique<TestConnection>(runs, room, start_connect(s.address), response));
-      if (i % 10 == 0) run_for(runs, 10);
+      idle.push_back(std::make_unique<TestConnection>(loop, room, start_connect(sidecar.address), response));
+      if (i % 10 == 0) run_for(loop, 10);
     }
     // Who is closed for room comes again.
     const auto stay = [&] {
       for (auto& c : idle)
-        if (c->is_ended) c = std::make_unique<TestConnection>(runs, room, start_connect(s.address), response);
+        if (c->is_ended)
+          c = std::make_unique<TestConnection>(loop, room, start_connect(sidecar.address), response);
     };
-    for (const double end = runs.now() + 1000; runs.now() < end; stay()) runs.run_once(5);
+    for (const double end = loop.now() + 1000; loop.now() < end; stay()) loop.run_once(5);
     CHECK(before.request_targets.empty());
     filling.clear();
     const std::string told =
@@ -464,12 +474,12 @@
     agent.responses = {told};
     ::listen(agent.listener.get(), 100);
     agent.start_accepting();
-    REQUIRE(wait_for(runs, 3000, [&] { return stay(), !agent.request_targets.empty(); }));
-    for (const double end = runs.now() + 300; runs.now() < end; stay()) runs.run_once(5);
+    REQUIRE(wait_for(loop, 3000, [&] { return stay(), !agent.request_targets.empty(); }));
+    for (const double end = loop.now() + 300; loop.now() < end; stay()) loop.run_once(5);
     idle.clear();
-    TestConnection client(runs, room, start_connect(s.address), response);
+    TestConnection client(loop, room, start_connect(sidecar.address), response);
     client.send(payment_request(1, 3000));
-    REQUIRE(wait_for(runs, 4000, [&] { return !client.received.empty() || client.is_ended; }));
+    REQUIRE(wait_for(loop, 4000, [&] { return !client.received.empty() || client.is_ended; }));
     REQUIRE(client.received.size() == 1);
     CHECK(client.received[0].status == 200);
     CHECK(after.request_targets.size() == 1);
