--- a/src/emulator/command_line.cpp
+++ b/src/emulator/command_line.cpp
@@ -1,185 +1,262 @@
 #include "emulator/command_line.h"
 
 #include <CLI/CLI.hpp>
+#include <algorithm>
+#include <cstdint>
+#include <filesystem>
 #include <fstream>
+#include <string>
 #include <thread>
+#include <vector>
 
+#include "config/toml_section.h"
+#include "emulator/experiment.h"
 #include "emulator/membership_experiment.h"
 #include "emulator/report.h"
+#include "emulator/scenario_table.h"
+#include "emulator/simulation.h"
+#include "emulator/trace_writer.h"
+#include "emulator/worst_case_search.h"
 
 namespace indigorill::emulator {
 namespace {
 
+constexpr int exit_ok = 0;
+constexpr int exit_failure = 1;
+constexpr int exit_usage = 2;
+constexpr int exit_rule_violated = 3;
+
 struct CommandOptions {
-  std::string scenario_path, output_directory, trace_path;
-  std::vector<std::string> settings, axes, policies{"module"};
+  std::string scenario_path;
+  std::string output_directory;  // empty: no files
+  std::string trace_path;        // empty: no trace
+  std::vector<std::string> settings;
+  std::vector<std::string> axes;
+  std::vector<std::string> policies{"module"};
   std::string baseline = "true-state";
-  std::uint64_t seed = 0;
-  std::size_t run_count = 1, trial_count = 40;
+  std::uint64_t seed = 0;  // 0: the scenario's
+  std::size_t run_count = 1;
+  std::size_t trial_count = 40;
   double loss_fraction_kept = 0.8;
-  unsigned threads = std::max(std::thread::hardware_concurrency(), 1u);
+  unsigned threads = std::max(std::thread::hardware_concurrency(), 1U);
+
+  MembershipExperiment membership;
+  std::vector<int> membership_sizes{10, 100};
+  std::vector<double> membership_losses{0, 0.05, 0.2};
+};
+
+struct Subcommands {
+  CLI::App* run;
+  CLI::App* sweep;
+  CLI::App* compare;
+  CLI::App* search;
+  CLI::App* gather;
 };
 
-PolicyKind require_policy_kind(const std::string& word) {
-  const auto p = parse_policy_kind(word);
-  if (!p) throw ConfigError("no policy is named " + word);
-  return *p;
+PolicyKind require_policy_kind(const std::string& name) {
+  const auto kind = parse_policy_kind(name);
+  if (!kind) throw ConfigError("no policy is named " + name);
+  return *kind;
 }
 
-toml::table load_scenario_table(const CommandOptions& w) {
-  toml::table t = read_toml_file(w.scenario_path);
-  // As it stands in the file, where faults have lines.
-  if (const auto fault = find_unsupported_feature(decode_scenario(t)))
-    throw ConfigError(w.scenario_path + ": " + *fault);
-  for (const std::string& text : w.settings) {
-    const auto [path, value] = parse_setting(text);
-    set_value(t, path, value);
+toml::table load_scenario_table(const CommandOptions& options) {
+  toml::table table = read_toml_file(options.scenario_path);
+  // Checked as it stands in the file, where errors have lines.
+  if (const auto unsupported = find_unsupported_feature(decode_scenario(table)))
+    throw ConfigError(options.scenario_path + ": " + *unsupported);
+  for (const std::string& text : options.settings) {
+    const VariableSetting setting = parse_setting(text);
+    set_value(table, setting.path, setting.value);
   }
-  return t;
+  return table;
 }
 
 bool any_violation(const std::vector<ExperimentPoint>& points) {
-  for (const ExperimentPoint& p : points)
-    for (const RunMetrics& f : p.results)
-      if (f.violation_count > 0) return true;
+  for (const ExperimentPoint& point : points) {
+    for (const RunMetrics& run : point.results) {
+      if (run.violation_count > 0) return true;
+    }
+  }
   return false;
 }
 
-int run_experiment_command(const CommandOptions& w, std::ostream& out) {
-  Experiment e;
-  e.base_scenario = load_scenario_table(w);
-  for (const std::string& text : w.axes) e.axes.push_back(parse_axis(text));
-  e.policies.clear();
-  for (const std::string& word : w.policies) e.policies.push_back(require_policy_kind(word));
-  e.first_seed = w.seed;
-  e.run_count = w.run_count;
-  e.threads = w.threads;
-  if (!w.trace_path.empty()) {
-    std::ofstream file(w.trace_path);
-    if (!file) throw std::runtime_error("can't write " + w.trace_path);
-    TraceWriter record(file);
-    const Scenario s = decode_scenario(e.base_scenario);
-    run_simulation(s, e.policies.front(), w.seed ? w.seed : s.seed, &record);
-  }
-  const std::vector<ExperimentPoint> points = run_experiment(e);
+void write_trace(const CommandOptions& options, const Experiment& experiment) {
+  std::ofstream file(options.trace_path);
+  if (!file) throw std::runtime_error("can't write " + options.trace_path);
+  TraceWriter writer(file);
+  const Scenario scenario = decode_scenario(experiment.base_scenario);
+  const std::uint64_t seed = options.seed > 0 ? options.seed : scenario.seed;
+  run_simulation(scenario, experiment.policies.front(), seed, &writer);
+}
+
+int run_experiment_command(const CommandOptions& options, std::ostream& out) {
+  Experiment experiment;
+  experiment.base_scenario = load_scenario_table(options);
+  for (const std::string& text : options.axes) experiment.axes.push_back(parse_axis(text));
+  experiment.policies.clear();
+  for (const std::string& name : options.policies) experiment.policies.push_back(require_policy_kind(name));
+  experiment.first_seed = options.seed;
+  experiment.run_count = options.run_count;
+  experiment.threads = options.threads;
+  if (!options.trace_path.empty()) write_trace(options, experiment);
+  const std::vector<ExperimentPoint> points = run_experiment(experiment);
   print_table(out, points);
-  if (e.axes.empty()) print_differences(out, points);
-  if (!w.output_directory.empty()) {
-    write_all(w.output_directory, points);
-    out << "files in " << w.output_directory << "; gnuplot plot.gp there draws plot.png\n";
+  if (experiment.axes.empty()) print_differences(out, points);
+  if (!options.output_directory.empty()) {
+    write_all(options.output_directory, points);
+    out << "files in " << options.output_directory << "; gnuplot plot.gp there draws plot.png\n";
   }
-  return any_violation(points) ? 3 : 0;
-}
-
-int run_search_command(const CommandOptions& w, std::ostream& out) {
-  WorstCaseSearch h;
-  h.base_scenario = load_scenario_table(w);
-  if (w.seed) set_value(h.base_scenario, "seed", static_cast<double>(w.seed));
-  h.baseline = require_policy_kind(w.baseline);
-  h.trial_count = w.trial_count;
-  h.runs_per_trial = w.run_count;
-  h.loss_fraction_kept = w.loss_fraction_kept;
-  h.threads = w.threads;
-  if (decode_search_ranges(h.base_scenario).empty())
-    throw ConfigError(w.scenario_path + ": has no table 'ranges' to search in");
-  const WorstCase d = find_worst_case(h);
-  out << "worst of " << w.trial_count << " days, " << d.run_count << " runs: loses " << d.worst_loss
-      << " of utility to " << w.baseline << '\n';
-  for (const std::string& step : d.reductions) out << "  cut down: " << step << '\n';
-  out << "the smallest that still does loses " << d.smallest_loss << '\n';
-  if (w.output_directory.empty()) {
-    out << d.smallest_scenario << '\n';
-    return 0;
+  return any_violation(points) ? exit_rule_violated : exit_ok;
+}
+
+void write_table(const std::string& directory, const char* name, const toml::table& table) {
+  std::ofstream file(std::filesystem::path(directory) / name);
+  file << table << '\n';
+  if (!file.flush()) throw std::runtime_error("can't write into " + directory);
+}
+
+int run_search_command(const CommandOptions& options, std::ostream& out) {
+  WorstCaseSearch search;
+  search.base_scenario = load_scenario_table(options);
+  if (options.seed > 0) set_value(search.base_scenario, "seed", static_cast<double>(options.seed));
+  search.baseline = require_policy_kind(options.baseline);
+  search.trial_count = options.trial_count;
+  search.runs_per_trial = options.run_count;
+  search.loss_fraction_kept = options.loss_fraction_kept;
+  search.threads = options.threads;
+  if (decode_search_ranges(search.base_scenario).empty())
+    throw ConfigError(options.scenario_path + ": has no table 'ranges' to search in");
+  const WorstCase found = find_worst_case(search);
+  out << "worst of " << options.trial_count << " days, " << found.run_count << " runs: loses "
+      << found.worst_loss << " of utility to " << options.baseline << '\n';
+  for (const std::string& reduction : found.reductions) out << "  cut down: " << reduction << '\n';
+  out << "the smallest that still does loses " << found.smallest_loss << '\n';
+  if (options.output_directory.empty()) {
+    out << found.smallest_scenario << '\n';
+    return exit_ok;
   }
-  std::filesystem::create_directories(w.output_directory);
-  for (const auto& [name, table] :
-       {std::pair("worst.toml", &d.worst_scenario), std::pair("smallest.toml", &d.smallest_scenario)}) {
-    std::ofstream file(std::filesystem::path(w.output_directory) / name);
-    file << *table << '\n';
-    if (!file.flush()) throw std::runtime_error("can't write into " + w.output_directory);
+  std::filesystem::create_directories(options.output_directory);
+  write_table(options.output_directory, "worst.toml", found.worst_scenario);
+  write_table(options.output_directory, "smallest.toml", found.smallest_scenario);
+  out << "worst.toml and smallest.toml in " << options.output_directory << '\n';
+  return exit_ok;
+}
+
+int run_membership_command(const CommandOptions& options, std::ostream& out) {
+  std::vector<MembershipMeasurement> measurements;
+  for (const int sidecars : options.membership_sizes) {
+    for (const double loss : options.membership_losses) {
+      MembershipExperiment experiment = options.membership;
+      experiment.sidecars = sidecars;
+      experiment.loss = loss;
+      measurements.push_back({experiment, run_membership_experiment(experiment)});
+    }
   }
-  out << "worst.toml and smallest.toml in " << w.output_directory << '\n';
-  return 0;
+  print_membership_results(out, measurements);
+  return exit_ok;
 }
 
-}  // namespace
+void add_common_options(CLI::App& command, CommandOptions& options) {
+  command.add_option("scenario", options.scenario_path, "the scenario, a TOML file")->required();
+  command.add_option("--set", options.settings, "path=value in place of the file's, as load.rate=500");
+  command.add_option("--seed", options.seed, "the first seed, in place of the scenario's");
+  command.add_option("--threads", options.threads, "changes nothing but the time it takes")
+      ->check(CLI::Range(1, 1024));
+  command.add_option("--out", options.output_directory, "a folder for the files");
+}
 
-int run_command(int argc, const char* const* argv, std::ostream& out, std::ostream& err) {
-  CLI::App app("Plays scenarios against the balancer in an emulated fleet.", "indigorill-emulator");
-  app.require_subcommand(1);
-  CommandOptions w;
-  const auto common = [&](CLI::App* c) {
-    c->add_option("scenario", w.scenario_path, "the scenario, a TOML file")->required();
-    c->add_option("--set", w.settings, "path=value in place of the file's, as load.rate=500");
-    c->add_option("--seed", w.seed, "the first seed, in place of the scenario's");
-    c->add_option("--threads", w.threads, "changes nothing but the time it takes")
-        ->check(CLI::Range(1, 1024));
-    c->add_option("--out", w.output_directory, "a folder for the files");
-  };
-  const auto runs_of = [&](CLI::App* c) {
-    c->add_option("--runs", w.run_count, "independent runs, on seeds one after the other")
-        ->check(CLI::Range(1, 100000));
-  };
-  CLI::App* run = app.add_subcommand("run", "one scenario");
-  common(run);
-  runs_of(run);
-  run->add_option("--policy", w.policies, "module, random, round-robin, two-choices or true-state")
+void add_runs_option(CLI::App& command, CommandOptions& options) {
+  command.add_option("--runs", options.run_count, "independent runs, on seeds one after the other")
+      ->check(CLI::Range(1, 100000));
+}
+
+CLI::App* add_run_command(CLI::App& app, CommandOptions& options) {
+  CLI::App* command = app.add_subcommand("run", "one scenario");
+  add_common_options(*command, options);
+  add_runs_option(*command, options);
+  command->add_option("--policy", options.policies, "module, random, round-robin, two-choices or true-state")
       ->expected(1);
-  run->add_option("--log", w.trace_path, "all that happened in the first run, as JSON lines");
-  CLI::App* sweep = app.add_subcommand("sweep", "one or two variables");
-  common(sweep);
-  runs_of(sweep);
-  sweep->add_option("--over", w.axes, "path=a,b,c or path=from:to:count")->required()->expected(1, 2);
-  sweep->add_option("--policy", w.policies, "one or more policies");
-  CLI::App* compare = app.add_subcommand("compare", "the module beside baselines, on the same seeds");
-  common(compare);
-  runs_of(compare);
-  compare->add_option("--policy", w.policies, "the first is what the others are held against");
-  CLI::App* find = app.add_subcommand("search", "the worst day within the scenario's ranges, cut down");
-  common(find);
-  runs_of(find);
-  find->add_option("--against", w.baseline, "the policy that shows what was within reach");
-  find->add_option("--tries", w.trial_count, "days to draw")->check(CLI::Range(1, 100000));
-  find->add_option("--keep", w.loss_fraction_kept, "the share of the worst loss that a smaller day must keep")
+  command->add_option("--log", options.trace_path, "all that happened in the first run, as JSON lines");
+  return command;
+}
+
+CLI::App* add_sweep_command(CLI::App& app, CommandOptions& options) {
+  CLI::App* command = app.add_subcommand("sweep", "one or two variables");
+  add_common_options(*command, options);
+  add_runs_option(*command, options);
+  command->add_option("--over", options.axes, "path=a,b,c or path=from:to:count")->required()->expected(1, 2);
+  command->add_option("--policy", options.policies, "one or more policies");
+  return command;
+}
+
+CLI::App* add_compare_command(CLI::App& app, CommandOptions& options) {
+  CLI::App* command = app.add_subcommand("compare", "the module beside baselines, on the same seeds");
+  add_common_options(*command, options);
+  add_runs_option(*command, options);
+  command->add_option("--policy", options.policies, "the first is what the others are held against");
+  return command;
+}
+
+CLI::App* add_search_command(CLI::App& app, CommandOptions& options) {
+  CLI::App* command = app.add_subcommand("search", "the worst day within the scenario's ranges, cut down");
+  add_common_options(*command, options);
+  add_runs_option(*command, options);
+  command->add_option("--against", options.baseline, "the policy that shows what was within reach");
+  command->add_option("--tries", options.trial_count, "days to draw")->check(CLI::Range(1, 100000));
+  command
+      ->add_option("--keep", options.loss_fraction_kept,
+                   "the share of the worst loss that a smaller day must keep")
       ->check(CLI::Range(0.0, 1.0));
-  CLI::App* gathers = app.add_subcommand("gather", "how soon members know of each other, and what it costs");
-  MembershipExperiment g;
-  std::vector<int> sizes{10, 100};
-  std::vector<double> losses{0, 0.05, 0.2};
-  gathers->add_option("--sidecars", sizes, "how many, one or more")->check(CLI::Range(3, 5000));
-  gathers->add_option("--loss", losses, "the share of datagrams that is lost, one or more")
+  return command;
+}
+
+CLI::App* add_gather_command(CLI::App& app, CommandOptions& options) {
+  CLI::App* command = app.add_subcommand("gather", "how soon members know of each other, and what it costs");
+  MembershipExperiment& membership = options.membership;
+  command->add_option("--sidecars", options.membership_sizes, "how many, one or more")
+      ->check(CLI::Range(3, 5000));
+  command->add_option("--loss", options.membership_losses, "the share of datagrams that is lost, one or more")
       ->check(CLI::Range(0.0, 0.9));
-  gathers->add_option("--period", g.probe_interval_ms, "ms, of a probe")->check(CLI::Range(50.0, 60000.0));
-  gathers->add_option("--timeout", g.probe_timeout_ms, "ms, for a direct answer")
+  command->add_option("--period", membership.probe_interval_ms, "ms, of a probe")
+      ->check(CLI::Range(50.0, 60000.0));
+  command->add_option("--timeout", membership.probe_timeout_ms, "ms, for a direct answer")
       ->check(CLI::Range(1.0, 30000.0));
-  gathers->add_option("--seed", g.seed, "of chance");
+  command->add_option("--seed", membership.seed, "of chance");
+  return command;
+}
+
+int execute(const Subcommands& subcommands, CommandOptions& options, std::ostream& out) {
+  if (*subcommands.gather) return run_membership_command(options, out);
+  if (*subcommands.search) return run_search_command(options, out);
+  if (*subcommands.compare && subcommands.compare->count("--policy") == 0)
+    options.policies = {"module", "random", "round-robin", "two-choices", "true-state"};
+  return run_experiment_command(options, out);
+}
+
+}  // namespace
+
+int run_command(int argc, const char* const* argv, std::ostream& out, std::ostream& err) {
+  CLI::App app("Plays scenarios against the balancer in an emulated fleet.", "indigorill-emulator");
+  app.require_subcommand(1);
+  CommandOptions options;
+  const Subcommands subcommands{.run = add_run_command(app, options),
+                                .sweep = add_sweep_command(app, options),
+                                .compare = add_compare_command(app, options),
+                                .search = add_search_command(app, options),
+                                .gather = add_gather_command(app, options)};
   try {
     app.parse(argc, argv);
-  } catch (const CLI::ParseError& e) {
-    return app.exit(e, out, err) == 0 ? 0 : 2;
+  } catch (const CLI::ParseError& error) {
+    return app.exit(error, out, err) == 0 ? exit_ok : exit_usage;
   }
   try {
-    if (*gathers) {
-      std::vector<MembershipMeasurement> all;
-      for (const int n : sizes)
-        for (const double loss : losses) {
-          g.sidecars = n;
-          g.loss = loss;
-          all.push_back({g, run_membership_experiment(g)});
-        }
-      print_membership_results(out, all);
-      return 0;
-    }
-    if (*find) return run_search_command(w, out);
-    if (*compare && compare->count("--policy") == 0)
-      w.policies = {"module", "random", "round-robin", "two-choices", "true-state"};
-    return run_experiment_command(w, out);
-  } catch (const ConfigError& e) {
-    err << e.what() << '\n';
-    return 2;
-  } catch (const std::exception& e) {
-    err << "indigorill-emulator: " << e.what() << '\n';
-    return 1;
+    return execute(subcommands, options, out);
+  } catch (const ConfigError& error) {
+    err << error.what() << '\n';
+    return exit_usage;
+  } catch (const std::exception& error) {
+    err << "indigorill-emulator: " << error.what() << '\n';
+    return exit_failure;
   }
 }
 
--- a/src/emulator/command_line.h
+++ b/src/emulator/command_line.h
@@ -1,12 +1,13 @@
-// The command line of indigorill-emulator.
+/// \file
+/// The command line of indigorill-emulator.
 #pragma once
 
 #include <ostream>
 
 namespace indigorill::emulator {
 
-// Exit status: 0, 1 if something can't be done, 2 for a scenario or arguments that are at fault (nothing has
-// run then), 3 if a rule was broken.
+/// Returns the exit status: 0, 1 if something can't be done, 2 for an invalid scenario or argument (nothing
+/// has run then), 3 if a rule was violated.
 int run_command(int argc, const char* const* argv, std::ostream& out, std::ostream& err);
 
 }  // namespace indigorill::emulator
--- a/src/emulator/report.cpp
+++ b/src/emulator/report.cpp
@@ -1,249 +1,198 @@
 #include "emulator/report.h"
 
 #include <algorithm>
+#include <array>
+#include <cstdint>
+#include <fstream>
 #include <iomanip>
 #include <nlohmann/json.hpp>
-#include <set>
 #include <sstream>
+#include <stdexcept>
 
-#include "emulator/statistics.h"
+#include "emulator/gnuplot.h"
 
 namespace indigorill::emulator {
 namespace {
 
-using Json = nlohmann::ordered_json;
+constexpr int csv_precision = 9;
+constexpr int table_precision = 4;
+constexpr std::size_t max_printed_violations = 5;  // of each point
 
-std::string format_number(double v) {
-  std::ostringstream s;
-  s << std::setprecision(4) << v;
-  return s.str();
+std::vector<double> metric_values(const ExperimentPoint& point, const Metric& metric) {
+  std::vector<double> values;
+  for (const RunMetrics& run : point.results) values.push_back(metric.value(run));
+  return values;
 }
 
-std::string point_label(const ExperimentPoint& p) {
-  std::string text = policy_name(p.policy);
-  for (const auto& [path, value] : p.settings) text += " " + path + "=" + format_number(value);
+bool has_too_few_samples(const ExperimentPoint& point, const Metric& metric) {
+  return std::any_of(point.results.begin(), point.results.end(),
+                     [&](const RunMetrics& run) { return metric.has_too_few_samples(run); });
+}
+
+std::string format_interval(const ConfidenceInterval& interval) {
+  std::string text = format_number(interval.mean);
+  if (interval.sample_count > 1) text += " +- " + format_number(interval.half_width);
   return text;
 }
 
-std::vector<double> metric_values(const ExperimentPoint& p, const Metric& m) {
-  std::vector<double> all;
-  for (const RunMetrics& f : p.results) all.push_back(m.value(f));
-  return all;
+void print_violations(std::ostream& out, const ExperimentPoint& point) {
+  std::size_t printed = 0;
+  for (const RunMetrics& run : point.results) {
+    for (const RuleViolation& violation : run.violations) {
+      if (printed == max_printed_violations) return;
+      out << "  broken: " << describe(violation) << '\n';
+      ++printed;
+    }
+  }
+}
+
+// The mean over the runs; a run that ended earlier counts as 0.
+template <class Field>
+double mean_of_second(const ExperimentPoint& point, std::size_t second, Field field) {
+  double sum = 0;
+  for (const RunMetrics& run : point.results) {
+    if (second < run.seconds.size()) sum += static_cast<double>(run.seconds[second].*field);
+  }
+  return sum / static_cast<double>(point.results.size());
 }
 
-bool has_too_few_samples(const ExperimentPoint& p, const Metric& m) {
-  return std::any_of(p.results.begin(), p.results.end(),
-                     [&](const RunMetrics& f) { return m.has_too_few_samples(f); });
+std::size_t longest_run(const ExperimentPoint& point) {
+  std::size_t seconds = 0;
+  for (const RunMetrics& run : point.results) seconds = std::max(seconds, run.seconds.size());
+  return seconds;
 }
 
-std::string format_interval(const ConfidenceInterval& s) {
-  return format_number(s.mean) + (s.sample_count > 1 ? " +- " + format_number(s.half_width) : "");
+nlohmann::ordered_json run_as_json(const ExperimentPoint& point, std::size_t index) {
+  const RunMetrics& run = point.results[index];
+  nlohmann::ordered_json line{{"policy", policy_name(point.policy)}, {"seed", point.seeds[index]}};
+  for (const VariableSetting& setting : point.settings) line["at"][setting.path] = setting.value;
+  for (const Metric& metric : all_metrics()) {
+    line[metric.name] = metric.value(run);
+    if (metric.has_too_few_samples(run)) line["few"].push_back(metric.name);
+  }
+  line["arrived"] = run.arrived;
+  line["open"] = run.open_at_end;
+  line["events"] = run.events;
+  for (const RuleViolation& violation : run.violations) line["broken"].push_back(describe(violation));
+  return line;
 }
 
 }  // namespace
 
+std::string format_number(double value) {
+  std::ostringstream text;
+  text << std::setprecision(table_precision) << value;
+  return text.str();
+}
+
+std::string point_label(const ExperimentPoint& point) {
+  std::string label = policy_name(point.policy);
+  for (const VariableSetting& setting : point.settings)
+    label += " " + setting.path + "=" + format_number(setting.value);
+  return label;
+}
+
+ConfidenceInterval metric_interval(const ExperimentPoint& point, const Metric& metric) {
+  return confidence_interval(metric_values(point, metric));
+}
+
 void print_table(std::ostream& out, const std::vector<ExperimentPoint>& points) {
-  bool marked = false;
-  for (const ExperimentPoint& p : points) {
-    out << point_label(p) << ", " << p.results.size() << (p.results.size() == 1 ? " run\n" : " runs\n");
-    for (const Metric& m : measures()) {
-      const bool scarce = has_too_few_samples(p, m);
-      marked |= scarce;
-      out << "  " << std::left << std::setw(18) << m.name
-          << format_interval(confidence_interval(metric_values(p, m))) << (scarce ? " *" : "") << '\n';
+  bool any_marked = false;
+  for (const ExperimentPoint& point : points) {
+    const std::size_t runs = point.results.size();
+    out << point_label(point) << ", " << runs << (runs == 1 ? " run\n" : " runs\n");
+    for (const Metric& metric : all_metrics()) {
+      const bool marked = has_too_few_samples(point, metric);
+      any_marked |= marked;
+      out << "  " << std::left << std::setw(18) << metric.name
+          << format_interval(metric_interval(point, metric)) << (marked ? " *" : "") << '\n';
     }
-    std::size_t shown = 0;
-    for (const RunMetrics& f : p.results)
-      for (const RuleViolation& b : f.violations)
-        if (constexpr std::size_t most = 5; shown++ < most) out << "  broken: " << describe(b) << '\n';
+    print_violations(out, point);
   }
-  if (marked) out << "* fewer than ten samples lie beyond this quantile in some run\n";
+  if (any_marked) out << "* fewer than ten samples lie beyond this quantile in some run\n";
 }
 
 void print_differences(std::ostream& out, const std::vector<ExperimentPoint>& points) {
   if (points.size() < 2) return;
-  out << "beside " << policy_name(points[0].policy) << ", on the same seeds:\n";
-  for (const ExperimentPoint& p : points) {
-    if (&p == &points[0]) continue;
-    out << "  " << std::left << std::setw(14) << policy_name(p.policy);
+  const ExperimentPoint& reference = points.front();
+  out << "beside " << policy_name(reference.policy) << ", on the same seeds:\n";
+  for (std::size_t i = 1; i < points.size(); ++i) {
+    out << "  " << std::left << std::setw(14) << policy_name(points[i].policy);
     for (const char* name : {"utility", "p50_ms", "p99_ms"}) {
-      const auto m = std::find_if(measures().begin(), measures().end(),
-                                  [&](const Metric& is) { return std::string(is.name) == name; });
-      std::vector<double> apart = metric_values(p, *m), own = metric_values(points[0], *m);
-      for (std::size_t i = 0; i < apart.size(); ++i) apart[i] -= own[i];
-      out << name << ' ' << std::showpos << format_interval(confidence_interval(apart)) << std::noshowpos
-          << "  ";
+      const Metric& metric = find_metric(name);
+      std::vector<double> differences = metric_values(points[i], metric);
+      const std::vector<double> reference_values = metric_values(reference, metric);
+      for (std::size_t run = 0; run < differences.size(); ++run) differences[run] -= reference_values[run];
+      out << name << ' ' << std::showpos << format_interval(confidence_interval(differences))
+          << std::noshowpos << "  ";
     }
     out << '\n';
   }
 }
 
 void write_summary(std::ostream& out, const std::vector<ExperimentPoint>& points) {
-  std::vector<std::string> paths;
-  if (!points.empty())
-    for (const auto& [path, value] : points[0].settings) paths.push_back(path);
-  for (const std::string& path : paths) out << path << ',';
-  out << "policy,measure,mean,half95,runs,few\n" << std::setprecision(9);
-  for (const ExperimentPoint& p : points)
-    for (const Metric& m : measures()) {
-      const ConfidenceInterval s = confidence_interval(metric_values(p, m));
-      for (const auto& [path, value] : p.settings) out << value << ',';
-      out << policy_name(p.policy) << ',' << m.name << ',' << s.mean << ',' << s.half_width << ','
-          << s.sample_count << ',' << (has_too_few_samples(p, m) ? 1 : 0) << '\n';
+  if (!points.empty()) {
+    for (const VariableSetting& setting : points.front().settings) out << setting.path << ',';
+  }
+  out << "policy,measure,mean,half95,runs,few\n" << std::setprecision(csv_precision);
+  for (const ExperimentPoint& point : points) {
+    for (const Metric& metric : all_metrics()) {
+      const ConfidenceInterval interval = metric_interval(point, metric);
+      for (const VariableSetting& setting : point.settings) out << setting.value << ',';
+      out << policy_name(point.policy) << ',' << metric.name << ',' << interval.mean << ','
+          << interval.half_width << ',' << interval.sample_count << ','
+          << (has_too_few_samples(point, metric) ? 1 : 0) << '\n';
     }
+  }
 }
 
 void write_seconds(std::ostream& out, const std::vector<ExperimentPoint>& points) {
+  using Second = SecondMetrics;
+  constexpr std::array counters{&Second::arrived,
+                                &Second::ok,
+                                &Second::late,
+                                &Second::rejected,
+                                &Second::failed,
+                                &Second::attempts,
+                                &Second::handshakes,
+                                &Second::health_checks,
+                                &Second::discovery_polls,
+                                &Second::connect_failed,
+                                &Second::started_in_slow_start};
   out << "point,second,offered,gained,arrived,ok,late,pushed_back,aborted,picks,handshakes,probes,list_calls,"
          "connect_failed,cold_began\n"
-      << std::setprecision(9);
+      << std::setprecision(csv_precision);
   for (std::size_t i = 0; i < points.size(); ++i) {
-    std::size_t longest = 0;
-    for (const RunMetrics& f : points[i].results) longest = std::max(longest, f.seconds.size());
-    for (std::size_t at = 0; at < longest; ++at) {
-      const auto mean = [&](auto of) {
-        double sum = 0;
-        for (const RunMetrics& f : points[i].results)
-          if (at < f.seconds.size()) sum += static_cast<double>(f.seconds[at].*of);
-        return sum / static_cast<double>(points[i].results.size());
-      };
-      out << i << ',' << at << ',' << mean(&SecondMetrics::offered_utility) << ','
-          << mean(&SecondMetrics::gained_utility);
-      for (const auto of :
-           {&SecondMetrics::arrived, &SecondMetrics::ok, &SecondMetrics::late, &SecondMetrics::rejected,
-            &SecondMetrics::failed, &SecondMetrics::attempts, &SecondMetrics::handshakes,
-            &SecondMetrics::health_checks, &SecondMetrics::discovery_polls, &SecondMetrics::connect_failed,
-            &SecondMetrics::started_in_slow_start})
-        out << ',' << mean(of);
+    const ExperimentPoint& point = points[i];
+    for (std::size_t second = 0; second < longest_run(point); ++second) {
+      out << i << ',' << second;
+      out << ',' << mean_of_second(point, second, &Second::offered_utility);
+      out << ',' << mean_of_second(point, second, &Second::gained_utility);
+      for (const auto counter : counters) out << ',' << mean_of_second(point, second, counter);
       out << '\n';
     }
   }
 }
 
 void write_runs(std::ostream& out, const std::vector<ExperimentPoint>& points) {
-  for (const ExperimentPoint& p : points)
-    for (std::size_t i = 0; i < p.results.size(); ++i) {
-      const RunMetrics& f = p.results[i];
-      Json line{{"policy", policy_name(p.policy)}, {"seed", p.seeds[i]}};
-      for (const auto& [path, value] : p.settings) line["at"][path] = value;
-      for (const Metric& m : measures()) {
-        line[m.name] = m.value(f);
-        if (m.has_too_few_samples(f)) line["few"].push_back(m.name);
-      }
-      line["arrived"] = f.arrived;
-      line["open"] = f.open_at_end;
-      line["events"] = f.events;
-      for (const RuleViolation& b : f.violations) line["broken"].push_back(describe(b));
-      out << line.dump() << '\n';
-    }
-}
-
-void write_plot(std::ostream& out, const std::vector<ExperimentPoint>& points) {
-  out << "# gnuplot plot.gp draws plot.png from the files beside it\n"
-         "set terminal pngcairo size 1100,800\nset output 'plot.png'\nset datafile separator ','\n"
-         "set key outside right\nset grid\n";
-  const std::size_t axes = points.empty() ? 0 : points[0].settings.size();
-  if (axes == 0) {
-    out << "set multiplot layout 3,1\nset xlabel 'second'\n";
-    const auto panel = [&](const char* title, const char* what) {
-      out << "set ylabel '" << title << "'\nplot ";
-      for (std::size_t i = 0; i < points.size(); ++i)
-        out << (i ? ", " : "") << "'seconds.csv' using ($1==" << i << "?$2:1/0):(" << what
-            << ") with linespoints pointsize 0.4 title '" << point_label(points[i]) << "' noenhanced";
-      out << '\n';
-    };
-    panel("utility gained of offered", "$3>0?$4/$3:1/0");
-    panel("pushed back a second", "$8");
-    panel("handshakes a second", "$11");
-    out << "unset multiplot\n";
-    return;
-  }
-  // Lines over the first variable, one for each policy and value of the second; each has its own block of
-  // data, since a line drawn from a filtered file is broken at what is left out.
-  std::set<double> second_values{0};
-  if (axes > 1) {
-    second_values.clear();
-    for (const ExperimentPoint& p : points) second_values.insert(p.settings[1].second);
+  for (const ExperimentPoint& point : points) {
+    for (std::size_t i = 0; i < point.results.size(); ++i) out << run_as_json(point, i).dump() << '\n';
   }
-  std::set<PolicyKind> policies;
-  double least = points[0].settings[0].second, most = least;
-  for (const ExperimentPoint& p : points) {
-    policies.insert(p.policy);
-    least = std::min(least, p.settings[0].second);
-    most = std::max(most, p.settings[0].second);
-  }
-  constexpr double decade = 10;
-  out << "set xlabel '" << points[0].settings[0].first << "' noenhanced\n";
-  if (least > 0 && most >= decade * least) out << "set logscale x\n";
-  std::ostringstream plots;
-  int blocks = 0;
-  for (const char* name : {"utility", "p99_ms"}) {
-    const auto m = std::find_if(measures().begin(), measures().end(),
-                                [&](const Metric& is) { return std::string(is.name) == name; });
-    plots << "set ylabel '" << name << "' noenhanced\nplot ";
-    bool first = true;
-    for (const PolicyKind by : policies)
-      for (const double v : second_values) {
-        out << "$d" << blocks << " << EOD\n" << std::setprecision(9);
-        for (const ExperimentPoint& p : points) {
-          if (p.policy != by || (axes > 1 && p.settings[1].second != v)) continue;
-          const ConfidenceInterval s = confidence_interval(metric_values(p, *m));
-          out << p.settings[0].second << ',' << s.mean << ',' << s.half_width << '\n';
-        }
-        out << "EOD\n";
-        plots << (first ? "" : ", ") << "$d" << blocks++ << " using 1:2:3 with yerrorlines title '"
-              << policy_name(by)
-              << (axes > 1 ? " " + points[0].settings[1].first + "=" + format_number(v) : "")
-              << "' noenhanced";
-        first = false;
-      }
-    plots << '\n';
-  }
-  out << "set multiplot layout 2,1\n" << plots.str() << "unset multiplot\n";
 }
 
-void write_all(const std::filesystem::path& folder, const std::vector<ExperimentPoint>& points) {
-  std::filesystem::create_directories(folder);
-  const auto file = [&](const char* name, void (*write)(std::ostream&, const std::vector<ExperimentPoint>&)) {
-    std::ofstream out(folder / name);
+void write_all(const std::filesystem::path& directory, const std::vector<ExperimentPoint>& points) {
+  using Writer = void (*)(std::ostream&, const std::vector<ExperimentPoint>&);
+  std::filesystem::create_directories(directory);
+  const auto write_file = [&](const char* name, Writer write) {
+    const std::filesystem::path path = directory / name;
+    std::ofstream out(path);
     write(out, points);
-    if (!out.flush()) throw std::runtime_error("can't write " + (folder / name).string());
-  };
-  file("summary.csv", write_summary);
-  file("seconds.csv", write_seconds);
-  file("runs.jsonl", write_runs);
-  file("plot.gp", write_plot);
-}
-
-void TraceWriter::on_event(const TraceEvent& e) {
-  using What = TraceEvent::Kind;
-  static constexpr const char* names[]{
-      "server_is", "told",          "rpc_taken", "pick_decided", "pick_written", "pick_came", "pick_began",
-      "pick_over", "probe_written", "answered",  "client_left",  "sidecar_died", "end"};
-  static constexpr const char* endings[]{"ok",    "error",     "full", "timed_out", "connect_failed",
-                                         "reset", "cancelled", "moot"};
-  static constexpr const char* answers[]{"ok", "pushed_back", "aborted"};
-  static constexpr const char* standings[]{"ready", "draining", "gone"};
-  Json line{{"at", e.time_ms}, {"what", names[static_cast<std::size_t>(e.kind)]}};
-  const auto in = [&](std::initializer_list<What> those) {
-    return std::find(those.begin(), those.end(), e.kind) != those.end();
+    if (!out.flush()) throw std::runtime_error("can't write " + path.string());
   };
-  if (!in({What::server_state, What::run_ended})) line["sidecar"] = e.sidecar;
-  if (!in({What::rpc_received, What::client_disconnected, What::sidecar_died, What::run_ended}))
-    line["server"] = "s" + std::to_string(e.server);
-  if (e.rpc) line["rpc"] = e.rpc;
-  if (in({What::attempt_decided, What::attempt_sent, What::attempt_received, What::attempt_started,
-          What::attempt_finished}))
-    line["pick"] = e.attempt;
-  if (e.kind == What::rpc_received) line["deadline"] = e.deadline_ms;
-  if (e.kind == What::attempt_finished) line["how"] = endings[static_cast<std::size_t>(e.outcome)];
-  if (e.kind == What::answered) line["answer"] = answers[static_cast<std::size_t>(e.answer)];
-  if (e.kind == What::endpoint_notified) line["state"] = standings[static_cast<std::size_t>(e.state)];
-  if (in({What::endpoint_notified, What::server_state}) && e.started_at_ms > 0)
-    line["started"] = e.started_at_ms;
-  if (e.kind == What::attempt_received) line["work"] = e.work_ms;
-  if (e.kind == What::server_state) line["capacity"] = e.capacity;
-  output_ << line.dump() << '\n';
+  write_file("summary.csv", write_summary);
+  write_file("seconds.csv", write_seconds);
+  write_file("runs.jsonl", write_runs);
+  write_file("plot.gp", write_plot);
 }
 
 }  // namespace indigorill::emulator
--- a/src/load/play.cpp
+++ b/src/load/play.cpp
@@ -14,8 +14,8 @@
 #include <set>
 
 #include "config/load_balancer_config.h"
-#include "emulator/experiment.h"
 #include "emulator/scenario_table.h"
+#include "emulator/sweep.h"
 #include "load/crew.h"
 
 namespace indigorill::loading {
--- a/tests/emulator_test.cpp
+++ b/tests/emulator_test.cpp
@@ -9,9 +9,12 @@
 
 #include "emulator/command_line.h"
 #include "emulator/experiment.h"
+#include "emulator/gnuplot.h"
 #include "emulator/report.h"
 #include "emulator/scenario_table.h"
+#include "emulator/simulation.h"
 #include "emulator/statistics.h"
+#include "emulator/worst_case_search.h"
 
 using namespace indigorill;
 using namespace indigorill::emulator;
