Limits: rotation and random draw apart, whole names, errors by position and by limit

The limiter's constructor divided all limits in a lambda, the extra unit of a slot was decided in one function for both ways, the check of the values was one expression. Arithmetic keeps its order.

--- a/src/emulator/rule_checker.h
+++ b/src/emulator/rule_checker.h
@@ -10,12 +10,12 @@
 #pragma once
 
 #include <array>
-#include <compare>
 #include <cstddef>
 #include <cstdint>
 #include <deque>
 #include <map>
 #include <string>
+#include <tuple>
 #include <unordered_map>
 #include <unordered_set>
 #include <vector>
@@ -96,7 +96,9 @@
   struct SidecarAndServer {
     std::uint32_t sidecar;
     std::uint32_t server;
-    auto operator<=>(const SidecarAndServer&) const = default;
+    bool operator<(const SidecarAndServer& other) const {
+      return std::tie(sidecar, server) < std::tie(other.sidecar, other.server);
+    }
   };
 
   void add_violation(int rule, const TraceEvent& event, std::string description);
--- a/src/limits/fleet_limiter.cpp
+++ b/src/limits/fleet_limiter.cpp
@@ -8,190 +8,245 @@
 namespace indigorill {
 namespace {
 
-// Rates are shared out by the second: shorter slots leave less than one RPC to share, longer ones let a
-// server stand idle for longer. Connections by ten: some two idle times, so that few are closed at a change.
-constexpr double rate_slot_ms = 1000, connection_slot_ms = 10000;
+// Rates are divided by the second: shorter slots leave less than one RPC to divide, longer ones let a server
+// stand idle for longer. Connections by ten: some two idle timeouts, so that few are closed at a change.
+constexpr double rate_slot_ms = 1000;
+constexpr double connection_slot_ms = 10000;
+constexpr double ms_per_second = 1000;
 // A window as long as a slot may meet two of them, and what was opened in one slot may be in use in the next.
 constexpr double slot_overlap = 2;
-// How often bad luck may break a bound: once in so many slots of one server.
+// How often bad luck may exceed a limit: once in so many slots of one server.
 constexpr double violation_probability = 1e-6;
+// At the very boundary the old slot could be met again, for ever.
+constexpr double slot_boundary_margin_ms = 1;
 
-std::uint64_t mix(std::uint64_t h) {  // splitmix64's finaliser
-  h = (h ^ (h >> 30)) * 0xbf58476d1ce4e5b9ULL;
-  h = (h ^ (h >> 27)) * 0x94d049bb133111ebULL;
-  return h ^ (h >> 31);
+constexpr double max_instances = 1e7;
+constexpr double min_weight = 1e-3;
+constexpr double max_limit = 1e9;
+
+// splitmix64's finaliser.
+std::uint64_t mix_bits(std::uint64_t bits) {
+  bits = (bits ^ (bits >> 30)) * 0xbf58476d1ce4e5b9ULL;
+  bits = (bits ^ (bits >> 27)) * 0x94d049bb133111ebULL;
+  return bits ^ (bits >> 31);
+}
+
+// FNV-1a: the same at every instance.
+std::uint64_t hash_name(std::string_view name) {
+  std::uint64_t hash = 14695981039346656037ULL;
+  for (const char character : name) hash = (hash ^ static_cast<unsigned char>(character)) * 1099511628211ULL;
+  return hash;
+}
+
+// In [0, 1).
+double unit_interval(std::uint64_t bits) { return static_cast<double>(mix_bits(bits) >> 11) * 0x1p-53; }
+
+// The mean that instances may have together at random, so that they hardly ever exceed the limit. The sum of
+// many small probabilities has no heavier a tail than Poisson's, whose tail is the incomplete gamma function.
+double mean_below_limit(double limit) {
+  return limit < 1 ? 0 : boost::math::gamma_p_inv(std::floor(limit) + 1, violation_probability);
 }
 
-std::uint64_t hash(std::string_view text) {  // FNV-1a: the same at every instance
-  std::uint64_t h = 14695981039346656037ULL;
-  for (const char c : text) h = (h ^ static_cast<unsigned char>(c)) * 1099511628211ULL;
-  return h;
+bool is_between(double value, double minimum, double maximum) {
+  return std::isfinite(value) && value >= minimum && value <= maximum;
 }
 
-double unit(std::uint64_t h) { return static_cast<double>(mix(h) >> 11) * 0x1p-53; }
+bool is_whole_number(double value, double minimum, double maximum) {
+  return is_between(value, minimum, maximum) && value == std::floor(value);
+}
 
-// The mean that instances may have together by chance, so that they hardly ever are more than `most`. The sum
-// of many small chances has no heavier a tail than Poisson's, whose tail is the incomplete gamma function.
-double mean_below_limit(double most) {
-  return most < 1 ? 0 : boost::math::gamma_p_inv(std::floor(most) + 1, violation_probability);
+std::string describe_position_error(const InstancePosition& position) {
+  std::ostringstream error;
+  if (!is_whole_number(position.instances, 1, max_instances))
+    error << "instances is " << position.instances << ", not a whole number from 1 to " << max_instances;
+  else if (!is_between(position.weight, min_weight, position.instances))
+    error << "weight is " << position.weight << ", not 0.001 to the number of instances";
+  else if (position.index && !is_whole_number(*position.index, 0, max_instances))
+    error << "turn is " << *position.index << ", not a whole number from 0";
+  else if (position.index && position.weight != 1)
+    error << "weight and turn exclude each other";
+  return error.str();
+}
+
+std::string describe_limit_error(const char* name, double limit) {
+  if (limit == 0 || is_between(limit, 1, max_limit)) return {};
+  std::ostringstream error;
+  error << name << " is " << limit << ", not 0 or from 1";
+  return error.str();
 }
 
 }  // namespace
 
-std::optional<std::string> find_limits_error(const FleetLimits& b, const InstancePosition& p) {
-  std::ostringstream wrong;
-  constexpr double most = 1e7;
-  const auto sound = [](double v, double least, double highest) {
-    return std::isfinite(v) && v >= least && v <= highest;
-  };
-  if (!sound(p.instances, 1, most) || p.instances != std::floor(p.instances))
-    wrong << "instances is " << p.instances << ", not a whole number from 1 to " << most;
-  else if (!sound(p.weight, 1e-3, p.instances))
-    wrong << "weight is " << p.weight << ", not 0.001 to the number of instances";
-  else if (p.index && (!sound(*p.index, 0, most) || *p.index != std::floor(*p.index)))
-    wrong << "turn is " << *p.index << ", not a whole number from 0";
-  else if (p.index && p.weight != 1)
-    wrong << "weight and turn exclude each other";
-  for (const auto& [name, v] :
-       {std::pair("connections", b.connections), std::pair("handshakes", b.handshakes_per_second),
-        std::pair("probes", b.health_checks_per_second),
-        std::pair("list_calls", b.discovery_polls_per_second)})
-    if (v != 0 && !sound(v, 1, 1e9) && wrong.str().empty())
-      wrong << name << " is " << v << ", not 0 or from 1";
-  if (wrong.str().empty()) return {};
-  return wrong.str();
-}
-
-FleetLimiter::FleetLimiter(const FleetLimits& b, const InstancePosition& p, std::uint64_t identity)
-    : position_(p), identity_(identity) {
-  const auto plan = [&](Resource what, double bound, double length) {
-    if (bound <= 0) return;
-    SlotShare& s = shares_[static_cast<std::size_t>(what)];
-    s.bounded = true;
-    const bool a_rate = what != Resource::connection;
-    // Of a small bound at least one whole RPC is shared out in a slot.
-    s.slot_ms = a_rate ? std::max(length, slot_overlap * length / bound) : length;
-    const double budget = bound * (a_rate ? s.slot_ms / rate_slot_ms : 1) / slot_overlap;
-    s.guaranteed = std::floor(budget * position_.weight / position_.instances);
-    const double rest = budget - s.guaranteed * position_.instances / position_.weight;
-    s.extra = position_.index
-                  ? std::floor(rest)
-                  : std::min(mean_below_limit(rest) * position_.weight / position_.instances, 1.0);
-  };
-  plan(Resource::connection, b.connections, connection_slot_ms);
-  plan(Resource::handshake, b.handshakes_per_second, rate_slot_ms);
-  plan(Resource::health_check, b.health_checks_per_second, rate_slot_ms);
-  plan(Resource::discovery_poll, b.discovery_polls_per_second, rate_slot_ms);
+std::optional<std::string> find_limits_error(const FleetLimits& limits, const InstancePosition& position) {
+  for (const std::string& error :
+       {describe_position_error(position), describe_limit_error("connections", limits.connections),
+        describe_limit_error("handshakes", limits.handshakes_per_second),
+        describe_limit_error("probes", limits.health_checks_per_second),
+        describe_limit_error("list_calls", limits.discovery_polls_per_second)}) {
+    if (!error.empty()) return error;
+  }
+  return std::nullopt;
+}
+
+FleetLimiter::FleetLimiter(const FleetLimits& limits, const InstancePosition& position,
+                           std::uint64_t identity)
+    : position_(position), identity_(identity) {
+  // In the order of Resource.
+  shares_ = {divide(limits.connections, connection_slot_ms), divide_rate(limits.handshakes_per_second),
+             divide_rate(limits.health_checks_per_second), divide_rate(limits.discovery_polls_per_second)};
+}
+
+FleetLimiter::SlotShare FleetLimiter::divide_rate(double limit_per_second) const {
+  if (limit_per_second <= 0) return {};
+  // Of a small limit at least one whole RPC is divided in a slot.
+  const double slot_ms = std::max(rate_slot_ms, slot_overlap * rate_slot_ms / limit_per_second);
+  return divide(limit_per_second * (slot_ms / ms_per_second), slot_ms);
+}
+
+// `limit`: in one slot.
+FleetLimiter::SlotShare FleetLimiter::divide(double limit, double slot_ms) const {
+  if (limit <= 0) return {};
+  const double budget = limit / slot_overlap;
+  SlotShare share;
+  share.bounded = true;
+  share.slot_ms = slot_ms;
+  share.guaranteed = std::floor(budget * position_.weight / position_.instances);
+  const double remainder = budget - share.guaranteed * position_.instances / position_.weight;
+  const double probability = mean_below_limit(remainder) * position_.weight / position_.instances;
+  share.extra = position_.index ? std::floor(remainder) : std::min(probability, 1.0);
+  return share;
 }
 
 void FleetLimiter::update_endpoints(const std::vector<std::string>& servers) {
   endpoints_ = servers;
   std::sort(endpoints_.begin(), endpoints_.end());
-  // What was spent at servers that are gone tells nothing more; what is held there is still given back.
-  std::erase_if(slot_usage_, [&](const auto& s) {
-    return !s.first.first.empty() && !std::binary_search(endpoints_.begin(), endpoints_.end(), s.first.first);
+  // What was used at servers that are gone tells nothing more; connections there are still released.
+  std::erase_if(slot_usage_, [&](const auto& key_and_usage) {
+    const std::string& server = key_and_usage.first.first;
+    return !server.empty() && !std::binary_search(endpoints_.begin(), endpoints_.end(), server);
   });
 }
 
-// Each instance's slots begin at another moment: else all that wait would ask in the same instant.
-std::int64_t FleetLimiter::slot_number(Resource what, double now) const {
-  return static_cast<std::int64_t>(std::floor(now / share_of(what).slot_ms + unit(identity_)));
+// Each instance's slots begin at another moment: otherwise all that wait would ask in the same instant.
+std::int64_t FleetLimiter::slot_number(Resource resource, double now_ms) const {
+  return static_cast<std::int64_t>(
+      std::floor(now_ms / share_of(resource).slot_ms + unit_interval(identity_)));
+}
+
+double FleetLimiter::next_slot_delay_ms(Resource resource, double now_ms) const {
+  const SlotShare& share = share_of(resource);
+  if (!share.bounded) return 0;
+  const auto next_slot = static_cast<double>(slot_number(resource, now_ms) + 1);
+  return (next_slot - unit_interval(identity_)) * share.slot_ms - now_ms + slot_boundary_margin_ms;
 }
 
-double FleetLimiter::next_slot_delay_ms(Resource what, double now) const {
-  if (!share_of(what).bounded) return 0;
-  // A millisecond late: at the very boundary the old slot could be met again, for ever.
-  constexpr double late = 1;
-  return (static_cast<double>(slot_number(what, now) + 1) - unit(identity_)) * share_of(what).slot_ms - now +
-         late;
+bool FleetLimiter::has_extra_unit(Resource resource, std::string_view server, std::int64_t slot) const {
+  const SlotShare& share = share_of(resource);
+  if (share.extra <= 0) return false;
+  return position_.index ? has_extra_unit_in_rotation(share.extra, server, slot)
+                         : has_extra_unit_at_random(resource, server, slot);
 }
 
-bool FleetLimiter::has_extra_unit(Resource what, std::string_view server, std::int64_t at) const {
-  const SlotShare& s = share_of(what);
-  if (s.extra <= 0) return false;
-  const auto rank = static_cast<double>(std::lower_bound(endpoints_.begin(), endpoints_.end(), server) -
-                                        endpoints_.begin());
+// The next slot belongs to the next instances. At another server the rotation stands elsewhere, evenly, so
+// that an instance has its turn at some server as often as can be.
+bool FleetLimiter::has_extra_unit_in_rotation(double extra, std::string_view server,
+                                              std::int64_t slot) const {
+  const double instances = position_.instances;
+  const auto server_rank = static_cast<double>(
+      std::lower_bound(endpoints_.begin(), endpoints_.end(), server) - endpoints_.begin());
   const auto servers = std::max(static_cast<double>(endpoints_.size()), 1.0);
-  if (position_.index) {
-    // Turns go round: the next slot has the next ones. At another server they stand elsewhere, evenly, so
-    // that an instance has its turn at some server as often as can be.
-    const double from = std::floor(rank * position_.instances / servers) + static_cast<double>(at) * s.extra;
-    const double mine = std::fmod(
-        std::fmod(*position_.index + from, position_.instances) + position_.instances, position_.instances);
-    return mine < s.extra;
-  }
-  // By chance, but as many of the servers in each slot as the chance says: where that is one or more, an
-  // instance is never without any. Seen from a server, its instances are still drawn apart from each other.
-  const double shift =
-      unit(identity_ ^ mix(static_cast<std::uint64_t>(at) * kinds + static_cast<std::uint64_t>(what) + 1));
-  const std::uint64_t salt = mix(identity_ + static_cast<std::uint64_t>(at));
-  std::size_t before = 0;  // servers that come earlier in this slot's own order
-  const std::uint64_t own = mix(hash(server) ^ salt);
-  for (const std::string& other : endpoints_) before += mix(hash(other) ^ salt) < own;
-  const double first = static_cast<double>(before) * s.extra + shift, last = first + s.extra;
-  return std::floor(last) > std::floor(first);
-}
-
-double FleetLimiter::allowed(Resource what, std::string_view server, double now) const {
-  const std::int64_t at = slot_number(what, now);
-  return share_of(what).guaranteed + (has_extra_unit(what, server, at) ? 1 : 0);
-}
-
-bool FleetLimiter::may_acquire(Resource what, std::string_view server, double now) const {
-  if (!share_of(what).bounded) return true;
-  if (what == Resource::connection) {
-    const auto it = connections_.find(server);
-    return static_cast<double>(it == connections_.end() ? 0 : it->second) < allowed(what, server, now);
-  }
-  const auto it = slot_usage_.find({std::string(server), static_cast<std::size_t>(what)});
-  const bool this_slot = it != slot_usage_.end() && it->second.slot == slot_number(what, now);
-  return (this_slot ? it->second.acquired : 0) < allowed(what, server, now);
+  const double rotation = std::floor(server_rank * instances / servers) + static_cast<double>(slot) * extra;
+  const double place = std::fmod(std::fmod(*position_.index + rotation, instances) + instances, instances);
+  return place < extra;
+}
+
+// At random, but at as many of the servers in each slot as the probability says: where that is one or more,
+// an instance is never without any. Seen from a server, its instances are still drawn independently.
+bool FleetLimiter::has_extra_unit_at_random(Resource resource, std::string_view server,
+                                            std::int64_t slot) const {
+  const double extra = share_of(resource).extra;
+  const auto slot_bits = static_cast<std::uint64_t>(slot);
+  const auto resource_bits = static_cast<std::uint64_t>(resource);
+  const double shift = unit_interval(identity_ ^ mix_bits(slot_bits * resource_count + resource_bits + 1));
+  const std::uint64_t salt = mix_bits(identity_ + slot_bits);
+  const std::uint64_t own_order = mix_bits(hash_name(server) ^ salt);
+  const auto earlier_servers =
+      std::count_if(endpoints_.begin(), endpoints_.end(),
+                    [&](const std::string& other) { return mix_bits(hash_name(other) ^ salt) < own_order; });
+  const double start = static_cast<double>(earlier_servers) * extra + shift;
+  return std::floor(start + extra) > std::floor(start);
+}
+
+double FleetLimiter::allowed(Resource resource, std::string_view server, double now_ms) const {
+  const std::int64_t slot = slot_number(resource, now_ms);
+  return share_of(resource).guaranteed + (has_extra_unit(resource, server, slot) ? 1 : 0);
+}
+
+std::uint64_t FleetLimiter::connections_to(std::string_view server) const {
+  const auto found = connections_.find(server);
+  return found == connections_.end() ? 0 : found->second;
+}
+
+bool FleetLimiter::may_acquire(Resource resource, std::string_view server, double now_ms) const {
+  if (!share_of(resource).bounded) return true;
+  if (resource == Resource::connection)
+    return static_cast<double>(connections_to(server)) < allowed(resource, server, now_ms);
+  const auto found = slot_usage_.find({std::string(server), static_cast<std::size_t>(resource)});
+  const bool used_in_slot = found != slot_usage_.end() && found->second.slot == slot_number(resource, now_ms);
+  const double acquired = used_in_slot ? found->second.acquired : 0;
+  return acquired < allowed(resource, server, now_ms);
+}
+
+bool FleetLimiter::may_open_connection(std::string_view server, double now_ms) const {
+  return may_acquire(Resource::connection, server, now_ms) &&
+         may_acquire(Resource::handshake, server, now_ms);
 }
 
-bool FleetLimiter::acquire(Resource what, std::string_view server, double now) {
-  GrantCounts& c = counts_[static_cast<std::size_t>(what)];
-  if (!may_acquire(what, server, now)) {
-    ++c.denied;
+bool FleetLimiter::acquire(Resource resource, std::string_view server, double now_ms) {
+  GrantCounts& counts = counts_[static_cast<std::size_t>(resource)];
+  if (!may_acquire(resource, server, now_ms)) {
+    ++counts.denied;
     return false;
   }
-  ++c.granted;
-  if (what == Resource::connection) {
+  ++counts.granted;
+  if (resource == Resource::connection) {
     ++connections_[std::string(server)];
-  } else if (share_of(what).bounded) {
-    SlotUsage& u = slot_usage_[{std::string(server), static_cast<std::size_t>(what)}];
-    const std::int64_t at = slot_number(what, now);
-    if (u.slot != at) u = {at, 0};
-    ++u.acquired;
+  } else if (share_of(resource).bounded) {
+    SlotUsage& usage = slot_usage_[{std::string(server), static_cast<std::size_t>(resource)}];
+    const std::int64_t slot = slot_number(resource, now_ms);
+    if (usage.slot != slot) usage = {slot, 0};
+    ++usage.acquired;
   }
   return true;
 }
 
-bool FleetLimiter::open_connection(std::string_view server, double now) {
-  if (!may_open_connection(server, now)) {
-    ++counts_[static_cast<std::size_t>(may_acquire(Resource::connection, server, now) ? Resource::handshake
-                                                                                      : Resource::connection)]
-          .denied;
+bool FleetLimiter::open_connection(std::string_view server, double now_ms) {
+  if (!may_open_connection(server, now_ms)) {
+    const bool may_connect = may_acquire(Resource::connection, server, now_ms);
+    const Resource denied = may_connect ? Resource::handshake : Resource::connection;
+    ++counts_[static_cast<std::size_t>(denied)].denied;
     return false;
   }
-  return acquire(Resource::handshake, server, now) && acquire(Resource::connection, server, now);
+  return acquire(Resource::handshake, server, now_ms) && acquire(Resource::connection, server, now_ms);
 }
 
 void FleetLimiter::release_connection(std::string_view server) {
-  const auto it = connections_.find(server);
-  if (it != connections_.end() && --it->second == 0) connections_.erase(it);
+  const auto found = connections_.find(server);
+  if (found == connections_.end()) return;
+  --found->second;
+  if (found->second == 0) connections_.erase(found);
 }
 
-bool FleetLimiter::within_connection_limit(std::string_view server, double now) const {
+bool FleetLimiter::within_connection_limit(std::string_view server, double now_ms) const {
   if (!share_of(Resource::connection).bounded) return true;
-  const auto it = connections_.find(server);
-  return it == connections_.end() ||
-         static_cast<double>(it->second) <= allowed(Resource::connection, server, now);
+  const std::uint64_t open = connections_to(server);
+  return open == 0 || static_cast<double>(open) <= allowed(Resource::connection, server, now_ms);
 }
 
 std::uint64_t FleetLimiter::open_connections() const {
-  std::uint64_t all = 0;
-  for (const auto& [server, n] : connections_) all += n;
-  return all;
+  std::uint64_t open = 0;
+  for (const auto& [server, connections] : connections_) open += connections;
+  return open;
 }
 
 }  // namespace indigorill
--- a/src/limits/fleet_limiter.h
+++ b/src/limits/fleet_limiter.h
@@ -1,92 +1,113 @@
-// What one of many sidecars may hold open and ask, so that all of them together stay under what a server, and
-// the list's service, can take, though none knows what the others do. No I/O; clock and identity are given.
-//
-// A bound is cut into slots of time; in each slot every instance has its whole part of the bound, and the
-// rest goes to some of them: by turns where each knows which one it is (exact), else by chance (with a margin
-// for bad luck). Nothing is saved up, so that thousands that begin in the same instant add up to no more.
+/// \file
+/// Limits that all sidecars keep together, without talking to each other: what one of them may hold open and
+/// request, so that all of them stay under what a server and the discovery service can take. No I/O; clock
+/// and identity are given.
+///
+/// Time is cut into slots. In each slot every instance has a guaranteed part of the limit, and the remainder
+/// goes to some of the instances: in rotation where each knows its index (exact), otherwise at random (with a
+/// margin for bad luck). Nothing is saved up, so that thousands that start in the same instant add up to no
+/// more.
+///
+/// Times are milliseconds on the clock of the wall, which all instances share but for a few milliseconds.
 #pragma once
 
 #include <array>
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
-#include <set>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace indigorill {
 
-// What a server can take from all instances together, and the list's service; 0: no bound.
+/// What a server, and the discovery service, can take from all instances together; 0: no limit.
 struct FleetLimits {
-  double connections = 0;                 // open at one server, in use or not
-  double handshakes_per_second = 0;       // a second at one server
-  double health_checks_per_second = 0;    // a second at one server
-  double discovery_polls_per_second = 0;  // a second
+  double connections = 0;                 ///< open at one server, in use or not
+  double handshakes_per_second = 0;       ///< at one server
+  double health_checks_per_second = 0;    ///< at one server
+  double discovery_polls_per_second = 0;  ///< of the discovery service
 };
 
+/// The place of one instance among all.
 struct InstancePosition {
-  double instances = 1;           // how many share the bounds, as far as told
-  double weight = 1;              // of this one, where they are unequal: as many instances' shares
-  std::optional<double> index{};  // which of them it is, from 0
+  double instances = 1;           ///< how many share the limits, as far as it is told
+  double weight = 1;              ///< its part of the limits, in parts of an average instance
+  std::optional<double> index{};  ///< which of the instances it is, from 0; none: it does not know
 };
 
-// What is wrong with these figures, in one line; none where they are sound.
-std::optional<std::string> find_limits_error(const FleetLimits& b, const InstancePosition& p);
+/// What is wrong with these values, in one line; none where they are valid.
+std::optional<std::string> find_limits_error(const FleetLimits& limits, const InstancePosition& position);
 
+/// The part of the limits that one instance has.
 class FleetLimiter {
  public:
   enum class Resource { connection, handshake, health_check, discovery_poll };
+
   struct GrantCounts {
-    std::uint64_t granted = 0, denied = 0;
+    std::uint64_t granted = 0;
+    std::uint64_t denied = 0;
   };
 
-  FleetLimiter(const FleetLimits& b, const InstancePosition& p, std::uint64_t identity);
+  /// `identity`: distinct for each instance. The limits and the position must be valid.
+  FleetLimiter(const FleetLimits& limits, const InstancePosition& position, std::uint64_t identity);
+
+  /// All servers that there are.
+  void update_endpoints(const std::vector<std::string>& servers);
 
-  void update_endpoints(const std::vector<std::string>& servers);  // all that there are
+  /// Whether it would be granted now. `server` is "" for discovery polls.
+  bool may_acquire(Resource resource, std::string_view server, double now_ms) const;
+  /// The same for a new connection, which takes a handshake as well.
+  bool may_open_connection(std::string_view server, double now_ms) const;
 
-  // Whether it would be granted now; a connection that is opened wants a handshake as well.
-  bool may_acquire(Resource what, std::string_view server, double now) const;
-  bool may_open_connection(std::string_view server, double now) const {
-    return may_acquire(Resource::connection, server, now) && may_acquire(Resource::handshake, server, now);
-  }
-  // Granted, or counted as denied. Connections are given back, by who took them, however they end.
-  bool acquire(Resource what, std::string_view server, double now);
-  bool open_connection(std::string_view server, double now);
+  /// Takes one where it is granted, otherwise counts it as denied.
+  bool acquire(Resource resource, std::string_view server, double now_ms);
+  /// Takes a connection and its handshake. Whoever took it releases it, however it ends.
+  bool open_connection(std::string_view server, double now_ms);
   void release_connection(std::string_view server);
-  // Whether all that is held there may stay: else what rests there is to be closed.
-  bool within_connection_limit(std::string_view server, double now) const;
-  double next_slot_delay_ms(Resource what, double now) const;  // how long until the next slot has begun, ms
 
-  const GrantCounts& counts(Resource what) const { return counts_[static_cast<std::size_t>(what)]; }
+  /// Whether all connections to the server may stay; otherwise idle ones have to be closed.
+  bool within_connection_limit(std::string_view server, double now_ms) const;
+  /// How long until the next slot of the resource has begun.
+  double next_slot_delay_ms(Resource resource, double now_ms) const;
+
+  const GrantCounts& counts(Resource resource) const { return counts_[static_cast<std::size_t>(resource)]; }
+  /// Over all servers.
   std::uint64_t open_connections() const;
 
  private:
-  // How one bound is shared out in each slot.
+  /// How the limit of one resource is divided in each slot.
   struct SlotShare {
     bool bounded = false;
-    double slot_ms = 0;     // of a slot, ms
-    double guaranteed = 0;  // for each instance
-    double extra = 0;       // by turns: how many instances have one more; by chance: with which chance
+    double slot_ms = 0;
+    double guaranteed = 0;  // for this instance
+    double extra = 0;  // in rotation: how many instances have one more; at random: with which probability
   };
   struct SlotUsage {
     std::int64_t slot = -1;
     double acquired = 0;
   };
-  static constexpr std::size_t kinds = 4;
+  static constexpr std::size_t resource_count = 4;
 
-  const SlotShare& share_of(Resource what) const { return shares_[static_cast<std::size_t>(what)]; }
-  std::int64_t slot_number(Resource what, double now) const;
-  double allowed(Resource what, std::string_view server, double now) const;
-  bool has_extra_unit(Resource what, std::string_view server, std::int64_t slot) const;
+  SlotShare divide(double limit, double slot_ms) const;
+  SlotShare divide_rate(double limit_per_second) const;
+  const SlotShare& share_of(Resource resource) const { return shares_[static_cast<std::size_t>(resource)]; }
+  std::int64_t slot_number(Resource resource, double now_ms) const;
+  double allowed(Resource resource, std::string_view server, double now_ms) const;
+  bool has_extra_unit(Resource resource, std::string_view server, std::int64_t slot) const;
+  bool has_extra_unit_in_rotation(double extra, std::string_view server, std::int64_t slot) const;
+  bool has_extra_unit_at_random(Resource resource, std::string_view server, std::int64_t slot) const;
+  std::uint64_t connections_to(std::string_view server) const;
 
   InstancePosition position_;
   std::uint64_t identity_;
-  std::array<SlotShare, kinds> shares_;
-  std::array<GrantCounts, kinds> counts_;
-  std::vector<std::string> endpoints_;  // servers, in order of their names
+  std::array<SlotShare, resource_count> shares_;
+  std::array<GrantCounts, resource_count> counts_;
+  std::vector<std::string> endpoints_;  // in order of their names
   std::map<std::string, std::uint64_t, std::less<>> connections_;
-  std::map<std::pair<std::string, std::size_t>, SlotUsage> slot_usage_;
+  std::map<std::pair<std::string, std::size_t>, SlotUsage> slot_usage_;  // by server and resource
 };
 
 }  // namespace indigorill
