--- a/src/http/http_parser.h
+++ b/src/http/http_parser.h
@@ -9,7 +9,6 @@
 #include <string_view>
 #include <vector>
 
-
 namespace indigorill::http {
 
 // Bodies up to the second are held whole; longer ones come in pieces, where the reader is told to allow that.
--- a/src/load/clients.cpp
+++ b/src/load/clients.cpp
@@ -245,8 +245,8 @@
   ClientRequest& t = requests_.at(of);
   const MethodConfig& how = scenario_.methods[t.method].method;
   const bool harmless = f == RequestOutcome::rejected || how.retry_safety == RetrySafety::idempotent;
-  const double waits =
-      std::max(t.retry_delay_ms, client_random_.bernoulli(scenario_.clients.retry_after_compliance) ? advice : 0);
+  const double waits = std::max(
+      t.retry_delay_ms, client_random_.bernoulli(scenario_.clients.retry_after_compliance) ? advice : 0);
   const double when = clock_.now() + waits;
   if (!harmless || t.retries_left <= 0 || when >= t.intended_at_ms + how.deadline_ms)
     return conclude_request(of, f);
--- a/src/load/fleet.cpp
+++ b/src/load/fleet.cpp
@@ -87,9 +87,9 @@
   at.speed = speed;
   at.server = std::make_unique<EmulatedServer>(
       clock_.queue(),
-      EmulatedServer::Config{k.cores, k.queue_capacity, speed, k.slow_start_initial_capacity,
-                             k.slow_start_duration_ms, k.error_rate, scenario_.rules.slow_start_overload_factor,
-                             scenario_.rules.slow_start_window_ms},
+      EmulatedServer::Config{
+          k.cores, k.queue_capacity, speed, k.slow_start_initial_capacity, k.slow_start_duration_ms,
+          k.error_rate, scenario_.rules.slow_start_overload_factor, scenario_.rules.slow_start_window_ms},
       emulator::derive_seed(seed_, emulator::RandomPurpose::server_errors, index),
       EmulatedServer::Callbacks{[this, index](std::uint64_t of) {
                                   const auto it = servers_[index]->jobs.find(of);
@@ -118,8 +118,9 @@
   const bool first = at.new_connections.emplace(connection, true).second;
   connections += first;
   const std::string report =
-      scenario_.rules.load_reports_enabled ? "outstanding=" + std::to_string(static_cast<int>(at.server->jobs_in_flight()))
-                              : "";
+      scenario_.rules.load_reports_enabled
+          ? "outstanding=" + std::to_string(static_cast<int>(at.server->jobs_in_flight()))
+          : "";
   if (target.starts_with("/-/")) {
     ++health_checks;
     if (at.server->stalled_until_ms() <= clock_.now())
@@ -351,8 +352,8 @@
          })});
     return;
   }
-  const double works =
-      (whole ? scenario_.discovery.full_list_work_ms : scenario_.discovery.changes_work_ms) * discovery_slowdown_;
+  const double works = (whole ? scenario_.discovery.full_list_work_ms : scenario_.discovery.changes_work_ms) *
+                       discovery_slowdown_;
   clock_.schedule(clock_.now() + works, EventPriority::discovery, [this, which, connection, from, whole] {
     if (!discovery_silent_) answer_poll(which, connection, from, whole);
   });
