--- a/src/clock/clock_drift.h
+++ b/src/clock/clock_drift.h
@@ -1,3 +1,4 @@
+/// \file
 /// Durations measured by clocks that do not agree: each process counts by its own clock, whose rate is off by
 /// a bounded fraction. No I/O; the time is always given by the caller.
 #pragma once
--- a/src/lease/leader_lease.h
+++ b/src/lease/leader_lease.h
@@ -1,3 +1,4 @@
+/// \file
 /// Leader election by a lease: at most one process holds it at a time, granted by a majority of a few named
 /// voters, none of which has a disk. After PaxosLease (Trencseni, Gazso, Reinhardt, "PaxosLease: Diskless
 /// Paxos for Leases", 2012). No I/O; clock and random seed are given.
--- a/src/lease/lease_config.h
+++ b/src/lease/lease_config.h
@@ -1,3 +1,4 @@
+/// \file
 /// Settings of the leader election, and the safeguards that its tests switch off one by one.
 #pragma once
 
--- a/src/lease/lease_message.h
+++ b/src/lease/lease_message.h
@@ -1,3 +1,4 @@
+/// \file
 /// The messages by which voters elect a leader; cluster/envelope.h writes them as bytes.
 #pragma once
 
--- a/src/lease/lease_voter.h
+++ b/src/lease/lease_voter.h
@@ -1,3 +1,4 @@
+/// \file
 /// The voter's (acceptor's) side of the leader election: what one voter promised and accepted. No I/O; the
 /// clock is given.
 #pragma once
--- a/src/quota/demand_index.cpp
+++ b/src/quota/demand_index.cpp
@@ -37,12 +37,12 @@
   if (!all_satisfied && rank < satisfied.count) return demand.units;
 
   // What is left goes in equal parts to those that are not satisfied; if all are, to all of them.
-  const std::size_t sharers = all_satisfied ? holders : holders - satisfied.count;
+  const std::size_t recipients = all_satisfied ? holders : holders - satisfied.count;
   const std::size_t position = all_satisfied ? rank : rank - satisfied.count;
   const double left = total - satisfied.sum;
-  const double equal_part = std::floor(left / static_cast<double>(sharers));
-  const double odd_units = left - equal_part * static_cast<double>(sharers);
-  const std::size_t turns_until_own = (position + sharers - turn % sharers) % sharers;
+  const double equal_part = std::floor(left / static_cast<double>(recipients));
+  const double odd_units = left - equal_part * static_cast<double>(recipients);
+  const std::size_t turns_until_own = (position + recipients - turn % recipients) % recipients;
   const double odd_unit = static_cast<double>(turns_until_own) < odd_units ? 1 : 0;
   const double base = all_satisfied ? demand.units : 0;
   return base + equal_part + odd_unit;
--- a/src/quota/demand_index.h
+++ b/src/quota/demand_index.h
@@ -1,3 +1,4 @@
+/// \file
 /// What the holders of one budget demand, in order and with prefix sums, so that the max-min fair share of
 /// one is found in logarithmic time: an order-statistic tree (Cormen and others, "Introduction to
 /// Algorithms", 14.1) whose nodes also keep the sum of their subtrees. No I/O, no clock.
--- a/src/quota/quota.h
+++ b/src/quota/quota.h
@@ -1,3 +1,4 @@
+/// \file
 /// All of the quota: settings, messages, the allocator's and the client's side.
 #pragma once
 
--- a/src/quota/quota_allocator.h
+++ b/src/quota/quota_allocator.h
@@ -1,3 +1,4 @@
+/// \file
 /// Divides budgets of the whole fleet among its sidecars, so that all they may spend never adds up to more
 /// than the total. No I/O; the clock is given. After escrow (O'Neil, "The Escrow Transactional Method", ACM
 /// TODS 11(4), 1986): a grant is taken off the total until it has certainly ended; and leases (Gray,
--- a/src/quota/quota_client.h
+++ b/src/quota/quota_client.h
@@ -1,3 +1,4 @@
+/// \file
 /// One sidecar's side of the quota: asks the allocator for a part of the fleet's budgets, and counts what the
 /// sidecar spends of it. No I/O; the clock is given.
 ///
--- a/src/quota/quota_config.h
+++ b/src/quota/quota_config.h
@@ -1,3 +1,4 @@
+/// \file
 /// Settings of the quota: the budgets that the whole fleet shares, and the safeguards that its tests switch
 /// off one by one.
 #pragma once
--- a/src/quota/quota_message.h
+++ b/src/quota/quota_message.h
@@ -1,3 +1,4 @@
+/// \file
 /// The messages between a QuotaClient and the QuotaAllocator; cluster/envelope.h writes them as bytes.
 #pragma once
 
--- a/src/verification/state_digest.h
+++ b/src/verification/state_digest.h
@@ -1,3 +1,4 @@
+/// \file
 /// A text that stands for the state of an object, for exhaustive exploration in tests: two objects with the
 /// same digest behave alike from now on.
 #pragma once
--- a/tests/scale_test.cpp
+++ b/tests/scale_test.cpp
@@ -1,3 +1,4 @@
+/// \file
 /// What must not grow with the fleet: work, memory and bytes of one instance, by counts and slopes on the
 /// production code.
 #include <doctest/doctest.h>
--- a/tests/support/state_explorer.h
+++ b/tests/support/state_explorer.h
@@ -1,3 +1,4 @@
+/// \file
 /// Exhaustive breadth-first exploration of a model's states within given bounds.
 #pragma once
 
