--- a/src/emulator/report.cpp
+++ b/src/emulator/report.cpp
@@ -6,7 +6,9 @@
 #include <set>
 #include <sstream>
 
-namespace indigorill::lab {
+#include "emulator/statistics.h"
+
+namespace indigorill::emulator {
 namespace {
 
 using Json = nlohmann::ordered_json;
@@ -244,4 +246,4 @@
   output_ << line.dump() << '\n';
 }
 
-}  // namespace indigorill::lab
+}  // namespace indigorill::emulator
