--- a/src/cluster/datagram_socket.h
+++ b/src/cluster/datagram_socket.h
@@ -8,6 +8,7 @@
 #include <string_view>
 
 #include "event/event_loop.h"
+#include "event/socket.h"
 
 namespace indigorill {
 
--- a/src/load/fleet.cpp
+++ b/src/load/fleet.cpp
@@ -5,12 +5,14 @@
 #include <cmath>
 #include <nlohmann/json.hpp>
 
+#include "emulator/workload.h"
+
 namespace indigorill::loading {
 namespace {
 
-using lab::EmulatedServer;
-using lab::EventPriority;
-using lab::Fault;
+using emulator::EmulatedServer;
+using emulator::EventPriority;
+using emulator::Fault;
 
 std::string server_name(std::size_t server) { return std::string("s").append(std::to_string(server)); }
 
@@ -42,28 +44,28 @@
   return base == 0 ? 0 : static_cast<std::uint16_t>(base + which);
 }
 
-std::vector<std::string> find_unsupported_features(const lab::Scenario& s) {
+std::vector<std::string> find_unsupported_features(const emulator::Scenario& s) {
   std::vector<std::string> all;
-  if (s.network.loss > 0) all.push_back("net.loss can't be played on loopback");
+  if (s.network.loss_rate > 0) all.push_back("net.loss can't be played on loopback");
   for (const Fault& t : s.faults)
     if (t.kind == Fault::Kind::packet_loss) all.push_back("trouble loss can't be played on loopback");
   return all;
 }
 
 FakeFleet::FakeFleet(EventLoop& in, FileDescriptorBudget& count, WallClockScheduler& with,
-                     const lab::Scenario& s, std::uint64_t number, std::uint16_t first_port)
+                     const emulator::Scenario& s, std::uint64_t number, std::uint16_t first_port)
     : loop_(in),
       budget_(count),
       clock_(with),
       scenario_(s),
       seed_(number),
       base_port_(first_port),
-      discovery_random_(lab::derive_seed(number, lab::RandomPurpose::discovery)) {
-  lab::RandomStream speeds(lab::derive_seed(seed_, lab::RandomPurpose::servers));
-  for (const lab::ServerGroup& k : scenario_.servers)
+      discovery_random_(emulator::derive_seed(number, emulator::RandomPurpose::discovery)) {
+  emulator::RandomStream speeds(emulator::derive_seed(seed_, emulator::RandomPurpose::servers));
+  for (const emulator::ServerGroup& k : scenario_.servers)
     for (int i = 0; i < k.count; ++i)
       add_server(k, i % k.zones, i % k.cells,
-                 speeds.sample({lab::DistributionShape::lognormal, k.speed, k.speed_spread}));
+                 speeds.sample({emulator::DistributionShape::lognormal, k.speed, k.speed_spread}));
   for (std::size_t i = 0; i < static_cast<std::size_t>(scenario_.sidecars); ++i) {
     agents_.push_back(std::make_unique<FakeAgent>(
         loop_, budget_, [this, i](std::uint64_t c, const http::Message& m) { on_discovery_poll(i, c, m); },
@@ -75,7 +77,7 @@
   }
 }
 
-std::size_t FakeFleet::add_server(const lab::ServerGroup& k, int zone, int cell, double speed) {
+std::size_t FakeFleet::add_server(const emulator::ServerGroup& k, int zone, int cell, double speed) {
   const std::size_t index = servers_.size();
   servers_.push_back(std::make_unique<ServerState>());
   ServerState& at = *servers_.back();
@@ -86,9 +88,9 @@
   at.server = std::make_unique<EmulatedServer>(
       clock_.queue(),
       EmulatedServer::Config{k.cores, k.queue_capacity, speed, k.slow_start_initial_capacity,
-                             k.slow_start_duration_ms, k.error_rate, scenario_.rules.multiple,
-                             scenario_.rules.span},
-      lab::derive_seed(seed_, lab::RandomPurpose::server_errors, index),
+                             k.slow_start_duration_ms, k.error_rate, scenario_.rules.slow_start_overload_factor,
+                             scenario_.rules.slow_start_window_ms},
+      emulator::derive_seed(seed_, emulator::RandomPurpose::server_errors, index),
       EmulatedServer::Callbacks{[this, index](std::uint64_t of) {
                                   const auto it = servers_[index]->jobs.find(of);
                                   if (it != servers_[index]->jobs.end())
@@ -116,7 +118,7 @@
   const bool first = at.new_connections.emplace(connection, true).second;
   connections += first;
   const std::string report =
-      scenario_.rules.reports ? "outstanding=" + std::to_string(static_cast<int>(at.server->jobs_in_flight()))
+      scenario_.rules.load_reports_enabled ? "outstanding=" + std::to_string(static_cast<int>(at.server->jobs_in_flight()))
                               : "";
   if (target.starts_with("/-/")) {
     ++health_checks;
@@ -137,7 +139,7 @@
   if (at.draining) return at.listener->send_answer(connection, format_response(503, "", "X-Rejected: 1\r\n"));
   const std::uint64_t of = ++last_job_id_;
   at.jobs[of] = {std::string(*id), connection};
-  at.server->submit(of, work + (first ? scenario_.network.handshake_work : 0));
+  at.server->submit(of, work + (first ? scenario_.network.handshake_work_ms : 0));
   clock_.run_due_events();
 }
 
@@ -158,7 +160,7 @@
   const ServerJob was = it->second;
   at.jobs.erase(it);
   std::string headers;
-  if (scenario_.rules.reports)
+  if (scenario_.rules.load_reports_enabled)
     headers = "X-Load-Report: outstanding=" + std::to_string(static_cast<int>(held)) + "\r\n";
   switch (how) {
     case EmulatedServer::JobOutcome::served:
@@ -196,7 +198,7 @@
     at.listener->freeze();
   else
     at.listener->close_all();
-  clock_.schedule(clock_.queue().now() + scenario_.discovery.notice, EventPriority::discovery,
+  clock_.schedule(clock_.queue().now() + scenario_.discovery.detection_ms, EventPriority::discovery,
                   [this, server] {
                     ServerState& then = *servers_[server];
                     if ((then.server->is_running() && !then.unreachable) || !then.advertised) return;
@@ -218,11 +220,12 @@
 
 void FakeFleet::schedule_fault(const Fault& t, std::size_t which) {
   using Kind = Fault::Kind;
-  lab::RandomStream draw(lab::derive_seed(seed_, lab::RandomPurpose::fault_schedule, which + 1));
-  const auto at = [this](double when, lab::EventQueue::Callback what) {
+  emulator::RandomStream draw(
+      emulator::derive_seed(seed_, emulator::RandomPurpose::fault_schedule, which + 1));
+  const auto at = [this](double when, emulator::EventQueue::Callback what) {
     clock_.schedule(when, EventPriority::fault, std::move(what));
   };
-  const std::vector<std::uint32_t> all = lab::sample_indices(servers_.size(), t.share, draw);
+  const std::vector<std::uint32_t> all = emulator::sample_indices(servers_.size(), t.share, draw);
   const double until = t.start_ms + t.duration_ms;
   switch (t.kind) {
     case Kind::discovery_overload:
@@ -294,7 +297,7 @@
   nlohmann::json e{
       {"instanceId", server_name(server)},
       {"hostPort", format_address(at.listener->address())},
-      {"zone", lab::zone_name(at.zone)},
+      {"zone", emulator::zone_name(at.zone)},
       {"cell", at.cell},
       {"lifecycle", words[static_cast<std::size_t>(how)]},
       {"startedAtMs", at.server->started_at_ms() > 0 ? clock_.to_unix_ms(at.server->started_at_ms()) : 0}};
@@ -318,8 +321,8 @@
   FakeAgent& a = *agents_[which];
   if (a.update_scheduled || discovery_silent_ || a.known_changes == endpoint_changes_.size()) return;
   a.update_scheduled = true;
-  clock_.schedule(clock_.queue().now() + scenario_.discovery.delay +
-                      scenario_.discovery.spread * discovery_random_.uniform(),
+  clock_.schedule(clock_.queue().now() + scenario_.discovery.delay_ms +
+                      scenario_.discovery.spread_ms * discovery_random_.uniform(),
                   EventPriority::discovery, [this, which] {
                     FakeAgent& to = *agents_[which];
                     to.update_scheduled = false;
@@ -349,7 +352,7 @@
     return;
   }
   const double works =
-      (whole ? scenario_.discovery.whole : scenario_.discovery.changes) * discovery_slowdown_;
+      (whole ? scenario_.discovery.full_list_work_ms : scenario_.discovery.changes_work_ms) * discovery_slowdown_;
   clock_.schedule(clock_.now() + works, EventPriority::discovery, [this, which, connection, from, whole] {
     if (!discovery_silent_) answer_poll(which, connection, from, whole);
   });
