--- a/src/cluster/cluster_node.h
+++ b/src/cluster/cluster_node.h
@@ -28,7 +28,9 @@
 #include "logging/logger.h"
 #include "membership/member_name.h"
 #include "membership/membership.h"
-#include "quota/quota.h"
+#include "quota/quota_allocator.h"
+#include "quota/quota_client.h"
+#include "quota/quota_config.h"
 
 namespace indigorill {
 
--- a/src/cluster/datagram_socket.h
+++ b/src/cluster/datagram_socket.h
@@ -8,7 +8,7 @@
 #include <string_view>
 
 #include "event/event_loop.h"
-#include "event/socket.h"
+#include "event/file_descriptor.h"
 
 namespace indigorill {
 
--- a/src/cluster/envelope.h
+++ b/src/cluster/envelope.h
@@ -9,9 +9,9 @@
 #include <string_view>
 #include <variant>
 
-#include "lease/leader_lease.h"
+#include "lease/lease_message.h"
 #include "membership/swim_message.h"
-#include "quota/quota.h"
+#include "quota/quota_message.h"
 
 namespace indigorill {
 
--- a/src/cluster/message_codec.h
+++ b/src/cluster/message_codec.h
@@ -8,9 +8,9 @@
 #include <nlohmann/json.hpp>
 #include <optional>
 
-#include "lease/leader_lease.h"
+#include "lease/lease_message.h"
 #include "membership/swim_message.h"
-#include "quota/quota.h"
+#include "quota/quota_message.h"
 
 namespace indigorill {
 
