--- a/tests/standing_test.cpp
+++ b/tests/standing_test.cpp
@@ -4,95 +4,18 @@
 #include <doctest/doctest.h>
 
 #include <algorithm>
-#include <cmath>
-#include <map>
-#include <random>
+#include <memory>
+#include <string>
+#include <vector>
 
+#include "support/failing_agent.h"
+#include "support/fleet_simulation.h"
 #include "support/parts.h"
 
 using namespace host;
 
 namespace {
 
-enum class Outage { refused, connect_hangs, silent, half_response, malformed_response, error_status };
-constexpr std::pair<Outage, const char*> outages[] = {{Outage::refused, "refused"},
-                                                      {Outage::connect_hangs, "a connect that hangs"},
-                                                      {Outage::silent, "given up without a response"},
-                                                      {Outage::half_response, "half a response"},
-                                                      {Outage::malformed_response, "a malformed response"},
-                                                      {Outage::error_status, "an error status"}};
-
-std::string response_during(Outage outage) {
-  switch (outage) {
-    case Outage::half_response:
-      return "HTTP/1.1 200 OK\r\nContent-Length: 500\r\n\r\n{\"generation\"";
-    case Outage::malformed_response:
-      return "rubbish\r\n\r\n";
-    case Outage::error_status:
-      return response_text(500, "");
-    default:
-      return "silent";
-  }
-}
-
-// A discovery agent that fails in one way until it recovers, and then answers one poll.
-struct FailingAgent {
-  FakeServer server;
-  std::vector<FileDescriptor> backlog_fillers;
-
-  FailingAgent(EventLoop& event_loop, Outage outage)
-      : server(event_loop, std::vector<std::string>(1000, response_during(outage)),
-               outage == Outage::refused ? bind_on_loopback() : listen_on_loopback()) {
-    if (outage != Outage::connect_hangs) return;
-    server.listener_watch.cancel();
-    backlog_fillers = fill_backlog(server.listener);
-  }
-  void recover(const std::string& response) {
-    server.responses.resize(server.request_targets.size());
-    server.responses.push_back(response);
-    backlog_fillers.clear();
-    ::listen(server.listener.get(), 100);
-    server.start_accepting();
-  }
-};
-
-// A sidecar whose load balancer decides when to poll, with an endpoint list that is known from before.
-struct PollingSidecar {
-  EventLoop event_loop;
-  std::ostringstream log_text;
-  Logger logger{log_text, LogLevel::error};
-  Counters counters;
-  FileDescriptorBudget budget{10};
-  UpstreamPool pool{event_loop, budget, counters, logger, {}, [] { return false; }};
-  RequestDispatcher dispatcher;
-  std::string updates;
-  DiscoveryClient discovery_client;
-
-  static LoadBalancerConfig polling_config(double sidecar_count) {
-    LoadBalancerConfig config = test_config();
-    config.must_poll_endpoints = true;
-    config.max_poll_silence_ms = 10000;  // the default of the settings
-    config.sidecar_count = sidecar_count;
-    return config;
-  }
-  PollingSidecar(const sockaddr_in& agent_address, double sidecar_count, std::uint64_t seed)
-      : dispatcher(event_loop, pool, counters, logger, polling_config(sidecar_count), seed),
-        discovery_client(
-            event_loop, budget, counters, logger, agent_address, "agent", seed + 1, 500,
-            [this](const EndpointListUpdate& update) { apply(update); },
-            [this] { dispatcher.endpoint_poll_failed(); }) {
-    dispatcher.update_endpoints(true, false, {make_endpoint("a"), make_endpoint("b")});
-    discovery_client.set_known_version(9);
-    dispatcher.on_endpoint_poll([this] { discovery_client.poll(); });
-  }
-  void apply(const EndpointListUpdate& update) {
-    updates += (update.complete ? "=" : "+") + std::to_string(update.version);
-    std::vector<Endpoint> endpoints;
-    for (const auto& entry : update.entries) endpoints.push_back(entry.endpoint);
-    dispatcher.update_endpoints(update.complete, true, endpoints);
-  }
-};
-
 // A change counts as known to the sidecar this long after discovery had it and could be reached.
 constexpr double update_deadline_ms = 6000;
 
@@ -254,145 +177,180 @@
 
 namespace {
 
-enum class Leaves { not_at_all, by_fin, by_reset, by_half_close };
+enum class Departure { none, by_fin, by_reset, by_half_close };
+constexpr Departure departures[] = {Departure::none, Departure::by_fin, Departure::by_reset,
+                                    Departure::by_half_close};
 
-void leave(TestConnection& c, Leaves by) {
-  if (by == Leaves::not_at_all) return;
-  if (by == Leaves::by_half_close) return c.stream->shutdown_write();
-  if (by == Leaves::by_reset) c.stream->reset_on_close();
-  c.close();
+void depart(TestConnection& client, Departure departure) {
+  switch (departure) {
+    case Departure::none:
+      return;
+    case Departure::by_half_close:
+      client.stream->shutdown_write();
+      return;
+    case Departure::by_reset:
+      client.stream->reset_on_close();
+      client.close();
+      return;
+    case Departure::by_fin:
+      client.close();
+      return;
+  }
 }
 
-// As many ids at one place: what a sidecar sends to a single server at once is bounded.
-void list_many(SidecarHarness& h, const std::string& address, std::size_t n, bool asked = false) {
-  std::vector<Endpoint> all;
-  for (std::size_t i = 0; i < n; ++i) {
-    all.push_back(make_endpoint(address + std::to_string(i)));
-    h.upstreams.update_endpoint(all.back().id, address);
+// Each has an id of its own.
+std::string long_request() { return rpc_request_text("read", 3900); }
+std::string three_long_requests() { return long_request() + long_request() + long_request(); }
+
+enum class ListSource { initial, poll };
+
+// As many ids at one address: what a sidecar sends to a single endpoint at once is bounded.
+void list_endpoints(SidecarHarness& harness, const std::string& address, std::size_t count,
+                    ListSource source = ListSource::initial) {
+  std::vector<Endpoint> endpoints;
+  for (std::size_t i = 0; i < count; ++i) {
+    endpoints.push_back(make_endpoint(address + std::to_string(i)));
+    harness.upstreams.update_endpoint(endpoints.back().id, address);
   }
-  h.dispatcher.update_endpoints(true, asked, all);
+  harness.dispatcher.update_endpoints(true, source == ListSource::poll, endpoints);
 }
 
-// Clients that each send three requests in one breath; every fourth stays, the others leave each in its way.
-struct Burst {
-  std::vector<TestConnection*> all;
-  std::size_t stay = 0;
+// Clients that each send three requests at once; every fourth stays, the others leave each in its way.
+struct ClientBurst {
+  std::vector<TestConnection*> clients;
+  std::size_t remaining_count = 0;
 
-  Burst(SidecarHarness& h, std::size_t n) {
-    for (std::size_t i = 0; i < n; ++i) all.push_back(&h.connect_client());
-    for (TestConnection* c : all)
-      c->send(rpc_request_text("read", 3900) + rpc_request_text("read", 3900) +
-              rpc_request_text("read", 3900));
+  ClientBurst(SidecarHarness& harness, std::size_t count) {
+    for (std::size_t i = 0; i < count; ++i) clients.push_back(&harness.connect_client());
+    for (TestConnection* client : clients) client->send(three_long_requests());
   }
-  std::size_t go() {
-    for (std::size_t i = 0; i < all.size(); ++i) {
-      leave(*all[i], static_cast<Leaves>(i % 4));
-      stay += i % 4 == 0;
+  // How many have left.
+  std::size_t depart_most() {
+    for (std::size_t i = 0; i < clients.size(); ++i) {
+      const Departure departure = departures[i % std::size(departures)];
+      depart(*clients[i], departure);
+      remaining_count += departure == Departure::none ? 1 : 0;
     }
-    return all.size() - stay;
+    return clients.size() - remaining_count;
   }
 };
 
+bool run_until_abandoned(SidecarHarness& harness, std::size_t rpc_count) {
+  return run_until(harness.loop, [&] { return harness.counters.rpcs_abandoned == rpc_count; });
+}
+
+void run_and_receive(SidecarHarness& harness, StalledListener& listener, double duration_ms) {
+  const double end_ms = harness.loop.now() + duration_ms;
+  while (harness.loop.now() < end_ms) {
+    harness.loop.run_once(2);
+    listener.receive();
+  }
+}
+
 }  // namespace
 
-TEST_CASE("a burst of pipelined clients, most of whom leave while their first picks connect: theirs stay") {
+TEST_CASE(
+    "a burst of pipelined clients, most of whom leave while their first attempts connect: theirs stay") {
   for (const bool cancels : {false, true}) {
-    SidecarHarness h(customer_config(true, cancels, RetrySafety::non_idempotent), slow_upstream_config);
-    StalledListener late;
-    list_many(h, address_text(late.address), 12);
-    Burst clients(h, 12);
-    REQUIRE(run_until(h.loop, [&] { return h.counters.connections_opened == 12; }));
-    const std::size_t leave = clients.go();
-    CHECK(run_until(h.loop, [&] { return static_cast<std::size_t>(h.counters.rpcs_abandoned) == leave; }));
-    run_for(h.loop, 120);  // what begins from now on is a break
-    late.release();
-    for (const double end = h.loop.now() + 1800; h.loop.now() < end; late.receive()) h.loop.run_once(2);
-    CHECK(late.request_count() == clients.stay);
-    CHECK(h.dispatcher.in_flight() == clients.stay);
+    SidecarHarness harness(customer_config(true, cancels, RetrySafety::non_idempotent), slow_upstream_config);
+    StalledListener endpoint;
+    list_endpoints(harness, address_text(endpoint.address), 12);
+    ClientBurst burst(harness, 12);
+    REQUIRE(run_until(harness.loop, [&] { return harness.counters.connections_opened == 12; }));
+    const std::size_t departed_count = burst.depart_most();
+    CHECK(run_until_abandoned(harness, departed_count));
+    run_for(harness.loop, 120);  // connections that begin from now on would be a fault
+    endpoint.release();
+    run_and_receive(harness, endpoint, 1800);
+    CHECK(endpoint.request_count() == burst.remaining_count);
+    CHECK(harness.dispatcher.in_flight() == burst.remaining_count);
   }
 }
 
-TEST_CASE("a burst of clients who leave while a further attempt of theirs connects, or is still to begin") {
+TEST_CASE("a burst of clients who leave while a retry of theirs connects, or is still to begin") {
   for (const bool cancels : {false, true})
-    for (const bool connects : {false, true}) {
+    for (const bool retry_connects : {false, true}) {
       CAPTURE(cancels);
-      CAPTURE(connects);
-      constexpr std::size_t n = 6;  // as many as may have a further attempt at once
-      SidecarHarness h(customer_config(true, cancels, RetrySafety::idempotent), slow_upstream_config);
-      FakeServer first(h.loop, {});
-      StalledListener late;
-      FakeServer quick(h.loop, std::vector<std::string>(100, "silent"));
-      list_many(h, address_text(first.address), n);
-      Burst clients(h, n);
-      REQUIRE(run_until(h.loop, [&] { return first.request_targets.size() == n; }));
-      list_many(h, address_text(connects ? late.address : quick.address), n, true);
-      const auto fail_first = [&] {
-        for (auto& s : first.connections) s->close();
+      CAPTURE(retry_connects);
+      constexpr std::size_t count = 6;  // as many as may have a retry at once
+      SidecarHarness harness(customer_config(true, cancels, RetrySafety::idempotent), slow_upstream_config);
+      FakeServer first(harness.loop, {});
+      StalledListener stalled;
+      FakeServer quick(harness.loop, std::vector<std::string>(100, "silent"));
+      list_endpoints(harness, address_text(first.address), count);
+      ClientBurst burst(harness, count);
+      REQUIRE(run_until(harness.loop, [&] { return first.request_targets.size() == count; }));
+      list_endpoints(harness, address_text(retry_connects ? stalled.address : quick.address), count,
+                     ListSource::poll);
+      const auto fail_first_attempts = [&] {
+        for (auto& connection : first.connections) connection->close();
       };
-      if (connects) {
-        fail_first();
-        REQUIRE(run_until(h.loop, [&] { return h.counters.connections_opened == 2 * n; }));
+      if (retry_connects) {
+        fail_first_attempts();
+        REQUIRE(run_until(harness.loop, [&] { return harness.counters.connections_opened == 2 * count; }));
       }
-      const std::size_t leave = clients.go();
-      CHECK(run_until(h.loop, [&] { return static_cast<std::size_t>(h.counters.rpcs_abandoned) == leave; }));
-      run_for(h.loop, 120);
-      if (!connects) fail_first();
-      late.release();
-      for (const double end = h.loop.now() + 1800; h.loop.now() < end; late.receive()) h.loop.run_once(2);
-      CHECK(late.request_count() + quick.request_targets.size() == clients.stay);
-      CHECK(h.dispatcher.in_flight() == clients.stay);
+      const std::size_t departed_count = burst.depart_most();
+      CHECK(run_until_abandoned(harness, departed_count));
+      run_for(harness.loop, 120);
+      if (!retry_connects) fail_first_attempts();
+      stalled.release();
+      run_and_receive(harness, stalled, 1800);
+      CHECK(stalled.request_count() + quick.request_targets.size() == burst.remaining_count);
+      CHECK(harness.dispatcher.in_flight() == burst.remaining_count);
     }
 }
 
-TEST_CASE("who left while waiting for room is owed nothing once there is some, though a connection rests") {
+TEST_CASE(
+    "a client that left while waiting for room in the descriptors is served nothing when there is some") {
   for (const bool cancels : {false, true})
-    for (const Leaves by : {Leaves::not_at_all, Leaves::by_fin, Leaves::by_reset, Leaves::by_half_close}) {
+    for (const Departure departure : departures) {
       CAPTURE(cancels);
-      CAPTURE(static_cast<int>(by));
-      // One descriptor for a client, one for its pick: the second client waits in the backlog.
-      SidecarHarness h(customer_config(true, cancels, RetrySafety::non_idempotent), slow_upstream_config, 2);
-      FakeServer endpoint(h.loop, {"silent", "silent"});
-      h.update_endpoints(address_text(endpoint.address));
-      TestConnection& first = h.connect_client();
-      first.send(rpc_request_text("read", 3900));
-      REQUIRE(run_until(h.loop, [&] { return endpoint.request_targets.size() == 1; }));
-      TestConnection& waits = h.connect_client();
-      waits.send(rpc_request_text("read", 3900));
-      run_for(h.loop, 20);
-      leave(waits, by);
-      run_for(h.loop, 150);
-      REQUIRE(h.counters.connections_accepted == 1);
+      CAPTURE(static_cast<int>(departure));
+      // One descriptor for a client, one for its attempt: the second client waits in the backlog.
+      SidecarHarness harness(customer_config(true, cancels, RetrySafety::non_idempotent),
+                             slow_upstream_config, 2);
+      FakeServer endpoint(harness.loop, {"silent", "silent"});
+      harness.update_endpoints(address_text(endpoint.address));
+      TestConnection& first = harness.connect_client();
+      first.send(long_request());
+      REQUIRE(run_until(harness.loop, [&] { return endpoint.request_targets.size() == 1; }));
+      TestConnection& waiting = harness.connect_client();
+      waiting.send(long_request());
+      run_for(harness.loop, 20);
+      depart(waiting, departure);
+      run_for(harness.loop, 150);
+      REQUIRE(harness.counters.connections_accepted == 1);
       endpoint.connections[0]->send(served_response);
-      REQUIRE(run_until(h.loop, [&] { return h.counters.connections_accepted == 2; }));
-      run_for(h.loop, 50);
-      CHECK(endpoint.request_targets.size() == (by == Leaves::not_at_all ? 2 : 1));
+      REQUIRE(run_until(harness.loop, [&] { return harness.counters.connections_accepted == 2; }));
+      run_for(harness.loop, 50);
+      CHECK(endpoint.request_targets.size() == (departure == Departure::none ? 2 : 1));
     }
 }
 
-TEST_CASE("who connected, asked and left before the process came to it is owed nothing: none of a burst") {
+TEST_CASE("clients that connected, asked and left before the process could run are served nothing") {
   for (const bool cancels : {false, true}) {
-    SidecarHarness h(customer_config(true, cancels, RetrySafety::non_idempotent), slow_upstream_config);
-    FakeServer endpoint(h.loop, std::vector<std::string>(100, served_response));
-    h.update_endpoints(address_text(endpoint.address));
+    SidecarHarness harness(customer_config(true, cancels, RetrySafety::non_idempotent), slow_upstream_config);
+    FakeServer endpoint(harness.loop, std::vector<std::string>(100, served_response));
+    harness.update_endpoints(address_text(endpoint.address));
     {
-      Burst warm(h, 4);
-      REQUIRE(run_until(h.loop, [&] { return h.counters.rpcs_ok == 12; }));
-      for (TestConnection* c : warm.all) c->close();
-      run_for(h.loop, 50);
+      ClientBurst warm_up(harness, 4);
+      REQUIRE(run_until(harness.loop, [&] { return harness.counters.rpcs_ok == 12; }));
+      for (TestConnection* client : warm_up.clients) client->close();
+      run_for(harness.loop, 50);
     }
-    const std::size_t before = endpoint.request_targets.size();
-    REQUIRE(h.dispatcher.in_flight() == 0);
-    std::vector<std::unique_ptr<TestConnection>> all;  // in the backlog
-    for (int i = 0; i < 12; ++i) {
-      all.push_back(
-          std::make_unique<TestConnection>(h.loop, h.client_budget, start_connect(h.address), response));
-      all.back()->send(rpc_request_text("read", 3900) + rpc_request_text("read", 3900) +
-                       rpc_request_text("read", 3900));
-      leave(*all.back(), static_cast<Leaves>(i % 4));
+    const std::size_t requests_before = endpoint.request_targets.size();
+    REQUIRE(harness.dispatcher.in_flight() == 0);
+    std::vector<std::unique_ptr<TestConnection>> backlog;
+    for (std::size_t i = 0; i < 12; ++i) {
+      backlog.push_back(std::make_unique<TestConnection>(harness.loop, harness.client_budget,
+                                                         start_connect(harness.address), response));
+      backlog.back()->send(three_long_requests());
+      depart(*backlog.back(), departures[i % std::size(departures)]);
     }
-    for (const double end = h.loop.now() + 120; h.loop.now() < end;) continue;  // this process gets no core
-    run_for(h.loop, 100);
-    CHECK(endpoint.request_targets.size() - before == 9);  // of the three who stay, three each
+    // The process gets no core.
+    for (const double end_ms = harness.loop.now() + 120; harness.loop.now() < end_ms;) continue;
+    run_for(harness.loop, 100);
+    CHECK(endpoint.request_targets.size() - requests_before == 9);  // of the three who stay, three each
   }
 }
 
@@ -421,115 +379,51 @@
   }
 }
 
-TEST_CASE("a cold server under a fleet of sidecars: what all send it stays within 2 roots of its N, and 2") {
-  struct {
-    const char* what;
-    int sidecars;
-    double a_second;  // RPCs, at each sidecar
-    bool in_bursts;   // three seconds of little, one of twice the mean
-  } table[] = {{"20 sidecars", 20, 20, false},
-               {"30 sidecars", 30, 20, false},
-               {"30 sidecars, bursts", 30, 20, true},
-               {"300 sidecars of little traffic, bursts", 300, 2, true}};
-  constexpr int warm = 16, cold = 4;
-  for (const auto& t : table) {
-    CAPTURE(std::string(t.what));
-    LoadBalancerConfig land = test_config();
-    land.sidecar_count = t.sidecars;
-    land.cross_zone_cost = 1;  // all like the cold ones best
-    std::vector<std::unique_ptr<LoadBalancerHarness>> fleet;
-    std::vector<Endpoint> before = make_endpoints('a', static_cast<char>('a' + warm - 1), "there"),
-                          after = before;
-    constexpr double joined = 103000;
-    for (int i = 0; i < cold; ++i) after.push_back(make_endpoint("new" + std::to_string(i), joined));
-    for (int i = 0; i < t.sidecars; ++i) {
-      fleet.push_back(std::make_unique<LoadBalancerHarness>(land, i + 1));
-      fleet.back()->now = 100000;
-      fleet.back()->update_endpoints(before);
-    }
-    std::mt19937 chance(7);
-    std::map<std::string, std::vector<double>> sent;
-    struct Running {
-      double end;
-      int at;
-      std::string id;
-      int pick;
-    };
-    std::vector<Running> out;
-    bool told = false;
-    for (double now = 100000; now < joined + 12000; now += 10) {
-      if (!told && now >= joined) {
-        told = true;
-        for (auto& h : fleet) h->now = now, h->update_endpoints(after);
-      }
-      const bool much = std::fmod(now, 4000) >= 3000;
-      const double rate = t.a_second * (t.in_bursts ? (much ? 2 : 2.0 / 3) : 1);
-      for (int i = 0; i < t.sidecars; ++i) {
-        LoadBalancerHarness& h = *fleet[static_cast<std::size_t>(i)];
-        h.now = now;
-        if (std::fmod(now, 100) == 0) h.load_balancer.on_timer(now, 1);
-        h.load_balancer.on_timer(now, 2);
-        if (std::uniform_real_distribution<double>(0, 1)(chance) < rate / 100) h.start_rpc("vital");
-        for (const Decision& d : h.take_decisions()) {
-          if (d.action != Action::send_attempt) continue;
-          if (d.endpoint_id.starts_with("new")) sent[d.endpoint_id].push_back(now);
-          out.push_back({now + 20, i, d.rpc_id, d.attempt_index});
-        }
-      }
-      std::erase_if(out, [&](const Running& r) {
-        if (r.end > now) return false;
-        LoadBalancerHarness& h = *fleet[static_cast<std::size_t>(r.at)];
-        h.load_balancer.on_attempt_finished(now, r.id, r.pick, AttemptOutcome::ok, 20, true, {});
-        h.take_decisions();
-        return true;
-      });
-    }
-    // A server of the mean can do what is sent to the mean; a burst makes it no stronger.
-    const double mean = t.sidecars * t.a_second / 1000 / (warm + cold) * land.slow_start_burst_ms;
-    std::size_t all = 0;
-    for (const auto& sends : sent) {
-      const auto& id = sends.first;
-      const auto& times = sends.second;
-      all += times.size();
-      double worst = 0;
-      for (std::size_t i = 0, from = 0; i < times.size(); ++i) {
-        while (times[from] <= times[i] - land.slow_start_burst_ms) ++from;
-        const double warmth = land.slow_start_initial_weight + (1 - land.slow_start_initial_weight) *
-                                                                   (times[i] - joined) /
-                                                                   land.slow_start_duration_ms;
-        const double n = land.slow_start_overload_factor * warmth * mean;
-        worst = std::max(worst, (static_cast<double>(i - from + 1) - 2) / (n + 2 * std::sqrt(n)));
-      }
-      CAPTURE(id);
-      CHECK(worst <= 1);
+TEST_CASE("a cold server under a fleet of sidecars: attempts stay within 2 roots of the N allowed, and 2") {
+  const FleetTraffic table[] = {{"20 sidecars", 20, 20, false},
+                                {"30 sidecars", 30, 20, false},
+                                {"30 sidecars, bursts", 30, 20, true},
+                                {"300 sidecars of little traffic, bursts", 300, 2, true}};
+  for (const FleetTraffic& traffic : table) {
+    CAPTURE(std::string(traffic.name));
+    FleetSimulation simulation(traffic);
+    simulation.run();
+    std::size_t attempt_count = 0;
+    for (const auto& sent : simulation.sent_ms) {
+      const std::string& endpoint_id = sent.first;
+      CAPTURE(endpoint_id);
+      attempt_count += sent.second.size();
+      CHECK(simulation.worst_overload(sent.second) <= 1);
     }
-    CHECK(all > 100);  // nor are they left idle
+    CHECK(attempt_count > 100);  // nor are they left idle
   }
 }
 
 TEST_CASE(
-    "an answer of no length that is reset is not whole: repeated where it may be, else told to have failed") {
-  enum class Ends { by_end, by_reset, by_reset_later };
-  for (const Ends how : {Ends::by_end, Ends::by_reset, Ends::by_reset_later})
-    for (const RetrySafety repeats : {RetrySafety::idempotent, RetrySafety::non_idempotent}) {
-      CAPTURE(static_cast<int>(how));
-      SidecarHarness h(customer_config(true, true, repeats), slow_upstream_config);
-      FakeServer endpoint(h.loop, {"silent", served_response});
-      h.update_endpoints(address_text(endpoint.address));
-      TestConnection& c = h.connect_client();
-      c.send(rpc_request_text("read", 3900));
-      REQUIRE(run_until(h.loop, [&] { return endpoint.request_targets.size() == 1; }));
-      endpoint.connections[0]->send("HTTP/1.1 200 OK\r\n\r\nhalf");
-      if (how == Ends::by_reset_later) run_for(h.loop, 50);
-      CHECK(c.received.empty());
-      if (how != Ends::by_end) endpoint.connections[0]->stream->reset_on_close();
-      endpoint.connections[0]->close();
-      REQUIRE(run_until(h.loop, [&] { return c.received.size() == 1; }));
-      const bool again = how != Ends::by_end && repeats == RetrySafety::idempotent;
-      CHECK(c.received[0].status == (how == Ends::by_end || again ? 200 : 502));
-      if (how == Ends::by_end) CHECK(c.received[0].body() == "half");
-      if (again) CHECK(c.received[0].body() == "served");
-      CHECK(endpoint.request_targets.size() == (again ? 2 : 1));
-      CHECK(every_rpc_answered_once(h));
+    "a response of no stated length that is reset is incomplete: retried if that is safe, else failed") {
+  enum class Ending { end_of_stream, reset, reset_later };
+  for (const Ending ending : {Ending::end_of_stream, Ending::reset, Ending::reset_later})
+    for (const RetrySafety retry_safety : {RetrySafety::idempotent, RetrySafety::non_idempotent}) {
+      CAPTURE(static_cast<int>(ending));
+      SidecarHarness harness(customer_config(true, true, retry_safety), slow_upstream_config);
+      FakeServer endpoint(harness.loop, {"silent", served_response});
+      harness.update_endpoints(address_text(endpoint.address));
+      TestConnection& client = harness.connect_client();
+      client.send(long_request());
+      REQUIRE(run_until(harness.loop, [&] { return endpoint.request_targets.size() == 1; }));
+      TestConnection& connection = *endpoint.connections[0];
+      connection.send("HTTP/1.1 200 OK\r\n\r\nhalf");
+      if (ending == Ending::reset_later) run_for(harness.loop, 50);
+      CHECK(client.received.empty());
+      if (ending != Ending::end_of_stream) connection.stream->reset_on_close();
+      connection.close();
+      REQUIRE(run_until(harness.loop, [&] { return client.received.size() == 1; }));
+      const bool is_complete = ending == Ending::end_of_stream;
+      const bool is_retried = !is_complete && retry_safety == RetrySafety::idempotent;
+      CHECK(client.received[0].status == (is_complete || is_retried ? 200 : 502));
+      if (is_complete) CHECK(client.received[0].body() == "half");
+      if (is_retried) CHECK(client.received[0].body() == "served");
+      CHECK(endpoint.request_targets.size() == (is_retried ? 2 : 1));
+      CHECK(every_rpc_answered_once(harness));
     }
 }
