--- a/src/config/load_balancer_config.cpp
+++ b/src/config/load_balancer_config.cpp
@@ -27,7 +27,7 @@
 
 TenantConfig decode_tenant(const JsonFields& fields) {
   constexpr double ms_per_s = 1000;
-  const TenantConfig tenant{fields.string("name"), fields.number("allowancePerS", 0) / ms_per_s};
+  TenantConfig tenant{fields.string("name"), fields.number("allowancePerS", 0) / ms_per_s};
   if (!(tenant.allowance_per_ms >= 0)) fields.fail("field allowancePerS is below 0");
   return tenant;
 }
--- a/src/load_gossip/load_gossip_codec.cpp
+++ b/src/load_gossip/load_gossip_codec.cpp
@@ -96,9 +96,9 @@
     const auto tag = take_digits(bytes, tag_digits);
     const auto load = take_digits(bytes, load_digits);
     if (!tag || !load) return {};
-    gossip.endpoint_loads.push_back({.endpoint_tag = *tag,
-                                     .in_flight = static_cast<double>(*load / (max_failures + 1)),
-                                     .failures = static_cast<double>(*load % (max_failures + 1))});
+    const std::uint32_t in_flight = *load / (max_failures + 1);
+    const std::uint32_t failures = *load % (max_failures + 1);
+    gossip.endpoint_loads.push_back({*tag, static_cast<double>(in_flight), static_cast<double>(failures)});
   }
   return gossip;
 }
