--- a/tests/load_test.cpp
+++ b/tests/load_test.cpp
@@ -13,6 +13,7 @@
 #include <thread>
 
 #include "config/sidecar_config.h"
+#include "emulator/scenario_table.h"
 #include "load/play.h"
 
 using namespace indigorill;
@@ -102,7 +103,9 @@
 share = 0.34
 )";
 
-lab::Scenario scene(const std::string& more = "") { return lab::decode_scenario(toml::parse(small + more)); }
+emulator::Scenario scene(const std::string& more = "") {
+  return emulator::decode_scenario(toml::parse(small + more));
+}
 
 // Ports below those that the kernel gives out, apart from those of another run of these tests.
 std::uint16_t base_port() {
@@ -211,7 +214,7 @@
 }  // namespace
 
 TEST_CASE("load: a sidecar's config says what the scenario says") {
-  const lab::Scenario s = scene(R"(
+  const emulator::Scenario s = scene(R"(
 [[method]]
 name = "put"
 work_ms = 3
@@ -230,8 +233,8 @@
   const LoadBalancerConfig is = c.load_balancer, should = s.load_balancer_config(1);
   CHECK(c.name == "n1");
   CHECK(c.initial_endpoints.version == 4);
-  CHECK(c.upstream.idle_timeout_ms == s.network.idle);
-  CHECK(c.upstream.connect_timeout_ms == s.network.connect_timeout);
+  CHECK(c.upstream.idle_timeout_ms == s.network.idle_timeout_ms);
+  CHECK(c.upstream.connect_timeout_ms == s.network.connect_timeout_ms);
   REQUIRE(is.methods.size() == should.methods.size());
   for (std::size_t i = 0; i < is.methods.size(); ++i) {
     const MethodConfig &a = is.methods[i], &b = should.methods[i];
@@ -297,12 +300,12 @@
     CAPTURE(row.broken);
     LoadRunConfig with;
     toml::table t = toml::parse(small);
-    lab::set_value(t, "sidecars", 1);
-    lab::set_value(t, "server[0].count", 1);
-    lab::set_value(t, "server[0].cores", 64);
-    lab::set_value(t, "seconds", 0.4);
-    lab::set_value(t, "load.rate", 40);
-    with.scenario = lab::decode_scenario(t);
+    emulator::set_value(t, "sidecars", 1);
+    emulator::set_value(t, "server[0].count", 1);
+    emulator::set_value(t, "server[0].cores", 64);
+    emulator::set_value(t, "seconds", 0.4);
+    emulator::set_value(t, "load.rate", 40);
+    with.scenario = emulator::decode_scenario(t);
     with.base_port = base_port();
     BadSidecar s(port_of(with.base_port, sidecar_port_offset), port_of(with.base_port, server_port_offset),
                  row.does);
@@ -317,8 +320,8 @@
 TEST_CASE("load: time counts from when an RPC was meant to be sent, and a late sender says so") {
   LoadRunConfig with;
   toml::table t = toml::parse(small);
-  lab::set_value(t, "sidecars", 1);
-  const lab::Scenario plays = lab::decode_scenario(t);
+  emulator::set_value(t, "sidecars", 1);
+  const emulator::Scenario plays = emulator::decode_scenario(t);
   EventLoop runs;
   FileDescriptorBudget room{200};
   WallClockScheduler clock(runs);
