Tests of the load balancer by concern, with whole names

load_balancer_test held 28 cases in 860 lines, with commas for statements and names in the old words. They are now a file for each unit (candidate scoring, slow start, probing, endpoint updates, retry policy, load balancer), over shared histories in tests/support/load_balancer_histories.h. No case is left out and no bound is moved; the gossip and adapter tests and the benchmark get whole names too.

--- a/bench/decision.cpp
+++ b/bench/decision.cpp
@@ -1,59 +1,77 @@
-// What one RPC costs a sidecar in decisions, by the number of servers: from its arrival to the end of its
-// pick. Run with --benchmark_repetitions=10 for the spread.
+// Benchmark: what one RPC costs a sidecar in decisions, by the number of endpoints, from its arrival to the
+// end of its attempt. Run with --benchmark_repetitions=10 for the spread.
 #include <benchmark/benchmark.h>
 
+#include <cstdint>
 #include <string>
+#include <vector>
 
 #include "indigorill/load_balancer.h"
 
 namespace {
 
-using namespace indigorill;
-using Verb = Decision::Action;
-
-LoadBalancerConfig ground() {
-  LoadBalancerConfig t;
-  t.methods = {{"read", 100, 1, 0, RetrySafety::idempotent, DeduplicationScope::global, 0, 0},
-               {"order", 100, 4, 0, RetrySafety::non_idempotent, DeduplicationScope::global, 0, 0}};
-  t.zone = "here";
-  t.max_attempts = 4;
-  t.cancellation_enabled = true;
-  t.handshake_cost = 0.01;
-  t.slow_start_initial_weight = 0.2;
-  t.slow_start_duration_ms = 20000;
-  t.slow_start_overload_factor = 3;
-  t.slow_start_burst_ms = 1000;
-  return t;
+using indigorill::AttemptOutcome;
+using indigorill::Decision;
+using indigorill::DeduplicationScope;
+using indigorill::Endpoint;
+using indigorill::EndpointState;
+using indigorill::LoadBalancer;
+using indigorill::LoadBalancerConfig;
+using indigorill::RetrySafety;
+
+LoadBalancerConfig benchmark_config() {
+  LoadBalancerConfig config;
+  config.methods = {{"read", 100, 1, 0, RetrySafety::idempotent, DeduplicationScope::global, 0, 0},
+                    {"order", 100, 4, 0, RetrySafety::non_idempotent, DeduplicationScope::global, 0, 0}};
+  config.zone = "here";
+  config.max_attempts = 4;
+  config.cancellation_enabled = true;
+  config.handshake_cost = 0.01;
+  config.slow_start_initial_weight = 0.2;
+  config.slow_start_duration_ms = 20000;
+  config.slow_start_overload_factor = 3;
+  config.slow_start_burst_ms = 1000;
+  return config;
 }
 
-// cold: of a hundred servers.
-void one_rpc(benchmark::State& state) {
-  const auto servers = static_cast<int>(state.range(0));
-  const auto cold = static_cast<int>(state.range(1));
-  double now = 1000000;
-  LoadBalancer b(ground(), 1, now);
-  std::vector<Endpoint> all;
-  for (int i = 0; i < servers; ++i)
-    all.push_back({std::string("s").append(std::to_string(i)), "here", 0,
-                   i * 100 < servers * cold ? now - 1000 : 0, EndpointState::ready});
-  b.update_endpoints(now, true, false, all);
-  while (b.next_decision()) {
+std::vector<Endpoint> benchmark_endpoints(int count, int slow_start_percent, double now_ms) {
+  std::vector<Endpoint> endpoints;
+  for (int i = 0; i < count; ++i) {
+    const bool is_slow_start = i * 100 < count * slow_start_percent;
+    endpoints.push_back({std::string("s").append(std::to_string(i)), "here", 0,
+                         is_slow_start ? now_ms - 1000 : 0, EndpointState::ready});
   }
-  std::uint64_t rpc = 0;
-  double beat = now;
+  return endpoints;
+}
+
+void discard_decisions(LoadBalancer& load_balancer) {
+  while (load_balancer.next_decision()) continue;
+}
+
+void one_rpc(benchmark::State& state) {
+  constexpr double maintenance_interval_ms = 1000;
+  double now_ms = 1000000;
+  LoadBalancer load_balancer(benchmark_config(), 1, now_ms);
+  load_balancer.update_endpoints(
+      now_ms, true, false,
+      benchmark_endpoints(static_cast<int>(state.range(0)), static_cast<int>(state.range(1)), now_ms));
+  discard_decisions(load_balancer);
+  std::uint64_t rpc_count = 0;
+  double maintenance_at_ms = now_ms;
   for (auto _ : state) {
-    now += 1;
-    if (now - beat >= 1000) {
-      b.on_timer(beat = now, 1);
-      while (b.next_decision()) {
-      }
+    now_ms += 1;
+    if (now_ms - maintenance_at_ms >= maintenance_interval_ms) {
+      maintenance_at_ms = now_ms;
+      load_balancer.on_timer(now_ms, 1);
+      discard_decisions(load_balancer);
     }
-    const std::string id = std::to_string(++rpc);
-    b.on_rpc_arrived(now, {id, rpc % 4 ? "read" : "order", now + 300, {}});
-    while (const auto d = b.next_decision())
-      if (d->action == Verb::send_attempt)
-        b.on_attempt_finished(now + 0.5, d->rpc_id, d->attempt_index, AttemptOutcome::ok, 20, true, {2.0});
-    now += 0.5;
+    const std::string id = std::to_string(++rpc_count);
+    load_balancer.on_rpc_arrived(now_ms, {id, rpc_count % 4 ? "read" : "order", now_ms + 300, {}});
+    while (const auto decision = load_balancer.next_decision())
+      if (decision->action == Decision::Action::send_attempt)
+        load_balancer.on_attempt_finished(now_ms + 0.5, decision->rpc_id, decision->attempt_index,
+                                          AttemptOutcome::ok, 20, true, {2.0});
+    now_ms += 0.5;
   }
 }
 BENCHMARK(one_rpc)->ArgNames({"servers", "cold"})->ArgsProduct({{10, 30, 100, 300, 1000}, {0, 60}});
--- /dev/null
+++ b/tests/endpoint_updates_test.cpp
@@ -0,0 +1,101 @@
+#include <doctest/doctest.h>
+#include <malloc.h>
+
+#include <algorithm>
+#include <memory>
+
+#include "support/load_balancer_histories.h"
+
+using namespace host;  // NOLINT(google-build-using-namespace): test support
+
+TEST_CASE("nothing new to an endpoint that drains or is gone") {
+  for (const EndpointState state : {EndpointState::draining, EndpointState::gone}) {
+    LoadBalancerHarness harness;
+    list_a_and_b(harness);
+    harness.load_balancer.update_endpoints(harness.now, false, false, {make_endpoint("a", 0, state)});
+    for (int i = 0; i < 50; ++i) {
+      harness.now += 200;
+      const std::string id = harness.start_rpc();
+      CHECK(harness.only_decision().endpoint_id == "b");
+      harness.load_balancer.on_attempt_finished(harness.now, id, 0, AttemptOutcome::ok, 20, true, {});
+    }
+  }
+}
+
+TEST_CASE("the endpoint list is polled, and after a failed poll again with growing backoff and jitter") {
+  LoadBalancerConfig config = test_config();
+  config.must_poll_endpoints = true;
+  config.max_poll_silence_ms = 10000;
+  double backoffs[2][4];
+  for (const int seed : {1, 2}) {
+    LoadBalancerHarness harness(config, static_cast<std::uint64_t>(seed));
+    CHECK(harness.only_decision().action == Action::poll_endpoints);
+    for (double& backoff : backoffs[seed - 1]) {
+      const double failed_at = harness.now;
+      harness.load_balancer.endpoint_poll_failed(harness.now);
+      bool has_polled = false;
+      while (!has_polled && harness.now < failed_at + 20000) {
+        harness.now += 10;
+        harness.load_balancer.on_timer(harness.now, 1);
+        for (const Decision& decision : harness.take_decisions())
+          has_polled = has_polled || decision.action == Action::poll_endpoints;
+      }
+      backoff = harness.now - failed_at;
+    }
+    harness.load_balancer.update_endpoints(harness.now, true, true, {make_endpoint("a")});
+    harness.now += 60000;
+    CHECK(harness.take_decisions().empty());  // subscribed
+  }
+  for (const auto& of_seed : backoffs) CHECK((of_seed[0] < of_seed[2] && of_seed[3] < 10000));
+  CHECK(backoffs[0][1] != backoffs[1][1]);
+}
+
+TEST_CASE("many sidecars that start, or fail to get the list, at once don't poll it at once") {
+  LoadBalancerConfig config = test_config();
+  config.must_poll_endpoints = true;
+  config.max_poll_silence_ms = 10000;
+  config.sidecar_count = 100;
+  std::vector<std::unique_ptr<LoadBalancerHarness>> sidecars;
+  for (int seed = 1; seed <= 100; ++seed) {
+    sidecars.push_back(std::make_unique<LoadBalancerHarness>(config, static_cast<std::uint64_t>(seed)));
+    sidecars.back()->now = 0;
+  }
+  const auto max_polls_per_second = [&](double end) {
+    int max_polls = 0;
+    int all_polls = 0;
+    while (sidecars.front()->now < end) {
+      int polls = 0;
+      for (int step = 0; step < 100; ++step)
+        for (auto& sidecar : sidecars) {
+          sidecar->now += 10;
+          sidecar->load_balancer.on_timer(sidecar->now, 2);
+          for (const Decision& decision : sidecar->take_decisions()) {
+            polls += decision.action == Action::poll_endpoints;
+            ++all_polls;
+          }
+        }
+      max_polls = std::max(max_polls, polls);
+    }
+    CHECK(all_polls == 100);  // and none is left out
+    return max_polls;
+  };
+  CHECK(max_polls_per_second(6000) <= 35);
+  for (auto& sidecar : sidecars) sidecar->load_balancer.endpoint_poll_failed(sidecar->now);
+  CHECK(max_polls_per_second(16000) <= 35);
+}
+
+TEST_CASE("endpoints that left are forgotten: memory stays as it is under ever new ones") {
+  LoadBalancerHarness harness;
+  std::size_t early_bytes = 0;
+  std::size_t late_bytes = 0;
+  for (int round = 0; round < 400; ++round) {
+    std::vector<Endpoint> endpoints;
+    for (int i = 0; i < 20; ++i)
+      endpoints.push_back(make_endpoint("an endpoint with a long name, round " + std::to_string(round) +
+                                        ", " + std::to_string(i)));
+    harness.update_endpoints(endpoints);
+    harness.run_maintenance_until(harness.now + 1000);
+    (round < 200 ? early_bytes : late_bytes) = ::mallinfo2().uordblks;
+  }
+  CHECK(late_bytes <= early_bytes + 20000);  // 200 rounds of 20 are more than 1 MB
+}
