--- a/src/admin/admin_server.h
+++ b/src/admin/admin_server.h
@@ -8,7 +8,7 @@
 
 #include "event/socket.h"
 #include "event/tcp_stream.h"
-#include "http/header_codec.h"
+#include "http/admin_codec.h"
 #include "http/http_parser.h"
 #include "logging/logger.h"
 #include "metrics/counters.h"
--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -1,167 +1,197 @@
+/// \file
+/// The HTTP parser and the header codec.
 #include <doctest/doctest.h>
 
 #include "support/host.h"
 
-using namespace host;
-using http::HttpParser;
-
+namespace indigorill {
 namespace {
 
-constexpr auto request = HttpParser::MessageKind::request, answer = HttpParser::MessageKind::response;
-constexpr auto reading = HttpParser::ParseState::reading, whole = HttpParser::ParseState::complete,
-               broken = HttpParser::ParseState::error;
+using host::parse_message;
+using host::write_to_socket;
+using http::HttpParser;
+
+constexpr auto request = HttpParser::MessageKind::request;
+constexpr auto response = HttpParser::MessageKind::response;
+constexpr auto reading = HttpParser::ParseState::reading;
+constexpr auto complete = HttpParser::ParseState::complete;
+constexpr auto error = HttpParser::ParseState::error;
 
-void feed(HttpParser& r, std::string_view bytes) {
+void feed(HttpParser& parser, std::string_view bytes) {
   while (!bytes.empty()) {
-    const auto room = r.writable_buffer();
-    const std::size_t n = std::min(room.size(), bytes.size());
-    std::copy_n(bytes.data(), n, room.data());
-    r.commit(n);
-    bytes.remove_prefix(n);
+    const auto buffer = parser.writable_buffer();
+    const std::size_t count = std::min(buffer.size(), bytes.size());
+    std::copy_n(bytes.data(), count, buffer.data());
+    parser.commit(count);
+    bytes.remove_prefix(count);
   }
 }
 
-std::string many(const std::string& piece, int times) {
+std::string repeated(const std::string& text, int times) {
   std::string all;
-  for (int i = 0; i < times; ++i) all += piece;
+  for (int i = 0; i < times; ++i) all += text;
   return all;
 }
 
-struct Row {
-  const char* what;
+struct ParserCase {
+  const char* description;
   HttpParser::MessageKind kind;
   std::string bytes;
-  bool ends;  // the sender closes then
-  HttpParser::ParseState is;
-  int status;  // of the fault, or of the answer
+  bool is_closed_after;
+  HttpParser::ParseState state;
+  int status;  // of the error, or of the response
   std::string body;
-  bool keeps = true;
+  bool keep_alive = true;
 };
 
-const std::string post = "POST /a HTTP/1.1\r\n", ok = "HTTP/1.1 200 OK\r\n";
+const std::string post = "POST /a HTTP/1.1\r\n";
+const std::string ok = "HTTP/1.1 200 OK\r\n";
 
-}  // namespace
-
-TEST_CASE("messages are the same however their bytes are split") {
-  const Row table[] = {
-      {"no body", request, "GET /a?b HTTP/1.1\r\nHost: x\r\n\r\n", false, whole, 0, ""},
-      {"an empty line before", request, "\r\nGET /a HTTP/1.1\r\n\r\n", false, whole, 0, ""},
-      {"a length", request, post + "Content-Length: 3\r\n\r\nabc", false, whole, 0, "abc"},
-      {"equal lengths", request, post + "Content-Length: 1\r\ncontent-length:1 \r\n\r\na", false, whole, 0,
+std::vector<ParserCase> request_cases() {
+  return {
+      {"no body", request, "GET /a?b HTTP/1.1\r\nHost: x\r\n\r\n", false, complete, 0, ""},
+      {"an empty line before", request, "\r\nGET /a HTTP/1.1\r\n\r\n", false, complete, 0, ""},
+      {"a length", request, post + "Content-Length: 3\r\n\r\nabc", false, complete, 0, "abc"},
+      {"equal lengths", request, post + "Content-Length: 1\r\ncontent-length:1 \r\n\r\na", false, complete, 0,
        "a"},
       {"chunks", request,
-       post + "Transfer-Encoding: Chunked\r\n\r\n2;x=y\r\nab\r\n1\r\nc\r\n0\r\nT: 1\r\n\r\n", false, whole, 0,
-       "abc"},
-      {"old version", request, "GET /a HTTP/1.0\r\n\r\n", false, whole, 0, "", false},
-      {"old version kept", request, "GET /a HTTP/1.0\r\nConnection: x, Keep-Alive\r\n\r\n", false, whole, 0,
+       post + "Transfer-Encoding: Chunked\r\n\r\n2;x=y\r\nab\r\n1\r\nc\r\n0\r\nT: 1\r\n\r\n", false, complete,
+       0, "abc"},
+      {"old version", request, "GET /a HTTP/1.0\r\n\r\n", false, complete, 0, "", false},
+      {"old version kept", request, "GET /a HTTP/1.0\r\nConnection: x, Keep-Alive\r\n\r\n", false, complete,
+       0, ""},
+      {"close asked", request, "GET /a HTTP/1.1\r\nConnection: close\r\n\r\n", false, complete, 0, "", false},
+      {"incomplete head", request, post + "Content-Length: 3\r\n", false, reading, 0, ""},
+      {"incomplete body", request, post + "Content-Length: 3\r\n\r\nab", false, reading, 0, ""},
+      {"closed within", request, post + "Content-Length: 3\r\n\r\nab", true, error, 400, ""},
+      {"two lengths", request, post + "Content-Length: 3\r\nContent-Length: 4\r\n\r\nabcd", false, error, 400,
        ""},
-      {"close asked", request, "GET /a HTTP/1.1\r\nConnection: close\r\n\r\n", false, whole, 0, "", false},
-      {"head not whole", request, post + "Content-Length: 3\r\n", false, reading, 0, ""},
-      {"body not whole", request, post + "Content-Length: 3\r\n\r\nab", false, reading, 0, ""},
-      {"closed within", request, post + "Content-Length: 3\r\n\r\nab", true, broken, 400, ""},
-      {"two lengths", request, post + "Content-Length: 3\r\nContent-Length: 4\r\n\r\nabcd", false, broken,
-       400, ""},
       {"length and chunks", request, post + "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n", false,
-       broken, 400, ""},
-      {"unknown coding", request, post + "Transfer-Encoding: gzip, chunked\r\n\r\n", false, broken, 400, ""},
-      {"chunked twice", request, post + "Transfer-Encoding: chunked, chunked\r\n\r\n", false, broken, 400,
-       ""},
-      {"odd length", request, post + "Content-Length: +3\r\n\r\n", false, broken, 400, ""},
-      {"huge length", request, post + "Content-Length: 99999999999999999999\r\n\r\n", false, broken, 400, ""},
-      {"long body", request, post + "Content-Length: 65537\r\n\r\n", false, broken, 413, ""},
-      {"long chunk", request, post + "Transfer-Encoding: chunked\r\n\r\n10001\r\n", false, broken, 413, ""},
-      {"odd chunk", request, post + "Transfer-Encoding: chunked\r\n\r\nx\r\n", false, broken, 400, ""},
+       error, 400, ""},
+      {"unknown coding", request, post + "Transfer-Encoding: gzip, chunked\r\n\r\n", false, error, 400, ""},
+      {"chunked twice", request, post + "Transfer-Encoding: chunked, chunked\r\n\r\n", false, error, 400, ""},
+      {"odd length", request, post + "Content-Length: +3\r\n\r\n", false, error, 400, ""},
+      {"huge length", request, post + "Content-Length: 99999999999999999999\r\n\r\n", false, error, 400, ""},
+      {"long body", request, post + "Content-Length: 65537\r\n\r\n", false, error, 413, ""},
+      {"long chunk", request, post + "Transfer-Encoding: chunked\r\n\r\n10001\r\n", false, error, 413, ""},
+      {"odd chunk", request, post + "Transfer-Encoding: chunked\r\n\r\nx\r\n", false, error, 400, ""},
       {"chunk too long for its size", request, post + "Transfer-Encoding: chunked\r\n\r\n1\r\nabc\r\n", false,
-       broken, 400, ""},
-      {"long line", request, "GET /" + many("a", 9000) + " HTTP/1.1\r\n\r\n", false, broken, 431, ""},
-      {"long head", request, "GET / HTTP/1.1\r\n" + many("A: " + many("b", 996) + "\r\n", 17) + "\r\n", false,
-       broken, 431, ""},
-      {"many headers", request, "GET / HTTP/1.1\r\n" + many("A: b\r\n", 101) + "\r\n", false, broken, 431,
+       error, 400, ""},
+      {"long line", request, "GET /" + repeated("a", 9000) + " HTTP/1.1\r\n\r\n", false, error, 431, ""},
+      {"long head", request,
+       "GET / HTTP/1.1\r\n" + repeated("A: " + repeated("b", 996) + "\r\n", 17) + "\r\n", false, error, 431,
        ""},
-      {"line without return", request, "GET /a HTTP/1.1\nHost: x\n\n", false, broken, 400, ""},
-      {"no version", request, "GET /a\r\n\r\n", false, broken, 400, ""},
-      {"another version", request, "GET /a HTTP/2.0\r\n\r\n", false, broken, 400, ""},
-      {"whole address", request, "GET http://x/a HTTP/1.1\r\n\r\n", false, whole, 0, ""},
-      {"whole address of no path", request, "GET http://x HTTP/1.1\r\n\r\n", false, broken, 400, ""},
-      {"space before colon", request, "GET /a HTTP/1.1\r\nHost : x\r\n\r\n", false, broken, 400, ""},
-      {"folded line", request, "GET /a HTTP/1.1\r\nA: b\r\n c\r\n\r\n", false, broken, 400, ""},
-      {"control in a value", request, "GET /a HTTP/1.1\r\nA: b\x01\r\n\r\n", false, broken, 400, ""},
-      {"return in a value", request, "GET /a HTTP/1.1\r\nA: b\rc\r\n\r\n", false, broken, 400, ""},
-      {"answer with a length", answer, ok + "Content-Length: 2\r\n\r\nab", false, whole, 200, "ab"},
-      {"answer in chunks", answer, ok + "Transfer-Encoding: chunked\r\n\r\na\r\n0123456789\r\n0\r\n\r\n",
-       false, whole, 200, "0123456789"},
-      {"answer until close", answer, ok + "\r\nabc", true, whole, 200, "abc", false},
-      {"answer not closed yet", answer, ok + "\r\nabc", false, reading, 200, ""},
-      {"answer broken off", answer, ok + "Content-Length: 3\r\n\r\nab", true, broken, 400, ""},
-      {"answer after a word", answer, "HTTP/1.1 103 Wait\r\nA: b\r\n\r\n" + ok + "Content-Length: 1\r\n\r\na",
-       false, whole, 200, "a", false},
-      {"no content", answer, "HTTP/1.1 204 None\r\n\r\n", false, whole, 204, ""},
-      {"no reason", answer, "HTTP/1.1 503\r\nContent-Length: 0\r\n\r\n", false, whole, 503, ""},
-      {"last answer", answer, ok + "Connection: close\r\nContent-Length: 0\r\n\r\n", false, whole, 200, "",
+      {"too many headers", request, "GET / HTTP/1.1\r\n" + repeated("A: b\r\n", 101) + "\r\n", false, error,
+       431, ""},
+      {"line without return", request, "GET /a HTTP/1.1\nHost: x\n\n", false, error, 400, ""},
+      {"no version", request, "GET /a\r\n\r\n", false, error, 400, ""},
+      {"another version", request, "GET /a HTTP/2.0\r\n\r\n", false, error, 400, ""},
+      {"absolute target", request, "GET http://x/a HTTP/1.1\r\n\r\n", false, complete, 0, ""},
+      {"absolute target without path", request, "GET http://x HTTP/1.1\r\n\r\n", false, error, 400, ""},
+      {"space before colon", request, "GET /a HTTP/1.1\r\nHost : x\r\n\r\n", false, error, 400, ""},
+      {"folded line", request, "GET /a HTTP/1.1\r\nA: b\r\n c\r\n\r\n", false, error, 400, ""},
+      {"control in a value", request, "GET /a HTTP/1.1\r\nA: b\x01\r\n\r\n", false, error, 400, ""},
+      {"return in a value", request, "GET /a HTTP/1.1\r\nA: b\rc\r\n\r\n", false, error, 400, ""},
+  };
+}
+
+std::vector<ParserCase> response_cases() {
+  return {
+      {"response with a length", response, ok + "Content-Length: 2\r\n\r\nab", false, complete, 200, "ab"},
+      {"response in chunks", response, ok + "Transfer-Encoding: chunked\r\n\r\na\r\n0123456789\r\n0\r\n\r\n",
+       false, complete, 200, "0123456789"},
+      {"response until close", response, ok + "\r\nabc", true, complete, 200, "abc", false},
+      {"response not closed yet", response, ok + "\r\nabc", false, reading, 200, ""},
+      {"response broken off", response, ok + "Content-Length: 3\r\n\r\nab", true, error, 400, ""},
+      {"final response after an interim one", response,
+       "HTTP/1.1 103 Wait\r\nA: b\r\n\r\n" + ok + "Content-Length: 1\r\n\r\na", false, complete, 200, "a",
        false},
-      {"no answer", answer, "", true, broken, 400, ""},
-      {"other protocol", answer, "SSH-2.0-x\r\n", false, broken, 400, ""},
-      {"switching", answer, "HTTP/1.1 101 Switch\r\n\r\n", false, broken, 400, ""},
-      {"odd status", answer, "HTTP/1.1 2x0 OK\r\n\r\n", false, broken, 400, ""},
-      {"long answer", answer, ok + "\r\n" + many("a", 65537), false, broken, 413, ""},
+      {"no content", response, "HTTP/1.1 204 None\r\n\r\n", false, complete, 204, ""},
+      {"no reason", response, "HTTP/1.1 503\r\nContent-Length: 0\r\n\r\n", false, complete, 503, ""},
+      {"last response", response, ok + "Connection: close\r\nContent-Length: 0\r\n\r\n", false, complete, 200,
+       "", false},
+      {"no response", response, "", true, error, 400, ""},
+      {"other protocol", response, "SSH-2.0-x\r\n", false, error, 400, ""},
+      {"switching", response, "HTTP/1.1 101 Switch\r\n\r\n", false, error, 400, ""},
+      {"odd status", response, "HTTP/1.1 2x0 OK\r\n\r\n", false, error, 400, ""},
+      {"long response", response, ok + "\r\n" + repeated("a", 65537), false, error, 413, ""},
   };
-  for (const Row& t : table) {
-    CAPTURE(std::string(t.what));
-    const std::size_t every = t.bytes.size() < 300 ? 1 : 997;
-    for (std::size_t cut = 0; cut <= t.bytes.size(); cut += every) {
-      CAPTURE(cut);
-      HttpParser r(t.kind);
-      feed(r, std::string_view(t.bytes).substr(0, cut));
-      feed(r, std::string_view(t.bytes).substr(cut));
-      if (t.ends) r.on_end_of_stream();
-      REQUIRE(r.state() == t.is);
-      if (t.is == broken) CHECK(r.error_status() == t.status);
-      if (t.is != whole) continue;
-      const http::Message m = r.take_message();
-      CHECK(m.body() == t.body);
-      CHECK(m.keep_alive == t.keeps);
-      CHECK(m.status == t.status);
-      if (t.kind == request) CHECK(m.slice(m.target).substr(0, 2) == "/a");
-      CHECK(r.state() == reading);
-    }
-    HttpParser r(t.kind);
-    for (const char c : t.bytes) feed(r, std::string_view(&c, 1));
-    if (t.ends) r.on_end_of_stream();
-    CHECK(r.state() == t.is);
+}
+
+void check_message(const ParserCase& expected, const http::Message& message) {
+  CHECK(message.body() == expected.body);
+  CHECK(message.keep_alive == expected.keep_alive);
+  CHECK(message.status == expected.status);
+  if (expected.kind == request) CHECK(message.slice(message.target).substr(0, 2) == "/a");
+}
+
+void check_parsed_in_two_parts(const ParserCase& expected, std::size_t cut) {
+  CAPTURE(cut);
+  HttpParser parser(expected.kind);
+  feed(parser, std::string_view(expected.bytes).substr(0, cut));
+  feed(parser, std::string_view(expected.bytes).substr(cut));
+  if (expected.is_closed_after) parser.on_end_of_stream();
+  REQUIRE(parser.state() == expected.state);
+  if (expected.state == error) CHECK(parser.error_status() == expected.status);
+  if (expected.state != complete) return;
+  check_message(expected, parser.take_message());
+  CHECK(parser.state() == reading);
+}
+
+void check_parsed_byte_by_byte(const ParserCase& expected) {
+  HttpParser parser(expected.kind);
+  for (const char byte : expected.bytes) feed(parser, std::string_view(&byte, 1));
+  if (expected.is_closed_after) parser.on_end_of_stream();
+  CHECK(parser.state() == expected.state);
+}
+
+void check_parsed(const std::vector<ParserCase>& cases) {
+  for (const ParserCase& expected : cases) {
+    CAPTURE(std::string(expected.description));
+    const std::size_t step = expected.bytes.size() < 300 ? 1 : 997;
+    for (std::size_t cut = 0; cut <= expected.bytes.size(); cut += step)
+      check_parsed_in_two_parts(expected, cut);
+    check_parsed_byte_by_byte(expected);
   }
 }
 
+TEST_CASE("messages are the same however their bytes are split") {
+  check_parsed(request_cases());
+  check_parsed(response_cases());
+}
+
 TEST_CASE("what follows a message is the next one, at every split") {
   const std::string bytes =
       post + "Content-Length: 2\r\n\r\nab" + post +
       "Transfer-Encoding: chunked\r\n\r\n1\r\nc\r\n0\r\n\r\nGET /d HTTP/1.1\r\nX: e\r\n\r\n";
   for (std::size_t cut = 0; cut <= bytes.size(); ++cut) {
     CAPTURE(cut);
-    HttpParser r(request);
+    HttpParser parser(request);
     std::string bodies;
     for (const std::string_view part :
          {std::string_view(bytes).substr(0, cut), std::string_view(bytes).substr(cut)}) {
-      feed(r, part);
-      while (r.state() == whole) {
-        const http::Message m = r.take_message();
-        bodies += m.body();
-        bodies += m.find_header("x").value_or("-");
+      feed(parser, part);
+      while (parser.state() == complete) {
+        const http::Message message = parser.take_message();
+        bodies += message.body();
+        bodies += message.find_header("x").value_or("-");
       }
     }
     CHECK(bodies == "ab-c-e");
-    CHECK_FALSE(r.has_partial_input());
+    CHECK_FALSE(parser.has_partial_input());
   }
 }
 
-TEST_CASE("a request in our words") {
+TEST_CASE("decoding of RPC requests") {
   const std::string id = "X-Call-Id: 1\r\n";
   struct {
-    std::string head, method;
-    int fault;
-    double budget;
-    std::string_view tenant = "";
-    bool repeat = false;
-  } table[] = {
+    std::string head;
+    std::string method;
+    int error_status;
+    double budget_ms;
+    std::string_view tenant = {};
+    bool is_retry = false;
+  } cases[] = {
       {"GET /read HTTP/1.1\r\nX-Caller: acme\r\nX-Again: 1\r\n" + id + "X-Budget: 1m\r\n", "read", 0, 1,
        "acme", true},
       {"GET /read HTTP/1.1\r\nX-Again: yes\r\n" + id + "X-Budget: 1m\r\n", "read", 0, 1},
@@ -177,47 +207,48 @@
       {"GET /read HTTP/1.1\r\n" + id + "X-Budget: m\r\n", "read", 400, 0},
       {"GET /read HTTP/1.1\r\n" + id + "X-Budget: 1e9m\r\n", "read", 400, 0},
   };
-  for (const auto& t : table) {
-    CAPTURE(t.head);
-    const http::Message m = parse_message(request, t.head + "\r\n");
-    const RpcRequest c = decode_rpc_request(m);
-    CHECK(c.method == t.method);
-    CHECK(c.error_status == t.fault);
-    CHECK(c.budget_ms == doctest::Approx(t.budget));
-    CHECK(c.tenant == t.tenant);
-    CHECK(c.is_retry == t.repeat);
+  for (const auto& expected : cases) {
+    CAPTURE(expected.head);
+    const http::Message message = parse_message(request, expected.head + "\r\n");
+    const RpcRequest rpc = decode_rpc_request(message);
+    CHECK(rpc.method == expected.method);
+    CHECK(rpc.error_status == expected.error_status);
+    CHECK(rpc.budget_ms == doctest::Approx(expected.budget_ms));
+    CHECK(rpc.tenant == expected.tenant);
+    CHECK(rpc.is_retry == expected.is_retry);
   }
 }
 
-TEST_CASE("RPCs have one key if they name one thing") {
+TEST_CASE("RPCs have the same affinity key if they name the same object") {
   struct {
-    std::string one, other;
-    bool same;
-  } table[] = {
+    std::string target;
+    std::string other_target;
+    bool is_same_object;
+  } cases[] = {
       {"/read/000251ee5fa32705", "/hold/000251ee5fa32705?a=b", true},
       {"/read/000251ee5fa32705", "/read/000251ee5fa32706", false},
       {"/read/hut 7", "/read/hut 7/beds", true},
       {"/read", "/read/", true},
       {"/read", "/read/1", false},
   };
-  for (const auto& t : table) {
-    const auto key = [](const std::string& target) {
-      std::string escaped = target;
-      std::replace(escaped.begin(), escaped.end(), ' ', '+');
-      return decode_rpc_request(parse_message(request, "GET " + escaped + " HTTP/1.1\r\n\r\n")).affinity_key;
-    };
-    CAPTURE(t.one);
-    CHECK((key(t.one) == key(t.other)) == t.same);
+  const auto affinity_key = [](std::string target) {
+    std::replace(target.begin(), target.end(), ' ', '+');
+    return decode_rpc_request(parse_message(request, "GET " + target + " HTTP/1.1\r\n\r\n")).affinity_key;
+  };
+  for (const auto& expected : cases) {
+    CAPTURE(expected.target);
+    CHECK((affinity_key(expected.target) == affinity_key(expected.other_target)) == expected.is_same_object);
   }
 }
 
-TEST_CASE("an answer in our words") {
+TEST_CASE("outcome and load report of responses") {
   struct {
-    std::string head, body;
-    bool of_probe;
-    AttemptOutcome how;
-    std::optional<double> held;
-  } table[] = {
+    std::string head;
+    std::string body;
+    bool is_health_check;
+    AttemptOutcome outcome;
+    std::optional<double> in_flight;
+  } cases[] = {
       {"200 OK", "x", false, AttemptOutcome::ok, {}},
       {"200 OK\r\nX-Load-Report: outstanding=7,backlog=2,utilization=0.61", "x", false, AttemptOutcome::ok,
        7},
@@ -231,17 +262,17 @@
       {"200 OK", "outstanding=2,backlog=1\n", true, AttemptOutcome::ok, 2},
       {"200 OK", "outstanding=2,backlog=1\n", false, AttemptOutcome::ok, {}},
   };
-  for (const auto& t : table) {
-    CAPTURE(t.head);
-    const http::Message m =
-        parse_message(answer, "HTTP/1.1 " + t.head + "\r\nContent-Length: " + std::to_string(t.body.size()) +
-                                  "\r\n\r\n" + t.body);
-    CHECK(classify_response(m) == t.how);
-    CHECK(decode_load_report(m, t.of_probe).in_flight == t.held);
+  for (const auto& expected : cases) {
+    CAPTURE(expected.head);
+    const http::Message message =
+        parse_message(response, "HTTP/1.1 " + expected.head + "\r\nContent-Length: " +
+                                    std::to_string(expected.body.size()) + "\r\n\r\n" + expected.body);
+    CHECK(classify_response(message) == expected.outcome);
+    CHECK(decode_load_report(message, expected.is_health_check).in_flight == expected.in_flight);
   }
 }
 
-TEST_CASE("heads that we write") {
+TEST_CASE("encoding of requests and responses") {
   const http::Message get = parse_message(request,
                                           "GET /read?a HTTP/1.1\r\nHost: h\r\nConnection: keep-alive, "
                                           "x-hop\r\nX-Hop: 1\r\nX-Call-Id: 9\r\nX-Budget: 480m\r\n\r\n");
@@ -249,12 +280,12 @@
       request,
       "POST /x HTTP/1.0\r\nTransfer-Encoding: chunked\r\nX-Call-Id: 9\r\nA: b\r\n\r\n2\r\nhi\r\n0\r\n\r\n");
   const http::Message served = parse_message(
-      answer,
+      response,
       "HTTP/1.1 200 Fine\r\nX-Load-Report: outstanding=1\r\nA: b\r\nContent-Length: 2\r\nC: d\r\n\r\nok");
   struct {
-    WriteBuffer what;
+    WriteBuffer output;
     std::string text;
-  } table[] = {
+  } cases[] = {
       {encode_attempt(get, 12.5),
        "GET /read?a HTTP/1.1\r\nHost: h\r\nX-Call-Id: 9\r\nX-Budget: 12500u\r\n\r\n"},
       {encode_attempt(sent, 0),
@@ -269,5 +300,8 @@
       {encode_rejection(0, false), "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"},
       {encode_failure(false), "HTTP/1.1 502 Bad Gateway\r\nContent-Length: 0\r\n\r\n"},
   };
-  for (auto& t : table) CHECK(write_to_socket(std::move(t.what)) == t.text);
+  for (auto& expected : cases) CHECK(write_to_socket(std::move(expected.output)) == expected.text);
 }
+
+}  // namespace
+}  // namespace indigorill
--- a/tests/support/host.h
+++ b/tests/support/host.h
@@ -1,166 +1,192 @@
-// For the tests: a host of one balancer with two methods and a small fleet, and stand-ins on loopback for
-// what a sidecar talks to. Stand-ins live in the sidecar's own loop, so that no test waits or races.
+/// \file
+/// Test support: a load balancer with two methods and a small fleet, and fakes on loopback for what a sidecar
+/// talks to. Fakes run in the event loop of the test, so that no test sleeps or races.
 #pragma once
 
 #include <arpa/inet.h>
 #include <sys/socket.h>
 
 #include <algorithm>
+#include <array>
+#include <cerrno>
 #include <functional>
 #include <map>
 #include <memory>
 #include <string>
+#include <system_error>
 #include <vector>
 
 #include "event/socket.h"
 #include "event/tcp_stream.h"
 #include "http/header_codec.h"
+#include "http/http_parser.h"
 #include "indigorill/load_balancer.h"
 
 namespace host {
 
-using namespace indigorill;
+using namespace indigorill;  // NOLINT(google-build-using-namespace): the tests name nothing else
 using Action = Decision::Action;
 
-inline LoadBalancerConfig test_config(RetrySafety repeats = RetrySafety::idempotent,
-                                      DeduplicationScope drops = DeduplicationScope::global) {
-  LoadBalancerConfig t;
-  t.methods = {{"read", 100, 1, 0, repeats, drops, 200}, {"vital", 100, 10, 0, repeats, drops, 200}};
-  t.zone = "here";
-  t.max_attempts = 4;
-  t.cancellation_enabled = true;
-  t.max_retry_after_ms = 1000;
-  t.slow_start_initial_weight = 0.2;
-  t.slow_start_duration_ms = 20000;
-  t.slow_start_overload_factor = 3;
-  t.slow_start_burst_ms = 1000;
-  return t;
+inline LoadBalancerConfig test_config(RetrySafety retry_safety = RetrySafety::idempotent,
+                                      DeduplicationScope scope = DeduplicationScope::global) {
+  LoadBalancerConfig config;
+  config.methods = {{"read", 100, 1, 0, retry_safety, scope, 200},
+                    {"vital", 100, 10, 0, retry_safety, scope, 200}};
+  config.zone = "here";
+  config.max_attempts = 4;
+  config.cancellation_enabled = true;
+  config.max_retry_after_ms = 1000;
+  config.slow_start_initial_weight = 0.2;
+  config.slow_start_duration_ms = 20000;
+  config.slow_start_overload_factor = 3;
+  config.slow_start_burst_ms = 1000;
+  return config;
 }
 
-inline Endpoint make_endpoint(std::string id, double started = 0, EndpointState state = EndpointState::ready,
-                              std::string zone = "here", int cell = 0) {
-  return {std::move(id), std::move(zone), cell, started, state};
+inline Endpoint make_endpoint(std::string id, double started_at = 0,
+                              EndpointState state = EndpointState::ready, std::string zone = "here",
+                              int cell = 0) {
+  return {std::move(id), std::move(zone), cell, started_at, state};
 }
 
-// Warm servers named by the letters from first to last.
+/// Endpoints past their slow start, named by the letters from first to last.
 inline std::vector<Endpoint> make_endpoints(char first, char last, const std::string& zone = "here") {
-  std::vector<Endpoint> all;
-  for (char c = first; c <= last; ++c)
-    all.push_back(make_endpoint(std::string(1, c), 0, EndpointState::ready, zone));
-  return all;
+  std::vector<Endpoint> endpoints;
+  for (char letter = first; letter <= last; ++letter)
+    endpoints.push_back(make_endpoint(std::string(1, letter), 0, EndpointState::ready, zone));
+  return endpoints;
 }
 
+/// A load balancer whose clock the test moves.
 struct LoadBalancerHarness {
   LoadBalancer load_balancer;
   double now = 1000;
   int next_rpc_number = 0;
 
-  explicit LoadBalancerHarness(LoadBalancerConfig t = test_config(), std::uint64_t seed = 1)
-      : load_balancer(std::move(t), seed, 0) {}
+  explicit LoadBalancerHarness(LoadBalancerConfig config = test_config(), std::uint64_t seed = 1)
+      : load_balancer(std::move(config), seed, 0) {}
 
-  void update_endpoints(const std::vector<Endpoint>& entries) {
-    load_balancer.update_endpoints(now, true, false, entries);
+  void update_endpoints(const std::vector<Endpoint>& endpoints) {
+    load_balancer.update_endpoints(now, true, false, endpoints);
   }
 
-  // All decisions now; wake-ups left out.
+  /// All pending decisions but those that set timers.
   std::vector<Decision> take_decisions() {
-    std::vector<Decision> all;
-    while (auto d = load_balancer.next_decision())
-      if (d->action != Action::set_timer) all.push_back(*d);
-    return all;
+    std::vector<Decision> decisions;
+    while (auto decision = load_balancer.next_decision())
+      if (decision->action != Action::set_timer) decisions.push_back(*decision);
+    return decisions;
   }
-  void run_maintenance_until(double until) {
-    while (now < until) {
-      now += 100;
+
+  void run_maintenance_until(double end) {
+    constexpr double interval_ms = 100;
+    while (now < end) {
+      now += interval_ms;
       load_balancer.on_timer(now, 1);
       load_balancer.on_timer(now, 2);
       take_decisions();
     }
   }
+
+  /// The pending decision, if there is exactly one; else one that no test expects.
   Decision only_decision() {
-    const auto all = take_decisions();
-    return all.size() == 1 ? all.front() : Decision{Action::set_timer, "", "none, or several", 0, 0, 0};
+    const auto decisions = take_decisions();
+    if (decisions.size() == 1) return decisions.front();
+    return {Action::set_timer, "", "none, or several", 0, 0, 0};
   }
-  std::string start_rpc(const char* method = "read", double patience = 300) {
+
+  std::string start_rpc(const char* method = "read", double budget_ms = 300) {
     std::string id = std::to_string(next_rpc_number++);
-    load_balancer.on_rpc_arrived(now, {id, method, now + patience, {}});
+    load_balancer.on_rpc_arrived(now, {id, method, now + budget_ms, {}});
     return id;
   }
-  // One RPC at the time that only this server is ready, ended like this after so long; 25 is the pace
-  // guessed.
-  void record_attempt(const std::string& server, AttemptOutcome how, double took = 25) {
-    update_endpoints({make_endpoint(server)});
+
+  /// An RPC while this endpoint is the only one; its attempt ends with `outcome`. 25 ms is the duration that
+  /// the load balancer assumes before it has measured any.
+  void record_attempt(const std::string& endpoint_id, AttemptOutcome outcome, double duration_ms = 25) {
+    update_endpoints({make_endpoint(endpoint_id)});
     const std::string id = start_rpc();
-    const auto all = take_decisions();
-    if (all.empty() || all.front().action != Action::send_attempt) return;
-    load_balancer.on_attempt_finished(now, id, 0, how, took, true, {});
+    const auto decisions = take_decisions();
+    if (decisions.empty() || decisions.front().action != Action::send_attempt) return;
+    load_balancer.on_attempt_finished(now, id, 0, outcome, duration_ms, true, {});
     take_decisions();
   }
 };
 
+/// The message that the bytes are, fed one by one; an empty one if they are not exactly one message.
 inline http::Message parse_message(http::HttpParser::MessageKind kind, const std::string& bytes) {
-  http::HttpParser r(kind);
-  for (const char c : bytes) {
-    r.writable_buffer()[0] = c;
-    r.commit(1);
+  http::HttpParser parser(kind);
+  for (const char byte : bytes) {
+    parser.writable_buffer()[0] = byte;
+    parser.commit(1);
   }
-  return r.state() == http::HttpParser::ParseState::complete ? r.take_message() : http::Message{};
+  const bool is_complete = parser.state() == http::HttpParser::ParseState::complete;
+  return is_complete ? parser.take_message() : http::Message{};
 }
 
-// Turns the loop until something is so, for two seconds at most.
-inline bool run_until(EventLoop& runs, const std::function<bool()>& so) {
-  for (const double end = runs.now() + 2000; !so();) {
-    if (runs.now() > end) return false;
-    runs.run_once(5);
+/// Runs the loop until the condition holds, for two seconds at most; whether it holds.
+inline bool run_until(EventLoop& loop, const std::function<bool()>& condition) {
+  const double deadline = loop.now() + 2000;
+  while (!condition()) {
+    if (loop.now() > deadline) return false;
+    loop.run_once(5);
   }
   return true;
 }
-inline void run_for(EventLoop& runs, double ms) {
-  for (const double end = runs.now() + ms; runs.now() < end;) runs.run_once(1);
+
+inline void run_for(EventLoop& loop, double duration_ms) {
+  const double end = loop.now() + duration_ms;
+  while (loop.now() < end) loop.run_once(1);
 }
 
-// What goes out over a socket.
-inline std::string write_to_socket(WriteBuffer what) {
-  int ends[2];
-  if (::socketpair(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK, 0, ends) < 0) return "no socketpair";
-  EventLoop runs;
+/// What the buffer sends over a socket.
+inline std::string write_to_socket(WriteBuffer buffer) {
+  std::array<int, 2> ends{};
+  if (::socketpair(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK, 0, ends.data()) < 0) return "no socketpair";
+  EventLoop loop;
   FileDescriptorBudget budget{10};
-  const FileDescriptor other(ends[1]);
-  TcpStream to(runs, budget, FileDescriptor(ends[0]), [](std::uint32_t) {});
-  if (!to.write(what) || !what.is_complete()) return "not written whole";
+  const FileDescriptor receiver(ends[1]);
+  TcpStream sender(loop, budget, FileDescriptor(ends[0]), [](std::uint32_t) {});
+  if (!sender.write(buffer) || !buffer.is_complete()) return "not written whole";
   std::string text(4096, 0);
-  text.resize(
-      static_cast<std::size_t>(std::max<ssize_t>(::recv(other.get(), text.data(), text.size(), 0), 0)));
+  const ssize_t received = ::recv(receiver.get(), text.data(), text.size(), 0);
+  text.resize(static_cast<std::size_t>(std::max<ssize_t>(received, 0)));
   return text;
 }
 
 inline sockaddr_in local_address(const FileDescriptor& fd) {
-  sockaddr_in a{};
-  socklen_t size = sizeof a;
-  ::getsockname(fd.get(), reinterpret_cast<sockaddr*>(&a), &size);
-  return a;
+  sockaddr_in address{};
+  socklen_t size = sizeof address;
+  ::getsockname(fd.get(), reinterpret_cast<sockaddr*>(&address), &size);
+  return address;
 }
-inline std::string address_text(const sockaddr_in& a) {
-  return "127.0.0.1:" + std::to_string(ntohs(a.sin_port));
+
+inline std::string address_text(const sockaddr_in& address) {
+  return "127.0.0.1:" + std::to_string(ntohs(address.sin_port));
 }
+
+/// With a port that the kernel chooses.
 inline sockaddr_in loopback_address() {
-  sockaddr_in a{};
-  a.sin_family = AF_INET;
-  a.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  return a;
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  return address;
 }
+
 inline FileDescriptor listen_on_loopback() { return open_listener(loopback_address()); }
-// It refuses connects until it is made to listen, and no other socket is given its place meanwhile.
+
+/// A socket that refuses connections until the test lets it listen; meanwhile no other can take its port.
 inline FileDescriptor bind_on_loopback() {
-  const sockaddr_in a = loopback_address();
+  const sockaddr_in address = loopback_address();
   FileDescriptor fd(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
-  const int on = 1;
-  ::setsockopt(fd.get(), SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
-  ::bind(fd.get(), reinterpret_cast<const sockaddr*>(&a), sizeof a);
+  const int enabled = 1;
+  ::setsockopt(fd.get(), SOL_SOCKET, SO_REUSEADDR, &enabled, sizeof enabled);
+  if (::bind(fd.get(), reinterpret_cast<const sockaddr*>(&address), sizeof address) < 0)
+    throw std::system_error(errno, std::generic_category(), "bind");
   return fd;
 }
 
-// One end of a connection: what came over it, and whether it ended.
+/// One end of a connection: the messages received on it, and whether it has ended.
 struct TestConnection {
   EventLoop& loop;
   FileDescriptorBudget& budget;
@@ -170,31 +196,36 @@
   bool is_ended = false;
   std::function<void(TestConnection&)> on_message = [](TestConnection&) {};
 
-  TestConnection(EventLoop& in, FileDescriptorBudget& count, FileDescriptor fd,
+  TestConnection(EventLoop& event_loop, FileDescriptorBudget& fd_budget, FileDescriptor fd,
                  http::HttpParser::MessageKind kind)
-      : loop(in), budget(count), parser(kind) {
-    stream = std::make_unique<TcpStream>(in, count, std::move(fd), [this](std::uint32_t) { read(); });
+      : loop(event_loop), budget(fd_budget), parser(kind) {
+    stream = std::make_unique<TcpStream>(loop, budget, std::move(fd), [this](std::uint32_t) { read(); });
   }
+
   void read() {
     while (stream && !is_ended) {
-      std::size_t n = 0;
-      const TcpStream::ReadStatus got = stream->read(parser.writable_buffer(), n);
-      if (got == TcpStream::ReadStatus::would_block) return;
-      if (got == TcpStream::ReadStatus::data)
-        parser.commit(n);
-      else
-        parser.on_end_of_stream(), is_ended = true;
+      std::size_t count = 0;
+      const TcpStream::ReadStatus status = stream->read(parser.writable_buffer(), count);
+      if (status == TcpStream::ReadStatus::would_block) return;
+      if (status == TcpStream::ReadStatus::data) {
+        parser.commit(count);
+      } else {
+        parser.on_end_of_stream();
+        is_ended = true;
+      }
       while (parser.state() == http::HttpParser::ParseState::complete) {
         received.push_back(parser.take_message());
         on_message(*this);
       }
     }
   }
+
   void send(const std::string& bytes) {
-    WriteBuffer out;
-    out.append_owned(bytes);
-    if (stream) stream->write(out);
+    WriteBuffer output;
+    output.append_owned(bytes);
+    if (stream) stream->write(output);
   }
+
   void close() { stream.reset(); }
 };
 
@@ -203,48 +234,54 @@
          "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
-// Serves on loopback by a script of answers; past its end it is silent. "close" hangs up, "silent" says
-// nothing.
+/// Answers the requests on loopback with its responses, in order. "close" closes the connection, "silent"
+/// sends nothing, and so does every request after the last response.
 struct FakeServer {
   EventLoop& loop;
   FileDescriptorBudget budget{100};
   FileDescriptor listener;
   sockaddr_in address = local_address(listener);
   std::vector<std::string> responses;
-  std::vector<std::string> request_targets;  // targets
+  std::vector<std::string> request_targets;
   std::vector<std::unique_ptr<TestConnection>> connections;
   EventLoop::Watch listener_watch;
-  double response_delay_ms = 0;  // ms, until each answer
+  double response_delay_ms = 0;
   std::vector<EventLoop::Timer> delayed_responses;
 
-  FakeServer(EventLoop& in, std::vector<std::string> answers, FileDescriptor at = listen_on_loopback())
-      : loop(in), listener(std::move(at)), responses(std::move(answers)) {
+  FakeServer(EventLoop& event_loop, std::vector<std::string> scripted_responses,
+             FileDescriptor listening_socket = listen_on_loopback())
+      : loop(event_loop), listener(std::move(listening_socket)), responses(std::move(scripted_responses)) {
     start_accepting();
   }
+
   void start_accepting() {
     listener_watch.cancel();
-    listener_watch = loop.watch_fd(listener.get(), [this](std::uint32_t) {
-      for (;;) {
-        FileDescriptor fd(::accept4(listener.get(), nullptr, nullptr, SOCK_NONBLOCK));
-        if (!fd) return;
-        connections.push_back(std::make_unique<TestConnection>(loop, budget, std::move(fd),
-                                                               http::HttpParser::MessageKind::request));
-        connections.back()->on_message = [this](TestConnection& s) { respond(s); };
-        connections.back()->read();
-      }
-    });
+    listener_watch = loop.watch_fd(listener.get(), [this](std::uint32_t) { accept_all(); });
   }
-  void respond(TestConnection& s) {
-    const std::size_t turn = request_targets.size();
-    request_targets.emplace_back(s.received.back().slice(s.received.back().target));
-    const std::string text = turn < responses.size() ? responses[turn] : "silent";
-    if (text == "close") return s.close();
-    if (text == "silent") return;
+
+  void accept_all() {
+    for (;;) {
+      FileDescriptor fd(::accept4(listener.get(), nullptr, nullptr, SOCK_NONBLOCK));
+      if (!fd) return;
+      connections.push_back(std::make_unique<TestConnection>(loop, budget, std::move(fd),
+                                                             http::HttpParser::MessageKind::request));
+      connections.back()->on_message = [this](TestConnection& connection) { respond(connection); };
+      connections.back()->read();
+    }
+  }
+
+  void respond(TestConnection& connection) {
+    const http::Message& request = connection.received.back();
+    const std::size_t index = request_targets.size();
+    request_targets.emplace_back(request.slice(request.target));
+    const std::string response = index < responses.size() ? responses[index] : "silent";
+    if (response == "close") return connection.close();
+    if (response == "silent") return;
     if (response_delay_ms > 0)
-      delayed_responses.push_back(
-          loop.schedule_at(loop.now() + response_delay_ms, [&s, text] { s.send(text); }));
+      delayed_responses.push_back(loop.schedule_at(loop.now() + response_delay_ms,
+                                                   [&connection, response] { connection.send(response); }));
     else
-      s.send(text);
+      connection.send(response);
   }
 };
 
--- a/tests/support/parts.h
+++ b/tests/support/parts.h
@@ -1,4 +1,6 @@
-// For the tests: a sidecar's parts on loopback, stepped by hand, and endpoints that hold a connect back.
+/// \file
+/// Test support: the parts of a sidecar on loopback, with the event loop run by the test, and endpoints that
+/// keep connects waiting.
 #pragma once
 
 #include <array>
@@ -10,9 +12,10 @@
 
 namespace host {
 
-constexpr auto request = http::HttpParser::MessageKind::request,
-               response = http::HttpParser::MessageKind::response;
+constexpr auto request = http::HttpParser::MessageKind::request;
+constexpr auto response = http::HttpParser::MessageKind::response;
 
+/// Everything between clients and endpoints. Its one endpoint is called "a".
 struct SidecarHarness {
   EventLoop loop;
   std::ostringstream log_text;
@@ -26,43 +29,55 @@
   FileDescriptorBudget client_budget{100};
   std::vector<std::unique_ptr<TestConnection>> connections;
 
-  explicit SidecarHarness(RetrySafety repeats = RetrySafety::idempotent, std::size_t descriptors = 100,
-                          ConnectionConfig with = {5000, 60}, std::size_t bytes = 64 << 20)
-      : SidecarHarness(test_config(repeats), with, descriptors, bytes) {}
-  SidecarHarness(const LoadBalancerConfig& where_it_stands, ConnectionConfig with,
-                 std::size_t descriptors = 100, std::size_t bytes = 64 << 20, double deadline = 3000)
-      : budget{descriptors},
-        upstreams(loop, budget, counters, logger, with, [this] { return server.close_idle_connection(); }),
-        dispatcher(loop, upstreams, counters, logger, where_it_stands, 1),
+  explicit SidecarHarness(RetrySafety retry_safety = RetrySafety::idempotent,
+                          std::size_t max_descriptors = 100, ConnectionConfig upstream = {5000, 60},
+                          std::size_t max_memory_bytes = 64 << 20)
+      : SidecarHarness(test_config(retry_safety), upstream, max_descriptors, max_memory_bytes) {}
+
+  SidecarHarness(const LoadBalancerConfig& config, ConnectionConfig upstream,
+                 std::size_t max_descriptors = 100, std::size_t max_memory_bytes = 64 << 20,
+                 double request_timeout_ms = 3000)
+      : budget{max_descriptors},
+        upstreams(loop, budget, counters, logger, upstream,
+                  [this] { return server.close_idle_connection(); }),
+        dispatcher(loop, upstreams, counters, logger, config, 1),
         server(loop, budget, counters, logger, dispatcher,
-               {descriptors - descriptors / 8, descriptors / 2, bytes, deadline},
+               {max_descriptors - max_descriptors / 8, max_descriptors / 2, max_memory_bytes,
+                request_timeout_ms},
                [this] { return upstreams.close_idle_connection(); }) {
-    FileDescriptor door = listen_on_loopback();
-    address = local_address(door);
-    server.use_listener(std::move(door));
+    FileDescriptor listener = listen_on_loopback();
+    address = local_address(listener);
+    server.use_listener(std::move(listener));
   }
+
   void update_endpoints(const std::string& endpoint_address, EndpointState state = EndpointState::ready) {
     upstreams.update_endpoint("a", endpoint_address);
     dispatcher.update_endpoints(true, false, {make_endpoint("a", 0, state)});
   }
+
   TestConnection& connect_client() {
     connections.push_back(
         std::make_unique<TestConnection>(loop, client_budget, start_connect(address), response));
-    run_until(loop, [&] { return connections.back()->stream->pending_error() == 0; });
-    return *connections.back();
+    TestConnection& client = *connections.back();
+    run_until(loop, [&] { return client.stream->pending_error() == 0; });
+    return client;
   }
-  int status_of_request(TestConnection& from, const std::string& text) {
-    const std::size_t before = from.received.size();
-    from.send(text);
-    run_until(loop, [&] { return from.received.size() > before || from.is_ended; });
-    return from.received.size() > before ? from.received.back().status : 0;
+
+  /// Sends a request and waits for the status of its response; 0 if there is none.
+  int status_of_request(TestConnection& client, const std::string& text) {
+    const std::size_t received_before = client.received.size();
+    client.send(text);
+    run_until(loop, [&] { return client.received.size() > received_before || client.is_ended; });
+    return client.received.size() > received_before ? client.received.back().status : 0;
   }
 };
 
-inline std::string rpc_request_text(const std::string& method = "read", int budget = 300, int id = 0) {
-  static int ids = 0;  // each has one of its own, unless told
-  return "GET /" + method + " HTTP/1.1\r\nX-Call-Id: " + std::to_string(id ? id : --ids) +
-         "\r\nX-Call-Class: " + method + "\r\nX-Budget: " + std::to_string(budget) + "m\r\n\r\n";
+/// Each request has an id of its own unless `id` states one.
+inline std::string rpc_request_text(const std::string& method = "read", int budget_ms = 300, int id = 0) {
+  static int last_id = 0;
+  if (id == 0) id = --last_id;
+  return "GET /" + method + " HTTP/1.1\r\nX-Call-Id: " + std::to_string(id) + "\r\nX-Call-Class: " + method +
+         "\r\nX-Budget: " + std::to_string(budget_ms) + "m\r\n\r\n";
 }
 
 inline const std::string served_response = response_text(200, "served");
@@ -71,11 +86,13 @@
   return R"({"instanceId":")" + id + R"(","hostPort":"127.0.0.1:1","zone":"z","cell":3,"lifecycle":")" +
          state + R"(","weight":1.0,"startedAtMs":5})";
 }
-inline std::string endpoint_list_response(int version, bool whole, const std::string& entries) {
+inline std::string endpoint_list_response(int version, bool is_complete, const std::string& instances) {
   return response_text(200, R"({"generation":)" + std::to_string(version) + R"(,"reset":)" +
-                                (whole ? "true" : "false") + R"(,"instances":[)" + entries + "]}");
+                                (is_complete ? "true" : "false") + R"(,"instances":[)" + instances + "]}");
 }
 
+/// A discovery client that writes down what it receives: "=" or "+" with the version for a complete list or
+/// changes, followed by the ids of the endpoints.
 struct DiscoveryHarness {
   EventLoop loop;
   std::ostringstream log_text;
@@ -86,107 +103,119 @@
   int failure_count = 0;
   double grace_ms = 500;
   std::unique_ptr<DiscoveryClient> client;
-  void start(const sockaddr_in& agent, bool by_itself, std::optional<std::uint64_t> had = {}) {
+
+  void start(const sockaddr_in& agent, bool polls_continuously,
+             std::optional<std::uint64_t> known_version = {}) {
     client = std::make_unique<DiscoveryClient>(
         loop, budget, counters, logger, agent, "agent", 1, grace_ms,
-        [this](const EndpointListUpdate& r) {
-          updates += (r.complete ? "=" : "+") + std::to_string(r.version);
-          for (const auto& e : r.entries) updates += e.endpoint.id;
-        },
-        [this] { ++failure_count; });
-    if (by_itself) client->enable_continuous_polling();
-    if (had) client->set_known_version(*had);
+        [this](const EndpointListUpdate& update) { record(update); }, [this] { ++failure_count; });
+    if (polls_continuously) client->enable_continuous_polling();
+    if (known_version) client->set_known_version(*known_version);
     client->poll();
   }
+
+  void record(const EndpointListUpdate& update) {
+    updates += (update.complete ? "=" : "+") + std::to_string(update.version);
+    for (const auto& entry : update.entries) updates += entry.endpoint.id;
+  }
 };
 
-// An endpoint whose queue is full: connects to it hang until it is let up, and come up with the next try of
-// their kernel, a second after the first. It says what came over any connection, and nothing.
+/// Fills the listener's backlog, so that connects to it hang; the connections have to be kept.
+inline std::vector<FileDescriptor> fill_backlog(const FileDescriptor& listener) {
+  ::listen(listener.get(), 0);
+  std::vector<FileDescriptor> connections;
+  for (int i = 0; i < 8; ++i) connections.push_back(start_connect(local_address(listener)));
+  return connections;
+}
+
+/// An endpoint with a full backlog: connects to it hang until `release()`, and succeed when their kernel
+/// repeats the SYN, a second after the first one. It records what it receives and sends nothing.
 struct StalledListener {
   FileDescriptor listener = listen_on_loopback();
   sockaddr_in address = local_address(listener);
-  std::vector<FileDescriptor> backlog_fillers, accepted;
+  std::vector<FileDescriptor> backlog_fillers = fill_backlog(listener);
+  std::vector<FileDescriptor> accepted;
   std::string received;
 
-  StalledListener() {
-    ::listen(listener.get(), 0);
-    for (int i = 0; i < 8; ++i) backlog_fillers.push_back(start_connect(address));
-  }
   void release() {
     backlog_fillers.clear();
     ::listen(listener.get(), 100);
   }
+
   void receive() {
     for (;;) {
       FileDescriptor fd(::accept4(listener.get(), nullptr, nullptr, SOCK_NONBLOCK));
       if (!fd) break;
       accepted.push_back(std::move(fd));
     }
-    std::array<char, 4096> some;
-    for (const FileDescriptor& fd : accepted)
-      for (ssize_t n; (n = ::recv(fd.get(), some.data(), some.size(), 0)) > 0;)
-        received.append(some.data(), static_cast<std::size_t>(n));
+    for (const FileDescriptor& fd : accepted) receive_from(fd);
+  }
+
+  void receive_from(const FileDescriptor& fd) {
+    std::array<char, 4096> buffer;
+    for (;;) {
+      const ssize_t count = ::recv(fd.get(), buffer.data(), buffer.size(), 0);
+      if (count <= 0) return;
+      received.append(buffer.data(), static_cast<std::size_t>(count));
+    }
   }
+
   std::size_t request_count() const {
-    std::size_t n = 0;
-    for (std::size_t at = 0; (at = received.find("X-Call-Id", at)) != std::string::npos; ++at) ++n;
-    return n;
+    std::size_t count = 0;
+    for (std::size_t at = received.find("X-Call-Id"); at != std::string::npos;
+         at = received.find("X-Call-Id", at + 1))
+      ++count;
+    return count;
   }
 };
 
-inline std::size_t attempts_with_outcome(const SidecarHarness& h, AttemptOutcome how) {
-  return h.counters.attempts[static_cast<std::size_t>(how)];
+inline std::size_t attempts_with_outcome(const SidecarHarness& sidecar, AttemptOutcome outcome) {
+  return sidecar.counters.attempts[static_cast<std::size_t>(outcome)];
 }
 
-inline bool every_rpc_answered_once(const SidecarHarness& h) {
-  return h.dispatcher.in_flight() == 0 &&
-         h.counters.rpcs_received == h.counters.rpcs_ok + h.counters.rpcs_rejected + h.counters.rpcs_failed +
-                                         h.counters.rpcs_abandoned;
+inline bool every_rpc_answered_once(const SidecarHarness& sidecar) {
+  const Counters& counters = sidecar.counters;
+  return sidecar.dispatcher.in_flight() == 0 &&
+         counters.rpcs_received ==
+             counters.rpcs_ok + counters.rpcs_rejected + counters.rpcs_failed + counters.rpcs_abandoned;
 }
 
-// Settings unlike one another in what bears on endings: the long one leaves a connect the second that a lost
-// SYN costs.
-inline LoadBalancerConfig customer_config(bool longer, bool cancels, RetrySafety repeats,
-                                          DeduplicationScope drops = DeduplicationScope::global) {
-  LoadBalancerConfig t = test_config(repeats, drops);
-  for (MethodConfig& m : t.methods) {
-    m.latency_objective_ms = m.deadline_ms = longer ? 4000 : 150;
-    m.deduplication_window_ms = 10000;
+/// Customers' settings that differ in what bears on outcomes. The long deadline leaves a connect the second
+/// that a lost SYN costs.
+inline LoadBalancerConfig customer_config(bool has_long_deadline, bool cancels, RetrySafety retry_safety,
+                                          DeduplicationScope scope = DeduplicationScope::global) {
+  LoadBalancerConfig config = test_config(retry_safety, scope);
+  for (MethodConfig& method : config.methods) {
+    method.deadline_ms = has_long_deadline ? 4000 : 150;
+    method.latency_objective_ms = method.deadline_ms;
+    method.deduplication_window_ms = 10000;
   }
-  t.cancellation_enabled = cancels;
-  t.probing_enabled = cancels;
-  t.max_attempts = cancels ? 4 : 2;
-  t.max_retry_after_ms = cancels ? 1000 : 0;
-  return t;
+  config.cancellation_enabled = cancels;
+  config.probing_enabled = cancels;
+  config.max_attempts = cancels ? 4 : 2;
+  config.max_retry_after_ms = cancels ? 1000 : 0;
+  return config;
 }
 inline constexpr ConnectionConfig slow_upstream_config{5000, 3000, 300};
 
-// A burst of rounds, in which nothing has to wait for time.
-inline void run_rounds(EventLoop& runs, int n = 20) {
-  for (int i = 0; i < n; ++i) runs.run_once(0);
+/// Iterations of the loop in which nothing has to wait for time.
+inline void run_rounds(EventLoop& loop, int rounds = 20) {
+  for (int i = 0; i < rounds; ++i) loop.run_once(0);
 }
 
-// Until so, for so long at most; how long it took, or -1.
-inline double elapsed_until(EventLoop& runs, double longest, const std::function<bool()>& so) {
-  const double began = runs.now();
-  while (!so()) {
-    if (runs.now() > began + longest) return -1;
-    runs.run_once(2);
+/// Runs the loop until the condition holds; how long that took, or -1 if it was longer than `max_ms`.
+inline double elapsed_until(EventLoop& loop, double max_ms, const std::function<bool()>& condition) {
+  const double start = loop.now();
+  while (!condition()) {
+    if (loop.now() > start + max_ms) return -1;
+    loop.run_once(2);
   }
-  return runs.now() - began;
+  return loop.now() - start;
 }
 
 inline const std::string list_version_9 =
-                             endpoint_list_response(9, true, instance_json("a") + "," + instance_json("b")),
-                         draining_version_10 =
-                             endpoint_list_response(10, false, instance_json("b", "draining"));
-
-// Nobody accepts at this door any more, and its queue is full: a connect hangs.
-inline std::vector<FileDescriptor> fill_backlog(const FileDescriptor& door) {
-  ::listen(door.get(), 0);
-  std::vector<FileDescriptor> all;
-  for (int i = 0; i < 8; ++i) all.push_back(start_connect(local_address(door)));
-  return all;
-}
+    endpoint_list_response(9, true, instance_json("a") + "," + instance_json("b"));
+inline const std::string draining_version_10 =
+    endpoint_list_response(10, false, instance_json("b", "draining"));
 
 }  // namespace host
