--- a/src/logging/logger.h
+++ b/src/logging/logger.h
@@ -1,5 +1,6 @@
-// Log lines for on-call staff, as text or as JSON lines, on spdlog. Nothing is logged for each RPC by
-// default.
+/// \file
+/// Log lines for on-call staff, as text or as JSON objects, on spdlog. By default no RPC is logged on its
+/// own.
 #pragma once
 
 #include <cstdint>
@@ -9,6 +10,7 @@
 #include <sstream>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace spdlog {
@@ -20,26 +22,33 @@
 enum class LogLevel { error, warning, info, debug };
 enum class LogFormat { text, json };
 
-std::optional<LogLevel> parse_log_level(std::string_view word);
+/// The level of this name; empty if there is none.
+std::optional<LogLevel> parse_log_level(std::string_view name);
 
+/// Writes to a stream that must outlive it. Not thread-safe.
 class Logger {
  public:
-  Logger(std::ostream& to, LogLevel most, LogFormat form = LogFormat::text);
+  /// Lines less severe than `max_level` are dropped.
+  Logger(std::ostream& output, LogLevel max_level, LogFormat format = LogFormat::text);
   ~Logger();
 
-  // One line, written whole when it ends; a filtered one costs nothing but its arguments.
+  /// A line under construction. It is written as a whole on destruction; one that is dropped costs nothing
+  /// but the evaluation of its arguments.
   class Line {
    public:
-    Line(const Logger* to, LogLevel of);
+    /// `logger` is null if the line is dropped.
+    Line(const Logger* logger, LogLevel level);
     Line(const Line&) = delete;
     Line& operator=(const Line&) = delete;
-    ~Line();
+    ~Line();  // NOLINT(bugprone-exception-escape): only lack of memory throws, and that ends the process
+
     template <class T>
-    Line& operator<<(const T& piece) {
-      if (text_) *text_ << piece;
+    Line& operator<<(const T& value) {
+      if (text_) *text_ << value;
       return *this;
     }
-    // A figure that the words say, once more for programs: only where lines are JSON.
+
+    /// Repeats a number of the text as a field of its own, for programs. Only in JSON.
     Line& field(std::string name, std::int64_t value) {
       if (text_) fields_.emplace_back(std::move(name), value);
       return *this;
@@ -52,7 +61,7 @@
     std::vector<std::pair<std::string, std::int64_t>> fields_;
   };
 
-  Line log(LogLevel l) const { return {l <= max_level_ ? this : nullptr, l}; }
+  Line log(LogLevel level) const { return {level <= max_level_ ? this : nullptr, level}; }
   Line error() const { return log(LogLevel::error); }
   Line warning() const { return log(LogLevel::warning); }
   Line info() const { return log(LogLevel::info); }
--- a/src/metrics/counters.cpp
+++ b/src/metrics/counters.cpp
@@ -3,46 +3,55 @@
 namespace indigorill {
 namespace {
 
-constexpr std::array<std::string_view, 9> endings{"ok",    "error",     "full", "timed_out", "connect_failed",
-                                                  "reset", "cancelled", "moot", "withdrawn"};
+constexpr std::array<std::string_view, 9> outcome_names{
+    "ok", "error", "full", "timed_out", "connect_failed", "reset", "cancelled", "moot", "withdrawn"};
+
+constexpr std::array<std::string_view, 4> eviction_state_names{"answered", "silent", "half_sent", "idle"};
+
+void write(std::ostream& output, std::string_view name, Counters::Count value) {
+  output << name << ' ' << value << '\n';
+}
+
+/// Writes an array of counters; `names` are those of its elements.
+template <std::size_t Size>
+void write_each(std::ostream& output, std::string_view prefix,
+                const std::array<std::string_view, Size>& names,
+                const std::array<Counters::Count, Size>& values) {
+  for (std::size_t i = 0; i < Size; ++i) output << prefix << names[i] << ' ' << values[i] << '\n';
+}
 
 }  // namespace
 
-std::string_view name_of(AttemptOutcome how) { return endings[static_cast<std::size_t>(how)]; }
-
-std::ostream& operator<<(std::ostream& out, const Counters& c) {
-  const auto one = [&](std::string_view name, Counters::Count value) { out << name << ' ' << value << '\n'; };
-  one("rpcs_taken", c.rpcs_received);
-  one("rpcs_ok", c.rpcs_ok);
-  one("rpcs_pushed_back", c.rpcs_rejected);
-  one("rpcs_aborted", c.rpcs_failed);
-  one("rpcs_left", c.rpcs_abandoned);
-  one("bad_input", c.malformed_requests);
-  one("silent_clients", c.timed_out_clients);
-  one("out_of_room", c.resource_rejections);
-  one("answers_unheard", c.undelivered_responses);
-  one("long_requests", c.streamed_requests);
-  one("long_answers", c.streamed_responses);
-  one("answers_cut", c.truncated_responses);
-  for (std::size_t i = 0; i < endings.size(); ++i)
-    out << "picks_" << endings[i] << ' ' << c.attempts[i] << '\n';
-  for (std::size_t i = 0; i < endings.size(); ++i)
-    out << "probes_" << endings[i] << ' ' << c.health_checks[i] << '\n';
-  one("connections_accepted", c.connections_accepted);
-  one("connections_opened", c.connections_opened);
-  one("connections_reused", c.connections_reused);
-  one("connections_retired", c.connections_retired);
-  one("connections_closed_for_room", c.connections_evicted);
-  constexpr std::array<std::string_view, 4> uses{"answered", "silent", "half_sent", "idle"};
-  for (std::size_t i = 0; i < uses.size(); ++i)
-    out << "closed_for_room_" << uses[i] << ' ' << c.evictions_by_state[i] << '\n';
-  one("out_by_hand", c.manually_ejected_endpoints);
-  one("orders", c.admin_requests);
-  one("orders_refused", c.rejected_admin_requests);
-  one("lists", c.endpoint_list_updates);
-  one("list_failures", c.endpoint_poll_failures);
-  one("malformed_lists", c.malformed_endpoint_lists);
-  return out;
+std::string_view name_of(AttemptOutcome outcome) { return outcome_names[static_cast<std::size_t>(outcome)]; }
+
+std::ostream& operator<<(std::ostream& output, const Counters& counters) {
+  write(output, "rpcs_taken", counters.rpcs_received);
+  write(output, "rpcs_ok", counters.rpcs_ok);
+  write(output, "rpcs_pushed_back", counters.rpcs_rejected);
+  write(output, "rpcs_aborted", counters.rpcs_failed);
+  write(output, "rpcs_left", counters.rpcs_abandoned);
+  write(output, "bad_input", counters.malformed_requests);
+  write(output, "silent_clients", counters.timed_out_clients);
+  write(output, "out_of_room", counters.resource_rejections);
+  write(output, "answers_unheard", counters.undelivered_responses);
+  write(output, "long_requests", counters.streamed_requests);
+  write(output, "long_answers", counters.streamed_responses);
+  write(output, "answers_cut", counters.truncated_responses);
+  write_each(output, "picks_", outcome_names, counters.attempts);
+  write_each(output, "probes_", outcome_names, counters.health_checks);
+  write(output, "connections_accepted", counters.connections_accepted);
+  write(output, "connections_opened", counters.connections_opened);
+  write(output, "connections_reused", counters.connections_reused);
+  write(output, "connections_retired", counters.connections_retired);
+  write(output, "connections_closed_for_room", counters.connections_evicted);
+  write_each(output, "closed_for_room_", eviction_state_names, counters.evictions_by_state);
+  write(output, "out_by_hand", counters.manually_ejected_endpoints);
+  write(output, "orders", counters.admin_requests);
+  write(output, "orders_refused", counters.rejected_admin_requests);
+  write(output, "lists", counters.endpoint_list_updates);
+  write(output, "list_failures", counters.endpoint_poll_failures);
+  write(output, "malformed_lists", counters.malformed_endpoint_lists);
+  return output;
 }
 
 }  // namespace indigorill
