--- a/src/config/command_line.cpp
+++ b/src/config/command_line.cpp
@@ -1,80 +1,142 @@
 #include "config/command_line.h"
 
 #include <CLI/CLI.hpp>
+#include <algorithm>
+#include <exception>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
 
 #include "config/options.h"
+#include "config/sidecar_config.h"
+#include "config/toml_section.h"
 #include "proxy/sidecar.h"
 
 namespace indigorill {
 namespace {
 
-std::string value_of(const std::function<const char*(const char*)>& variable, const char* name) {
-  const char* v = variable(name);
-  return v ? v : "";
-}
+constexpr int exit_success = 0;
+constexpr int exit_config_error = 1;
+constexpr int exit_usage_error = 2;
 
-}  // namespace
+struct Arguments {
+  std::string config_file;
+  std::string options_file;
+  bool check_only = false;
+};
 
-int run_command_line(int argc, const char* const* argv,
-                     const std::function<const char*(const char*)>& variable, std::ostream& out,
-                     std::ostream& err) {
-  CLI::App app("Balances the RPCs of the application beside it over the endpoints that discovery tells.",
+/// Overwrites the fields of `arguments` that the command line states. Returns an exit status if the program
+/// has to end: after --help and --version, or an error.
+std::optional<int> parse_arguments(int argc, const char* const* argv, std::ostream& out, std::ostream& err,
+                                   Arguments& arguments) {
+  CLI::App app("Balances the RPCs of the application beside it over the endpoints that discovery lists.",
                "indigorill");
   app.set_version_flag("--version", std::string("indigorill ") + INDIGORILL_VERSION);
-  std::string config = value_of(variable, "LB_CONFIG"), file = value_of(variable, "INDIGORILL_OPTIONS");
-  bool check = false;
-  app.add_option("--config", config, "the config file, JSON; in place of LB_CONFIG");
-  app.add_option("--options", file,
+  app.add_option("--config", arguments.config_file, "the config file, JSON; in place of LB_CONFIG");
+  app.add_option("--options", arguments.options_file,
                  "a TOML file with what the config doesn't hold; in place of INDIGORILL_OPTIONS");
-  app.add_flag("--check-config", check, "say what is wrong with both files, a line a fault, and end");
+  app.add_flag("--check-config", arguments.check_only,
+               "print what is wrong in both files, one problem a line, and exit");
   app.footer(
-      "LB_NAME, LB_LISTEN and LB_DISCOVERY lead over the config, INDIGORILL_LOG over the options' "
-      "log.level.");
+      "LB_NAME, LB_LISTEN and LB_DISCOVERY override the config, INDIGORILL_LOG overrides log.level of the "
+      "options.");
   try {
     app.parse(argc, argv);
-  } catch (const CLI::ParseError& e) {
-    return app.exit(e, out, err) == 0 ? 0 : 2;
+  } catch (const CLI::ParseError& error) {
+    return app.exit(error, out, err) == 0 ? exit_success : exit_usage_error;
   }
-  // The file named on the command line stands for LB_CONFIG wherever that is read.
-  const auto led = [&](const char* name) -> const char* {
-    return std::string_view(name) == "LB_CONFIG" ? config.c_str() : variable(name);
+  return {};
+}
+
+Options load_options(const std::string& file) {
+  return file.empty() ? Options{} : decode_options(read_toml_file(file));
+}
+
+/// The name has more limits if it is sent to other sidecars.
+std::optional<ConfigProblem> find_node_name_problem(const SidecarConfig& config) {
+  if (is_valid_name(config.name)) return {};
+  return ConfigProblem{
+      .file = {},
+      .field = "config.name",
+      .cause = "is not a valid name for a cluster member: at most 64 letters, digits and -_.:/"};
+}
+
+std::vector<ConfigProblem> find_config_problems(const Arguments& arguments,
+                                                const EnvironmentLookup& environment) {
+  std::vector<ConfigProblem> problems;
+  const auto append = [&](const std::vector<ConfigProblem>& more) {
+    problems.insert(problems.end(), more.begin(), more.end());
   };
-  Options with;
-  std::vector<std::string> wrong;
+  Options options;
   try {
-    if (!file.empty()) with = decode_options(read_toml_file(file));
-  } catch (const ConfigError& e) {
-    wrong.push_back(e.what());
+    options = load_options(arguments.options_file);
+  } catch (const ConfigError& error) {
+    append(error.problems());
   }
-  if (check) {
-    for (std::string& fault : find_config_errors(config, with, led)) wrong.push_back(std::move(fault));
-    for (const std::string& fault : wrong) err << fault << '\n';
-    if (wrong.empty()) out << "sound\n";
-    return wrong.empty() ? 0 : 1;
+  try {
+    const nlohmann::json config = read_config_json(arguments.config_file, environment);
+    const auto config_problems = find_sidecar_config_problems(config);
+    append(config_problems);
+    if (!config_problems.empty() || !options.cluster) return problems;
+    if (const auto problem = find_node_name_problem(decode_sidecar_config(config)))
+      problems.push_back(*problem);
+  } catch (const ConfigError& error) {
+    append(error.problems());
   }
-  if (!wrong.empty()) {
-    err << "indigorill: " << wrong.front() << '\n';
-    return 1;
+  return problems;
+}
+
+int check_config(const Arguments& arguments, const EnvironmentLookup& environment, std::ostream& out,
+                 std::ostream& err) {
+  const auto problems = find_config_problems(arguments, environment);
+  for (const ConfigProblem& problem : problems) err << problem.to_string() << '\n';
+  if (!problems.empty()) return exit_config_error;
+  out << "sound\n";
+  return exit_success;
+}
+
+/// The config with the options applied. Throws ConfigError.
+SidecarConfig load_config(const Options& options, const EnvironmentLookup& environment) {
+  SidecarConfig config = load_sidecar_config(environment);
+  config.max_descriptors = std::min(config.max_descriptors, options.max_descriptors);
+  config.max_memory_bytes = std::min(config.max_memory_bytes, options.max_memory_bytes);
+  config.counters_interval_ms = options.counters_interval_ms;
+  config.cluster = options.cluster;
+  if (config.cluster) {
+    if (const auto problem = find_node_name_problem(config)) throw ConfigError(*problem);
+    config.cluster->name = config.name;
   }
+  return config;
+}
+
+int run(const Arguments& arguments, const EnvironmentLookup& environment, std::ostream& err) {
   try {
-    Logger lines(err, parse_log_level(value_of(variable, "INDIGORILL_LOG")).value_or(with.log_level),
-                 with.log_format);
-    SidecarConfig how = load_sidecar_config(led);
-    how.max_descriptors = std::min(how.max_descriptors, with.max_descriptors);
-    how.max_memory_bytes = std::min(how.max_memory_bytes, with.max_memory_bytes);
-    how.counters_interval_ms = with.counters_interval_ms;
-    how.cluster = with.cluster;
-    if (how.cluster) {
-      if (const auto fault = find_node_name_error(how.name)) throw ParseError(*fault);
-      how.cluster->name = how.name;
-    }
+    const Options options = load_options(arguments.options_file);
+    const auto log_level = parse_log_level(environment_value(environment, "INDIGORILL_LOG"));
+    Logger logger(err, log_level.value_or(options.log_level), options.log_format);
     run_sidecar(
-        how, [&] { return reload_sidecar_config(led); }, lines);
-  } catch (const std::exception& e) {
-    err << "indigorill: " << e.what() << '\n';
-    return 1;
+        load_config(options, environment), [&] { return reload_sidecar_config(environment); }, logger);
+  } catch (const std::exception& error) {
+    err << "indigorill: " << error.what() << '\n';
+    return exit_config_error;
   }
-  return 0;
+  return exit_success;
+}
+
+}  // namespace
+
+int run_command_line(int argc, const char* const* argv, const EnvironmentLookup& environment,
+                     std::ostream& out, std::ostream& err) {
+  Arguments arguments{.config_file = environment_value(environment, "LB_CONFIG"),
+                      .options_file = environment_value(environment, "INDIGORILL_OPTIONS")};
+  if (const auto exit_status = parse_arguments(argc, argv, out, err, arguments)) return *exit_status;
+  // The file that the command line names stands for LB_CONFIG wherever that is read.
+  const EnvironmentLookup overridden_environment = [&](const char* name) {
+    return std::string_view(name) == "LB_CONFIG" ? arguments.config_file.c_str() : environment(name);
+  };
+  if (arguments.check_only) return check_config(arguments, overridden_environment, out, err);
+  return run(arguments, overridden_environment, err);
 }
 
 }  // namespace indigorill
--- a/src/config/json_fields.h
+++ b/src/config/json_fields.h
@@ -1,56 +1,75 @@
-// One message or settings object of JSON, whose fields are read by name and type; faults name the message.
+/// \file
+/// Typed access to the fields of a JSON object, by name.
 #pragma once
 
 #include <cstdint>
 #include <map>
 #include <nlohmann/json.hpp>
-#include <stdexcept>
 #include <string>
 
-namespace indigorill {
+#include "config/parse_error.h"
 
-// Input that is not what it should be; what() is one plain line that names the message and what is wrong.
-struct ParseError : std::runtime_error {
-  using std::runtime_error::runtime_error;
-};
+namespace indigorill {
 
 constexpr double us_per_ms = 1000;
 
+/// Reads the fields of one JSON object, which must outlive it. A field that is null counts as absent.
+///
+/// Every reader throws ParseError if the field has another type or is out of range; those without a default,
+/// also if it is absent.
 class JsonFields {
  public:
   using Json = nlohmann::json;
 
-  JsonFields(std::string message, const Json& object);
+  /// `path` names the object in error messages. Throws ParseError if `object` is not an object.
+  JsonFields(std::string path, const Json& object);
 
-  [[noreturn]] void fail(const std::string& what) const;
+  /// Throws a ParseError that concerns the object as a whole.
+  [[noreturn]] void fail(const std::string& cause) const;
+
+  /// Throws a ParseError that concerns `field`; `cause` continues a sentence that starts with it.
+  [[noreturn]] void fail_field(const std::string& field, const std::string& cause) const;
+
+  /// The value of the field; null if it is absent.
   const Json* find(const char* field) const;
   const Json& require(const char* field) const;
+
   double number(const char* field) const;
-  double number(const char* field, double absent) const;
-  double microseconds_as_ms(const char* field, double absent = 0) const;  // from whole microseconds
-  double duration_ms(const char* field, double absent = 0) const;         // a time that lasts: not below 0
-  double positive_duration_ms(const char* field, double absent) const;    // and not 0
+  double number(const char* field, double default_value) const;
+
+  /// Durations are microseconds in JSON; these return milliseconds.
+  double microseconds_as_ms(const char* field, double default_ms = 0) const;
+  double duration_ms(const char* field, double default_ms = 0) const;       ///< 0 or more
+  double positive_duration_ms(const char* field, double default_ms) const;  ///< above 0
+
   std::uint64_t unsigned_integer(const char* field) const;
-  int integer(const char* field) const;
-  int integer(const char* field, int absent) const;
+  int integer(const char* field) const;  ///< 0 to 10^9
+  int integer(const char* field, int default_value) const;
+
   std::string string(const char* field) const;
-  // Names may be absent or, where there are none, 0.
-  std::string string(const char* field, const char* absent) const;
-  bool boolean(const char* field, bool absent = false) const;
+  /// The default stands also for the number 0, which some senders use for "none".
+  std::string string(const char* field, const char* default_value) const;
+
+  bool boolean(const char* field, bool default_value = false) const;
+
+  /// Empty if absent.
   const Json& array(const char* field) const;
   JsonFields object(const char* field) const;
-  JsonFields element(const char* field, const Json& object) const;  // one of a list
 
+  /// Reads an object that is an element of the array `field`.
+  JsonFields element(const char* field, const Json& object) const;
+
+  /// The value that `names` gives to the string in the field.
   template <class T>
-  T enum_value(const char* field, const std::map<std::string, T>& words) const {
-    const std::string w = string(field);
-    const auto it = words.find(w);
-    if (it == words.end()) fail("field " + std::string(field) + " has the unknown word " + Json(w).dump());
-    return it->second;
+  T enum_value(const char* field, const std::map<std::string, T>& names) const {
+    const std::string name = string(field);
+    const auto entry = names.find(name);
+    if (entry == names.end()) fail_field(field, "has the unknown word " + Json(name).dump());
+    return entry->second;
   }
 
  private:
-  double to_number(const Json& v, const char* field) const;
+  double to_number(const Json& value, const char* field) const;
 
   std::string path_;
   const Json& object_;
--- a/src/config/load_balancer_config.cpp
+++ b/src/config/load_balancer_config.cpp
@@ -34,7 +34,7 @@
   t.key_affinity = f.object("familyInfo").boolean("warmKeys");
   const JsonFields bounds = f.object("bounds");
   t.max_attempts = bounds.integer("maxPicks", 1);
-  if (t.max_attempts == 0) bounds.fail("field maxPicks is 0, so that nothing may be sent");
+  if (t.max_attempts == 0) bounds.fail_field("maxPicks", "is 0, so that nothing may be sent");
   t.cancellation_enabled = bounds.boolean("cancelling");
   t.probing_enabled = bounds.boolean("probes");
   t.max_retry_after_ms = bounds.boolean("retryAfter") ? bounds.duration_ms("maxRetryAfter") : 0;
@@ -55,14 +55,15 @@
     const JsonFields p = f.element("parties", j);
     constexpr double a_second = 1000;
     t.tenants.push_back({p.string("name"), p.number("allowancePerS", 0) / a_second});
-    if (!(t.tenants.back().allowance_per_ms >= 0)) p.fail("field allowancePerS is below 0");
+    if (!(t.tenants.back().allowance_per_ms >= 0)) p.fail_field("allowancePerS", "is below 0");
   }
   t.over_quota_weight = f.number("surplusUtility", 1);
-  if (!(t.over_quota_weight >= 0 && t.over_quota_weight <= 1)) f.fail("field surplusUtility is not 0 to 1");
+  if (!(t.over_quota_weight >= 0 && t.over_quota_weight <= 1))
+    f.fail_field("surplusUtility", "is not 0 to 1");
   t.clients_mark_retries = f.object("callers").boolean("marksRetry");
   t.gossip_enabled = bounds.boolean("mayTell");
   t.gossip_message_cost = charges.number("peer", 0);
-  if (!(t.gossip_message_cost >= 0)) f.fail("field charges.peer is below 0");
+  if (!(t.gossip_message_cost >= 0)) f.fail_field("charges.peer", "is below 0");
   return t;
 }
 
--- a/src/config/options.cpp
+++ b/src/config/options.cpp
@@ -1,152 +1,192 @@
 #include "config/options.h"
 
 #include <cmath>
-#include <fstream>
 #include <set>
+#include <string>
+
+#include "config/toml_section.h"
+#include "event/socket.h"
 
 namespace indigorill {
 namespace {
 
-// Who the others are, and how this one is reached by them.
-ClusterNode::Config decode_membership_options(TomlSection& s) {
-  ClusterNode::Config m;
-  m.fleet = s.string("fleet", {});
-  if (s.has("fleet") && !is_valid_name(m.fleet))
-    s.add_error("fleet", "is no name: 64 letters, digits and -_.:/ at most");
-  const auto address = [&](const char* key, const std::string& text) {
-    const auto a = parse_socket_address(text);
-    if (s.has(key) && (!a || a->sin_port == 0)) s.add_error(key, "is not an address and a port: " + text);
-    return a.value_or(sockaddr_in{});
-  };
-  const std::string listen = s.string("listen", {});
-  m.listen_address = address("listen", listen);
-  m.advertised_address = s.string("advertise", listen);
-  if (m.advertised_address != listen) address("advertise", m.advertised_address);
-  m.seed_addresses = s.strings("seeds");
-  for (const std::string& seed : m.seed_addresses) {
-    address("seeds", seed);
-    if (seed == m.advertised_address || seed == listen)
-      s.add_error("seeds", "holds this one's own address " + seed);
-  }
-  m.probe_interval_ms = s.duration_ms("period_ms", m.probe_interval_ms);
-  m.probe_timeout_ms = s.duration_ms("timeout_ms", m.probe_timeout_ms);
-  constexpr double least_period = 50;  // ms; oftener, two probes overlap on any network but loopback
-  if (m.probe_interval_ms < least_period) s.add_error("period_ms", "is under 50");
-  // The helpers are asked after the first time-out and need as long once more.
-  if (m.probe_timeout_ms <= 0 || 2 * m.probe_timeout_ms > m.probe_interval_ms)
-    s.add_error("timeout_ms", "is not over 0 and at most half of period_ms");
-  m.voters = s.strings("voters");
-  m.lease_ms = s.duration_ms("lease_ms", m.lease_ms);
-  constexpr double most_drift = 0.1;
-  m.max_clock_drift = s.number("drift", m.max_clock_drift, 0, most_drift);
-  if (!m.voters.empty() && m.voters.size() % 2 == 0)
-    s.add_error("voters", "are even in number: one more bears no more losses");
-  std::set<std::string> names;
-  for (const std::string& v : m.voters)
-    if (!is_valid_name(v) || !names.insert(v).second)
-      s.add_error("voters", "holds no name, or one twice: " + v);
-  // A round is three messages each way; a third of a lease has to bear two rounds that are lost.
-  constexpr double rounds = 10;
-  if (!m.voters.empty() && m.lease_ms < rounds * m.probe_timeout_ms)
-    s.add_error("lease_ms", "is under ten times timeout_ms: it would end before it can be renewed");
-  s.reject_unknown_keys();
-  return m;
+constexpr double bytes_per_mb = 1024 * 1024;
+constexpr double ms_per_s = 1000;
+
+// More often they would flood the log.
+constexpr double min_counters_interval_ms = 1000;
+
+constexpr double max_memory_mb = 1 << 20;
+constexpr int max_sockets = 1 << 20;
+
+// The sidecar has descriptors of its own; with fewer than these there would be none left for connections.
+constexpr int min_sockets = 33;
+
+// At shorter intervals two probes overlap on any network but loopback.
+constexpr double min_probe_interval_ms = 50;
+
+constexpr double max_clock_drift = 0.1;
+
+// A renewal takes one round of three messages each way; a third of the lease has to leave time for two lost
+// rounds.
+constexpr double min_probe_timeouts_per_lease = 10;
+
+// A grant is renewed after a third of its duration; one renewal may fail.
+constexpr double min_probe_timeouts_per_grant = 3;
+
+// A lease is renewed after a third of it, and grants must end before the right to give them does.
+constexpr double min_grants_per_lease = 3;
+
+constexpr int max_quota_holders = 100000;
+constexpr double max_budget_per_s = 1e9;
+
+/// The address at the key, or a zero one if that is not valid.
+sockaddr_in check_address(TomlSection& section, const char* key, const std::string& text) {
+  const auto address = parse_socket_address(text);
+  if (!address && section.has(key)) section.add_error(key, "is not an address and a port: " + text);
+  return address.value_or(sockaddr_in{});
 }
 
-// What is divided, and how long a part of it lasts.
-QuotaConfig decode_quota_options(TomlSection& s, ConfigDiagnostics& wrong, const ClusterNode::Config& among) {
-  QuotaConfig t;
-  constexpr int most_sidecars = 100000;
-  constexpr double most_units = 1e9, per_second = 1000;
-  t.max_holders = s.integer("most", {}, 1, most_sidecars);
-  t.grant_duration_ms = s.duration_ms("share_ms", t.grant_duration_ms);
-  t.registration_duration_ms = s.seconds_as_ms("seat_s", t.registration_duration_ms);
-  t.max_clock_drift = among.max_clock_drift;
-  // A renewal comes after a third of a lease and may fail once; what is given must end before the right does.
-  if (t.grant_duration_ms <= 0 || t.with_drift_margin(t.grant_duration_ms) > among.lease_ms / 3)
-    s.add_error("share_ms", "is not over 0 and at most a third of lease_ms");
-  if (t.grant_duration_ms < 3 * among.probe_timeout_ms)
-    s.add_error("share_ms", "is under three times timeout_ms: it would end before it can be renewed");
-  if (t.registration_duration_ms < t.grant_duration_ms) s.add_error("seat_s", "is shorter than share_ms");
-  TomlSection picks(s.table("further_picks", false), "budgets.further_picks", wrong);
-  if (s.has("further_picks")) {
-    FleetBudget b{"further_picks", picks.number("a_second", {}, 0, most_units), 0, per_second};
-    b.guaranteed_minimum = picks.number("floor", 0, 0, most_units);
-    if (b.guaranteed_minimum * t.max_holders > b.total)
-      picks.add_error("floor", "times the most sidecars is over the whole");
-    if (b.guaranteed_minimum != std::floor(b.guaranteed_minimum))
-      picks.add_error("floor", "is not a whole number");
-    t.budgets.push_back(b);
-  } else {
-    s.add_error("further_picks", "is missing: there is nothing to divide");
+void decode_addresses(TomlSection& section, ClusterNode::Config& config) {
+  const std::string listen = section.string("listen", {});
+  config.listen_address = check_address(section, "listen", listen);
+  config.advertised_address = section.string("advertise", listen);
+  if (config.advertised_address != listen) check_address(section, "advertise", config.advertised_address);
+  config.seed_addresses = section.strings("seeds");
+  for (const std::string& seed : config.seed_addresses) {
+    check_address(section, "seeds", seed);
+    if (seed == config.advertised_address || seed == listen)
+      section.add_error("seeds", "contains the node's own address " + seed);
   }
-  picks.reject_unknown_keys();
-  s.reject_unknown_keys();
-  return t;
 }
 
-}  // namespace
+void decode_probe_timing(TomlSection& section, ClusterNode::Config& config) {
+  config.probe_interval_ms = section.duration_ms("period_ms", config.probe_interval_ms);
+  config.probe_timeout_ms = section.duration_ms("timeout_ms", config.probe_timeout_ms);
+  if (config.probe_interval_ms < min_probe_interval_ms) section.add_error("period_ms", "is under 50");
+  // Indirect probes start after the first timeout and take as long once more.
+  if (config.probe_timeout_ms <= 0 || 2 * config.probe_timeout_ms > config.probe_interval_ms)
+    section.add_error("timeout_ms", "is not over 0 and at most half of period_ms");
+}
 
-Options decode_options(const toml::table& from) {
-  ConfigDiagnostics wrong;
-  TomlSection top(from, "", wrong);
-  Options o;
-  TomlSection log(top.table("log", false), "log", wrong);
-  o.log_level = log.enum_value<LogLevel>("level", o.log_level,
-                                         {{"error", LogLevel::error},
-                                          {"warning", LogLevel::warning},
-                                          {"info", LogLevel::info},
-                                          {"debug", LogLevel::debug}});
-  o.log_format =
-      log.enum_value<LogFormat>("form", o.log_format, {{"text", LogFormat::text}, {"json", LogFormat::json}});
-  o.counters_interval_ms = log.seconds_as_ms("counters_every_s", 0);
-  constexpr double least = 1000;  // ms; oftener they would be a flood
-  if (o.counters_interval_ms > 0 && o.counters_interval_ms < least)
-    log.add_error("counters_every_s", "is under a second");
-  log.reject_unknown_keys();
-  TomlSection limits(top.table("limits", false), "limits", wrong);
-  constexpr double most_mb = 1 << 20, mb = 1024 * 1024;
-  constexpr int most_sockets = 1 << 20, least_sockets = 33;
-  if (const double memory = limits.number("memory_mb", 0, 0, most_mb); memory > 0)
-    o.max_memory_bytes = static_cast<std::size_t>(memory * mb);
-  if (const int sockets = limits.integer("sockets", 0, 0, most_sockets); sockets > 0) {
-    if (sockets < least_sockets) limits.add_error("sockets", "allows too few");
-    o.max_descriptors = static_cast<std::size_t>(sockets);
-  }
-  limits.reject_unknown_keys();
-  if (top.has("members")) {
-    TomlSection members(top.table("members", false), "members", wrong);
-    o.cluster = decode_membership_options(members);
-  }
-  if (top.has("budgets")) {
-    TomlSection budgets(top.table("budgets", false), "budgets", wrong);
-    if (!o.cluster || o.cluster->voters.empty())
-      budgets.add_error("share_ms", "has nobody to divide: members.voters is missing");
-    const QuotaConfig s = decode_quota_options(budgets, wrong, o.cluster.value_or(ClusterNode::Config{}));
-    if (o.cluster) o.cluster->quota = s;
-  }
-  top.reject_unknown_keys();
-  wrong.throw_if_any();
-  return o;
+void decode_lease_options(TomlSection& section, ClusterNode::Config& config) {
+  config.voters = section.strings("voters");
+  config.lease_ms = section.duration_ms("lease_ms", config.lease_ms);
+  config.max_clock_drift = section.number("drift", config.max_clock_drift, 0, max_clock_drift);
+  if (!config.voters.empty() && config.voters.size() % 2 == 0)
+    section.add_error("voters", "are even in number: one less tolerates as many failures");
+  std::set<std::string> distinct_voters;
+  for (const std::string& voter : config.voters)
+    if (!is_valid_name(voter) || !distinct_voters.insert(voter).second)
+      section.add_error("voters", "contains an invalid or repeated name: " + voter);
+  if (!config.voters.empty() && config.lease_ms < min_probe_timeouts_per_lease * config.probe_timeout_ms)
+    section.add_error("lease_ms", "is under ten times timeout_ms: it would expire before it can be renewed");
+}
+
+ClusterNode::Config decode_cluster_options(const toml::table& table, ConfigDiagnostics& diagnostics) {
+  TomlSection section(table, "members", diagnostics);
+  ClusterNode::Config config;
+  config.fleet = section.string("fleet", {});
+  if (section.has("fleet") && !is_valid_name(config.fleet))
+    section.add_error("fleet", "is not a valid name: at most 64 letters, digits and -_.:/");
+  decode_addresses(section, config);
+  decode_probe_timing(section, config);
+  decode_lease_options(section, config);
+  section.reject_unknown_keys();
+  return config;
+}
+
+/// The budget of retries that the fleet shares.
+FleetBudget decode_retry_budget(const toml::table& table, int max_holders, ConfigDiagnostics& diagnostics) {
+  TomlSection section(table, "budgets.further_picks", diagnostics);
+  FleetBudget budget{"further_picks", section.number("a_second", {}, 0, max_budget_per_s), 0, ms_per_s};
+  budget.guaranteed_minimum = section.number("floor", 0, 0, max_budget_per_s);
+  if (budget.guaranteed_minimum * max_holders > budget.total)
+    section.add_error("floor", "times most exceeds a_second");
+  if (budget.guaranteed_minimum != std::floor(budget.guaranteed_minimum))
+    section.add_error("floor", "is not a whole number");
+  section.reject_unknown_keys();
+  return budget;
+}
+
+void decode_grant_timing(TomlSection& section, const ClusterNode::Config& cluster, QuotaConfig& quota) {
+  quota.grant_duration_ms = section.duration_ms("share_ms", quota.grant_duration_ms);
+  quota.registration_duration_ms = section.seconds_as_ms("seat_s", quota.registration_duration_ms);
+  quota.max_clock_drift = cluster.max_clock_drift;
+  if (quota.grant_duration_ms <= 0 ||
+      quota.with_drift_margin(quota.grant_duration_ms) > cluster.lease_ms / min_grants_per_lease)
+    section.add_error("share_ms", "is not over 0 and at most a third of lease_ms");
+  if (quota.grant_duration_ms < min_probe_timeouts_per_grant * cluster.probe_timeout_ms)
+    section.add_error("share_ms",
+                      "is under three times timeout_ms: it would expire before it can be renewed");
+  if (quota.registration_duration_ms < quota.grant_duration_ms)
+    section.add_error("seat_s", "is shorter than share_ms");
 }
 
-std::optional<std::string> find_node_name_error(const std::string& name) {
-  if (is_valid_name(name)) return {};
-  return "config: field name is no name among members: 64 letters, digits and -_.:/ at most";
+QuotaConfig decode_quota_options(TomlSection& section, const ClusterNode::Config& cluster,
+                                 ConfigDiagnostics& diagnostics) {
+  QuotaConfig quota;
+  quota.max_holders = section.integer("most", {}, 1, max_quota_holders);
+  decode_grant_timing(section, cluster, quota);
+  const toml::table& retry_budget = section.table("further_picks", false);
+  if (section.has("further_picks"))
+    quota.budgets.push_back(decode_retry_budget(retry_budget, quota.max_holders, diagnostics));
+  else
+    section.add_error("further_picks", "is missing: there is no budget to allocate");
+  section.reject_unknown_keys();
+  return quota;
 }
 
-std::vector<std::string> find_config_errors(const std::string& path, const Options& with,
-                                            const std::function<const char*(const char*)>& variable) {
-  std::vector<std::string> all;
-  try {
-    const nlohmann::json j = read_config_json(path, variable);
-    check_sidecar_config(j, [&](const std::string& fault) { all.push_back(fault); });
-    if (all.empty() && with.cluster)
-      if (const auto fault = find_node_name_error(decode_sidecar_config(j).name)) all.push_back(*fault);
-  } catch (const ParseError& e) {
-    all.push_back(e.what());
+void decode_log_options(const toml::table& table, ConfigDiagnostics& diagnostics, Options& options) {
+  TomlSection section(table, "log", diagnostics);
+  options.log_level = section.enum_value<LogLevel>("level", options.log_level,
+                                                   {{"error", LogLevel::error},
+                                                    {"warning", LogLevel::warning},
+                                                    {"info", LogLevel::info},
+                                                    {"debug", LogLevel::debug}});
+  options.log_format = section.enum_value<LogFormat>("form", options.log_format,
+                                                     {{"text", LogFormat::text}, {"json", LogFormat::json}});
+  options.counters_interval_ms = section.seconds_as_ms("counters_every_s", 0);
+  if (options.counters_interval_ms > 0 && options.counters_interval_ms < min_counters_interval_ms)
+    section.add_error("counters_every_s", "is under a second");
+  section.reject_unknown_keys();
+}
+
+void decode_limits(const toml::table& table, ConfigDiagnostics& diagnostics, Options& options) {
+  TomlSection section(table, "limits", diagnostics);
+  const double memory_mb = section.number("memory_mb", 0, 0, max_memory_mb);
+  if (memory_mb > 0) options.max_memory_bytes = static_cast<std::size_t>(memory_mb * bytes_per_mb);
+  const int sockets = section.integer("sockets", 0, 0, max_sockets);
+  if (sockets > 0) {
+    if (sockets < min_sockets) section.add_error("sockets", "allows too few");
+    options.max_descriptors = static_cast<std::size_t>(sockets);
   }
-  return all;
+  section.reject_unknown_keys();
+}
+
+void decode_budgets(const toml::table& table, ConfigDiagnostics& diagnostics, Options& options) {
+  TomlSection section(table, "budgets", diagnostics);
+  if (!options.cluster || options.cluster->voters.empty())
+    section.add_error("share_ms", "needs a leader: members.voters is missing");
+  const QuotaConfig quota =
+      decode_quota_options(section, options.cluster.value_or(ClusterNode::Config{}), diagnostics);
+  if (options.cluster) options.cluster->quota = quota;
+}
+
+}  // namespace
+
+Options decode_options(const toml::table& file) {
+  ConfigDiagnostics diagnostics;
+  TomlSection root(file, "", diagnostics);
+  Options options;
+  decode_log_options(root.table("log", false), diagnostics, options);
+  decode_limits(root.table("limits", false), diagnostics, options);
+  if (root.has("members"))
+    options.cluster = decode_cluster_options(root.table("members", false), diagnostics);
+  if (root.has("budgets")) decode_budgets(root.table("budgets", false), diagnostics, options);
+  root.reject_unknown_keys();
+  diagnostics.throw_if_any();
+  return options;
 }
 
 }  // namespace indigorill
--- a/src/config/sidecar_config.h
+++ b/src/config/sidecar_config.h
@@ -1,44 +1,64 @@
-// What a sidecar is told at its start: where it stands, its limits, the list as it last had it, the settings.
+/// \file
+/// What a sidecar is configured with: the operators' JSON config, with environment variables that override
+/// it.
 #pragma once
 
-#include <functional>
+#include <netinet/in.h>
+
+#include <cstddef>
+#include <cstdint>
+#include <nlohmann/json.hpp>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "cluster/cluster_node.h"
+#include "config/config_error.h"
+#include "config/environment.h"
 #include "config/load_balancer_config.h"
 #include "discovery/discovery_client.h"
 
 namespace indigorill {
 
 struct SidecarConfig {
-  std::string name, discovery_host;
-  sockaddr_in listen_address{}, discovery_address{};
-  std::optional<sockaddr_in> admin_address;  // for staff
-  std::optional<int>
-      inherited_listener_fd;     // the descriptor of the clients' listener, where the platform holds it
-  std::string shared_directory;  // the folder that two processes of one sidecar share
-  std::uint64_t seed = 0;
-  std::size_t max_descriptors = 0, max_memory_bytes = 0;  // memory in bytes
-  double counters_interval_ms = 0;                        // ms between two lines of them; 0: none
-  EndpointListUpdate initial_endpoints;
+  std::string name;
+  std::string discovery_host;  ///< the discovery agent as configured, "address:port"
+  sockaddr_in discovery_address{};
+  sockaddr_in listen_address{};
+  std::optional<sockaddr_in> admin_address;  ///< the second address, for operators
+
+  /// The clients' listener, if the platform opened it and keeps it open over restarts.
+  std::optional<int> inherited_listener_fd;
+
+  /// Where the parent and the child process of a hot restart share files; empty if there is none.
+  std::string shared_directory;
+
+  std::uint64_t seed = 0;  ///< of the random numbers
+  std::size_t max_descriptors = 0;
+  std::size_t max_memory_bytes = 0;
+  double counters_interval_ms = 0;  ///< between log lines with the counters; 0: only on request
+
+  EndpointListUpdate initial_endpoints;  ///< the list to start with, until discovery responds
   LoadBalancerConfig load_balancer;
   ConnectionConfig upstream;
-  std::optional<ClusterNode::Config> cluster;  // absent: no socket, no timer, no byte for them
+  std::optional<ClusterNode::Config> cluster;  ///< empty: the sidecar doesn't communicate with others
 };
 
-// From the environment and the file that it names. Throws malformed with one plain line.
-SidecarConfig load_sidecar_config(const std::function<const char*(const char*)>& variable);
-SidecarConfig decode_sidecar_config(const nlohmann::json& j);
+/// Reads the file that LB_CONFIG names. Throws ConfigError.
+SidecarConfig load_sidecar_config(const EnvironmentLookup& environment);
+
+/// Reads the same file again, while the sidecar runs. LB_DISCOVERY doesn't override it this time: the file is
+/// newer than the environment of the process. Throws ConfigError.
+SidecarConfig reload_sidecar_config(const EnvironmentLookup& environment);
+
+/// The config file as JSON, after the environment variables have overridden its fields. Throws ConfigError if
+/// it can't be read.
+nlohmann::json read_config_json(const std::string& path, const EnvironmentLookup& environment);
 
-// The file as JSON, the variables that lead over it put in.
-nlohmann::json read_config_json(const std::string& path,
-                                const std::function<const char*(const char*)>& variable);
-// Reads all of it and says each fault, where decode_start stops at the first.
-void check_sidecar_config(const nlohmann::json& j, const std::function<void(const std::string&)>& fault);
+/// Throws ConfigError with the first problem.
+SidecarConfig decode_sidecar_config(const nlohmann::json& config);
 
-// The same file once more: its word on discovery is newer than the environment's, which is as old as the
-// process.
-SidecarConfig reload_sidecar_config(const std::function<const char*(const char*)>& variable);
+/// All problems of the config.
+std::vector<ConfigProblem> find_sidecar_config_problems(const nlohmann::json& config);
 
 }  // namespace indigorill
--- a/src/config/toml_section.cpp
+++ b/src/config/toml_section.cpp
@@ -6,12 +6,13 @@
 namespace indigorill {
 namespace {
 
-constexpr double ms_per_s = 1000, seconds_per_day = 86400;
+constexpr double ms_per_s = 1000;
+constexpr double max_duration_s = 86400;
 
-std::string format_number(double v) {
-  std::ostringstream s;
-  s << v;
-  return s.str();
+std::string format_number(double number) {
+  std::ostringstream text;
+  text << number;
+  return text.str();
 }
 
 }  // namespace
@@ -19,124 +20,148 @@
 toml::table read_toml_file(const std::string& file) {
   try {
     return toml::parse_file(file);
-  } catch (const toml::parse_error& e) {
-    const auto line = e.source().begin.line;
-    throw ConfigError(file + (line ? ":" + std::to_string(line) : "") + ": " + std::string(e.description()));
+  } catch (const toml::parse_error& error) {
+    throw ConfigError(ConfigProblem{.file = file,
+                                    .line = error.source().begin.line,
+                                    .field = {},
+                                    .cause = std::string(error.description())});
   }
 }
 
-void ConfigDiagnostics::add(const toml::source_region& where, const std::string& reason) {
-  text_ += text_.empty() ? "" : "\n";
-  // What was set by a command has no line.
-  if (where.path) text_ += *where.path + ":" + std::to_string(where.begin.line) + ": ";
-  text_ += reason;
+void ConfigDiagnostics::add(const toml::source_region& region, const std::string& field,
+                            const std::string& cause) {
+  ConfigProblem problem{.file = {}, .field = field, .cause = cause};
+  if (region.path) {
+    problem.file = *region.path;
+    problem.line = region.begin.line;
+  }
+  problems_.push_back(std::move(problem));
+}
+
+void ConfigDiagnostics::add(const toml::source_region& region, const std::string& cause) {
+  add(region, {}, cause);
 }
 
 void ConfigDiagnostics::throw_if_any() const {
-  if (!text_.empty()) throw ConfigError(text_);
+  if (!problems_.empty()) throw ConfigError(problems_);
 }
 
-double TomlSection::number(const char* key, std::optional<double> absent, double least, double most) {
-  const toml::node* n = find(key, absent.has_value());
-  if (!n) return absent.value_or(least);
-  const auto v = n->value<double>();
-  if (!v || n->is_boolean()) return add_error_at(*n, key, "is not a number"), least;
-  if (!(*v >= least && *v <= most))
-    return add_error_at(
-               *n, key,
-               "is " + format_number(*v) + ", not " + format_number(least) + " to " + format_number(most)),
-           least;
-  return *v;
+double TomlSection::number(const char* key, std::optional<double> default_value, double min, double max) {
+  const toml::node* node = find(key, default_value.has_value());
+  if (!node) return default_value.value_or(min);
+  const auto number = node->value<double>();
+  if (!number || node->is_boolean()) {
+    add_error_at(*node, key, "is not a number");
+    return min;
+  }
+  if (!(*number >= min && *number <= max)) {
+    add_error_at(
+        *node, key,
+        "is " + format_number(*number) + ", not " + format_number(min) + " to " + format_number(max));
+    return min;
+  }
+  return *number;
 }
 
-double TomlSection::seconds_as_ms(const char* key, std::optional<double> absent) {
-  return number(key, absent ? std::optional(*absent / ms_per_s) : absent, 0, seconds_per_day) * ms_per_s;
+double TomlSection::seconds_as_ms(const char* key, std::optional<double> default_ms) {
+  const auto default_s = default_ms ? std::optional(*default_ms / ms_per_s) : std::nullopt;
+  return number(key, default_s, 0, max_duration_s) * ms_per_s;
 }
 
-double TomlSection::duration_ms(const char* key, std::optional<double> absent) {
-  return number(key, absent, 0, seconds_per_day * ms_per_s);
+double TomlSection::duration_ms(const char* key, std::optional<double> default_ms) {
+  return number(key, default_ms, 0, max_duration_s * ms_per_s);
 }
 
-int TomlSection::integer(const char* key, std::optional<int> absent, int least, int most) {
-  const double v = number(key, absent ? std::optional<double>(*absent) : std::nullopt, least, most);
-  if (v != std::floor(v)) add_error(key, "is not a whole number");
-  return static_cast<int>(v);
+int TomlSection::integer(const char* key, std::optional<int> default_value, int min, int max) {
+  const auto default_number = default_value ? std::optional<double>(*default_value) : std::nullopt;
+  const double value = number(key, default_number, min, max);
+  if (value != std::floor(value)) add_error(key, "is not a whole number");
+  return static_cast<int>(value);
 }
 
-bool TomlSection::boolean(const char* key, bool absent) {
-  const toml::node* n = find(key, true);
-  if (!n) return absent;
-  if (!n->is_boolean()) add_error_at(*n, key, "is not true or false");
-  return n->value_or(absent);
+bool TomlSection::boolean(const char* key, bool default_value) {
+  const toml::node* node = find(key, true);
+  if (!node) return default_value;
+  if (!node->is_boolean()) add_error_at(*node, key, "is not true or false");
+  return node->value_or(default_value);
 }
 
-std::string TomlSection::string(const char* key, std::optional<std::string> absent) {
-  const toml::node* n = find(key, absent.has_value());
-  if (!n) return absent.value_or("");
-  if (!n->is_string()) add_error_at(*n, key, "is not a string");
-  return n->value_or(std::string());
+std::string TomlSection::string(const char* key, const std::optional<std::string>& default_value) {
+  const toml::node* node = find(key, default_value.has_value());
+  if (!node) return default_value.value_or("");
+  if (!node->is_string()) add_error_at(*node, key, "is not a string");
+  return node->value_or(std::string());
 }
 
 std::vector<std::string> TomlSection::strings(const char* key) {
-  std::vector<std::string> all;
-  const toml::node* n = find(key, true);
-  if (!n) return all;
-  const toml::array* a = n->as_array();
-  if (!a) return add_error_at(*n, key, "is not a list of strings"), all;
-  for (const toml::node& e : *a) {
-    if (!e.is_string()) add_error_at(e, key, "is not a list of strings");
-    all.push_back(e.value_or(std::string()));
+  const std::string cause = "is not a list of strings";
+  std::vector<std::string> strings;
+  const toml::array* array = find_array(key, true, cause);
+  if (!array) return strings;
+  for (const toml::node& element : *array) {
+    if (!element.is_string()) add_error_at(element, key, cause);
+    strings.push_back(element.value_or(std::string()));
   }
-  return all;
-}
-
-const toml::table& TomlSection::table(const char* key, bool needed) {
-  static const toml::table none;
-  const toml::node* n = find(key, !needed);
-  if (n && !n->is_table()) add_error_at(*n, key, "is not a table");
-  return n && n->is_table() ? *n->as_table() : none;
-}
-
-std::vector<const toml::table*> TomlSection::tables(const char* key, bool needed) {
-  const toml::node* n = find(key, !needed);
-  std::vector<const toml::table*> all;
-  if (!n) return all;
-  const toml::array* a = n->as_array();
-  if (!a) return add_error_at(*n, key, "is not a list of tables"), all;
-  for (const toml::node& e : *a) {
-    if (e.is_table())
-      all.push_back(e.as_table());
+  return strings;
+}
+
+const toml::table& TomlSection::table(const char* key, bool is_required) {
+  static const toml::table empty_table;
+  const toml::node* node = find(key, !is_required);
+  if (!node) return empty_table;
+  if (const toml::table* table = node->as_table()) return *table;
+  add_error_at(*node, key, "is not a table");
+  return empty_table;
+}
+
+std::vector<const toml::table*> TomlSection::tables(const char* key, bool is_required) {
+  const std::string cause = "is not a list of tables";
+  std::vector<const toml::table*> tables;
+  const toml::array* array = find_array(key, !is_required, cause);
+  if (!array) return tables;
+  for (const toml::node& element : *array) {
+    if (const toml::table* table = element.as_table())
+      tables.push_back(table);
     else
-      add_error_at(e, key, "is not a list of tables");
+      add_error_at(element, key, cause);
   }
-  if (needed && all.empty()) add_error_at(*n, key, "is empty");
-  return all;
+  if (is_required && tables.empty()) add_error_at(*array, key, "is empty");
+  return tables;
 }
 
-void TomlSection::add_error(const char* key, const std::string& reason) {
-  const toml::node* n = table_.get(key);
-  add_error_at(n ? *n : static_cast<const toml::node&>(table_), key, reason);
+void TomlSection::add_error(const char* key, const std::string& cause) {
+  const toml::node* node = table_.get(key);
+  add_error_at(node ? *node : static_cast<const toml::node&>(table_), key, cause);
 }
 
 void TomlSection::reject_unknown_keys() {
-  for (const auto& [key, n] : table_)
-    if (!used_keys_.count(std::string(key.str())))
-      diagnostics_.add(key.source(), qualified_key(key.str()) + " is unknown");
+  for (const auto& [key, node] : table_)
+    if (!used_keys_.contains(std::string(key.str())))
+      diagnostics_.add(key.source(), qualified_key(key.str()), "is unknown");
 }
 
 std::string TomlSection::qualified_key(std::string_view key) const {
   return (name_.empty() ? "" : name_ + ".") + std::string(key);
 }
 
-void TomlSection::add_error_at(const toml::node& n, const char* key, const std::string& reason) {
-  diagnostics_.add(n.source(), qualified_key(key) + " " + reason);
+void TomlSection::add_error_at(const toml::node& node, const char* key, const std::string& cause) {
+  diagnostics_.add(node.source(), qualified_key(key), cause);
 }
 
-const toml::node* TomlSection::find(const char* key, bool may_be_absent) {
+const toml::node* TomlSection::find(const char* key, bool is_optional) {
   used_keys_.insert(key);
-  const toml::node* n = table_.get(key);
-  if (!n && !may_be_absent) diagnostics_.add(table_.source(), qualified_key(key) + " is missing");
-  return n;
+  const toml::node* node = table_.get(key);
+  if (!node && !is_optional) diagnostics_.add(table_.source(), qualified_key(key), "is missing");
+  return node;
+}
+
+/// Null if the key is absent or has something else than an array.
+const toml::array* TomlSection::find_array(const char* key, bool is_optional, const std::string& cause) {
+  const toml::node* node = find(key, is_optional);
+  if (!node) return nullptr;
+  const toml::array* array = node->as_array();
+  if (!array) add_error_at(*node, key, cause);
+  return array;
 }
 
 }  // namespace indigorill
--- a/src/config/toml_section.h
+++ b/src/config/toml_section.h
@@ -1,5 +1,5 @@
-// Tables of a TOML file, whose keys are read by name, type and range; faults name file and line and are
-// collected, so that a file is checked as a whole.
+/// \file
+/// Typed access to the tables of a TOML file. Problems are collected, so that one pass checks the whole file.
 #pragma once
 
 #include <toml++/toml.h>
@@ -7,65 +7,86 @@
 #include <map>
 #include <optional>
 #include <set>
-#include <stdexcept>
 #include <string>
 #include <string_view>
 #include <vector>
 
-namespace indigorill {
+#include "config/config_error.h"
 
-// Each fault is a line of its own: file, line, reason.
-struct ConfigError : std::runtime_error {
-  using std::runtime_error::runtime_error;
-};
+namespace indigorill {
 
-toml::table read_toml_file(const std::string& file);  // throws faulty
+/// Throws ConfigError if the file can't be read or is not TOML.
+toml::table read_toml_file(const std::string& file);
 
+/// Collects the problems of a file.
 class ConfigDiagnostics {
  public:
-  void add(const toml::source_region& where, const std::string& reason);
-  void throw_if_any() const;  // throws faulty, if there is any
+  /// `region` is where the problem stands; a value that was not read from a file has no place.
+  void add(const toml::source_region& region, const std::string& field, const std::string& cause);
+
+  /// Adds a problem that `cause` describes in full.
+  void add(const toml::source_region& region, const std::string& cause);
+
+  /// Throws ConfigError with all problems, if there are any.
+  void throw_if_any() const;
 
  private:
-  std::string text_;
+  std::vector<ConfigProblem> problems_;
 };
 
-// One table; what is not read by none_left() is a fault.
+/// Reads the keys of one table. The table and the diagnostics must outlive it.
+///
+/// A key without a default has to be there. Where a key is missing or wrong, that is added to the
+/// diagnostics, and the reader returns the default or some other value in range, so that reading can go on.
 class TomlSection {
  public:
-  TomlSection(const toml::table& t, std::string name, ConfigDiagnostics& into)
-      : table_(t), name_(std::move(name)), diagnostics_(into) {}
-
-  double number(const char* key, std::optional<double> absent, double least, double most);
-  double seconds_as_ms(const char* key, std::optional<double> absent);  // up to a day, as ms
-  double duration_ms(const char* key, std::optional<double> absent);    // up to a day
-  int integer(const char* key, std::optional<int> absent, int least, int most);
-  bool boolean(const char* key, bool absent);
-  std::string string(const char* key, std::optional<std::string> absent);
-  std::vector<std::string> strings(const char* key);       // a list; empty where absent
-  const toml::table& table(const char* key, bool needed);  // empty where absent
-  std::vector<const toml::table*> tables(const char* key, bool needed);
+  /// `name` is the dotted path of the table, empty for the root.
+  TomlSection(const toml::table& table, std::string name, ConfigDiagnostics& diagnostics)
+      : table_(table), name_(std::move(name)), diagnostics_(diagnostics) {}
+
+  double number(const char* key, std::optional<double> default_value, double min, double max);
 
+  /// A duration of up to a day that stands in seconds; given and returned in milliseconds.
+  double seconds_as_ms(const char* key, std::optional<double> default_ms);
+
+  /// A duration of up to a day that stands in milliseconds.
+  double duration_ms(const char* key, std::optional<double> default_ms);
+
+  int integer(const char* key, std::optional<int> default_value, int min, int max);
+  bool boolean(const char* key, bool default_value);
+  std::string string(const char* key, const std::optional<std::string>& default_value);
+  std::vector<std::string> strings(const char* key);  ///< empty if absent
+
+  /// Empty if absent.
+  const toml::table& table(const char* key, bool is_required);
+  std::vector<const toml::table*> tables(const char* key, bool is_required);
+
+  /// The value that `names` gives to the string at the key.
   template <class T>
-  T enum_value(const char* key, std::optional<T> absent, const std::map<std::string, T>& words) {
-    const toml::node* n = find(key, absent.has_value());
-    if (!n) return absent.value_or(words.begin()->second);
-    const auto it = words.find(n->value_or(std::string()));
-    if (n->is_string() && it != words.end()) return it->second;
-    std::string all;
-    for (const auto& [w, meaning] : words) all += (all.empty() ? "" : ", ") + w;
-    add_error_at(*n, key, "is none of " + all);
-    return words.begin()->second;
+  T enum_value(const char* key, std::optional<T> default_value, const std::map<std::string, T>& names) {
+    const toml::node* node = find(key, default_value.has_value());
+    if (!node) return default_value.value_or(names.begin()->second);
+    const auto entry = names.find(node->value_or(std::string()));
+    if (node->is_string() && entry != names.end()) return entry->second;
+    std::string known_names;
+    for (const auto& [name, value] : names) known_names += (known_names.empty() ? "" : ", ") + name;
+    add_error_at(*node, key, "is none of " + known_names);
+    return names.begin()->second;
   }
 
   bool has(const char* key) const { return table_.contains(key); }
-  void add_error(const char* key, const std::string& reason);
+
+  /// Adds a problem with the value at the key; `cause` continues a sentence that starts with the key.
+  void add_error(const char* key, const std::string& cause);
+
+  /// Adds a problem for each key that was not read.
   void reject_unknown_keys();
 
  private:
   std::string qualified_key(std::string_view key) const;
-  void add_error_at(const toml::node& n, const char* key, const std::string& reason);
-  const toml::node* find(const char* key, bool may_be_absent);
+  void add_error_at(const toml::node& node, const char* key, const std::string& cause);
+  const toml::node* find(const char* key, bool is_optional);
+  const toml::array* find_array(const char* key, bool is_optional, const std::string& cause);
 
   const toml::table& table_;
   std::string name_;
--- a/src/event/socket.cpp
+++ b/src/event/socket.cpp
@@ -10,7 +10,7 @@
 #include <cstdint>
 #include <system_error>
 
-#include "config/json_fields.h"
+#include "config/config_error.h"
 
 namespace indigorill {
 namespace {
@@ -67,7 +67,9 @@
 FileDescriptor adopt_listener_fd(int fd) {
   if (read_option(fd, SO_ACCEPTCONN) != 1 || read_option(fd, SO_TYPE) != SOCK_STREAM ||
       read_option(fd, SO_DOMAIN) != AF_INET)
-    throw ParseError("LB_INHERITED_FD names no listening TCP socket: " + std::to_string(fd));
+    throw ConfigError({.file = {},
+                       .field = "LB_INHERITED_FD",
+                       .cause = "names no listening TCP socket: " + std::to_string(fd)});
   enable_receive_timestamps(fd);
   // O_NONBLOCK belongs to the socket, so it holds for all processes that share it: a blocking accept would
   // stall the event loop.
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -1,3 +1,5 @@
+/// \file
+/// The sidecar's entry point.
 #include <cstdlib>
 #include <iostream>
 
@@ -6,6 +8,6 @@
 
 int main(int argc, char** argv) {
   indigorill::block_signals();
-  return indigorill::run_command_line(
-      argc, argv, [](const char* name) { return std::getenv(name); }, std::cout, std::cerr);
+  const auto environment = [](const char* name) { return std::getenv(name); };
+  return indigorill::run_command_line(argc, argv, environment, std::cout, std::cerr);
 }
--- a/src/proxy/sidecar.cpp
+++ b/src/proxy/sidecar.cpp
@@ -59,7 +59,7 @@
   // Standard input, output and error, epoll, signals, the listener, and some to spare.
   const std::size_t own_descriptors =
       16 + (with.admin_address ? AdminServer::reserved_descriptors : 0) + (with.cluster ? 1 : 0);
-  if (with.max_descriptors <= 2 * own_descriptors) throw ParseError("config: limits allow too few sockets");
+  if (with.max_descriptors <= 2 * own_descriptors) throw ConfigError({.file = {}, .field = "config.limits", .cause = "allow too few sockets"});
   ::signal(SIGPIPE, SIG_IGN);
   const FileDescriptor signal =
       open_signal_descriptor();  // before all else: a SIGHUP that isn't held ends the process
@@ -173,7 +173,7 @@
       if (now.discovery_host != agent) lists.switch_agent(now.discovery_address, now.discovery_host);
       agent = now.discovery_host;
       lines.info() << "config read again, discovery at " << agent;
-    } catch (const ParseError& e) {
+    } catch (const ConfigError& e) {
       lines.warning() << e.what() << "; the old config stays in force";
     }
   };
--- a/tests/manual_ejection_test.cpp
+++ b/tests/manual_ejection_test.cpp
@@ -6,6 +6,7 @@
 #include <random>
 
 #include "admin/admin_server.h"
+#include "config/config_error.h"
 #include "hot_restart/hot_restart_policy.h"
 #include "proxy/request_dispatcher.h"
 #include "support/host.h"
@@ -278,7 +279,7 @@
   const FileDescriptor adopted = adopt_listener_fd(::dup(door.get()));
   CHECK(adopted.get() >= 0);
   const FileDescriptor plain(::socket(AF_INET, SOCK_STREAM, 0)), datagrams(::socket(AF_INET, SOCK_DGRAM, 0));
-  CHECK_THROWS_AS(adopt_listener_fd(plain.get()), ParseError);
-  CHECK_THROWS_AS(adopt_listener_fd(datagrams.get()), ParseError);
-  CHECK_THROWS_AS(adopt_listener_fd(999), ParseError);
+  CHECK_THROWS_AS(adopt_listener_fd(plain.get()), ConfigError);
+  CHECK_THROWS_AS(adopt_listener_fd(datagrams.get()), ConfigError);
+  CHECK_THROWS_AS(adopt_listener_fd(999), ConfigError);
 }
--- a/tests/proxy_test.cpp
+++ b/tests/proxy_test.cpp
@@ -781,24 +781,24 @@
   struct {
     std::string from, to, said;
   } table[] = {
-      {R"("name":"n",)", "", "config: field name is missing"},
-      {"127.0.0.1:8000", "here", "config: field listen is not an address and a port"},
-      {"127.0.0.1:8500", "127.0.0.1:85000", "config: field discovery is not an address and a port"},
-      {"8c1f", "seed", "config: field seed is not a hexadecimal number"},
-      {R"("settings")", R"("other")", "config: field settings is missing"},
-      {"retryable", "odd", "config.settings.methods: field effect has the unknown word \"odd\""},
-      {R"("sockets":300)", R"("sockets":0)", "config: field limits allows nothing"},
-      {R"("limits")", R"("known":{"generation":1},"limits")", "config.known: field instances is missing"},
+      {R"("name":"n",)", "", "config.name is missing"},
+      {"127.0.0.1:8000", "here", "config.listen is not an address and a port"},
+      {"127.0.0.1:8500", "127.0.0.1:85000", "config.discovery is not an address and a port"},
+      {"8c1f", "seed", "config.seed is not a hexadecimal number"},
+      {R"("settings")", R"("other")", "config.settings is missing"},
+      {"retryable", "odd", "config.settings.methods.effect has the unknown word \"odd\""},
+      {R"("sockets":300)", R"("sockets":0)", "config.limits allows nothing"},
+      {R"("limits")", R"("known":{"generation":1},"limits")", "config.known.instances is missing"},
   };
   for (const auto& t : table) {
     std::string text = sound;
     text.replace(text.find(t.from), t.from.size(), t.to);
     CAPTURE(text);
-    CHECK_THROWS_WITH_AS(decode_sidecar_config(nlohmann::json::parse(text)), t.said.c_str(), ParseError);
+    CHECK_THROWS_WITH_AS(decode_sidecar_config(nlohmann::json::parse(text)), t.said.c_str(), ConfigError);
   }
   CHECK_THROWS_WITH_AS(load_sidecar_config([](const char*) -> const char* { return nullptr; }),
-                       "LB_CONFIG names no config file", ParseError);
-  CHECK_THROWS_AS(load_sidecar_config([](const char*) { return "/nowhere/at/all"; }), ParseError);
+                       "LB_CONFIG names no config file", ConfigError);
+  CHECK_THROWS_AS(load_sidecar_config([](const char*) { return "/nowhere/at/all"; }), ConfigError);
 }
 
 TEST_CASE(
