--- a/tests/process_test.cpp
+++ b/tests/process_test.cpp
@@ -300,15 +300,20 @@
   struct {
     const char *from, *to, *said;
   } table[] = {
-      {R"("deadline":150000)", R"("deadline":0)", "field deadline is not above 0"},
-      {R"("latencyTarget":120000)", R"("latencyTarget":-5)", "field latencyTarget is not above 0"},
-      {R"("connectTimeout":1200000)", R"("connectTimeout":0)", "field connectTimeout is not above 0"},
-      {R"("drainGrace":300000)", R"("drainGrace":-1)", "field drainGrace is below 0"},
-      {R"("drainGrace":300000)", R"("drainGrace":"soon")", "field drainGrace is not a number"},
-      {R"("maxPicks":1)", R"("maxPicks":0)", "field maxPicks is 0"},
-      {R"("maxPicks":1)", R"("maxPicks":true)", "field maxPicks is not a whole number of 0 or more"},
-      {R"("sockets":300)", R"("sockets":3)", "limits allow too few sockets"},
-      {R"("cancelling":false)", R"("cancelling":1)", "field cancelling is not true or false"},
+      {R"("deadline":150000)", R"("deadline":0)", "config.settings.methods.deadline is not above 0"},
+      {R"("latencyTarget":120000)", R"("latencyTarget":-5)",
+       "config.settings.methods.latencyTarget is not above 0"},
+      {R"("connectTimeout":1200000)", R"("connectTimeout":0)",
+       "config.settings.bounds.connectTimeout is not above 0"},
+      {R"("drainGrace":300000)", R"("drainGrace":-1)", "config.settings.rules.drainGrace is below 0"},
+      {R"("drainGrace":300000)", R"("drainGrace":"soon")",
+       "config.settings.rules.drainGrace is not a number"},
+      {R"("maxPicks":1)", R"("maxPicks":0)", "config.settings.bounds.maxPicks is 0"},
+      {R"("maxPicks":1)", R"("maxPicks":true)",
+       "config.settings.bounds.maxPicks is not a whole number of 0 or more"},
+      {R"("sockets":300)", R"("sockets":3)", "config.limits allow too few sockets"},
+      {R"("cancelling":false)", R"("cancelling":1)",
+       "config.settings.bounds.cancelling is not true or false"},
   };
   for (const auto& t : table) {
     CAPTURE(std::string(t.to));
