--- a/tests/support/parts.h
+++ b/tests/support/parts.h
@@ -123,8 +123,11 @@
 /// Fills the listener's backlog, so that connects to it hang; the connections have to be kept.
 inline std::vector<FileDescriptor> fill_backlog(const FileDescriptor& listener) {
   ::listen(listener.get(), 0);
+  constexpr std::size_t enough_to_fill = 8;
   std::vector<FileDescriptor> connections;
-  for (int i = 0; i < 8; ++i) connections.push_back(start_connect(local_address(listener)));
+  connections.reserve(enough_to_fill);
+  for (std::size_t i = 0; i < enough_to_fill; ++i)
+    connections.push_back(start_connect(local_address(listener)));
   return connections;
 }
 
