--- a/src/config/load_balancer_config.cpp
+++ b/src/config/load_balancer_config.cpp
@@ -28,7 +28,7 @@
 TenantConfig decode_tenant(const JsonFields& fields) {
   constexpr double ms_per_s = 1000;
   TenantConfig tenant{fields.string("name"), fields.number("allowancePerS", 0) / ms_per_s};
-  if (!(tenant.allowance_per_ms >= 0)) fields.fail("field allowancePerS is below 0");
+  if (!(tenant.allowance_per_ms >= 0)) fields.fail_field("allowancePerS", "is below 0");
   return tenant;
 }
 
@@ -41,7 +41,7 @@
 
 void decode_bounds(const JsonFields& bounds, LoadBalancerConfig& config) {
   config.max_attempts = bounds.integer("maxPicks", 1);
-  if (config.max_attempts == 0) bounds.fail("field maxPicks is 0, so that nothing may be sent");
+  if (config.max_attempts == 0) bounds.fail_field("maxPicks", "is 0, so that nothing may be sent");
   config.cancellation_enabled = bounds.boolean("cancelling");
   config.probing_enabled = bounds.boolean("probes");
   config.max_retry_after_ms = bounds.boolean("retryAfter") ? bounds.duration_ms("maxRetryAfter") : 0;
@@ -84,11 +84,11 @@
     config.tenants.push_back(decode_tenant(settings.element("parties", tenant)));
   config.over_quota_weight = settings.number("surplusUtility", 1);
   if (!(config.over_quota_weight >= 0 && config.over_quota_weight <= 1))
-    settings.fail("field surplusUtility is not 0 to 1");
+    settings.fail_field("surplusUtility", "is not 0 to 1");
   config.clients_mark_retries = settings.object("callers").boolean("marksRetry");
   config.gossip_enabled = bounds.boolean("mayTell");
   config.gossip_message_cost = charges.number("peer", 0);
-  if (!(config.gossip_message_cost >= 0)) settings.fail("field charges.peer is below 0");
+  if (!(config.gossip_message_cost >= 0)) settings.fail_field("charges.peer", "is below 0");
   return config;
 }
 
--- a/tests/manual_ejection_test.cpp
+++ b/tests/manual_ejection_test.cpp
@@ -7,6 +7,7 @@
 #include <random>
 
 #include "admin/admin_server.h"
+#include "config/config_error.h"
 #include "hot_restart/hot_restart_policy.h"
 #include "proxy/request_dispatcher.h"
 #include "support/host.h"
@@ -339,7 +340,7 @@
   CHECK(adopted.get() >= 0);
   const FileDescriptor unconnected(::socket(AF_INET, SOCK_STREAM, 0));
   const FileDescriptor datagram_socket(::socket(AF_INET, SOCK_DGRAM, 0));
-  CHECK_THROWS_AS(adopt_listener_fd(unconnected.get()), ParseError);
-  CHECK_THROWS_AS(adopt_listener_fd(datagram_socket.get()), ParseError);
-  CHECK_THROWS_AS(adopt_listener_fd(999), ParseError);
+  CHECK_THROWS_AS(adopt_listener_fd(unconnected.get()), ConfigError);
+  CHECK_THROWS_AS(adopt_listener_fd(datagram_socket.get()), ConfigError);
+  CHECK_THROWS_AS(adopt_listener_fd(999), ConfigError);
 }
