--- a/src/emulator/scenario.cpp
+++ b/src/emulator/scenario.cpp
@@ -1,11 +1,20 @@
 #include "emulator/scenario.h"
 
 #include <algorithm>
+#include <charconv>
 
 namespace indigorill::emulator {
 
 std::string zone_name(int zone) { return "zone-" + std::to_string(zone); }
 
+std::string server_name(std::uint32_t server) { return std::string("s").append(std::to_string(server)); }
+
+std::uint32_t parse_server_index(const std::string& name) {
+  std::uint32_t server = 0;
+  std::from_chars(name.data() + 1, name.data() + name.size(), server);
+  return server;
+}
+
 int Scenario::initial_server_count() const {
   int count = 0;
   for (const ServerGroup& group : servers) count += group.count;
--- a/src/emulator/scenario.h
+++ b/src/emulator/scenario.h
@@ -184,6 +184,10 @@
 
 std::string zone_name(int zone);
 
+/// "s0", "s1", ...: the ids of the endpoints.
+std::string server_name(std::uint32_t server);
+std::uint32_t parse_server_index(const std::string& name);
+
 /// What in the scenario the emulator can't play, in a line; none where it can play all of it.
 std::optional<std::string> find_unsupported_feature(const Scenario& scenario);
 
--- a/src/emulator/simulation.cpp
+++ b/src/emulator/simulation.cpp
@@ -1,7 +1,6 @@
 #include "emulator/simulation.h"
 
 #include <algorithm>
-#include <charconv>
 #include <cmath>
 #include <utility>
 
@@ -12,14 +11,6 @@
 
 }  // namespace
 
-std::string server_name(std::uint32_t server) { return std::string("s").append(std::to_string(server)); }
-
-std::uint32_t parse_server_index(const std::string& name) {
-  std::uint32_t server = 0;
-  std::from_chars(name.data() + 1, name.data() + name.size(), server);
-  return server;
-}
-
 Simulation::Simulation(const Scenario& scenario, PolicyKind policy, std::uint64_t seed,
                        std::vector<TraceListener*> listeners)
     : scenario_(scenario),
--- a/src/emulator/simulation.h
+++ b/src/emulator/simulation.h
@@ -300,10 +300,6 @@
   RunMetrics metrics_;
 };
 
-/// Names of servers and RPCs, as the policies get them.
-std::string server_name(std::uint32_t server);
-std::uint32_t parse_server_index(const std::string& name);
-
 /// One run under the eyes of a RuleChecker; `listener`, if any, gets the trace as well.
 RunMetrics run_simulation(const Scenario& scenario, PolicyKind policy, std::uint64_t seed,
                           TraceListener* listener = nullptr);
--- a/src/emulator/trace_writer.cpp
+++ b/src/emulator/trace_writer.cpp
@@ -3,7 +3,7 @@
 #include <nlohmann/json.hpp>
 #include <string>
 
-#include "emulator/simulation.h"
+#include "emulator/scenario.h"
 
 namespace indigorill::emulator {
 namespace {
--- /dev/null
+++ b/src/load/fake_fleet.h
@@ -0,0 +1,155 @@
+/// \file
+/// Fakes of the endpoints and of discovery's agents: the emulator's servers behind HTTP on loopback, with the
+/// same faults.
+///
+/// fake_fleet.cpp holds the servers and their faults, fake_discovery.cpp the endpoint list.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <unordered_set>
+#include <vector>
+
+#include "emulator/emulated_server.h"
+#include "emulator/scenario.h"
+#include "load/http_listener.h"
+#include "load/wall_clock_scheduler.h"
+
+namespace indigorill::load_generator {
+
+/// Where ports are given by a base: agents first, then sidecars, then servers.
+constexpr std::size_t sidecar_port_offset = 1000;
+constexpr std::size_t server_port_offset = 2000;
+
+/// `base_port` 0: returns 0, the kernel chooses.
+std::uint16_t port_of(std::uint16_t base_port, std::size_t offset);
+
+/// What the servers saw of one RPC.
+struct RpcObservation {
+  int received = 0;
+  int executed = 0;
+};
+
+struct FleetCounters {
+  std::uint64_t health_checks = 0;
+  std::uint64_t connections = 0;
+  std::uint64_t crashes = 0;
+  std::uint64_t malformed_requests = 0;
+  std::uint64_t discovery_polls = 0;
+};
+
+/// Servers and sidecars are numbered from 0. What is passed by reference, but for the scenario, must outlive
+/// it.
+class FakeFleet {
+ public:
+  FakeFleet(EventLoop& loop, FileDescriptorBudget& descriptors, WallClockScheduler& clock,
+            const emulator::Scenario& scenario, std::uint64_t seed, std::uint16_t base_port);
+
+  /// Of the sidecar's own discovery agent.
+  std::string agent_address(std::size_t sidecar) const;
+  /// The whole endpoint list, as an agent would send it at the start.
+  std::string endpoint_list() const;
+  /// Schedules a fault of servers or of discovery; does nothing for others.
+  void schedule_fault(const emulator::Fault& fault, std::size_t index);
+
+  const std::unordered_map<std::string, RpcObservation>& rpcs() const { return observations_; }
+  /// When each retry of a sidecar was received.
+  const std::vector<double>& retry_times() const { return retry_times_; }
+  /// The most retries received within any window of this length.
+  std::size_t max_retries_within(double window_ms) const;
+  const FleetCounters& counters() const { return counters_; }
+
+ private:
+  struct ServerJob {
+    std::string rpc_id;
+    std::uint64_t connection;
+  };
+  struct ServerState {
+    std::unique_ptr<emulator::EmulatedServer> server;
+    std::unique_ptr<HttpListener> listener;
+    const emulator::ServerGroup* group = nullptr;
+    int zone = 0;
+    int cell = 0;
+    double speed = 1;
+    bool draining = false;
+    bool advertised = true;    // on the endpoint list
+    bool unreachable = false;  // its machine is gone
+    std::map<std::uint64_t, ServerJob> jobs;
+    std::unordered_set<std::uint64_t> used_connections;  // that have carried a request
+  };
+  struct Watch {
+    std::uint64_t connection;
+    std::size_t known_changes;
+    EventLoop::Timer timer;
+  };
+  struct FakeAgent {
+    std::unique_ptr<HttpListener> listener;
+    std::size_t known_changes = 0;  // of the endpoint list, that it has got
+    bool update_scheduled = false;
+    std::vector<Watch> watches;
+  };
+  enum class StopCause { process_ended, machine_lost };
+
+  // fake_fleet.cpp: servers.
+  std::size_t add_server(const emulator::ServerGroup& group, int zone, int cell, double speed);
+  emulator::EmulatedServer::Callbacks server_callbacks(std::size_t server);
+  void on_request(std::size_t server, std::uint64_t connection, const http::Message& request);
+  void on_health_check(std::size_t server, std::uint64_t connection);
+  void on_rpc(std::size_t server, std::uint64_t connection, const http::Message& request,
+              double handshake_work_ms);
+  void on_job_started(std::size_t server, std::uint64_t job);
+  void on_job_finished(std::size_t server, std::uint64_t job, emulator::EmulatedServer::JobOutcome outcome,
+                       double jobs_in_flight);
+  void on_connection_closed(std::size_t server, std::uint64_t connection);
+  void stop_server(std::size_t server, StopCause cause);
+  void on_stop_detected(std::size_t server);
+  void restart_server(std::size_t server);
+  void schedule_fault_event(double time_ms, emulator::EventQueue::Callback callback);
+  void schedule_zone_loss(const emulator::Fault& fault);
+  void schedule_server_fault(const emulator::Fault& fault, std::size_t server, double start_ms);
+  void start_draining(std::size_t server, emulator::Fault::Kind kind);
+  void finish_draining(std::size_t server, emulator::Fault::Kind kind);
+
+  // fake_discovery.cpp: the endpoint list.
+  void add_agent(std::size_t sidecar);
+  std::string format_endpoint(std::size_t server, EndpointState state) const;
+  void publish_change(std::size_t server, EndpointState state);
+  void schedule_endpoint_update(std::size_t agent);
+  void deliver_endpoint_update(std::size_t agent);
+  void on_discovery_poll(std::size_t agent, std::uint64_t connection, const http::Message& request);
+  void add_watch(std::size_t agent, std::uint64_t connection, std::size_t known_changes, double wait_ms);
+  void remove_watches(std::size_t agent, std::uint64_t connection);
+  void answer_with_full_list(std::size_t agent, std::uint64_t connection);
+  void answer_with_changes(std::size_t agent, std::uint64_t connection, std::size_t known_changes);
+  void send_list(std::size_t agent, std::uint64_t connection, bool is_complete,
+                 const std::vector<std::string>& endpoints);
+  void schedule_discovery_overload(const emulator::Fault& fault);
+  void schedule_discovery_outage(const emulator::Fault& fault);
+
+  EventLoop& loop_;
+  FileDescriptorBudget& descriptors_;
+  WallClockScheduler& clock_;
+  const emulator::Scenario scenario_;
+  std::uint64_t seed_;
+  std::uint16_t base_port_;
+  emulator::RandomStream discovery_random_;
+  std::vector<std::unique_ptr<ServerState>> servers_;
+  std::vector<std::unique_ptr<FakeAgent>> agents_;
+  std::vector<std::string> endpoint_changes_;
+  std::vector<std::size_t> changed_servers_;  // of each of the changes
+  std::uint64_t last_job_id_ = 0;
+  double discovery_slowdown_ = 1;
+  bool discovery_silent_ = false;
+  std::unordered_map<std::string, RpcObservation> observations_;
+  std::vector<double> retry_times_;
+  FleetCounters counters_;
+};
+
+/// What in the scenario can't be played on loopback, a line each.
+std::vector<std::string> find_unsupported_features(const emulator::Scenario& scenario);
+
+}  // namespace indigorill::load_generator
--- a/src/load/main.cpp
+++ b/src/load/main.cpp
@@ -1,5 +1,7 @@
 #include <iostream>
 
-#include "load/play.h"
+#include "load/command_line.h"
 
-int main(int argc, char** argv) { return indigorill::loading::run_command(argc, argv, std::cout, std::cerr); }
+int main(int argc, char** argv) {
+  return indigorill::load_generator::run_command(argc, argv, std::cout, std::cerr);
+}
--- /dev/null
+++ b/src/load/sidecar_processes.h
@@ -0,0 +1,81 @@
+/// \file
+/// A group of sidecars as real processes that reach each other through a DatagramProxy.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <filesystem>
+#include <functional>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "event/event_loop.h"
+#include "load/datagram_proxy.h"
+#include "load/sidecar_process.h"
+
+namespace indigorill::load_generator {
+
+/// How the sidecars gossip: the contents of their options files, and the network between them.
+struct GossipOptions {
+  std::string cluster_name = "crew";
+  double probe_interval_ms = 1000;
+  double probe_timeout_ms = 300;
+  int seed_count = 2;  ///< the first so many sidecars are the seeds of all
+  DatagramProxy::NetworkConditions conditions = {};
+  int voter_count = 0;  ///< the first so many sidecars are the voters
+  double lease_ms = 10000;
+  double quota_refresh_ms = 2000;
+  double registration_lease_ms = 60000;
+  double retries_per_second = 0;  ///< over all sidecars; 0: no retry quota
+  double guaranteed_minimum = 0;  ///< of each, retries per second
+  int max_quota_holders = 100;
+};
+
+/// Throws std::runtime_error.
+void write_file(const std::filesystem::path& path, const std::string& text);
+
+/// Sidecars are numbered from 0 and named n0, n1, ...; all of them end with the object.
+class SidecarProcesses {
+ public:
+  using ConfigFactory = std::function<nlohmann::json(std::size_t sidecar)>;
+
+  /// `addresses`: where the sidecars listen. Without gossip options they have no options file and don't
+  /// gossip.
+  SidecarProcesses(EventLoop& loop, const std::string& command, std::vector<sockaddr_in> addresses,
+                   const ConfigFactory& make_config, const std::optional<GossipOptions>& gossip,
+                   std::uint64_t seed);
+
+  std::size_t size() const { return addresses_.size(); }
+  const sockaddr_in& address(std::size_t sidecar) const { return addresses_[sidecar]; }
+  SidecarProcess& process(std::size_t sidecar) { return *processes_[sidecar]; }
+  void start(std::size_t sidecar) { processes_[sidecar]->start(); }
+  bool wait_until_ready(std::size_t sidecar, double timeout_ms);
+
+  /// What the sidecar's admin address answers, as JSON; null where it does not within a second.
+  nlohmann::json admin_query(std::size_t sidecar, const std::string& path);
+  /// How a sidecar sees another one: "alive", "suspect", "dead", "left"; "" if it doesn't know it.
+  std::string membership_view(std::size_t sidecar, std::size_t other);
+
+  /// Runs the event loop until the condition holds, which is checked every 50 ms; false after the timeout.
+  bool wait_until(const std::function<bool()>& condition, double timeout_ms);
+  void run_for(double duration_ms);
+  /// Only with gossip options.
+  DatagramProxy& datagram_proxy() { return *datagram_proxy_; }
+
+ private:
+  SidecarProcess::Environment write_files(std::size_t sidecar, nlohmann::json config,
+                                          const std::optional<GossipOptions>& gossip,
+                                          const std::vector<sockaddr_in>& datagram_addresses);
+
+  EventLoop& loop_;
+  TemporaryDirectory directory_;
+  std::vector<sockaddr_in> addresses_;
+  std::vector<sockaddr_in> admin_addresses_;
+  std::vector<std::unique_ptr<SidecarProcess>> processes_;
+  std::unique_ptr<DatagramProxy> datagram_proxy_;
+};
+
+}  // namespace indigorill::load_generator
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -4,11 +4,13 @@
 #include <csignal>
 
 #include "cluster/envelope.h"
-#include "load/crew.h"
-#include "load/play.h"
+#include "load/load_test_bed.h"
+#include "load/loopback.h"
+#include "load/scenario_runner.h"
+#include "load/sidecar_processes.h"
 
 using namespace indigorill;
-using namespace indigorill::loading;
+using namespace indigorill::load_generator;
 
 namespace {
 
--- a/tests/load_test.cpp
+++ b/tests/load_test.cpp
@@ -14,10 +14,12 @@
 
 #include "config/sidecar_config.h"
 #include "emulator/scenario_table.h"
-#include "load/play.h"
+#include "load/command_line.h"
+#include "load/load_test_bed.h"
+#include "load/scenario_runner.h"
 
 using namespace indigorill;
-using namespace indigorill::loading;
+using namespace indigorill::load_generator;
 
 namespace {
 
