--- a/src/load/http_listener.h
+++ b/src/load/http_listener.h
@@ -10,7 +10,7 @@
 #include <string>
 #include <unordered_map>
 
-#include "event/socket.h"
+#include "event/tcp_stream.h"
 #include "http/http_parser.h"
 
 namespace indigorill::load_generator {
