--- a/src/load/http_get.cpp
+++ b/src/load/http_get.cpp
@@ -4,6 +4,7 @@
 #include <memory>
 #include <utility>
 
+#include "event/socket.h"
 #include "event/tcp_stream.h"
 #include "http/http_parser.h"
 #include "load/http_response.h"
--- a/src/load/http_listener.h
+++ b/src/load/http_listener.h
@@ -3,6 +3,8 @@
 /// at a time on each.
 #pragma once
 
+#include <netinet/in.h>
+
 #include <cstddef>
 #include <cstdint>
 #include <functional>
@@ -10,6 +12,7 @@
 #include <string>
 #include <unordered_map>
 
+#include "event/socket.h"
 #include "event/tcp_stream.h"
 #include "http/http_parser.h"
 
--- a/src/load/load_clients.h
+++ b/src/load/load_clients.h
@@ -15,6 +15,7 @@
 #include "emulator/scenario.h"
 #include "emulator/workload.h"
 #include "event/socket.h"
+#include "event/tcp_stream.h"
 #include "http/http_parser.h"
 #include "load/wall_clock_scheduler.h"
 
