--- a/src/load/play.cpp
+++ b/src/load/play.cpp
@@ -15,12 +15,13 @@
 
 #include "config/load_balancer_config.h"
 #include "emulator/experiment.h"
+#include "emulator/scenario_table.h"
 #include "load/crew.h"
 
 namespace indigorill::loading {
 namespace {
 
-using lab::Fault;
+using emulator::Fault;
 
 std::string format_hex(std::uint64_t v) {
   std::ostringstream s;
@@ -67,9 +68,9 @@
 
 }  // namespace
 
-nlohmann::json make_sidecar_config(const lab::Scenario& s, std::size_t sidecar, const std::string& listen,
-                                   const std::string& discovery, const std::string& known,
-                                   std::uint64_t seed) {
+nlohmann::json make_sidecar_config(const emulator::Scenario& s, std::size_t sidecar,
+                                   const std::string& listen, const std::string& discovery,
+                                   const std::string& known, std::uint64_t seed) {
   using nlohmann::json;
   const auto us = [](double ms) { return static_cast<std::uint64_t>(std::llround(ms * 1000)); };
   const LoadBalancerConfig t = s.load_balancer_config(static_cast<int>(sidecar) % s.zones);
@@ -98,8 +99,8 @@
         {"probes", t.probing_enabled},
         {"retryAfter", t.max_retry_after_ms > 0},
         {"maxRetryAfter", us(t.max_retry_after_ms)},
-        {"keepalive", us(s.network.idle)},
-        {"connectTimeout", us(s.network.connect_timeout)}}},
+        {"keepalive", us(s.network.idle_timeout_ms)},
+        {"connectTimeout", us(s.network.connect_timeout_ms)}}},
       {"reporting",
        {{"how", t.probes_report_load ? "answers" : "none"}, {"fields", json::array({in_flight_key})}}},
       {"charges",
@@ -110,11 +111,11 @@
         {"cold", us(t.slow_start_duration_ms)},
         {"overloadFactor", t.slow_start_overload_factor},
         {"fall", us(t.slow_start_burst_ms)},
-        {"drainGrace", us(s.rules.grace)}}}};
+        {"drainGrace", us(s.rules.drain_grace_ms)}}}};
   return {{"name", "n" + std::to_string(sidecar)},
           {"listen", listen},
           {"discovery", discovery},
-          {"seed", format_hex(lab::derive_seed(seed, lab::RandomPurpose::policy, sidecar))},
+          {"seed", format_hex(emulator::derive_seed(seed, emulator::RandomPurpose::policy, sidecar))},
           {"known", json::parse(known)},
           {"settings", settings}};
 }
@@ -148,13 +149,26 @@
                              on.fleet->agent_address(i), on.fleet->endpoint_list(), with.seed);
 }
 
-std::optional<GossipOptions> gossip_options(const lab::Scenario& s) {
-  if (!s.gossip.on) return {};
-  const auto& t = s.gossip;
-  return GossipOptions{
-      "load",   t.period, t.timeout, t.seeds, {t.loss, t.doubled, t.delay, t.jitter, t.late, t.late_by},
-      t.voters, t.lease,  t.share,   t.seat,  t.further_picks,
-      t.floor,  t.most};
+std::optional<GossipOptions> gossip_options(const emulator::Scenario& s) {
+  if (!s.gossip.enabled) return {};
+  const emulator::GossipConfig& gossip = s.gossip;
+  return GossipOptions{.cluster_name = "load",
+                       .probe_interval_ms = gossip.probe_interval_ms,
+                       .probe_timeout_ms = gossip.probe_timeout_ms,
+                       .seed_count = gossip.seeds,
+                       .conditions = {.loss = gossip.loss_rate,
+                                      .duplicated = gossip.duplicate_rate,
+                                      .delay_ms = gossip.delay_ms,
+                                      .jitter_ms = gossip.jitter_ms,
+                                      .late = gossip.late_rate,
+                                      .late_by_ms = gossip.late_by_ms},
+                       .voter_count = gossip.voters,
+                       .lease_ms = gossip.lease_ms,
+                       .quota_refresh_ms = gossip.quota_refresh_ms,
+                       .registration_lease_ms = gossip.registration_lease_ms,
+                       .retries_per_second = gossip.retries_per_second,
+                       .guaranteed_minimum = gossip.guaranteed_minimum,
+                       .max_quota_holders = gossip.max_quota_holders};
 }
 
 bool is_sidecar_fault(Fault::Kind what) {
@@ -165,8 +179,8 @@
 
 void schedule_fault(const Fault& t, std::size_t which, LoadTestBed& on, LoadClients& apps, std::uint64_t seed,
                     SidecarProcesses* sidecars) {
-  const auto at = [&](double when, lab::EventQueue::Callback what) {
-    on.clock.schedule(when, lab::EventPriority::fault, std::move(what));
+  const auto at = [&](double when, emulator::EventQueue::Callback what) {
+    on.clock.schedule(when, emulator::EventPriority::fault, std::move(what));
   };
   if (t.kind == Fault::Kind::load_surge) {
     at(t.start_ms, [&apps, much = t.factor] { apps.multiply_rate(much); });
@@ -174,8 +188,9 @@
   }
   using Kind = Fault::Kind;
   if (!is_sidecar_fault(t.kind)) return on.fleet->schedule_fault(t, which);
-  lab::RandomStream draw(lab::derive_seed(seed, lab::RandomPurpose::fault_schedule, which + 1));
-  const std::vector<std::uint32_t> some = lab::sample_indices(sidecars->size(), t.share, draw);
+  emulator::RandomStream draw(
+      emulator::derive_seed(seed, emulator::RandomPurpose::fault_schedule, which + 1));
+  const std::vector<std::uint32_t> some = emulator::sample_indices(sidecars->size(), t.share, draw);
   if (t.kind == Kind::gossip_partition) {
     const std::set<std::size_t> apart(some.begin(), some.end());
     for (const bool is : {true, false})
@@ -214,7 +229,7 @@
       sidecars->process(s).kill_and_wait();  // one that was told to end and hangs
       sidecars->start(s);
       // Its application waits until it is ready, without holding up the others.
-      const auto again = std::make_shared<lab::EventQueue::Callback>();
+      const auto again = std::make_shared<emulator::EventQueue::Callback>();
       *again = [&on, &apps, s, again = std::weak_ptr(again)] {
         const FileDescriptor fd(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
         const auto* where = reinterpret_cast<const sockaddr*>(&on.sidecar_addresses[s]);
@@ -222,7 +237,7 @@
         if (fd && ::connect(fd.get(), where, sizeof on.sidecar_addresses[s]) == 0)
           return apps.on_sidecar_started(s);
         if (const auto self = again.lock())
-          on.clock.schedule(on.clock.now() + pause, lab::EventPriority::client, [self] { (*self)(); });
+          on.clock.schedule(on.clock.now() + pause, emulator::EventPriority::client, [self] { (*self)(); });
       };
       (*again)();
     });
@@ -242,7 +257,7 @@
 namespace {
 
 // Judged by what came to the stand-ins: picks that were sent within a window come within a little more.
-void check_retry_budget(const lab::Scenario& s, const FakeFleet& stand_ins, LoadRunResult& o) {
+void check_retry_budget(const emulator::Scenario& s, const FakeFleet& stand_ins, LoadRunResult& o) {
   constexpr double window = 1000, on_the_way = 50;  // ms
   o.retries = stand_ins.retry_times().size();
   o.retries_by_second.resize(static_cast<std::size_t>(std::ceil(s.duration_ms / window)));
@@ -250,14 +265,15 @@
     if (const auto second = static_cast<std::size_t>(std::max(at, 0.0) / window);
         second < o.retries_by_second.size())
       ++o.retries_by_second[second];
-  if (!s.gossip.on || s.gossip.further_picks <= 0) return;
+  if (!s.gossip.enabled || s.gossip.retries_per_second <= 0) return;
   o.max_retries_per_second = stand_ins.max_retries_within(window - on_the_way);
-  o.budget_used_fraction = static_cast<double>(o.retries) / (s.gossip.further_picks * s.duration_ms / window);
-  if (static_cast<double>(o.max_retries_per_second) <= s.gossip.further_picks) return;
+  o.budget_used_fraction =
+      static_cast<double>(o.retries) / (s.gossip.retries_per_second * s.duration_ms / window);
+  if (static_cast<double>(o.max_retries_per_second) <= s.gossip.retries_per_second) return;
   ++o.budget_violations;
   std::ostringstream text;
   text << "budget: " << o.max_retries_per_second << " further picks in a second, of "
-       << s.gossip.further_picks;
+       << s.gossip.retries_per_second;
   o.violations.push_back(text.str());
 }
 
@@ -394,18 +410,18 @@
   }
   try {
     toml::table t = read_toml_file(file);
-    with.scenario = lab::decode_scenario(t);
+    with.scenario = emulator::decode_scenario(t);
     for (const std::string& text : settings) {
-      const auto [path, value] = lab::parse_setting(text);
-      lab::set_value(t, path, value);
+      const auto [path, value] = emulator::parse_setting(text);
+      emulator::set_value(t, path, value);
     }
-    with.scenario = lab::decode_scenario(t);
+    with.scenario = emulator::decode_scenario(t);
     if (app.count("--seed") == 0) with.seed = with.scenario.seed;
     std::string wrong;
     for (const std::string& fault : find_unsupported_features(with.scenario))
       wrong += (wrong.empty() ? "" : "\n") + fault;
     for (const Fault& is : with.scenario.faults)
-      if (is.kind == Fault::Kind::gossip_partition && !with.scenario.gossip.on)
+      if (is.kind == Fault::Kind::gossip_partition && !with.scenario.gossip.enabled)
         wrong = "trouble cut_talk wants a section talk";
     if (with.sidecar_command.empty() && with.base_port == 0)
       wrong = "neither --start nor --base-port: where are the sidecars?";
--- a/src/proxy/http_server.h
+++ b/src/proxy/http_server.h
@@ -10,6 +10,7 @@
 
 #include "event/event_loop.h"
 #include "event/socket.h"
+#include "event/tcp_stream.h"
 #include "http/header_codec.h"
 #include "http/http_parser.h"
 #include "logging/logger.h"
