Proxy tests lint clean: namespaces in place of directives, tables and steps in functions of their own

Cause: using-directives, several declarations a statement, a case of 74 lines and a step of 35 in the tests.

Change: tests stand in the namespace of their support code; the table of split bodies and the crowd's steps are apart; an unused field of the crowd is gone. No check is altered.

--- a/tests/connect_timeout_estimator_test.cpp
+++ b/tests/connect_timeout_estimator_test.cpp
@@ -5,7 +5,7 @@
 
 #include <string>
 
-using namespace indigorill;
+namespace indigorill {
 
 TEST_CASE("connect timeout: as configured, until it is known how long connects take") {
   struct {
@@ -40,3 +40,5 @@
   estimator.on_connected(1);
   CHECK(estimator.timeout_ms() < 25);  // and so are failures, by the next that comes up
 }
+
+}  // namespace indigorill
--- a/tests/discovery_client_test.cpp
+++ b/tests/discovery_client_test.cpp
@@ -8,7 +8,7 @@
 #include "support/host.h"
 #include "support/parts.h"
 
-using namespace host;
+namespace host {
 
 TEST_CASE("the list: the whole, then a watch that is kept open, through all that can go wrong") {
   const std::string whole = endpoint_list_response(9, true, instance_json("a") + "," + instance_json("b"));
@@ -102,3 +102,5 @@
   CHECK(discovery.log_text.str().find("no connection") ==
         discovery.log_text.str().rfind("no connection"));  // one line
 }
+
+}  // namespace host
--- a/tests/endings_discovery_test.cpp
+++ b/tests/endings_discovery_test.cpp
@@ -4,7 +4,7 @@
 #include "discovery/discovery_client.h"
 #include "support/parts.h"
 
-using namespace host;
+namespace host {
 
 TEST_CASE("a list is owed to the balancer within half of the grace, once its agent can tell it again") {
   struct {
@@ -156,3 +156,5 @@
   discovery.start(agent.address, true);
   CHECK(run_until(discovery.loop, [&] { return discovery.updates == "=9a"; }));
 }
+
+}  // namespace host
--- a/tests/endings_drain_test.cpp
+++ b/tests/endings_drain_test.cpp
@@ -3,7 +3,7 @@
 
 #include "support/parts.h"
 
-using namespace host;
+namespace host {
 
 TEST_CASE(
     "told to stop: what rests is given back while the door is open, so that what crosses it has where to "
@@ -152,3 +152,5 @@
                                                 sidecar.counters.rpcs_abandoned);
   }
 }
+
+}  // namespace host
--- a/tests/endings_random_test.cpp
+++ b/tests/endings_random_test.cpp
@@ -7,8 +7,7 @@
 
 #include "support/parts.h"
 
-using namespace host;
-
+namespace host {
 namespace {
 
 // Draws below a bound; the order of draws follows from the seed alone.
@@ -324,3 +323,5 @@
   CHECK(totals.withdrawn > 5);
   CHECK(totals.repeats > 5);
 }
+
+}  // namespace host
--- a/tests/endings_test.cpp
+++ b/tests/endings_test.cpp
@@ -8,8 +8,7 @@
 
 #include "support/parts.h"
 
-using namespace host;
-
+namespace host {
 namespace {
 
 // What one row of a table needs; all rows take their second together.
@@ -429,3 +428,5 @@
     CHECK(sidecar.budget.open_count == 0);
   }
 }
+
+}  // namespace host
--- a/tests/endings_upstream_test.cpp
+++ b/tests/endings_upstream_test.cpp
@@ -3,7 +3,7 @@
 
 #include "support/parts.h"
 
-using namespace host;
+namespace host {
 
 TEST_CASE(
     "an RPC is owed its own answer: where endpoints answer twice, the late one before is not given to it") {
@@ -105,3 +105,5 @@
   CHECK(run_until(sidecar.loop, [&] { return other.is_ended; }));
   CHECK(every_rpc_answered_once(sidecar));
 }
+
+}  // namespace host
--- a/tests/event_loop_test.cpp
+++ b/tests/event_loop_test.cpp
@@ -10,7 +10,7 @@
 #include "event/socket.h"
 #include "support/host.h"
 
-using namespace host;
+namespace host {
 
 TEST_CASE("the loop: order of due times, nothing freed is called, a round is fair") {
   EventLoop loop;
@@ -79,3 +79,5 @@
   CHECK(got == want);
   CHECK(out.is_complete());
 }
+
+}  // namespace host
--- a/tests/http_server_test.cpp
+++ b/tests/http_server_test.cpp
@@ -9,7 +9,7 @@
 #include "support/host.h"
 #include "support/parts.h"
 
-using namespace host;
+namespace host {
 
 TEST_CASE("what is no RPC is answered at once, and nothing is sent on") {
   struct {
@@ -48,7 +48,8 @@
   SidecarHarness sidecar;
   FakeServer endpoint(sidecar.loop, {"silent", served_response});
   sidecar.update_endpoints(address_text(endpoint.address));
-  TestConnection &first = sidecar.connect_client(), &other = sidecar.connect_client();
+  TestConnection& first = sidecar.connect_client();
+  TestConnection& other = sidecar.connect_client();
   first.send(rpc_request_text("read", 300, 7));
   REQUIRE(run_until(sidecar.loop, [&] { return endpoint.request_targets.size() == 1; }));
   CHECK(sidecar.status_of_request(other, rpc_request_text("read", 300, 7)) == 409);
@@ -62,8 +63,10 @@
   SidecarHarness sidecar;
   FakeServer endpoint(sidecar.loop, {served_response});
   sidecar.update_endpoints(address_text(endpoint.address));
-  TestConnection &served_one = sidecar.connect_client(), &silent = sidecar.connect_client(),
-                 &half = sidecar.connect_client(), &late_half = sidecar.connect_client();
+  TestConnection& served_one = sidecar.connect_client();
+  TestConnection& silent = sidecar.connect_client();
+  TestConnection& half = sidecar.connect_client();
+  TestConnection& late_half = sidecar.connect_client();
   CHECK(sidecar.status_of_request(served_one, rpc_request_text()) == 200);
   half.send("GET /read HT");
   run_for(sidecar.loop, 1500);
@@ -110,7 +113,8 @@
   SidecarHarness sidecar;
   FakeServer endpoint(sidecar.loop, {served_response});
   sidecar.update_endpoints(address_text(endpoint.address));
-  TestConnection &rude = sidecar.connect_client(), &usual = sidecar.connect_client();
+  TestConnection& rude = sidecar.connect_client();
+  TestConnection& usual = sidecar.connect_client();
   std::string rest(60 << 20, 'x');
   WriteBuffer body;
   body.append_borrowed("POST /read HTTP/1.1\r\nContent-Length: 62914560\r\n\r\n");
@@ -198,7 +202,8 @@
   SidecarHarness sidecar;
   FakeServer endpoint(sidecar.loop, {"silent", served_response, served_response});
   sidecar.update_endpoints(address_text(endpoint.address));
-  TestConnection &held = sidecar.connect_client(), &idle = sidecar.connect_client();
+  TestConnection& held = sidecar.connect_client();
+  TestConnection& idle = sidecar.connect_client();
   held.send(rpc_request_text("read", 1200));
   REQUIRE(run_until(sidecar.loop, [&] { return endpoint.request_targets.size() == 1; }));
   bool gone = false;
@@ -250,3 +255,5 @@
     CHECK(client.received[0].status == (ends ? 200 : 408));
   }
 }
+
+}  // namespace host
--- a/tests/logger_test.cpp
+++ b/tests/logger_test.cpp
@@ -7,7 +7,7 @@
 
 #include "metrics/counters.h"
 
-using namespace indigorill;
+namespace indigorill {
 
 TEST_CASE("log lines are filtered by level, counters have a line each") {
   std::ostringstream text;
@@ -24,3 +24,5 @@
   CHECK(listed.str().find("picks_reset 1\n") != std::string::npos);
   CHECK(listed.str().find("picks_ok 0\n") != std::string::npos);
 }
+
+}  // namespace indigorill
--- a/tests/pipe_test.cpp
+++ b/tests/pipe_test.cpp
@@ -5,8 +5,7 @@
 #include "proxy/http_server.h"
 #include "support/host.h"
 
-using namespace host;
-
+namespace host {
 namespace {
 
 using State = http::HttpParser::ParseState;
@@ -45,81 +44,88 @@
   }
 }
 
+constexpr auto request = http::HttpParser::MessageKind::request;
+constexpr auto response = http::HttpParser::MessageKind::response;
+
+const std::string post_line = "POST /a HTTP/1.1\r\n";
+const std::string ok_line = "HTTP/1.1 200 OK\r\n";
+const std::string pipelined_request = "GET /b HTTP/1.1\r\n\r\n";
+const std::string split_body = "0123456789abcdefghijklmnop";
+
+struct SplitCase {
+  const char* what;
+  http::HttpParser::MessageKind kind;
+  std::string bytes;
+  bool ends, over;
+  std::optional<std::uint64_t> length;
+};
+
+const SplitCase split_cases[] = {
+    {"a length", request, post_line + "Content-Length: 26\r\n\r\n" + split_body + pipelined_request, false,
+     true, 26},
+    {"chunks",
+     request,
+     post_line +
+         "Transfer-Encoding: "
+         "chunked\r\n\r\n3;x=\"y\"\r\n012\r\n14\r\n3456789abcdefghijklm\r\n3\r\nnop\r\n0\r\n"
+         "T: 1\r\n\r\n" +
+         pipelined_request,
+     false,
+     true,
+     {}},
+    {"an answer of stated length", response, ok_line + "Content-Length: 26\r\n\r\n" + split_body, false, true,
+     26},
+    {"an answer until the end", response, ok_line + "\r\n" + split_body, true, true, {}},
+    {"an answer cut", response, ok_line + "Content-Length: 27\r\n\r\n" + split_body, true, false, 27},
+    {"chunks cut",
+     response,
+     ok_line + "Transfer-Encoding: chunked\r\n\r\n1a\r\n" + split_body + "\r\n",
+     true,
+     false,
+     {}},
+    {"a chunk too long for its size",
+     response,
+     ok_line + "Transfer-Encoding: chunked\r\n\r\n1a\r\n" + split_body + "zz\r\n0\r\n\r\n",
+     false,
+     false,
+     {}},
+};
+
 }  // namespace
 
 TEST_CASE("long bodies come out the same however their bytes are split") {
-  constexpr auto request = http::HttpParser::MessageKind::request;
-  constexpr auto answer = http::HttpParser::MessageKind::response;
-  const std::string post = "POST /a HTTP/1.1\r\n";
-  const std::string ok = "HTTP/1.1 200 OK\r\n";
-  const std::string next = "GET /b HTTP/1.1\r\n\r\n";
-  const std::string body = "0123456789abcdefghijklmnop";
-  struct {
-    const char* what;
-    http::HttpParser::MessageKind kind;
-    std::string bytes;
-    bool ends, over;
-    std::optional<std::uint64_t> length;
-  } table[] = {
-      {"a length", request, post + "Content-Length: 26\r\n\r\n" + body + next, false, true, 26},
-      {"chunks",
-       request,
-       post +
-           "Transfer-Encoding: "
-           "chunked\r\n\r\n3;x=\"y\"\r\n012\r\n14\r\n3456789abcdefghijklm\r\n3\r\nnop\r\n0\r\n"
-           "T: 1\r\n\r\n" +
-           next,
-       false,
-       true,
-       {}},
-      {"an answer of stated length", answer, ok + "Content-Length: 26\r\n\r\n" + body, false, true, 26},
-      {"an answer until the end", answer, ok + "\r\n" + body, true, true, {}},
-      {"an answer cut", answer, ok + "Content-Length: 27\r\n\r\n" + body, true, false, 27},
-      {"chunks cut",
-       answer,
-       ok + "Transfer-Encoding: chunked\r\n\r\n1a\r\n" + body + "\r\n",
-       true,
-       false,
-       {}},
-      {"a chunk too long for its size",
-       answer,
-       ok + "Transfer-Encoding: chunked\r\n\r\n1a\r\n" + body + "zz\r\n0\r\n\r\n",
-       false,
-       false,
-       {}},
-  };
-  for (const auto& row : table) {
-    CAPTURE(std::string(row.what));
-    for (std::size_t cut = 0; cut <= row.bytes.size() + 1; ++cut) {
+  for (const SplitCase& split_case : split_cases) {
+    CAPTURE(std::string(split_case.what));
+    for (std::size_t cut = 0; cut <= split_case.bytes.size() + 1; ++cut) {
       CAPTURE(cut);
-      http::HttpParser parser(row.kind, 10);
+      http::HttpParser parser(split_case.kind, 10);
       parser.allow_streaming();
       ParsedMessage message;
-      if (cut > row.bytes.size()) {
-        for (const char byte : row.bytes) feed_parser(parser, std::string_view(&byte, 1), message);
+      if (cut > split_case.bytes.size()) {
+        for (const char byte : split_case.bytes) feed_parser(parser, std::string_view(&byte, 1), message);
       } else {
-        feed_parser(parser, std::string_view(row.bytes).substr(0, cut), message);
-        feed_parser(parser, std::string_view(row.bytes).substr(cut), message);
+        feed_parser(parser, std::string_view(split_case.bytes).substr(0, cut), message);
+        feed_parser(parser, std::string_view(split_case.bytes).substr(cut), message);
       }
-      if (row.ends) parser.on_end_of_stream();
+      if (split_case.ends) parser.on_end_of_stream();
       take_parsed(parser, message);
       REQUIRE(message.has_head);
-      CHECK(message.complete == row.over);
-      CHECK(message.broken == !row.over);
-      CHECK(message.head.content_length == row.length);
-      CHECK(body.starts_with(message.body));
-      CHECK((message.body == body || !row.over));
-      if (row.kind == request) {
+      CHECK(message.complete == split_case.over);
+      CHECK(message.broken == !split_case.over);
+      CHECK(message.head.content_length == split_case.length);
+      CHECK(split_body.starts_with(message.body));
+      CHECK((message.body == split_body || !split_case.over));
+      if (split_case.kind == request) {
         REQUIRE(parser.state() == State::complete);  // what was pipelined behind
         const http::Message m = parser.take_message();
         CHECK(m.slice(m.target) == "/b");
       }
     }
   }
-  http::HttpParser huge(answer);
+  http::HttpParser huge(response);
   huge.allow_streaming();
   ParsedMessage message;
-  feed_parser(huge, ok + "Content-Length: 3000000000\r\n\r\n", message);
+  feed_parser(huge, ok_line + "Content-Length: 3000000000\r\n\r\n", message);
   CHECK(message.broken);
 }
 
@@ -282,7 +288,7 @@
       const auto client = proxy.connect_client();
       client->send(request_head("GET", "", version));
       REQUIRE(run_until(proxy.event_loop, [&] {
-        return !proxy.upstream_connections.empty() && proxy.upstream_connections[0]->received.size() > 0;
+        return !proxy.upstream_connections.empty() && !proxy.upstream_connections[0]->received.empty();
       }));
       proxy.upstream_connections[0]->send(chunked ? "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" +
                                                         encode_body_chunk(body, true, true)
@@ -303,7 +309,7 @@
   const auto client = proxy.connect_client();
   client->send(request_head("GET", ""));
   REQUIRE(run_until(proxy.event_loop, [&] {
-    return !proxy.upstream_connections.empty() && proxy.upstream_connections[0]->received.size() > 0;
+    return !proxy.upstream_connections.empty() && !proxy.upstream_connections[0]->received.empty();
   }));
   constexpr std::size_t all = 24 << 20;
   proxy.upstream_connections[0]->send("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(all) +
@@ -327,7 +333,7 @@
     const auto client = proxy.connect_client();
     client->send(request_head("GET", ""));
     REQUIRE(run_until(proxy.event_loop, [&] {
-      return !proxy.upstream_connections.empty() && proxy.upstream_connections[0]->received.size() > 0;
+      return !proxy.upstream_connections.empty() && !proxy.upstream_connections[0]->received.empty();
     }));
     proxy.upstream_connections[0]->send(chunked ? "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" +
                                                       encode_body_chunk(patterned_bytes(100000), true, false)
@@ -400,7 +406,7 @@
   const auto client = proxy.connect_client();
   client->send(request_head("HEAD", ""));
   REQUIRE(run_until(proxy.event_loop, [&] {
-    return !proxy.upstream_connections.empty() && proxy.upstream_connections[0]->received.size() > 0;
+    return !proxy.upstream_connections.empty() && !proxy.upstream_connections[0]->received.empty();
   }));
   proxy.upstream_connections[0]->send("HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\n");
   REQUIRE(run_until(proxy.event_loop,
@@ -423,3 +429,5 @@
   CHECK(client->received.find("one") < client->received.find("two"));
   CHECK(client->received.find("two") < client->received.find("Allow: "));
 }
+
+}  // namespace host
--- a/tests/process_test.cpp
+++ b/tests/process_test.cpp
@@ -17,14 +17,16 @@
 
 #include "support/parts.h"
 
-using namespace host;
-
+namespace host {
 namespace {
 
 struct SettingsVariant {
   const char* description;
-  int latency_target_ms, deadline_ms, connect_timeout_ms, drain_grace_ms;  // ms
-  bool allows_all;  // cancels, probes, push-back with advice, further picks
+  int latency_target_ms;
+  int deadline_ms;
+  int connect_timeout_ms;
+  int drain_grace_ms;
+  bool allows_all;  // cancelling, probes, rejections with Retry-After, retries
 };
 constexpr SettingsVariant settings_variants[] = {{"short times, nothing allowed", 120, 150, 1200, 300, false},
                                                  {"long times, all allowed", 1500, 3000, 250, 1000, true}};
@@ -33,8 +35,8 @@
  public:
   sockaddr_in address;
   std::string config_path =
-                  "sidecar-" + std::to_string(::getpid()) + "-" + std::to_string(++instance_count) + ".json",
-              log_path = config_path + ".log";
+      "sidecar-" + std::to_string(::getpid()) + "-" + std::to_string(++instance_count) + ".json";
+  std::string log_path = config_path + ".log";
   rlim_t descriptor_limit = 0;  // as the kernel has it; 0: as here
 
   explicit SidecarProcess(const sockaddr_in& agent, const SettingsVariant& sidecar,
@@ -132,14 +134,17 @@
     std::unique_ptr<TestConnection> connection;
     int request_id = 0;  // the id that is out
     bool resent = false;
-    bool fresh = true;  // nothing was answered on this connection
   };
   EventLoop& event_loop;
   sockaddr_in address;
   int budget_ms;
   FileDescriptorBudget client_budget{200};
   std::vector<Client> clients;
-  int last_id = 0, answered = 0, refused = 0, lost = 0, succeeded = 0;
+  int last_id = 0;
+  int answered = 0;
+  int succeeded = 0;
+  int refused = 0;
+  int lost = 0;
   bool may_reconnect = true;  // new connections still go on coming
 
   ClientCrowd(EventLoop& in, const sockaddr_in& at, int within, std::size_t n)
@@ -149,41 +154,43 @@
   void connect(Client& client) {
     client.connection =
         std::make_unique<TestConnection>(event_loop, client_budget, start_connect(address), response);
-    client.fresh = true;
   }
   void step(bool sends) {
     for (Client& client : clients) {
       if (!client.connection) continue;
-      if (client.request_id && !client.connection->received.empty()) {
-        const http::Message& m = client.connection->received.back();
-        ++answered;
-        (m.status == 200 ? succeeded : refused) += 1;
-        const bool keeps = m.keep_alive;
-        client.connection->received.clear();
-        client.request_id = 0;
-        client.resent = client.fresh = false;
-        if (!keeps) client.connection->is_ended = true;
-      }
-      if (client.connection->is_ended) {
-        const int out = client.request_id;
-        client.connection.reset();
-        if (out && (client.resent || !may_reconnect)) {
-          ++lost;
-          client.request_id = 0;
-          continue;
-        }
-        if (!may_reconnect) continue;
-        connect(client);
-        if (out) {
-          client.resent = true;
-          client.connection->send(payment_request(out, budget_ms));
-        }
-      }
-      if (client.connection && sends && !client.request_id) {
-        client.connection->send(payment_request(client.request_id = ++last_id, budget_ms));
-      }
+      if (client.request_id && !client.connection->received.empty()) note_response(client);
+      if (client.connection->is_ended && !reconnect(client)) continue;
+      if (!sends || client.request_id) continue;
+      client.request_id = ++last_id;
+      client.connection->send(payment_request(client.request_id, budget_ms));
     }
   }
+  void note_response(Client& client) {
+    const http::Message& message = client.connection->received.back();
+    const bool keep_alive = message.keep_alive;
+    ++answered;
+    ++(message.status == 200 ? succeeded : refused);
+    client.connection->received.clear();
+    client.request_id = 0;
+    client.resent = false;
+    if (!keep_alive) client.connection->is_ended = true;
+  }
+  // False if the client has no connection any more.
+  bool reconnect(Client& client) {
+    client.connection.reset();
+    if (client.request_id && (client.resent || !may_reconnect)) {
+      ++lost;
+      client.request_id = 0;
+      return false;
+    }
+    if (!may_reconnect) return false;
+    connect(client);
+    if (client.request_id) {
+      client.resent = true;
+      client.connection->send(payment_request(client.request_id, budget_ms));
+    }
+    return true;
+  }
   bool none_waiting() const {
     return std::all_of(clients.begin(), clients.end(),
                        [](const Client& client) { return client.request_id == 0; });
@@ -283,6 +290,7 @@
     REQUIRE(sidecar.ready(loop));
     FileDescriptorBudget room{100};
     std::vector<std::unique_ptr<TestConnection>> clients;
+    clients.reserve(8);
     for (int i = 0; i < 8; ++i)
       clients.push_back(
           std::make_unique<TestConnection>(loop, room, start_connect(sidecar.address), response));
@@ -486,3 +494,5 @@
     CHECK(before.request_targets.empty());
   }
 }
+
+}  // namespace host
--- a/tests/request_dispatcher_test.cpp
+++ b/tests/request_dispatcher_test.cpp
@@ -8,8 +8,7 @@
 #include "support/host.h"
 #include "support/parts.h"
 
-using namespace host;
-
+namespace host {
 namespace {
 
 // A sidecar's parts round one endpoint, whose clients connect on loopback.
@@ -123,7 +122,8 @@
 
 TEST_CASE("a moved endpoint is met at its new address, one that is gone not at all") {
   SidecarHarness sidecar;
-  FakeServer before(sidecar.loop, {served_response}), after(sidecar.loop, {served_response});
+  FakeServer before(sidecar.loop, {served_response});
+  FakeServer after(sidecar.loop, {served_response});
   sidecar.update_endpoints(address_text(before.address));
   TestConnection& client = sidecar.connect_client();
   CHECK(sidecar.status_of_request(client, rpc_request_text()) == 200);
@@ -191,3 +191,5 @@
   rpcs.endpoint_poll_failed();
   CHECK(run_until(loop, [&] { return wishes == 2; }));
 }
+
+}  // namespace host
--- a/tests/sidecar_config_test.cpp
+++ b/tests/sidecar_config_test.cpp
@@ -5,7 +5,7 @@
 
 #include <string>
 
-using namespace indigorill;
+namespace indigorill {
 
 TEST_CASE("a start without a sound config fails in one plain line") {
   const std::string sound =
@@ -39,3 +39,5 @@
                        "LB_CONFIG names no config file", ParseError);
   CHECK_THROWS_AS(load_sidecar_config([](const char*) { return "/nowhere/at/all"; }), ParseError);
 }
+
+}  // namespace indigorill
--- a/tests/sidecar_test.cpp
+++ b/tests/sidecar_test.cpp
@@ -14,7 +14,7 @@
 #include "support/host.h"
 #include "support/parts.h"
 
-using namespace host;
+namespace host {
 
 TEST_CASE(
     "SIGHUP: the watch moves to the file's discovery; a broken file changes nothing; SIGTERM ends all") {
@@ -64,3 +64,5 @@
   CHECK((WIFEXITED(status) && WEXITSTATUS(status) == 0));
   std::remove(path.c_str());
 }
+
+}  // namespace host
--- a/tests/upstream_pool_test.cpp
+++ b/tests/upstream_pool_test.cpp
@@ -9,12 +9,13 @@
 #include "support/host.h"
 #include "support/parts.h"
 
-using namespace host;
+namespace host {
 
 TEST_CASE("a connection to an endpoint that has gone or moved is not used again") {
   for (const bool moves : {false, true}) {
     SidecarHarness sidecar;
-    FakeServer before(sidecar.loop, {"silent", served_response}), after(sidecar.loop, {served_response});
+    FakeServer before(sidecar.loop, {"silent", served_response});
+    FakeServer after(sidecar.loop, {served_response});
     sidecar.upstreams.update_endpoint("a", address_text(before.address));
     int ended = 0;
     const auto exchange = [&](const char* server, AttemptOutcome how) {
@@ -22,7 +23,7 @@
       what.append_owned("GET / HTTP/1.1\r\n\r\n");
       sidecar.upstreams.start_exchange(
           server, std::move(what), 1000,
-          {[&, how](UpstreamPool::ExchangeResult result) { ended += result.outcome == how; }});
+          {[&, how](const UpstreamPool::ExchangeResult& result) { ended += result.outcome == how; }});
     };
     exchange("a", AttemptOutcome::ok);
     REQUIRE(run_until(sidecar.loop, [&] { return before.request_targets.size() == 1; }));
@@ -68,6 +69,7 @@
   const FileDescriptor mute = listen_on_loopback();  // nobody accepts, and its queue is filled
   REQUIRE(::listen(mute.get(), 0) == 0);
   std::vector<FileDescriptor> filling;
+  filling.reserve(8);
   for (int i = 0; i < 8; ++i) filling.push_back(start_connect(local_address(mute)));
   sidecar.upstreams.update_endpoint("quick", address_text(quick.address));
   sidecar.upstreams.update_endpoint("mute", address_text(local_address(mute)));
@@ -166,3 +168,5 @@
   CHECK_FALSE(ended);
   CHECK(run_until(sidecar.loop, [&] { return ended; }));
 }
+
+}  // namespace host
