--- a/src/proxy/sidecar.cpp
+++ b/src/proxy/sidecar.cpp
@@ -67,7 +67,7 @@
             endpoints_.apply(update, EndpointRegistry::Source::poll_response);
           },
           [this] { dispatcher_.endpoint_poll_failed(); }),
-      admin_server_(event_loop_, counters_, logger_,
+      admin_server_(event_loop_, counters_,
                     [this](const AdminRequest& request, const AdminServer::ResponseCallback& respond) {
                       handle_admin_request(request, respond);
                     }) {
