Fleet tests: a cluster class, a function for each wait, terms of membership, lease and quota

Cause: cases reached through three objects for each step, with numbers and braces in place of named options. Change: ProcessCluster offers what the cases ask; options are set by name. All checks of before are there; the leader that is cut off is waited for and required, where it was asked for once and could be none.

--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -1,21 +1,39 @@
-// Several processes of the program, with faults between them. Judged by what each says, bounded in time.
+/// \file
+/// A fleet of processes of the program, with faults between them: membership, the leader lease and quotas.
+/// Judged by what each process reports, within a bounded time.
 #include <doctest/doctest.h>
 
 #include <csignal>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
 
 #include "cluster/envelope.h"
 #include "load/crew.h"
 #include "load/play.h"
 
-using namespace indigorill;
-using namespace indigorill::loading;
-
 namespace {
 
+using indigorill::encode;
+using indigorill::Envelope;
+using indigorill::EventLoop;
+using indigorill::loading::DatagramProxy;
+using indigorill::loading::format_address;
+using indigorill::loading::GossipOptions;
+using indigorill::loading::LoadRunConfig;
+using indigorill::loading::LoadRunResult;
+using indigorill::loading::make_sidecar_config;
+using indigorill::loading::reserve_port;
+using indigorill::loading::SidecarProcess;
+using indigorill::loading::SidecarProcesses;
+namespace emulator = indigorill::emulator;
+
 // Far more than is needed: a machine under load must not change the verdict.
 constexpr double max_wait_ms = 60000;
 
-const char* minimal_scenario = R"(seconds = 1
+constexpr std::string_view minimal_scenario = R"(seconds = 1
 sidecars = 1
 [[server]]
 count = 1
@@ -28,253 +46,293 @@
 deadline_ms = 500
 )";
 
-struct ProcessCluster {
-  EventLoop event_loop;
-  emulator::Scenario scenario = emulator::decode_scenario(toml::parse(minimal_scenario));
-  std::vector<sockaddr_in> datagram_addresses;
-  std::unique_ptr<SidecarProcesses> processes;
-
-  explicit ProcessCluster(std::size_t n, GossipOptions how = {"crew", 200, 60, 2, {}}) {
-    for (std::size_t i = 0; i < n; ++i) datagram_addresses.push_back(reserve_port());
-    processes = std::make_unique<SidecarProcesses>(
-        event_loop, INDIGORILL_SIDECAR, datagram_addresses,
-        [&](std::size_t i) {
-          return make_sidecar_config(scenario, i, format_address(datagram_addresses[i]),
-                                     format_address(reserve_port()), R"({"generation":0,"instances":[]})", 1);
-        },
-        how, 1);
-    for (std::size_t i = 0; i < n; ++i) processes->start(i);
-    for (std::size_t i = 0; i < n; ++i)
-      REQUIRE_MESSAGE(processes->wait_until_ready(i, max_wait_ms), processes->process(i).last_line());
+GossipOptions membership_options(const DatagramProxy::NetworkConditions& conditions = {}) {
+  GossipOptions options;
+  options.cluster_name = "crew";
+  options.probe_interval_ms = 200;
+  options.probe_timeout_ms = 60;
+  options.seed_count = 2;
+  options.conditions = conditions;
+  return options;
+}
+
+GossipOptions election_options(int voter_count) {
+  GossipOptions options = membership_options();
+  options.voter_count = voter_count;
+  options.lease_ms = 1500;
+  return options;
+}
+
+GossipOptions quota_options(int max_quota_holders) {
+  GossipOptions options = election_options(3);
+  options.retries_per_second = 40;
+  options.guaranteed_minimum = 2;
+  options.max_quota_holders = max_quota_holders;
+  options.quota_refresh_ms = 400;
+  options.registration_lease_ms = 2000;
+  return options;
+}
+
+/// Sidecar processes that reach each other through a proxy, and are asked by their admin addresses. All are
+/// ready when it is made.
+class ProcessCluster {
+ public:
+  explicit ProcessCluster(std::size_t size, const GossipOptions& options = membership_options()) {
+    for (std::size_t i = 0; i < size; ++i) addresses_.push_back(reserve_port());
+    const auto config = [this](std::size_t i) {
+      return make_sidecar_config(scenario_, i, format_address(addresses_[i]), format_address(reserve_port()),
+                                 R"({"generation":0,"instances":[]})", 1);
+    };
+    processes_ =
+        std::make_unique<SidecarProcesses>(event_loop_, INDIGORILL_SIDECAR, addresses_, config, options, 1);
+    for (std::size_t i = 0; i < size; ++i) processes_->start(i);
+    for (std::size_t i = 0; i < size; ++i) REQUIRE_MESSAGE(is_ready(i), process(i).last_line());
+  }
+
+  std::size_t size() const { return processes_->size(); }
+  SidecarProcess& process(std::size_t i) { return processes_->process(i); }
+  DatagramProxy& proxy() { return processes_->datagram_proxy(); }
+  void run_for(double duration_ms) { processes_->run_for(duration_ms); }
+  bool wait_until(const std::function<bool()>& condition) {
+    return processes_->wait_until(condition, max_wait_ms);
+  }
+  /// Waits until it serves.
+  bool is_ready(std::size_t i) { return processes_->wait_until_ready(i, max_wait_ms); }
+  bool restart(std::size_t i) {
+    processes_->start(i);
+    return is_ready(i);
   }
-  bool all_report(std::size_t whom, const std::string& state, std::vector<std::size_t> but = {}) {
-    for (std::size_t i = 0; i < processes->size(); ++i)
-      if (i != whom && std::find(but.begin(), but.end(), i) == but.end() &&
-          processes->membership_view(i, whom) != state)
-        return false;
+
+  nlohmann::json members_status(std::size_t i) { return processes_->admin_query(i, "/-/members"); }
+  nlohmann::json lease_status(std::size_t i) { return members_status(i).at("right"); }
+  nlohmann::json quota_status(std::size_t i) { return processes_->admin_query(i, "/-/budgets"); }
+
+  /// How one sees another: "alive", "suspect", "dead", "left"; empty if it doesn't know it.
+  std::string state_seen_by(std::size_t observer, std::size_t i) {
+    return processes_->membership_view(observer, i);
+  }
+  bool all_see(std::size_t i, const std::string& state) {
+    for (std::size_t observer = 0; observer < size(); ++observer) {
+      if (observer != i && state_seen_by(observer, i) != state) return false;
+    }
     return true;
   }
-  bool await_convergence(const std::vector<std::size_t>& but = {}) {
-    return processes->wait_until(
-        [&] {
-          for (std::size_t i = 0; i < processes->size(); ++i)
-            if (std::find(but.begin(), but.end(), i) == but.end() && !all_report(i, "alive", but))
-              return false;
-          return true;
-        },
-        max_wait_ms);
+  /// Waits until each sees all others alive.
+  bool converges() {
+    return wait_until([this] {
+      for (std::size_t i = 0; i < size(); ++i) {
+        if (!all_see(i, "alive")) return false;
+      }
+      return true;
+    });
   }
+
+ private:
+  EventLoop event_loop_;
+  emulator::Scenario scenario_ = emulator::decode_scenario(toml::parse(minimal_scenario));
+  std::vector<sockaddr_in> addresses_;
+  std::unique_ptr<SidecarProcesses> processes_;
 };
 
 }  // namespace
 
-TEST_CASE("processes: five join through two seeds, one dies and returns, one leaves by word") {
-  ProcessCluster t(5);
-  REQUIRE(t.await_convergence());
-  t.processes->process(3).kill_and_wait();
-  CHECK(t.processes->wait_until([&] { return t.all_report(3, "dead"); }, max_wait_ms));
-  t.processes->start(3);
-  REQUIRE(t.processes->wait_until_ready(3, max_wait_ms));
-  CHECK(t.await_convergence());
-  t.processes->process(4).send_signal(SIGTERM);
-  CHECK(t.processes->wait_until([&] { return t.processes->process(4).has_exited(); }, max_wait_ms));
-  CHECK(t.processes->wait_until([&] { return t.all_report(4, "left"); }, max_wait_ms));
+TEST_CASE("processes: five join through two seeds, one dies and returns, one leaves") {
+  ProcessCluster cluster(5);
+  REQUIRE(cluster.converges());
+  cluster.process(3).kill_and_wait();
+  CHECK(cluster.wait_until([&] { return cluster.all_see(3, "dead"); }));
+  REQUIRE(cluster.restart(3));
+  CHECK(cluster.converges());
+  cluster.process(4).send_signal(SIGTERM);
+  CHECK(cluster.wait_until([&] { return cluster.process(4).has_exited(); }));
+  CHECK(cluster.wait_until([&] { return cluster.all_see(4, "left"); }));
 }
 
-TEST_CASE("processes: at loss, doubling and reordering all meet; forged and repeated datagrams are dropped") {
-  ProcessCluster t(4, {"crew", 200, 60, 2, {0.1, 0.2, 1, 20, 0.02, 200}});
-  REQUIRE(t.await_convergence());
-  REQUIRE(t.processes->wait_until(
-      [&] { return t.processes->datagram_proxy().recent_datagrams_to(1).size() > 8; }, max_wait_ms));
-  const auto late = t.processes->datagram_proxy().recent_datagrams_to(1);
-  t.processes->run_for(300);
-  for (const std::string& bytes : late) t.processes->datagram_proxy().inject(1, bytes);
-  t.processes->datagram_proxy().inject(1, "what is this?");
-  t.processes->datagram_proxy().inject(1, std::string(1500, 'x'));
-  t.processes->datagram_proxy().inject(
-      1, encode(Envelope{"another", "n0", "127.0.0.1:9", 1, 1, Envelope::Kind::membership, {}, {}}));
-  const auto dropped = [&](const char* why) {
-    const auto said = t.processes->admin_query(1, "/-/members");
-    return said.is_object() ? said.at("datagrams").at("dropped").at(why).get<int>() : 0;
+TEST_CASE(
+    "processes: all join despite loss, duplicates and reordering; forged and replayed datagrams are "
+    "dropped") {
+  DatagramProxy::NetworkConditions conditions;
+  conditions.loss = 0.1;
+  conditions.duplicated = 0.2;
+  conditions.delay_ms = 1;
+  conditions.jitter_ms = 20;
+  conditions.late = 0.02;
+  conditions.late_by_ms = 200;
+  ProcessCluster cluster(4, membership_options(conditions));
+  REQUIRE(cluster.converges());
+  REQUIRE(cluster.wait_until([&] { return cluster.proxy().recent_datagrams_to(1).size() > 8; }));
+  const std::vector<std::string> recorded = cluster.proxy().recent_datagrams_to(1);
+  cluster.run_for(300);
+  for (const std::string& bytes : recorded) cluster.proxy().inject(1, bytes);
+  cluster.proxy().inject(1, "what is this?");
+  cluster.proxy().inject(1, std::string(1500, 'x'));
+  Envelope of_other_fleet;
+  of_other_fleet.fleet = "another";
+  of_other_fleet.name = "n0";
+  of_other_fleet.address = "127.0.0.1:9";
+  of_other_fleet.incarnation = 1;
+  of_other_fleet.sequence_number = 1;
+  cluster.proxy().inject(1, encode(of_other_fleet));
+  const auto dropped = [&](const char* reason) {
+    const auto status = cluster.members_status(1);
+    return status.is_object() ? status.at("datagrams").at("dropped").at(reason).get<int>() : 0;
   };
-  CHECK(t.processes->wait_until(
-      [&] {
-        return dropped("doubled") + dropped("late") >= 3 && dropped("torn") == 1 &&
-               dropped("too_long") == 1 && dropped("foreign") == 1;
-      },
-      max_wait_ms));
+  CHECK(cluster.wait_until([&] {
+    return dropped("doubled") + dropped("late") >= 3 && dropped("torn") == 1 && dropped("too_long") == 1 &&
+           dropped("foreign") == 1;
+  }));
 }
 
-TEST_CASE("processes: one stopped for long is taken for dead, wakes, and takes nobody for dead itself") {
-  ProcessCluster t(4);
-  REQUIRE(t.await_convergence());
-  t.processes->process(2).send_signal(SIGSTOP);
-  CHECK(t.processes->wait_until([&] { return t.all_report(2, "dead"); }, max_wait_ms));
-  t.processes->process(2).send_signal(SIGCONT);
-  CHECK(t.await_convergence());
-  const auto said = t.processes->admin_query(2, "/-/members");
-  CHECK(said.at("probes").at("slept").get<int>() >= 1);
+TEST_CASE("processes: one stopped for long is taken for dead, resumes, and takes nobody for dead itself") {
+  ProcessCluster cluster(4);
+  REQUIRE(cluster.converges());
+  cluster.process(2).send_signal(SIGSTOP);
+  CHECK(cluster.wait_until([&] { return cluster.all_see(2, "dead"); }));
+  cluster.process(2).send_signal(SIGCONT);
+  CHECK(cluster.converges());
+  CHECK(cluster.members_status(2).at("probes").at("slept").get<int>() >= 1);
 }
 
-TEST_CASE("processes: two sides of a cut meet again; one way is no reason for a death") {
-  ProcessCluster t(6);
-  REQUIRE(t.await_convergence());
-  const auto cut = [&](bool is) {
-    for (std::size_t a = 0; a < 6; ++a)
-      for (std::size_t b = 0; b < 6; ++b)
-        if ((a < 3) != (b < 3)) t.processes->datagram_proxy().set_partitioned(a, b, is);
+TEST_CASE("processes: two sides of a partition meet again; one broken link is no reason for a death") {
+  ProcessCluster cluster(6);
+  REQUIRE(cluster.converges());
+  const auto set_partitioned = [&](bool is_partitioned) {
+    for (std::size_t a = 0; a < 6; ++a) {
+      for (std::size_t b = 0; b < 6; ++b) {
+        if ((a < 3) != (b < 3)) cluster.proxy().set_partitioned(a, b, is_partitioned);
+      }
+    }
   };
-  cut(true);
-  CHECK(t.processes->wait_until(
-      [&] {
-        return t.processes->membership_view(0, 5) == "dead" && t.processes->membership_view(5, 0) == "dead";
-      },
-      max_wait_ms));
-  cut(false);
-  CHECK(t.await_convergence());
-  t.processes->datagram_proxy().set_partitioned(
-      0, 1, true);  // its pings are lost, and its answers; others ask for it
-  t.processes->run_for(5000);
-  CHECK(t.processes->membership_view(1, 0) != "dead");
-  CHECK(t.processes->membership_view(0, 1) != "dead");
+  set_partitioned(true);
+  CHECK(cluster.wait_until(
+      [&] { return cluster.state_seen_by(0, 5) == "dead" && cluster.state_seen_by(5, 0) == "dead"; }));
+  set_partitioned(false);
+  CHECK(cluster.converges());
+  // Its pings to the other are lost, and its answers; helpers probe on behalf of both.
+  cluster.proxy().set_partitioned(0, 1, true);
+  cluster.run_for(5000);
+  CHECK(cluster.state_seen_by(1, 0) != "dead");
+  CHECK(cluster.state_seen_by(0, 1) != "dead");
 }
 
 namespace {
 
-// Who says that it holds the right to divide, each in one instant; the number of none is -1, of more than one
-// -2.
-int current_leader(ProcessCluster& t) {
-  int found = -1;
-  for (std::size_t i = 0; i < t.processes->size(); ++i) {
-    const auto said = t.processes->admin_query(i, "/-/members");
-    if (said.is_object() && said.at("right").at("holds") == true)
-      found = found == -1 ? static_cast<int>(i) : -2;
+constexpr int no_leader = -1;
+constexpr int several_leaders = -2;
+
+/// Who reports that it holds the lease; each is asked at a moment of its own.
+int current_leader(ProcessCluster& cluster) {
+  int leader = no_leader;
+  for (std::size_t i = 0; i < cluster.size(); ++i) {
+    const auto status = cluster.members_status(i);
+    if (!status.is_object() || status.at("right").at("holds") != true) continue;
+    leader = leader == no_leader ? static_cast<int>(i) : several_leaders;
   }
-  return found;
+  return leader;
 }
 
-GossipOptions election_settings(int voters) {
-  GossipOptions how{"crew", 200, 60, 2, {}};
-  how.voter_count = voters;
-  how.lease_ms = 1500;
-  return how;
+/// Waits for a single leader other than `previous`, and fails the test if there is none.
+std::size_t next_leader(ProcessCluster& cluster, int previous = no_leader) {
+  int leader = no_leader;
+  REQUIRE(cluster.wait_until([&] {
+    leader = current_leader(cluster);
+    return leader >= 0 && leader != previous;
+  }));
+  return static_cast<std::size_t>(leader);
+}
+
+std::size_t next_leader_after(ProcessCluster& cluster, std::size_t previous) {
+  return next_leader(cluster, static_cast<int>(previous));
 }
 
 }  // namespace
 
-TEST_CASE("processes: one divides; stopped, killed, ended or cut off, another one does") {
-  ProcessCluster t(5, election_settings(3));
-  int held = -1;
-  const auto another = [&](int but) {
-    const bool is =
-        t.processes->wait_until([&] { return (held = current_leader(t)) >= 0 && held != but; }, max_wait_ms);
-    return is;
-  };
-  REQUIRE(another(-1));
-  const auto name = [](int i) { return std::string("n").append(std::to_string(i)); };
-  CHECK(t.processes->wait_until(
-      [&] {
-        for (std::size_t i = 0; i < 3; ++i)
-          if (t.processes->admin_query(i, "/-/members").at("right").at("holder") != name(held)) return false;
-        return true;
-      },
-      max_wait_ms));
-
-  int was = held;
-  t.processes->process(static_cast<std::size_t>(was)).send_signal(SIGSTOP);
-  REQUIRE(another(was));
-  t.processes->process(static_cast<std::size_t>(was)).send_signal(SIGCONT);
-  // It slept for longer than its lease: the first thing that it says is that it is over.
-  CHECK(t.processes->admin_query(static_cast<std::size_t>(was), "/-/members").at("right").at("holds") ==
-        false);
-
-  was = held;
-  t.processes->process(static_cast<std::size_t>(was)).kill_and_wait();
-  REQUIRE(another(was));
-  t.processes->start(static_cast<std::size_t>(was));
-  REQUIRE(t.processes->wait_until_ready(static_cast<std::size_t>(was), max_wait_ms));
-  const auto back = t.processes->admin_query(static_cast<std::size_t>(was), "/-/members");
-  CHECK(back.at("right").at("holds") == false);
-  // Until all that it might have promised has ended it has no vote.
-  CHECK(t.processes->wait_until(
-      [&] {
-        return t.processes->admin_query(static_cast<std::size_t>(was), "/-/members")
-                   .at("right")
-                   .at("abstains") == false;
-      },
-      max_wait_ms));
-  REQUIRE(t.await_convergence());
-
-  was = held = current_leader(t);
-  for (std::size_t i = 0; i < 5 && was >= 0; ++i)
-    for (const bool out : {true, false}) {
-      const auto w = static_cast<std::size_t>(was);
-      if (i != w) t.processes->datagram_proxy().set_partitioned(out ? w : i, out ? i : w, true);
+TEST_CASE("processes: there is one leader; once stopped, killed, cut off or ended, another one leads") {
+  ProcessCluster cluster(5, election_options(3));
+  std::size_t leader = next_leader(cluster);
+  const std::string leader_name = "n" + std::to_string(leader);
+  CHECK(cluster.wait_until([&] {
+    for (std::size_t i = 0; i < 3; ++i) {
+      if (cluster.lease_status(i).at("holder") != leader_name) return false;
     }
-  REQUIRE(another(was));
-  for (std::size_t a = 0; a < 5; ++a)
-    for (std::size_t b = 0; b < 5; ++b) t.processes->datagram_proxy().set_partitioned(a, b, false);
-  REQUIRE(t.await_convergence());
-
-  REQUIRE(t.processes->wait_until([&] { return (held = current_leader(t)) >= 0; }, max_wait_ms));
-  was = held;
-  t.processes->process(static_cast<std::size_t>(was)).send_signal(SIGTERM);
-  REQUIRE(another(was));
-}
+    return true;
+  }));
 
-namespace {
+  std::size_t previous = leader;
+  cluster.process(previous).send_signal(SIGSTOP);
+  leader = next_leader_after(cluster, previous);
+  cluster.process(previous).send_signal(SIGCONT);
+  // It stood still for longer than its lease: the first thing that it reports is that the lease has ended.
+  CHECK(cluster.lease_status(previous).at("holds") == false);
 
-GossipOptions budget_settings(int most) {
-  GossipOptions how = election_settings(3);
-  how.retries_per_second = 40;
-  how.guaranteed_minimum = 2;
-  how.max_quota_holders = most;
-  how.quota_refresh_ms = 400;
-  how.registration_lease_ms = 2000;
-  return how;
+  previous = leader;
+  cluster.process(previous).kill_and_wait();
+  next_leader_after(cluster, previous);
+  REQUIRE(cluster.restart(previous));
+  CHECK(cluster.lease_status(previous).at("holds") == false);
+  // It has no vote until all that it might have promised has ended.
+  CHECK(cluster.wait_until([&] { return cluster.lease_status(previous).at("abstains") == false; }));
+  REQUIRE(cluster.converges());
+
+  previous = next_leader(cluster);
+  for (std::size_t i = 0; i < cluster.size(); ++i) {
+    if (i == previous) continue;
+    cluster.proxy().set_partitioned(previous, i, true);
+    cluster.proxy().set_partitioned(i, previous, true);
+  }
+  next_leader_after(cluster, previous);
+  for (std::size_t a = 0; a < cluster.size(); ++a) {
+    for (std::size_t b = 0; b < cluster.size(); ++b) cluster.proxy().set_partitioned(a, b, false);
+  }
+  REQUIRE(cluster.converges());
+
+  previous = next_leader(cluster);
+  cluster.process(previous).send_signal(SIGTERM);
+  next_leader_after(cluster, previous);
 }
 
-double sum_over_budgets(ProcessCluster& t, const char* what) {
+namespace {
+
+double sum_over_fleet(ProcessCluster& cluster, const char* field) {
   double sum = 0;
-  for (std::size_t i = 0; i < t.processes->size(); ++i) {
-    const auto said = t.processes->admin_query(i, "/-/budgets");
-    if (said.is_object() && !said.at("budgets").empty())
-      sum += said.at("budgets").at(0).at(what).get<double>();
+  for (std::size_t i = 0; i < cluster.size(); ++i) {
+    const auto status = cluster.quota_status(i);
+    if (!status.is_object() || status.at("budgets").empty()) continue;
+    sum += status.at("budgets").at(0).at(field).get<double>();
   }
   return sum;
 }
 
 }  // namespace
 
-TEST_CASE("processes: a budget is divided among those that are there, and anew when one dies") {
-  ProcessCluster t(5, budget_settings(5));
-  // All of it: what is not set aside for floors, and the floors.
-  REQUIRE(t.processes->wait_until([&] { return sum_over_budgets(t, "own") == 40; }, max_wait_ms));
-  t.processes->process(4).kill_and_wait();
-  REQUIRE(t.processes->wait_until([&] { return sum_over_budgets(t, "own") == 38; }, max_wait_ms));
-  CHECK(t.processes->admin_query(0, "/-/budgets").at("budgets").at(0).at("whole") == 40);
+TEST_CASE("processes: a budget is allocated to those that are there, and anew when one dies") {
+  ProcessCluster cluster(5, quota_options(5));
+  // All of it: what is not reserved for guaranteed minimums, and these.
+  REQUIRE(cluster.wait_until([&] { return sum_over_fleet(cluster, "own") == 40; }));
+  cluster.process(4).kill_and_wait();
+  REQUIRE(cluster.wait_until([&] { return sum_over_fleet(cluster, "own") == 38; }));
+  CHECK(cluster.quota_status(0).at("budgets").at(0).at("whole") == 40);
 }
 
-TEST_CASE("processes: more sidecars than allowed: one gets nothing, says so and serves") {
-  ProcessCluster t(5, budget_settings(4));
-  const auto full = [&] {
-    int n = 0;
-    for (std::size_t i = 0; i < 5; ++i) {
-      const auto said = t.processes->admin_query(i, "/-/budgets");
-      if (said.is_object() && said.at("full") == true) {
-        ++n;
-        CHECK(said.at("budgets").at(0).at("own") == 0);
-        CHECK(t.processes->wait_until_ready(i, max_wait_ms));
-      }
+TEST_CASE("processes: of more sidecars than allowed one gets no quota, reports it and serves") {
+  ProcessCluster cluster(5, quota_options(4));
+  const auto count_rejected = [&] {
+    int count = 0;
+    for (std::size_t i = 0; i < cluster.size(); ++i) {
+      const auto status = cluster.quota_status(i);
+      if (!status.is_object() || status.at("full") != true) continue;
+      ++count;
+      CHECK(status.at("budgets").at(0).at("own") == 0);
+      CHECK(cluster.is_ready(i));
     }
-    return n;
+    return count;
   };
-  CHECK(t.processes->wait_until([&] { return full() == 1; }, max_wait_ms));
+  CHECK(cluster.wait_until([&] { return count_rejected() == 1; }));
 }
 
-TEST_CASE(
-    "processes: a budget of further picks holds while processes are stopped, killed, ended and cut off") {
-  emulator::Scenario s = emulator::decode_scenario(toml::parse(R"(seconds = 12
+namespace {
+
+constexpr std::string_view fleet_retry_quota_scenario = R"(seconds = 12
 sidecars = 6
 [[server]]
 count = 6
@@ -326,14 +384,20 @@
 at_s = 9.5
 for_s = 0.3
 share = 0.5
-)"));
-  LoadRunConfig with;
-  with.scenario = s;
-  with.sidecar_command = INDIGORILL_SIDECAR;
-  const LoadRunResult o = run_scenario(with);
-  CHECK(o.budget_violations == 0);
+)";
+
+}  // namespace
+
+TEST_CASE("processes: a quota of retries holds while processes are stopped, killed, ended and cut off") {
+  LoadRunConfig config;
+  config.scenario = emulator::decode_scenario(toml::parse(fleet_retry_quota_scenario));
+  config.sidecar_command = INDIGORILL_SIDECAR;
+  const LoadRunResult result = run_scenario(config);
+  CHECK(result.budget_violations == 0);
   // A machine under load may keep an answer past its time, which is no matter of budgets.
-  for (const std::string& b : o.violations) CHECK_MESSAGE(b.starts_with("rule 1"), b);
-  CHECK(o.retries > 12);
-  CHECK(o.max_retries_per_second > 3);
+  for (const std::string& violation : result.violations) {
+    CHECK_MESSAGE(violation.starts_with("rule 1"), violation);
+  }
+  CHECK(result.retries > 12);
+  CHECK(result.max_retries_per_second > 3);
 }
