--- a/tests/fixtures_test.cpp
+++ b/tests/fixtures_test.cpp
@@ -195,11 +195,9 @@
 
 std::string response_of_admin_server(const std::string& request_text, int status, const std::string& text) {
   EventLoop event_loop;
-  std::ostringstream log_text;
-  Logger logger{log_text, LogLevel::error};
   Counters counters;
   AdminServer admin_server{
-      event_loop, counters, logger,
+      event_loop, counters,
       [&](const AdminRequest&, const AdminServer::ResponseCallback& respond) { respond(status, text); }};
   FileDescriptor listener = host::listen_on_loopback();
   const sockaddr_in address = host::local_address(listener);
