--- a/src/emulator/sweep.cpp
+++ b/src/emulator/sweep.cpp
@@ -52,6 +52,7 @@
   if (points < 2 || points > max_range_points || points != std::floor(points))
     throw ConfigError(context + ": from:to:count wants 2 to 1000 points");
   std::vector<double> values;
+  values.reserve(static_cast<std::size_t>(points));
   for (int i = 0; i < static_cast<int>(points); ++i) values.push_back(from + (to - from) * i / (points - 1));
   return values;
 }
