--- a/src/load/datagram_proxy.h
+++ b/src/load/datagram_proxy.h
@@ -3,6 +3,8 @@
 /// reorder or cut them off, for each pair and each direction separately.
 #pragma once
 
+#include <netinet/in.h>
+
 #include <cstddef>
 #include <cstdint>
 #include <map>
--- a/src/load/http_get.cpp
+++ b/src/load/http_get.cpp
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "event/socket.h"
+#include "event/tcp_stream.h"
 #include "http/http_parser.h"
 #include "load/http_response.h"
 
--- a/src/load/http_listener.cpp
+++ b/src/load/http_listener.cpp
@@ -5,6 +5,7 @@
 #include <utility>
 #include <vector>
 
+#include "event/socket.h"
 #include "load/loopback.h"
 
 namespace indigorill::load_generator {
--- a/src/load/load_clients.cpp
+++ b/src/load/load_clients.cpp
@@ -5,6 +5,7 @@
 #include <cmath>
 #include <utility>
 
+#include "event/socket.h"
 #include "load/http_response.h"
 
 namespace indigorill::load_generator {
--- a/src/load/sidecar_processes.h
+++ b/src/load/sidecar_processes.h
@@ -2,6 +2,8 @@
 /// A group of sidecars as real processes that reach each other through a DatagramProxy.
 #pragma once
 
+#include <netinet/in.h>
+
 #include <cstddef>
 #include <cstdint>
 #include <filesystem>
