--- a/src/load/http_listener.h
+++ b/src/load/http_listener.h
@@ -12,7 +12,7 @@
 #include <string>
 #include <unordered_map>
 
-#include "event/socket.h"
+#include "event/event_loop.h"
 #include "event/tcp_stream.h"
 #include "http/http_parser.h"
 
--- a/src/load/load_clients.h
+++ b/src/load/load_clients.h
@@ -3,6 +3,8 @@
 /// be sent, so that a sidecar which holds clients up can't make its own metrics look better.
 #pragma once
 
+#include <netinet/in.h>
+
 #include <cstddef>
 #include <cstdint>
 #include <memory>
@@ -14,7 +16,7 @@
 #include "emulator/latency_histogram.h"
 #include "emulator/scenario.h"
 #include "emulator/workload.h"
-#include "event/socket.h"
+#include "event/event_loop.h"
 #include "event/tcp_stream.h"
 #include "http/http_parser.h"
 #include "load/wall_clock_scheduler.h"
--- a/src/load/load_faults.cpp
+++ b/src/load/load_faults.cpp
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "emulator/workload.h"
+#include "event/socket.h"
 
 namespace indigorill::load_generator {
 namespace {
--- a/src/load/load_test_bed.h
+++ b/src/load/load_test_bed.h
@@ -2,6 +2,8 @@
 /// The fakes of a run, and where its sidecars listen.
 #pragma once
 
+#include <netinet/in.h>
+
 #include <memory>
 #include <nlohmann/json.hpp>
 #include <string>
--- a/src/load/loopback.h
+++ b/src/load/loopback.h
@@ -7,7 +7,7 @@
 #include <cstdint>
 #include <string>
 
-#include "event/socket.h"
+#include "event/file_descriptor.h"
 
 namespace indigorill::load_generator {
 
