--- a/src/proxy/sidecar.cpp
+++ b/src/proxy/sidecar.cpp
@@ -21,7 +21,8 @@
   const std::size_t reserved = own_descriptors +
                                (config.admin_address ? AdminServer::reserved_descriptors : 0) +
                                (config.cluster ? cluster_descriptors : 0);
-  if (config.max_descriptors <= 2 * reserved) throw ParseError("config: limits allow too few sockets");
+  if (config.max_descriptors <= 2 * reserved)
+    throw ConfigError({.file = {}, .field = "config.limits", .cause = "allow too few sockets"});
   return reserved;
 }
 
@@ -200,7 +201,7 @@
       discovery_.switch_agent(reloaded.discovery_address, reloaded.discovery_host);
     config_.discovery_host = reloaded.discovery_host;
     logger_.info() << "config reloaded, discovery at " << config_.discovery_host;
-  } catch (const ParseError& error) {
+  } catch (const ConfigError& error) {
     logger_.warning() << error.what() << "; the old config stays in force";
   }
 }
