--- a/tests/endpoint_updates_test.cpp
+++ b/tests/endpoint_updates_test.cpp
@@ -90,6 +90,7 @@
   std::size_t late_bytes = 0;
   for (int round = 0; round < 400; ++round) {
     std::vector<Endpoint> endpoints;
+    endpoints.reserve(20);
     for (int i = 0; i < 20; ++i)
       endpoints.push_back(make_endpoint("an endpoint with a long name, round " + std::to_string(round) +
                                         ", " + std::to_string(i)));
--- a/tests/load_balancer_test.cpp
+++ b/tests/load_balancer_test.cpp
@@ -105,6 +105,7 @@
   LoadBalancerHarness harness;
   harness.update_endpoints(make_endpoints('a', 'd'));
   std::vector<std::string> ids;
+  ids.reserve(4);
   for (int i = 0; i < 4; ++i) ids.push_back(harness.start_rpc("vital"));
   REQUIRE(harness.take_decisions().size() == 4);
   harness.load_balancer.on_client_disconnected(harness.now, ids[0]);
--- a/tests/slow_start_test.cpp
+++ b/tests/slow_start_test.cpp
@@ -115,7 +115,8 @@
     sent += harness.only_decision().endpoint_id == "new";
   }
   CHECK(sent > 0);  // nor is it left idle
-  CHECK(sent < sidecar_count / 10 * 2 * 0.84);
+  constexpr int fair_share = sidecar_count / 10;
+  CHECK(sent < fair_share * 2 * 0.84);
 }
 
 TEST_CASE("many endpoints in slow start beside a crowd: what one may not get goes to others within bounds") {
