--- a/src/config/config_error.h
+++ b/src/config/config_error.h
@@ -19,10 +19,10 @@
   /// One line of text: "file:line: field cause".
   std::string to_string() const {
     std::string text = file;
-    if (line > 0) text += ":" + std::to_string(line);
-    if (!text.empty()) text += ": ";
-    if (!field.empty()) text += field + " ";
-    return text + cause;
+    if (line > 0) text.append(":").append(std::to_string(line));
+    if (!text.empty()) text.append(": ");
+    if (!field.empty()) text.append(field).append(" ");
+    return text.append(cause);
   }
 };
 
