--- a/src/load/fake_discovery.cpp
+++ b/src/load/fake_discovery.cpp
@@ -144,6 +144,7 @@
       endpoints[changed_servers_[i]] = endpoint_changes_[i];
   }
   std::vector<std::string> list;
+  list.reserve(endpoints.size());
   for (const auto& [server, endpoint] : endpoints) list.push_back(endpoint);
   send_list(agent, connection, true, list);
 }
