--- a/src/load/load_test_bed.cpp
+++ b/src/load/load_test_bed.cpp
@@ -120,9 +120,12 @@
                          const std::string& known_endpoints, std::uint64_t seed) {
   const int zone = static_cast<int>(sidecar) % scenario.zones;
   const std::uint64_t sidecar_seed = emulator::derive_seed(seed, emulator::RandomPurpose::policy, sidecar);
-  return {{"name", "n" + std::to_string(sidecar)}, {"listen", listen_address},
-          {"discovery", discovery_address},        {"seed", format_hex(sidecar_seed)},
-          {"known", json::parse(known_endpoints)}, {"settings", make_settings(scenario, zone)}};
+  return {{"name", std::string("n").append(std::to_string(sidecar))},
+          {"listen", listen_address},
+          {"discovery", discovery_address},
+          {"seed", format_hex(sidecar_seed)},
+          {"known", json::parse(known_endpoints)},
+          {"settings", make_settings(scenario, zone)}};
 }
 
 json make_sidecar_config(const LoadRunConfig& config, const LoadTestBed& bed, std::size_t sidecar) {
@@ -135,7 +138,7 @@
   const LoadTestBed bed(config);
   std::filesystem::create_directories(directory);
   for (std::size_t i = 0; i < bed.sidecar_addresses.size(); ++i) {
-    const std::string name = "n" + std::to_string(i) + ".json";
+    const std::string name = std::string("n").append(std::to_string(i)).append(".json");
     write_file(std::filesystem::path(directory) / name,
                make_sidecar_config(config, bed, i).dump(json_indent));
   }
--- a/tests/emulator_test.cpp
+++ b/tests/emulator_test.cpp
@@ -25,16 +25,18 @@
 double mean_wait(int cores, Distribution service, double rho, std::uint64_t seed) {
   EventQueue due;
   std::vector<double> came;
-  double waited = 0, counted = 0;
-  constexpr std::size_t all = 60000, warm = 10000;
+  double waited = 0;
+  double counted = 0;
+  constexpr std::size_t all = 60000;
+  constexpr std::size_t warm = 10000;
   EmulatedServer queue(due, {cores, 1 << 30, 1, 1, 0, 0, 0, 0}, seed,
                        {[&](std::uint64_t job) {
                           if (job >= warm) waited += due.now() - came[job], ++counted;
                         },
                         [](std::uint64_t, EmulatedServer::JobOutcome, double) {},
                         {}});
-  RandomStream arrivals(derive_seed(seed, RandomPurpose::arrivals)),
-      works(derive_seed(seed, RandomPurpose::arrival_pattern));
+  RandomStream arrivals(derive_seed(seed, RandomPurpose::arrivals));
+  RandomStream works(derive_seed(seed, RandomPurpose::arrival_pattern));
   std::function<void()> arrive = [&] {
     if (came.size() >= all) return;
     came.push_back(due.now());
@@ -49,7 +51,8 @@
 
 double erlang_c_wait(int c, double rho) {  // mean wait of M/M/c, work of mean 1
   const double a = rho * c;
-  double sum = 0, term = 1;
+  double sum = 0;
+  double term = 1;
   for (int k = 0; k < c; ++k) sum += term, term *= a / (k + 1);
   const double queued = term / (1 - rho);
   return queued / (sum + queued) / (c - a);
@@ -58,9 +61,12 @@
 // The mean time in the system of many servers of which the emptier of `choices` gets each job.
 double time_of_choices(int choices, double rho, std::uint64_t seed) {
   EventQueue due;
-  constexpr std::size_t servers = 300, all = 90000, warm = 30000;
+  constexpr std::size_t servers = 300;
+  constexpr std::size_t all = 90000;
+  constexpr std::size_t warm = 30000;
   std::vector<double> came;
-  double took = 0, counted = 0;
+  double took = 0;
+  double counted = 0;
   std::vector<std::unique_ptr<EmulatedServer>> farm;
   for (std::size_t i = 0; i < servers; ++i)
     farm.push_back(std::make_unique<EmulatedServer>(
@@ -70,8 +76,9 @@
                                     if (job >= warm && job < all) took += due.now() - came[job], ++counted;
                                   },
                                   {}}));
-  RandomStream arrivals(derive_seed(seed, RandomPurpose::arrivals)),
-      works(derive_seed(seed, RandomPurpose::arrival_pattern)), draw(seed);
+  RandomStream arrivals(derive_seed(seed, RandomPurpose::arrivals));
+  RandomStream works(derive_seed(seed, RandomPurpose::arrival_pattern));
+  RandomStream draw(seed);
   std::function<void()> arrive = [&] {
     if (came.size() >= all) return;
     came.push_back(due.now());
@@ -261,7 +268,8 @@
 
 int call(std::vector<const char*> words, std::string* out = nullptr, std::string* err = nullptr) {
   words.insert(words.begin(), "indigorill-emulator");
-  std::ostringstream o, e;
+  std::ostringstream o;
+  std::ostringstream e;
   const int status = run_command(static_cast<int>(words.size()), words.data(), o, e);
   if (out) *out = o.str();
   if (err) *err = e.str();
@@ -275,7 +283,8 @@
   const auto waits = [](int cores, Distribution service, double rho) {
     return over_seeds(10, [=](std::uint64_t seed) { return mean_wait(cores, service, rho, seed); });
   };
-  const Distribution exponential{DistributionShape::exponential, 1, 1}, fixed{DistributionShape::fixed, 1, 1};
+  const Distribution exponential{DistributionShape::exponential, 1, 1};
+  const Distribution fixed{DistributionShape::fixed, 1, 1};
   struct {
     const char* what;
     int cores;
@@ -606,9 +615,12 @@
 }  // namespace
 
 TEST_CASE("emulator: the auditor names what broken records break, and nothing in sound ones") {
-  const auto idem = RetrySafety::idempotent, once = RetrySafety::non_idempotent,
-             dedup = RetrySafety::idempotency_key;
-  const auto decided = What::attempt_decided, written = What::attempt_sent, began = What::attempt_started;
+  const auto idem = RetrySafety::idempotent;
+  const auto once = RetrySafety::non_idempotent;
+  const auto dedup = RetrySafety::idempotency_key;
+  const auto decided = What::attempt_decided;
+  const auto written = What::attempt_sent;
+  const auto began = What::attempt_started;
   struct {
     const char* name;
     std::vector<TraceEvent> record;
@@ -863,7 +875,8 @@
     CAPTURE(text);
     CHECK(text.find(file + ":" + std::to_string(row.line) + ": ") != std::string::npos);
     CHECK(text.find(row.reason) != std::string::npos);
-    std::string out, err;
+    std::string out;
+    std::string err;
     CHECK(call({"run", file.c_str()}, &out, &err) == 2);
     CHECK(out.empty());
     CHECK(err == text + "\n");
@@ -968,8 +981,10 @@
 TEST_CASE("emulator: the command line plays, compares, sweeps, searches and says what is wrong") {
   const Folder f;
   const std::string file = f.put("s.toml", std::string(rough) + "[ranges]\n\"load.rate\" = [100, 300]\n");
-  const std::string to = (f.path / "out").string(), log = (f.path / "log.jsonl").string();
-  std::string out, err;
+  const std::string to = (f.path / "out").string();
+  const std::string log = (f.path / "log.jsonl").string();
+  std::string out;
+  std::string err;
   CHECK(call({"run", file.c_str(), "--out", to.c_str(), "--log", log.c_str(), "--set", "load.rate=100"}, &out,
              &err) == 0);
   CHECK(out.find("module, 1 run\n") == 0);
--- a/tests/envelope_test.cpp
+++ b/tests/envelope_test.cpp
@@ -86,7 +86,7 @@
   Envelope envelope = make_envelope();
   for (int i = 0; i < 12; ++i) {
     envelope.swim_message.updates.push_back(
-        {Member::State::alive, "m" + std::to_string(i), "127.0.0.1:1", 1});
+        {Member::State::alive, std::string("m").append(std::to_string(i)), "127.0.0.1:1", 1});
   }
   const std::string sound = encode(envelope);
   int read_count = 0;
--- a/tests/fleet_limiter_test.cpp
+++ b/tests/fleet_limiter_test.cpp
@@ -15,6 +15,7 @@
 
 std::vector<std::string> servers(int n) {
   std::vector<std::string> all;
+  all.reserve(static_cast<std::size_t>(n));
   for (int i = 0; i < n; ++i) all.push_back(std::string("s").append(std::to_string(100 + i)));
   return all;
 }
@@ -33,9 +34,11 @@
 // The most grants of a rate at one server within any window of a second, where all ask all the time.
 double most_in_a_second(std::vector<FleetLimiter>& all, Kind what, const std::string& server, double from,
                         double until) {
-  constexpr double step = 50, window = 1000;
+  constexpr double step = 50;
+  constexpr double window = 1000;
   std::deque<std::pair<double, double>> recent;
-  double sum = 0, most = 0;
+  double sum = 0;
+  double most = 0;
   for (double now = from; now < until; now += step) {
     double here = 0;
     for (FleetLimiter& l : all)
@@ -127,14 +130,16 @@
 }
 
 TEST_CASE("limits: nobody is denied for ever, and where there is one for each, nobody is ever without") {
-  constexpr int n = 600, of_servers = 30;
+  constexpr int n = 600;
+  constexpr int of_servers = 30;
   for (const bool by_turns : {false, true}) {
     CAPTURE(by_turns);
     FleetLimits b;
     b.connections = 100;  // 50 in each slot: 30 x 50 / 600 = 2.5 servers for an instance by turns
     std::vector<FleetLimiter> all = fleet(b, n, n, by_turns, of_servers);
     const std::vector<std::string> names = servers(of_servers);
-    int without = 0, never = 0;
+    int without = 0;
+    int never = 0;
     for (FleetLimiter& l : all) {
       std::vector<bool> met(of_servers, false);
       for (double now = 0; now < 6000000; now += 10000) {
@@ -156,7 +161,8 @@
 TEST_CASE("limits: a busy one is not held to the mean, a heavier one has more") {
   FleetLimits b;
   b.connections = 200;
-  constexpr int n = 1000, of_servers = 40;
+  constexpr int n = 1000;
+  constexpr int of_servers = 40;
   const std::vector<std::string> names = servers(of_servers);
   const auto opens = [&](double weight) {
     FleetLimiter l(b, {n, weight, {}}, 3);
--- a/tests/load_test.cpp
+++ b/tests/load_test.cpp
@@ -173,8 +173,8 @@
     }
   }
   void answer(int to, const std::string& request) {
-    const std::string ok = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
-                      later = "HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n";
+    const std::string ok = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+    const std::string later = "HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n";
     if (request.find("GET /-/ready") == 0) return say(to, ok);
     if (wrong_ == Fault::silent) return;
     pass_on(request);
@@ -207,7 +207,8 @@
 
 int call(std::vector<const char*> words, std::string& err) {
   words.insert(words.begin(), "indigorill-load");
-  std::ostringstream o, e;
+  std::ostringstream o;
+  std::ostringstream e;
   const int status = run_command(static_cast<int>(words.size()), words.data(), o, e);
   err = e.str();
   return status;
@@ -232,14 +233,16 @@
   // As it is read from the file.
   const SidecarConfig c = decode_sidecar_config(
       nlohmann::json::parse(make_sidecar_config(s, 1, "127.0.0.1:1000", "127.0.0.1:1001", known, 5).dump()));
-  const LoadBalancerConfig is = c.load_balancer, should = s.load_balancer_config(1);
+  const LoadBalancerConfig is = c.load_balancer;
+  const LoadBalancerConfig should = s.load_balancer_config(1);
   CHECK(c.name == "n1");
   CHECK(c.initial_endpoints.version == 4);
   CHECK(c.upstream.idle_timeout_ms == s.network.idle_timeout_ms);
   CHECK(c.upstream.connect_timeout_ms == s.network.connect_timeout_ms);
   REQUIRE(is.methods.size() == should.methods.size());
   for (std::size_t i = 0; i < is.methods.size(); ++i) {
-    const MethodConfig &a = is.methods[i], &b = should.methods[i];
+    const MethodConfig& a = is.methods[i];
+    const MethodConfig& b = should.methods[i];
     CHECK(a.name == b.name);
     CHECK(a.latency_objective_ms == b.latency_objective_ms);
     CHECK(a.deadline_ms == b.deadline_ms);
--- a/tests/quota_model_test.cpp
+++ b/tests/quota_model_test.cpp
@@ -181,10 +181,11 @@
     const QuotaGrant grant = next.allocators[message.allocator].handle_request(
         allocator_clock(message.allocator, state.tick), lease_expires_at, message.request);
     if (grant.status != QuotaGrant::Status::granted) return;
-    const SentMessage reply{.type = SentMessage::Type::grant,
-                            .client = message.client,
-                            .allocator = message.allocator,
-                            .grant = grant};
+    SentMessage reply;
+    reply.type = SentMessage::Type::grant;
+    reply.client = message.client;
+    reply.allocator = message.allocator;
+    reply.grant = grant;
     next.sent.emplace(reply.text(), reply);
     reach(std::move(next), message.text());
   }
--- a/tests/support/parts.h
+++ b/tests/support/parts.h
@@ -115,7 +115,7 @@
   }
 
   void record(const EndpointListUpdate& update) {
-    updates += (update.complete ? "=" : "+") + std::to_string(update.version);
+    updates.append(update.complete ? "=" : "+").append(std::to_string(update.version));
     for (const auto& entry : update.entries) updates += entry.endpoint.id;
   }
 };
--- a/tests/update_queue_test.cpp
+++ b/tests/update_queue_test.cpp
@@ -18,7 +18,8 @@
 MemberTable make_table(int size) {
   MemberTable members;
   for (int i = 0; i < size; ++i) {
-    members.put(0, {Member::State::alive, "n" + std::to_string(i), "10.0.0.1:" + std::to_string(i), 1});
+    members.put(0, {Member::State::alive, std::string("n").append(std::to_string(i)),
+                    std::string("10.0.0.1:").append(std::to_string(i)), 1});
   }
   return members;
 }
