--- a/src/emulator/emulated_server.cpp
+++ b/src/emulator/emulated_server.cpp
@@ -121,4 +121,16 @@
   }
 }
 
+EmulatedServer::Config make_server_config(const ServerGroup& group, double speed,
+                                          const OperatingRules& rules) {
+  return {.cores = group.cores,
+          .queue_capacity = group.queue_capacity,
+          .speed = speed,
+          .slow_start_initial_capacity = group.slow_start_initial_capacity,
+          .slow_start_duration_ms = group.slow_start_duration_ms,
+          .error_rate = group.error_rate,
+          .crash_overload_factor = rules.slow_start_overload_factor,
+          .crash_window_ms = rules.slow_start_window_ms};
+}
+
 }  // namespace indigorill::emulator
--- a/src/emulator/emulated_server.h
+++ b/src/emulator/emulated_server.h
@@ -10,6 +10,7 @@
 
 #include "emulator/event_queue.h"
 #include "emulator/random_stream.h"
+#include "emulator/scenario.h"
 
 namespace indigorill::emulator {
 
@@ -107,4 +108,8 @@
   double recent_work_sum_ = 0;
 };
 
+/// The config of a server of this group; `speed` as in EmulatedServer::Config.
+EmulatedServer::Config make_server_config(const ServerGroup& group, double speed,
+                                          const OperatingRules& rules);
+
 }  // namespace indigorill::emulator
--- a/src/emulator/simulation_servers.cpp
+++ b/src/emulator/simulation_servers.cpp
@@ -12,14 +12,7 @@
   state.cell = cell;
   state.group = &group;
   state.speed = speed;
-  const EmulatedServer::Config config{.cores = group.cores,
-                                      .queue_capacity = group.queue_capacity,
-                                      .speed = speed,
-                                      .slow_start_initial_capacity = group.slow_start_initial_capacity,
-                                      .slow_start_duration_ms = group.slow_start_duration_ms,
-                                      .error_rate = group.error_rate,
-                                      .crash_overload_factor = scenario_.rules.slow_start_overload_factor,
-                                      .crash_window_ms = scenario_.rules.slow_start_window_ms};
+  const EmulatedServer::Config config = make_server_config(group, speed, scenario_.rules);
   EmulatedServer::Callbacks callbacks;
   callbacks.on_started = [this, index](std::uint64_t job) { on_job_started(index, job); };
   callbacks.on_finished = [this, index](std::uint64_t job, EmulatedServer::JobOutcome outcome,
--- a/src/load/fake_fleet.cpp
+++ b/src/load/fake_fleet.cpp
@@ -66,14 +66,7 @@
   state.zone = zone;
   state.cell = cell;
   state.speed = speed;
-  const EmulatedServer::Config config{.cores = group.cores,
-                                      .queue_capacity = group.queue_capacity,
-                                      .speed = speed,
-                                      .slow_start_initial_capacity = group.slow_start_initial_capacity,
-                                      .slow_start_duration_ms = group.slow_start_duration_ms,
-                                      .error_rate = group.error_rate,
-                                      .crash_overload_factor = scenario_.rules.slow_start_overload_factor,
-                                      .crash_window_ms = scenario_.rules.slow_start_window_ms};
+  const EmulatedServer::Config config = emulator::make_server_config(group, speed, scenario_.rules);
   const std::uint64_t seed = emulator::derive_seed(seed_, RandomPurpose::server_errors, index);
   state.server = std::make_unique<EmulatedServer>(clock_.queue(), config, seed, server_callbacks(index));
   state.listener = std::make_unique<HttpListener>(
