A slow discovery service is heard: an overdue poll stays open beside the next one

Callers saw: requests to draining and removed endpoints, none to new ones, for as long as discovery took longer than a fixed time for each answer (a quarter of the grace, 250 ms at most, pushed; 1.5 s, long polls 3 s, polled). Cause: DiscoveryClient closed the poll's connection at that time and began from nothing, so no answer could arrive. Mend: the overdue poll's connection (PollConnection, split from the client) stays open, one at most beside the next poll; the first valid list counts and closes the other. It holds as the life of a poll is now two polls (polled) or 3 s (pushed), by constants, while silence is found as soon as before. A list that comes after its poll was reported as failed subscribes the load balancer; the emulator takes overdue answers as well, and says of a list that comes without a subscription that it answers no poll. In tests only the handler's parameter changed.

--- a/include/indigorill/load_balancer.h
+++ b/include/indigorill/load_balancer.h
@@ -163,12 +163,14 @@
   LoadBalancer(LoadBalancerConfig config, std::uint64_t seed, double now_ms);
   ~LoadBalancer();
 
-  /// A list of endpoints, complete or of changes alone. `may_answer_poll`: false for the list restored at the
-  /// start, which is no answer to a poll.
-  void update_endpoints(double now_ms, bool is_complete, bool may_answer_poll,
+  /// A list of endpoints, complete or of changes alone. `answers_poll`: false for a list that came without a
+  /// poll or a subscription, as the one restored at the start.
+  void update_endpoints(double now_ms, bool is_complete, bool answers_poll,
                         const std::vector<Endpoint>& endpoints);
-  /// A poll failed, or the subscription to the list has ended.
-  void endpoint_poll_failed(double now_ms);
+  /// A poll failed or was not answered in time, or the subscription to the list has ended.
+  /// `poll_duration_ms`: how long ago that poll began; without a value where the host doesn't know. A list
+  /// that answers the poll later still counts.
+  void endpoint_poll_failed(double now_ms, std::optional<double> poll_duration_ms = {});
   void on_rpc_arrived(double now_ms, const RpcArrival& arrival);
   /// Bytes of a long response were passed on, or a long request's own can't be sent again: no timeout and no
   /// retry from here. `releases_endpoint`: what is on its way are bytes, and keeps no one waiting there.
--- a/src/discovery/discovery_client.cpp
+++ b/src/discovery/discovery_client.cpp
@@ -6,9 +6,6 @@
 namespace indigorill {
 namespace {
 
-// Some 20,000 entries.
-constexpr std::size_t max_endpoint_list_bytes = std::size_t{4} * 1024 * 1024;
-
 // What the agent holds counts as known to this sidecar, so two of these timeouts, a poll in vain and the
 // pause behind it, have to pass well within the drain grace. The lower bound is what a process may wait for
 // its core.
@@ -28,18 +25,22 @@
 constexpr double long_poll_transfer_ms = 1000;
 constexpr int prompt_poll_wait_ms = 1;
 
-// Where the load balancer decides on polls, the one service behind the agents may take its time.
+// Where the load balancer decides on polls, the one service behind the agents may take its time: more of it
+// once a poll has failed, as the next one is worked on behind what waits there already.
 constexpr double requested_poll_timeout_ms = 1500;
+constexpr double repeated_poll_timeout_ms = 3000;
 
-// One connection must not keep the event loop from the others.
-constexpr int max_reads_per_event = 16;
+// Continuous polls follow each other within a fraction of the drain grace, too fast for a slow agent. One of
+// them stays open for this long at least: with its successor, it leaves that 2.5 s of the 6 s after which a
+// change counts as known although polls failed.
+constexpr double min_older_poll_age_ms = 3000;
 
 }  // namespace
 
 DiscoveryClient::DiscoveryClient(EventLoop& event_loop, FileDescriptorBudget& descriptor_budget,
                                  Counters& counters, Logger& logger, const sockaddr_in& agent_address,
                                  std::string agent_host, std::uint64_t seed, double drain_grace_ms,
-                                 UpdateHandler on_update, EventLoop::Callback on_poll_failed)
+                                 UpdateHandler on_update, FailureHandler on_poll_failed)
     : event_loop_(event_loop),
       descriptor_budget_(descriptor_budget),
       counters_(counters),
@@ -49,8 +50,12 @@
       random_engine_(static_cast<std::knuth_b::result_type>(seed | 1)),
       on_update_(std::move(on_update)),
       on_poll_failed_(std::move(on_poll_failed)),
-      prompt_timeout_ms_(prompt_timeout_ms(drain_grace_ms)),
-      parser_(http::HttpParser::MessageKind::response, max_endpoint_list_bytes) {}
+      connection_handlers_{
+          .on_response = [this](PollConnection& connection, const http::Message& response,
+                                bool reusable) { handle_response(connection, response, reusable); },
+          .on_failure = [this](PollConnection& connection,
+                               PollFailure failure) { handle_connection_failure(connection, failure); }},
+      prompt_timeout_ms_(prompt_timeout_ms(drain_grace_ms)) {}
 
 void DiscoveryClient::set_known_version(std::uint64_t version) {
   version_ = version;
@@ -61,7 +66,9 @@
   agent_address_ = agent_address;
   agent_host_ = std::move(agent_host);
   connection_.reset();
+  older_connection_.reset();
   needs_complete_list_ = true;
+  is_failing_ = false;
   last_poll_succeeded_ = false;
   poll();
 }
@@ -81,7 +88,8 @@
 }
 
 double DiscoveryClient::prompt_response_timeout_ms() const {
-  return polls_continuously_ ? prompt_timeout_ms_ : requested_poll_timeout_ms;
+  if (polls_continuously_) return prompt_timeout_ms_;
+  return is_failing_ ? repeated_poll_timeout_ms : requested_poll_timeout_ms;
 }
 
 void DiscoveryClient::schedule_poll(double delay_ms) {
@@ -89,116 +97,85 @@
 }
 
 void DiscoveryClient::poll() {
-  // A second request on a connection whose response is still to come would get the response to the first.
-  if (response_timer_.is_set()) connection_.reset();
+  if (connection_ && connection_->is_awaiting_response()) return;
   poll_timer_.cancel();
-  connect_timer_.cancel();
+  cancel_timeouts();
   poll_started_at_ms_ = event_loop_.now();
   const std::string target = poll_target();
   logger_.debug() << "endpoint list: polls " << target;
-  request_ = {};
-  request_.append_owned("GET " + target + " HTTP/1.1\r\nHost: " + agent_host_ + "\r\n\r\n");
-  const double timeout_ms =
-      is_long_poll() ? long_poll_wait_ms + long_poll_transfer_ms : prompt_response_timeout_ms();
-  response_timer_ = event_loop_.schedule_at(poll_started_at_ms_ + timeout_ms,
-                                            [this] { handle_failure(PollFailure::response_timed_out); });
-  if (connection_)
-    handle_events(EPOLLOUT);
-  else
-    open_connection();
-}
-
-void DiscoveryClient::open_connection() {
-  FileDescriptor fd = start_connect(agent_address_);
-  if (!fd) {
+  if (!connection_)
+    connection_ = PollConnection::open(event_loop_, descriptor_budget_, agent_address_, connection_handlers_);
+  if (!connection_) {
     handle_failure(PollFailure::connect_failed);
     return;
   }
-  is_connected_ = false;
-  // A connection that doesn't come up must not pass for a watch that waits.
-  connect_timer_ = event_loop_.schedule_at(poll_started_at_ms_ + prompt_response_timeout_ms(),
-                                           [this] { handle_failure(PollFailure::connect_timed_out); });
-  parser_ = http::HttpParser(http::HttpParser::MessageKind::response, max_endpoint_list_bytes);
-  connection_ = std::make_unique<TcpStream>(event_loop_, descriptor_budget_, std::move(fd),
-                                            [this](std::uint32_t events) { handle_events(events); });
+  schedule_timeouts();
+  connection_->send("GET " + target + " HTTP/1.1\r\nHost: " + agent_host_ + "\r\n\r\n");
 }
 
-void DiscoveryClient::handle_events(std::uint32_t events) {
-  if (!is_connected_ && !finish_connect(events)) return;
-  if (!connection_->write(request_)) {
-    handle_failure(PollFailure::connection_lost);
-    return;
-  }
-  for (int i = 0; i < max_reads_per_event; ++i)
-    if (!read_response()) return;
-  connection_->requeue();
+void DiscoveryClient::schedule_timeouts() {
+  const double response_timeout_ms =
+      is_long_poll() ? long_poll_wait_ms + long_poll_transfer_ms : prompt_response_timeout_ms();
+  response_timer_ = event_loop_.schedule_at(poll_started_at_ms_ + response_timeout_ms,
+                                            [this] { handle_timeout(PollFailure::response_timed_out); });
+  // A connection that doesn't come up must not pass for a watch that waits.
+  connect_timer_ = event_loop_.schedule_at(poll_started_at_ms_ + prompt_response_timeout_ms(), [this] {
+    if (!connection_->is_connected()) handle_timeout(PollFailure::connect_timed_out);
+  });
 }
 
-// True once the connection is up.
-bool DiscoveryClient::finish_connect(std::uint32_t events) {
-  const bool has_failed = (events & (EPOLLERR | EPOLLHUP)) != 0 || connection_->pending_error() != 0;
-  if (has_failed) {
-    handle_failure(PollFailure::connect_failed);
-    return false;
-  }
-  if ((events & EPOLLOUT) == 0) return false;
-  is_connected_ = true;
+void DiscoveryClient::cancel_timeouts() {
+  response_timer_.cancel();
   connect_timer_.cancel();
-  return true;
-}
-
-// Reads once; true if there may be more to read. The connection may be gone afterwards if not.
-bool DiscoveryClient::read_response() {
-  using ReadStatus = TcpStream::ReadStatus;
-  using ParseState = http::HttpParser::ParseState;
-  std::size_t count = 0;
-  const ReadStatus status = connection_->read(parser_.writable_buffer(), count);
-  if (status == ReadStatus::would_block) return false;
-  if (status == ReadStatus::data) parser_.commit(count);
-  if (status == ReadStatus::end_of_stream) parser_.on_end_of_stream();
-  const bool is_closed = status == ReadStatus::end_of_stream || status == ReadStatus::error;
-  if (parser_.state() == ParseState::complete) {
-    const http::Message response = parser_.take_message();
-    if (is_closed || !response.keep_alive) connection_.reset();
-    handle_response(response);
-    return false;
-  }
-  if (is_closed) {
-    handle_connection_closed();
-    return false;
-  }
-  if (parser_.state() == ParseState::error) {
-    handle_failure(PollFailure::malformed_response);
-    return false;
-  }
-  return true;
 }
 
-void DiscoveryClient::handle_connection_closed() {
-  if (response_timer_.is_set())
-    handle_failure(PollFailure::connection_lost);
-  else
-    connection_.reset();  // between two polls: the next one opens another
-}
-
-void DiscoveryClient::handle_response(const http::Message& response) {
+void DiscoveryClient::handle_response(PollConnection& connection, const http::Message& response,
+                                      bool reusable) {
   constexpr int http_ok = 200;
-  response_timer_.cancel();
-  if (response.status != http_ok) {
-    handle_failure(PollFailure::unexpected_status, std::to_string(response.status));
-    return;
-  }
+  const double response_time_ms = connection.poll_age_ms();
+  const bool is_older = &connection == older_connection_.get();
+  const auto fail = [&](PollFailure failure, const std::string& detail) {
+    return is_older ? drop_older_poll(failure, detail) : handle_failure(failure, detail);
+  };
+  if (response.status != http_ok)
+    return fail(PollFailure::unexpected_status, std::to_string(response.status));
   EndpointListUpdate update;
   try {
     update = parse_update(response.body());
   } catch (const ParseError& error) {
     // The known endpoints stay: one bad answer must not leave this sidecar without any.
     ++counters_.malformed_endpoint_lists;
-    needs_complete_list_ = true;
-    handle_failure(PollFailure::invalid_list, error.what());
-    return;
+    if (!is_older) needs_complete_list_ = true;
+    return fail(PollFailure::invalid_list, error.what());
   }
-  accept_update(update);
+  if (is_older) connection_ = std::move(older_connection_);
+  older_connection_.reset();
+  if (!reusable) connection_.reset();
+  accept_update(update, response_time_ms);
+}
+
+void DiscoveryClient::handle_connection_failure(PollConnection& connection, PollFailure failure) {
+  if (&connection == older_connection_.get())
+    drop_older_poll(failure);
+  else if (connection.is_awaiting_response())
+    handle_failure(failure);
+  else
+    connection_.reset();  // between two polls: the next one opens another
+}
+
+// What was received in the meantime may be on its way, and a service that is slow with all it answers would
+// never be heard if each poll began anew.
+void DiscoveryClient::handle_timeout(PollFailure failure) {
+  const bool replaces_older_poll =
+      !older_connection_ || !polls_continuously_ || older_connection_->poll_age_ms() >= min_older_poll_age_ms;
+  if (replaces_older_poll) older_connection_ = std::move(connection_);
+  handle_failure(failure);
+}
+
+void DiscoveryClient::drop_older_poll(PollFailure failure, const std::string& detail) {
+  logger_.debug() << "endpoint list: poll that was overdue failed after " << older_connection_->poll_age_ms()
+                  << " ms: " << describe(failure) << detail;
+  older_connection_.reset();
 }
 
 // Throws ParseError also where changes don't apply to the list that is known. An agent that starts over sends
@@ -210,49 +187,29 @@
   return update;
 }
 
-void DiscoveryClient::accept_update(const EndpointListUpdate& update) {
-  logger_.debug() << "endpoint list: version " << update.version << " after "
-                  << event_loop_.now() - poll_started_at_ms_ << " ms";
+void DiscoveryClient::accept_update(const EndpointListUpdate& update, double response_time_ms) {
+  logger_.debug() << "endpoint list: version " << update.version << " after " << response_time_ms << " ms";
   if (is_failing_) logger_.info() << "endpoint list: polls succeed again, version " << update.version;
+  cancel_timeouts();
   is_failing_ = false;
   ++counters_.endpoint_list_updates;
   version_ = update.version;
   needs_complete_list_ = false;
   on_update_(update);
-  schedule_next_watch(update);
+  schedule_next_watch(update, response_time_ms);
 }
 
-void DiscoveryClient::schedule_next_watch(const EndpointListUpdate& update) {
+void DiscoveryClient::schedule_next_watch(const EndpointListUpdate& update, double response_time_ms) {
   // At once, since what changes in between counts as known; but an agent that doesn't wait must not keep this
   // process busy. A watch without changes normally takes at least 200 ms.
   constexpr double hasty_response_ms = 20;
   constexpr double pause_after_hasty_response_ms = 100;
-  const bool is_hasty = last_poll_succeeded_ && update.entries.empty() &&
-                        event_loop_.now() - poll_started_at_ms_ < hasty_response_ms;
+  const bool is_hasty =
+      last_poll_succeeded_ && update.entries.empty() && response_time_ms < hasty_response_ms;
   last_poll_succeeded_ = true;
   schedule_poll(is_hasty ? pause_after_hasty_response_ms : 0);
 }
 
-std::string_view DiscoveryClient::describe(PollFailure failure) {
-  switch (failure) {
-    case PollFailure::connect_failed:
-      return "no connection";
-    case PollFailure::connect_timed_out:
-      return "connect timed out";
-    case PollFailure::connection_lost:
-      return "connection lost";
-    case PollFailure::response_timed_out:
-      return "response timed out";
-    case PollFailure::malformed_response:
-      return "malformed response";
-    case PollFailure::unexpected_status:
-      return "status ";
-    case PollFailure::invalid_list:
-      return "";
-  }
-  return "";
-}
-
 void DiscoveryClient::handle_failure(PollFailure failure, const std::string& detail) {
   const std::string reason = std::string(describe(failure)) + detail;
   logger_.debug() << "endpoint list: poll failed after " << event_loop_.now() - poll_started_at_ms_
@@ -260,8 +217,7 @@
   ++counters_.endpoint_poll_failures;
   if (!is_failing_) logger_.warning() << "endpoint list: poll failed, the known endpoints stay: " << reason;
   is_failing_ = true;
-  response_timer_.cancel();
-  connect_timer_.cancel();
+  cancel_timeouts();
   connection_.reset();
   schedule_retry(std::exchange(last_poll_succeeded_, false));
 }
@@ -276,7 +232,7 @@
     // backoff is meant for a service that can't answer.
     schedule_poll(0);
   } else {
-    on_poll_failed_();
+    on_poll_failed_(event_loop_.now() - poll_started_at_ms_);
   }
 }
 
--- a/src/emulator/balancing_policy.cpp
+++ b/src/emulator/balancing_policy.cpp
@@ -18,7 +18,9 @@
                         const std::vector<Endpoint>& endpoints) override {
     load_balancer_.update_endpoints(now_ms, is_complete, is_response, endpoints);
   }
-  void endpoint_poll_failed(double now_ms) override { load_balancer_.endpoint_poll_failed(now_ms); }
+  void endpoint_poll_failed(double now_ms, double poll_duration_ms) override {
+    load_balancer_.endpoint_poll_failed(now_ms, poll_duration_ms);
+  }
   void on_rpc_arrived(double now_ms, const RpcArrival& arrival) override {
     load_balancer_.on_rpc_arrived(now_ms, arrival);
   }
--- a/src/emulator/balancing_policy.h
+++ b/src/emulator/balancing_policy.h
@@ -23,7 +23,7 @@
   /// `is_complete`: the whole list, otherwise changes; `is_response`: it may answer a poll.
   virtual void update_endpoints(double now_ms, bool is_complete, bool is_response,
                                 const std::vector<Endpoint>& endpoints) = 0;
-  virtual void endpoint_poll_failed(double now_ms) = 0;
+  virtual void endpoint_poll_failed(double now_ms, double poll_duration_ms) = 0;
   virtual void on_rpc_arrived(double now_ms, const RpcArrival& arrival) = 0;
   /// `concluded`: the RPC has its final answer.
   virtual void on_attempt_finished(double now_ms, const std::string& rpc, int attempt, AttemptOutcome outcome,
--- a/src/emulator/baseline_policy.cpp
+++ b/src/emulator/baseline_policy.cpp
@@ -43,7 +43,7 @@
   if (is_response) poll_pending_ = false;
 }
 
-void BaselinePolicy::endpoint_poll_failed(double now_ms) {
+void BaselinePolicy::endpoint_poll_failed(double now_ms, double) {
   now_ms_ = now_ms;
   poll_pending_ = config_.must_poll_endpoints;
   next_poll_at_ms_ = now_ms + poll_retry_ms * (0.5 + random_.uniform());
--- a/src/emulator/baseline_policy.h
+++ b/src/emulator/baseline_policy.h
@@ -22,7 +22,7 @@
 
   void update_endpoints(double now_ms, bool is_complete, bool is_response,
                         const std::vector<Endpoint>& endpoints) override;
-  void endpoint_poll_failed(double now_ms) override;
+  void endpoint_poll_failed(double now_ms, double poll_duration_ms) override;
   void on_rpc_arrived(double now_ms, const RpcArrival& arrival) override;
   void on_attempt_finished(double now_ms, const std::string& rpc_id, int attempt_index,
                            AttemptOutcome outcome, double duration_ms, bool concluded,
--- a/src/emulator/simulation.cpp
+++ b/src/emulator/simulation.cpp
@@ -73,6 +73,7 @@
   state.update_scheduled = false;
   state.full_list_next = false;
   state.pending_poll = 0;
+  state.overdue_poll = 0;
   state.idle_connections.assign(servers_.size(), {});
   state.connect_timeout = ConnectTimeoutEstimator(scenario_.network.connect_timeout_ms);
   state.limiter.reset();
--- a/src/emulator/simulation.h
+++ b/src/emulator/simulation.h
@@ -80,6 +80,8 @@
     double arrival_share = 0;        // of all arrivals
     std::size_t known_changes = 0;   // how many changes of the endpoint list it knows
     std::uint64_t pending_poll = 0;  // 0: none
+    double poll_started_at_ms = 0;
+    std::uint64_t overdue_poll = 0;                             // its response is still taken; 0: none
     std::vector<std::vector<IdleConnection>> idle_connections;  // by server, the last used last
     ConnectTimeoutEstimator connect_timeout{0};
     std::unique_ptr<FleetLimiter> limiter;  // none: without limits
@@ -227,7 +229,9 @@
   void poll_discovery(std::uint32_t sidecar);
   void on_poll_received(std::uint32_t sidecar, std::uint64_t poll, bool full_list);
   void on_poll_response(std::uint32_t sidecar, std::uint64_t poll, bool full_list);
-  void on_poll_failed(std::uint32_t sidecar, std::uint64_t poll);
+  void on_poll_timeout(std::uint32_t sidecar, std::uint64_t poll);
+  void on_poll_rejected(std::uint32_t sidecar, std::uint64_t poll);
+  void on_poll_failed(std::uint32_t sidecar);
   void mark_up_to_date(std::uint32_t sidecar);
   void stop_discovery();
   void resume_discovery();
--- a/src/emulator/simulation_discovery.cpp
+++ b/src/emulator/simulation_discovery.cpp
@@ -8,7 +8,9 @@
 namespace indigorill::emulator {
 namespace {
 
-constexpr double poll_timeout_ms = 1500;     // the sidecar's own
+// The sidecar's own, of a poll after an answered one and after a failed one.
+constexpr double poll_timeout_ms = 1500;
+constexpr double repeated_poll_timeout_ms = 3000;
 constexpr double silence_timeout_ms = 1500;  // after which a subscribed sidecar takes its watch for failed
 constexpr int discovery_zone = 0;
 
@@ -93,7 +95,7 @@
   }
   state.known_changes = endpoint_changes_.size();
   mark_up_to_date(sidecar);
-  state.policy->update_endpoints(events_.now(), false, true, changes);
+  state.policy->update_endpoints(events_.now(), false, receives_updates(state), changes);
   update_limiter_endpoints(sidecar);
   execute_decisions(sidecar);
 }
@@ -151,8 +153,10 @@
   ++current_second().discovery_polls;
   const std::uint64_t poll = ++last_poll_id_;
   state.pending_poll = poll;
-  events_.schedule(events_.now() + poll_timeout_ms, EventPriority::discovery,
-                   [this, sidecar, poll] { on_poll_failed(sidecar, poll); });
+  state.poll_started_at_ms = events_.now();
+  const double timeout_ms = state.full_list_next ? repeated_poll_timeout_ms : poll_timeout_ms;
+  events_.schedule(events_.now() + timeout_ms, EventPriority::discovery,
+                   [this, sidecar, poll] { on_poll_timeout(sidecar, poll); });
   const double delay_ms = one_way_delay(state.zone, discovery_zone);
   events_.schedule(events_.now() + delay_ms, EventPriority::network,
                    [this, sidecar, poll, full_list = state.full_list_next] {
@@ -168,7 +172,7 @@
     ++metrics_.discovery_rejections;
     const double delay_ms = one_way_delay(discovery_zone, sidecars_[sidecar].zone);
     events_.schedule(events_.now() + delay_ms, EventPriority::network,
-                     [this, sidecar, poll] { on_poll_failed(sidecar, poll); });
+                     [this, sidecar, poll] { on_poll_rejected(sidecar, poll); });
     return;
   }
   ++discovery_queue_length_;
@@ -185,8 +189,10 @@
 
 void Simulation::on_poll_response(std::uint32_t sidecar, std::uint64_t poll, bool full_list) {
   SidecarState& state = sidecars_[sidecar];
-  if (!state.running || state.pending_poll != poll || discovery_silent_) return;
+  const bool is_awaited = state.pending_poll == poll || state.overdue_poll == poll;
+  if (!state.running || !is_awaited || discovery_silent_) return;
   state.pending_poll = 0;
+  state.overdue_poll = 0;
   state.subscribed = true;
   state.full_list_next = false;
   if (full_list)
@@ -195,13 +201,26 @@
     deliver_changes(sidecar);
 }
 
-void Simulation::on_poll_failed(std::uint32_t sidecar, std::uint64_t poll) {
+// The sidecar stops waiting for the poll, and takes its response if that comes before the next one's timeout.
+void Simulation::on_poll_timeout(std::uint32_t sidecar, std::uint64_t poll) {
   SidecarState& state = sidecars_[sidecar];
   if (!state.running || state.pending_poll != poll) return;
+  state.overdue_poll = poll;
+  on_poll_failed(sidecar);
+}
+
+void Simulation::on_poll_rejected(std::uint32_t sidecar, std::uint64_t poll) {
+  SidecarState& state = sidecars_[sidecar];
+  if (state.overdue_poll == poll) state.overdue_poll = 0;
+  if (state.running && state.pending_poll == poll) on_poll_failed(sidecar);
+}
+
+void Simulation::on_poll_failed(std::uint32_t sidecar) {
+  SidecarState& state = sidecars_[sidecar];
   state.pending_poll = 0;
   state.subscribed = false;
   state.full_list_next = true;
-  state.policy->endpoint_poll_failed(events_.now());
+  state.policy->endpoint_poll_failed(events_.now(), events_.now() - state.poll_started_at_ms);
   execute_decisions(sidecar);
 }
 
@@ -211,8 +230,9 @@
     if (!sidecars_[sidecar].subscribed) continue;
     const std::uint64_t poll = ++last_poll_id_;
     sidecars_[sidecar].pending_poll = poll;
+    sidecars_[sidecar].poll_started_at_ms = events_.now();
     events_.schedule(events_.now() + silence_timeout_ms, EventPriority::discovery,
-                     [this, sidecar, poll] { on_poll_failed(sidecar, poll); });
+                     [this, sidecar, poll] { on_poll_timeout(sidecar, poll); });
   }
 }
 
--- a/src/load_balancer/endpoint_updates.cpp
+++ b/src/load_balancer/endpoint_updates.cpp
@@ -15,6 +15,8 @@
   return std::min(per_sidecar_ms * (state.config.sidecar_count - 1), state.config.max_poll_silence_ms / 2);
 }
 
+constexpr double max_backoff_jitter = 1.5;
+
 }  // namespace
 
 void refresh_ready_endpoints(BalancerState& state) {
@@ -38,7 +40,7 @@
 }
 
 // What the list's one service gave up on still fills its queue: polls of all at once would keep it down.
-void schedule_poll_after_failure(BalancerState& state) {
+void schedule_poll_after_failure(BalancerState& state, std::optional<double> /*poll_duration_ms*/) {
   constexpr double min_backoff_ms = 250;
   EndpointPollState& poll = state.poll;
   poll.is_in_flight = false;
@@ -46,7 +48,7 @@
   const double backoff_ms =
       std::min(std::max(poll_spread_ms(state), min_backoff_ms) * std::exp2(poll.failed_count),
                std::max(state.config.max_poll_silence_ms, min_backoff_ms));
-  const double jitter = 0.5 + state.random_fraction();
+  const double jitter = max_backoff_jitter - 1 + state.random_fraction();
   poll.next_at_ms = state.now_ms + backoff_ms * jitter;
   ++poll.failed_count;
 }
--- a/src/load_balancer/endpoint_updates.h
+++ b/src/load_balancer/endpoint_updates.h
@@ -1,6 +1,8 @@
 /// The endpoint list: when it is polled, and what follows from what it says.
 #pragma once
 
+#include <optional>
+
 #include "load_balancer_state/balancer_state.h"
 
 namespace indigorill {
@@ -11,7 +13,7 @@
 
 /// Sets the time of the first poll, spread over the sidecars by the seed.
 void schedule_first_poll(BalancerState& state, std::uint64_t seed);
-void schedule_poll_after_failure(BalancerState& state);
+void schedule_poll_after_failure(BalancerState& state, std::optional<double> poll_duration_ms);
 /// True if the list has to be polled at the scheduled time.
 bool needs_endpoint_poll(const BalancerState& state);
 
--- a/src/load_balancer/load_balancer.cpp
+++ b/src/load_balancer/load_balancer.cpp
@@ -35,17 +35,17 @@
     : implementation_(std::make_unique<Implementation>(std::move(config), seed, now_ms)) {}
 LoadBalancer::~LoadBalancer() = default;
 
-void LoadBalancer::update_endpoints(double now_ms, bool is_complete, bool may_answer_poll,
+void LoadBalancer::update_endpoints(double now_ms, bool is_complete, bool answers_poll,
                                     const std::vector<Endpoint>& endpoints) {
   BalancerState& state = implementation_->at(now_ms);
   if (is_complete) state.endpoints.clear_listed();
   for (const Endpoint& listed : endpoints) state.endpoints.update(listed);
   refresh_ready_endpoints(state);
-  if (may_answer_poll && state.poll.is_in_flight) state.poll.record_success();
+  if (answers_poll) state.poll.record_success();
 }
 
-void LoadBalancer::endpoint_poll_failed(double now_ms) {
-  schedule_poll_after_failure(implementation_->at(now_ms));
+void LoadBalancer::endpoint_poll_failed(double now_ms, std::optional<double> poll_duration_ms) {
+  schedule_poll_after_failure(implementation_->at(now_ms), poll_duration_ms);
 }
 
 void LoadBalancer::on_rpc_arrived(double now_ms, const RpcArrival& arrival) {
--- a/src/proxy/request_dispatcher.cpp
+++ b/src/proxy/request_dispatcher.cpp
@@ -166,8 +166,8 @@
   carry_out_decisions();
 }
 
-void RequestDispatcher::endpoint_poll_failed() {
-  load_balancer_.endpoint_poll_failed(event_loop_.now());
+void RequestDispatcher::endpoint_poll_failed(std::optional<double> poll_duration_ms) {
+  load_balancer_.endpoint_poll_failed(event_loop_.now(), poll_duration_ms);
   carry_out_decisions();
 }
 
--- a/src/proxy/request_dispatcher.h
+++ b/src/proxy/request_dispatcher.h
@@ -72,7 +72,7 @@
   /// `complete`: endpoints that are not among the entries are gone. `answers_poll`: the list may answer a
   /// poll of the load balancer's; false for one that is restored at the start.
   void update_endpoints(bool complete, bool answers_poll, const std::vector<Endpoint>& entries);
-  void endpoint_poll_failed();
+  void endpoint_poll_failed(std::optional<double> poll_duration_ms = {});
   /// Called when the load balancer asks for the endpoint list; at once if it has asked before.
   void on_endpoint_poll(EventLoop::Callback poll);
   /// Ejected by an operator, or restored at `since_ms`: attempts of which nothing is written there yet are
--- a/src/proxy/sidecar.cpp
+++ b/src/proxy/sidecar.cpp
@@ -67,7 +67,7 @@
           [this](const EndpointListUpdate& update) {
             endpoints_.apply(update, EndpointRegistry::Source::poll_response);
           },
-          [this] { dispatcher_.endpoint_poll_failed(); }),
+          [this](double poll_duration_ms) { dispatcher_.endpoint_poll_failed(poll_duration_ms); }),
       admin_server_(event_loop_, counters_,
                     [this](const AdminRequest& request, const AdminServer::ResponseCallback& respond) {
                       handle_admin_request(request, respond);
--- a/tests/slow_discovery_test.cpp
+++ b/tests/slow_discovery_test.cpp
@@ -13,6 +13,10 @@
 // up; at a grace of 300 ms 50 ms work and 100 ms don't, with 75 polls. Polled, 1.4 s work and 2 s don't, with
 // 5 polls. The log repeats "endpoint list: poll failed after 250 ms: response timed out" and has no other
 // line of the list.
+//
+// Cause and mend: `DiscoveryClient` closed a poll's connection when its time had passed. It stays open now,
+// one at most beside the next poll, and the first valid list counts, so that a list needs no more than its
+// service takes.
 #include <doctest/doctest.h>
 
 #include <memory>
--- a/tests/standing_test.cpp
+++ b/tests/standing_test.cpp
@@ -363,7 +363,7 @@
     std::string updates;
     DiscoveryClient discovery_client(
         harness.loop, harness.budget, harness.counters, harness.logger, agent.server.address, "agent", 1, 500,
-        [&](const EndpointListUpdate& update) { updates += std::to_string(update.version); }, [] {});
+        [&](const EndpointListUpdate& update) { updates += std::to_string(update.version); }, [](double) {});
     discovery_client.enable_continuous_polling();
     discovery_client.poll();
     std::vector<std::unique_ptr<TestConnection>> idle_clients;
--- a/tests/support/failing_agent.h
+++ b/tests/support/failing_agent.h
@@ -79,7 +79,7 @@
         discovery_client(
             event_loop, budget, counters, logger, agent_address, "agent", seed + 1, 500,
             [this](const EndpointListUpdate& update) { apply(update); },
-            [this] { dispatcher.endpoint_poll_failed(); }) {
+            [this](double poll_duration_ms) { dispatcher.endpoint_poll_failed(poll_duration_ms); }) {
     dispatcher.update_endpoints(true, false, {make_endpoint("a"), make_endpoint("b")});
     discovery_client.set_known_version(9);
     dispatcher.on_endpoint_poll([this] { discovery_client.poll(); });
--- a/tests/support/parts.h
+++ b/tests/support/parts.h
@@ -108,7 +108,7 @@
              std::optional<std::uint64_t> known_version = {}) {
     client = std::make_unique<DiscoveryClient>(
         loop, budget, counters, logger, agent, "agent", 1, grace_ms,
-        [this](const EndpointListUpdate& update) { record(update); }, [this] { ++failure_count; });
+        [this](const EndpointListUpdate& update) { record(update); }, [this](double) { ++failure_count; });
     if (polls_continuously) client->enable_continuous_polling();
     if (known_version) client->set_known_version(*known_version);
     client->poll();
