--- a/src/proxy/http_server_drain.cpp
+++ b/src/proxy/http_server_drain.cpp
@@ -11,9 +11,10 @@
   // Clients may connect for 0.4 s after the signal, and what the kernel accepted counts as ours.
   constexpr double accept_period_ms = 450;
   // The signal is followed by a kill after the longest deadline, 3 s at most, and 0.7 s more: what endpoints
-  // or slow readers would hold past that is answered or cut while it can be.
+  // or slow readers would hold past that is answered or cut while it can be, also by a process that is held
+  // up for 0.15 s meanwhile.
   constexpr double longest_deadline_ms = 3000;
-  constexpr double abort_after_deadline_ms = 600;
+  constexpr double abort_after_deadline_ms = 500;
   if (draining_) return;
   draining_ = true;
   drain_started_at_ms_ = event_loop_.now();
