--- a/review/2/case.cpp
+++ b/review/2/case.cpp
@@ -13,8 +13,8 @@
 
 namespace {
 
-constexpr double memory_limit_mb = 32;
-constexpr int descriptor_limit = 512;
+constexpr double memory_limit_mb = 56;
+constexpr int descriptor_limit = 640;
 constexpr int half_written_count = 1000;
 constexpr double arrival_ms = 1000;  // all of them come within this time
 constexpr std::size_t body_bytes = 65536;
