--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -19,7 +19,7 @@
 
 constexpr int sidecar_count = 4;
 constexpr int endpoint_count = 4;
-constexpr int clients_per_sidecar = 8;
+constexpr int clients_per_sidecar = 7;
 constexpr double link_delay_ms = 4;
 constexpr double second_copy_after_ms = 6;
 constexpr int answers_per_second_copy = 50;
