Half-written requests can't take the sidecar over its memory limit

Cause: bytes of half-written requests were counted, but the limit was asked for complete requests only; and what was turned away or written kept its buffer, as a string that is assigned a short one does (peak 24 MB with 5 MB counted, 11 MB once released). Change: half-written requests may hold half of the limit; beyond that those without progress for longest get 503. Buffers are released. Why it holds: each read is followed by the check, whatever the size or the rate, and nothing of such a request was forwarded.

--- a/src/http/http_parser.cpp
+++ b/src/http/http_parser.cpp
@@ -121,7 +121,7 @@
 
 void HttpParser::start_next_message() {
   const std::string remaining_input = message_.bytes.substr(parse_offset_, unparsed_bytes());
-  message_ = {};
+  std::exchange(message_, {});  // an assignment alone would keep the allocated buffer
   reset_with(remaining_input);
 }
 
--- a/src/proxy/http_server.cpp
+++ b/src/proxy/http_server.cpp
@@ -112,7 +112,8 @@
     case ParseState::error:
       return reject_bad_request(connection, connection.parser.error_status());
     default:
-      return await_more_input(connection);
+      await_more_input(connection);
+      return reject_excess_partial_requests();
   }
 }
 
@@ -226,13 +227,17 @@
 
 void HttpServer::handle_rpc(ClientConnection& connection, http::Message request, bool close_after) {
   if (const int status = rpc_error_status(request)) return reject_bad_request(connection, status);
-  if (connection.over_connection_limit || over_memory_limit(connection)) {
-    ++counters_.resource_rejections;
-    return send_response(connection, encode_rejection(dispatcher_.longest_retry_after_ms(), true), true);
-  }
+  update_buffered_bytes(connection);
+  if (connection.over_connection_limit || is_over_memory_limit())
+    return reject_for_lack_of_resources(connection);
   dispatch_rpc(connection, std::move(request), close_after);
 }
 
+void HttpServer::reject_for_lack_of_resources(ClientConnection& connection) {
+  ++counters_.resource_rejections;
+  send_response(connection, encode_rejection(dispatcher_.longest_retry_after_ms(), true), true);
+}
+
 // The HTTP status to reject the request with; 0 if the dispatcher can take it.
 int HttpServer::rpc_error_status(const http::Message& request) const {
   const RpcRequest rpc = decode_rpc_request(request);
@@ -356,7 +361,7 @@
     return;
   }
   connection.timeout_timer.cancel();
-  connection.response = {};
+  std::exchange(connection.response, {});  // an assignment alone would keep the allocated buffer
   connection.output = {};
   if (connection.stage == Stage::streaming_response && !connection.last_piece_queued)
     return dispatcher_.resume_response(connection.rpc_id);
@@ -368,6 +373,7 @@
   update_buffered_bytes(connection);
   connection.stage = Stage::reading_request;
   if (connection.close_after_response) {
+    release_input(connection);  // further input is discarded
     // Closing with unread input would reset the connection, and the client could lose the response.
     constexpr double linger_interval_ms = 1000;
     constexpr double linger_interval_in_drain_ms = 100;
--- a/src/proxy/http_server.h
+++ b/src/proxy/http_server.h
@@ -80,6 +80,7 @@
   void handle_rpc(ClientConnection& connection, http::Message request, bool close_after);
   void dispatch_rpc(ClientConnection& connection, http::Message request, bool close_after);
   RequestDispatcher::ResponseHandler make_response_handler(std::uint64_t id);
+  void reject_for_lack_of_resources(ClientConnection& connection);
   int rpc_error_status(const http::Message& request) const;
   void reject_bad_request(ClientConnection& connection, int status);
 
@@ -97,7 +98,9 @@
   void set_eviction_class(ClientConnection& connection, EvictionClass eviction_class);
   bool close_oldest_of(EvictionClass eviction_class, double min_age_ms);
   bool over_idle_limit();
-  bool over_memory_limit(ClientConnection& connection);
+  bool is_over_memory_limit() const { return buffered_bytes_ > limits_.max_buffered_bytes; }
+  void reject_excess_partial_requests();
+  void release_input(ClientConnection& connection);
   void update_buffered_bytes(ClientConnection& connection);
 
   // Closing.
@@ -124,7 +127,8 @@
   std::uint64_t last_connection_id_ = 0;
   std::unordered_map<std::uint64_t, std::unique_ptr<ClientConnection>> connections_;
   EvictionQueue eviction_queue_;
-  std::size_t buffered_bytes_ = 0;  // in messages of all connections
+  std::size_t buffered_bytes_ = 0;         // in messages of all connections
+  std::size_t partial_request_bytes_ = 0;  // the part of them in requests of which more is to come
 };
 
 }  // namespace indigorill
--- a/src/proxy/http_server_limits.cpp
+++ b/src/proxy/http_server_limits.cpp
@@ -9,6 +9,7 @@
 void HttpServer::set_limits(Limits limits) {
   limits_ = limits;
   while (connections_.size() > limits_.max_connections && close_idle_connection()) continue;
+  reject_excess_partial_requests();
 }
 
 void HttpServer::set_eviction_class(ClientConnection& connection, EvictionClass eviction_class) {
@@ -16,6 +17,9 @@
   // is not idle.
   if (connection.eviction_class == eviction_class && eviction_class != EvictionClass::partial_request) return;
   eviction_queue_.erase(connection.eviction_entry());
+  if (connection.eviction_class == EvictionClass::partial_request)
+    partial_request_bytes_ -= connection.accounted_bytes;
+  if (eviction_class == EvictionClass::partial_request) partial_request_bytes_ += connection.accounted_bytes;
   connection.eviction_class = eviction_class;
   connection.eviction_class_since_ms = event_loop_.now();
   eviction_queue_.insert(connection.eviction_entry());
@@ -66,14 +70,32 @@
   return is_over();
 }
 
-bool HttpServer::over_memory_limit(ClientConnection& connection) {
+// Partial requests are held until they are complete or time out, so a crowd of them could use up the memory.
+// Half of the limit is left to complete requests. Beyond the other half, partial ones are rejected, those
+// without progress for longest first. That is safe at any moment, because nothing of them was forwarded.
+void HttpServer::reject_excess_partial_requests() {
+  while (partial_request_bytes_ > limits_.max_buffered_bytes / 2) {
+    const auto id = eviction_queue_.find_oldest(EvictionClass::partial_request, event_loop_.now(), 0,
+                                                [](std::uint64_t) { return true; });
+    if (!id) return;
+    ClientConnection& connection = *connections_.at(*id);
+    set_eviction_class(connection, EvictionClass::not_evictable);
+    release_input(connection);
+    reject_for_lack_of_resources(connection);
+  }
+}
+
+void HttpServer::release_input(ClientConnection& connection) {
+  // An assignment alone would keep the allocated buffer: a string that is assigned a short one does.
+  std::exchange(connection.parser, http::HttpParser(http::HttpParser::MessageKind::request));
   update_buffered_bytes(connection);
-  return buffered_bytes_ > limits_.max_buffered_bytes;
 }
 
 void HttpServer::update_buffered_bytes(ClientConnection& connection) {
   const std::size_t bytes = connection.buffered_bytes();
   buffered_bytes_ += bytes - connection.accounted_bytes;
+  if (connection.eviction_class == EvictionClass::partial_request)
+    partial_request_bytes_ += bytes - connection.accounted_bytes;
   connection.accounted_bytes = bytes;
 }
 
--- a/tests/http_server_test.cpp
+++ b/tests/http_server_test.cpp
@@ -2,6 +2,7 @@
 #include "proxy/http_server.h"
 
 #include <doctest/doctest.h>
+#include <malloc.h>
 #include <sys/resource.h>
 
 #include <algorithm>
@@ -172,6 +173,75 @@
   CHECK(more.received.back().status == 503);
 }
 
+namespace {
+
+/// A request with a body of 64 KiB, the longest that is buffered whole.
+std::string long_request_text(int number) {
+  const std::string body(http::max_buffered_body_bytes, 'x');
+  return "POST /read HTTP/1.1\r\nX-Call-Id: h" + std::to_string(number) +
+         "\r\nX-Call-Class: read\r\nX-Budget: 2000m\r\nContent-Length: " + std::to_string(body.size()) +
+         "\r\n\r\n" + body;
+}
+
+std::size_t allocated_bytes() {
+  const auto usage = ::mallinfo2();
+  return usage.uordblks + usage.hblkhd;
+}
+
+}  // namespace
+
+// Guards against a kill for memory: clients that stop in the middle of a request and stay.
+TEST_CASE("a crowd of partial requests neither exceeds the memory limit nor displaces complete requests") {
+  constexpr int crowd = 40;
+  constexpr std::size_t limit = 1 << 20;
+  constexpr std::size_t missing_bytes = 500;
+  SidecarHarness sidecar(RetrySafety::idempotent, 120, {5000, 60}, limit);
+  FakeServer endpoint(sidecar.loop, std::vector<std::string>(crowd + 1, served_response));
+  sidecar.update_endpoints(address_text(endpoint.address));
+  TestConnection& usual = sidecar.connect_client();
+  std::vector<TestConnection*> clients;
+  const std::size_t allocated_before = allocated_bytes();
+  for (int i = 0; i < crowd; ++i) {
+    clients.push_back(&sidecar.connect_client());
+    const std::string text = long_request_text(i);
+    clients.back()->send(text.substr(0, text.size() - missing_bytes));
+    run_for(sidecar.loop, 2);
+    CHECK(sidecar.status_of_request(usual, rpc_request_text()) == 200);
+  }
+  CHECK(allocated_bytes() < allocated_before + 2 * limit);  // also while rejected clients stay
+  const auto rejected = std::count_if(clients.begin(), clients.end(), [](const TestConnection* client) {
+    return client->received.size() == 1 && client->received[0].status == 503;
+  });
+  // Half of the limit holds at most eight requests of 64 KiB.
+  CHECK(rejected >= crowd - 8);
+  CHECK(rejected < crowd);
+  // The last one is the last to be rejected, so it can be completed.
+  const std::string last_bytes(missing_bytes, 'x');
+  CHECK(sidecar.status_of_request(*clients.back(), last_bytes) == 200);
+  // The rest of a rejected request is discarded.
+  const std::size_t forwarded = endpoint.request_targets.size();
+  clients.front()->send(last_bytes);
+  run_for(sidecar.loop, 10);
+  CHECK(endpoint.request_targets.size() == forwarded);
+  CHECK(clients.front()->received.size() == 1);
+}
+
+TEST_CASE("the memory of a response is released once it is written, though its client stays") {
+  constexpr int clients = 20;
+  const std::string body(http::max_buffered_body_bytes, 'x');
+  SidecarHarness sidecar(RetrySafety::idempotent, 100);
+  FakeServer endpoint(sidecar.loop, std::vector<std::string>(clients + 1, response_text(200, body)));
+  sidecar.update_endpoints(address_text(endpoint.address));
+  // Clients keep what they received, so its size is measured first.
+  CHECK(sidecar.status_of_request(sidecar.connect_client(), rpc_request_text("read", 2000)) == 200);
+  const std::size_t kept_by_client = sidecar.connections.back()->received.back().bytes.capacity() +
+                                     sidecar.connections.back()->parser.buffer_capacity();
+  const std::size_t allocated_before = allocated_bytes();
+  for (int i = 0; i < clients; ++i)
+    CHECK(sidecar.status_of_request(sidecar.connect_client(), rpc_request_text("read", 2000)) == 200);
+  CHECK(allocated_bytes() < allocated_before + clients * (kept_by_client + body.size() / 4));
+}
+
 TEST_CASE("beyond the memory limit RPCs are rejected and nothing is forwarded") {
   SidecarHarness sidecar(RetrySafety::idempotent, 100, {5000, 60}, 1);
   FakeServer endpoint(sidecar.loop, {served_response});
