A long request whose endpoint takes no more of it fails after the RPC's budget

Cause: while a long request is passed on only a pause of 5 s ends it; if the endpoint takes no more, reading stops and the last byte waits in a kernel's buffer, so nobody sees that the budget runs. Evidence: with lines about what is unread, 0.1 to 0.4 MB of 1.7 to 8.4 MB still to come when the client had written all, so the kernel can't tell either. Change: while the endpoint takes nothing, it has the RPC's budget from the last bytes that it took. Why it holds: for any budget, size and framing the last byte can't have come long before the endpoint stopped to take what came.

--- a/src/proxy/request_dispatcher.cpp
+++ b/src/proxy/request_dispatcher.cpp
@@ -295,6 +295,7 @@
   exchange.is_head_request = is_head_request(request);
   exchange.request_digest = digest_of_request(request, decision.rpc_id);
   exchange.has_more_body = request.is_partial;
+  exchange.max_upload_stall_ms = rpcs_.at(decision.rpc_id).budget_ms;
   exchange.must_be_sent_by_ms = decision.send_deadline_ms;
   return exchange;
 }
--- a/src/proxy/upstream_connection.cpp
+++ b/src/proxy/upstream_connection.cpp
@@ -14,6 +14,7 @@
   streaming_response = false;
   reading_paused = false;
   has_more_body = exchange.has_more_body;
+  is_upload_started = false;
   if (exchange.is_head_request) parser.expect_no_body();
   parser.allow_streaming(static_cast<bool>(exchange.on_response_started));
   retirement_timer.cancel();
--- a/src/proxy/upstream_connection.h
+++ b/src/proxy/upstream_connection.h
@@ -40,6 +40,7 @@
   bool streaming_response = false;
   bool reading_paused = false;     ///< until more of a long response is wanted
   bool has_more_body = false;      ///< more of a long request is to follow
+  bool is_upload_started = false;  ///< the endpoint took the first part of a long request
   bool dropped_duplicate = false;  ///< a response to an earlier request was dropped
 
   EventLoop::Timer timeout_timer;
--- a/src/proxy/upstream_exchange.h
+++ b/src/proxy/upstream_exchange.h
@@ -44,6 +44,8 @@
   bool is_head_request = false;
   std::optional<RequestDigest> request_digest = {};  ///< empty for a health check
   bool has_more_body = false;                        ///< the request is only the first part of a long one
+  /// A long request fails if the endpoint takes none of its bytes for this time.
+  double max_upload_stall_ms = 1e18;
   /// If the request's last byte has not been written by then, the exchange ends as withdrawn.
   double must_be_sent_by_ms = 1e18;
 };
--- a/src/proxy/upstream_pool.cpp
+++ b/src/proxy/upstream_pool.cpp
@@ -238,8 +238,13 @@
   }
   if (connection.stage == Stage::connecting && !finish_connect(connection, events)) return;
   if (connection.stage == Stage::writing_request) {
+    const std::size_t written_before = connection.output.written_bytes();
     if (!connection.socket->write(connection.output)) return fail_exchange(connection, AttemptOutcome::reset);
-    if (connection.output.is_complete()) on_output_written(connection);
+    if (connection.output.is_complete())
+      on_output_written(connection);
+    else if (connection.is_upload_started && connection.has_more_body &&
+             connection.output.written_bytes() > written_before)
+      set_progress_timeout(connection);
     if (!connections_.count(id)) return;  // on_ready_for_body() may have abandoned the exchange
   }
   if (!connection.reading_paused) read_response(connection);
@@ -285,6 +290,7 @@
 // Everything passed so far is written: next is the response, or more of the request.
 void UpstreamPool::on_output_written(Connection& connection) {
   if (connection.has_more_body) {
+    connection.is_upload_started = true;
     set_progress_timeout(connection);
     return connection.exchange.on_ready_for_body();
   }
@@ -303,13 +309,12 @@
     // The endpoint begins with the last byte: a slow upload of the client must not look like a slow endpoint.
     connection.started_at_ms = event_loop_.now();
     set_exchange_timeout(connection, timeout_ms);
-  } else {
-    set_progress_timeout(connection);
   }
   if (!connection.socket->write(connection.output)) {
     schedule_failure(connection, event_loop_.now());
     return false;
   }
+  if (!last) set_progress_timeout(connection);
   if (!connection.output.is_complete()) return false;
   if (last) on_output_written(connection);
   return !last;
@@ -446,10 +451,15 @@
   });
 }
 
-// A transfer may take long while it makes progress; one that stalls is ended.
+// A transfer may take long while it makes progress; one that stalls is ended. While the endpoint takes no
+// more of a request, its last byte may wait in a buffer of the kernel, where nobody sees it, and the budget
+// runs.
 void UpstreamPool::set_progress_timeout(Connection& connection) {
   constexpr double longest_pause_ms = 5000;  // well-behaved peers pause for less than 2 s
-  set_exchange_timeout(connection, longest_pause_ms);
+  const bool is_endpoint_stalling = !connection.output.is_complete();
+  set_exchange_timeout(connection, is_endpoint_stalling
+                                       ? std::min(longest_pause_ms, connection.exchange.max_upload_stall_ms)
+                                       : longest_pause_ms);
 }
 
 void UpstreamPool::schedule_failure(Connection& connection, double when_ms) {
--- a/tests/pipe_test.cpp
+++ b/tests/pipe_test.cpp
@@ -262,6 +262,64 @@
   }
 }
 
+// Guards against a late final answer: the endpoint vanishes in the middle of a long request, whose last bytes
+// then wait in the kernel's buffers.
+TEST_CASE("a long request whose endpoint takes no more of it gets its final answer within its budget") {
+  constexpr double budget_ms = 300;     // of request_head()
+  constexpr double allowance_ms = 500;  // a late final answer only earns nothing until then
+  for (const bool chunked : {false, true})
+    for (const std::size_t size : {std::size_t{4} << 20, std::size_t{12} << 20}) {
+      CAPTURE(chunked);
+      CAPTURE(size);
+      LongMessageFixture proxy;
+      const auto client = proxy.connect_client();
+      const std::string body = patterned_bytes(size);
+      const std::string framing =
+          chunked ? "Transfer-Encoding: chunked\r\n" : "Content-Length: " + std::to_string(size) + "\r\n";
+      const auto framed = [&](std::size_t offset, std::size_t count, bool last) {
+        return encode_body_chunk(std::string_view(body).substr(offset, count), chunked, last);
+      };
+      constexpr std::size_t first_part = 200000;
+      client->send(request_head("POST", framing) + framed(0, first_part, false));
+      REQUIRE(run_until(proxy.event_loop, [&] {
+        return !proxy.upstream_connections.empty() &&
+               proxy.upstream_connections[0]->received.size() > first_part;
+      }));
+      proxy.upstream_connections[0]->reading = false;
+      client->send(framed(first_part, std::string::npos, true));
+      const double sent_at_ms = proxy.event_loop.now();
+      REQUIRE(run_until(proxy.event_loop, [&] { return !client->received.empty(); }));
+      CHECK(proxy.event_loop.now() - sent_at_ms < budget_ms + allowance_ms);
+      CHECK(proxy.counts.rpcs_ok == 0);
+      CHECK(proxy.dispatcher.in_flight() == 0);
+    }
+}
+
+TEST_CASE("a long request that its endpoint takes in bits is not given up") {
+  LongMessageFixture proxy;
+  const auto client = proxy.connect_client();
+  const std::string body = patterned_bytes(long_body_size * 4);
+  client->send(request_head("POST", "Content-Length: " + std::to_string(body.size()) + "\r\n"));
+  client->send(body.substr(0, 200000));
+  REQUIRE(run_until(proxy.event_loop, [&] { return !proxy.upstream_connections.empty(); }));
+  RawConnection& endpoint = *proxy.upstream_connections[0];
+  std::size_t sent = 200000;
+  for (int pause = 0; pause < 6; ++pause) {  // 1.2 s in all, four times the budget
+    endpoint.reading = false;
+    const std::size_t count = pause < 5 ? body.size() / 6 : body.size() - sent;
+    client->send(body.substr(sent, count));
+    sent += count;
+    run_for(proxy.event_loop, 200);
+    endpoint.reading = true;
+    REQUIRE(run_until(proxy.event_loop, [&] {
+      endpoint.transfer();
+      return endpoint.received.size() >= sent;
+    }));
+  }
+  endpoint.send(response_text(200, "done"));
+  CHECK(run_until(proxy.event_loop, [&] { return client->received.find("done") != std::string::npos; }));
+}
+
 TEST_CASE("the duration of a slow upload is not counted as the endpoint's response time") {
   LongMessageFixture proxy;
   const auto client = proxy.connect_client();
