--- a/tests/endings_upstream_test.cpp
+++ b/tests/endings_upstream_test.cpp
@@ -52,6 +52,7 @@
 
 std::vector<std::string> responses_to_learn_from(bool all_alike) {
   std::vector<std::string> responses;
+  responses.reserve(learning_requests);
   for (int i = 0; i < learning_requests; ++i)
     responses.push_back(response_text(200, all_alike ? "done" : "done " + std::to_string(i)));
   return responses;
