review: case 8 resets what came up as the cut began, and records what is sent

New connections are to never come up in the cut, or to be reset at its end; some could come up in its first milliseconds and pass their request on later.

--- a/review/8/late_retry.cpp
+++ b/review/8/late_retry.cpp
@@ -93,6 +93,7 @@
         sleep_ms(1);
         continue;
       }
+      if (!fillers.empty()) reset_queue();
       for (const int fd : fillers) ::close(fd);
       fillers.clear();
       pollfd request{.fd = listener_, .events = POLLIN, .revents = 0};
@@ -117,6 +118,15 @@
     return fds;
   }
 
+  /// Resets what came up before the queue was full: new connections are "reset when it is back".
+  void reset_queue() const {
+    for (int fd = ::accept4(listener_, nullptr, nullptr, SOCK_CLOEXEC); fd >= 0;
+         fd = ::accept4(listener_, nullptr, nullptr, SOCK_CLOEXEC)) {
+      set_linger_reset(fd);
+      ::close(fd);
+    }
+  }
+
   void serve(int near) const {
     const std::unique_ptr<Connection> far = connect_to(target_port_);
     if (!far) {
@@ -204,6 +214,7 @@
     if (!connection) return;
     const std::string id = name + "-" + std::to_string(i);
     const std::string body = "the hand of " + id;
+    Record::line("client sends " + id);
     connection->send(request_head("POST", "/hand-record", id, deadline_ms,
                                   "Content-Length: " + std::to_string(body.size()) + "\r\n") +
                      body);
