--- a/review/stand-ins-2/stand_ins.h
+++ b/review/stand-ins-2/stand_ins.h
@@ -239,9 +239,9 @@
 
 /// A request of the application, in the form of the protocol page.
 inline std::string rpc_request(const std::string& verb, const std::string& method, const std::string& id,
-                               int budget_ms, const std::string& body = "") {
+                               int budget_ms, const std::string& body = "", const std::string& object = "") {
   const std::string length = verb == "GET" ? "" : "Content-Length: " + std::to_string(body.size()) + "\r\n";
-  return verb + " /" + method + " HTTP/1.1\r\nHost: app.svc\r\nX-Call-Id: " + id +
+  return verb + " /" + method + object + " HTTP/1.1\r\nHost: app.svc\r\nX-Call-Id: " + id +
          "\r\nX-Call-Class: " + method + "\r\nX-Budget: " + std::to_string(budget_ms) + "m\r\n" + length +
          "\r\n" + body;
 }
