--- a/review/7/late_long_copy.cpp
+++ b/review/7/late_long_copy.cpp
@@ -40,6 +40,7 @@
 
 std::atomic<int> foreign{0};
 std::atomic<int> copies{0};
+std::atomic<int> whole{0};  // answers 200 that came whole
 
 // Long answers are of different sizes.
 std::string body_for(const std::string& id, bool is_long) {
@@ -150,6 +151,7 @@
   const bool is_foreign = answer.status() == 200 && answer.body != body_for(id, is_long);
   record("client has " + std::to_string(answer.status()) + " for " + id + ": " + answer.body.substr(0, 24) +
          " (" + std::to_string(answer.body.size()) + " bytes)" + (is_foreign ? "  FOREIGN" : ""));
+  if (answer.status() == 200) ++whole;
   if (is_foreign) ++foreign;
 }
 
@@ -180,6 +182,7 @@
   record(std::to_string(number) + " calls, " + std::to_string(copies) + " second copies, " +
          std::to_string(foreign) + " foreign answers");
   if (foreign > 0) return 1;
+  if (whole < number / 2) return 2;                 // the sidecar served too little for a verdict
   return review::trouble() && copies == 0 ? 2 : 0;  // 2: the disruption did not come
 }
 
