Late duplicates: an upstream connection carries no request until idle for 25 ms

Cause: HTTP/1.1 responses don't name their request, and the pool judged by content whether a response was a duplicate. What the detector didn't know was forwarded, what sound endpoints sent twice was dropped. The regression test found a second cause: an endpoint that coalesces small writes holds its duplicate back until the response is acknowledged, and this side acknowledged it with the next request.

Change: one rule without a look at content. A connection carries no request until it has been idle for 25 ms, and what made it idle is acknowledged at once. The connection idle for longest is used first; those not needed for three quarters of the idle timeout are closed, but one; the load balancer is told of reusable ones only. The detector, the digests and their thresholds are gone; IdleConnections is a module without I/O and clock. It rests on the bound of lateness and this process's monotonic clock, compared at the reuse, on no fired timer.

The upgrade test's processes close what they inherit from the test: its ends of connections were counted as the sidecar's descriptors.

--- a/src/event/tcp_stream.cpp
+++ b/src/event/tcp_stream.cpp
@@ -1,6 +1,8 @@
 #include "event/tcp_stream.h"
 
 #include <linux/sockios.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <poll.h>
 #include <sys/ioctl.h>
 #include <sys/socket.h>
@@ -134,6 +136,11 @@
   ::setsockopt(fd_.get(), SOL_SOCKET, SO_LINGER, &at_once, sizeof at_once);
 }
 
+void TcpStream::acknowledge_now() {
+  const int enabled = 1;
+  ::setsockopt(fd_.get(), IPPROTO_TCP, TCP_QUICKACK, &enabled, sizeof enabled);
+}
+
 std::size_t TcpStream::unacknowledged_bytes() const {
   int count = 0;
   return ::ioctl(fd_.get(), SIOCOUTQ, &count) < 0 || count < 0 ? 0 : static_cast<std::size_t>(count);
--- a/src/event/tcp_stream.h
+++ b/src/event/tcp_stream.h
@@ -56,6 +56,10 @@
   /// Makes the close send a reset instead of a FIN.
   void reset_on_close();
 
+  /// Acknowledges received data at once. A peer that coalesces small writes (RFC 896) otherwise holds back
+  /// its next one for up to 40 ms, or until something is written here.
+  void acknowledge_now();
+
   /// Bytes written that the peer's kernel has not acknowledged yet.
   std::size_t unacknowledged_bytes() const;
 
--- a/src/load/load_report.cpp
+++ b/src/load/load_report.cpp
@@ -7,7 +7,7 @@
 namespace indigorill::load_generator {
 namespace {
 
-constexpr int name_width = 18;
+constexpr int name_width = 22;
 constexpr int precision = 4;
 constexpr double tail_quantile = 0.999;
 constexpr std::size_t max_bar_length = 60;
@@ -52,6 +52,8 @@
   out << metrics.requests << " RPCs wanted, " << metrics.sent << " sent with retries\n";
   print_line(out, "utility", metrics.utility());
   print_latency(out, metrics);
+  print_line(out, "first_attempt_mean_ms", result.first_attempt_delay.mean());
+  print_line(out, "first_attempt_p99_ms", result.first_attempt_delay.quantile(0.99));
   print_share(out, "ok", metrics.ok, metrics);
   print_share(out, "late", metrics.late, metrics);
   print_share(out, "pushed_back", metrics.rejected, metrics);
--- a/src/load/load_run.h
+++ b/src/load/load_run.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "emulator/latency_histogram.h"
 #include "emulator/scenario.h"
 #include "load/load_clients.h"
 
@@ -22,6 +23,8 @@
 
 struct LoadRunResult {
   ClientMetrics client_metrics;
+  /// From the client's send to the arrival of the first attempt at an endpoint, a connect included.
+  emulator::LatencyHistogram first_attempt_delay;
   std::uint64_t attempts_received = 0;
   std::uint64_t attempts_executed = 0;
   std::uint64_t health_checks = 0;
--- a/src/load/scenario_runner.cpp
+++ b/src/load/scenario_runner.cpp
@@ -129,10 +129,21 @@
   return text.str();
 }
 
+emulator::LatencyHistogram first_attempt_delays(const FakeFleet& fleet, const LoadClients& clients) {
+  emulator::LatencyHistogram delays;
+  for (const auto& [id, observation] : fleet.rpcs()) {
+    const auto record = clients.records().find(id);
+    if (record == clients.records().end() || observation.attempts.empty()) continue;
+    delays.add(observation.attempts.front().received_at_ms - record->second.sent_at_ms);
+  }
+  return delays;
+}
+
 LoadRunResult collect_result(const LoadRunConfig& config, const FakeFleet& fleet,
                              const LoadClients& clients) {
   LoadRunResult result;
   result.client_metrics = clients.metrics();
+  result.first_attempt_delay = first_attempt_delays(fleet, clients);
   for (const auto& [id, observation] : fleet.rpcs()) {
     result.attempts_received += static_cast<std::uint64_t>(observation.received);
     result.attempts_executed += static_cast<std::uint64_t>(observation.executed);
--- a/src/proxy/http_server.cpp
+++ b/src/proxy/http_server.cpp
@@ -31,7 +31,10 @@
 // Beyond the connection limit a client is still accepted if a descriptor is available, and its RPC rejected:
 // in the backlog it would wait without a response.
 bool HttpServer::make_room_for_client() {
-  if (connections_.size() < limits_.max_connections && descriptor_budget_.available() > 0) return true;
+  const bool is_below_limit = connections_.size() < limits_.max_connections;
+  // The close of a client's connection may cross its next request; that of an idle one to an endpoint costs
+  // no more than a connect.
+  if (is_below_limit && (descriptor_budget_.available() > 0 || close_idle_upstream_())) return true;
   return close_idle_connection() || descriptor_budget_.available() > 0 || close_idle_upstream_();
 }
 
--- a/src/proxy/request_dispatcher.cpp
+++ b/src/proxy/request_dispatcher.cpp
@@ -13,13 +13,6 @@
   return decode_load_report(result.response, of_probe);
 }
 
-// The body of a long request is not known whole, so each one counts as different.
-RequestDigest digest_of_request(const http::Message& request, std::string_view rpc_id) {
-  const std::hash<std::string_view> hash;
-  return {.target = hash(request.slice(request.target)),
-          .body = hash(request.is_partial ? rpc_id : request.body())};
-}
-
 // This process doesn't exchange load gossip, so the load balancer must not make any.
 LoadBalancerConfig without_gossip(LoadBalancerConfig config, Logger& logger) {
   if (std::exchange(config.gossip_enabled, false))
@@ -293,7 +286,6 @@
     return encode_attempt(rpcs_.at(rpc_id).request, remaining_ms);
   };
   exchange.is_head_request = is_head_request(request);
-  exchange.request_digest = digest_of_request(request, decision.rpc_id);
   exchange.has_more_body = request.is_partial;
   exchange.max_upload_stall_ms = rpcs_.at(decision.rpc_id).budget_ms;
   exchange.must_be_sent_by_ms = decision.send_deadline_ms;
--- a/src/proxy/sidecar.cpp
+++ b/src/proxy/sidecar.cpp
@@ -120,8 +120,9 @@
 void Sidecar::reduce_to_limits() {
   descriptor_budget_.limit = descriptor_limit();
   http_server_.set_limits(http_server_limits());
+  // Connections to endpoints first: the close of a client's connection may cross its next request.
   while (descriptor_budget_.open_count > descriptor_budget_.limit)
-    if (!http_server_.close_idle_connection() && !upstream_pool_.close_idle_connection()) return;
+    if (!upstream_pool_.close_idle_connection() && !http_server_.close_idle_connection()) return;
 }
 
 void Sidecar::open_listeners() {
--- a/src/proxy/upstream_connection.cpp
+++ b/src/proxy/upstream_connection.cpp
@@ -17,7 +17,14 @@
   is_upload_started = false;
   if (exchange.is_head_request) parser.expect_no_body();
   parser.allow_streaming(static_cast<bool>(exchange.on_response_started));
+  reusable_timer.cancel();
   retirement_timer.cancel();
 }
 
+void UpstreamConnection::release_buffers() {
+  output = {};
+  // An assignment alone would keep the allocated buffer.
+  std::exchange(parser, http::HttpParser(http::HttpParser::MessageKind::response));
+}
+
 }  // namespace indigorill
--- a/src/proxy/upstream_connection.h
+++ b/src/proxy/upstream_connection.h
@@ -4,13 +4,11 @@
 
 #include <cstdint>
 #include <memory>
-#include <optional>
 #include <string>
 
 #include "event/event_loop.h"
 #include "event/tcp_stream.h"
 #include "http/http_parser.h"
-#include "proxy/duplicate_response_detector.h"
 #include "proxy/upstream_exchange.h"
 
 namespace indigorill {
@@ -27,10 +25,6 @@
   WriteBuffer output;
   Exchange exchange;
 
-  // The exchange before the current one, or the last one while the connection is idle.
-  std::optional<RequestDigest> last_request_digest;  ///< empty for a health check
-  std::optional<DuplicateResponseDetector::Digest> last_response_digest;
-
   // Times are in ms on the event loop's clock.
   double started_at_ms = 0;           ///< when the exchange, or the last piece of a long request, started
   double response_started_at_ms = 0;  ///< start of a long response; 0 if there is none
@@ -41,10 +35,10 @@
   bool reading_paused = false;     ///< until more of a long response is wanted
   bool has_more_body = false;      ///< more of a long request is to follow
   bool is_upload_started = false;  ///< the endpoint took the first part of a long request
-  bool dropped_duplicate = false;  ///< a response to an earlier request was dropped
 
   EventLoop::Timer timeout_timer;
   EventLoop::Timer connect_timer;
+  EventLoop::Timer reusable_timer;
   EventLoop::Timer retirement_timer;
   EventLoop::Timer send_deadline_timer;
 
@@ -53,6 +47,8 @@
 
   /// Starts a new exchange, without writing anything yet.
   void begin(ExchangeId exchange_id, Exchange new_exchange, WriteBuffer request, double now_ms);
+  /// Frees what an idle connection doesn't need.
+  void release_buffers();
 };
 
 }  // namespace indigorill
--- a/src/proxy/upstream_exchange.h
+++ b/src/proxy/upstream_exchange.h
@@ -4,7 +4,6 @@
 
 #include <cstdint>
 #include <functional>
-#include <optional>
 #include <string_view>
 
 #include "event/write_buffer.h"
@@ -21,13 +20,6 @@
   http::Message response;  ///< empty if there is none
 };
 
-/// Tells requests apart without keeping them.
-struct RequestDigest {
-  std::size_t target = 0;
-  std::size_t body = 0;
-  bool operator==(const RequestDigest&) const = default;
-};
-
 /// Callbacks and parameters of one exchange. Long messages are transferred in pieces; the callbacks for them
 /// are called for long messages only and may be omitted otherwise.
 struct Exchange {
@@ -42,8 +34,7 @@
   /// Builds the request to write when a new connection is established, for the time that remains then.
   std::function<WriteBuffer(double remaining_ms)> rebuild_request = nullptr;
   bool is_head_request = false;
-  std::optional<RequestDigest> request_digest = {};  ///< empty for a health check
-  bool has_more_body = false;                        ///< the request is only the first part of a long one
+  bool has_more_body = false;  ///< the request is only the first part of a long one
   /// A long request fails if the endpoint takes none of its bytes for this time.
   double max_upload_stall_ms = 1e18;
   /// If the request's last byte has not been written by then, the exchange ends as withdrawn.
--- a/src/proxy/upstream_pool.cpp
+++ b/src/proxy/upstream_pool.cpp
@@ -17,10 +17,6 @@
   return a.sin_addr.s_addr == b.sin_addr.s_addr && a.sin_port == b.sin_port;
 }
 
-bool is_same_target(const std::optional<RequestDigest>& a, const std::optional<RequestDigest>& b) {
-  return a && b ? a->target == b->target : !a && !b;
-}
-
 }  // namespace
 
 UpstreamPool::UpstreamPool(EventLoop& event_loop, FileDescriptorBudget& descriptor_budget, Counters& counters,
@@ -41,7 +37,7 @@
     logger_.warning() << "endpoint list has an invalid address: " << address;
     return remove_endpoint(endpoint_id);
   }
-  EndpointEntry& entry = endpoints_[endpoint_id];
+  EndpointEntry& entry = endpoints_.try_emplace(endpoint_id, max_idle_ms()).first->second;
   // A start time of 0, for long ago, is no new start: an old start is listed that way after some time.
   if (entry.process_generation == 0 || !is_same_address(entry.address, *parsed) ||
       started_at_ms > entry.started_at_ms) {
@@ -93,7 +89,7 @@
   const auto it = endpoints_.find(endpoint_id);
   EndpointEntry* const entry = it != endpoints_.end() ? &it->second : nullptr;
   const ExchangeId id = ++last_exchange_id_;
-  Connection& connection = take_connection(entry, id, exchange);
+  Connection& connection = take_connection(entry, id);
   connection.endpoint_id = endpoint_id;
   connection.process_generation = entry ? entry->process_generation : 0;
   connection.begin(id, std::move(exchange), std::move(request), event_loop_.now());
@@ -110,9 +106,8 @@
 }
 
 // An idle connection to the endpoint, or a new one that is not open yet.
-UpstreamConnection& UpstreamPool::take_connection(EndpointEntry* entry, ExchangeId id,
-                                                  const Exchange& exchange) {
-  const Connection* idle = entry ? find_reusable_connection(*entry, exchange) : nullptr;
+UpstreamConnection& UpstreamPool::take_connection(EndpointEntry* entry, ExchangeId id) {
+  const Connection* idle = entry ? find_reusable_connection(*entry) : nullptr;
   if (!idle) return *connections_.emplace(id, std::make_unique<Connection>()).first->second;
   remove_from_idle(*idle);
   auto node = connections_.extract(idle->id);
@@ -121,70 +116,69 @@
   return *connections_.insert(std::move(node)).position->second;
 }
 
-UpstreamConnection* UpstreamPool::find_reusable_connection(EndpointEntry& entry, const Exchange& exchange) {
-  const std::vector<ExchangeId>& idle = entry.idle_connections;
-  for (std::size_t i = idle.size(); i-- > 0;) {  // the last used first: it may stay open for longest
-    Connection& connection = *connections_.at(idle[i]);
-    if (may_reuse_now(connection, exchange) && is_reusable(connection)) return &connection;
+UpstreamConnection* UpstreamPool::find_reusable_connection(EndpointEntry& entry) {
+  const double now_ms = event_loop_.now();
+  for (std::size_t surplus = entry.idle_connections.on_connection_needed(now_ms); surplus > 0; --surplus)
+    retire_connection(entry.idle_connections.oldest());
+  while (const auto id = entry.idle_connections.find_reusable(now_ms)) {
+    Connection& connection = *connections_.at(*id);
+    if (is_reusable(connection)) return &connection;
   }
   return nullptr;
 }
 
-// Some endpoints respond twice, the second time some milliseconds late. On a connection that is reused at
-// once, the second response must not be taken for the response to the next request: either it can be
-// recognized, or the connection stays idle until it has arrived, unexpected, and closes the connection.
-bool UpstreamPool::may_reuse_now(const Connection& connection, const Exchange& exchange) const {
-  constexpr double max_duplicate_delay_ms = 25;
-  constexpr double extra_remembered_ms = 60000;
-  if (event_loop_.now() >= connection.idle_since_ms + max_duplicate_delay_ms) return true;
-  const bool may_be_recognized = !exchange.is_head_request && connection.last_response_digest &&
-                                 exchange.request_digest != connection.last_request_digest;
-  if (may_be_recognized && duplicate_detector_.is_distinctive(*connection.last_response_digest)) return true;
-  // Responses to requests for the same target are equal as a rule, so there the content says little.
-  return is_same_target(exchange.request_digest, connection.last_request_digest) &&
-         event_loop_.now() >= last_extra_response_at_ms_ + extra_remembered_ms;
-}
-
 // A request on a connection that the endpoint has closed ends in a reset, after which a request that must not
 // run twice is lost. So the socket is checked here: the event of the close may not be dispatched yet. Closes
 // a connection that is not reusable.
 bool UpstreamPool::is_reusable(Connection& connection) {
   if (!connection.socket->is_stale()) return true;
-  if (connection.socket->has_unread_input()) last_extra_response_at_ms_ = event_loop_.now();
   close_connection(connection.id);
   return false;
 }
 
 void UpstreamPool::keep_idle(Connection& connection) {
-  // The connection is retired well before the endpoint closes it, because a request that crosses the close
-  // ends in a reset. A part of 0.9 leaves too little time if a process waits for a CPU core.
-  constexpr double used_part_of_idle_timeout = 0.75;
   const ExchangeId id = connection.id;
   connection.stage = Stage::idle;
-  connection.output = {};
+  connection.release_buffers();
+  connection.socket->acknowledge_now();  // a duplicate must arrive before the connection is reusable
   connection.timeout_timer.cancel();
   connection.send_deadline_timer.cancel();
   connection.idle_since_ms = event_loop_.now();
-  connection.retirement_timer = event_loop_.schedule_at(
-      connection.idle_since_ms + used_part_of_idle_timeout * config_.idle_timeout_ms, [this, id] {
-        ++counters_.connections_retired;
-        close_connection(id);
-      });
-  std::vector<ExchangeId>& idle = endpoints_.at(connection.endpoint_id).idle_connections;
-  idle.push_back(id);
-  on_idle_count_changed_(connection.endpoint_id, idle.size());
+  connection.retirement_timer = event_loop_.schedule_at(connection.idle_since_ms + max_idle_ms(),
+                                                        [this, id] { retire_connection(id); });
+  connection.reusable_timer =
+      event_loop_.schedule_at(connection.idle_since_ms + IdleConnections::min_idle_ms,
+                              [this, id] { report_idle_count(connections_.at(id)->endpoint_id); });
+  endpoints_.at(connection.endpoint_id).idle_connections.add(id, connection.idle_since_ms);
   idle_by_last_use_.insert({connection.idle_since_ms, id});
 }
 
+// A connection is retired well before the endpoint closes it, because a request that crosses the close ends
+// in a reset. A part of 0.9 leaves too little time if a process waits for a CPU core.
+double UpstreamPool::max_idle_ms() const {
+  constexpr double used_part_of_idle_timeout = 0.75;
+  return used_part_of_idle_timeout * config_.idle_timeout_ms;
+}
+
+void UpstreamPool::retire_connection(ExchangeId id) {
+  ++counters_.connections_retired;
+  close_connection(id);
+}
+
 void UpstreamPool::remove_from_idle(const Connection& connection) {
-  std::vector<ExchangeId>& idle = endpoints_.at(connection.endpoint_id).idle_connections;
-  std::erase(idle, connection.id);
-  on_idle_count_changed_(connection.endpoint_id, idle.size());
+  endpoints_.at(connection.endpoint_id).idle_connections.remove(connection.id);
   idle_by_last_use_.erase({connection.idle_since_ms, connection.id});
+  report_idle_count(connection.endpoint_id);
+}
+
+void UpstreamPool::report_idle_count(const std::string& endpoint_id) {
+  EndpointEntry& entry = endpoints_.at(endpoint_id);
+  const std::size_t count = entry.idle_connections.reusable_count(event_loop_.now());
+  if (count != std::exchange(entry.reported_idle_count, count)) on_idle_count_changed_(endpoint_id, count);
 }
 
 void UpstreamPool::close_idle_connections_to(EndpointEntry& entry) {
-  while (!entry.idle_connections.empty()) close_connection(entry.idle_connections.back());
+  while (!entry.idle_connections.empty()) close_connection(entry.idle_connections.oldest());
 }
 
 // Without an address the exchange ends like one whose connect failed.
@@ -232,10 +226,8 @@
 
 void UpstreamPool::on_socket_event(ExchangeId id, std::uint32_t events) {
   Connection& connection = *connections_.at(id);
-  if (connection.stage == Stage::idle) {
-    if (connection.socket->has_unread_input()) last_extra_response_at_ms_ = event_loop_.now();
+  if (connection.stage == Stage::idle)
     return close_connection(id);  // the endpoint closed it or sent unexpected data
-  }
   if (connection.stage == Stage::connecting && !finish_connect(connection, events)) return;
   if (connection.stage == Stage::writing_request) {
     const std::size_t written_before = connection.output.written_bytes();
@@ -354,8 +346,10 @@
     if (stream_ended) fail_exchange(connection, AttemptOutcome::reset);
     return !stream_ended;
   }
-  while (connection.parser.state() == ParseState::complete)
-    if (finish_response(connection, stream_ended)) return false;
+  if (connection.parser.state() == ParseState::complete) {
+    finish_response(connection, stream_ended);
+    return false;
+  }
   const bool is_malformed = connection.parser.state() == ParseState::error;
   if (stream_ended)
     fail_exchange(connection, AttemptOutcome::reset);
@@ -407,41 +401,14 @@
   }
 }
 
-// Returns false if the response was a duplicate of the previous one, which is dropped: the exchange's own
-// response is still to come.
-bool UpstreamPool::finish_response(Connection& connection, bool stream_ended) {
+void UpstreamPool::finish_response(Connection& connection, bool stream_ended) {
   http::Message response = connection.parser.take_message();
-  const auto digest = DuplicateResponseDetector::digest_of(response);
-  const bool is_rpc = connection.exchange.request_digest.has_value();
-  const bool is_duplicate = digest && is_duplicate_response(connection, *digest);
-  if (digest && is_rpc) duplicate_detector_.add(*digest);
-  if (is_duplicate) {
-    logger_.debug() << "endpoint " << connection.endpoint_id << " repeated its last response; dropped";
-    last_extra_response_at_ms_ = event_loop_.now();
-    connection.dropped_duplicate = true;
-    return false;
-  }
-  const bool has_extra_input = connection.parser.has_partial_input();
-  if (has_extra_input) last_extra_response_at_ms_ = event_loop_.now();
   // With extra input behind the response, or an unreadable load report, this response is valid, but the next
   // one on the connection might not be.
   const bool may_reuse = !stream_ended && response.keep_alive &&
-                         connection.stage == Stage::awaiting_response && !has_extra_input &&
-                         !connection.dropped_duplicate && has_valid_load_report(response);
-  connection.last_response_digest = connection.exchange.is_head_request ? std::nullopt : digest;
+                         connection.stage == Stage::awaiting_response &&
+                         !connection.parser.has_partial_input() && has_valid_load_report(response);
   complete_exchange(connection, AttemptOutcome::ok, std::move(response), may_reuse);
-  return true;
-}
-
-// Whether the response with this digest is the previous one on the connection once more.
-bool UpstreamPool::is_duplicate_response(const Connection& connection,
-                                         DuplicateResponseDetector::Digest digest) const {
-  // Longer than a connection rests, because the process may be held up for 150 ms before it reads.
-  constexpr double max_age_ms = 250;
-  return !connection.exchange.is_head_request && connection.last_response_digest == digest &&
-         connection.exchange.request_digest != connection.last_request_digest &&
-         event_loop_.now() < connection.idle_since_ms + max_age_ms &&
-         duplicate_detector_.is_distinctive(digest);
 }
 
 void UpstreamPool::set_exchange_timeout(Connection& connection, double timeout_ms) {
@@ -483,7 +450,6 @@
       connection.response_started_at_ms > 0 ? connection.response_started_at_ms : event_loop_.now();
   const double duration_ms = ended_at_ms - connection.started_at_ms;
   const auto on_complete = std::move(connection.exchange.on_complete);
-  connection.last_request_digest = connection.exchange.request_digest;
   connection.exchange = {};
   // If the endpoint was removed, moved or restarted meanwhile, the connection must not be reused for its id,
   // or for the next endpoint at its address.
--- a/src/proxy/upstream_pool.h
+++ b/src/proxy/upstream_pool.h
@@ -20,7 +20,7 @@
 #include "logging/logger.h"
 #include "metrics/counters.h"
 #include "proxy/connect_timeout_estimator.h"
-#include "proxy/duplicate_response_detector.h"
+#include "proxy/idle_connections.h"
 #include "proxy/upstream_connection.h"
 #include "proxy/upstream_exchange.h"
 
@@ -73,7 +73,8 @@
   /// Closes the connection that has been idle for longest; false if there is none.
   bool close_idle_connection();
 
-  /// Sets the handler that is called with the number of idle connections to an endpoint when it changes.
+  /// Sets the handler that is called with the number of reusable idle connections to an endpoint when it
+  /// changes.
   void on_idle_count_changed(IdleCountHandler handler) { on_idle_count_changed_ = std::move(handler); }
 
  private:
@@ -82,23 +83,27 @@
 
   struct EndpointEntry {
     sockaddr_in address{};
-    std::vector<ExchangeId> idle_connections;  // the last used one is at the end
-    std::uint64_t process_generation = 0;      // a new number for each process listed there
+    IdleConnections idle_connections;
+    std::size_t reported_idle_count = 0;
+    std::uint64_t process_generation = 0;  // a new number for each process listed there
     double started_at_ms = 0;
     bool ejected_manually = false;
     bool is_ready = true;
+    explicit EndpointEntry(double max_idle_ms) : idle_connections(max_idle_ms) {}
     bool accepts_generation(std::uint64_t generation) const {
       return is_ready && !ejected_manually && process_generation == generation;
     }
   };
 
   // Idle connections.
-  Connection& take_connection(EndpointEntry* entry, ExchangeId id, const Exchange& exchange);
-  Connection* find_reusable_connection(EndpointEntry& entry, const Exchange& exchange);
-  bool may_reuse_now(const Connection& connection, const Exchange& exchange) const;
+  Connection& take_connection(EndpointEntry* entry, ExchangeId id);
+  Connection* find_reusable_connection(EndpointEntry& entry);
   bool is_reusable(Connection& connection);
   void keep_idle(Connection& connection);
+  double max_idle_ms() const;
+  void retire_connection(ExchangeId id);
   void remove_from_idle(const Connection& connection);
+  void report_idle_count(const std::string& endpoint_id);
   void close_idle_connections_to(EndpointEntry& entry);
 
   // Connecting and writing.
@@ -114,8 +119,7 @@
   bool process_response(Connection& connection, bool stream_ended);
   void start_streaming_response(Connection& connection, bool stream_ended);
   bool forward_response_body(Connection& connection, AttemptOutcome outcome_if_broken);
-  bool finish_response(Connection& connection, bool stream_ended);
-  bool is_duplicate_response(const Connection& connection, DuplicateResponseDetector::Digest digest) const;
+  void finish_response(Connection& connection, bool stream_ended);
 
   // The end of an exchange.
   void set_exchange_timeout(Connection& connection, double timeout_ms);
@@ -138,8 +142,6 @@
   IdleCountHandler on_idle_count_changed_ = [](const std::string&, std::size_t) {};
   ExchangeId last_exchange_id_ = 0;
   std::uint64_t last_process_generation_ = 0;
-  DuplicateResponseDetector duplicate_detector_;
-  double last_extra_response_at_ms_ = -1e18;  // when an endpoint last sent more than its response
   std::unordered_map<std::string, EndpointEntry> endpoints_;
   std::unordered_map<ExchangeId, std::unique_ptr<Connection>> connections_;
   std::set<std::pair<double, ExchangeId>> idle_by_last_use_;
--- a/tests/hot_restart_test.cpp
+++ b/tests/hot_restart_test.cpp
@@ -284,9 +284,18 @@
   }
 
  private:
+  // The ends of connections that the test holds would count as the sidecar's, and would stay open here.
+  static void close_inherited_descriptors(int listener_fd) {
+    const auto first = static_cast<unsigned>(STDERR_FILENO + 1);
+    const auto kept = static_cast<unsigned>(listener_fd);
+    if (kept > first) ::close_range(first, kept - 1, 0);
+    ::close_range(kept + 1, ~0U, 0);
+  }
+
   [[noreturn]] static void run(const std::string& config_path, const std::string& directory,
                                const std::string& listener_fd) {
     ::prctl(PR_SET_PDEATHSIG, SIGKILL);
+    close_inherited_descriptors(std::stoi(listener_fd));
     const std::map<std::string, std::string> environment = {
         {"LB_CONFIG", config_path}, {"TMPDIR", directory}, {"LB_INHERITED_FD", listener_fd}};
     const auto variable = [&](const char* name) {
