Upgrades: an id that is open in one process is refused by the other

Cause: each process asked its own table of open ids alone.

Change: one source for both, the kernel. For each open id a process holds a lock on one byte, a hash of the id, of a file in the directory that the processes share (CallIdLocks, CallIdRegistry). Taking it is one atomic step and does not depend on when the processes learn of each other. The kernel releases a process's locks however it ends: parent killed, child killed before it is ready, both. Where the file can't be used, a process knows its own ids and refuses nobody.

--- a/src/hot_restart/hot_restart.cpp
+++ b/src/hot_restart/hot_restart.cpp
@@ -7,6 +7,7 @@
 namespace {
 
 constexpr const char* endpoint_list_file_name = "list.json";
+constexpr const char* call_id_lock_file_name = "call-ids.lock";
 
 // A change of ejections has to be in force in both processes, and its request answered, within a second, so
 // paired processes poll often. A process that runs alone only checks for a child process, which takes one or
@@ -89,6 +90,15 @@
   ejection_replicator_.change(std::move(apply), std::move(on_done));
 }
 
+std::optional<CallIdLocks> HotRestart::open_call_id_locks() const {
+  if (!directory_) return std::nullopt;
+  FileDescriptor file = directory_->open_lock_file(call_id_lock_file_name);
+  if (file) return CallIdLocks(std::move(file));
+  logger_.warning() << "can't open " << directory_->path() << "/" << call_id_lock_file_name
+                    << ": call ids that are open in the other process of this sidecar are accepted";
+  return std::nullopt;
+}
+
 void HotRestart::write_endpoint_list(const std::string& text) {
   if (directory_ && !directory_->write_file(endpoint_list_file_name, text))
     logger_.warning() << "can't write the endpoint list to " << directory_->path()
--- a/src/hot_restart/hot_restart.h
+++ b/src/hot_restart/hot_restart.h
@@ -9,6 +9,7 @@
 #include <string>
 
 #include "event/event_loop.h"
+#include "hot_restart/call_id_locks.h"
 #include "hot_restart/ejection_replicator.h"
 #include "hot_restart/hot_restart_policy.h"
 #include "hot_restart/shared_directory.h"
@@ -44,6 +45,9 @@
   /// is rolled back.
   void change_ejections(EjectionReplicator::Change apply, EjectionReplicator::ChangeCallback on_done);
 
+  /// Locks that the processes of this sidecar share; empty if this process runs standalone.
+  std::optional<CallIdLocks> open_call_id_locks() const;
+
   /// Writes the endpoint list, encoded by encode_endpoint_list(), for the child process, whose own list may
   /// be as old as its config file.
   void write_endpoint_list(const std::string& text);
--- a/src/hot_restart/shared_directory.cpp
+++ b/src/hot_restart/shared_directory.cpp
@@ -31,10 +31,6 @@
   return "indigorill-" + sidecar_name;
 }
 
-FileDescriptor open_lock_file(const std::string& path) {
-  return FileDescriptor(::open(path.c_str(), O_RDWR | O_CREAT | O_CLOEXEC, owner_only_file));
-}
-
 struct flock whole_file_write_lock() {
   struct flock lock {};
   lock.l_type = F_WRLCK;
@@ -73,8 +69,12 @@
   throw SlotUnavailable("two processes of this sidecar run already");
 }
 
+FileDescriptor SharedDirectory::open_lock_file(const std::string& name) const {
+  return FileDescriptor(::open(file_path(name).c_str(), O_RDWR | O_CREAT | O_CLOEXEC, owner_only_file));
+}
+
 FileDescriptor SharedDirectory::open_slot_lock(int slot) const {
-  FileDescriptor fd = open_lock_file(file_path(lock_file_name(slot)));
+  FileDescriptor fd = open_lock_file(lock_file_name(slot));
   if (!fd) throw std::system_error(errno, std::generic_category(), path_);
   return fd;
 }
@@ -108,7 +108,7 @@
 }
 
 FileDescriptor SharedDirectory::try_lock(const std::string& name) const {
-  FileDescriptor fd = open_lock_file(file_path(name));
+  FileDescriptor fd = open_lock_file(name);
   if (!fd || !lock_file(fd)) return {};
   return fd;
 }
--- a/src/hot_restart/shared_directory.h
+++ b/src/hot_restart/shared_directory.h
@@ -39,6 +39,9 @@
   bool write_file(const std::string& name, const std::string& text) const;
   /// Content of the file; empty if it can't be opened.
   std::optional<std::string> read_file(const std::string& name) const;
+  /// Opens a file that holds no data but locks, and creates it if it is missing. The descriptor is invalid if
+  /// the file can't be opened.
+  FileDescriptor open_lock_file(const std::string& name) const;
   /// Takes the lock of this name without waiting and holds it until the returned descriptor is closed. The
   /// descriptor is invalid if the lock is held elsewhere or its file can't be opened.
   FileDescriptor try_lock(const std::string& name) const;
--- a/src/proxy/http_server.cpp
+++ b/src/proxy/http_server.cpp
@@ -6,6 +6,8 @@
 #include <utility>
 #include <vector>
 
+#include "http/status.h"
+
 namespace indigorill {
 
 using ParseState = http::HttpParser::ParseState;
@@ -233,6 +235,7 @@
   update_buffered_bytes(connection);
   if (connection.over_connection_limit || is_over_memory_limit())
     return reject_for_lack_of_resources(connection);
+  if (!dispatcher_.try_open_call_id(request)) return reject_bad_request(connection, http::status::conflict);
   dispatch_rpc(connection, std::move(request), close_after);
 }
 
@@ -246,7 +249,6 @@
   const RpcRequest rpc = decode_rpc_request(request);
   if (rpc.error_status) return rpc.error_status;
   if (!dispatcher_.is_known_method(rpc.method)) return 404;
-  if (dispatcher_.is_call_id_open(rpc.id)) return 409;
   return 0;
 }
 
--- a/src/proxy/request_dispatcher.cpp
+++ b/src/proxy/request_dispatcher.cpp
@@ -43,6 +43,10 @@
   });
 }
 
+bool RequestDispatcher::try_open_call_id(const http::Message& request) {
+  return call_ids_.try_open(decode_rpc_request(request).id);
+}
+
 std::string RequestDispatcher::dispatch(http::Message request, double received_at_ms,
                                         ResponseHandler handler) {
   // Time to write the response and to transfer it to the client; a timer may be a millisecond late.
@@ -53,7 +57,6 @@
   rpc.handler = std::move(handler);
   const RpcRequest decoded = decode_rpc_request(rpc.request);
   rpc.call_id = decoded.id;
-  open_call_ids_.insert(rpc.call_id);
   // The budget of a long request counts from its last byte, for which send_request_body() sets the deadline
   // again.
   rpc.budget_ms = decoded.budget_ms - response_allowance_ms;
@@ -407,7 +410,7 @@
 void RequestDispatcher::erase_if_concluded(const std::string& rpc_id) {
   const auto it = rpcs_.find(rpc_id);
   if (it == rpcs_.end() || !it->second.concluded || !it->second.has_no_attempt_in_flight()) return;
-  open_call_ids_.erase(it->second.call_id);
+  call_ids_.close(it->second.call_id);
   rpcs_.erase(it);
 }
 
--- a/src/proxy/request_dispatcher.h
+++ b/src/proxy/request_dispatcher.h
@@ -19,6 +19,7 @@
 #include "indigorill/load_balancer.h"
 #include "logging/logger.h"
 #include "metrics/counters.h"
+#include "proxy/call_id_registry.h"
 #include "proxy/upstream_pool.h"
 
 namespace indigorill {
@@ -51,8 +52,11 @@
   RequestDispatcher(EventLoop& event_loop, UpstreamPool& upstream_pool, Counters& counters, Logger& logger,
                     const LoadBalancerConfig& config, std::uint64_t seed);
 
-  /// Whether an RPC with this id, which the client assigned, is in flight.
-  bool is_call_id_open(std::string_view call_id) const { return open_call_ids_.count(call_id) > 0; }
+  /// Other processes of this sidecar then accept no id that is open here, and the reverse.
+  void share_call_ids(CallIdLocks locks) { call_ids_.share(std::move(locks)); }
+  /// To be called before dispatch(). Returns false if an RPC with the id that the client assigned to this one
+  /// is in flight.
+  bool try_open_call_id(const http::Message& request);
   bool is_known_method(std::string_view method) const { return known_methods_.count(method) > 0; }
   /// Retry-After for RPCs that the HTTP server can't dispatch; 0 if clients don't support it.
   double longest_retry_after_ms() const { return longest_retry_after_ms_; }
@@ -156,7 +160,7 @@
   bool endpoint_poll_pending_ = false;
   std::uint64_t last_id_ = 0;
   std::unordered_map<std::string, Rpc> rpcs_;
-  std::set<std::string_view> open_call_ids_;  // views into the requests of rpcs_
+  CallIdRegistry call_ids_;
   std::map<std::uint64_t, EventLoop::Timer> balancer_timers_;
 };
 
--- a/src/proxy/sidecar.cpp
+++ b/src/proxy/sidecar.cpp
@@ -135,6 +135,7 @@
 }
 
 void Sidecar::start_hot_restart() {
+  if (auto locks = hot_restart_->open_call_id_locks()) dispatcher_.share_call_ids(std::move(*locks));
   const EjectionRecord& record = hot_restart_->ejections();
   apply_ejections(record);
   // These endpoints were restored before this process started.
--- a/tests/hot_restart_test.cpp
+++ b/tests/hot_restart_test.cpp
@@ -472,3 +472,41 @@
     CHECK(remaining.stop_with_signal(SIGTERM, scenario.event_loop, step));
   }
 }
+
+// Guards against an id that runs twice during an upgrade, once for each process.
+TEST_CASE("a call id that is open in one of two real processes is refused by the other with 409") {
+  for (const bool is_open_in_parent : {true, false}) {
+    CAPTURE(is_open_in_parent);
+    UpgradeScenario scenario;
+    scenario.endpoint_a.response_delay_ms = scenario.endpoint_b.response_delay_ms = 200;
+    const auto connect = [&] {
+      auto connection = std::make_unique<TestConnection>(scenario.event_loop, scenario.budget,
+                                                         start_connect(local_address(scenario.listener)),
+                                                         http::HttpParser::MessageKind::response);
+      connection->send("GET /-/ready HTTP/1.1\r\n\r\n");
+      REQUIRE(run_until(scenario.event_loop, [&] { return !connection->received.empty(); }));
+      connection->received.clear();
+      return connection;
+    };
+    REQUIRE(scenario.admin_request(scenario.parent, "GET /status") == 200);
+    const auto to_parent = connect();
+    scenario.start_child();
+    REQUIRE(scenario.admin_request(*scenario.child, "GET /status") == 200);
+    const auto to_child = connect();
+    TestConnection& usual = is_open_in_parent ? *to_parent : *to_child;
+    TestConnection& other = is_open_in_parent ? *to_child : *to_parent;
+    const std::string request_text =
+        "POST /read HTTP/1.1\r\nX-Call-Id: once\r\nX-Budget: 500m\r\nContent-Length: 0\r\n\r\n";
+    const auto requests_run = [&] {
+      return scenario.endpoint_a.request_targets.size() + scenario.endpoint_b.request_targets.size();
+    };
+    usual.send(request_text);
+    REQUIRE(run_until(scenario.event_loop, [&] { return requests_run() == 1; }));
+    other.send(request_text);
+    REQUIRE(run_until(scenario.event_loop, [&] { return !other.received.empty(); }));
+    CHECK(other.received[0].status == 409);
+    REQUIRE(run_until(scenario.event_loop, [&] { return !usual.received.empty(); }));
+    CHECK(usual.received[0].status == 200);
+    CHECK(requests_run() == 1);
+  }
+}
