An id whose client left stays open until its deadline if an endpoint may run it

Cause: an id was open for as long as an attempt was in flight here. An attempt that is cancelled, or that is answered after its client left, ended that, though the endpoint may run the request, or has run it.

Change: if an attempt may have been executed and the client has left, the id gets 409 until the RPC's deadline, in an upgrade at the other process too. Idempotent methods are left out. A request that was not sent leaves its id free. At most 1,000 such ids are kept. Usual clients give each request, retries too, an id of its own, so none is refused.

--- a/src/proxy/request_dispatcher.cpp
+++ b/src/proxy/request_dispatcher.cpp
@@ -13,6 +13,11 @@
   return decode_load_report(result.response, of_probe);
 }
 
+bool may_have_executed(AttemptOutcome outcome) {
+  return outcome != AttemptOutcome::rejected && outcome != AttemptOutcome::connect_failed &&
+         outcome != AttemptOutcome::client_error && outcome != AttemptOutcome::withdrawn;
+}
+
 // This process doesn't exchange load gossip, so the load balancer must not make any.
 LoadBalancerConfig without_gossip(LoadBalancerConfig config, Logger& logger) {
   if (std::exchange(config.gossip_enabled, false))
@@ -37,14 +42,17 @@
       probes_report_load_(config.probes_report_load),
       longest_retry_after_ms_(config.max_retry_after_ms),
       load_balancer_(without_gossip(config, logger), seed, event_loop.now()) {
-  for (const MethodConfig& method : config.methods) known_methods_.insert(method.name);
+  for (const MethodConfig& method : config.methods) {
+    known_methods_.insert(method.name);
+    if (method.retry_safety == RetrySafety::idempotent) idempotent_methods_.insert(method.name);
+  }
   upstream_pool_.on_idle_count_changed([this](const std::string& endpoint_id, std::size_t connections) {
     load_balancer_.set_idle_connections(endpoint_id, connections);
   });
 }
 
 bool RequestDispatcher::try_open_call_id(const http::Message& request) {
-  return call_ids_.try_open(decode_rpc_request(request).id);
+  return call_ids_.try_open(decode_rpc_request(request).id, event_loop_.now());
 }
 
 std::string RequestDispatcher::dispatch(http::Message request, double received_at_ms,
@@ -57,6 +65,7 @@
   rpc.handler = std::move(handler);
   const RpcRequest decoded = decode_rpc_request(rpc.request);
   rpc.call_id = decoded.id;
+  rpc.is_idempotent = idempotent_methods_.contains(decoded.method);
   // The budget of a long request counts from its last byte, for which send_request_body() sets the deadline
   // again.
   rpc.budget_ms = decoded.budget_ms - response_allowance_ms;
@@ -71,6 +80,7 @@
 void RequestDispatcher::on_client_left(const std::string& rpc_id) {
   const auto it = rpcs_.find(rpc_id);
   if (it == rpcs_.end() || (it->second.concluded && !it->second.streaming_response)) return;
+  it->second.client_left = true;
   if (!std::exchange(it->second.concluded, true)) {
     ++counters_.rpcs_abandoned;
     load_balancer_.on_client_disconnected(event_loop_.now(), rpc_id);
@@ -301,6 +311,7 @@
   Attempt& attempt = rpc.attempts[attempt_index];
   attempt.in_flight = false;
   const LoadReport report = rpc.streaming_response ? rpc.load_report : extract_load_report(result, false);
+  attempt.may_have_executed = may_have_executed(result.outcome);
   Counters::increment(counters_.attempts, result.outcome);
   logger_.debug() << "rpc " << rpc_id << " attempt " << attempt_index << " at " << attempt.endpoint_id << ": "
                   << name_of(result.outcome) << " after " << result.duration_ms << " ms, in flight there "
@@ -339,6 +350,7 @@
                                         AttemptOutcome outcome) {
   Rpc& rpc = rpcs_.at(rpc_id);
   Attempt& attempt = rpc.attempts.at(static_cast<std::size_t>(attempt_index));
+  attempt.may_have_executed = !upstream_pool_.is_unsent(attempt.exchange_id);
   upstream_pool_.abandon_exchange(attempt.exchange_id);
   attempt.in_flight = false;
   Counters::increment(counters_.attempts, outcome);
@@ -407,10 +419,22 @@
   }
 }
 
+// The endpoint may still execute the request of a client that has left. If its id came again, it would be
+// executed twice. So the id stays open for as long as the client might have waited.
+void RequestDispatcher::close_call_id(const Rpc& rpc) {
+  const bool may_have_executed =
+      std::any_of(rpc.attempts.begin(), rpc.attempts.end(),
+                  [](const Attempt& attempt) { return attempt.may_have_executed; });
+  if (rpc.client_left && may_have_executed && !rpc.is_idempotent)
+    call_ids_.close_at(rpc.call_id, rpc.deadline_ms);
+  else
+    call_ids_.close(rpc.call_id);
+}
+
 void RequestDispatcher::erase_if_concluded(const std::string& rpc_id) {
   const auto it = rpcs_.find(rpc_id);
   if (it == rpcs_.end() || !it->second.concluded || !it->second.has_no_attempt_in_flight()) return;
-  call_ids_.close(it->second.call_id);
+  close_call_id(it->second);
   rpcs_.erase(it);
 }
 
--- a/src/proxy/request_dispatcher.h
+++ b/src/proxy/request_dispatcher.h
@@ -102,6 +102,7 @@
     std::string endpoint_id;
     double sent_at_ms;
     bool in_flight;
+    bool may_have_executed = true;
   };
   struct Rpc {
     http::Message request;
@@ -110,6 +111,8 @@
     double budget_ms;  // from the request's last byte to the deadline
     ResponseHandler handler;
     std::vector<Attempt> attempts;
+    bool is_idempotent = false;
+    bool client_left = false;
     bool concluded = false;               // it has its result, or its client has left
     bool request_body_discarded = false;  // part of a long request is dropped: it can't be sent again
     bool streaming_response = false;      // a long response is being forwarded
@@ -144,6 +147,7 @@
   void abort_rpc(const std::string& rpc_id);
   void conclude_rpc(const std::string& rpc_id, RpcResult result);
   void count_result(RpcResult::Outcome outcome);
+  void close_call_id(const Rpc& rpc);
   void erase_if_concluded(const std::string& rpc_id);
 
   EventLoop& event_loop_;
@@ -153,6 +157,7 @@
   bool probes_report_load_;
   double longest_retry_after_ms_;
   std::set<std::string, std::less<>> known_methods_;
+  std::set<std::string, std::less<>> idempotent_methods_;
   LoadBalancer load_balancer_;
   EventLoop::Callback poll_endpoints_;
   std::optional<RetryQuota> fleet_retry_quota_;
--- a/tests/call_id_registry_test.cpp
+++ b/tests/call_id_registry_test.cpp
@@ -58,7 +58,7 @@
     ::prctl(PR_SET_PDEATHSIG, SIGKILL);
     CallIdRegistry registry;
     registry.share(file.open());
-    if (!registry.try_open(call_id) || ::write(ready, "", 1) != 1) ::_exit(1);
+    if (!registry.try_open(call_id, 0) || ::write(ready, "", 1) != 1) ::_exit(1);
     for (;;) ::pause();
   }
 
@@ -75,15 +75,15 @@
   child.share(file.open());
   for (CallIdRegistry* const first : {&parent, &child}) {
     CallIdRegistry& second = first == &parent ? child : parent;
-    CHECK(first->try_open("a"));
-    CHECK_FALSE(first->try_open("a"));
-    CHECK_FALSE(second.try_open("a"));
-    CHECK(second.try_open("b"));
-    CHECK_FALSE(first->try_open("b"));
+    CHECK(first->try_open("a", 0));
+    CHECK_FALSE(first->try_open("a", 0));
+    CHECK_FALSE(second.try_open("a", 0));
+    CHECK(second.try_open("b", 0));
+    CHECK_FALSE(first->try_open("b", 0));
     second.close("a");  // not open there
-    CHECK_FALSE(second.try_open("a"));
+    CHECK_FALSE(second.try_open("a", 0));
     first->close("a");
-    CHECK(second.try_open("a"));
+    CHECK(second.try_open("a", 0));
     second.close("a");
     second.close("b");
   }
@@ -93,24 +93,24 @@
   const LockFile file;
   CallIdRegistry remaining;
   remaining.share(file.open());
-  CHECK(remaining.try_open("own"));
+  CHECK(remaining.try_open("own", 0));
   HoldingProcess killed(file, "held");
   HoldingProcess other(file, "other");
-  CHECK_FALSE(remaining.try_open("held"));
+  CHECK_FALSE(remaining.try_open("held", 0));
   killed.kill();
-  CHECK(remaining.try_open("held"));
-  CHECK_FALSE(remaining.try_open("own"));
-  CHECK_FALSE(remaining.try_open("other"));
+  CHECK(remaining.try_open("held", 0));
+  CHECK_FALSE(remaining.try_open("own", 0));
+  CHECK_FALSE(remaining.try_open("other", 0));
 }
 
 TEST_CASE("without a usable lock file a process knows its own call ids and refuses no other") {
   for (const bool has_locks : {false, true}) {
     CallIdRegistry registry;
     if (has_locks) registry.share(CallIdLocks(FileDescriptor()));
-    CHECK(registry.try_open("a"));
-    CHECK_FALSE(registry.try_open("a"));
+    CHECK(registry.try_open("a", 0));
+    CHECK_FALSE(registry.try_open("a", 0));
     registry.close("a");
-    CHECK(registry.try_open("a"));
+    CHECK(registry.try_open("a", 0));
   }
 }
 
@@ -135,4 +135,72 @@
   CHECK(endpoint.request_targets.size() == 1);
 }
 
+TEST_CASE("a call id that is closed later stays open until then, for both processes") {
+  const LockFile file;
+  CallIdRegistry own;
+  CallIdRegistry other;
+  own.share(file.open());
+  other.share(file.open());
+  CHECK(own.try_open("a", 100));
+  own.close_at("a", 300);
+  CHECK_FALSE(own.try_open("a", 299));
+  CHECK_FALSE(other.try_open("a", 299));
+  CHECK(own.try_open("b", 300));
+  CHECK(other.try_open("a", 300));
+}
+
+TEST_CASE("the number of call ids that are closed later is limited, the earliest is closed first") {
+  CallIdRegistry registry;
+  constexpr int more_than_the_limit = 1001;
+  for (int i = 0; i < more_than_the_limit; ++i) {
+    CHECK(registry.try_open(std::to_string(i), 0));
+    registry.close_at(std::to_string(i), 1000 + i);
+  }
+  CHECK(registry.try_open("0", 0));
+  CHECK_FALSE(registry.try_open("1", 0));
+}
+
+// Guards against an id of a class that must not run twice that comes again while an endpoint still runs it
+// for a client that has left.
+TEST_CASE("a call id stays open until its deadline if its client leaves while an endpoint may run it") {
+  constexpr int budget_ms = 1000;
+  enum class Ending { client_leaves, answered_after_client_left, not_sent };
+  for (const bool cancels : {false, true})
+    for (const Ending ending :
+         {Ending::client_leaves, Ending::answered_after_client_left, Ending::not_sent}) {
+      CAPTURE(cancels);
+      CAPTURE(static_cast<int>(ending));
+      SidecarHarness sidecar(customer_config(true, cancels, RetrySafety::non_idempotent), {5000, 2000, 3000});
+      FakeServer endpoint(sidecar.loop, {"silent", served_response});
+      const StalledListener stalled;
+      const bool is_sent = ending != Ending::not_sent;
+      sidecar.update_endpoints(address_text(is_sent ? endpoint.address : stalled.address));
+      const std::string request_text = rpc_request_text("read", budget_ms);
+      TestConnection& leaving = sidecar.connect_client();
+      const double sent_at_ms = sidecar.loop.now();
+      leaving.send(request_text);
+      REQUIRE(run_until(sidecar.loop, [&] {
+        return is_sent ? endpoint.request_targets.size() == 1 : sidecar.dispatcher.in_flight() == 1;
+      }));
+      leaving.close();
+      REQUIRE(run_until(sidecar.loop, [&] { return sidecar.counters.rpcs_abandoned == 1; }));
+      if (ending == Ending::answered_after_client_left && !cancels)
+        endpoint.connections[0]->send(served_response);
+      REQUIRE(run_until(sidecar.loop, [&] {
+        return sidecar.dispatcher.in_flight() == 0 || ending == Ending::client_leaves;
+      }));
+      if (!is_sent) {
+        // The request was never sent: nothing stands in the way of its id.
+        endpoint.responses = {served_response};
+        sidecar.update_endpoints(address_text(endpoint.address));
+        CHECK(sidecar.status_of_request(sidecar.connect_client(), request_text) == 200);
+        continue;
+      }
+      CHECK(sidecar.status_of_request(sidecar.connect_client(), request_text) == 409);
+      CHECK(endpoint.request_targets.size() == 1);
+      run_for(sidecar.loop, sent_at_ms + budget_ms + 20 - sidecar.loop.now());
+      CHECK(sidecar.status_of_request(sidecar.connect_client(), request_text) != 409);
+    }
+}
+
 }  // namespace host
--- a/tests/hot_restart_test.cpp
+++ b/tests/hot_restart_test.cpp
@@ -475,6 +475,7 @@
 
 // Guards against an id that runs twice during an upgrade, once for each process.
 TEST_CASE("a call id that is open in one of two real processes is refused by the other with 409") {
+  constexpr double parent_stops_accepting_ms = 100;  // after the child serves
   for (const bool is_open_in_parent : {true, false}) {
     CAPTURE(is_open_in_parent);
     UpgradeScenario scenario;
@@ -492,6 +493,7 @@
     const auto to_parent = connect();
     scenario.start_child();
     REQUIRE(scenario.admin_request(*scenario.child, "GET /status") == 200);
+    run_for(scenario.event_loop, parent_stops_accepting_ms);
     const auto to_child = connect();
     TestConnection& usual = is_open_in_parent ? *to_parent : *to_child;
     TestConnection& other = is_open_in_parent ? *to_child : *to_parent;
