A client that pipelines at full speed holds one read's input and one turn at a time

Cause, two parts: a connection was queued for another turn twice in each turn, so that the turns doubled with each round of the loop; and each turn read more than it answered, so that the buffer grew and each request taken out copied the rest.

Change: EventLoop::requeue queues a watch once until its turn; a connection reads on only when no whole request is left in its buffer. Nobody is refused, closed or slowed down for it.

--- a/src/event/event_loop.cpp
+++ b/src/event/event_loop.cpp
@@ -86,8 +86,9 @@
   registration.data.u64 = id;
   if (::epoll_ctl(epoll_.get(), EPOLL_CTL_ADD, fd, &registration) < 0)
     throw std::system_error(errno, std::generic_category(), "epoll_ctl");
-  watches_.emplace(
-      id, WatchEntry{.callback = std::make_shared<EventCallback>(std::move(callback)), .priority = priority});
+  watches_.emplace(id, WatchEntry{.callback = std::make_shared<EventCallback>(std::move(callback)),
+                                  .priority = priority,
+                                  .is_requeued = false});
   Watch watch;
   watch.loop_ = this;
   watch.id_ = id;
@@ -96,7 +97,10 @@
 }
 
 void EventLoop::requeue(const Watch& watch) {
-  if (watch.loop_) requeued_.push_back(watch.id_);
+  if (!watch.loop_) return;
+  // Two dispatches for each one that requeues twice would be ever more dispatches.
+  if (std::exchange(watches_.at(watch.id_).is_requeued, true)) return;
+  requeued_.push_back(watch.id_);
 }
 
 void EventLoop::run() {
@@ -135,7 +139,12 @@
   // Callbacks that requeue themselves wait for the next iteration.
   std::deque<std::uint64_t> ids;
   ids.swap(requeued_);
-  for (const std::uint64_t id : ids) dispatch(id, EPOLLIN | EPOLLOUT);
+  for (const std::uint64_t id : ids) {
+    const auto entry = watches_.find(id);
+    if (entry == watches_.end()) continue;
+    entry->second.is_requeued = false;
+    dispatch(id, EPOLLIN | EPOLLOUT);
+  }
 }
 
 void EventLoop::run_due_timers() {
--- a/src/event/event_loop.h
+++ b/src/event/event_loop.h
@@ -99,7 +99,8 @@
   /// descriptor can't be registered.
   Watch watch_fd(int fd, EventCallback callback, WatchPriority priority = WatchPriority::normal);
 
-  /// Dispatches EPOLLIN | EPOLLOUT to the watch in the next iteration, after the events of other descriptors.
+  /// Dispatches EPOLLIN | EPOLLOUT to the watch in the next iteration, after the events of other descriptors;
+  /// once, however often it is called until then.
   void requeue(const Watch& watch);
 
   /// Iterates until `stop()`.
@@ -113,6 +114,7 @@
   struct WatchEntry {
     std::shared_ptr<EventCallback> callback;
     WatchPriority priority;
+    bool is_requeued = false;
   };
 
   int wait_for_events(std::span<epoll_event> events, double max_wait_ms);
--- a/src/proxy/client_connection.cpp
+++ b/src/proxy/client_connection.cpp
@@ -19,6 +19,10 @@
   return stage == Stage::awaiting_response && parser.buffer_capacity() > read_ahead_bytes;
 }
 
+bool ClientConnection::has_unanswered_request() const {
+  return stage == Stage::reading_request && parser.state() != http::HttpParser::ParseState::reading;
+}
+
 void ClientConnection::receive(std::size_t count, double now_ms) {
   // The budget of an RPC counts from the last byte of its request.
   if (stage == Stage::reading_request) request_received_at_ms = now_ms - socket->receive_age_ms();
--- a/src/proxy/client_connection.h
+++ b/src/proxy/client_connection.h
@@ -64,6 +64,8 @@
   std::size_t buffered_bytes() const;
   /// True if further input of the client has to stay in the kernel's buffer.
   bool is_reading_paused() const;
+  /// True if the parser has a whole request, the head of a long one, or an error that is to be answered.
+  bool has_unanswered_request() const;
   /// Passes `count` bytes just read to the parser and records their time of arrival.
   void receive(std::size_t count, double now_ms);
 };
--- a/src/proxy/http_server.cpp
+++ b/src/proxy/http_server.cpp
@@ -78,6 +78,9 @@
   constexpr int max_reads = 16;  // then other connections are served
   for (int i = 0; i < max_reads; ++i) {
     if (connection.is_reading_paused()) return true;
+    // A request that is there already comes first: otherwise more would be read in each turn than is
+    // answered.
+    if (connection.has_unanswered_request()) break;
     std::size_t count = 0;
     const ReadStatus status = connection.socket->read(connection.parser.writable_buffer(), count);
     if (status == ReadStatus::would_block) return true;
@@ -87,9 +90,8 @@
       return false;
     }
     connection.receive(count, event_loop_.now());
-    // The requeue below is needed: the client may have closed already, and epoll doesn't report that again.
-    if (connection.parser.state() != ParseState::reading && connection.stage == Stage::reading_request) break;
   }
+  // The client may have closed already, and epoll doesn't report that again.
   connection.socket->requeue();
   return true;
 }
--- a/tests/event_loop_test.cpp
+++ b/tests/event_loop_test.cpp
@@ -82,4 +82,26 @@
   CHECK(output.is_complete());
 }
 
+// Guards against dispatches that double in each iteration.
+TEST_CASE("a watch that is requeued several times is dispatched once in the next iteration") {
+  EventLoop loop;
+  FileDescriptorBudget budget{10};
+  int ends[2];
+  REQUIRE(::socketpair(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK, 0, ends) == 0);
+  const FileDescriptor peer(ends[1]);
+  int calls = 0;
+  std::unique_ptr<TcpStream> stream;
+  stream = std::make_unique<TcpStream>(loop, budget, FileDescriptor(ends[0]), [&](std::uint32_t) {
+    ++calls;
+    stream->requeue();
+    stream->requeue();
+  });
+  loop.run_once(0);  // the socket is writable
+  for (int i = 0; i < 10; ++i) {
+    const int before = calls;
+    loop.run_once(0);
+    CHECK(calls == before + 1);
+  }
+}
+
 }  // namespace host
--- a/tests/http_server_test.cpp
+++ b/tests/http_server_test.cpp
@@ -332,4 +332,77 @@
   }
 }
 
+namespace {
+
+/// A client that pipelines requests as fast as the server takes them, and reads what it is sent.
+class PipeliningClient {
+ public:
+  PipeliningClient(const sockaddr_in& server, std::string_view request_text) : fd_(start_connect(server)) {
+    constexpr std::size_t requests_per_piece = 2000;
+    for (std::size_t i = 0; i < requests_per_piece; ++i) piece_ += request_text;
+  }
+
+  void step() {
+    std::array<char, 65536> input;
+    while (::recv(fd_.get(), input.data(), input.size(), MSG_DONTWAIT) > 0) continue;
+    for (;;) {
+      const ssize_t count =
+          ::send(fd_.get(), piece_.data() + sent_, piece_.size() - sent_, MSG_DONTWAIT | MSG_NOSIGNAL);
+      if (count <= 0) return;
+      sent_ = (sent_ + static_cast<std::size_t>(count)) % piece_.size();
+      total_sent_ += static_cast<std::size_t>(count);
+    }
+  }
+
+  std::size_t total_sent() const { return total_sent_; }
+
+ private:
+  FileDescriptor fd_;
+  std::string piece_;
+  std::size_t sent_ = 0;
+  std::size_t total_sent_ = 0;
+};
+
+}  // namespace
+
+// Guards against a client that takes all memory and all turns of the loop: 397 and 672 MB under a limit of 64
+// MB.
+TEST_CASE("a client that pipelines requests at full speed takes little memory and delays no other client") {
+  constexpr double flood_ms = 600;
+  constexpr double longest_wait_ms = 100;  // of a usual client, a third of its budget
+  constexpr std::size_t max_memory_bytes = std::size_t{1} << 20;
+  for (const char* const flood_request :
+       {"GET /-/ready HTTP/1.1\r\n\r\n", "OPTIONS * HTTP/1.1\r\n\r\n", "GET /-/counters HTTP/1.1\r\n\r\n"}) {
+    CAPTURE(std::string(flood_request));
+    SidecarHarness sidecar(RetrySafety::idempotent, 100);
+    FakeServer endpoint(sidecar.loop, std::vector<std::string>(20000, served_response));
+    sidecar.update_endpoints(address_text(endpoint.address));
+    TestConnection& usual = sidecar.connect_client();
+    CHECK(sidecar.status_of_request(usual, rpc_request_text()) == 200);
+    PipeliningClient flood(sidecar.address, flood_request);
+    const std::size_t allocated_before = allocated_bytes();
+    std::size_t most_allocated = 0;
+    double longest_ms = 0;
+    int served = 0;
+    for (const double end_ms = sidecar.loop.now() + flood_ms; sidecar.loop.now() < end_ms;) {
+      const std::size_t received = usual.received.size();
+      usual.send(rpc_request_text());
+      longest_ms = std::max(longest_ms, elapsed_until(sidecar.loop, flood_ms, [&] {
+                              flood.step();
+                              most_allocated = std::max(most_allocated, allocated_bytes());
+                              return usual.received.size() > received;
+                            }));
+      served += usual.received.back().status == 200 ? 1 : 0;
+      usual.received.clear();
+      for (const auto& connection : endpoint.connections) connection->received.clear();
+      run_for(sidecar.loop, 1);
+    }
+    CHECK(flood.total_sent() > std::size_t{100000});
+    CHECK(served > 20);
+    CHECK(sidecar.counters.rpcs_rejected == 0);
+    CHECK(longest_ms < longest_wait_ms);
+    CHECK(most_allocated < allocated_before + max_memory_bytes);
+  }
+}
+
 }  // namespace host
