Test of late duplicates: none is later than the endpoint is meant to be

The endpoint of the test runs in the sidecar's thread. If that thread is held up, as ASan does for some 18 ms at a time, a duplicate of 20 ms would come later than the 25 ms that the rule covers, and the test would fail for a delay of its own. Such a duplicate is not sent. More than 20 must be sent in each row, as before.

--- a/tests/duplicate_response_test.cpp
+++ b/tests/duplicate_response_test.cpp
@@ -79,9 +79,8 @@
       send(connection, bytes);
       if (is_repeated)
         after(behaviour_.duplicate_delay_ms, [this, &connection, bytes, sequence] {
-          if (requests_arrived_[&connection] != sequence || connection.is_ended) return;
-          ++duplicates;
-          send(connection, bytes);
+          if (requests_arrived_[&connection] == sequence && !connection.is_ended)
+            send_duplicate(connection, bytes);
         });
     });
   }
@@ -115,7 +114,22 @@
   }
 
   void send(TestConnection& connection, const std::string& bytes) {
-    after(behaviour_.one_way_ms, [&connection, bytes] { connection.send(bytes); });
+    after(behaviour_.one_way_ms, [this, &connection, bytes] {
+      response_arrived_at_ms_[&connection] = loop_.now();
+      connection.send(bytes);
+    });
+  }
+
+  // The sidecar runs in the same thread. If that was held up, the duplicate would be later than is meant
+  // here.
+  void send_duplicate(TestConnection& connection, const std::string& bytes) {
+    constexpr double max_extra_delay_ms = 3;
+    after(behaviour_.one_way_ms, [this, &connection, bytes] {
+      const double delay_ms = loop_.now() - response_arrived_at_ms_[&connection];
+      if (delay_ms > behaviour_.duplicate_delay_ms + max_extra_delay_ms) return;
+      ++duplicates;
+      connection.send(bytes);
+    });
   }
 
   void after(double delay_ms, EventLoop::Callback callback) {
@@ -130,6 +144,7 @@
   EventLoop::Watch watch_;
   std::vector<std::unique_ptr<TestConnection>> connections_;
   std::map<const TestConnection*, int> requests_arrived_;
+  std::map<const TestConnection*, double> response_arrived_at_ms_;
   std::deque<EventLoop::Timer> timers_;
 };
 
