The HTTP server decodes an RPC request once before its dispatch, not twice

The check of the call id decoded the whole request a second time for its id alone. It takes the id now. A comment of the event loop says more plainly why a watch is queued once.

--- a/src/event/event_loop.cpp
+++ b/src/event/event_loop.cpp
@@ -98,7 +98,7 @@
 
 void EventLoop::requeue(const Watch& watch) {
   if (!watch.loop_) return;
-  // Two dispatches for each one that requeues twice would be ever more dispatches.
+  // If a watch that requeues twice were dispatched twice, its dispatches would double in each iteration.
   if (std::exchange(watches_.at(watch.id_).is_requeued, true)) return;
   requeued_.push_back(watch.id_);
 }
--- a/src/proxy/http_server.cpp
+++ b/src/proxy/http_server.cpp
@@ -233,11 +233,12 @@
 }
 
 void HttpServer::handle_rpc(ClientConnection& connection, http::Message request, bool close_after) {
-  if (const int status = rpc_error_status(request)) return reject_bad_request(connection, status);
+  const RpcRequest rpc = decode_rpc_request(request);
+  if (const int status = rpc_error_status(rpc)) return reject_bad_request(connection, status);
   update_buffered_bytes(connection);
   if (connection.over_connection_limit || is_over_memory_limit())
     return reject_for_lack_of_resources(connection);
-  if (!dispatcher_.try_open_call_id(request)) return reject_bad_request(connection, http::status::conflict);
+  if (!dispatcher_.try_open_call_id(rpc.id)) return reject_bad_request(connection, http::status::conflict);
   dispatch_rpc(connection, std::move(request), close_after);
 }
 
@@ -247,8 +248,7 @@
 }
 
 // The HTTP status to reject the request with; 0 if the dispatcher can take it.
-int HttpServer::rpc_error_status(const http::Message& request) const {
-  const RpcRequest rpc = decode_rpc_request(request);
+int HttpServer::rpc_error_status(const RpcRequest& rpc) const {
   if (rpc.error_status) return rpc.error_status;
   if (!dispatcher_.is_known_method(rpc.method)) return 404;
   return 0;
--- a/src/proxy/http_server.h
+++ b/src/proxy/http_server.h
@@ -81,7 +81,7 @@
   void dispatch_rpc(ClientConnection& connection, http::Message request, bool close_after);
   RequestDispatcher::ResponseHandler make_response_handler(std::uint64_t id);
   void reject_for_lack_of_resources(ClientConnection& connection);
-  int rpc_error_status(const http::Message& request) const;
+  int rpc_error_status(const RpcRequest& rpc) const;
   void reject_bad_request(ClientConnection& connection, int status);
 
   // Responses.
--- a/src/proxy/request_dispatcher.cpp
+++ b/src/proxy/request_dispatcher.cpp
@@ -51,10 +51,6 @@
   });
 }
 
-bool RequestDispatcher::try_open_call_id(const http::Message& request) {
-  return call_ids_.try_open(decode_rpc_request(request).id, event_loop_.now());
-}
-
 std::string RequestDispatcher::dispatch(http::Message request, double received_at_ms,
                                         ResponseHandler handler) {
   // Time to write the response and to transfer it to the client; a timer may be a millisecond late.
--- a/src/proxy/request_dispatcher.h
+++ b/src/proxy/request_dispatcher.h
@@ -54,9 +54,9 @@
 
   /// Other processes of this sidecar then accept no id that is open here, and the reverse.
   void share_call_ids(CallIdLocks locks) { call_ids_.share(std::move(locks)); }
-  /// To be called before dispatch(). Returns false if an RPC with the id that the client assigned to this one
-  /// is in flight.
-  bool try_open_call_id(const http::Message& request);
+  /// To be called with the id that the client assigned to an RPC, before dispatch(). Returns false if one
+  /// with this id is in flight.
+  bool try_open_call_id(std::string_view call_id) { return call_ids_.try_open(call_id, event_loop_.now()); }
   bool is_known_method(std::string_view method) const { return known_methods_.count(method) > 0; }
   /// Retry-After for RPCs that the HTTP server can't dispatch; 0 if clients don't support it.
   double longest_retry_after_ms() const { return longest_retry_after_ms_; }
