Log and count attempts that end in the middle of their response

New: the counter answers_incomplete (last line of /-/counters, the others keep their bytes), a line at info for such an attempt, one in 100 ms at most, with endpoint, the client's id, outcome, time since it was sent, time of the head, body bytes and the silence before the end; at debug the result of each RPC with the client's id, its time, its attempts and what was left to its deadline.

--- a/src/http/http_parser.h
+++ b/src/http/http_parser.h
@@ -92,6 +92,9 @@
 
   void start_next_message();
 
+  /// Bytes of the current message's body received so far, without framing.
+  std::uint64_t body_bytes() const { return streamed_bytes_ + message_.body_range.length; }
+
   /// Whether the connection may be reused after the message that is being streamed.
   bool keep_alive() const { return keep_alive_; }
 
--- a/src/metrics/counters.cpp
+++ b/src/metrics/counters.cpp
@@ -51,6 +51,7 @@
   write(output, "lists", counters.endpoint_list_updates);
   write(output, "list_failures", counters.endpoint_poll_failures);
   write(output, "malformed_lists", counters.malformed_endpoint_lists);
+  write(output, "answers_incomplete", counters.incomplete_responses);
   return output;
 }
 
--- a/src/proxy/request_dispatcher.cpp
+++ b/src/proxy/request_dispatcher.cpp
@@ -18,6 +18,18 @@
          outcome != AttemptOutcome::client_error && outcome != AttemptOutcome::withdrawn;
 }
 
+std::string_view name_of(RpcResult::Outcome outcome) {
+  switch (outcome) {
+    case RpcResult::Outcome::ok:
+      return "ok";
+    case RpcResult::Outcome::rejected:
+      return "rejected";
+    case RpcResult::Outcome::failed:
+      return "failed";
+  }
+  return "unknown";
+}
+
 // This process doesn't exchange load gossip, so the load balancer must not make any.
 LoadBalancerConfig without_gossip(LoadBalancerConfig config, Logger& logger) {
   if (std::exchange(config.gossip_enabled, false))
@@ -61,6 +73,7 @@
   rpc.handler = std::move(handler);
   const RpcRequest decoded = decode_rpc_request(rpc.request);
   rpc.call_id = decoded.id;
+  rpc.received_at_ms = received_at_ms;
   rpc.is_idempotent = idempotent_methods_.contains(decoded.method);
   // The budget of a long request counts from its last byte, for which send_request_body() sets the deadline
   // again.
@@ -309,9 +322,7 @@
   const LoadReport report = rpc.streaming_response ? rpc.load_report : extract_load_report(result, false);
   attempt.may_have_executed = may_have_executed(result.outcome);
   Counters::increment(counters_.attempts, result.outcome);
-  logger_.debug() << "rpc " << rpc_id << " attempt " << attempt_index << " at " << attempt.endpoint_id << ": "
-                  << name_of(result.outcome) << " after " << result.duration_ms << " ms, in flight there "
-                  << report.in_flight.value_or(-1);
+  log_attempt(rpc_id, attempt_index, result, report);
   const bool is_truncated = rpc.streaming_response && result.outcome != AttemptOutcome::ok;
   const EventLoop::Callback on_aborted = is_truncated ? rpc.handler.on_aborted : [] {};
   if (is_truncated) ++counters_.truncated_responses;
@@ -347,6 +358,8 @@
   Rpc& rpc = rpcs_.at(rpc_id);
   Attempt& attempt = rpc.attempts.at(static_cast<std::size_t>(attempt_index));
   attempt.may_have_executed = !upstream_pool_.is_unsent(attempt.exchange_id);
+  note_incomplete_response(rpc, attempt_index, outcome,
+                           upstream_pool_.response_progress(attempt.exchange_id));
   upstream_pool_.abandon_exchange(attempt.exchange_id);
   attempt.in_flight = false;
   Counters::increment(counters_.attempts, outcome);
@@ -354,6 +367,34 @@
                                      event_loop_.now() - attempt.sent_at_ms, rpc.concluded, {});
 }
 
+void RequestDispatcher::log_attempt(const std::string& rpc_id, int attempt_index,
+                                    const UpstreamPool::ExchangeResult& result, const LoadReport& report) {
+  const Rpc& rpc = rpcs_.at(rpc_id);
+  logger_.debug() << "rpc " << rpc_id << " attempt " << attempt_index << " at "
+                  << rpc.attempts[static_cast<std::size_t>(attempt_index)].endpoint_id << ": "
+                  << name_of(result.outcome) << " after " << result.duration_ms << " ms, in flight there "
+                  << report.in_flight.value_or(-1);
+  if (result.outcome != AttemptOutcome::ok && result.response.status == 0)
+    note_incomplete_response(rpc, attempt_index, result.outcome, result.progress);
+}
+
+// The sidecar or the endpoint ended the exchange in the middle of the response. Under faults there may be one
+// for each RPC, so only some are logged; the counter has them all.
+void RequestDispatcher::note_incomplete_response(const Rpc& rpc, int attempt_index, AttemptOutcome outcome,
+                                                 const ResponseProgress& progress) {
+  constexpr double min_log_interval_ms = 100;
+  if (!progress.has_head) return;
+  ++counters_.incomplete_responses;
+  if (event_loop_.now() < next_incomplete_log_at_ms_) return;
+  next_incomplete_log_at_ms_ = event_loop_.now() + min_log_interval_ms;
+  const Attempt& attempt = rpc.attempts[static_cast<std::size_t>(attempt_index)];
+  logger_.info() << "response of " << attempt.endpoint_id << " to call " << rpc.call_id
+                 << " ended incomplete: " << name_of(outcome) << ", attempt " << attempt_index << ", "
+                 << event_loop_.now() - attempt.sent_at_ms << " ms after it was sent, head after "
+                 << progress.head_after_ms << " ms, " << progress.body_bytes << " body bytes, silent for "
+                 << progress.silent_ms << " ms" << (rpc.streaming_response ? ", forwarded so far" : "");
+}
+
 void RequestDispatcher::abandon_all_attempts(const std::string& rpc_id) {
   const std::vector<Attempt>& attempts = rpcs_.at(rpc_id).attempts;
   for (std::size_t index = 0; index < attempts.size(); ++index)
@@ -397,6 +438,7 @@
   rpc.concluded = true;
   withdraw_unsent_attempts(rpc_id);
   count_result(result.outcome);
+  log_result(rpc_id, result);
   const auto on_result = std::move(rpc.handler.on_result);
   on_result(std::move(result));
 }
@@ -415,6 +457,14 @@
   }
 }
 
+void RequestDispatcher::log_result(const std::string& rpc_id, const RpcResult& result) const {
+  const Rpc& rpc = rpcs_.at(rpc_id);
+  logger_.debug() << "rpc " << rpc_id << " of call " << rpc.call_id << ": " << name_of(result.outcome)
+                  << " after " << event_loop_.now() - rpc.received_at_ms << " ms and " << rpc.attempts.size()
+                  << " attempts, deadline in " << rpc.deadline_ms - event_loop_.now() << " ms"
+                  << (result.response.is_partial ? ", response is streamed" : "");
+}
+
 // The endpoint may still execute the request of a client that has left. If its id came again, it would be
 // executed twice. So the id stays open for as long as the client might have waited.
 void RequestDispatcher::close_call_id(const Rpc& rpc) {
--- a/src/proxy/request_dispatcher.h
+++ b/src/proxy/request_dispatcher.h
@@ -107,6 +107,7 @@
   struct Rpc {
     http::Message request;
     std::string_view call_id;  // assigned by the client; a view into the request
+    double received_at_ms;
     double deadline_ms;
     double budget_ms;  // from the request's last byte to the deadline
     ResponseHandler handler;
@@ -140,6 +141,10 @@
   Attempt* find_attempt_in_flight(const std::string& rpc_id);
   void abandon_attempt(const std::string& rpc_id, int attempt_index,
                        AttemptOutcome outcome = AttemptOutcome::cancelled);
+  void log_attempt(const std::string& rpc_id, int attempt_index, const UpstreamPool::ExchangeResult& result,
+                   const LoadReport& report);
+  void note_incomplete_response(const Rpc& rpc, int attempt_index, AttemptOutcome outcome,
+                                const ResponseProgress& progress);
   void abandon_all_attempts(const std::string& rpc_id);
   void withdraw_unsent_attempts(const std::string& rpc_id);
 
@@ -147,6 +152,7 @@
   void abort_rpc(const std::string& rpc_id);
   void conclude_rpc(const std::string& rpc_id, RpcResult result);
   void count_result(RpcResult::Outcome outcome);
+  void log_result(const std::string& rpc_id, const RpcResult& result) const;
   void close_call_id(const Rpc& rpc);
   void erase_if_concluded(const std::string& rpc_id);
 
@@ -163,6 +169,7 @@
   std::optional<RetryQuota> fleet_retry_quota_;
   bool carrying_out_decisions_ = false;
   bool endpoint_poll_pending_ = false;
+  double next_incomplete_log_at_ms_ = 0;
   std::uint64_t last_id_ = 0;
   std::unordered_map<std::string, Rpc> rpcs_;
   CallIdRegistry call_ids_;
--- a/src/proxy/upstream_connection.cpp
+++ b/src/proxy/upstream_connection.cpp
@@ -11,6 +11,8 @@
   output = std::move(request);
   started_at_ms = now_ms;
   response_started_at_ms = 0;
+  response_head_at_ms = 0;
+  last_response_byte_at_ms = 0;
   streaming_response = false;
   reading_paused = false;
   has_more_body = exchange.has_more_body;
@@ -21,6 +23,20 @@
   retirement_timer.cancel();
 }
 
+void UpstreamConnection::note_response_bytes(double now_ms) {
+  last_response_byte_at_ms = now_ms;
+  if (response_head_at_ms == 0 && parser.is_head_complete()) response_head_at_ms = now_ms;
+}
+
+ResponseProgress UpstreamConnection::response_progress(double now_ms) const {
+  ResponseProgress progress;
+  progress.has_head = response_head_at_ms > 0;
+  if (progress.has_head) progress.head_after_ms = response_head_at_ms - started_at_ms;
+  if (last_response_byte_at_ms > 0) progress.silent_ms = now_ms - last_response_byte_at_ms;
+  progress.body_bytes = parser.body_bytes();
+  return progress;
+}
+
 void UpstreamConnection::release_buffers() {
   output = {};
   // An assignment alone would keep the allocated buffer.
--- a/src/proxy/upstream_connection.h
+++ b/src/proxy/upstream_connection.h
@@ -28,7 +28,9 @@
   // Times are in ms on the event loop's clock.
   double started_at_ms = 0;           ///< when the exchange, or the last piece of a long request, started
   double response_started_at_ms = 0;  ///< start of a long response; 0 if there is none
-  double expires_at_ms = 0;           ///< when the exchange times out
+  double response_head_at_ms = 0;     ///< when the response's head was complete; 0 until then
+  double last_response_byte_at_ms = 0;
+  double expires_at_ms = 0;  ///< when the exchange times out
   double idle_since_ms = 0;
 
   bool streaming_response = false;
@@ -47,6 +49,9 @@
 
   /// Starts a new exchange, without writing anything yet.
   void begin(ExchangeId exchange_id, Exchange new_exchange, WriteBuffer request, double now_ms);
+  /// To be called after bytes of the response were passed to the parser.
+  void note_response_bytes(double now_ms);
+  ResponseProgress response_progress(double now_ms) const;
   /// Frees what an idle connection doesn't need.
   void release_buffers();
 };
--- a/src/proxy/upstream_exchange.h
+++ b/src/proxy/upstream_exchange.h
@@ -14,10 +14,19 @@
 
 using ExchangeId = std::uint64_t;
 
+/// What had come of a response when its exchange ended.
+struct ResponseProgress {
+  bool has_head = false;
+  std::uint64_t body_bytes = 0;
+  double head_after_ms = 0;  ///< from the start of the exchange; 0 without a head
+  double silent_ms = 0;      ///< since the last byte, 0 if there was none
+};
+
 struct ExchangeResult {
   AttemptOutcome outcome;
   double duration_ms;      ///< until the start of a long response or the end of the exchange
   http::Message response;  ///< empty if there is none
+  ResponseProgress progress = {};
 };
 
 /// Callbacks and parameters of one exchange. Long messages are transferred in pieces; the callbacks for them
--- a/src/proxy/upstream_pool.cpp
+++ b/src/proxy/upstream_pool.cpp
@@ -327,7 +327,10 @@
     std::size_t count = 0;
     const ReadStatus status = connection.socket->read(connection.parser.writable_buffer(), count);
     if (status == ReadStatus::would_block) return;
-    if (status == ReadStatus::data) connection.parser.commit(count);
+    if (status == ReadStatus::data) {
+      connection.parser.commit(count);
+      connection.note_response_bytes(event_loop_.now());
+    }
     if (status == ReadStatus::end_of_stream) connection.parser.on_end_of_stream();
     if (!process_response(connection, status != ReadStatus::data)) return;
   }
@@ -449,6 +452,7 @@
   const double ended_at_ms =
       connection.response_started_at_ms > 0 ? connection.response_started_at_ms : event_loop_.now();
   const double duration_ms = ended_at_ms - connection.started_at_ms;
+  const ResponseProgress progress = connection.response_progress(event_loop_.now());
   const auto on_complete = std::move(connection.exchange.on_complete);
   connection.exchange = {};
   // If the endpoint was removed, moved or restarted meanwhile, the connection must not be reused for its id,
@@ -457,7 +461,10 @@
     keep_idle(connection);
   else
     close_connection(connection.id);
-  on_complete({.outcome = outcome, .duration_ms = duration_ms, .response = std::move(response)});
+  on_complete({.outcome = outcome,
+               .duration_ms = duration_ms,
+               .response = std::move(response),
+               .progress = progress});
 }
 
 // Whether the process that the connection leads to may still be used.
@@ -482,6 +489,11 @@
   return it != connections_.end() && it->second->is_unsent();
 }
 
+ResponseProgress UpstreamPool::response_progress(ExchangeId id) const {
+  const auto it = connections_.find(id);
+  return it == connections_.end() ? ResponseProgress{} : it->second->response_progress(event_loop_.now());
+}
+
 bool UpstreamPool::close_idle_connection() {
   if (idle_by_last_use_.empty()) return false;
   ++counters_.connections_evicted;
--- a/src/proxy/upstream_pool.h
+++ b/src/proxy/upstream_pool.h
@@ -69,6 +69,8 @@
   /// The request's last byte has not been written yet. Abandoning the exchange then cancels no work, because
   /// the endpoint has not begun.
   bool is_unsent(ExchangeId id) const;
+  /// What has come of the response so far; nothing if the exchange has ended.
+  ResponseProgress response_progress(ExchangeId id) const;
 
   /// Closes the connection that has been idle for longest; false if there is none.
   bool close_idle_connection();
--- a/tests/pipe_test.cpp
+++ b/tests/pipe_test.cpp
@@ -406,6 +406,9 @@
     CHECK(client->received.find("\r\n0\r\n") == std::string::npos);
     CHECK(proxy.upstream_connections.size() == 1);
     CHECK(proxy.counts.truncated_responses == 1);
+    CHECK(proxy.counts.incomplete_responses == 1);
+    CHECK(proxy.log_text.str().find("ended incomplete: reset, attempt 0, ") != std::string::npos);
+    CHECK(proxy.log_text.str().find(", 100000 body bytes, silent for ") != std::string::npos);
     CHECK(proxy.attempts_ended(AttemptOutcome::reset) == 1);
     CHECK(proxy.dispatcher.in_flight() == 0);
   }
