--- /dev/null
+++ b/tests/slow_transfer_test.cpp
@@ -0,0 +1,340 @@
+// Long messages whose endpoint is sound but slow, with the sidecar as a separate process. Shapes, sizes,
+// rates, pauses and settings are drawn by a seed from the range that the operators' pages allow.
+#include <doctest/doctest.h>
+
+#include <random>
+
+#include "support/long_messages.h"
+#include "support/sidecar_process.h"
+
+namespace host {
+namespace {
+
+enum class Shape { early_body, late_body, steady, lumps };
+enum class Framing { length, chunked, until_close };
+enum class Ending { complete, hang, reset };
+
+constexpr const char* shape_names[] = {"early body", "late body", "steady", "lumps"};
+constexpr const char* framing_names[] = {"length", "chunked", "until close"};
+constexpr const char* method_names[] = {"tile-read", "print-order", "book-slot"};
+
+class Random {
+ public:
+  explicit Random(std::uint32_t seed) : engine_(seed) {}
+  double between(double low, double high) { return low + (high - low) * (engine_() / 4294967296.0); }
+  std::size_t size_between(double low, double high) { return static_cast<std::size_t>(between(low, high)); }
+  template <class T, std::size_t Size>
+  const T& one_of(const T (&values)[Size]) {
+    return values[size_between(0, Size)];
+  }
+
+ private:
+  std::mt19937 engine_;
+};
+
+// What an endpoint sends for one request, and when, from the request's last byte on.
+struct ResponsePlan {
+  struct Piece {
+    double at_ms;
+    std::string bytes;
+  };
+  Framing framing = Framing::length;
+  std::string body;
+  std::vector<Piece> pieces;
+  Ending ending = Ending::complete;
+  double ends_at_ms = 0;
+
+  std::string head() const {
+    std::string text = "HTTP/1.1 200 OK\r\n";
+    if (framing == Framing::length) text += "Content-Length: " + std::to_string(body.size()) + "\r\n";
+    if (framing == Framing::chunked) text += "Transfer-Encoding: chunked\r\n";
+    return text + "\r\n";
+  }
+  void add_body(double at_ms, std::size_t offset, std::size_t count) {
+    count = std::min(count, body.size() - offset);
+    const bool last = offset + count == body.size();
+    pieces.push_back({at_ms, encode_body_chunk(std::string_view(body).substr(offset, count),
+                                               framing == Framing::chunked, last)});
+    ends_at_ms = at_ms;
+  }
+};
+
+// Adds the body from `offset` on in small pieces at a steady rate.
+void add_steady_body(ResponsePlan& plan, Random& random, double at_ms, std::size_t offset) {
+  const double bytes_per_ms = random.between(64, 300);
+  while (offset < plan.body.size()) {
+    const std::size_t count = 1 + random.size_between(10, 60) * static_cast<std::size_t>(bytes_per_ms);
+    plan.add_body(at_ms, offset, count);
+    offset += count;
+    at_ms += static_cast<double>(count) / bytes_per_ms;
+  }
+}
+
+void add_lumps(ResponsePlan& plan, Random& random, double at_ms, double longest_pause_ms) {
+  const std::size_t lump = plan.body.size() / random.size_between(3, 7) + 1;
+  for (std::size_t offset = 0; offset < plan.body.size(); offset += lump) {
+    plan.add_body(at_ms, offset, lump);
+    at_ms += random.between(100, longest_pause_ms);
+  }
+}
+
+ResponsePlan draw_sound_plan(Random& random, Shape shape, Framing framing) {
+  constexpr double longest_pause_ms = 1300;
+  ResponsePlan plan;
+  plan.framing = framing;
+  plan.body = patterned_bytes(random.size_between(66000, 220000));
+  const double head_at_ms = random.between(1, 60);
+  plan.pieces.push_back({head_at_ms, plan.head()});
+  const double pause_ms = random.between(100, longest_pause_ms);
+  switch (shape) {
+    case Shape::early_body: {
+      const std::size_t first = random.size_between(1, 60000);
+      plan.add_body(head_at_ms, 0, first);
+      add_steady_body(plan, random, head_at_ms + pause_ms, first);
+      break;
+    }
+    case Shape::late_body:
+      add_steady_body(plan, random, head_at_ms + pause_ms, 0);
+      break;
+    case Shape::steady:
+      add_steady_body(plan, random, head_at_ms, 0);
+      break;
+    case Shape::lumps:
+      add_lumps(plan, random, head_at_ms, longest_pause_ms);
+      break;
+  }
+  return plan;
+}
+
+// Endpoints that answer each request by the next plan for its id.
+struct PlannedEndpoints {
+  struct Connection {
+    std::unique_ptr<TcpStream> socket;
+    http::HttpParser parser{http::HttpParser::MessageKind::request};
+    WriteBuffer output;
+    std::vector<EventLoop::Timer> timers;
+  };
+  EventLoop& loop;
+  FileDescriptorBudget budget{1000};
+  std::vector<FileDescriptor> listeners;
+  std::vector<EventLoop::Watch> watches;
+  std::vector<std::unique_ptr<Connection>> connections;
+  std::map<std::string, std::vector<ResponsePlan>> plans;
+  std::map<std::string, std::size_t> run_counts;  // attempts received, by id
+
+  PlannedEndpoints(EventLoop& event_loop, std::size_t count) : loop(event_loop) {
+    listeners.reserve(count);
+    for (std::size_t i = 0; i < count; ++i) {
+      listeners.push_back(listen_on_loopback());
+      watches.push_back(loop.watch_fd(listeners[i].get(), [this, i](std::uint32_t) { accept_all(i); }));
+    }
+  }
+  std::string known_json() const {
+    std::string entries;
+    for (std::size_t i = 0; i < listeners.size(); ++i)
+      entries += std::string(i > 0 ? "," : "") + R"({"instanceId":"s-)" + std::to_string(i) +
+                 R"(","hostPort":")" + address_text(local_address(listeners[i])) + R"(","lifecycle":"up"})";
+    return R"("known":{"generation":1,"reset":true,"instances":[)" + entries + "]},";
+  }
+  std::size_t attempts_of(const std::string& id) const {
+    const auto it = run_counts.find(id);
+    return it == run_counts.end() ? 0 : it->second;
+  }
+  void accept_all(std::size_t listener) {
+    for (;;) {
+      FileDescriptor fd(::accept4(listeners[listener].get(), nullptr, nullptr, SOCK_NONBLOCK));
+      if (!fd) return;
+      connections.push_back(std::make_unique<Connection>());
+      Connection& connection = *connections.back();
+      connection.socket = std::make_unique<TcpStream>(
+          loop, budget, std::move(fd), [this, &connection](std::uint32_t) { transfer(connection); });
+    }
+  }
+  void transfer(Connection& connection) {
+    if (!connection.socket->write(connection.output)) return close(connection);
+    std::size_t count = 0;
+    for (;;) {
+      const auto status = connection.socket->read(connection.parser.writable_buffer(), count);
+      if (status == TcpStream::ReadStatus::would_block) return;
+      if (status != TcpStream::ReadStatus::data) return close(connection);
+      connection.parser.commit(count);
+      while (connection.parser.state() == http::HttpParser::ParseState::complete)
+        respond(connection, connection.parser.take_message());
+    }
+  }
+  void respond(Connection& connection, const http::Message& request) {
+    const std::string id(request.find_header("X-Call-Id").value_or(""));
+    const std::vector<ResponsePlan>& all = plans.at(id);
+    const ResponsePlan& plan = all[std::min(run_counts[id]++, all.size() - 1)];
+    const double now_ms = loop.now();
+    for (const ResponsePlan::Piece& piece : plan.pieces)
+      connection.timers.push_back(loop.schedule_at(
+          now_ms + piece.at_ms, [this, &connection, &piece] { send(connection, piece.bytes); }));
+    if (plan.ending == Ending::reset ||
+        (plan.ending == Ending::complete && plan.framing == Framing::until_close))
+      connection.timers.push_back(loop.schedule_at(now_ms + plan.ends_at_ms, [this, &connection, &plan] {
+        if (connection.socket && plan.ending == Ending::reset) connection.socket->reset_on_close();
+        close(connection);
+      }));
+  }
+  void send(Connection& connection, const std::string& bytes) {
+    if (!connection.socket) return;
+    if (connection.output.is_complete()) connection.output = {};
+    connection.output.append_owned(bytes);
+    if (!connection.socket->write(connection.output)) close(connection);
+  }
+  static void close(Connection& connection) { connection.socket.reset(); }
+};
+
+// One client that sends one request on its own connection.
+struct SlowClient {
+  std::string description;
+  std::string id;
+  bool must_not_run_twice = false;
+  double budget_ms = 0;
+  double sent_at_ms = 0;
+  double first_byte_at_ms = 0;
+  double ended_at_ms = 0;  // with the whole response, or the end of the connection
+  std::size_t parsed_bytes = 0;
+  http::HttpParser parser{http::HttpParser::MessageKind::response};
+  ParsedMessage message;
+  std::unique_ptr<RawConnection> connection;
+
+  SlowClient() { parser.allow_streaming(); }
+  void step(double now_ms) {
+    if (!connection || ended_at_ms > 0) return;
+    const std::string& received = connection->received;
+    if (first_byte_at_ms == 0 && !received.empty()) first_byte_at_ms = now_ms;
+    feed_parser(parser, std::string_view(received).substr(parsed_bytes), message);
+    parsed_bytes = received.size();
+    if (parser.state() == http::HttpParser::ParseState::complete) {
+      message.head = parser.take_message();
+      message.body = message.head.body();
+      message.complete = true;
+    }
+    if (message.complete || message.broken || connection->ended) ended_at_ms = now_ms;
+  }
+};
+
+// A sidecar with three endpoints and the settings of one drawn deployment.
+struct SlowDeployment {
+  EventLoop& loop;
+  Random random;
+  double objective_ms;
+  double deadline_ms;
+  FileDescriptorBudget budget{1000};
+  FakeServer agent{loop, {}};
+  PlannedEndpoints endpoints{loop, 3};
+  SidecarProcess sidecar;
+  std::vector<std::unique_ptr<SlowClient>> clients;
+
+  SlowDeployment(EventLoop& event_loop, std::uint32_t seed)
+      : loop(event_loop),
+        random(seed),
+        objective_ms(random.between(150, 600)),
+        deadline_ms(objective_ms * random.between(1.3, 3)),
+        sidecar(agent.address, settings_variants[1], endpoints.known_json()) {
+    std::string methods;
+    const char* const effects[] = {"retryable", "fragile", "dedup"};
+    for (std::size_t i = 0; i < 3; ++i)
+      methods += std::string(i > 0 ? "," : "") + R"({"name":")" + method_names[i] + R"(","effect":")" +
+                 effects[i] + R"(","dedupWindow":5000000,"deadline":)" +
+                 std::to_string(static_cast<int>(deadline_ms * 1000)) + R"(,"latencyTarget":)" +
+                 std::to_string(static_cast<int>(objective_ms * 1000)) + "}";
+    std::string& text = sidecar.config_text;
+    const std::size_t begin = text.find(R"("methods":[)") + 11;
+    text.replace(begin, text.find(']', begin) - begin, methods);
+  }
+  bool start() {
+    sidecar.start();
+    return sidecar.ready(loop);
+  }
+  // Sends one request for which the endpoints have these plans, one for each attempt.
+  SlowClient& send_request(const std::string& method, const std::string& description,
+                           std::vector<ResponsePlan> plans) {
+    clients.push_back(std::make_unique<SlowClient>());
+    SlowClient& client = *clients.back();
+    client.id = "slow" + std::to_string(clients.size());
+    client.description = description + ", " + method;
+    client.must_not_run_twice = method == "print-order";
+    client.budget_ms = deadline_ms;
+    endpoints.plans[client.id] = std::move(plans);
+    client.connection = std::make_unique<RawConnection>(loop, budget, start_connect(sidecar.address));
+    const bool has_body = method != "tile-read";
+    client.connection->send((has_body ? "POST /" : "GET /") + method +
+                            " HTTP/1.1\r\nX-Call-Id: " + client.id + "\r\nX-Call-Class: " + method +
+                            "\r\nX-Budget: " + std::to_string(client.budget_ms) + "m\r\n" +
+                            (has_body ? "Content-Length: 4\r\n\r\nbody" : "\r\n"));
+    client.sent_at_ms = loop.now();
+    return client;
+  }
+  void step() {
+    for (const auto& client : clients) client->step(loop.now());
+  }
+  bool all_ended() const {
+    return std::all_of(clients.begin(), clients.end(),
+                       [](const auto& client) { return client->ended_at_ms > 0; });
+  }
+};
+
+void run_deployments(EventLoop& loop, std::vector<std::unique_ptr<SlowDeployment>>& deployments,
+                     double max_ms) {
+  const auto all_ended = [&] {
+    return std::all_of(deployments.begin(), deployments.end(),
+                       [](const auto& deployment) { return deployment->all_ended(); });
+  };
+  for (const double end_ms = loop.now() + max_ms; loop.now() < end_ms && !all_ended();) {
+    loop.run_once(2);
+    for (const auto& deployment : deployments) deployment->step();
+  }
+}
+
+std::vector<std::unique_ptr<SlowDeployment>> start_deployments(EventLoop& loop,
+                                                               std::initializer_list<std::uint32_t> seeds) {
+  std::vector<std::unique_ptr<SlowDeployment>> deployments;
+  for (const std::uint32_t seed : seeds) {
+    deployments.push_back(std::make_unique<SlowDeployment>(loop, seed));
+    REQUIRE(deployments.back()->start());
+  }
+  return deployments;
+}
+
+}  // namespace
+
+// Guards against a sound response that is cut off, or held back, because its attempt's time is over while it
+// comes.
+TEST_CASE(
+    "processes: a long response that a sound endpoint sends slowly comes whole in every shape and framing") {
+  constexpr double max_held_back_ms = 500;
+  constexpr double sidecar_slack_ms = 50;
+  EventLoop loop;
+  auto deployments = start_deployments(loop, {1, 2, 3, 4});
+  for (const Shape shape : {Shape::early_body, Shape::late_body, Shape::steady, Shape::lumps})
+    for (const Framing framing : {Framing::length, Framing::chunked, Framing::until_close})
+      for (const auto& deployment : deployments) {
+        const char* method = deployment->random.one_of(method_names);
+        deployment->send_request(method,
+                                 std::string(shape_names[static_cast<int>(shape)]) + ", " +
+                                     framing_names[static_cast<int>(framing)],
+                                 {draw_sound_plan(deployment->random, shape, framing)});
+        run_deployments(loop, deployments, 25);
+      }
+  run_deployments(loop, deployments, 20000);
+  for (std::size_t i = 0; i < deployments.size(); ++i) {
+    CAPTURE(i);
+    const SlowDeployment& deployment = *deployments[i];
+    for (const auto& client : deployment.clients) {
+      CAPTURE(client->description);
+      const ResponsePlan& plan = deployment.endpoints.plans.at(client->id)[0];
+      CHECK(client->message.head.status == 200);
+      CHECK(client->message.complete);
+      const bool is_body_intact = client->message.body == plan.body;
+      CHECK(is_body_intact);
+      CHECK(client->first_byte_at_ms - client->sent_at_ms < deployment.deadline_ms + sidecar_slack_ms);
+      CHECK(client->ended_at_ms - client->sent_at_ms < plan.ends_at_ms + max_held_back_ms);
+      CHECK(deployment.endpoints.attempts_of(client->id) == 1);
+    }
+  }
+}
+
+}  // namespace host
