A long response that its endpoint is still sending is forwarded, not cut off

What callers saw: a response over 64 KiB that a sound endpoint sent slowly was closed by the sidecar at the latency objective, and its client got 503, or 502 where the request may have run.

Cause: the attempt's timeout judged an endpoint at work. Until 64 KiB (or, with a long stated length, the first bytes of the body) had come, a response was held, and its attempt ended at a fixed time from the send, whatever had come.

Change: a response whose head has come and whose body may be long (no length, or one over 64 KiB) is forwarded from then on, 10 ms before the attempt's timeout or 1.5 s after its head, whichever is first. Until then it is held as before, so that a reset is still answered by a retry. At that timeout no retry could follow, since it is the end of the RPC's useful time; so none is lost. Afterwards silence alone ends it: 5 s where the body is long, else 1.4 s or until 0.35 s past the deadline, whichever is later, because a short response is due with its last byte. Time for which the client does not read doesn't count. The service time of a long response ends with its head.

--- a/src/http/http_parser.cpp
+++ b/src/http/http_parser.cpp
@@ -92,6 +92,16 @@
   state_ = is_streaming_ ? ParseState::body_complete : ParseState::complete;
 }
 
+bool HttpParser::may_be_long() const {
+  if (!is_streaming_allowed_ || state_ != ParseState::reading) return false;
+  if (stage_ == ParseStage::head || stage_ == ParseStage::complete) return false;
+  return stage_ != ParseStage::fixed_length_body || remaining_bytes_ > max_buffered_body_;
+}
+
+void HttpParser::start_streaming() {
+  if (may_be_long()) state_ = ParseState::head_ready;
+}
+
 Message HttpParser::take_message() {
   if (state_ == ParseState::head_ready) return take_partial_message();
   Message message = std::exchange(message_, {});
--- a/src/http/http_parser.h
+++ b/src/http/http_parser.h
@@ -68,6 +68,13 @@
 
   ParseState state() const { return state_; }
 
+  /// Whether the head of a message is complete whose body may be too long for the buffer: it states no
+  /// length, or one that is too long.
+  bool may_be_long() const;
+  /// Streams a message that may be long from now on, however little of its body has arrived: the state
+  /// becomes `head_ready`.
+  void start_streaming();
+
   /// Whether the buffer holds received bytes.
   bool has_partial_input() const { return filled_bytes_ > 0; }
 
--- a/src/proxy/request_dispatcher.cpp
+++ b/src/proxy/request_dispatcher.cpp
@@ -310,6 +310,7 @@
   exchange.is_head_request = is_head_request(request);
   exchange.has_more_body = request.is_partial;
   exchange.max_upload_stall_ms = rpcs_.at(decision.rpc_id).budget_ms;
+  exchange.response_due_ms = rpcs_.at(decision.rpc_id).deadline_ms;
   exchange.must_be_sent_by_ms = decision.send_deadline_ms;
   return exchange;
 }
--- a/src/proxy/upstream_connection.h
+++ b/src/proxy/upstream_connection.h
@@ -29,17 +29,21 @@
   double started_at_ms = 0;           ///< when the exchange, or the last piece of a long request, started
   double response_started_at_ms = 0;  ///< start of a long response; 0 if there is none
   double response_head_at_ms = 0;     ///< when the response's head was complete; 0 until then
-  double last_response_byte_at_ms = 0;
+  double silent_since_ms = 0;         ///< when the last byte of the response was read; 0 until the first one
+  double paused_at_ms = 0;            ///< when reading was paused
+  double response_due_at_ms = 0;
   double expires_at_ms = 0;  ///< when the exchange times out
   double idle_since_ms = 0;
 
   bool streaming_response = false;
   bool reading_paused = false;     ///< until more of a long response is wanted
+  bool states_long_body = false;   ///< the head of the streamed response states a length
   bool has_more_body = false;      ///< more of a long request is to follow
   bool is_upload_started = false;  ///< the endpoint took the first part of a long request
 
   EventLoop::Timer timeout_timer;
   EventLoop::Timer connect_timer;
+  EventLoop::Timer forward_timer;  ///< the latest time at which a response that may be long is forwarded
   EventLoop::Timer reusable_timer;
   EventLoop::Timer retirement_timer;
   EventLoop::Timer send_deadline_timer;
@@ -52,6 +56,10 @@
   /// To be called after bytes of the response were passed to the parser.
   void note_response_bytes(double now_ms);
   ResponseProgress response_progress(double now_ms) const;
+  void pause_reading(double now_ms);
+  /// The endpoint is not taken for silent while nothing was read from it. Returns false if reading was not
+  /// paused.
+  bool resume_reading(double now_ms);
   /// Frees what an idle connection doesn't need.
   void release_buffers();
 };
--- a/src/proxy/upstream_exchange.h
+++ b/src/proxy/upstream_exchange.h
@@ -46,6 +46,8 @@
   bool has_more_body = false;  ///< the request is only the first part of a long one
   /// A long request fails if the endpoint takes none of its bytes for this time.
   double max_upload_stall_ms = 1e18;
+  /// When the client expects the response, as far as that is known before the last piece of a long request.
+  double response_due_ms = 1e18;
   /// If the request's last byte has not been written by then, the exchange ends as withdrawn.
   double must_be_sent_by_ms = 1e18;
 };
--- a/src/proxy/upstream_pool.cpp
+++ b/src/proxy/upstream_pool.cpp
@@ -13,6 +13,9 @@
 
 namespace {
 
+// Of a transfer that makes progress; well-behaved peers pause for less than 2 s.
+constexpr double longest_pause_ms = 5000;
+
 bool is_same_address(const sockaddr_in& a, const sockaddr_in& b) {
   return a.sin_addr.s_addr == b.sin_addr.s_addr && a.sin_port == b.sin_port;
 }
@@ -142,6 +145,7 @@
   connection.release_buffers();
   connection.socket->acknowledge_now();  // a duplicate must arrive before the connection is reusable
   connection.timeout_timer.cancel();
+  connection.forward_timer.cancel();
   connection.send_deadline_timer.cancel();
   connection.idle_since_ms = event_loop_.now();
   connection.retirement_timer = event_loop_.schedule_at(connection.idle_since_ms + max_idle_ms(),
@@ -236,7 +240,7 @@
       on_output_written(connection);
     else if (connection.is_upload_started && connection.has_more_body &&
              connection.output.written_bytes() > written_before)
-      set_progress_timeout(connection);
+      set_upload_timeout(connection);
     if (!connections_.count(id)) return;  // on_ready_for_body() may have abandoned the exchange
   }
   if (!connection.reading_paused) read_response(connection);
@@ -283,7 +287,7 @@
 void UpstreamPool::on_output_written(Connection& connection) {
   if (connection.has_more_body) {
     connection.is_upload_started = true;
-    set_progress_timeout(connection);
+    set_upload_timeout(connection);
     return connection.exchange.on_ready_for_body();
   }
   connection.stage = Stage::awaiting_response;
@@ -301,12 +305,13 @@
     // The endpoint begins with the last byte: a slow upload of the client must not look like a slow endpoint.
     connection.started_at_ms = event_loop_.now();
     set_exchange_timeout(connection, timeout_ms);
+    connection.response_due_at_ms = connection.expires_at_ms;
   }
   if (!connection.socket->write(connection.output)) {
     schedule_failure(connection, event_loop_.now());
     return false;
   }
-  if (!last) set_progress_timeout(connection);
+  if (!last) set_upload_timeout(connection);
   if (!connection.output.is_complete()) return false;
   if (last) on_output_written(connection);
   return !last;
@@ -314,8 +319,8 @@
 
 void UpstreamPool::resume_response(ExchangeId id) {
   const auto it = connections_.find(id);
-  if (it == connections_.end() || !std::exchange(it->second->reading_paused, false)) return;
-  set_progress_timeout(*it->second);
+  if (it == connections_.end() || !it->second->resume_reading(event_loop_.now())) return;
+  set_response_timeout(*it->second);
   it->second->socket->requeue();
 }
 
@@ -353,6 +358,7 @@
     finish_response(connection, stream_ended);
     return false;
   }
+  if (connection.parser.may_be_long()) limit_hold_time(connection);
   const bool is_malformed = connection.parser.state() == ParseState::error;
   if (stream_ended)
     fail_exchange(connection, AttemptOutcome::reset);
@@ -361,9 +367,26 @@
   return !stream_ended && !is_malformed;
 }
 
+// While a response is held, another attempt can still replace it. One that may be long is on time with its
+// first bytes and must neither be cut off while it comes nor be held for long.
+void UpstreamPool::limit_hold_time(Connection& connection) {
+  constexpr double max_hold_ms = 1500;           // a client may give up what is held for 2 s
+  constexpr double lead_before_timeout_ms = 10;  // the load balancer may end the RPC at the timeout
+  if (connection.forward_timer.is_set()) return;
+  const double forward_at_ms = std::min(connection.expires_at_ms - lead_before_timeout_ms,
+                                        connection.response_head_at_ms + max_hold_ms);
+  connection.forward_timer = event_loop_.schedule_at(forward_at_ms, [this, id = connection.id] {
+    Connection& held = *connections_.at(id);
+    held.parser.start_streaming();
+    start_streaming_response(held, false);
+  });
+}
+
 void UpstreamPool::start_streaming_response(Connection& connection, bool stream_ended) {
+  connection.forward_timer.cancel();
   const http::Message response = connection.parser.take_message();
-  connection.response_started_at_ms = event_loop_.now();
+  connection.response_started_at_ms = std::max(connection.response_head_at_ms, connection.started_at_ms);
+  connection.states_long_body = response.content_length.has_value();
   if (!connection.exchange.on_response_started(response)) {
     http::Message head = response;
     head.body_range.length = 0;
@@ -371,7 +394,7 @@
     return complete_exchange(connection, AttemptOutcome::ok, std::move(head), false);
   }
   connection.streaming_response = true;
-  connection.reading_paused = true;
+  connection.pause_reading(event_loop_.now());
   connection.timeout_timer.cancel();
   if (stream_ended) connection.socket->requeue();  // the end of the stream is then read again
 }
@@ -386,7 +409,7 @@
     }
     const bool last = parser.state() == ParseState::body_complete;
     if (parser.body_chunk().empty() && !last) return true;
-    set_progress_timeout(connection);
+    set_response_timeout(connection);
     const ExchangeId id = connection.id;
     const bool wants_more = connection.exchange.on_body_piece(parser.body_chunk(), last);
     if (!connections_.count(id)) return false;  // on_body_piece() may have abandoned the exchange
@@ -398,7 +421,7 @@
     }
     parser.consume_body_chunk();
     if (wants_more) continue;
-    connection.reading_paused = true;
+    connection.pause_reading(event_loop_.now());
     connection.timeout_timer.cancel();
     return false;
   }
@@ -415,17 +438,30 @@
 }
 
 void UpstreamPool::set_exchange_timeout(Connection& connection, double timeout_ms) {
-  connection.expires_at_ms = event_loop_.now() + timeout_ms;
-  connection.timeout_timer = event_loop_.schedule_at(connection.expires_at_ms, [this, id = connection.id] {
-    fail_exchange(*connections_.at(id), AttemptOutcome::timed_out);
-  });
+  set_expiry(connection, event_loop_.now() + timeout_ms);
+}
+
+void UpstreamPool::set_expiry(Connection& connection, double at_ms) {
+  connection.expires_at_ms = at_ms;
+  connection.timeout_timer = event_loop_.schedule_at(
+      at_ms, [this, id = connection.id] { fail_exchange(*connections_.at(id), AttemptOutcome::timed_out); });
+}
+
+// A response may take long while it makes progress; one that stalls is ended. One that may still turn out to
+// be short is due with its last byte: a final answer that is later than the allowance is a lost one.
+void UpstreamPool::set_response_timeout(Connection& connection) {
+  constexpr double short_response_pause_ms = 1400;
+  constexpr double late_answer_allowance_ms = 350;
+  const bool is_long =
+      connection.states_long_body || connection.parser.body_bytes() > http::max_buffered_body_bytes;
+  if (is_long) return set_expiry(connection, connection.silent_since_ms + longest_pause_ms);
+  set_expiry(connection, std::max(connection.silent_since_ms + short_response_pause_ms,
+                                  connection.response_due_at_ms + late_answer_allowance_ms));
 }
 
-// A transfer may take long while it makes progress; one that stalls is ended. While the endpoint takes no
-// more of a request, its last byte may wait in a buffer of the kernel, where nobody sees it, and the budget
-// runs.
-void UpstreamPool::set_progress_timeout(Connection& connection) {
-  constexpr double longest_pause_ms = 5000;  // well-behaved peers pause for less than 2 s
+// While the endpoint takes no more of a request, its last byte may wait in a buffer of the kernel, where
+// nobody sees it, and the budget runs.
+void UpstreamPool::set_upload_timeout(Connection& connection) {
   const bool is_endpoint_stalling = !connection.output.is_complete();
   set_exchange_timeout(connection, is_endpoint_stalling
                                        ? std::min(longest_pause_ms, connection.exchange.max_upload_stall_ms)
--- a/src/proxy/upstream_pool.h
+++ b/src/proxy/upstream_pool.h
@@ -119,13 +119,16 @@
   // Reading.
   void read_response(Connection& connection);
   bool process_response(Connection& connection, bool stream_ended);
+  void limit_hold_time(Connection& connection);
   void start_streaming_response(Connection& connection, bool stream_ended);
   bool forward_response_body(Connection& connection, AttemptOutcome outcome_if_broken);
   void finish_response(Connection& connection, bool stream_ended);
 
   // The end of an exchange.
   void set_exchange_timeout(Connection& connection, double timeout_ms);
-  void set_progress_timeout(Connection& connection);
+  void set_upload_timeout(Connection& connection);
+  void set_response_timeout(Connection& connection);
+  void set_expiry(Connection& connection, double at_ms);
   void schedule_failure(Connection& connection, double when_ms);
   void fail_exchange(Connection& connection, AttemptOutcome outcome_if_sent);
   void withdraw_exchange(Connection& connection);
--- a/tests/pipe_test.cpp
+++ b/tests/pipe_test.cpp
@@ -96,6 +96,41 @@
   CHECK(message.broken);
 }
 
+TEST_CASE("a body that may be long is parsed the same wherever its streaming is started early") {
+  constexpr std::size_t buffered_bytes = 25;  // the bodies have 26
+  for (const SplitCase& split_case : split_cases) {
+    CAPTURE(std::string(split_case.description));
+    int started = 0;
+    for (std::size_t cut = 0; cut < split_case.bytes.size(); ++cut) {
+      CAPTURE(cut);
+      http::HttpParser parser(split_case.kind, buffered_bytes);
+      parser.allow_streaming();
+      ParsedMessage message;
+      feed_parser(parser, std::string_view(split_case.bytes).substr(0, cut), message);
+      if (parser.may_be_long()) {
+        parser.start_streaming();
+        CHECK(parser.state() == State::head_ready);
+        ++started;
+        take_parsed(parser, message);
+        CHECK(message.has_head);
+      }
+      feed_parser(parser, std::string_view(split_case.bytes).substr(cut), message);
+      if (split_case.stream_ends) parser.on_end_of_stream();
+      take_parsed(parser, message);
+      CHECK(message.complete == split_case.is_complete);
+      CHECK(message.broken == !split_case.is_complete);
+      CHECK(split_body.starts_with(message.body));
+      CHECK((message.body == split_body || !split_case.is_complete));
+    }
+    CHECK(started > 0);
+  }
+  http::HttpParser short_body(response);
+  short_body.allow_streaming();
+  ParsedMessage message;
+  feed_parser(short_body, ok_line + "Content-Length: 26\r\n\r\nabc", message);
+  CHECK_FALSE(short_body.may_be_long());
+}
+
 namespace {
 
 struct LongMessageFixture {
--- a/tests/slow_transfer_test.cpp
+++ b/tests/slow_transfer_test.cpp
@@ -18,6 +18,8 @@
 constexpr const char* framing_names[] = {"length", "chunked", "until close"};
 constexpr const char* method_names[] = {"tile-read", "print-order", "book-slot"};
 
+constexpr double slowest_bytes_per_ms = 64;
+
 class Random {
  public:
   explicit Random(std::uint32_t seed) : engine_(seed) {}
@@ -60,8 +62,8 @@
 };
 
 // Adds the body from `offset` on in small pieces at a steady rate.
-void add_steady_body(ResponsePlan& plan, Random& random, double at_ms, std::size_t offset) {
-  const double bytes_per_ms = random.between(64, 300);
+void add_steady_body(ResponsePlan& plan, Random& random, double bytes_per_ms, double at_ms,
+                     std::size_t offset) {
   while (offset < plan.body.size()) {
     const std::size_t count = 1 + random.size_between(10, 60) * static_cast<std::size_t>(bytes_per_ms);
     plan.add_body(at_ms, offset, count);
@@ -86,18 +88,19 @@
   const double head_at_ms = random.between(1, 60);
   plan.pieces.push_back({head_at_ms, plan.head()});
   const double pause_ms = random.between(100, longest_pause_ms);
+  const double bytes_per_ms = random.between(slowest_bytes_per_ms, 300);
   switch (shape) {
     case Shape::early_body: {
       const std::size_t first = random.size_between(1, 60000);
       plan.add_body(head_at_ms, 0, first);
-      add_steady_body(plan, random, head_at_ms + pause_ms, first);
+      add_steady_body(plan, random, bytes_per_ms, head_at_ms + pause_ms, first);
       break;
     }
     case Shape::late_body:
-      add_steady_body(plan, random, head_at_ms + pause_ms, 0);
+      add_steady_body(plan, random, bytes_per_ms, head_at_ms + pause_ms, 0);
       break;
     case Shape::steady:
-      add_steady_body(plan, random, head_at_ms, 0);
+      add_steady_body(plan, random, bytes_per_ms, head_at_ms, 0);
       break;
     case Shape::lumps:
       add_lumps(plan, random, head_at_ms, longest_pause_ms);
@@ -106,6 +109,36 @@
   return plan;
 }
 
+ResponsePlan slowest_plan(Random& random) {
+  ResponsePlan plan;
+  plan.framing = Framing::chunked;
+  plan.body = patterned_bytes(200000);
+  plan.pieces.push_back({1, plan.head()});
+  add_steady_body(plan, random, slowest_bytes_per_ms, 1, 0);
+  return plan;
+}
+
+ResponsePlan quick_plan() {
+  ResponsePlan plan;
+  plan.body = patterned_bytes(100);
+  plan.pieces.push_back({1, plan.head()});
+  plan.add_body(1, 0, plan.body.size());
+  return plan;
+}
+
+// The head and `sent` bytes of the body at once, and then what `ending` says at `ends_at_ms`.
+ResponsePlan broken_plan(Framing framing, std::size_t size, std::size_t sent, Ending ending,
+                         double ends_at_ms) {
+  ResponsePlan plan;
+  plan.framing = framing;
+  plan.body = patterned_bytes(size);
+  plan.pieces.push_back({1, plan.head()});
+  if (sent > 0) plan.add_body(2, 0, sent);
+  plan.ending = ending;
+  plan.ends_at_ms = ends_at_ms;
+  return plan;
+}
+
 // Endpoints that answer each request by the next plan for its id.
 struct PlannedEndpoints {
   struct Connection {
@@ -172,7 +205,7 @@
           now_ms + piece.at_ms, [this, &connection, &piece] { send(connection, piece.bytes); }));
     if (plan.ending == Ending::reset ||
         (plan.ending == Ending::complete && plan.framing == Framing::until_close))
-      connection.timers.push_back(loop.schedule_at(now_ms + plan.ends_at_ms, [this, &connection, &plan] {
+      connection.timers.push_back(loop.schedule_at(now_ms + plan.ends_at_ms, [&connection, &plan] {
         if (connection.socket && plan.ending == Ending::reset) connection.socket->reset_on_close();
         close(connection);
       }));
@@ -319,6 +352,8 @@
                                  {draw_sound_plan(deployment->random, shape, framing)});
         run_deployments(loop, deployments, 25);
       }
+  for (const auto& deployment : deployments)
+    deployment->send_request("tile-read", "steady and slowest, chunked", {slowest_plan(deployment->random)});
   run_deployments(loop, deployments, 20000);
   for (std::size_t i = 0; i < deployments.size(); ++i) {
     CAPTURE(i);
@@ -337,4 +372,88 @@
   }
 }
 
+// Guards against a response of unknown length that is forwarded too early: while its attempt has time left,
+// another one can still replace it.
+TEST_CASE("processes: a response that is reset while it comes is replaced by a retry where that is safe") {
+  constexpr int warm_up_requests = 12;
+  EventLoop loop;
+  auto deployments = start_deployments(loop, {11, 12, 13});
+  for (int i = 0; i < warm_up_requests; ++i)
+    for (const auto& deployment : deployments) {
+      deployment->send_request("tile-read", "quick", {quick_plan()});
+      run_deployments(loop, deployments, 20);
+    }
+  for (const Framing framing : {Framing::length, Framing::chunked, Framing::until_close})
+    for (const std::size_t sent : {0, 1, 30000})
+      for (const auto& deployment : deployments) {
+        const std::size_t size = deployment->random.size_between(40000, 60000);
+        const double reset_at_ms = deployment->objective_ms * deployment->random.between(0.1, 0.4);
+        deployment->send_request(
+            "tile-read",
+            std::string(framing_names[static_cast<int>(framing)]) + ", " + std::to_string(sent) +
+                " bytes, reset",
+            {broken_plan(framing, size, sent, Ending::reset, reset_at_ms), quick_plan()});
+        run_deployments(loop, deployments, 150);
+      }
+  run_deployments(loop, deployments, 5000);
+  for (std::size_t i = 0; i < deployments.size(); ++i) {
+    CAPTURE(i);
+    for (const auto& client : deployments[i]->clients) {
+      CAPTURE(client->description);
+      CHECK(client->message.head.status == 200);
+      CHECK(client->message.complete);
+      const bool is_body_of_quick_plan = client->message.body == quick_plan().body;
+      CHECK(is_body_of_quick_plan);
+    }
+  }
+}
+
+// Guards against a client that waits for an endpoint which has stopped in the middle of its response.
+TEST_CASE(
+    "processes: a response whose endpoint stops in the middle of it ends in time and visibly incomplete") {
+  struct {
+    const char* description;
+    Framing framing;
+    std::size_t size;
+    std::size_t sent;
+    double ends_within_ms;  // of the request; 0: an answer of another status is owed by the deadline
+  } table[] = {
+      {"short, head alone", Framing::length, 5000, 0, 0},
+      {"short, 4,000 of 5,000 bytes", Framing::length, 5000, 4000, 0},
+      {"chunked, head alone", Framing::chunked, 5000, 0, 1500},
+      {"chunked, 4,000 bytes", Framing::chunked, 5000, 4000, 1500},
+      {"no length, head alone", Framing::until_close, 5000, 0, 1500},
+      {"no length, 4,000 bytes", Framing::until_close, 5000, 4000, 1500},
+      {"long, head alone", Framing::length, 100000, 0, 5700},
+      {"long, 30,000 bytes", Framing::length, 100000, 30000, 5700},
+      {"chunked, 90,000 bytes", Framing::chunked, 100000, 90000, 5700},
+  };
+  constexpr double late_answer_allowance_ms = 500;  // beyond it a final answer is lost
+  EventLoop loop;
+  auto deployments = start_deployments(loop, {21, 22, 23});
+  std::vector<const SlowClient*> clients;
+  std::vector<double> due_ms;
+  for (const auto& deployment : deployments)
+    for (const auto& row : table) {
+      const char* method = deployment->random.one_of(method_names);
+      clients.push_back(&deployment->send_request(
+          method, row.description, {broken_plan(row.framing, row.size, row.sent, Ending::hang, 1e9)}));
+      due_ms.push_back(std::max(row.ends_within_ms, deployment->deadline_ms + late_answer_allowance_ms));
+      run_deployments(loop, deployments, 10);
+    }
+  run_deployments(loop, deployments, 8000);
+  for (std::size_t i = 0; i < clients.size(); ++i) {
+    const SlowClient& client = *clients[i];
+    CAPTURE(client.description);
+    CHECK(client.ended_at_ms > 0);
+    CHECK(client.ended_at_ms - client.sent_at_ms < due_ms[i]);
+    const bool is_whole = client.message.complete;
+    CHECK((client.message.head.status != 200 || !is_whole));
+    CHECK((client.message.head.status != 0 || client.connection->ended));
+  }
+  for (const auto& deployment : deployments)
+    for (const auto& client : deployment->clients)
+      if (client->must_not_run_twice) CHECK(deployment->endpoints.attempts_of(client->id) <= 1);
+}
+
 }  // namespace host
