A long request that its endpoint takes slowly gets its final answer in time

What callers saw: where an endpoint read a large request slowly, the final answer came seconds after its time.

While the endpoint holds back, the client's last bytes wait unread in the kernels' buffers for as long as the endpoint takes for what is before them; a slow steady endpoint always makes progress.

Change: UploadClock keeps a lower bound of the time at which the client can have written the last byte. It moves on whenever all that came was read (then the client is the slow one), while more of a stated length is missing than the kernels hold (4 MiB at the client, and what lies unread here), and with the bytes read since a checkpoint, of which no more than that can be older. 0.3 s after the budget from that bound the attempt ends as one that was not written whole, which can't have run, and the client is told so; the last byte's deadline is bounded alike. It is checked when its time has come, against the kernel's queue of that moment. Counter long_requests_overdue, a debug line with the client's id.

--- a/src/event/tcp_stream.cpp
+++ b/src/event/tcp_stream.cpp
@@ -146,6 +146,11 @@
   return ::ioctl(fd_.get(), SIOCOUTQ, &count) < 0 || count < 0 ? 0 : static_cast<std::size_t>(count);
 }
 
+std::size_t TcpStream::unread_bytes() const {
+  int count = 0;
+  return ::ioctl(fd_.get(), SIOCINQ, &count) < 0 || count < 0 ? 0 : static_cast<std::size_t>(count);
+}
+
 void TcpStream::shutdown_write() { ::shutdown(fd_.get(), SHUT_WR); }
 
 }  // namespace indigorill
--- a/src/event/tcp_stream.h
+++ b/src/event/tcp_stream.h
@@ -48,6 +48,9 @@
 
   bool has_unread_input() const;
 
+  /// Bytes that were received and not read yet.
+  std::size_t unread_bytes() const;
+
   /// The flags among EPOLLRDHUP, EPOLLHUP and EPOLLERR that are set now; 0 for none.
   std::uint32_t poll_hangup_events() const;
 
--- a/src/metrics/counters.cpp
+++ b/src/metrics/counters.cpp
@@ -52,6 +52,7 @@
   write(output, "list_failures", counters.endpoint_poll_failures);
   write(output, "malformed_lists", counters.malformed_endpoint_lists);
   write(output, "answers_incomplete", counters.incomplete_responses);
+  write(output, "long_requests_overdue", counters.overdue_requests);
   return output;
 }
 
--- a/src/proxy/client_connection.cpp
+++ b/src/proxy/client_connection.cpp
@@ -23,6 +23,12 @@
   return stage == Stage::reading_request && parser.state() != http::HttpParser::ParseState::reading;
 }
 
+UploadClock::Backlog ClientConnection::upload_backlog() const {
+  UploadClock::Backlog backlog{.unread_bytes = socket->unread_bytes()};
+  if (request_length) backlog.remaining_body = *request_length - parser.body_bytes();
+  return backlog;
+}
+
 void ClientConnection::receive(std::size_t count, double now_ms) {
   // The budget of an RPC counts from the last byte of its request.
   if (stage == Stage::reading_request) request_received_at_ms = now_ms - socket->receive_age_ms();
@@ -32,6 +38,8 @@
     first_byte_at_ms = now_ms;
   }
   last_byte_at_ms = now_ms;
+  if (streaming_request)
+    upload_clock.on_bytes_read(count, now_ms - socket->receive_age_ms(), socket->unread_bytes());
   parser.commit(count);
   if (!parser.is_head_complete()) return;
   if (head_complete_at_ms == 0) head_complete_at_ms = now_ms;
--- a/src/proxy/client_connection.h
+++ b/src/proxy/client_connection.h
@@ -4,12 +4,14 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "event/event_loop.h"
 #include "event/tcp_stream.h"
 #include "http/http_parser.h"
 #include "proxy/eviction_queue.h"
+#include "proxy/upload_clock.h"
 
 namespace indigorill {
 
@@ -50,6 +52,10 @@
   std::size_t request_bytes_held = 0;  ///< memory of the request that the dispatcher holds
   bool streaming_request = false;      ///< a long request is being received
   bool upstream_wants_more = false;    ///< the endpoint takes the next piece of a long request
+  double rpc_budget_ms = 0;
+  std::optional<std::uint64_t> request_length;  ///< stated length of the body of a long request
+  UploadClock upload_clock;                     ///< of a long request
+  EventLoop::Timer upload_timer;                ///< when a long request has to be looked at
 
   // The response.
   http::Message response;  ///< `output` borrows from it
@@ -66,6 +72,8 @@
   bool is_reading_paused() const;
   /// True if the parser has a whole request, the head of a long one, or an error that is to be answered.
   bool has_unanswered_request() const;
+  /// What is known of a long request's bytes that were not read yet.
+  UploadClock::Backlog upload_backlog() const;
   /// Passes `count` bytes just read to the parser and records their time of arrival.
   void receive(std::size_t count, double now_ms);
 };
--- a/src/proxy/http_server.cpp
+++ b/src/proxy/http_server.cpp
@@ -13,6 +13,14 @@
 using ParseState = http::HttpParser::ParseState;
 using ReadStatus = TcpStream::ReadStatus;
 
+namespace {
+
+// How much later than its time a final answer may come; up to 0.5 s is no loss, of which the process may be
+// held up for 0.15 s.
+constexpr double late_answer_allowance_ms = 300;
+
+}  // namespace
+
 HttpServer::HttpServer(EventLoop& event_loop, FileDescriptorBudget& descriptor_budget, Counters& counters,
                        Logger& logger, RequestDispatcher& dispatcher, Limits limits,
                        std::function<bool()> close_idle_upstream)
@@ -83,7 +91,10 @@
     if (connection.has_unanswered_request()) break;
     std::size_t count = 0;
     const ReadStatus status = connection.socket->read(connection.parser.writable_buffer(), count);
-    if (status == ReadStatus::would_block) return true;
+    if (status == ReadStatus::would_block) {
+      connection.upload_clock.on_drained();
+      return true;
+    }
     if (status != ReadStatus::data) {
       // A client that closes its connection doesn't wait for a response any more.
       close_connection(connection.id);
@@ -154,13 +165,16 @@
   while (connection.upstream_wants_more && parser.state() != ParseState::error) {
     const bool last = parser.state() == ParseState::body_complete;
     if (parser.body_chunk().empty() && !last) break;
+    const double received_at_ms =
+        std::min(event_loop_.now() - connection.socket->receive_age_ms(),
+                 connection.upload_clock.last_byte_not_before_ms() + late_answer_allowance_ms);
     connection.upstream_wants_more =
-        dispatcher_.send_request_body(connection.rpc_id, parser.body_chunk(), last,
-                                      event_loop_.now() - connection.socket->receive_age_ms());
+        dispatcher_.send_request_body(connection.rpc_id, parser.body_chunk(), last, received_at_ms);
     if (!connections_.count(id)) return;
     if (last) {
       connection.streaming_request = false;
       connection.timeout_timer.cancel();
+      connection.upload_timer.cancel();
       return parser.start_next_message();
     }
     parser.consume_body_chunk();
@@ -204,6 +218,27 @@
   set_request_timeout(connection, std::min(pause_ends_at_ms, too_slow_at_ms));
 }
 
+void HttpServer::schedule_upload_check(ClientConnection& connection) {
+  const double due_ms = connection.upload_clock.last_byte_not_before_ms() + connection.rpc_budget_ms;
+  connection.upload_timer =
+      event_loop_.schedule_at(due_ms + late_answer_allowance_ms, [this, id = connection.id] {
+        const auto it = connections_.find(id);
+        if (it->second->streaming_request) check_upload(*it->second);
+      });
+}
+
+// The endpoint takes the request slowly, and the last byte may wait behind what it has not taken yet. Once
+// the client may have waited for its whole budget it has to get an answer.
+void HttpServer::check_upload(ClientConnection& connection) {
+  const double now_ms = event_loop_.now();
+  if (connection.parser.state() == ParseState::streaming_body)
+    connection.upload_clock.observe(now_ms, connection.upload_backlog());
+  const double waiting_ms = now_ms - connection.upload_clock.last_byte_not_before_ms();
+  if (waiting_ms < connection.rpc_budget_ms + late_answer_allowance_ms)
+    return schedule_upload_check(connection);
+  dispatcher_.give_up_request_body(connection.rpc_id, waiting_ms);
+}
+
 void HttpServer::handle_request(ClientConnection& connection, http::Message request) {
   const RequestKind kind = classify_request(request);
   const bool may_be_rpc = kind == RequestKind::rpc;
@@ -239,7 +274,7 @@
   if (connection.over_connection_limit || is_over_memory_limit())
     return reject_for_lack_of_resources(connection);
   if (!dispatcher_.try_open_call_id(rpc.id)) return reject_bad_request(connection, http::status::conflict);
-  dispatch_rpc(connection, std::move(request), close_after);
+  dispatch_rpc(connection, std::move(request), rpc.budget_ms, close_after);
 }
 
 void HttpServer::reject_for_lack_of_resources(ClientConnection& connection) {
@@ -254,7 +289,8 @@
   return 0;
 }
 
-void HttpServer::dispatch_rpc(ClientConnection& connection, http::Message request, bool close_after) {
+void HttpServer::dispatch_rpc(ClientConnection& connection, http::Message request, double budget_ms,
+                              bool close_after) {
   connection.stage = Stage::awaiting_response;
   connection.close_after_response = close_after;
   connection.is_http_1_0 = request.is_http_1_0;
@@ -262,6 +298,12 @@
   connection.request_bytes_held = request.bytes.capacity();
   connection.streaming_request = request.is_partial;
   connection.upstream_wants_more = false;
+  connection.rpc_budget_ms = budget_ms;
+  if (request.is_partial) {
+    connection.request_length = request.content_length;
+    connection.upload_clock.start(connection.request_received_at_ms);
+    schedule_upload_check(connection);
+  }
   const std::uint64_t id = connection.id;
   std::string rpc_id =
       dispatcher_.dispatch(std::move(request), connection.request_received_at_ms, make_response_handler(id));
--- a/src/proxy/http_server.h
+++ b/src/proxy/http_server.h
@@ -74,11 +74,13 @@
   void send_continue(ClientConnection& connection);
   void set_request_timeout(ClientConnection& connection, double deadline_ms);
   void set_body_timeout(ClientConnection& connection);
+  void schedule_upload_check(ClientConnection& connection);
+  void check_upload(ClientConnection& connection);
 
   // Requests.
   void handle_request(ClientConnection& connection, http::Message request);
   void handle_rpc(ClientConnection& connection, http::Message request, bool close_after);
-  void dispatch_rpc(ClientConnection& connection, http::Message request, bool close_after);
+  void dispatch_rpc(ClientConnection& connection, http::Message request, double budget_ms, bool close_after);
   RequestDispatcher::ResponseHandler make_response_handler(std::uint64_t id);
   void reject_for_lack_of_resources(ClientConnection& connection);
   int rpc_error_status(const RpcRequest& rpc) const;
--- a/src/proxy/request_dispatcher.cpp
+++ b/src/proxy/request_dispatcher.cpp
@@ -153,6 +153,17 @@
                                           last, timeout_ms);
 }
 
+void RequestDispatcher::give_up_request_body(const std::string& rpc_id, double waiting_ms) {
+  const Attempt* attempt = find_attempt_in_flight(rpc_id);
+  if (!attempt) return;
+  ++counters_.overdue_requests;
+  logger_.debug() << "rpc " << rpc_id << " of call " << rpcs_.at(rpc_id).call_id
+                  << ": long request given up, " << attempt->endpoint_id
+                  << " has not taken all of it, and its last byte may have waited for " << waiting_ms
+                  << " ms";
+  upstream_pool_.time_out_exchange(attempt->exchange_id);
+}
+
 // The endpoint took the buffered part of a long request: from now on the request can't be sent elsewhere.
 void RequestDispatcher::on_ready_for_body(const std::string& rpc_id, int attempt_index) {
   Rpc& rpc = rpcs_.at(rpc_id);
--- a/src/proxy/request_dispatcher.h
+++ b/src/proxy/request_dispatcher.h
@@ -72,6 +72,9 @@
   /// Sends the next piece of a long request. Returns true if more may be passed at once. `received_at_ms` is
   /// used only for the last piece, from which the RPC's budget counts.
   bool send_request_body(const std::string& rpc_id, std::string_view bytes, bool last, double received_at_ms);
+  /// Ends the attempt of a long request that its endpoint takes too slowly. `waiting_ms`: for how long the
+  /// client may have waited.
+  void give_up_request_body(const std::string& rpc_id, double waiting_ms);
 
   /// `complete`: endpoints that are not among the entries are gone. `answers_poll`: the list may answer a
   /// poll that the load balancer requested; false for a list that is restored.
--- a/src/proxy/upstream_pool.cpp
+++ b/src/proxy/upstream_pool.cpp
@@ -516,6 +516,11 @@
   connections_.erase(it);
 }
 
+void UpstreamPool::time_out_exchange(ExchangeId id) {
+  const auto it = connections_.find(id);
+  if (it != connections_.end()) fail_exchange(*it->second, AttemptOutcome::timed_out);
+}
+
 void UpstreamPool::abandon_exchange(ExchangeId id) {
   if (connections_.count(id)) close_connection(id);
 }
--- a/src/proxy/upstream_pool.h
+++ b/src/proxy/upstream_pool.h
@@ -64,6 +64,8 @@
   /// Sends the next piece of a long request. Returns true if more may be passed at once. The last piece
   /// starts `timeout_ms`, the timeout for the response.
   bool send_request_body(ExchangeId id, std::string bytes, bool last, double timeout_ms);
+  /// Ends the exchange as its timeout would.
+  void time_out_exchange(ExchangeId id);
   /// Closes the connection of the exchange, so that the endpoint can stop working on it.
   void abandon_exchange(ExchangeId id);
   /// The request's last byte has not been written yet. Abandoning the exchange then cancels no work, because
--- a/tests/fixtures_test.cpp
+++ b/tests/fixtures_test.cpp
@@ -347,6 +347,7 @@
   for (Counters::Count& value : counters.health_checks) value = next++;
   for (Counters::Count& value : counters.evictions_by_state) value = next++;
   counters.incomplete_responses = next++;
+  counters.overdue_requests = next++;
   std::ostringstream text;
   text << counters;
   check_bytes("counters.txt", text.str());
--- a/tests/slow_transfer_test.cpp
+++ b/tests/slow_transfer_test.cpp
@@ -2,6 +2,8 @@
 // rates, pauses and settings are drawn by a seed from the range that the operators' pages allow.
 #include <doctest/doctest.h>
 
+#include <array>
+#include <cmath>
 #include <random>
 
 #include "support/long_messages.h"
@@ -145,10 +147,16 @@
     std::unique_ptr<TcpStream> socket;
     http::HttpParser parser{http::HttpParser::MessageKind::request};
     WriteBuffer output;
+    ParsedMessage request;  // a long one
+    double allowance = 0;   // bytes that may be read now
     std::vector<EventLoop::Timer> timers;
+
+    Connection() { parser.allow_streaming(); }
   };
   EventLoop& loop;
   FileDescriptorBudget budget{1000};
+  double read_bytes_per_ms = 0;  // of each connection; 0 for as fast as it comes
+  double last_read_at_ms = 0;
   std::vector<FileDescriptor> listeners;
   std::vector<EventLoop::Watch> watches;
   std::vector<std::unique_ptr<Connection>> connections;
@@ -185,15 +193,41 @@
   }
   void transfer(Connection& connection) {
     if (!connection.socket->write(connection.output)) return close(connection);
+    if (read_bytes_per_ms > 0) return;
+    while (connection.socket && read_once(connection) > 0) continue;
+  }
+  // Reads as much from each connection as `read_bytes_per_ms` allows since the last call.
+  void read_slowly() {
+    const double now_ms = loop.now();
+    for (const auto& connection : connections) {
+      if (!connection->socket) continue;
+      connection->allowance += (now_ms - last_read_at_ms) * read_bytes_per_ms;
+      while (connection->socket && connection->allowance > 0) {
+        const std::size_t count = read_once(*connection);
+        if (count == 0) connection->allowance = 0;
+        connection->allowance -= static_cast<double>(count);
+      }
+    }
+    last_read_at_ms = now_ms;
+  }
+  std::size_t read_once(Connection& connection) {
+    constexpr std::size_t max_bytes = 4096;
     std::size_t count = 0;
-    for (;;) {
-      const auto status = connection.socket->read(connection.parser.writable_buffer(), count);
-      if (status == TcpStream::ReadStatus::would_block) return;
-      if (status != TcpStream::ReadStatus::data) return close(connection);
-      connection.parser.commit(count);
-      while (connection.parser.state() == http::HttpParser::ParseState::complete)
-        respond(connection, connection.parser.take_message());
+    std::array<char, max_bytes> buffer;
+    const auto status = connection.socket->read(buffer, count);
+    if (status == TcpStream::ReadStatus::would_block) return 0;
+    if (status != TcpStream::ReadStatus::data) {
+      close(connection);
+      return 0;
+    }
+    feed_parser(connection.parser, std::string_view(buffer.data(), count), connection.request);
+    if (connection.parser.state() == http::HttpParser::ParseState::complete)
+      respond(connection, connection.parser.take_message());
+    if (connection.request.complete) {
+      connection.request.complete = false;
+      respond(connection, connection.request.head);
     }
+    return count;
   }
   void respond(Connection& connection, const http::Message& request) {
     const std::string id(request.find_header("X-Call-Id").value_or(""));
@@ -226,16 +260,23 @@
   bool must_not_run_twice = false;
   double budget_ms = 0;
   double sent_at_ms = 0;
+  double written_at_ms = 0;  // when the kernel had taken the request's last byte
   double first_byte_at_ms = 0;
   double ended_at_ms = 0;  // with the whole response, or the end of the connection
   std::size_t parsed_bytes = 0;
   http::HttpParser parser{http::HttpParser::MessageKind::response};
   ParsedMessage message;
+  std::unique_ptr<std::string> body;
   std::unique_ptr<RawConnection> connection;
+  std::vector<EventLoop::Timer> timers;
 
   SlowClient() { parser.allow_streaming(); }
   void step(double now_ms) {
     if (!connection || ended_at_ms > 0) return;
+    if (!connection->output.is_complete())
+      written_at_ms = 0;
+    else if (written_at_ms == 0)
+      written_at_ms = now_ms;
     const std::string& received = connection->received;
     if (first_byte_at_ms == 0 && !received.empty()) first_byte_at_ms = now_ms;
     feed_parser(parser, std::string_view(received).substr(parsed_bytes), message);
@@ -304,6 +345,47 @@
   void step() {
     for (const auto& client : clients) client->step(loop.now());
   }
+  // Sends the head of a long request and the first `count` bytes of its body, as fast as the kernel takes
+  // them.
+  SlowClient& send_long_request(const std::string& method, Framing framing, std::size_t size,
+                                std::size_t count = std::string::npos) {
+    clients.push_back(std::make_unique<SlowClient>());
+    SlowClient& client = *clients.back();
+    client.id = "long" + std::to_string(clients.size());
+    client.description =
+        method + ", " + framing_names[static_cast<int>(framing)] + ", " + std::to_string(size);
+    client.must_not_run_twice = method == "print-order";
+    client.body = std::make_unique<std::string>(patterned_bytes(size));
+    endpoints.plans[client.id] = {quick_plan()};
+    client.connection = std::make_unique<RawConnection>(loop, budget, start_connect(sidecar.address));
+    const bool chunked = framing == Framing::chunked;
+    client.connection->send(
+        "POST /" + method + " HTTP/1.1\r\nX-Call-Id: " + client.id + "\r\nX-Call-Class: " + method +
+        "\r\nX-Budget: " + std::to_string(deadline_ms) + "m\r\n" +
+        (chunked ? "Transfer-Encoding: chunked" : "Content-Length: " + std::to_string(size)) + "\r\n\r\n" +
+        encode_body_chunk(std::string_view(*client.body).substr(0, count), chunked, count >= size));
+    client.sent_at_ms = loop.now();
+    return client;
+  }
+  // Sends a long request of which the client writes a piece now and then.
+  SlowClient& send_slowly(const std::string& method, Framing framing, std::size_t size) {
+    constexpr double longest_pause_ms = 900;
+    constexpr std::size_t piece_count = 8;
+    SlowClient& client = send_long_request(method, framing, size, size / piece_count);
+    const std::string& body = *client.body;
+    double at_ms = loop.now();
+    for (std::size_t i = 1; i < piece_count; ++i) {
+      at_ms += random.between(100, longest_pause_ms);
+      const std::size_t offset = size / piece_count * i;
+      const bool last = i + 1 == piece_count;
+      const std::size_t count = last ? size - offset : size / piece_count;
+      client.timers.push_back(loop.schedule_at(at_ms, [&client, &body, offset, count, last, framing] {
+        client.connection->send(encode_body_chunk(std::string_view(body).substr(offset, count),
+                                                  framing == Framing::chunked, last));
+      }));
+    }
+    return client;
+  }
   bool all_ended() const {
     return std::all_of(clients.begin(), clients.end(),
                        [](const auto& client) { return client->ended_at_ms > 0; });
@@ -318,7 +400,10 @@
   };
   for (const double end_ms = loop.now() + max_ms; loop.now() < end_ms && !all_ended();) {
     loop.run_once(2);
-    for (const auto& deployment : deployments) deployment->step();
+    for (const auto& deployment : deployments) {
+      if (deployment->endpoints.read_bytes_per_ms > 0) deployment->endpoints.read_slowly();
+      deployment->step();
+    }
   }
 }
 
@@ -456,4 +541,63 @@
       if (client->must_not_run_twice) CHECK(deployment->endpoints.attempts_of(client->id) <= 1);
 }
 
+// Guards against a late final answer: the last bytes of a long request wait in the kernels' buffers, while
+// its endpoint takes what is before them slowly but steadily.
+TEST_CASE("processes: a long request that its endpoint reads slowly gets its final answer in time") {
+  constexpr double late_answer_allowance_ms = 500;  // beyond it a final answer is lost
+  constexpr double fastest_bytes_per_ms = 8000;
+  EventLoop loop;
+  auto deployments = start_deployments(loop, {31, 32, 33, 34, 35, 36, 37, 38});
+  for (const auto& deployment : deployments) {
+    deployment->endpoints.read_bytes_per_ms =
+        std::exp(deployment->random.between(std::log(slowest_bytes_per_ms), std::log(fastest_bytes_per_ms)));
+    deployment->endpoints.last_read_at_ms = loop.now();
+  }
+  for (const Framing framing : {Framing::length, Framing::chunked})
+    for (const char* method : {"print-order", "book-slot"})
+      for (const auto& deployment : deployments) {
+        deployment->send_long_request(method, framing, deployment->random.size_between(1000000, 12000000));
+        run_deployments(loop, deployments, 30);
+      }
+  run_deployments(loop, deployments, 12000);
+  for (std::size_t i = 0; i < deployments.size(); ++i) {
+    CAPTURE(i);
+    const SlowDeployment& deployment = *deployments[i];
+    CAPTURE(deployment.endpoints.read_bytes_per_ms);
+    CAPTURE(deployment.deadline_ms);
+    for (const auto& client : deployment.clients) {
+      CAPTURE(client->description);
+      CHECK(client->ended_at_ms > 0);
+      // An answer that comes before the request is written ends it.
+      const double written_at_ms = client->written_at_ms > 0 ? client->written_at_ms : client->ended_at_ms;
+      CHECK(client->ended_at_ms - written_at_ms < deployment.deadline_ms + late_answer_allowance_ms);
+      CHECK(client->message.head.status != 0);
+      const std::size_t attempts = deployment.endpoints.attempts_of(client->id);
+      if (client->message.head.status == 200) CHECK(attempts > 0);
+      if (client->must_not_run_twice) CHECK(attempts <= (client->message.head.status == 503 ? 0 : 1));
+    }
+  }
+}
+
+// Guards against a request that is given up although its client is the one who is slow.
+TEST_CASE("processes: a long request that its client writes slowly is served") {
+  constexpr double endpoint_bytes_per_ms = 2000;
+  EventLoop loop;
+  auto deployments = start_deployments(loop, {41, 42, 43, 44});
+  for (const auto& deployment : deployments) {
+    deployment->endpoints.read_bytes_per_ms = endpoint_bytes_per_ms;
+    deployment->endpoints.last_read_at_ms = loop.now();
+    for (const Framing framing : {Framing::length, Framing::chunked})
+      for (const char* method : {"print-order", "book-slot"})
+        deployment->send_slowly(method, framing, deployment->random.size_between(600000, 1500000));
+  }
+  run_deployments(loop, deployments, 12000);
+  for (const auto& deployment : deployments)
+    for (const auto& client : deployment->clients) {
+      CAPTURE(client->description);
+      CHECK(client->message.head.status == 200);
+      CHECK(deployment->endpoints.attempts_of(client->id) == 1);
+    }
+}
+
 }  // namespace host
