A response that is forwarded slowly counts for the memory that it uses

Change: a response in pieces holds one read of the endpoint's connection and one piece of output, some 8 KiB each, besides its first part, which is counted itself; it counts for 32 KiB.

--- a/src/proxy/client_connection.cpp
+++ b/src/proxy/client_connection.cpp
@@ -3,11 +3,13 @@
 namespace indigorill {
 
 std::size_t ClientConnection::buffered_bytes() const {
-  // Maximum held by the connections of the client and of the endpoint together.
-  constexpr std::size_t streaming_bytes = 4 * http::max_buffered_body_bytes;
-  const bool is_streaming = streaming_request || stage == Stage::streaming_response;
+  // Maxima held by the connections of the client and of the endpoint together. A response is forwarded in
+  // pieces of one read, and its first part is counted with the response.
+  constexpr std::size_t streaming_request_bytes = 4 * http::max_buffered_body_bytes;
+  constexpr std::size_t streaming_response_bytes = std::size_t{32} * 1024;
   return parser.buffer_capacity() + request_bytes_held + response.bytes.capacity() +
-         (is_streaming ? streaming_bytes : 0);
+         (streaming_request ? streaming_request_bytes : 0) +
+         (stage == Stage::streaming_response ? streaming_response_bytes : 0);
 }
 
 bool ClientConnection::is_reading_paused() const {
--- a/tests/slow_transfer_test.cpp
+++ b/tests/slow_transfer_test.cpp
@@ -386,6 +386,12 @@
     }
     return client;
   }
+  std::string read_counters() {
+    RawConnection connection(loop, budget, start_connect(sidecar.address));
+    connection.send("GET /-/counters HTTP/1.1\r\nConnection: close\r\n\r\n");
+    run_until(loop, [&] { return connection.ended; });
+    return connection.received;
+  }
   bool all_ended() const {
     return std::all_of(clients.begin(), clients.end(),
                        [](const auto& client) { return client->ended_at_ms > 0; });
@@ -600,4 +606,64 @@
     }
 }
 
+// Guards against a slow response that a shutdown cuts off although there is time for it.
+TEST_CASE("processes: after SIGTERM a long response that comes slowly is forwarded to its end") {
+  EventLoop loop;
+  auto deployments = start_deployments(loop, {51, 52, 53});
+  for (const auto& deployment : deployments)
+    for (const Framing framing : {Framing::length, Framing::chunked, Framing::until_close})
+      for (const double part_of_deadline : {0.6, 0.9}) {
+        ResponsePlan plan;
+        plan.framing = framing;
+        plan.body = patterned_bytes(deployment->random.size_between(66000, 100000));
+        plan.pieces.push_back({1, plan.head()});
+        const double bytes_per_ms =
+            static_cast<double>(plan.body.size()) / (part_of_deadline * deployment->deadline_ms);
+        add_steady_body(plan, deployment->random, bytes_per_ms, 1, 0);
+        deployment->send_request(deployment->random.one_of(method_names),
+                                 framing_names[static_cast<int>(framing)], {plan});
+      }
+  run_deployments(loop, deployments, 60);
+  for (const auto& deployment : deployments) deployment->sidecar.send_signal(SIGTERM);
+  run_deployments(loop, deployments, 5000);
+  for (const auto& deployment : deployments)
+    for (const auto& client : deployment->clients) {
+      CAPTURE(client->description);
+      CHECK(client->message.head.status == 200);
+      CHECK(client->message.complete);
+    }
+}
+
+// Guards against clients that are rejected because slow responses count for more memory than they use.
+TEST_CASE(
+    "processes: a crowd of slow responses stays within the memory limit and nothing is rejected for it") {
+  constexpr int slow_requests = 150;
+  constexpr double request_interval_ms = 15;
+  constexpr std::size_t memory_limit_mb = 32;
+  EventLoop loop;
+  SlowDeployment deployment(loop, 61);
+  std::string& text = deployment.sidecar.config_text;
+  const std::string limits = R"("limits":{"sockets":300})";
+  text.replace(text.find(limits), limits.size(),
+               R"("limits":{"sockets":1000,"memory_mb":)" + std::to_string(memory_limit_mb) + "}");
+  REQUIRE(deployment.start());
+  for (int i = 0; i < slow_requests; ++i) {
+    deployment.send_request("tile-read", "slow", {slowest_plan(deployment.random)});
+    for (const double end_ms = loop.now() + request_interval_ms; loop.now() < end_ms; deployment.step())
+      loop.run_once(1);
+  }
+  for (const double end_ms = loop.now() + 10000; loop.now() < end_ms && !deployment.all_ended();) {
+    loop.run_once(2);
+    deployment.step();
+  }
+  CHECK(deployment.all_ended());
+  const std::string counters = deployment.read_counters();
+  CHECK(counters.find("\nout_of_room 0\n") != std::string::npos);
+  CHECK(counters.find("\nanswers_cut 0\n") != std::string::npos);
+  CHECK(counters.find("\nanswers_incomplete 0\n") != std::string::npos);
+  CHECK(counters.find("\nlong_answers 0\n") == std::string::npos);
+  CHECK(deployment.sidecar.peak_memory_bytes() > 0);
+  CHECK(deployment.sidecar.peak_memory_bytes() < memory_limit_mb << 20);
+}
+
 }  // namespace host
--- a/tests/support/sidecar_process.h
+++ b/tests/support/sidecar_process.h
@@ -81,6 +81,16 @@
     pid_ = 0;
   }
   void send_signal(int signal_number) { ::kill(pid_, signal_number); }
+  /// The most memory that the process has used so far, in bytes.
+  std::size_t peak_memory_bytes() const {
+    constexpr std::size_t bytes_per_kb = 1024;
+    std::ifstream status("/proc/" + std::to_string(pid_) + "/status");
+    for (std::string word; status >> word;) {
+      std::size_t peak_kb = 0;
+      if (word == "VmHWM:" && status >> peak_kb) return peak_kb * bytes_per_kb;
+    }
+    return 0;
+  }
   bool has_exited() {
     if (pid_ > 0 && ::waitpid(pid_, &wait_status_, WNOHANG) == pid_) pid_ = 0;
     return pid_ == 0;
