slow_transfer_test: the peak of memory is checked without sanitizers

Under ASan the process had 204 MB for 32: its quarantine and shadow memory count as well. The other checks of the case, on rejections and cut responses, hold there too.

--- a/tests/slow_transfer_test.cpp
+++ b/tests/slow_transfer_test.cpp
@@ -669,7 +669,9 @@
   CHECK(counters.find("\nanswers_incomplete 0\n") != std::string::npos);
   CHECK(counters.find("\nlong_answers 0\n") == std::string::npos);
   CHECK(deployment.sidecar.peak_memory_bytes() > 0);
+#ifndef __SANITIZE_ADDRESS__  // it keeps freed memory, and a shadow of all of it
   CHECK(deployment.sidecar.peak_memory_bytes() < memory_limit_mb << 20);
+#endif
 }
 
 }  // namespace host
