A response of unknown length that stops is ended after 5 s however long its client waits

Found by reading the change once more: until 64 KiB of a response without a length have come its silence was bounded by the deadline alone, so with a budget of 30 s an endpoint that stopped in the middle held its client, a descriptor and memory for 30 s. Its pause is now between 1.4 and 5 s. The case of endpoints that stop has a deployment with such a budget; without the change its rows without a length don't end within 5.7 s.

--- a/src/proxy/upstream_pool_response.cpp
+++ b/src/proxy/upstream_pool_response.cpp
@@ -137,9 +137,11 @@
   constexpr double late_answer_allowance_ms = 350;
   const bool is_long =
       connection.states_long_body || connection.parser.body_bytes() > http::max_buffered_body_bytes;
-  if (is_long) return set_expiry(connection, connection.silent_since_ms + longest_pause_ms);
-  set_expiry(connection, std::max(connection.silent_since_ms + short_response_pause_ms,
-                                  connection.response_due_at_ms + late_answer_allowance_ms));
+  const double until_due_ms =
+      connection.response_due_at_ms + late_answer_allowance_ms - connection.silent_since_ms;
+  const double pause_ms =
+      is_long ? longest_pause_ms : std::clamp(until_due_ms, short_response_pause_ms, longest_pause_ms);
+  set_expiry(connection, connection.silent_since_ms + pause_ms);
 }
 
 }  // namespace indigorill
--- a/tests/slow_transfer_test.cpp
+++ b/tests/slow_transfer_test.cpp
@@ -528,6 +528,9 @@
   constexpr double late_answer_allowance_ms = 500;  // beyond it a final answer is lost
   EventLoop loop;
   auto deployments = start_deployments(loop, {21, 22, 23});
+  constexpr double long_budget_ms = 30000;
+  constexpr double latest_end_ms = 5700;
+  deployments.back()->deadline_ms = long_budget_ms;
   std::vector<const SlowClient*> clients;
   std::vector<double> due_ms;
   for (const auto& deployment : deployments)
@@ -535,7 +538,8 @@
       const char* method = deployment->random.one_of(method_names);
       clients.push_back(&deployment->send_request(
           method, row.description, {broken_plan(row.framing, row.size, row.sent, Ending::hang, 1e9)}));
-      due_ms.push_back(std::max(row.ends_within_ms, deployment->deadline_ms + late_answer_allowance_ms));
+      due_ms.push_back(std::min(
+          std::max(row.ends_within_ms, deployment->deadline_ms + late_answer_allowance_ms), latest_end_ms));
       run_deployments(loop, deployments, 10);
     }
   run_deployments(loop, deployments, 8000);
