--- a/src/metrics/counters.h
+++ b/src/metrics/counters.h
@@ -33,7 +33,7 @@
   Count truncated_responses = 0;    ///< streamed responses that ended before they were complete
   Count undelivered_responses = 0;  ///< their connection was closed before all was written
 
-  Count overdue_requests = 0;       ///< streamed requests given up because their endpoint took them too slowly
+  Count overdue_requests = 0;      ///< streamed requests given up because their endpoint took them too slowly
   Count incomplete_responses = 0;  ///< attempts that ended between the response's head and its end
 
   OutcomeCounts attempts{};
